--- /dev/null
+++ b/admit/gate.go
@@ -0,0 +1,373 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package admit
+
+import (
+	"sync"
+	"time"
+
+	"sassafrasfront.example/verdict"
+)
+
+// Report is a gate's load at one instant.
+type Report struct {
+	// Running and Waiting count the requests in the two states.
+	Running, Waiting int
+	// Allowed is the number of requests that may run now, at most the slots.
+	Allowed int
+	// Service is the expected service time. It is the larger of the mean over
+	// recent requests and the mean age of the running ones, so that it grows
+	// at once when the upstream stops answering.
+	Service time.Duration
+	// Draining is whether the gate refuses all new requests.
+	Draining bool
+}
+
+// Gate admits requests to one upstream. The zero value refuses everything
+// until Set is called. Its methods may be called from any goroutine.
+type Gate struct {
+	mu       sync.Mutex
+	limits   Limits
+	limiter  limiter
+	classes  []*classQueue
+	byName   map[string]*classQueue
+	virtual  float64
+	running  int
+	waiting  int
+	startSum time.Duration // sum of the start times of running requests, since epoch
+	epoch    time.Time
+	draining bool
+	idle     chan struct{}
+}
+
+// Set replaces the limits. Requests that run or wait keep their places, also
+// when there are now more of them than the limits allow.
+func (g *Gate) Set(l Limits) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	if g.epoch.IsZero() {
+		g.epoch = now
+		g.idle = make(chan struct{})
+		g.limiter.restart(l.Slots, now)
+	}
+	if l.Slots != g.limits.Slots {
+		g.limiter.limit = float64(l.Slots)
+	}
+	g.limits = l
+	g.setClasses(l.Classes)
+	g.dispatch(now)
+}
+
+// Restart tells the gate that its upstream has just started cold.
+func (g *Gate) Restart() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limiter.restart(g.limits.Slots, time.Now())
+}
+
+// Drain refuses all new requests and those that wait. Running requests go on.
+// The returned channel is closed once none runs.
+func (g *Gate) Drain() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.idle == nil {
+		g.idle = make(chan struct{})
+	}
+	if !g.draining {
+		g.draining = true
+		g.refuseWaiting(verdict.New(verdict.Draining, nil))
+		g.signalIdle()
+	}
+	return g.idle
+}
+
+// Resume takes requests again after a Drain.
+func (g *Gate) Resume() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.draining {
+		g.draining = false
+		g.idle = make(chan struct{})
+	}
+}
+
+// Report returns the gate's present load.
+func (g *Gate) Report() Report {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	return Report{
+		Running:  g.running,
+		Waiting:  g.waiting,
+		Allowed:  g.limiter.allowed(g.limits, now),
+		Service:  g.service(now),
+		Draining: g.draining,
+	}
+}
+
+// Enter asks for a slot for a request of the given class that is of no use
+// after the deadline. A zero deadline means none. The ticket that it returns
+// runs, waits, or is refused.
+func (g *Gate) Enter(class string, deadline time.Time) *Ticket {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	t := &Ticket{
+		gate:    g,
+		queue:   g.class(class),
+		ready:   make(chan struct{}),
+		entered: now,
+	}
+	if err := g.admissible(t, now, deadline); err != nil {
+		t.refuse(err)
+		return t
+	}
+	t.queue.tag(t, g.virtual)
+	t.queue.push(t)
+	g.waiting++
+	g.dispatch(now)
+	if t.state != waiting {
+		return t
+	}
+	if err := g.queueable(t, now, deadline); err != nil {
+		t.queue.remove(t)
+		t.queue.finish = t.start
+		g.waiting--
+		t.refuse(err)
+	}
+	return t
+}
+
+// admissible returns why the request can't even be considered, or nil.
+func (g *Gate) admissible(t *Ticket, now, deadline time.Time) *verdict.Error {
+	switch {
+	case t.queue == nil || g.limits.Slots <= 0:
+		return verdict.New(verdict.NoUpstream, nil)
+	case g.draining:
+		return verdict.New(verdict.Draining, nil)
+	case !deadline.IsZero() && !now.Before(deadline):
+		return verdict.New(verdict.DeadlinePassed, nil)
+	}
+	return nil
+}
+
+// queueable returns why the request, which stands in its queue, may not wait,
+// or nil if it may.
+func (g *Gate) queueable(t *Ticket, now, deadline time.Time) *verdict.Error {
+	wait := g.expectedWait(t.queue, now)
+	full := verdict.New(verdict.Refused, nil).WithRetryAfter(wait)
+	if wait > g.limits.QueueWait {
+		return full
+	}
+	if !deadline.IsZero() && now.Add(wait+g.service(now)).After(deadline) {
+		return full
+	}
+	if g.waiting > g.limits.QueueLength && !g.shed(t, full) {
+		return full
+	}
+	return nil
+}
+
+// expectedWait returns the time after which the last request of q starts:
+//
+//	n W s / (w a)
+//
+// for n waiting requests of the class, the class's weight w out of the sum W
+// over the classes with waiting requests, the service time s and a allowed
+// requests.
+func (g *Gate) expectedWait(q *classQueue, now time.Time) time.Duration {
+	var sum float64
+	for _, c := range g.classes {
+		if len(c.waiting) > 0 {
+			sum += c.class.Weight
+		}
+	}
+	allowed := min(g.limiter.allowed(g.limits, now), q.cap(g.limits.Slots))
+	n := float64(len(q.waiting)) * sum / q.class.Weight
+	return time.Duration(n * float64(g.service(now)) / float64(allowed))
+}
+
+// shed refuses the newest waiting request of the lowest priority, if that is
+// lower than t's, and returns whether there was one.
+func (g *Gate) shed(t *Ticket, err *verdict.Error) bool {
+	var lowest *classQueue
+	for _, q := range g.classes {
+		if len(q.waiting) == 0 || q.class.Priority >= t.queue.class.Priority {
+			continue
+		}
+		if lowest == nil || q.class.Priority < lowest.class.Priority {
+			lowest = q
+		}
+	}
+	if lowest == nil {
+		return false
+	}
+	victim := lowest.waiting[len(lowest.waiting)-1]
+	lowest.remove(victim)
+	lowest.finish = victim.start
+	g.waiting--
+	victim.refuse(err)
+	return true
+}
+
+// dispatch starts waiting requests while slots are free.
+func (g *Gate) dispatch(now time.Time) {
+	allowed := g.limiter.allowed(g.limits, now)
+	for g.running < allowed && g.waiting > 0 {
+		q := g.next(allowed)
+		if q == nil {
+			return
+		}
+		t := q.pop()
+		g.waiting--
+		g.running++
+		q.running++
+		g.virtual = t.start
+		g.startSum += now.Sub(g.epoch)
+		t.state = running
+		t.began = now
+		close(t.ready)
+	}
+}
+
+// next returns the class whose first waiting request runs next, or nil if all
+// classes with waiting requests hold their share.
+func (g *Gate) next(allowed int) *classQueue {
+	var best *classQueue
+	for _, q := range g.classes {
+		if len(q.waiting) == 0 || q.running >= q.cap(allowed) {
+			continue
+		}
+		if best == nil || q.waiting[0].start < best.waiting[0].start {
+			best = q
+		}
+	}
+	return best
+}
+
+// service returns the expected service time at the given time.
+func (g *Gate) service(now time.Time) time.Duration {
+	mean := time.Duration(g.limiter.fast * float64(time.Second))
+	if g.running == 0 {
+		return mean
+	}
+	age := now.Sub(g.epoch) - g.startSum/time.Duration(g.running)
+	return max(mean, age)
+}
+
+// revoke refuses t with err if it waits, and returns whether it did.
+func (g *Gate) revoke(t *Ticket, err *verdict.Error) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t.state != waiting {
+		return false
+	}
+	t.queue.remove(t)
+	g.waiting--
+	t.refuse(err)
+	return true
+}
+
+// expire refuses t if it still waits after the longest allowed time.
+func (g *Gate) expire(t *Ticket) {
+	g.mu.Lock()
+	after := g.expectedWait(t.queue, time.Now())
+	g.mu.Unlock()
+	g.revoke(t, verdict.New(verdict.Refused, nil).WithRetryAfter(after))
+}
+
+// release gives back the slot of t.
+func (g *Gate) release(t *Ticket, healthy bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t.state != running {
+		panic("admit: release of a request that is not running")
+	}
+	now := time.Now()
+	t.state = released
+	t.queue.running--
+	g.running--
+	g.startSum -= t.began.Sub(g.epoch)
+	if healthy {
+		g.limiter.observe(now.Sub(t.began), g.limits.Slots)
+	}
+	g.dispatch(now)
+	g.signalIdle()
+}
+
+// queueWait returns the longest time that a request waits.
+func (g *Gate) queueWait() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.limits.QueueWait
+}
+
+// class returns the queue of the named class, or that of the first class.
+func (g *Gate) class(name string) *classQueue {
+	if q, ok := g.byName[name]; ok {
+		return q
+	}
+	if len(g.classes) == 0 {
+		return nil
+	}
+	return g.classes[0]
+}
+
+// setClasses takes over the given classes. Classes that are gone keep their
+// queue until it is empty, at the end of the list.
+func (g *Gate) setClasses(classes []Class) {
+	if len(classes) == 0 {
+		classes = []Class{defaultClass}
+	}
+	old := g.classes
+	known := g.byName
+	g.classes = nil
+	g.byName = make(map[string]*classQueue, len(classes))
+	for _, c := range classes {
+		q := known[c.Name]
+		if q == nil {
+			q = &classQueue{}
+		}
+		q.class = c
+		g.classes = append(g.classes, q)
+		g.byName[c.Name] = q
+	}
+	for _, q := range old {
+		if g.byName[q.class.Name] != q && len(q.waiting)+q.running > 0 {
+			g.classes = append(g.classes, q)
+		}
+	}
+}
+
+// refuseWaiting refuses every waiting request.
+func (g *Gate) refuseWaiting(err *verdict.Error) {
+	for _, q := range g.classes {
+		for len(q.waiting) > 0 {
+			q.pop().refuse(err)
+			g.waiting--
+		}
+	}
+}
+
+// signalIdle closes the idle channel if the gate drains and nothing runs.
+func (g *Gate) signalIdle() {
+	if !g.draining || g.running > 0 {
+		return
+	}
+	select {
+	case <-g.idle:
+	default:
+		close(g.idle)
+	}
+}
+
+// refuse ends the wait of t with err. The gate's mutex is held.
+func (t *Ticket) refuse(err *verdict.Error) {
+	t.state = refused
+	t.failure = err
+	t.began = time.Now()
+	close(t.ready)
+}
--- /dev/null
+++ b/admit/gate_test.go
@@ -0,0 +1,312 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package admit_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"sassafrasfront.example/admit"
+	"sassafrasfront.example/verdict"
+)
+
+var base = admit.Limits{
+	Slots:       2,
+	QueueLength: 4,
+	QueueWait:   50 * time.Millisecond,
+}
+
+// warm runs n requests of the given duration so that the gate knows its
+// service time.
+func warm(g *admit.Gate, n int, d time.Duration) {
+	for range n {
+		t := g.Enter("", time.Time{})
+		time.Sleep(d)
+		t.Release(true)
+	}
+}
+
+func isReady(t *admit.Ticket) bool {
+	select {
+	case <-t.Ready():
+		return true
+	default:
+		return false
+	}
+}
+
+func TestEnter(t *testing.T) {
+	tests := map[string]struct {
+		running  int
+		waiting  int
+		deadline time.Duration
+		want     verdict.Cause
+		ready    bool
+	}{
+		"free slot":               {running: 1, ready: true},
+		"waits":                   {running: 2},
+		"deadline passed":         {running: 0, deadline: -time.Millisecond, want: verdict.DeadlinePassed, ready: true},
+		"queue full":              {running: 2, waiting: 4, want: verdict.Refused, ready: true},
+		"would miss its deadline": {running: 2, waiting: 2, deadline: 15 * time.Millisecond, want: verdict.Refused, ready: true},
+		"makes its deadline":      {running: 2, waiting: 2, deadline: 100 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				var g admit.Gate
+				g.Set(base)
+				warm(&g, 1, 10*time.Millisecond)
+				for range test.running + test.waiting {
+					g.Enter("", time.Time{})
+				}
+				var deadline time.Time
+				if test.deadline != 0 {
+					deadline = time.Now().Add(test.deadline)
+				}
+				k := g.Enter("", deadline)
+				c.Check(isReady(k), qt.Equals, test.ready)
+				if test.want == "" {
+					c.Check(k.Err() == nil, qt.IsTrue)
+					return
+				}
+				c.Assert(k.Err() != nil, qt.IsTrue)
+				c.Check(k.Err().Cause, qt.Equals, test.want)
+				c.Check(k.Err().Verdict(), qt.Equals, verdict.NotRun)
+				if test.want == verdict.Refused {
+					c.Check(k.Err().RetryAfter > 0, qt.IsTrue)
+				}
+			})
+		})
+	}
+}
+
+func TestWaitIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var g admit.Gate
+		g.Set(base)
+		g.Enter("", time.Time{})
+		g.Enter("", time.Time{})
+		began := time.Now()
+		err := g.Enter("", time.Time{}).Wait(context.Background())
+		c.Assert(err != nil, qt.IsTrue)
+		c.Check(err.Cause, qt.Equals, verdict.Refused)
+		c.Check(time.Since(began), qt.Equals, base.QueueWait)
+	})
+}
+
+func TestDrainRefusesWaitingAndSignalsIdle(t *testing.T) {
+	c := qt.New(t)
+	var g admit.Gate
+	g.Set(base.WithSlots(1))
+	first := g.Enter("", time.Time{})
+	second := g.Enter("", time.Time{})
+	idle := g.Drain()
+	c.Check(second.Err().Cause, qt.Equals, verdict.Draining)
+	c.Check(g.Enter("", time.Time{}).Err().Cause, qt.Equals, verdict.Draining)
+	select {
+	case <-idle:
+		t.Fatal("idle while a request runs")
+	default:
+	}
+	first.Release(true)
+	<-idle
+	g.Resume()
+	c.Check(g.Enter("", time.Time{}).Err() == nil, qt.IsTrue)
+}
+
+func TestClassesShareByWeight(t *testing.T) {
+	c := qt.New(t)
+	var g admit.Gate
+	g.Set(admit.Limits{
+		Slots:       1,
+		QueueLength: 100,
+		QueueWait:   time.Hour,
+	}.WithClasses(
+		admit.Class{Name: "interactive", Weight: 3, Share: 1, Priority: 1},
+		admit.Class{Name: "batch", Weight: 1, Share: 1},
+	))
+	current := g.Enter("batch", time.Time{})
+	var tickets []*admit.Ticket
+	var classes []string
+	for range 20 {
+		for _, class := range []string{"batch", "interactive"} {
+			tickets = append(tickets, g.Enter(class, time.Time{}))
+			classes = append(classes, class)
+		}
+	}
+	counts := make(map[string]int)
+	done := make(map[*admit.Ticket]bool)
+	for range 20 {
+		current.Release(true)
+		for i, k := range tickets {
+			if isReady(k) && !done[k] {
+				done[k] = true
+				counts[classes[i]]++
+				current = k
+			}
+		}
+	}
+	// The batch request that ran first counts too: 16 to 5 of 21 runs.
+	c.Check(counts["interactive"], qt.Equals, 16)
+	c.Check(counts["batch"], qt.Equals, 4)
+}
+
+func TestShareIsCappedAndLowestPriorityIsShed(t *testing.T) {
+	c := qt.New(t)
+	var g admit.Gate
+	g.Set(admit.Limits{
+		Slots:       4,
+		QueueLength: 1,
+		QueueWait:   time.Hour,
+	}.WithClasses(
+		admit.Class{Name: "interactive", Weight: 1, Share: 1, Priority: 1},
+		admit.Class{Name: "batch", Weight: 1, Share: 0.5},
+	))
+	g.Enter("batch", time.Time{})
+	g.Enter("batch", time.Time{})
+	third := g.Enter("batch", time.Time{})
+	c.Check(isReady(third), qt.IsFalse, qt.Commentf("the cap of 2 is kept with 2 slots free"))
+	c.Check(isReady(g.Enter("interactive", time.Time{})), qt.IsTrue)
+	c.Check(isReady(g.Enter("interactive", time.Time{})), qt.IsTrue)
+	waits := g.Enter("interactive", time.Time{})
+	c.Check(waits.Err() == nil, qt.IsTrue)
+	c.Check(third.Err().Cause, qt.Equals, verdict.Refused)
+	c.Check(g.Enter("batch", time.Time{}).Err().Cause, qt.Equals, verdict.Refused)
+}
+
+func TestAdaptiveLimitFollowsASlowdown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var g admit.Gate
+		l := base.WithSlots(20)
+		l.Adaptive = true
+		g.Set(l)
+		warm(&g, 200, 10*time.Millisecond)
+		c.Check(g.Report().Allowed, qt.Equals, 20)
+		warm(&g, 200, 100*time.Millisecond)
+		c.Check(g.Report().Allowed < 20, qt.IsTrue)
+		c.Check(g.Report().Allowed >= 5, qt.IsTrue)
+		warm(&g, 1000, 10*time.Millisecond)
+		c.Check(g.Report().Allowed, qt.Equals, 20)
+	})
+}
+
+func TestSlowStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var g admit.Gate
+		l := base.WithSlots(20)
+		l.SlowStart = 10 * time.Second
+		g.Set(l)
+		c.Check(g.Report().Allowed, qt.Equals, 5)
+		time.Sleep(5 * time.Second)
+		c.Check(g.Report().Allowed, qt.Equals, 12)
+		time.Sleep(5 * time.Second)
+		c.Check(g.Report().Allowed, qt.Equals, 20)
+		g.Restart()
+		c.Check(g.Report().Allowed, qt.Equals, 5)
+	})
+}
+
+// TestServiceGrowsWhileNothingAnswers shows that the reported service time
+// does not wait for an answer to grow.
+func TestServiceGrowsWhileNothingAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var g admit.Gate
+		g.Set(base)
+		warm(&g, 10, 10*time.Millisecond)
+		g.Enter("", time.Time{})
+		time.Sleep(300 * time.Millisecond)
+		qt.Check(t, g.Report().Service, qt.Equals, 300*time.Millisecond)
+	})
+}
+
+func TestReleaseTwicePanics(t *testing.T) {
+	var g admit.Gate
+	g.Set(base)
+	k := g.Enter("", time.Time{})
+	k.Release(true)
+	qt.Check(t, func() { k.Release(true) }, qt.PanicMatches, "admit: release .*")
+}
+
+// TestGateProperties drives a gate with random operations and compares it with
+// a count kept outside: the slots are never exceeded, each request ends once,
+// and a revoked request never runs.
+func TestGateProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var g admit.Gate
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		g.Set(admit.Limits{
+			Slots:       slots,
+			QueueLength: rapid.IntRange(0, 5).Draw(t, "queue"),
+			QueueWait:   time.Hour,
+		}.WithClasses(
+			admit.Class{Name: "a", Weight: 2, Share: 1, Priority: 1},
+			admit.Class{Name: "b", Weight: 1, Share: 0.5},
+		))
+		var open []*admit.Ticket
+		revoked := make(map[*admit.Ticket]bool)
+		t.Repeat(map[string]func(*rapid.T){
+			"enter": func(t *rapid.T) {
+				open = append(open, g.Enter(rapid.SampledFrom([]string{"a", "b", "?"}).Draw(t, "class"), time.Time{}))
+			},
+			"release": func(t *rapid.T) {
+				for i, k := range open {
+					if isReady(k) && k.Err() == nil {
+						k.Release(true)
+						open = append(open[:i:i], open[i+1:]...)
+						return
+					}
+				}
+			},
+			"revoke": func(t *rapid.T) {
+				if len(open) == 0 {
+					return
+				}
+				k := rapid.SampledFrom(open).Draw(t, "ticket")
+				was := isReady(k)
+				if k.Revoke() {
+					revoked[k] = true
+				}
+				if was && revoked[k] && k.Err().Cause != verdict.Revoked {
+					t.Fatal("a request both ended and was revoked")
+				}
+			},
+			"": func(t *rapid.T) {
+				var running, waiting int
+				for _, k := range open {
+					switch {
+					case !isReady(k):
+						waiting++
+					case k.Err() == nil:
+						running++
+						if revoked[k] {
+							t.Fatal("a revoked request runs")
+						}
+					}
+				}
+				r := g.Report()
+				if running > slots || running != r.Running || waiting != r.Waiting {
+					t.Fatalf("%d running and %d waiting of %d slots, but the gate says %+v", running, waiting, slots, r)
+				}
+			},
+		})
+	})
+}
+
+func BenchmarkEnterRelease(b *testing.B) {
+	var g admit.Gate
+	g.Set(base)
+	for b.Loop() {
+		g.Enter("", time.Time{}).Release(true)
+	}
+}
--- /dev/null
+++ b/peer/client.go
@@ -0,0 +1,187 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package peer
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"sassafrasfront.example/verdict"
+)
+
+// Client sends calls or control requests to one peer over one connection,
+// which it opens when it is needed. The exported fields are set before the
+// first call. Its methods may be called from any goroutine.
+type Client struct {
+	// Addr is the peer's address, as an IP number and port.
+	Addr string
+	// Hello introduces this process.
+	Hello Hello
+	// Limits bounds the connection.
+	Limits Limits
+	// Counters, if not nil, counts the traffic.
+	Counters *Counters
+	// Report, if not nil, is called with each load report that arrives. It
+	// must not block.
+	Report func(Report)
+	// Dial opens the connection. Nil means TCP.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
+
+	mu      sync.Mutex
+	current *link
+	dialing chan struct{} // closed when the dialling in progress has ended
+	failure error         // of the last dialling
+	stopped bool
+}
+
+// connect returns the open connection, or opens one.
+func (c *Client) connect(ctx context.Context) (*link, error) {
+	for {
+		c.mu.Lock()
+		switch {
+		case c.stopped:
+			c.mu.Unlock()
+			return nil, eris.New("client closed")
+		case c.current != nil && c.current.usable():
+			l := c.current
+			c.mu.Unlock()
+			return l, nil
+		case c.dialing == nil:
+			c.dialing = make(chan struct{})
+			go c.open(c.dialing)
+		}
+		wait := c.dialing
+		c.mu.Unlock()
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return nil, context.Cause(ctx)
+		}
+		c.mu.Lock()
+		err := c.failure
+		c.mu.Unlock()
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// open dials and greets, and closes done at its end. It does not stop when the
+// call that began it is cancelled, as others may wait for it too.
+func (c *Client) open(done chan struct{}) {
+	l, err := c.dial()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopped && l != nil {
+		l.shut(eris.New("client closed"))
+	}
+	c.current = l
+	c.failure = err
+	c.dialing = nil
+	close(done)
+}
+
+func (c *Client) dial() (*link, error) {
+	limits := c.Limits.withDefaults()
+	ctx, cancel := context.WithTimeout(context.Background(), limits.Handshake)
+	defer cancel()
+	dial := c.Dial
+	if dial == nil {
+		dial = dialTCP
+	}
+	raw, err := dial(ctx, c.Addr)
+	if err != nil {
+		return nil, err
+	}
+	n := newConn(raw, limits, c.Counters)
+	other, err := n.greet(c.Hello, true)
+	if err != nil {
+		n.shut(err)
+		return nil, err
+	}
+	l := &link{
+		conn:      n,
+		peer:      *other,
+		report:    c.Report,
+		exchanges: make(map[uint64]*Exchange),
+		requests:  make(map[uint64]chan *Reply),
+		idleSince: time.Now(),
+	}
+	go l.readLoop()
+	go l.watch()
+	return l, nil
+}
+
+func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// Close closes the connection. Open calls fail.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopped = true
+	if c.current != nil {
+		c.current.shut(eris.New("client closed"))
+	}
+}
+
+// Start sends a call. The ID of the call is set here. If the call streams, its
+// body is read from body once the peer has admitted it. The exchange ends with
+// ctx at the latest; the caller must call Close on it in any case. An error
+// means that the call has not run.
+func (c *Client) Start(ctx context.Context, call *Call, body io.Reader) (*Exchange, *verdict.Error) {
+	l, err := c.connect(ctx)
+	if err != nil {
+		return nil, verdict.New(verdict.DialFailed, err)
+	}
+	x, err := l.begin(ctx, call)
+	if err != nil {
+		return nil, verdict.New(verdict.NotWritten, err)
+	}
+	if call.Streams {
+		go x.sendBody(body)
+	}
+	return x, nil
+}
+
+// Request sends a control request and returns the payload of its reply. If
+// notify is set, there is none, and Request returns once it is written.
+func (c *Client) Request(ctx context.Context, topic string, payload []byte, notify bool) ([]byte, error) {
+	l, err := c.connect(ctx)
+	if err != nil {
+		return nil, err
+	}
+	request := &Request{
+		Topic:   topic,
+		Payload: payload,
+	}
+	if notify {
+		return nil, l.send(KindRequest, request)
+	}
+	reply := make(chan *Reply, 1)
+	request.ID = l.addRequest(reply)
+	defer l.removeRequest(request.ID)
+	if err := l.send(KindRequest, request); err != nil {
+		return nil, err
+	}
+	select {
+	case r := <-reply:
+		if r.Detail != "" {
+			return nil, eris.Errorf("peer: %s", r.Detail)
+		}
+		return r.Payload, nil
+	case <-l.closed:
+		return nil, l.why()
+	case <-ctx.Done():
+		return nil, context.Cause(ctx)
+	}
+}
--- /dev/null
+++ b/peer/conn.go
@@ -0,0 +1,180 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Counters counts the traffic of connections. They may be shared.
+type Counters struct {
+	BytesIn, BytesOut   atomic.Uint64
+	FramesIn, FramesOut atomic.Uint64
+}
+
+// conn is one connection, from either side: it frames, counts and keeps the
+// bounds. One goroutine reads; any may write.
+type conn struct {
+	net.Conn
+	limits   Limits
+	counters *Counters
+	reader   *bufio.Reader
+	heard    atomic.Int64 // time of the last frame, in ns since the epoch of base
+
+	writing sync.Mutex
+
+	closing sync.Once
+	closed  chan struct{}
+	reason  error // set before closed is closed
+}
+
+var base = time.Now()
+
+const readBuffer = 16 << 10
+
+func newConn(c net.Conn, l Limits, counters *Counters) *conn {
+	if counters == nil {
+		counters = new(Counters)
+	}
+	n := &conn{
+		Conn:     c,
+		limits:   l,
+		counters: counters,
+		reader:   bufio.NewReaderSize(c, readBuffer),
+		closed:   make(chan struct{}),
+	}
+	n.heard.Store(int64(time.Since(base)))
+	return n
+}
+
+// shut closes the connection. The first reason given is kept.
+func (c *conn) shut(reason error) {
+	c.closing.Do(func() {
+		c.reason = reason
+		close(c.closed)
+		_ = c.Close()
+	})
+}
+
+// why returns the reason of the closing. The connection is closed.
+func (c *conn) why() error {
+	<-c.closed
+	return c.reason
+}
+
+// ended returns the error for what comes after the closing. The reason is
+// shared between goroutines, and eris.Wrap changes what it wraps.
+func (c *conn) ended() error {
+	return fmt.Errorf("connection closed: %w", c.why())
+}
+
+// read returns the next frame.
+func (c *conn) read() (Kind, []byte, error) {
+	k, payload, err := readFrame(c.reader, c.limits.Frame)
+	if err != nil {
+		return 0, nil, err
+	}
+	c.heard.Store(int64(time.Since(base)))
+	c.counters.FramesIn.Add(1)
+	c.counters.BytesIn.Add(uint64(len(payload) + 1 + lengthSize))
+	return k, payload, nil
+}
+
+// silence returns the time since the last frame arrived.
+func (c *conn) silence() time.Duration {
+	return time.Since(base) - time.Duration(c.heard.Load())
+}
+
+// frame is a message to be written.
+type frame struct {
+	kind    Kind
+	message any
+}
+
+// write hands frames to the kernel in one call. If it returns an error, the
+// last of them was not wholly handed over, so the receiver can't have it.
+func (c *conn) write(frames ...frame) error {
+	b := buffers.Get().(*bytes.Buffer)
+	b.Reset()
+	defer buffers.Put(b)
+	for _, f := range frames {
+		if err := appendFrame(b, f.kind, f.message); err != nil {
+			return err
+		}
+	}
+	if b.Len() > c.limits.Frame {
+		return eris.Errorf("frame of %d bytes is over the limit", b.Len())
+	}
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	select {
+	case <-c.closed:
+		return c.ended()
+	default:
+	}
+	_ = c.SetWriteDeadline(time.Now().Add(c.limits.Write))
+	if _, err := c.Write(b.Bytes()); err != nil {
+		c.shut(eris.Wrap(err, "write"))
+		return err
+	}
+	c.counters.FramesOut.Add(uint64(len(frames)))
+	c.counters.BytesOut.Add(uint64(b.Len()))
+	return nil
+}
+
+// send writes one frame.
+func (c *conn) send(k Kind, message any) error {
+	return c.write(frame{
+		kind:    k,
+		message: message,
+	})
+}
+
+// greet exchanges Hellos. The side that dialled speaks first.
+func (c *conn) greet(own Hello, first bool) (*Hello, error) {
+	own.Version = Version
+	_ = c.SetReadDeadline(time.Now().Add(c.limits.Handshake))
+	if first {
+		if err := c.send(KindHello, &own); err != nil {
+			return nil, err
+		}
+	}
+	k, payload, err := c.read()
+	if err != nil {
+		return nil, err
+	}
+	if k != KindHello {
+		return nil, eris.Wrapf(ErrProtocol, "kind %d in place of a hello", k)
+	}
+	other, err := decode[Hello](payload)
+	if err != nil {
+		return nil, err
+	}
+	if other.Version != Version {
+		return nil, eris.Wrapf(ErrProtocol, "version %d, not %d", other.Version, Version)
+	}
+	if !first {
+		if err := c.send(KindHello, &own); err != nil {
+			return nil, err
+		}
+	}
+	return other, c.SetReadDeadline(time.Time{})
+}
+
+// checkFields returns an error if there are too many fields.
+func (c *conn) checkFields(f []Field) error {
+	if len(f) > c.limits.Fields {
+		return eris.Wrapf(ErrProtocol, "%d fields", len(f))
+	}
+	return nil
+}
--- /dev/null
+++ b/peer/exchange.go
@@ -0,0 +1,223 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package peer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+
+	"sassafrasfront.example/verdict"
+)
+
+// Response is an answer as it reaches the sender of a call.
+type Response struct {
+	Status int
+	Header []Field
+	// Length is the length of the body in bytes, or -1 if it is not known.
+	Length int64
+	// Body yields the body. A body that is cut ends in a *verdict.Error, never
+	// in io.EOF.
+	Body io.Reader
+	// Trailer returns the trailer fields once Body has returned io.EOF.
+	Trailer func() []Field
+}
+
+// informBuffer is the number of informational answers kept for a slow caller.
+// More are dropped, as they may be.
+const informBuffer = 4
+
+// Exchange is a call that has been sent.
+type Exchange struct {
+	link    *link
+	id      uint64
+	ctx     context.Context
+	stop    context.CancelFunc
+	ready   chan struct{}
+	informs chan *Inform
+	credit  *outgoing
+	body    *incoming
+	// written is set once the peer may start the call.
+	written atomic.Bool
+
+	once     sync.Once
+	response *Response
+	failure  *verdict.Error
+}
+
+func newExchange(ctx context.Context, l *link, id uint64) *Exchange {
+	x := &Exchange{
+		link:    l,
+		id:      id,
+		ready:   make(chan struct{}),
+		informs: make(chan *Inform, informBuffer),
+		credit:  newOutgoing(0),
+	}
+	x.ctx, x.stop = context.WithCancel(ctx)
+	x.body = newIncoming(l.limits.Window, x.grant)
+	context.AfterFunc(x.ctx, x.Close)
+	return x
+}
+
+// Ready returns a channel that is closed when Result has something to return.
+func (x *Exchange) Ready() <-chan struct{} { return x.ready }
+
+// Informs yields informational answers that come ahead of the final one.
+func (x *Exchange) Informs() <-chan *Inform { return x.informs }
+
+// Result returns the answer or the failure. It may be called once Ready is
+// closed.
+func (x *Exchange) Result() (*Response, *verdict.Error) { return x.response, x.failure }
+
+// Abandon ends the exchange with e, at once and without asking the peer, unless
+// its result has arrived meanwhile. It returns the result.
+func (x *Exchange) Abandon(e *verdict.Error) (*Response, *verdict.Error) {
+	x.once.Do(func() {
+		x.failure = e
+		close(x.ready)
+	})
+	if x.failure != nil {
+		x.Close()
+	}
+	return x.response, x.failure
+}
+
+// Wait waits for the result. When the exchange's context ends first, Wait
+// abandons it: the call may have run.
+func (x *Exchange) Wait() (*Response, *verdict.Error) {
+	select {
+	case <-x.ready:
+		return x.response, x.failure
+	case <-x.ctx.Done():
+	}
+	cause := verdict.TimedOut
+	if errors.Is(x.ctx.Err(), context.Canceled) {
+		cause = verdict.CallerGone
+	}
+	return x.Abandon(verdict.New(cause, context.Cause(x.ctx)))
+}
+
+// Revoke asks the peer to take the call back if it still waits there. If it
+// does, the result becomes a failure with the cause Revoked.
+func (x *Exchange) Revoke() {
+	_ = x.link.send(KindRevoke, &Revoke{ID: x.id})
+}
+
+// Close ends the exchange. If it is still open at the peer, it is cancelled
+// there and what arrives late is dropped.
+func (x *Exchange) Close() {
+	if x.link.remove(x.id) != nil {
+		_ = x.link.send(KindCancel, &Cancel{ID: x.id})
+		x.body.end(verdict.New(verdict.AnswerCut, eris.New("closed by the receiver")), nil)
+	}
+	x.stop()
+}
+
+// answered takes in the head of the answer.
+func (x *Exchange) answered(m *Answer) error {
+	r := &Response{
+		Status: m.Status,
+		Header: m.Header,
+		Length: m.Length,
+	}
+	if m.Streams {
+		if err := x.body.put(m.Body); err != nil {
+			return err
+		}
+		r.Body = x.body
+		r.Trailer = x.body.Trailer
+	} else {
+		r.Body = bytes.NewReader(m.Body)
+		r.Trailer = func() []Field { return m.Trailer }
+	}
+	x.once.Do(func() {
+		x.response = r
+		close(x.ready)
+	})
+	return nil
+}
+
+// fail ends the exchange with e, or cuts the answer that has begun.
+func (x *Exchange) fail(e *verdict.Error) {
+	x.once.Do(func() {
+		x.failure = e
+		close(x.ready)
+	})
+	x.body.end(verdict.New(verdict.AnswerCut, e), nil)
+	x.stop()
+}
+
+// lose ends the exchange because the connection was lost.
+func (x *Exchange) lose(reason error) {
+	cause := verdict.NotWritten
+	if x.written.Load() {
+		cause = verdict.PeerLost
+	}
+	x.fail(verdict.New(cause, reason))
+}
+
+func (x *Exchange) inform(m *Inform) {
+	select {
+	case x.informs <- m:
+	default:
+	}
+}
+
+// grant gives the peer credit for the answer's body.
+func (x *Exchange) grant(n int) {
+	_ = x.link.send(KindCredit, &Credit{
+		ID:    x.id,
+		Bytes: n,
+	})
+}
+
+// Trailered is a body with trailer fields, which are complete at its end.
+type Trailered interface {
+	io.Reader
+	Trailer() []Field
+}
+
+// sendBody streams the body of the call once the peer grants credit for it.
+func (x *Exchange) sendBody(body io.Reader) {
+	if x.credit.wait(x.ctx) != nil {
+		return
+	}
+	err := x.credit.copyBody(x.ctx, body, func(data []byte) error {
+		x.written.Store(true)
+		return x.link.send(KindBody, &Body{
+			ID:   x.id,
+			Data: data,
+		})
+	})
+	if err != nil {
+		x.bodyFailed(err)
+		return
+	}
+	x.written.Store(true)
+	end := &End{ID: x.id}
+	if t, ok := body.(Trailered); ok {
+		end.Trailer = t.Trailer()
+	}
+	_ = x.link.send(KindEnd, end)
+}
+
+// bodyFailed ends the exchange because the caller's body failed, unless the
+// exchange has ended and so stopped the body.
+func (x *Exchange) bodyFailed(err error) {
+	if x.ctx.Err() != nil || x.link.remove(x.id) == nil {
+		return
+	}
+	_ = x.link.send(KindCancel, &Cancel{ID: x.id})
+	e := verdict.As(err, verdict.BodyLost)
+	if !x.written.Load() && e.Cause == verdict.BodyLost {
+		e = verdict.New(verdict.BadRequest, err)
+	}
+	x.fail(e)
+}
--- /dev/null
+++ b/peer/inbound.go
@@ -0,0 +1,192 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package peer
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"sassafrasfront.example/verdict"
+)
+
+// Inbound is a call that a Server has received. Its methods are for the
+// goroutine that handles the call, unless they say otherwise.
+type Inbound struct {
+	// Call is the call as it was sent.
+	Call *Call
+	// From is the node that sent it.
+	From Hello
+
+	session *session
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	late    *time.Timer // ends the call at its deadline, until its answer begins
+	body    *incoming
+	credit  *outgoing
+
+	mu     sync.Mutex
+	revoke func() bool
+	ended  bool
+}
+
+func newInbound(ctx context.Context, n *session, m *Call) *Inbound {
+	in := &Inbound{
+		Call:    m,
+		From:    n.from,
+		session: n,
+		credit:  newOutgoing(n.limits.Window),
+	}
+	in.body = newIncoming(n.limits.Window, in.grant)
+	in.ctx, in.cancel = context.WithCancelCause(ctx)
+	in.late = time.AfterFunc(m.Remaining, func() {
+		in.cancel(verdict.New(verdict.TimedOut, eris.New("deadline passed")))
+	})
+	context.AfterFunc(in.ctx, func() {
+		in.body.end(verdict.As(context.Cause(in.ctx), verdict.BodyLost), nil)
+	})
+	return in
+}
+
+// serve runs the handler, and ends the call if the handler has not.
+func (in *Inbound) serve() {
+	defer in.session.server.calls.Done()
+	in.session.server.Call(in)
+	in.Fail(verdict.New(verdict.PeerLost, eris.New("the handler gave no answer")), nil)
+	in.late.Stop()
+	in.cancel(nil)
+}
+
+// Context ends when the call is cancelled, its connection is lost, or its
+// deadline passes before its answer has begun. Its cause is a *verdict.Error.
+func (in *Inbound) Context() context.Context { return in.ctx }
+
+// OnRevoke sets the function that takes the call back while it waits. It
+// returns whether it is now certain that the call never runs, and is called
+// from another goroutine.
+func (in *Inbound) OnRevoke(f func() bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.revoke = f
+}
+
+func (in *Inbound) tryRevoke() bool {
+	in.mu.Lock()
+	f := in.revoke
+	in.mu.Unlock()
+	return f != nil && f()
+}
+
+// Body returns the body of the call. Admit is called before a streamed body is
+// read.
+func (in *Inbound) Body() io.Reader {
+	if in.Call.Streams {
+		return in.body
+	}
+	return bytes.NewReader(in.Call.Body)
+}
+
+// Trailer returns the trailer fields of the body, after its end.
+func (in *Inbound) Trailer() []Field { return in.body.Trailer() }
+
+// Admit tells the sender of a streamed call to send the body, and waits for
+// its first chunk or its end: until then the call must not be started. For
+// other calls it does nothing.
+func (in *Inbound) Admit() error {
+	if !in.Call.Streams {
+		return nil
+	}
+	in.grant(in.session.limits.Window)
+	return in.body.first(in.ctx)
+}
+
+func (in *Inbound) grant(n int) {
+	_ = in.session.send(KindCredit, &Credit{
+		ID:    in.Call.ID,
+		Bytes: n,
+	})
+}
+
+// end writes the last frame of the call, if it has not ended yet.
+func (in *Inbound) end(k Kind, message any) error {
+	in.mu.Lock()
+	ended := in.ended
+	in.ended = true
+	in.mu.Unlock()
+	if ended {
+		return nil
+	}
+	in.session.remove(in.Call.ID)
+	return in.session.send(k, message)
+}
+
+// Fail ends the call with e, before or within its answer. It does nothing if
+// the call has ended.
+func (in *Inbound) Fail(e *verdict.Error, r *Report) {
+	m := &Failure{
+		ID:         in.Call.ID,
+		Cause:      string(e.Cause),
+		RetryAfter: e.RetryAfter,
+		GivenUp:    e.GivenUp,
+		Report:     r,
+	}
+	if e.Err != nil {
+		m.Detail = e.Err.Error()
+	}
+	_ = in.end(KindFailure, m)
+}
+
+// Inform sends an informational answer.
+func (in *Inbound) Inform(status int, header []Field) error {
+	return in.session.send(KindInform, &Inform{
+		ID:     in.Call.ID,
+		Status: status,
+		Header: header,
+	})
+}
+
+// Reply ends the call with a whole answer.
+func (in *Inbound) Reply(a *Answer) error {
+	a.ID = in.Call.ID
+	a.Streams = false
+	return in.end(KindAnswer, a)
+}
+
+// Begin sends the head of an answer whose body follows through Write. Bytes in
+// a.Body go with the head; there must be no more than the window.
+func (in *Inbound) Begin(a *Answer) error {
+	a.ID = in.Call.ID
+	a.Streams = true
+	in.late.Stop()
+	if len(a.Body) > 0 {
+		if _, err := in.credit.acquire(in.ctx, len(a.Body)); err != nil {
+			return err
+		}
+	}
+	return in.session.send(KindAnswer, a)
+}
+
+// CopyBody sends what r yields as the body of the answer that has begun, as
+// the receiver's credit allows. A nil result means that r is at its end.
+func (in *Inbound) CopyBody(r io.Reader) error {
+	return in.credit.copyBody(in.ctx, r, func(data []byte) error {
+		return in.session.send(KindBody, &Body{
+			ID:   in.Call.ID,
+			Data: data,
+		})
+	})
+}
+
+// Finish ends the answer that has begun.
+func (in *Inbound) Finish(trailer []Field) error {
+	return in.end(KindEnd, &End{
+		ID:      in.Call.ID,
+		Trailer: trailer,
+	})
+}
--- /dev/null
+++ b/peer/limits.go
@@ -0,0 +1,59 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package peer
+
+import "time"
+
+// Limits bounds what a peer may make this process hold. It is an immutable
+// value; the zero value of a field stands for its default.
+type Limits struct {
+	// Frame is the largest frame in bytes. The default is 1 MiB.
+	Frame int
+	// Fields is the largest number of header or trailer fields of one
+	// message. The default is 256.
+	Fields int
+	// Open is the largest number of open calls per connection. The default is
+	// 4096.
+	Open int
+	// Window is the largest number of body bytes per call and direction that
+	// are sent and not yet consumed. The default is 256 KiB.
+	Window int
+	// Handshake bounds dialling and the exchange of Hellos. The default is 1 s.
+	Handshake time.Duration
+	// Write bounds the writing of one frame. The default is 5 s.
+	Write time.Duration
+	// Silence is the time after which a connection with open calls, on which
+	// nothing arrives, is lost. A ping is sent after half of it. The default is
+	// 3 s.
+	Silence time.Duration
+	// Idle is the time after which a client connection without open calls is
+	// closed. The default is 5 min.
+	Idle time.Duration
+}
+
+// chunk is the largest number of body bytes in one frame.
+const chunk = 32 << 10
+
+// withDefaults returns l with its zero fields replaced.
+func (l Limits) withDefaults() Limits {
+	l.Frame = orDefault(l.Frame, 1<<20)
+	l.Fields = orDefault(l.Fields, 256)
+	l.Open = orDefault(l.Open, 4096)
+	l.Window = orDefault(l.Window, 256<<10)
+	l.Handshake = orDefault(l.Handshake, time.Second)
+	l.Write = orDefault(l.Write, 5*time.Second)
+	l.Silence = orDefault(l.Silence, 3*time.Second)
+	l.Idle = orDefault(l.Idle, 5*time.Minute)
+	return l
+}
+
+// orDefault returns v, or d if v is zero.
+func orDefault[T comparable](v, d T) T {
+	var zero T
+	if v == zero {
+		return d
+	}
+	return v
+}
--- /dev/null
+++ b/peer/link.go
@@ -0,0 +1,296 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package peer
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"sassafrasfront.example/verdict"
+)
+
+// link is an open connection of a Client.
+type link struct {
+	*conn
+	peer   Hello
+	report func(Report)
+
+	// starting is held from the choice of a call's id until the call is
+	// written, so that ids arrive in order.
+	starting sync.Mutex
+
+	mu        sync.Mutex
+	lastID    uint64
+	exchanges map[uint64]*Exchange
+	requests  map[uint64]chan *Reply
+	idleSince time.Time
+}
+
+// usable returns whether new calls may be sent on the connection.
+func (l *link) usable() bool {
+	select {
+	case <-l.closed:
+		return false
+	default:
+		return true
+	}
+}
+
+// begin opens an exchange and writes its call. An error means that the call
+// has not wholly been written.
+func (l *link) begin(ctx context.Context, call *Call) (*Exchange, error) {
+	l.starting.Lock()
+	defer l.starting.Unlock()
+	x, err := l.add(ctx)
+	if err != nil {
+		return nil, err
+	}
+	call.ID = x.id
+	x.written.Store(!call.Streams)
+	if err := l.send(KindCall, call); err != nil {
+		l.remove(x.id)
+		x.stop()
+		return nil, err
+	}
+	return x, nil
+}
+
+// add opens an exchange under a new id.
+func (l *link) add(ctx context.Context) (*Exchange, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.usable() {
+		return nil, l.ended()
+	}
+	if len(l.exchanges) >= l.limits.Open {
+		return nil, eris.Errorf("%d calls are open", len(l.exchanges))
+	}
+	l.lastID++
+	x := newExchange(ctx, l, l.lastID)
+	l.exchanges[x.id] = x
+	return x, nil
+}
+
+// find returns the open exchange with the given id, or nil.
+func (l *link) find(id uint64) *Exchange {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.exchanges[id]
+}
+
+// remove closes an exchange and returns it, or nil if it was not open.
+func (l *link) remove(id uint64) *Exchange {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	x := l.exchanges[id]
+	delete(l.exchanges, id)
+	if len(l.exchanges) == 0 {
+		l.idleSince = time.Now()
+	}
+	return x
+}
+
+func (l *link) addRequest(reply chan *Reply) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lastID++
+	l.requests[l.lastID] = reply
+	return l.lastID
+}
+
+func (l *link) removeRequest(id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.requests, id)
+}
+
+// readLoop handles frames until the connection ends, and then fails what is
+// still open.
+func (l *link) readLoop() {
+	for {
+		k, payload, err := l.read()
+		if err == nil {
+			err = l.handle(k, payload)
+		}
+		if err != nil {
+			l.shut(err)
+			break
+		}
+	}
+	l.mu.Lock()
+	open := l.exchanges
+	l.exchanges = make(map[uint64]*Exchange)
+	l.mu.Unlock()
+	for _, x := range open {
+		x.lose(l.why())
+	}
+}
+
+// handle takes in one frame. An error ends the connection.
+func (l *link) handle(k Kind, payload []byte) error {
+	switch k {
+	case KindAnswer:
+		return with(payload, l.handleAnswer)
+	case KindBody:
+		return with(payload, l.handleBody)
+	case KindEnd:
+		return with(payload, l.handleEnd)
+	case KindFailure:
+		return with(payload, l.handleFailure)
+	case KindInform:
+		return with(payload, l.handleInform)
+	case KindCancelled:
+		return with(payload, l.handleCancelled)
+	case KindCredit:
+		return with(payload, l.handleCredit)
+	case KindReply:
+		return with(payload, l.handleReply)
+	case KindPong:
+		return nil
+	}
+	return eris.Wrapf(ErrProtocol, "unexpected kind %d", k)
+}
+
+// with decodes a message and hands it to f.
+func with[T any](payload []byte, f func(*T) error) error {
+	m, err := decode[T](payload)
+	if err != nil {
+		return err
+	}
+	return f(m)
+}
+
+func (l *link) handleAnswer(m *Answer) error {
+	if err := l.checkFields(m.Header); err != nil {
+		return err
+	}
+	l.observe(m.Report)
+	var x *Exchange
+	if m.Streams {
+		x = l.find(m.ID)
+	} else {
+		x = l.remove(m.ID)
+	}
+	if x == nil {
+		return nil
+	}
+	return x.answered(m)
+}
+
+func (l *link) handleBody(m *Body) error {
+	if x := l.find(m.ID); x != nil {
+		return x.body.put(m.Data)
+	}
+	return nil
+}
+
+func (l *link) handleEnd(m *End) error {
+	if err := l.checkFields(m.Trailer); err != nil {
+		return err
+	}
+	if x := l.remove(m.ID); x != nil {
+		x.body.end(io.EOF, m.Trailer)
+	}
+	return nil
+}
+
+func (l *link) handleFailure(m *Failure) error {
+	l.observe(m.Report)
+	if x := l.remove(m.ID); x != nil {
+		e := verdict.New(verdict.Cause(m.Cause), nil).WithRetryAfter(m.RetryAfter)
+		e.GivenUp = m.GivenUp
+		if m.Detail != "" {
+			e.Err = eris.New(m.Detail)
+		}
+		x.fail(e)
+	}
+	return nil
+}
+
+func (l *link) handleInform(m *Inform) error {
+	if err := l.checkFields(m.Header); err != nil {
+		return err
+	}
+	if x := l.find(m.ID); x != nil {
+		x.inform(m)
+	}
+	return nil
+}
+
+func (l *link) handleCancelled(m *Cancelled) error {
+	if x := l.remove(m.ID); x != nil {
+		cause := verdict.Revoked
+		if m.Ran {
+			cause = verdict.CallerGone
+		}
+		x.fail(verdict.New(cause, nil))
+	}
+	return nil
+}
+
+func (l *link) handleCredit(m *Credit) error {
+	if x := l.find(m.ID); x != nil {
+		return x.credit.add(m.Bytes, 2*l.limits.Window)
+	}
+	return nil
+}
+
+func (l *link) handleReply(m *Reply) error {
+	l.mu.Lock()
+	reply := l.requests[m.ID]
+	delete(l.requests, m.ID)
+	l.mu.Unlock()
+	if reply != nil {
+		reply <- m
+	}
+	return nil
+}
+
+func (l *link) observe(r *Report) {
+	if r != nil && l.report != nil {
+		l.report(*r)
+	}
+}
+
+// watch closes the connection when it is silent with calls open, or idle for
+// long.
+func (l *link) watch() {
+	tick := time.NewTicker(l.limits.Silence / 4)
+	defer tick.Stop()
+	var number uint64
+	for {
+		select {
+		case <-l.closed:
+			return
+		case <-tick.C:
+		}
+		open, idle := l.activity()
+		switch silence := l.silence(); {
+		case open == 0 && idle > l.limits.Idle:
+			l.shut(eris.New("idle"))
+		case open > 0 && idle == 0 && silence > l.limits.Silence:
+			l.shut(eris.Errorf("nothing heard for %v", silence.Round(time.Millisecond)))
+		case open > 0 && silence > l.limits.Silence/2:
+			number++
+			_ = l.send(KindPing, &Ping{Number: number})
+		}
+	}
+}
+
+// activity returns the number of open exchanges and requests, and for how long
+// there have been none.
+func (l *link) activity() (open int, idle time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	open = len(l.exchanges) + len(l.requests)
+	if open == 0 {
+		idle = time.Since(l.idleSince)
+	}
+	return open, idle
+}
--- /dev/null
+++ b/peer/lost_test.go
@@ -0,0 +1,96 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/verdict"
+)
+
+// TestLostConnectionsNeverLie makes many calls while their connections are
+// closed under them again and again. A call that the client reports as not run
+// must not have reached the handler's side of Admit, and none may run twice.
+func TestLostConnectionsNeverLie(t *testing.T) {
+	var mu sync.Mutex
+	runs := make(map[string]int)
+	_, c := serve(t, peer.Limits{}, func(in *peer.Inbound) {
+		if err := in.Admit(); err != nil {
+			return
+		}
+		mu.Lock()
+		runs[in.Call.Target]++
+		mu.Unlock()
+		time.Sleep(time.Millisecond)
+		_ = in.Reply(&peer.Answer{Status: 200})
+	})
+	conns := make(chan net.Conn, 1000)
+	c.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		var d net.Dialer
+		n, err := d.DialContext(ctx, "tcp", addr)
+		if err == nil {
+			conns <- n
+		}
+		return n, err
+	}
+	told := make(map[string]verdict.Verdict)
+	var all sync.WaitGroup
+	for worker := range 16 {
+		all.Go(func() {
+			for i := range 100 {
+				m := newCall()
+				m.Target = fmt.Sprintf("/%d/%d", worker, i)
+				m.Streams = i%2 == 0
+				v := verdict.Ran
+				x, failed := c.Start(context.Background(), m, strings.NewReader("body"))
+				if failed == nil {
+					_, failed = x.Wait()
+					x.Close()
+				}
+				if failed != nil {
+					v = failed.Verdict()
+				}
+				mu.Lock()
+				told[m.Target] = v
+				mu.Unlock()
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		all.Wait()
+		close(done)
+	}()
+	for open := true; open; {
+		select {
+		case n := <-conns:
+			time.Sleep(3 * time.Millisecond)
+			n.Close()
+		case <-done:
+			open = false
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	counts := make(map[verdict.Verdict]int)
+	for target, v := range told {
+		counts[v]++
+		qt.Check(t, runs[target] <= 1, qt.IsTrue)
+		if v == verdict.NotRun {
+			qt.Check(t, runs[target], qt.Equals, 0, qt.Commentf("%s", target))
+		}
+	}
+	t.Logf("told %v", counts)
+	qt.Check(t, len(told), qt.Equals, 1600)
+}
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,409 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package peer_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/verdict"
+)
+
+// serve starts a server with the given handler and returns its address and a
+// client of it.
+func serve(t *testing.T, l peer.Limits, call func(*peer.Inbound)) (string, *peer.Client) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	s := &peer.Server{
+		Hello:  peer.Hello{Node: "gate"},
+		Limits: l,
+		Call:   call,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Run(ctx, listener)
+	}()
+	addr := listener.Addr().String()
+	c := &peer.Client{
+		Addr:   addr,
+		Hello:  peer.Hello{Node: "entry"},
+		Limits: l,
+	}
+	t.Cleanup(func() {
+		c.Close()
+		cancel()
+		<-done
+	})
+	return addr, c
+}
+
+// echo answers with the method and the body.
+func echo(in *peer.Inbound) {
+	if err := in.Admit(); err != nil {
+		in.Fail(verdict.As(err, verdict.BodyLost), nil)
+		return
+	}
+	body, err := io.ReadAll(in.Body())
+	if err != nil {
+		in.Fail(verdict.As(err, verdict.BodyLost), nil)
+		return
+	}
+	_ = in.Reply(&peer.Answer{
+		Status: 200,
+		Body:   append([]byte(in.Call.Method+" "), body...),
+	})
+}
+
+func newCall() *peer.Call {
+	return &peer.Call{
+		Service:   "pledgebook",
+		Method:    "GET",
+		Target:    "/",
+		Remaining: 10 * time.Second,
+	}
+}
+
+func TestCalls(t *testing.T) {
+	large := strings.Repeat("x", 3<<20)
+	tests := map[string]struct {
+		body    string
+		streams bool
+	}{
+		"no body":       {},
+		"whole body":    {body: "hello"},
+		"streamed body": {body: "hello", streams: true},
+		"empty stream":  {streams: true},
+		"large stream":  {body: large, streams: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, c := serve(t, peer.Limits{}, func(in *peer.Inbound) {
+				if err := in.Admit(); err != nil {
+					return
+				}
+				_ = in.Begin(&peer.Answer{Status: 200, Length: -1})
+				if err := in.CopyBody(in.Body()); err == nil {
+					_ = in.Finish([]peer.Field{{Name: "Sum", Value: "1"}})
+				}
+			})
+			m := newCall()
+			m.Streams = test.streams
+			if !test.streams {
+				m.Body = []byte(test.body)
+			}
+			x, failed := c.Start(context.Background(), m, strings.NewReader(test.body))
+			qt.Assert(t, failed == nil, qt.IsTrue)
+			defer x.Close()
+			r, failed := x.Wait()
+			qt.Assert(t, failed == nil, qt.IsTrue, qt.Commentf("%v", failed))
+			got, err := io.ReadAll(r.Body)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, string(got) == test.body, qt.IsTrue, qt.Commentf("%d bytes", len(got)))
+			qt.Check(t, r.Trailer(), qt.DeepEquals, []peer.Field{{Name: "Sum", Value: "1"}})
+		})
+	}
+}
+
+// TestAnswersAreNotCrossed has many calls on one connection, answered in any
+// order, with some of them abandoned.
+func TestAnswersAreNotCrossed(t *testing.T) {
+	_, c := serve(t, peer.Limits{}, func(in *peer.Inbound) {
+		time.Sleep(time.Duration(in.Call.ID*7919%13) * time.Millisecond)
+		echo(in)
+	})
+	var all sync.WaitGroup
+	for i := range 200 {
+		all.Go(func() {
+			m := newCall()
+			m.Body = []byte(fmt.Sprint(i))
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			x, failed := c.Start(ctx, m, nil)
+			if failed != nil {
+				t.Error(failed)
+				return
+			}
+			if i%3 == 0 {
+				cancel()
+			}
+			r, failed := x.Wait()
+			if failed != nil {
+				if i%3 != 0 {
+					t.Error(failed)
+				}
+				return
+			}
+			got, _ := io.ReadAll(r.Body)
+			qt.Check(t, string(got), qt.Equals, fmt.Sprintf("GET %d", i))
+		})
+	}
+	all.Wait()
+}
+
+// TestLargeBodyDoesNotHoldUpSmallAnswer leaves a large answer unread.
+func TestLargeBodyDoesNotHoldUpSmallAnswer(t *testing.T) {
+	_, c := serve(t, peer.Limits{}, func(in *peer.Inbound) {
+		if in.Call.Method == "GET" {
+			echo(in)
+			return
+		}
+		_ = in.Begin(&peer.Answer{Status: 200, Length: -1})
+		_ = in.CopyBody(bytes.NewReader(make([]byte, 64<<20)))
+	})
+	m := newCall()
+	m.Method = "LARGE"
+	x, failed := c.Start(context.Background(), m, nil)
+	qt.Assert(t, failed == nil, qt.IsTrue)
+	defer x.Close()
+	_, failed = x.Wait()
+	qt.Assert(t, failed == nil, qt.IsTrue)
+	small, failed := c.Start(context.Background(), newCall(), nil)
+	qt.Assert(t, failed == nil, qt.IsTrue)
+	r, failed := small.Wait()
+	qt.Assert(t, failed == nil, qt.IsTrue)
+	qt.Check(t, r.Status, qt.Equals, 200)
+}
+
+// TestServerFaults plays a broken or dying peer with a raw listener. Each row
+// says what the client must conclude.
+func TestServerFaults(t *testing.T) {
+	tests := map[string]struct {
+		// play gets the connection after the hellos.
+		play    func(c net.Conn)
+		refuse  bool
+		noHello bool
+		streams bool
+		want    verdict.Cause
+	}{
+		"nobody listens":                       {refuse: true, want: verdict.DialFailed},
+		"closes before its hello":              {noHello: true, want: verdict.DialFailed},
+		"closes after the call":                {play: func(c net.Conn) { skipFrame(c) }, want: verdict.PeerLost},
+		"garbage after the call":               {play: func(c net.Conn) { skipFrame(c); _, _ = c.Write([]byte("GET / HTTP/1.1\r\n\r\n")) }, want: verdict.PeerLost},
+		"a frame over the limit":               {play: func(c net.Conn) { skipFrame(c); _, _ = c.Write([]byte{0x7f, 0, 0, 0, 6}) }, want: verdict.PeerLost},
+		"a frame cut":                          {play: func(c net.Conn) { skipFrame(c); _, _ = c.Write([]byte{0, 0, 1, 0, 6, 1}) }, want: verdict.PeerLost},
+		"silent after the call":                {play: func(c net.Conn) { _, _ = io.Copy(io.Discard, c) }, want: verdict.PeerLost},
+		"streamed, closes before any credit":   {streams: true, play: func(c net.Conn) { skipFrame(c) }, want: verdict.NotWritten},
+		"streamed, silent before any credit":   {streams: true, play: func(c net.Conn) { _, _ = io.Copy(io.Discard, c) }, want: verdict.NotWritten},
+		"an unknown kind":                      {play: func(c net.Conn) { skipFrame(c); _, _ = c.Write([]byte{0, 0, 0, 2, 99, 0x80}) }, want: verdict.PeerLost},
+		"a message that is cut inside a frame": {play: func(c net.Conn) { skipFrame(c); _, _ = c.Write([]byte{0, 0, 0, 3, 6, 0x82, 0xa2}) }, want: verdict.PeerLost},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			qt.Assert(t, err, qt.IsNil)
+			defer listener.Close()
+			if test.refuse {
+				listener.Close()
+			}
+			go func() {
+				c, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				if !test.noHello {
+					hello := skipFrame(c)
+					_, _ = c.Write(hello) // the client's own hello will do
+					test.play(c)
+				}
+			}()
+			client := &peer.Client{
+				Addr:   listener.Addr().String(),
+				Limits: peer.Limits{Silence: 200 * time.Millisecond},
+			}
+			defer client.Close()
+			m := newCall()
+			m.Streams = test.streams
+			x, failed := client.Start(context.Background(), m, strings.NewReader("body"))
+			if failed == nil {
+				_, failed = x.Wait()
+			}
+			qt.Assert(t, failed != nil, qt.IsTrue)
+			qt.Check(t, failed.Cause, qt.Equals, test.want)
+		})
+	}
+}
+
+// skipFrame reads one frame and returns it.
+func skipFrame(c net.Conn) []byte {
+	head := make([]byte, 4)
+	if _, err := io.ReadFull(c, head); err != nil {
+		return nil
+	}
+	body := make([]byte, binary.BigEndian.Uint32(head))
+	_, _ = io.ReadFull(c, body)
+	return append(head, body...)
+}
+
+// TestBrokenClientCostsItsOwnConnection sends bad bytes to a server and then
+// makes a call on another connection.
+func TestBrokenClientCostsItsOwnConnection(t *testing.T) {
+	tests := map[string][]byte{
+		"garbage":           []byte("GET / HTTP/1.1\r\n\r\n"),
+		"empty frame":       {0, 0, 0, 0},
+		"huge frame":        {0xff, 0xff, 0xff, 0xff, 1},
+		"call before hello": {0, 0, 0, 2, 2, 0x80},
+		"not msgpack":       {0, 0, 0, 2, 1, 0xc1},
+		"half a length":     {0, 0},
+	}
+	addr, client := serve(t, peer.Limits{Handshake: 300 * time.Millisecond}, echo)
+	for name, data := range tests {
+		t.Run(name, func(t *testing.T) {
+			c, err := net.Dial("tcp", addr)
+			qt.Assert(t, err, qt.IsNil)
+			defer c.Close()
+			_, err = c.Write(data)
+			qt.Assert(t, err, qt.IsNil)
+			_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+			_, err = io.ReadAll(c)
+			qt.Check(t, errors.Is(err, context.DeadlineExceeded) || isTimeout(err), qt.IsFalse,
+				qt.Commentf("the server must close the connection: %v", err))
+			x, failed := client.Start(context.Background(), newCall(), nil)
+			qt.Assert(t, failed == nil, qt.IsTrue)
+			_, failed = x.Wait()
+			qt.Check(t, failed == nil, qt.IsTrue)
+		})
+	}
+}
+
+func isTimeout(err error) bool {
+	e, ok := errors.AsType[net.Error](err)
+	return ok && e.Timeout()
+}
+
+func TestCutAnswerIsACut(t *testing.T) {
+	_, c := serve(t, peer.Limits{}, func(in *peer.Inbound) {
+		_ = in.Begin(&peer.Answer{Status: 200, Length: 10, Body: []byte("half")})
+		in.Fail(verdict.New(verdict.AnswerCut, nil), nil)
+	})
+	x, failed := c.Start(context.Background(), newCall(), nil)
+	qt.Assert(t, failed == nil, qt.IsTrue)
+	r, failed := x.Wait()
+	qt.Assert(t, failed == nil, qt.IsTrue)
+	got, err := io.ReadAll(r.Body)
+	qt.Check(t, string(got), qt.Equals, "half")
+	qt.Check(t, verdict.As(err, verdict.PeerLost).Cause, qt.Equals, verdict.AnswerCut)
+}
+
+func TestRevokeAndCancel(t *testing.T) {
+	tests := map[string]struct {
+		waits  bool
+		cancel bool
+		want   verdict.Cause
+	}{
+		"revoke while it waits": {waits: true, want: verdict.Revoked},
+		"revoke while it runs":  {want: ""},
+		"cancel while it runs":  {cancel: true, want: verdict.CallerGone},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			entered := make(chan struct{})
+			ended := make(chan error, 1)
+			_, c := serve(t, peer.Limits{}, func(in *peer.Inbound) {
+				in.OnRevoke(func() bool { return test.waits })
+				close(entered)
+				select {
+				case <-in.Context().Done():
+					ended <- context.Cause(in.Context())
+				case <-time.After(100 * time.Millisecond):
+					echo(in)
+				}
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			x, failed := c.Start(ctx, newCall(), nil)
+			qt.Assert(t, failed == nil, qt.IsTrue)
+			<-entered
+			if test.cancel {
+				cancel()
+			} else {
+				x.Revoke()
+			}
+			_, failed = x.Wait()
+			if test.want == "" {
+				qt.Check(t, failed == nil, qt.IsTrue)
+				return
+			}
+			qt.Assert(t, failed != nil, qt.IsTrue)
+			qt.Check(t, failed.Cause, qt.Equals, test.want)
+			if test.cancel {
+				qt.Check(t, verdict.As(<-ended, "").Cause, qt.Equals, verdict.CallerGone)
+			}
+		})
+	}
+}
+
+func TestControlRequests(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	s := &peer.Server{
+		Control: func(_ context.Context, from peer.Hello, r *peer.Request) ([]byte, error) {
+			if r.Topic != "digest" {
+				return nil, errors.New("unknown topic")
+			}
+			return append([]byte(from.Node), r.Payload...), nil
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go s.Run(ctx, listener)
+	c := &peer.Client{
+		Addr:  listener.Addr().String(),
+		Hello: peer.Hello{Node: "n1", Control: true},
+	}
+	defer c.Close()
+	got, err := c.Request(ctx, "digest", []byte("!"), false)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, string(got), qt.Equals, "n1!")
+	_, err = c.Request(ctx, "other", nil, false)
+	qt.Check(t, err, qt.ErrorMatches, ".*unknown topic.*")
+	_, failed := c.Start(ctx, newCall(), nil)
+	if failed == nil {
+		t.Log("the call was sent; the server must close the connection")
+		_, err = c.Request(ctx, "digest", nil, false)
+	}
+}
+
+func BenchmarkCall(b *testing.B) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s := &peer.Server{Call: echo}
+	go s.Run(ctx, listener)
+	c := &peer.Client{Addr: listener.Addr().String()}
+	defer c.Close()
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			x, failed := c.Start(ctx, newCall(), nil)
+			if failed != nil {
+				b.Fatal(failed)
+			}
+			if _, failed := x.Wait(); failed != nil {
+				b.Fatal(failed)
+			}
+			x.Close()
+		}
+	})
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,115 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Server takes calls and control requests from peers. The exported fields are
+// set before Run.
+type Server struct {
+	// Hello introduces this process.
+	Hello Hello
+	// Limits bounds each connection.
+	Limits Limits
+	// Counters, if not nil, counts the traffic.
+	Counters *Counters
+	// Call handles one call, in a goroutine of its own. It must end the call
+	// by Fail, by Reply, or by Begin and Finish.
+	Call func(*Inbound)
+	// Control handles one control request and returns the payload of its
+	// reply. Nil refuses control connections.
+	Control func(ctx context.Context, from Hello, r *Request) ([]byte, error)
+	// Closed, if not nil, is called when a connection ends, with the reason.
+	Closed func(from Hello, reason error)
+
+	calls    sync.WaitGroup
+	mu       sync.Mutex
+	sessions map[*session]struct{}
+}
+
+// Run serves connections of the listener until ctx ends, and then closes them
+// all. It returns nil after ctx has ended.
+func (s *Server) Run(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	defer s.shutAll()
+	for {
+		c, err := listener.Accept()
+		if ctx.Err() != nil {
+			if err == nil {
+				_ = c.Close()
+			}
+			return nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return eris.Wrap(err, "accept")
+		}
+		if err != nil {
+			time.Sleep(acceptPause)
+			continue
+		}
+		go s.serve(ctx, c)
+	}
+}
+
+// acceptPause is the wait after a passing failure to accept, such as too many
+// open files.
+const acceptPause = 10 * time.Millisecond
+
+// Quiesce waits until no call is open, or until ctx ends.
+func (s *Server) Quiesce(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		s.calls.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+func (s *Server) shutAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for n := range s.sessions {
+		n.shut(eris.New("server stopped"))
+	}
+}
+
+// serve handles one connection to its end.
+func (s *Server) serve(ctx context.Context, raw net.Conn) {
+	n := &session{
+		conn:   newConn(raw, s.Limits.withDefaults(), s.Counters),
+		server: s,
+		open:   make(map[uint64]*Inbound),
+	}
+	s.mu.Lock()
+	if s.sessions == nil {
+		s.sessions = make(map[*session]struct{})
+	}
+	s.sessions[n] = struct{}{}
+	s.mu.Unlock()
+	stop := context.AfterFunc(ctx, func() { n.shut(eris.New("server stopped")) })
+	defer stop()
+
+	n.shut(n.run(ctx))
+	s.mu.Lock()
+	delete(s.sessions, n)
+	s.mu.Unlock()
+	if s.Closed != nil {
+		s.Closed(n.from, n.why())
+	}
+}
--- /dev/null
+++ b/peer/session.go
@@ -0,0 +1,165 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package peer
+
+import (
+	"context"
+	"io"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"sassafrasfront.example/verdict"
+)
+
+// session is one connection of a Server.
+type session struct {
+	*conn
+	server *Server
+	from   Hello
+
+	mu     sync.Mutex
+	open   map[uint64]*Inbound
+	lastID uint64
+}
+
+// run greets the peer and handles its frames. It returns why it ended.
+func (n *session) run(ctx context.Context) error {
+	from, err := n.greet(n.server.Hello, false)
+	if err != nil {
+		return err
+	}
+	n.from = *from
+	ctx, cancel := context.WithCancelCause(ctx)
+	for {
+		k, payload, err := n.read()
+		if err == nil {
+			err = n.handle(ctx, k, payload)
+		}
+		if err != nil {
+			cancel(verdict.New(verdict.PeerLost, err))
+			return err
+		}
+	}
+}
+
+// handle takes in one frame. An error ends the connection.
+func (n *session) handle(ctx context.Context, k Kind, payload []byte) error {
+	switch {
+	case k == KindPing:
+		return with(payload, func(m *Ping) error { return n.send(KindPong, &Pong{Number: m.Number}) })
+	case n.from.Control && k == KindRequest:
+		return with(payload, func(m *Request) error { return n.handleRequest(ctx, m) })
+	case n.from.Control:
+		return eris.Wrapf(ErrProtocol, "kind %d on a control connection", k)
+	}
+	switch k {
+	case KindCall:
+		return with(payload, func(m *Call) error { return n.handleCall(ctx, m) })
+	case KindBody:
+		return with(payload, n.handleBody)
+	case KindEnd:
+		return with(payload, n.handleEnd)
+	case KindCancel:
+		return with(payload, n.handleCancel)
+	case KindRevoke:
+		return with(payload, n.handleRevoke)
+	case KindCredit:
+		return with(payload, n.handleCredit)
+	}
+	return eris.Wrapf(ErrProtocol, "unexpected kind %d", k)
+}
+
+func (n *session) handleRequest(ctx context.Context, m *Request) error {
+	if n.server.Control == nil {
+		return eris.Wrap(ErrProtocol, "no control here")
+	}
+	payload, err := n.server.Control(ctx, n.from, m)
+	if m.ID == 0 {
+		return nil
+	}
+	r := &Reply{
+		ID:      m.ID,
+		Payload: payload,
+	}
+	if err != nil {
+		r.Detail = err.Error()
+	}
+	return n.send(KindReply, r)
+}
+
+func (n *session) handleCall(ctx context.Context, m *Call) error {
+	if err := n.checkFields(m.Header); err != nil {
+		return err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if m.ID <= n.lastID {
+		return eris.Wrapf(ErrProtocol, "call id %d after %d", m.ID, n.lastID)
+	}
+	n.lastID = m.ID
+	if len(n.open) >= n.limits.Open {
+		return eris.Wrapf(ErrProtocol, "%d calls are open", len(n.open))
+	}
+	in := newInbound(ctx, n, m)
+	n.open[m.ID] = in
+	n.server.calls.Add(1)
+	go in.serve()
+	return nil
+}
+
+func (n *session) find(id uint64) *Inbound {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.open[id]
+}
+
+func (n *session) remove(id uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.open, id)
+}
+
+func (n *session) handleBody(m *Body) error {
+	if in := n.find(m.ID); in != nil {
+		return in.body.put(m.Data)
+	}
+	return nil
+}
+
+func (n *session) handleEnd(m *End) error {
+	if err := n.checkFields(m.Trailer); err != nil {
+		return err
+	}
+	if in := n.find(m.ID); in != nil {
+		in.body.end(io.EOF, m.Trailer)
+	}
+	return nil
+}
+
+func (n *session) handleCancel(m *Cancel) error {
+	in := n.find(m.ID)
+	if in == nil {
+		return nil
+	}
+	in.tryRevoke()
+	in.cancel(verdict.New(verdict.CallerGone, nil))
+	return nil
+}
+
+func (n *session) handleRevoke(m *Revoke) error {
+	in := n.find(m.ID)
+	if in == nil || !in.tryRevoke() {
+		return nil
+	}
+	return in.end(KindCancelled, &Cancelled{ID: m.ID})
+}
+
+func (n *session) handleCredit(m *Credit) error {
+	if in := n.find(m.ID); in != nil {
+		return in.credit.add(m.Bytes, 2*n.limits.Window)
+	}
+	return nil
+}
--- /dev/null
+++ b/retry/plan.go
@@ -0,0 +1,44 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package retry
+
+import (
+	"time"
+
+	"sassafrasfront.example/verdict"
+)
+
+// Plan says which failures are tried again. The exported fields are set before
+// the first call.
+type Plan struct {
+	// MaxTries is the largest number of sendings of one request, the first
+	// included.
+	MaxTries int
+	// Budget bounds the tries after failures that cost an upstream work.
+	Budget *Budget
+	// Least is the remaining time below which a try is of no use.
+	Least time.Duration
+}
+
+// Again returns whether a request that failed with e is sent again, given that
+// it was sent tries times and that remaining time is left until its deadline.
+// A true result may have taken one try out of the budget.
+//
+// A request that provably has not reached the upstream's application costs
+// nothing there, so it is bounded by MaxTries alone. All others need budget.
+func (p Plan) Again(e *verdict.Error, idempotent bool, tries int, remaining time.Duration) bool {
+	if !e.MayRepeat(idempotent) || tries >= p.MaxTries || remaining < p.Least {
+		return false
+	}
+	if free(e) {
+		return true
+	}
+	return p.Budget.Take()
+}
+
+// free returns whether the failed try cost the upstream's application nothing.
+func free(e *verdict.Error) bool {
+	return e.Verdict() == verdict.NotRun && e.Cause != verdict.UpstreamRefused
+}
--- /dev/null
+++ b/route/pool.go
@@ -0,0 +1,245 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package route
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+const (
+	// loadFade is the time constant with which a reported load fades to the
+	// mean of the service.
+	loadFade = 100 * time.Millisecond
+	// serviceFade is the time constant with which a reported service time
+	// fades to the mean of the service. It is long, so that a slow upstream is
+	// tried again seldom.
+	serviceFade = 5 * time.Second
+	// meanGain is the weight of one report in the means of the service.
+	meanGain = 0.05
+	// defaultService is the service time assumed before the first report.
+	defaultService = 10 * time.Millisecond
+)
+
+// Load is what the node beside an upstream reports of it.
+type Load struct {
+	// Running and Waiting count its requests, from all callers.
+	Running, Waiting int
+	// Allowed is the number of requests that it runs at once.
+	Allowed int
+	// Service is its expected service time.
+	Service time.Duration
+	// Draining is whether it refuses new requests.
+	Draining bool
+}
+
+// Target describes an upstream of the service.
+type Target struct {
+	// Slots is the number of requests that it runs at once, until a report
+	// says otherwise. It is positive.
+	Slots int
+	// Distance is the cost of reaching it.
+	Distance time.Duration
+	// Local is whether it is beside this process.
+	Local bool
+}
+
+// Pool holds the upstreams of one service, known by keys of type K. The
+// exported fields are set before the first call. Its methods may be called
+// from any goroutine.
+type Pool[K comparable] struct {
+	// Policy chooses among the upstreams. Nil means TwoChoice.
+	Policy Policy
+	// MaxEjected is the largest part of the upstreams that may be ejected; if
+	// more look bad, none is. Zero means one half.
+	MaxEjected float64
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	byKey   map[K]*entry[K]
+	entries []*entry[K]
+	usable  []*entry[K]
+	load    float64 // mean reported load
+	service float64 // mean reported service time, in seconds
+}
+
+// entry is the state of one upstream.
+type entry[K comparable] struct {
+	key      K
+	target   Target
+	own      int
+	startSum time.Duration // of own requests in flight, since base
+	reported Load
+	at       time.Time // of the report; zero if there is none
+	sent     int       // own requests sent since the report
+	ended    int       // own requests ended since the report
+	health   health
+}
+
+// base is the origin of the times in entry.startSum.
+var base = time.Now()
+
+// Set replaces the upstreams. What is known of those that stay is kept.
+func (p *Pool[K]) Set(targets map[K]Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.byKey
+	p.byKey = make(map[K]*entry[K], len(targets))
+	p.entries = p.entries[:0]
+	for k, t := range targets {
+		e := old[k]
+		if e == nil {
+			e = &entry[K]{key: k}
+		}
+		e.target = t
+		p.byKey[k] = e
+		p.entries = append(p.entries, e)
+	}
+}
+
+// Len returns the number of upstreams.
+func (p *Pool[K]) Len() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.entries)
+}
+
+// Observe takes in a load report. Reports of unknown upstreams are ignored.
+func (p *Pool[K]) Observe(key K, l Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.byKey[key]
+	if e == nil || l.Allowed <= 0 {
+		return
+	}
+	if p.service == 0 {
+		p.service = l.Service.Seconds()
+	}
+	p.load += meanGain * (float64(l.Running+l.Waiting) - p.load)
+	p.service += meanGain * (l.Service.Seconds() - p.service)
+	e.reported = l
+	e.at = time.Now()
+	e.sent = 0
+	e.ended = 0
+}
+
+// Pick chooses an upstream for one request, passing over those for which
+// exclude returns true. A nil exclude passes over none. The second result is
+// false if there is none left. The caller owes the Use a Done.
+func (p *Pool[K]) Pick(exclude func(K) bool) (*Use[K], bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if p.random == nil {
+		p.random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	p.gather(now, exclude)
+	if len(p.usable) == 0 {
+		return nil, false
+	}
+	policy := p.Policy
+	if policy == nil {
+		policy = TwoChoice{}
+	}
+	v := view[K]{
+		pool: p,
+		now:  now,
+	}
+	e := p.usable[policy.Choose(v, p.random)]
+	e.own++
+	e.sent++
+	e.startSum += now.Sub(base)
+	e.health.begin(now)
+	return &Use[K]{
+		pool:  p,
+		entry: e,
+		began: now,
+	}, true
+}
+
+// gather fills p.usable with the upstreams that may be picked. If too many are
+// ejected, the ejections are not believed.
+func (p *Pool[K]) gather(now time.Time, exclude func(K) bool) {
+	limit := p.MaxEjected
+	if limit == 0 {
+		limit = 0.5
+	}
+	var ejected int
+	for _, e := range p.entries {
+		if e.health.ejected() {
+			ejected++
+		}
+	}
+	trust := float64(ejected) <= limit*float64(len(p.entries))
+	p.usable = p.usable[:0]
+	for _, e := range p.entries {
+		if exclude != nil && exclude(e.key) {
+			continue
+		}
+		if e.draining(now) || trust && !e.health.usable(now) {
+			continue
+		}
+		p.usable = append(p.usable, e)
+	}
+}
+
+// drainFade is how long a report of draining is believed. It outlasts the time
+// in which the membership says the same.
+const drainFade = 10 * time.Second
+
+// draining returns whether the upstream said lately that it drains.
+func (e *entry[K]) draining(now time.Time) bool {
+	return e.reported.Draining && now.Sub(e.at) < drainFade
+}
+
+// view is the pool as a policy sees it.
+type view[K comparable] struct {
+	pool *Pool[K]
+	now  time.Time
+}
+
+// Len implements View.
+func (v view[K]) Len() int { return len(v.pool.usable) }
+
+// At implements View.
+func (v view[K]) At(i int) Candidate {
+	p, e := v.pool, v.pool.usable[i]
+	c := Candidate{
+		Own:      e.own,
+		Load:     max(p.load, float64(e.own)),
+		Allowed:  max(1, e.target.Slots),
+		Service:  p.meanService(),
+		Distance: e.target.Distance,
+		Local:    e.target.Local,
+	}
+	if !e.at.IsZero() {
+		age := v.now.Sub(e.at)
+		fresh := fade(age, loadFade)
+		known := float64(e.reported.Running + e.reported.Waiting + e.sent - e.ended)
+		c.Load = max(float64(e.own), fresh*known+(1-fresh)*c.Load)
+		c.Allowed = e.reported.Allowed
+		fresh = fade(age, serviceFade)
+		c.Service = time.Duration(fresh*float64(e.reported.Service) + (1-fresh)*float64(c.Service))
+	}
+	if e.own > 0 {
+		c.Service = max(c.Service, v.now.Sub(base)-e.startSum/time.Duration(e.own))
+	}
+	return c
+}
+
+// fade returns exp(-age/constant).
+func fade(age, constant time.Duration) float64 {
+	return math.Exp(-float64(age) / float64(constant))
+}
+
+// meanService returns the mean service time over the reports.
+func (p *Pool[K]) meanService() time.Duration {
+	if p.service == 0 {
+		return defaultService
+	}
+	return time.Duration(p.service * float64(time.Second))
+}
--- /dev/null
+++ b/verdict/cause.go
@@ -0,0 +1,124 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package verdict
+
+import "net/http"
+
+// Cause names what went wrong with a request.
+type Cause string
+
+// The causes of failure, in the order in which a request can meet them.
+const (
+	// UnknownHost: no service in force has the host of the request.
+	UnknownHost Cause = "unknownHost"
+	// BadRequest: the request can't be carried, such as an Upgrade.
+	BadRequest Cause = "badRequest"
+	// NotSupported: the request asks for what the system refuses on purpose.
+	NotSupported Cause = "notSupported"
+	// TooLarge: a header or body is over its limit, found before any upstream
+	// was contacted.
+	TooLarge Cause = "tooLarge"
+	// NotReady: the node holds no accepted configuration yet.
+	NotReady Cause = "notReady"
+	// NoUpstream: the service has no upstream that takes requests.
+	NoUpstream Cause = "noUpstream"
+	// DeadlinePassed: the deadline passed before the request was sent on.
+	DeadlinePassed Cause = "deadlinePassed"
+	// DialFailed: no connection to the node beside the upstream.
+	DialFailed Cause = "dialFailed"
+	// NotWritten: the request was not wholly handed to the connection.
+	NotWritten Cause = "notWritten"
+	// Refused: the node beside the upstream refused, being full.
+	Refused Cause = "refused"
+	// Draining: the upstream or the node beside it is leaving.
+	Draining Cause = "draining"
+	// Misrouted: the node is not, or no longer, beside an upstream of the
+	// service.
+	Misrouted Cause = "misrouted"
+	// Revoked: the request was taken back while it waited in a queue.
+	Revoked Cause = "revoked"
+	// UpstreamDialFailed: the node could not connect to its upstream, or
+	// wrote no byte of the request to it.
+	UpstreamDialFailed Cause = "upstreamDialFailed"
+	// UpstreamRefused: the upstream answered that it has not run the request.
+	UpstreamRefused Cause = "upstreamRefused"
+	// ClaimFailed: the record that keeps a resent request from running twice
+	// could not be made.
+	ClaimFailed Cause = "claimFailed"
+	// PeerLost: the connection to the node beside the upstream was lost after
+	// the whole request had been handed to it.
+	PeerLost Cause = "peerLost"
+	// TimedOut: the deadline passed after the request had been sent on, and
+	// there is no proof that it did not run.
+	TimedOut Cause = "timedOut"
+	// CallerGone: the caller went away after the request had been sent on.
+	CallerGone Cause = "callerGone"
+	// BodyLost: the caller's body ended early after part of it was sent on.
+	BodyLost Cause = "bodyLost"
+	// UpstreamLost: the upstream closed or failed after it had been sent at
+	// least one byte, and before it answered.
+	UpstreamLost Cause = "upstreamLost"
+	// AnswerCut: the upstream's answer ended before it was whole.
+	AnswerCut Cause = "answerCut"
+	// AnswerInvalid: the upstream's answer can't be passed on.
+	AnswerInvalid Cause = "answerInvalid"
+)
+
+// Entry is what the table says of a cause.
+type Entry struct {
+	// Verdict is whether a request that failed so may have run.
+	Verdict Verdict
+	// Status is the HTTP status told to the caller.
+	Status int
+	// Elsewhere is whether another upstream may do better.
+	Elsewhere bool
+}
+
+// table is the one place that says what each cause means.
+var table = map[Cause]Entry{
+	UnknownHost:        {Verdict: NotRun, Status: http.StatusNotFound},
+	BadRequest:         {Verdict: NotRun, Status: http.StatusBadRequest},
+	NotSupported:       {Verdict: NotRun, Status: http.StatusNotImplemented},
+	TooLarge:           {Verdict: NotRun, Status: http.StatusRequestEntityTooLarge},
+	NotReady:           {Verdict: NotRun, Status: http.StatusServiceUnavailable},
+	NoUpstream:         {Verdict: NotRun, Status: http.StatusServiceUnavailable},
+	DeadlinePassed:     {Verdict: NotRun, Status: http.StatusServiceUnavailable},
+	DialFailed:         {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
+	NotWritten:         {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
+	Refused:            {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
+	Draining:           {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
+	Misrouted:          {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
+	Revoked:            {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
+	UpstreamDialFailed: {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
+	UpstreamRefused:    {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
+	ClaimFailed:        {Verdict: NotRun, Status: http.StatusServiceUnavailable},
+	PeerLost:           {Verdict: MayHaveRun, Status: http.StatusBadGateway, Elsewhere: true},
+	TimedOut:           {Verdict: MayHaveRun, Status: http.StatusGatewayTimeout},
+	CallerGone:         {Verdict: MayHaveRun, Status: http.StatusBadGateway},
+	BodyLost:           {Verdict: MayHaveRun, Status: http.StatusBadGateway},
+	UpstreamLost:       {Verdict: MayHaveRun, Status: http.StatusBadGateway, Elsewhere: true},
+	AnswerCut:          {Verdict: Ran, Status: http.StatusBadGateway},
+	AnswerInvalid:      {Verdict: Ran, Status: http.StatusBadGateway},
+}
+
+// Lookup returns what the table says of c. A cause that is not in the table
+// may have run and is told to the caller as 502.
+func Lookup(c Cause) Entry {
+	e, ok := table[c]
+	if !ok {
+		return Entry{Verdict: MayHaveRun, Status: http.StatusBadGateway}
+	}
+	return e
+}
+
+// Causes calls yield with each cause of the table and its entry, in no
+// particular order, until yield returns false.
+func Causes(yield func(Cause, Entry) bool) {
+	for c, e := range table {
+		if !yield(c, e) {
+			return
+		}
+	}
+}
