operator, platform: resource kinds, object API client and its stand-in

Cause: nodes find each other and their configuration through the object API alone, and an answer can be lost after its write took effect. Seen while testing: the stand-in's hang lasted for ever, because net/http sees a caller go only after the body is read; mended in the stand-in.

--- /dev/null
+++ b/internal/objectapi/server.go
@@ -0,0 +1,301 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package objectapi
+
+import (
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"sassafrasfront.example/platform"
+)
+
+// Faults are the ways in which the stand-in fails. Shares are in [0, 1].
+type Faults struct {
+	// Down closes every connection without an answer.
+	Down bool `json:"down"`
+	// Hang keeps every call waiting until its caller gives up.
+	Hang bool `json:"hang"`
+	// Delay is added to every call, in milliseconds.
+	Delay int `json:"delayMillis"`
+	// Fail is the share of calls answered by 500 without effect.
+	Fail float64 `json:"fail"`
+	// LoseWrites is the share of writes whose answer is lost after the effect.
+	LoseWrites float64 `json:"loseWrites"`
+	// DropEvents is the share of watch events that are left out.
+	DropEvents float64 `json:"dropEvents"`
+	// RepeatEvents is the share of watch events that come twice.
+	RepeatEvents float64 `json:"repeatEvents"`
+	// SilentWatches keeps watches open without any event.
+	SilentWatches bool `json:"silentWatches"`
+	// Garbage is the share of reads answered by bytes that are no JSON.
+	Garbage float64 `json:"garbage"`
+	// StaleReads is the share of gets answered with the version before.
+	StaleReads float64 `json:"staleReads"`
+}
+
+// Counts are the calls served so far. A watch is one read.
+type Counts struct {
+	Reads   int `json:"reads"`
+	Writes  int `json:"writes"`
+	Watches int `json:"watches"`
+	Refused int `json:"refused"`
+}
+
+// Server is the stand-in as an http.Handler. The zero value is empty and
+// without faults. Beside the API it serves PUT /faults, GET /counts and POST
+// /forget, so that other processes can steer it.
+type Server struct {
+	store store
+
+	mu     sync.Mutex
+	faults Faults
+	counts Counts
+	old    map[string]*platform.Object
+}
+
+// SetFaults replaces the faults.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Counts returns the calls served so far.
+func (s *Server) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// Forget drops the history, so that watches from before now fail with 410.
+func (s *Server) Forget() { s.store.forget() }
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/faults":
+		var f Faults
+		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.SetFaults(f)
+		return
+	case "/counts":
+		answer(w, http.StatusOK, s.Counts())
+		return
+	case "/forget":
+		s.Forget()
+		return
+	}
+	f := s.count(r)
+	if !s.pass(w, r, f) {
+		return
+	}
+	collection, name, ok := split(r.URL.Path)
+	if !ok {
+		http.Error(w, "no such path", http.StatusNotFound)
+		return
+	}
+	if r.Method == http.MethodGet {
+		s.read(w, r, f, collection, name)
+		return
+	}
+	s.write(w, r, f, collection, name)
+}
+
+// count counts the call and returns the faults that apply to it.
+func (s *Server) count(r *http.Request) Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.faults.Down:
+		s.counts.Refused++
+	case r.Method != http.MethodGet:
+		s.counts.Writes++
+	case r.URL.Query().Has("watch"):
+		s.counts.Watches++
+		s.counts.Reads++
+	default:
+		s.counts.Reads++
+	}
+	return s.faults
+}
+
+// pass applies the faults that come before the effect. It returns whether the
+// call goes on.
+func (s *Server) pass(w http.ResponseWriter, r *http.Request, f Faults) bool {
+	if f.Down {
+		panic(http.ErrAbortHandler)
+	}
+	if f.Hang {
+		// The library notices that the caller has gone only once the body is
+		// read.
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+		return false
+	}
+	time.Sleep(time.Duration(f.Delay) * time.Millisecond)
+	if rand.Float64() < f.Fail {
+		http.Error(w, "told to fail", http.StatusInternalServerError)
+		return false
+	}
+	if r.Method == http.MethodGet && rand.Float64() < f.Garbage {
+		_, _ = io.WriteString(w, "<html>")
+		return false
+	}
+	return true
+}
+
+// split returns the collection and the name in a path.
+func split(path string) (collection, name string, ok bool) {
+	rest, ok := strings.CutPrefix(path, "/apis/"+platform.GroupVersion+"/namespaces/")
+	if !ok {
+		return "", "", false
+	}
+	parts := strings.Split(rest, "/")
+	switch len(parts) {
+	case 2:
+		return rest, "", true
+	case 3:
+		return parts[0] + "/" + parts[1], parts[2], true
+	}
+	return "", "", false
+}
+
+func (s *Server) read(w http.ResponseWriter, r *http.Request, f Faults, collection, name string) {
+	switch {
+	case name != "":
+		o, refused := s.store.get(collection, name)
+		if refused != nil {
+			http.Error(w, refused.reason, refused.status)
+			return
+		}
+		answer(w, http.StatusOK, s.stale(f, collection, o))
+	case r.URL.Query().Has("watch"):
+		s.watch(w, r, collection)
+	default:
+		answer(w, http.StatusOK, s.store.list(collection))
+	}
+}
+
+// stale returns o, or at times what it was before.
+func (s *Server) stale(f Faults, collection string, o *platform.Object) *platform.Object {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if before := s.old[key(collection, o.Metadata.Name)]; before != nil && rand.Float64() < f.StaleReads {
+		return before
+	}
+	return o
+}
+
+func (s *Server) write(w http.ResponseWriter, r *http.Request, f Faults, collection, name string) {
+	var result *platform.Object
+	var refused *refusal
+	if r.Method == http.MethodDelete {
+		refused = s.store.delete(collection, name, r.URL.Query().Get("resourceVersion"))
+	} else {
+		o := new(platform.Object)
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, platform.MaxValue)).Decode(o); err != nil {
+			http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+			return
+		}
+		s.remember(collection, o.Metadata.Name)
+		result, refused = s.store.put(collection, o, r.Method == http.MethodPost)
+	}
+	if refused != nil {
+		http.Error(w, refused.reason, refused.status)
+		return
+	}
+	if rand.Float64() < f.LoseWrites {
+		panic(http.ErrAbortHandler)
+	}
+	answer(w, http.StatusOK, result)
+}
+
+// remember keeps the present object for stale reads.
+func (s *Server) remember(collection, name string) {
+	o, refused := s.store.get(collection, name)
+	if refused != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.old == nil {
+		s.old = make(map[string]*platform.Object)
+	}
+	s.old[key(collection, name)] = o
+}
+
+// watch streams the changes of a collection.
+func (s *Server) watch(w http.ResponseWriter, r *http.Request, collection string) {
+	seconds, _ := strconv.ParseFloat(r.URL.Query().Get("timeoutSeconds"), 64)
+	end := time.After(time.Duration(seconds * float64(time.Second)))
+	version := platform.ParseVersion(r.URL.Query().Get("resourceVersion"))
+	flusher := http.NewResponseController(w)
+	for {
+		events, changed, ok := s.store.since(version)
+		if !ok {
+			http.Error(w, "too old", http.StatusGone)
+			return
+		}
+		for _, e := range events {
+			version = e.version
+			s.emit(w, e, collection)
+		}
+		_ = flusher.Flush()
+		select {
+		case <-changed:
+		case <-end:
+			return
+		case <-r.Context().Done():
+			return
+		}
+		if s.isDown() {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func (s *Server) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.Down
+}
+
+// emit writes one event of a watch, if it belongs there and no fault takes it.
+func (s *Server) emit(w http.ResponseWriter, e event, collection string) {
+	s.mu.Lock()
+	f := s.faults
+	s.mu.Unlock()
+	if e.Object == nil || !strings.HasSuffix(collection, "/"+collectionOf(e.Object.Kind)) {
+		return
+	}
+	if f.SilentWatches || rand.Float64() < f.DropEvents {
+		return
+	}
+	_ = json.NewEncoder(w).Encode(e.Event)
+	if rand.Float64() < f.RepeatEvents {
+		_ = json.NewEncoder(w).Encode(e.Event)
+	}
+}
+
+// collectionOf returns the last part of the path of a kind's collection.
+func collectionOf(kind string) string {
+	p := platform.Path("", kind, "")
+	return p[strings.LastIndex(p, "/")+1:]
+}
+
+func answer(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/operator/check.go
@@ -0,0 +1,132 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package operator
+
+import (
+	"fmt"
+	"net"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"sassafrasfront.example/route"
+)
+
+// Fault is what is wrong with one field.
+type Fault struct {
+	// Field is the path of the field.
+	Field string `json:"field"`
+	// Message says what is wrong, and what would be right.
+	Message string `json:"message"`
+}
+
+// Faults are all faults of one resource. They are an error if there are any.
+type Faults []Fault
+
+// Error implements the error interface.
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i, x := range f {
+		lines[i] = x.Field + ": " + x.Message
+	}
+	return strings.Join(lines, "; ")
+}
+
+// add appends a fault unless ok.
+func (f *Faults) add(ok bool, field, format string, args ...any) {
+	if !ok {
+		*f = append(*f, Fault{
+			Field:   field,
+			Message: fmt.Sprintf(format, args...),
+		})
+	}
+}
+
+// within appends a fault unless low <= v <= high.
+func within[T int | int64 | float64 | Duration](f *Faults, field string, v, low, high T) {
+	f.add(v >= low && v <= high, field, "%v is not within %v and %v", text(v), text(low), text(high))
+}
+
+// text returns v as an operator writes it.
+func text(v any) any {
+	if d, ok := v.(Duration); ok {
+		return d.Std()
+	}
+	return v
+}
+
+// The bounds of a Service's fields.
+const (
+	maxHosts   = 64
+	maxClasses = 16
+	maxTimeout = Duration(time.Hour)
+	maxWait    = Duration(10 * time.Second)
+	maxKeep    = Duration(7 * 24 * time.Hour)
+	maxBody    = int64(1) << 40
+	maxQueue   = 10000
+	maxTries   = 10
+	maxWrites  = 100.0
+)
+
+var (
+	namePattern = regexp.MustCompile(`^[a-z0-9]([-a-z0-9]{0,61}[a-z0-9])?$`)
+	hostPattern = regexp.MustCompile(`^[a-z0-9]([-a-z0-9]*[a-z0-9])?(\.[a-z0-9]([-a-z0-9]*[a-z0-9])?)*$`)
+)
+
+// CheckName returns what is wrong with the name of a service, or nil.
+func CheckName(name string) Faults {
+	var f Faults
+	f.add(namePattern.MatchString(name), "metadata.name", "%q is not a name of at most 63 lower-case letters, digits and dashes", name)
+	return f
+}
+
+// Check returns the faults of s, whose defaults are filled in.
+func (s Service) Check() Faults {
+	var f Faults
+	f.add(len(s.Hosts) > 0 && len(s.Hosts) <= maxHosts, "hosts", "%d hosts are not within 1 and %d", len(s.Hosts), maxHosts)
+	for i, h := range s.Hosts {
+		field := fmt.Sprintf("hosts[%d]", i)
+		ok := len(h) <= 253 && (hostPattern.MatchString(h) || net.ParseIP(h) != nil)
+		f.add(ok, field, "%q is not a lower-case host name without a port", h)
+		f.add(!slices.Contains(s.Hosts[:i], h), field, "%q is there twice", h)
+	}
+	s.checkClasses(&f)
+	within(&f, "timeout", s.Timeout, Duration(time.Millisecond), maxTimeout)
+	within(&f, "maxBody", s.MaxBody, 0, maxBody)
+	within(&f, "queue.length", s.Queue.Length, 0, maxQueue)
+	within(&f, "queue.wait", s.Queue.Wait, 0, maxWait)
+	within(&f, "queue.slowStart", s.Queue.SlowStart, 0, maxTimeout)
+	within(&f, "retry.maxTries", s.Retry.MaxTries, 1, maxTries)
+	within(&f, "retry.share", s.Retry.Share, 0, 1)
+	within(&f, "retry.burst", s.Retry.Burst, 0, maxQueue)
+	within(&f, "hedge.share", s.Hedge.Share, 0, 0.5)
+	within(&f, "hedge.quantile", s.Hedge.Quantile, 0.5, 0.999)
+	within(&f, "hedge.minDelay", s.Hedge.MinDelay, 0, maxWait)
+	within(&f, "resend.writesPerSecond", s.Resend.WritesPerSecond, 0, maxWrites)
+	within(&f, "resend.keep", s.Resend.Keep, Duration(time.Minute), maxKeep)
+	within(&f, "zoneCost", s.ZoneCost, 0, maxWait)
+	within(&f, "regionCost", s.RegionCost, 0, maxWait)
+	_, ok := route.ByName(s.Policy)
+	f.add(ok, "policy", "%q is not twoChoice, random, roundRobin, leastOutstanding or hotCold", s.Policy)
+	return f
+}
+
+func (s Service) checkClasses(f *Faults) {
+	f.add(len(s.Classes) <= maxClasses, "classes", "%d classes are over %d", len(s.Classes), maxClasses)
+	seen := make(map[string]bool)
+	for i, c := range s.Classes {
+		field := fmt.Sprintf("classes[%d]", i)
+		f.add(namePattern.MatchString(c.Name), field+".name", "%q is not a name of lower-case letters, digits and dashes", c.Name)
+		f.add(!seen[c.Name], field+".name", "%q is there twice", c.Name)
+		seen[c.Name] = true
+		within(f, field+".weight", c.Weight, 0.001, 1000)
+		within(f, field+".maxShare", c.MaxShare, 0.01, 1)
+		f.add(c.Value == "" || c.Header != "", field+".value", "a value needs a header")
+		for j, h := range c.Hosts {
+			f.add(slices.Contains(s.Hosts, h), fmt.Sprintf("%s.hosts[%d]", field, j), "%q is not among the service's hosts", h)
+		}
+	}
+}
--- /dev/null
+++ b/operator/service.go
@@ -0,0 +1,189 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package operator
+
+import (
+	"bytes"
+	"encoding/json"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Service is an operator's intent for one service. It is an immutable value.
+type Service struct {
+	// Hosts are the host names that callers use for the service, without
+	// ports.
+	Hosts []string `json:"hosts"`
+	// Classes are the kinds of requests that share the service's upstreams.
+	// The first one takes the requests that match none.
+	Classes []Class `json:"classes,omitempty"`
+	// Queue says how requests wait at an upstream.
+	Queue Queue `json:"queue"`
+	// Timeout is the deadline of a request whose caller sets none, and the
+	// largest that a caller may set.
+	Timeout Duration `json:"timeout"`
+	// MaxBody is the largest body of a request, in bytes.
+	MaxBody int64 `json:"maxBody"`
+	// Retry bounds the second sendings after failures.
+	Retry Retry `json:"retry"`
+	// Hedge bounds the second sendings of slow idempotent requests.
+	Hedge Hedge `json:"hedge"`
+	// Resend is the rule for requests that a caller sends again under the same
+	// idempotency key.
+	Resend Resend `json:"resend"`
+	// Policy is the routing policy.
+	Policy string `json:"policy"`
+	// ZoneCost is the cost that routing gives to another availability zone.
+	ZoneCost Duration `json:"zoneCost"`
+	// RegionCost is the cost that routing gives to another region.
+	RegionCost Duration `json:"regionCost"`
+}
+
+// Class is a kind of request.
+type Class struct {
+	// Name identifies the class.
+	Name string `json:"name"`
+	// Weight is its part of the slots relative to the other classes.
+	Weight float64 `json:"weight"`
+	// MaxShare is the largest part of the slots that it may hold.
+	MaxShare float64 `json:"maxShare"`
+	// Priority orders the classes for shedding; the lowest goes first.
+	Priority int `json:"priority"`
+	// Header and Value select the requests of the class: those that have the
+	// header with that value. An empty Value stands for any.
+	Header string `json:"header,omitempty"`
+	Value  string `json:"value,omitempty"`
+	// Hosts select requests by host. They are among the service's hosts.
+	Hosts []string `json:"hosts,omitempty"`
+}
+
+// Queue says how requests wait at an upstream.
+type Queue struct {
+	// Length is the largest number of waiting requests.
+	Length int `json:"length"`
+	// Wait is the longest time that a request waits.
+	Wait Duration `json:"wait"`
+	// SlowStart is the time over which a cold upstream gets its full load.
+	SlowStart Duration `json:"slowStart"`
+	// Adaptive is whether an upstream that slows down is given fewer requests
+	// at once.
+	Adaptive *bool `json:"adaptive,omitempty"`
+}
+
+// Retry bounds second sendings after failures.
+type Retry struct {
+	// MaxTries is the largest number of sendings, the first included.
+	MaxTries int `json:"maxTries"`
+	// Share is the number of retries per request that cost an upstream work.
+	Share float64 `json:"share"`
+	// Burst is the largest number of such retries saved up.
+	Burst float64 `json:"burst"`
+}
+
+// Hedge bounds second sendings of slow idempotent requests.
+type Hedge struct {
+	// Share is the number of hedges per request. Zero means none.
+	Share float64 `json:"share"`
+	// Quantile is the quantile of the latest request times after which a
+	// request counts as slow.
+	Quantile float64 `json:"quantile"`
+	// MinDelay is the least time before a hedge.
+	MinDelay Duration `json:"minDelay"`
+}
+
+// Resend is the rule for resent requests.
+type Resend struct {
+	// Enabled is whether non-idempotent requests with an Idempotency-Key are
+	// claimed on the platform before they run.
+	Enabled bool `json:"enabled"`
+	// WritesPerSecond is each node's budget of claims.
+	WritesPerSecond float64 `json:"writesPerSecond"`
+	// Keep is how long a claim is kept.
+	Keep Duration `json:"keep"`
+}
+
+// The defaults of a Service.
+const (
+	defaultTimeout    = 10 * time.Second
+	defaultMaxBody    = 16 << 20
+	defaultWait       = 50 * time.Millisecond
+	defaultLength     = 64
+	defaultTries      = 3
+	defaultShare      = 0.1
+	defaultBurst      = 20
+	defaultQuantile   = 0.95
+	defaultMinDelay   = 5 * time.Millisecond
+	defaultZoneCost   = 2 * time.Millisecond
+	defaultRegionCost = 40 * time.Millisecond
+	defaultWrites     = 5
+	defaultKeep       = 24 * time.Hour
+	defaultPolicy     = "twoChoice"
+)
+
+// WithDefaults returns a copy of s with its unset fields filled in.
+func (s Service) WithDefaults() Service {
+	yes := true
+	fill(&s.Timeout, Duration(defaultTimeout))
+	fill(&s.MaxBody, defaultMaxBody)
+	fill(&s.Queue.Wait, Duration(defaultWait))
+	fill(&s.Queue.Length, defaultLength)
+	if s.Queue.Adaptive == nil {
+		s.Queue.Adaptive = &yes
+	}
+	fill(&s.Retry.MaxTries, defaultTries)
+	fill(&s.Retry.Share, defaultShare)
+	fill(&s.Retry.Burst, defaultBurst)
+	fill(&s.Hedge.Quantile, defaultQuantile)
+	fill(&s.Hedge.MinDelay, Duration(defaultMinDelay))
+	fill(&s.Resend.WritesPerSecond, defaultWrites)
+	fill(&s.Resend.Keep, Duration(defaultKeep))
+	fill(&s.Policy, defaultPolicy)
+	fill(&s.ZoneCost, Duration(defaultZoneCost))
+	fill(&s.RegionCost, Duration(defaultRegionCost))
+	classes := make([]Class, len(s.Classes))
+	for i, c := range s.Classes {
+		fill(&c.Weight, 1)
+		fill(&c.MaxShare, 1)
+		classes[i] = c
+	}
+	if len(classes) == 0 {
+		classes = []Class{{
+			Name:     "default",
+			Weight:   1,
+			MaxShare: 1,
+		}}
+	}
+	s.Classes = classes
+	return s
+}
+
+// fill sets *p to d if it is zero.
+func fill[T comparable](p *T, d T) {
+	var zero T
+	if *p == zero {
+		*p = d
+	}
+}
+
+// ParseService reads a Service from JSON, fills in its defaults and checks it.
+// An unknown field is an error. The faults of a Service that could be read are
+// returned as Faults.
+func ParseService(data []byte) (Service, error) {
+	var s Service
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&s); err != nil {
+		return s, eris.Wrap(err, "spec")
+	}
+	if d.More() {
+		return s, eris.New("spec: more than one value")
+	}
+	s = s.WithDefaults()
+	if f := s.Check(); len(f) > 0 {
+		return s, f
+	}
+	return s, nil
+}
