--- /dev/null
+++ b/caller/answer.go
@@ -0,0 +1,131 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package caller
+
+import (
+	"encoding/json"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"sassafrasfront.example/entry"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/upstream"
+	"sassafrasfront.example/verdict"
+)
+
+// Problem is the body of a failure's answer (RFC 9457).
+type Problem struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail,omitempty"`
+	// Verdict says whether the request may have run.
+	Verdict string `json:"verdict"`
+	Cause   string `json:"cause"`
+	// RetryAfterMs is when to come back, in milliseconds. It is finer than the
+	// header Retry-After, which counts whole seconds.
+	RetryAfterMs int64  `json:"retryAfterMs,omitempty"`
+	RequestID    string `json:"requestId"`
+}
+
+// problemType starts the type of each problem.
+const problemType = "https://sassafrasfront.example/problems/"
+
+// fail answers the caller with a failure.
+func (x *exchange) fail(e *verdict.Error) {
+	status := e.Status()
+	x.outcome.Status = status
+	x.outcome.Failure = e
+	p := Problem{
+		Type:         problemType + string(e.Cause),
+		Title:        http.StatusText(status),
+		Status:       status,
+		Verdict:      e.Verdict().String(),
+		Cause:        string(e.Cause),
+		RetryAfterMs: e.RetryAfter.Milliseconds(),
+		RequestID:    x.outcome.ID,
+	}
+	if e.Err != nil {
+		p.Detail = e.Err.Error()
+	}
+	h := x.w.Header()
+	h.Set("Content-Type", "application/problem+json")
+	h.Set("Cache-Control", "no-store")
+	h.Set(RequestID, x.outcome.ID)
+	h.Set(upstream.VerdictHeader, p.Verdict)
+	if e.GivenUp {
+		h.Set(upstream.GivenUpHeader, "true")
+	}
+	if status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", strconv.Itoa(seconds(e.RetryAfter)))
+	}
+	x.w.WriteHeader(status)
+	_ = json.NewEncoder(x.w).Encode(p)
+}
+
+// seconds returns d in whole seconds, rounded up, and at least one.
+func seconds(d time.Duration) int { return max(1, int(math.Ceil(d.Seconds()))) }
+
+// inform passes an informational answer on.
+func (x *exchange) inform(m *peer.Inform) {
+	h := x.w.Header()
+	for _, f := range m.Header {
+		h.Add(f.Name, f.Value)
+	}
+	x.w.WriteHeader(m.Status)
+	clear(h)
+}
+
+// answer passes an answer on. It returns whether it must be cut.
+func (x *exchange) answer(result *entry.Result) (cut bool) {
+	x.outcome.Status = result.Status
+	h := x.w.Header()
+	copyHeader(h, result.Header, x.handler.Node)
+	h.Set(RequestID, x.outcome.ID)
+	h.Set(upstream.VerdictHeader, verdict.Ran.String())
+	h.Set(NodeHeader, result.Node)
+	x.w.WriteHeader(result.Status)
+	if err := x.copyBody(result); err != nil {
+		x.outcome.Failure = verdict.As(err, verdict.CallerGone)
+		return true
+	}
+	for _, f := range result.Trailer() {
+		h.Add(http.TrailerPrefix+f.Name, f.Value)
+	}
+	return false
+}
+
+// copyBuffer is the size of the pieces in which an answer is passed on.
+const copyBuffer = 32 << 10
+
+// copyBody passes the body of an answer on. If its length is not known, each
+// piece goes out as it comes.
+func (x *exchange) copyBody(result *entry.Result) error {
+	if result.Length >= 0 {
+		_, err := io.Copy(x.w, result.Body)
+		return err
+	}
+	control := http.NewResponseController(x.w)
+	_ = control.Flush()
+	buffer := make([]byte, copyBuffer)
+	for {
+		n, err := result.Body.Read(buffer)
+		if n > 0 {
+			if _, err := x.w.Write(buffer[:n]); err != nil {
+				return err
+			}
+			_ = control.Flush()
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/caller/handler.go
@@ -0,0 +1,299 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package caller
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"sassafrasfront.example/entry"
+	"sassafrasfront.example/gate"
+	"sassafrasfront.example/internal/tracing"
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/verdict"
+)
+
+// RequestID is the header that names a request. It is made up if the caller
+// sends none.
+const RequestID = "X-Request-Id"
+
+// gatherLimit is the largest body that is read before the request is sent on,
+// so that it can be sent elsewhere if it is refused.
+const gatherLimit = 64 << 10
+
+// Dispatcher sends requests to upstreams.
+type Dispatcher interface {
+	Do(ctx context.Context, r *entry.Request) (*entry.Result, *verdict.Error)
+}
+
+// Outcome is what became of a request.
+type Outcome struct {
+	// ID is the request id.
+	ID string
+	// Service and Class are what the request was taken for. They are empty if
+	// its host is unknown.
+	Service, Class string
+	// Method and Path are the request's.
+	Method, Path string
+	// Status is the HTTP status that the caller got.
+	Status int
+	// Failure is why there was no answer, or why it was cut, or nil.
+	Failure *verdict.Error
+	// Tries is the number of sendings.
+	Tries int
+	// Took is the time from the head of the request to the end of the answer.
+	Took time.Duration
+}
+
+// Handler is an http.Handler. The exported fields are set before the first
+// request.
+type Handler struct {
+	// Lookup returns the service that has the host, or nil. Ready is false
+	// while no configuration is known at all.
+	Lookup func(host string) (s *entry.Service, ready bool)
+	// Dispatcher sends the requests.
+	Dispatcher Dispatcher
+	// Node is named in Via and in the header that says where a request ran.
+	Node string
+	// Tracer makes a span for each request.
+	Tracer trace.Tracer
+	// Ended, if not nil, is called at the end of each request.
+	Ended func(Outcome)
+}
+
+// exchange is the handling of one request.
+type exchange struct {
+	handler *Handler
+	w       http.ResponseWriter
+	r       *http.Request
+	outcome Outcome
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	began := time.Now()
+	x := &exchange{
+		handler: h,
+		w:       w,
+		r:       r,
+		outcome: Outcome{
+			ID:     requestID(r),
+			Method: r.Method,
+			Path:   r.URL.Path,
+		},
+	}
+	ctx := tracing.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	ctx, span := h.Tracer.Start(ctx, "entry", trace.WithSpanKind(trace.SpanKindServer))
+	cut := x.serve(ctx)
+	x.outcome.Took = time.Since(began)
+	if span.IsRecording() {
+		span.SetAttributes(attribute.String("http.request.method", r.Method), attribute.String("sassafras.service", x.outcome.Service), attribute.Int("sassafras.tries", x.outcome.Tries))
+	}
+	tracing.End(span, x.outcome.Status, x.outcome.Failure)
+	if h.Ended != nil {
+		h.Ended(x.outcome)
+	}
+	if cut {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// requestID returns the caller's request id if it is a plain one, or a new one.
+func requestID(r *http.Request) string {
+	const most = 128
+	id := r.Header.Get(RequestID)
+	plain := strings.IndexFunc(id, func(c rune) bool { return c <= ' ' || c > '~' }) < 0
+	if id != "" && len(id) <= most && plain {
+		return id
+	}
+	return rand.Text()
+}
+
+// serve handles the request. It returns whether the answer must be cut.
+func (x *exchange) serve(ctx context.Context) (cut bool) {
+	s, failure := x.service()
+	if failure == nil {
+		failure = carriable(x.r)
+	}
+	if failure != nil {
+		x.fail(failure)
+		return false
+	}
+	class := classOf(&s.Config, x.r)
+	x.outcome.Service = s.Name
+	x.outcome.Class = class
+	q, failure := x.request(ctx, s, class)
+	if failure != nil {
+		x.fail(failure)
+		return false
+	}
+	result, failure := x.handler.Dispatcher.Do(ctx, q)
+	if failure != nil {
+		x.fail(failure)
+		return false
+	}
+	defer result.Close()
+	x.outcome.Tries = result.Tries
+	return x.answer(result)
+}
+
+// service returns the service that has the request's host.
+func (x *exchange) service() (*entry.Service, *verdict.Error) {
+	host := strings.ToLower(x.r.Host)
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	s, ready := x.handler.Lookup(strings.Trim(host, "[]"))
+	switch {
+	case !ready:
+		return nil, verdict.New(verdict.NotReady, nil).WithRetryAfter(time.Second)
+	case s == nil:
+		return nil, verdict.New(verdict.UnknownHost, eris.Errorf("no service has the host %q", host))
+	}
+	return s, nil
+}
+
+// carriable returns why the request can't be carried, or nil if it can.
+func carriable(r *http.Request) *verdict.Error {
+	if r.Method == http.MethodConnect {
+		return verdict.New(verdict.NotSupported, eris.New("CONNECT is not supported"))
+	}
+	if u := r.Header.Get("Upgrade"); u != "" && !strings.EqualFold(u, "h2c") {
+		return verdict.New(verdict.NotSupported, eris.Errorf("Upgrade to %q is not supported", u))
+	}
+	if u := r.URL.RequestURI(); u != "*" && !strings.HasPrefix(u, "/") {
+		return verdict.New(verdict.BadRequest, eris.New("the request target is not a path"))
+	}
+	return nil
+}
+
+// classOf returns the first class that the request matches, or the first class.
+func classOf(s *operator.Service, r *http.Request) string {
+	for _, c := range s.Classes {
+		values := r.Header.Values(c.Header)
+		if c.Header != "" && len(values) > 0 && (c.Value == "" || c.Value == values[0]) {
+			return c.Name
+		}
+		for _, h := range c.Hosts {
+			if strings.EqualFold(h, strings.Split(r.Host, ":")[0]) {
+				return c.Name
+			}
+		}
+	}
+	return s.Classes[0].Name
+}
+
+// request returns the request as it is sent on.
+func (x *exchange) request(ctx context.Context, s *entry.Service, class string) (*entry.Request, *verdict.Error) {
+	r := x.r
+	timeout, err := timeoutOf(r, s.Config.Timeout.Std())
+	if err != nil {
+		return nil, verdict.New(verdict.BadRequest, err)
+	}
+	q := &entry.Request{
+		Service:    s.Name,
+		Class:      class,
+		Method:     r.Method,
+		Target:     r.URL.RequestURI(),
+		Host:       r.Host,
+		Length:     r.ContentLength,
+		Idempotent: idempotent(r.Method),
+		Deadline:   time.Now().Add(timeout),
+		Inform:     x.inform,
+	}
+	if failure := x.body(q, s.Config.MaxBody); failure != nil {
+		return nil, failure
+	}
+	h := forward(r, x.handler.Node)
+	h.Set(RequestID, x.outcome.ID)
+	tracing.Inject(ctx, propagation.HeaderCarrier(h))
+	q.Header = fields(h)
+	return q, nil
+}
+
+// timeoutOf returns the time that the request has: what the caller asks for, but
+// no more than most.
+func timeoutOf(r *http.Request, most time.Duration) (time.Duration, error) {
+	v := r.Header.Get(gate.TimeoutHeader)
+	if v == "" {
+		return most, nil
+	}
+	ms, err := strconv.ParseInt(v, 10, 32)
+	if err != nil || ms < 0 {
+		return 0, eris.Errorf("%s: %q is not a number of milliseconds", gate.TimeoutHeader, v)
+	}
+	return min(most, time.Duration(ms)*time.Millisecond), nil
+}
+
+// idempotent returns whether running a request with the method twice does no
+// harm (RFC 9110, section 9.2.2).
+func idempotent(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace, http.MethodPut, http.MethodDelete:
+		return true
+	}
+	return false
+}
+
+// body reads a small body, or has a large one streamed. A caller that expects
+// 100-continue is asked for its body only once an upstream has admitted the
+// request.
+func (x *exchange) body(q *entry.Request, most int64) *verdict.Error {
+	r := x.r
+	switch {
+	case r.ContentLength > most:
+		return verdict.New(verdict.TooLarge, eris.Errorf("a body of %d bytes is over %d", r.ContentLength, most))
+	case r.ContentLength == 0:
+		return nil
+	case r.ContentLength < 0 || r.ContentLength > gatherLimit || r.Header.Get("Expect") != "":
+		q.Stream = entry.Once(&trailered{
+			Reader:  http.MaxBytesReader(x.w, r.Body, most),
+			request: r,
+		})
+		return nil
+	}
+	control := http.NewResponseController(x.w)
+	_ = control.SetReadDeadline(q.Deadline)
+	data, err := io.ReadAll(r.Body)
+	_ = control.SetReadDeadline(time.Time{})
+	if err != nil {
+		return verdict.New(verdict.BadRequest, eris.Wrap(err, "body"))
+	}
+	q.Body = data
+	return nil
+}
+
+// trailered is a caller's body with its trailer. It implements
+// peer.Trailered.
+type trailered struct {
+	io.Reader
+	request *http.Request
+}
+
+// Read implements io.Reader. A body that is over the limit fails with that
+// verdict.
+func (t *trailered) Read(p []byte) (int, error) {
+	n, err := t.Reader.Read(p)
+	if _, ok := errors.AsType[*http.MaxBytesError](err); ok {
+		return n, verdict.New(verdict.BodyLost, eris.New("the body is over the limit"))
+	}
+	return n, err
+}
+
+// Trailer implements peer.Trailered.
+func (t *trailered) Trailer() []peer.Field { return fields(t.request.Trailer) }
--- /dev/null
+++ b/caller/header.go
@@ -0,0 +1,107 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package caller
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+
+	"sassafrasfront.example/gate"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/upstream"
+)
+
+// hopByHop are the header fields that are meant for one hop, beside those that
+// Connection names.
+var hopByHop = []string{
+	"Connection",
+	"Proxy-Connection",
+	"Keep-Alive",
+	"Proxy-Authenticate",
+	"Proxy-Authorization",
+	"Te",
+	"Trailer",
+	"Transfer-Encoding",
+	"Upgrade",
+	"Http2-Settings",
+}
+
+// stripHopByHop removes the fields that are meant for one hop.
+func stripHopByHop(h http.Header) {
+	for _, v := range h["Connection"] {
+		for name := range strings.SplitSeq(v, ",") {
+			if name = strings.TrimSpace(name); name != "" {
+				h.Del(name)
+			}
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+}
+
+// forward returns the header of r as it is sent on.
+func forward(r *http.Request, node string) http.Header {
+	h := r.Header.Clone()
+	stripHopByHop(h)
+	h.Del("Expect")
+	h.Del(gate.TimeoutHeader)
+	client, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		client = r.RemoteAddr
+	}
+	proto := "http"
+	if r.TLS != nil {
+		proto = "https"
+	}
+	h.Add("Via", fmt.Sprintf("%d.%d %s", r.ProtoMajor, r.ProtoMinor, node))
+	h.Add("Forwarded", fmt.Sprintf("for=%s;host=%q;proto=%s", forwardedFor(client), r.Host, proto))
+	h.Add("X-Forwarded-For", client)
+	h.Set("X-Forwarded-For", strings.Join(h["X-Forwarded-For"], ", "))
+	if h.Get("X-Forwarded-Host") == "" {
+		h.Set("X-Forwarded-Host", r.Host)
+	}
+	if h.Get("X-Forwarded-Proto") == "" {
+		h.Set("X-Forwarded-Proto", proto)
+	}
+	return h
+}
+
+// forwardedFor returns an address as RFC 7239, section 6, wants it.
+func forwardedFor(client string) string {
+	if strings.Contains(client, ":") {
+		return `"[` + client + `]"`
+	}
+	return client
+}
+
+// NodeHeader says at which node a request ran.
+const NodeHeader = "Sassafras-Node"
+
+// copyHeader copies an answer's fields for the caller.
+func copyHeader(to http.Header, from []peer.Field, node string) {
+	for _, f := range from {
+		to.Add(f.Name, f.Value)
+	}
+	stripHopByHop(to)
+	to.Del(upstream.VerdictHeader)
+	to.Add("Via", "1.1 "+node)
+}
+
+// fields returns h as header fields.
+func fields(h http.Header) []peer.Field {
+	list := make([]peer.Field, 0, len(h))
+	for name, values := range h {
+		for _, v := range values {
+			list = append(list, peer.Field{
+				Name:  name,
+				Value: v,
+			})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/cmd/sassafrasbench/main.go
@@ -0,0 +1,40 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+// Command sassafrasbench holds the experiments on the system, the
+// demonstration, and the stand-ins that they run against. It is no part of the
+// product.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := dispatch(ctx, os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "sassafrasbench:", err)
+		os.Exit(1)
+	}
+}
+
+// dispatch runs the subcommand that the first argument names.
+func dispatch(ctx context.Context, args []string) error {
+	usage := fmt.Errorf("usage: sassafrasbench <list|run NAME|demo>")
+	if len(args) == 0 {
+		return usage
+	}
+	switch args[0] {
+	case "platform":
+		return runPlatform(ctx, args[1:])
+	case "upstream":
+		return runUpstream(ctx, args[1:])
+	}
+	return usage
+}
--- /dev/null
+++ b/cmd/sassafrasbench/path_test.go
@@ -0,0 +1,122 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/cmd/sassafrasbench/rig"
+	"sassafrasfront.example/internal/backend"
+)
+
+// binaries is where the programs are built for the tests.
+var binaries string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "sassafrasfront")
+	if err != nil {
+		panic(err)
+	}
+	binaries = dir
+	code := 1
+	if err := rig.Build(dir); err == nil {
+		code = m.Run()
+	} else {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+var zones = []string{"hob-a", "hob-b", "kingston"}
+
+// start starts a system for a test, and stops it at its end.
+func start(t *testing.T, specs ...rig.Spec) (context.Context, *rig.Rig) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	logs := t.TempDir()
+	r, err := rig.Start(ctx, binaries, rig.Options{Zones: zones, Log: logs}, specs...)
+	t.Cleanup(func() {
+		cancel()
+		r.Stop()
+		if t.Failed() {
+			printLogs(t, logs)
+		}
+	})
+	qt.Assert(t, err, qt.IsNil)
+	return ctx, r
+}
+
+func printLogs(t *testing.T, dir string) {
+	entries, _ := os.ReadDir(dir)
+	for _, e := range entries {
+		data, _ := os.ReadFile(dir + "/" + e.Name())
+		t.Logf("%s:\n%s", e.Name(), data[max(0, len(data)-2000):])
+	}
+}
+
+// spec is a small service of quick upstreams.
+func spec(upstreams int) rig.Spec {
+	return rig.Spec{
+		Service:   "pledgebook",
+		Upstreams: upstreams,
+		Slots:     10,
+		Knobs:     backend.Knobs{Mean: 1},
+	}
+}
+
+// send sends a request with an id through a node.
+func send(ctx context.Context, n *rig.Node, method, target, id, body string) (*http.Response, string, error) {
+	r, err := http.NewRequestWithContext(ctx, method, n.CallerURL()+target, strings.NewReader(body))
+	if err != nil {
+		return nil, "", err
+	}
+	r.Host = n.Service + ".example"
+	r.Header.Set(backend.IDHeader, id)
+	a, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer a.Body.Close()
+	data, err := io.ReadAll(a.Body)
+	return a, string(data), err
+}
+
+// TestWholePath sends requests through each node of a service in three zones,
+// and expects each to get its own answer, and the upstreams to have run each
+// once.
+func TestWholePath(t *testing.T) {
+	ctx, r := start(t, spec(3))
+	for i := range 60 {
+		id := fmt.Sprint("request-", i)
+		a, body, err := send(ctx, r.Nodes[i%3], "POST", "/enquiries", id, "hello")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, a.StatusCode, qt.Equals, 200, qt.Commentf("%s", body))
+		qt.Check(t, strings.HasPrefix(body, id+" "), qt.IsTrue)
+		qt.Check(t, strings.HasSuffix(body, " hello"), qt.IsTrue)
+		qt.Check(t, a.Header.Get("Sassafras-Verdict"), qt.Equals, "ran")
+	}
+	runs := make(map[string]int)
+	for _, n := range r.Nodes {
+		rec, err := n.Record()
+		qt.Assert(t, err, qt.IsNil)
+		for id, k := range rec.Runs {
+			runs[id] += k
+		}
+	}
+	qt.Check(t, len(runs), qt.Equals, 60)
+	for id, k := range runs {
+		qt.Check(t, k, qt.Equals, 1, qt.Commentf("%s", id))
+	}
+}
--- /dev/null
+++ b/cmd/sassafrasbench/roles.go
@@ -0,0 +1,86 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"sassafrasfront.example/internal/backend"
+	"sassafrasfront.example/internal/objectapi"
+	"sassafrasfront.example/upstream"
+)
+
+// runPlatform serves the platform stand-in.
+func runPlatform(ctx context.Context, args []string) error {
+	if len(args) != 1 {
+		return fmt.Errorf("platform takes an address")
+	}
+	return serve(ctx, args[0], new(objectapi.Server))
+}
+
+// runUpstream serves an upstream stand-in and announces it.
+func runUpstream(ctx context.Context, args []string) error {
+	if len(args) != 5 {
+		return fmt.Errorf("upstream takes its address, the node's address for announcements, a service, a number of slots, and knobs")
+	}
+	slots, err := strconv.Atoi(args[3])
+	if err != nil {
+		return err
+	}
+	s := &backend.Server{
+		Slots: slots,
+		Name:  args[0],
+	}
+	var knobs backend.Knobs
+	if err := json.Unmarshal([]byte(args[4]), &knobs); err != nil {
+		return err
+	}
+	s.Turn(knobs)
+	go keepAnnouncing(ctx, args[1], upstream.Announcement{
+		Service:     args[2],
+		Address:     args[0],
+		Slots:       slots,
+		Connections: 25 * slots,
+		Start:       strconv.FormatInt(time.Now().UnixNano(), 36),
+	})
+	return serve(ctx, args[0], s)
+}
+
+// keepAnnouncing announces the upstream, and again when its node has been
+// started anew and knows nothing of it.
+func keepAnnouncing(ctx context.Context, node string, a upstream.Announcement) {
+	const every = 100 * time.Millisecond
+	for ctx.Err() == nil {
+		r, err := http.Get("http://" + node + "/v1/upstream")
+		if err == nil {
+			_ = r.Body.Close()
+		}
+		if err == nil && r.StatusCode == http.StatusNotFound {
+			_ = backend.Announce(ctx, node, a)
+		}
+		time.Sleep(every)
+	}
+}
+
+// serve serves h at an address until ctx ends.
+func serve(ctx context.Context, address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	s := &http.Server{Handler: h}
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	if err := s.Serve(l); err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/sassafrasctl/commands.go
@@ -0,0 +1,251 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sort"
+	"strings"
+	"text/tabwriter"
+
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/platform"
+	"sassafrasfront.example/verdict"
+)
+
+// validate checks a file.
+func (t *tool) validate(context.Context, []string) error {
+	o, err := t.readFile()
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(t.out, "%s is valid\n", o.Metadata.Name)
+	return nil
+}
+
+// apply writes a Service. If the file names a resource version, the object must
+// still have it; otherwise it must have the one that apply reads first.
+func (t *tool) apply(ctx context.Context, _ []string) error {
+	o, err := t.readFile()
+	if err != nil {
+		return err
+	}
+	api := t.api()
+	present, err := api.Get(ctx, o.Kind, o.Metadata.Name)
+	switch {
+	case platform.IsNotFound(err):
+	case err != nil:
+		return err
+	case o.Metadata.ResourceVersion == "":
+		o = o.WithVersion(present.Metadata.ResourceVersion)
+	}
+	written, err := platform.Put(ctx, api, o)
+	if platform.IsConflict(err) {
+		return exitError{exitConflict, conflictText(o, err)}
+	}
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(t.out, "%s written, version %s\n", o.Metadata.Name, written.Metadata.ResourceVersion)
+	return nil
+}
+
+// conflictText shows both sides of a conflict.
+func conflictText(o *platform.Object, err error) error {
+	present := "unknown"
+	if c, ok := errors.AsType[*platform.Conflict](err); ok {
+		present = fmt.Sprintf("version %s\n%s", c.Present.Metadata.ResourceVersion, indent(c.Present.Spec))
+	}
+	effect := "nothing was written"
+	if e, ok := errors.AsType[*platform.Error](err); ok && e.Verdict == verdict.MayHaveRun {
+		effect = "an answer was lost, so this may have been written and then overwritten"
+	}
+	return fmt.Errorf("another change came first; %s\n--- yours, for version %s\n%s\n--- on the platform, %s",
+		effect, o.Metadata.ResourceVersion, indent(o.Spec), present)
+}
+
+func indent(spec json.RawMessage) string {
+	var v any
+	if json.Unmarshal(spec, &v) != nil {
+		return string(spec)
+	}
+	data, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return string(spec)
+	}
+	return string(data)
+}
+
+// diff shows what apply would change, line by line.
+func (t *tool) diff(ctx context.Context, _ []string) error {
+	o, err := t.readFile()
+	if err != nil {
+		return err
+	}
+	var old string
+	present, err := t.api().Get(ctx, o.Kind, o.Metadata.Name)
+	switch {
+	case err == nil:
+		old = indent(present.Spec)
+	case !platform.IsNotFound(err):
+		return err
+	}
+	lines := make(map[string]int)
+	for l := range strings.SplitSeq(old, "\n") {
+		lines[l]++
+	}
+	for l := range strings.SplitSeq(indent(o.Spec), "\n") {
+		if lines[l] > 0 {
+			lines[l]--
+			continue
+		}
+		fmt.Fprintln(t.out, "+", l)
+	}
+	for l := range strings.SplitSeq(old, "\n") {
+		if l != "" && lines[l] > 0 {
+			lines[l]--
+			fmt.Fprintln(t.out, "-", l)
+		}
+	}
+	return nil
+}
+
+// get shows services.
+func (t *tool) get(ctx context.Context, args []string) error {
+	objects, err := t.objects(ctx, operator.KindService, args)
+	if err != nil || t.json(objects) {
+		return err
+	}
+	w := tabwriter.NewWriter(t.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "NAME\tVERSION\tHOSTS\tCLASSES\tTIMEOUT")
+	for _, o := range objects {
+		s, err := platform.SpecOf[operator.Service](o)
+		if err != nil {
+			return err
+		}
+		s = s.WithDefaults()
+		var classes []string
+		for _, c := range s.Classes {
+			classes = append(classes, c.Name)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", o.Metadata.Name, o.Metadata.ResourceVersion, strings.Join(s.Hosts, ","), strings.Join(classes, ","), s.Timeout.Std())
+	}
+	return w.Flush()
+}
+
+// objects returns one object by name, or all of a kind.
+func (t *tool) objects(ctx context.Context, kind string, args []string) ([]*platform.Object, error) {
+	if len(args) > 1 {
+		return nil, exitError{exitUsage, errors.New("at most one name")}
+	}
+	if len(args) == 1 {
+		o, err := t.api().Get(ctx, kind, args[0])
+		if err != nil {
+			return nil, err
+		}
+		return []*platform.Object{o}, nil
+	}
+	l, err := t.api().List(ctx, kind)
+	if err != nil {
+		return nil, err
+	}
+	return l.Items, nil
+}
+
+// json prints v as JSON if that is asked for, and returns whether it was.
+func (t *tool) json(v any) bool {
+	if t.output != "json" {
+		return false
+	}
+	e := json.NewEncoder(t.out)
+	e.SetIndent("", "  ")
+	_ = e.Encode(v)
+	return true
+}
+
+// status shows what became of services. A service whose latest intent was
+// refused makes the command fail.
+func (t *tool) status(ctx context.Context, args []string) error {
+	objects, err := t.objects(ctx, operator.KindServiceStatus, args)
+	if err != nil {
+		return err
+	}
+	var refused error
+	if !t.json(objects) {
+		fmt.Fprintln(t.out, statusHeader)
+	}
+	for _, o := range objects {
+		s, err := platform.SpecOf[operator.ServiceStatus](o)
+		if err != nil {
+			return err
+		}
+		if t.output != "json" {
+			t.printStatus(o.Metadata.Name, s)
+		}
+		if s.Phase == operator.PhaseRefused {
+			refused = exitError{exitInvalid, fmt.Errorf("%s: %w", o.Metadata.Name, s.Faults)}
+		}
+	}
+	return refused
+}
+
+const statusHeader = "NAME PHASE OBSERVED SEQUENCE SINCE ZONE=HAVING/ASKED(MEMBERS)"
+
+// printStatus prints one status as a line.
+func (t *tool) printStatus(name string, s operator.ServiceStatus) {
+	var zones []string
+	for zone, z := range s.Zones {
+		having := fmt.Sprintf("%s=%d/%d(%d)", zone, z.Having, z.Asked, z.Members)
+		if z.Sequence < s.Sequence {
+			having = fmt.Sprintf("%s=sequence %d", zone, z.Sequence)
+		}
+		zones = append(zones, having)
+	}
+	sort.Strings(zones)
+	fmt.Fprintf(t.out, "%s %s %s %d %s %s\n", name, s.Phase, s.Observed, s.Sequence, s.Since.Format("2006-01-02T15:04:05Z"), strings.Join(zones, " "))
+}
+
+// watch prints statuses as they change, until it is interrupted.
+func (t *tool) watch(ctx context.Context, _ []string) error {
+	show := func(o *platform.Object) {
+		s, err := platform.SpecOf[operator.ServiceStatus](o)
+		if err != nil || t.json(o) {
+			return
+		}
+		t.printStatus(o.Metadata.Name, s)
+	}
+	f := &platform.Follower{
+		API:  t.api(),
+		Kind: operator.KindServiceStatus,
+		Listed: func(l *platform.List) {
+			for _, o := range l.Items {
+				show(o)
+			}
+		},
+		Changed: func(e platform.Event) { show(e.Object) },
+		Failed:  func(err error) { fmt.Fprintln(t.out, "#", err) },
+	}
+	f.Run(ctx)
+	return nil
+}
+
+// remove deletes a service.
+func (t *tool) remove(ctx context.Context, args []string) error {
+	if len(args) != 1 {
+		return exitError{exitUsage, errors.New("delete takes one name")}
+	}
+	o, err := t.api().Get(ctx, operator.KindService, args[0])
+	if err != nil {
+		return err
+	}
+	if err := t.api().Delete(ctx, operator.KindService, args[0], o.Metadata.ResourceVersion); err != nil {
+		return err
+	}
+	fmt.Fprintf(t.out, "%s deleted\n", args[0])
+	return nil
+}
--- /dev/null
+++ b/cmd/sassafrasctl/main.go
@@ -0,0 +1,125 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+// Command sassafrasctl helps operators with the resources on the platform's
+// object API. All that it does can also be done there directly.
+//
+// Exit codes: 0 for success, 1 if the platform could not be reached or answered
+// with a failure, 2 if the command line is wrong, 3 if a resource is invalid or
+// was refused, 4 if another change came first.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"sassafrasfront.example/platform"
+)
+
+// The exit codes.
+const (
+	exitFailed   = 1
+	exitUsage    = 2
+	exitInvalid  = 3
+	exitConflict = 4
+)
+
+// exitError is an error with an exit code.
+type exitError struct {
+	code int
+	err  error
+}
+
+// Error implements the error interface.
+func (e exitError) Error() string { return e.err.Error() }
+
+// Unwrap returns the underlying error.
+func (e exitError) Unwrap() error { return e.err }
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	os.Exit(execute(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// execute runs the command line and returns the exit code.
+func execute(ctx context.Context, args []string, out, errOut io.Writer) int {
+	t := &tool{out: out}
+	err := t.root(errOut).ParseAndRun(ctx, args)
+	if err == nil || errors.Is(err, flag.ErrHelp) {
+		return 0
+	}
+	fmt.Fprintln(errOut, "sassafrasctl:", err)
+	if e, ok := errors.AsType[exitError](err); ok {
+		return e.code
+	}
+	return exitFailed
+}
+
+// tool is the command line with its flags.
+type tool struct {
+	out       io.Writer
+	url       string
+	namespace string
+	output    string
+	file      string
+}
+
+// root returns the command line.
+func (t *tool) root(errOut io.Writer) *ffcli.Command {
+	fs := flag.NewFlagSet("sassafrasctl", flag.ContinueOnError)
+	fs.SetOutput(errOut)
+	fs.StringVar(&t.url, "platformURL", "http://127.0.0.1:8001", "root of the platform's object API")
+	fs.StringVar(&t.namespace, "namespace", "sassafrasfront", "namespace of the system's objects")
+	fs.StringVar(&t.output, "o", "table", "output: table or json")
+	command := func(name, usage, help string, exec func(context.Context, []string) error) *ffcli.Command {
+		f := flag.NewFlagSet(name, flag.ContinueOnError)
+		f.SetOutput(errOut)
+		if name == "validate" || name == "apply" || name == "diff" {
+			f.StringVar(&t.file, "f", "", "file with a Service in YAML or JSON")
+		}
+		return &ffcli.Command{
+			Name:       name,
+			ShortUsage: "sassafrasctl [flags] " + usage,
+			ShortHelp:  help,
+			FlagSet:    f,
+			Exec:       exec,
+		}
+	}
+	return &ffcli.Command{
+		Name:       "sassafrasctl",
+		ShortUsage: "sassafrasctl [flags] <command>",
+		FlagSet:    fs,
+		Options:    []ff.Option{ff.WithEnvVarPrefix("SASSAFRAS")},
+		Subcommands: []*ffcli.Command{
+			command("validate", "validate -f FILE", "check a file with the checks that the system uses", t.validate),
+			command("apply", "apply -f FILE", "write a Service, unless it has changed since the file was read", t.apply),
+			command("diff", "diff -f FILE", "show what apply would change", t.diff),
+			command("get", "get [NAME]", "show services", t.get),
+			command("status", "status [NAME]", "show what became of services", t.status),
+			command("watch", "watch", "show statuses as they change", t.watch),
+			command("delete", "delete NAME", "delete a service", t.remove),
+		},
+		Exec: func(context.Context, []string) error {
+			return exitError{exitUsage, errors.New("usage: sassafrasctl [flags] <validate|apply|diff|get|status|watch|delete>")}
+		},
+	}
+}
+
+// api returns the client of the platform.
+func (t *tool) api() *platform.Client {
+	return &platform.Client{
+		URL:       t.url,
+		Namespace: t.namespace,
+	}
+}
--- /dev/null
+++ b/cmd/sassafrasnode/main.go
@@ -0,0 +1,119 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+// Command sassafrasnode runs beside an upstream. It takes callers' requests for
+// any service and sends them to an upstream of that service, guards the
+// upstream beside it, and keeps up with the other nodes.
+//
+// Exit codes: 0 after a planned stop, 1 if the node could not start or run, 2 if
+// the command line or the settings are wrong.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"sassafrasfront.example/internal/keyvalue"
+	"sassafrasfront.example/node"
+	"sassafrasfront.example/settings"
+)
+
+// The exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// version is set by the linker for releases.
+var version = "development"
+
+// usageError is a fault in the command line or the settings.
+type usageError struct {
+	error
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	err := root().ParseAndRun(ctx, os.Args[1:])
+	if err == nil || errors.Is(err, flag.ErrHelp) {
+		return
+	}
+	fmt.Fprintln(os.Stderr, err)
+	if _, ok := errors.AsType[usageError](err); ok {
+		os.Exit(exitUsage)
+	}
+	os.Exit(exitFailed)
+}
+
+// root returns the command line. The settings are parsed by package settings,
+// so the subcommands take their arguments as they are.
+func root() *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "sassafrasnode",
+		ShortUsage: "sassafrasnode <run|check|version> [flags]",
+		ShortHelp:  "the process that runs beside an upstream",
+		Exec:       dispatch,
+	}
+}
+
+// dispatch runs the subcommand that the first argument names.
+func dispatch(ctx context.Context, args []string) error {
+	if len(args) == 0 {
+		return usageError{errors.New("usage: sassafrasnode <run|check|version> [flags]; run -h lists the flags")}
+	}
+	switch args[0] {
+	case "run":
+		return run(ctx, args[1:])
+	case "check":
+		_, err := read(args[1:])
+		if err == nil {
+			fmt.Println("settings are good")
+		}
+		return err
+	case "version":
+		fmt.Println(versionLine())
+		return nil
+	}
+	return usageError{fmt.Errorf("unknown command %q; there are run, check and version", args[0])}
+}
+
+// read reads the settings.
+func read(args []string) (*settings.Settings, error) {
+	s, err := settings.Read(flag.NewFlagSet("sassafrasnode", flag.ContinueOnError), args)
+	if err != nil && !errors.Is(err, flag.ErrHelp) {
+		return nil, usageError{err}
+	}
+	return s, err
+}
+
+// run runs the node until ctx ends.
+func run(ctx context.Context, args []string) error {
+	s, err := read(args)
+	if err != nil {
+		return err
+	}
+	n := &node.Node{
+		Settings: *s,
+		Log:      keyvalue.New(os.Stderr, s.LogLevel).With().Str("node", s.Node).Logger(),
+	}
+	return n.Run(ctx)
+}
+
+// versionLine returns the version of the program and of Go.
+func versionLine() string {
+	goVersion := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		goVersion = info.GoVersion
+	}
+	return fmt.Sprintf("sassafrasnode %s %s", version, goVersion)
+}
--- /dev/null
+++ b/control/acceptor.go
@@ -0,0 +1,244 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package control
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"sassafrasfront.example/member"
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/platform"
+	"sassafrasfront.example/rollout"
+)
+
+// acceptor makes operators' intents the configuration in force. All stewards
+// may accept any intent. The first in the order for the service does so at
+// once, and each of the others waits a little longer, and finds it done.
+type acceptor struct {
+	control  *Control
+	reporter *reporter
+
+	mu      sync.Mutex
+	pending map[string]pendingIntent
+	sources map[string]uint64 // the newest source known to be accepted
+	wake    chan struct{}
+}
+
+// pendingIntent is an intent that is due at a time.
+type pendingIntent struct {
+	rollout.Intent
+	due      time.Time
+	failures int
+}
+
+func newAcceptor(c *Control, r *reporter) *acceptor {
+	return &acceptor{
+		control:  c,
+		reporter: r,
+		pending:  make(map[string]pendingIntent),
+		sources:  make(map[string]uint64),
+		wake:     make(chan struct{}, 1),
+	}
+}
+
+// listed takes in a list of all Service objects. Services in force that are not
+// on it have been deleted.
+func (a *acceptor) listed(l *platform.List) {
+	gone := a.inForce()
+	for _, o := range l.Items {
+		a.consider(rollout.IntentOf(o))
+		delete(gone, o.Metadata.Name)
+	}
+	for name := range gone {
+		a.consider(rollout.Intent{
+			Name:   name,
+			Source: platform.ParseVersion(l.Metadata.ResourceVersion),
+		})
+	}
+}
+
+// inForce returns the names of the services in force.
+func (a *acceptor) inForce() map[string]bool {
+	names := make(map[string]bool)
+	a.control.do(func() {
+		for r := range a.control.configs.set.All {
+			if !r.Deleted {
+				names[r.Name] = true
+			}
+		}
+	})
+	return names
+}
+
+// changed takes in a change of a Service object.
+func (a *acceptor) changed(e platform.Event) {
+	in := rollout.IntentOf(e.Object)
+	if e.Type == platform.Deleted {
+		in.Spec = nil
+	}
+	a.consider(in)
+}
+
+// known takes in an Accepted object.
+func (a *acceptor) known(o *platform.Object) {
+	spec, err := platform.SpecOf[operator.Accepted](o)
+	if err != nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sources[o.Metadata.Name] = max(a.sources[o.Metadata.Name], spec.Source)
+}
+
+// consider has an intent accepted when it is this steward's turn, unless it is
+// known to be done.
+func (a *acceptor) consider(in rollout.Intent) {
+	turn := a.turn(in.Name)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if in.Source <= a.sources[in.Name] || in.Source <= a.pending[in.Name].Source {
+		return
+	}
+	a.pending[in.Name] = pendingIntent{
+		Intent: in,
+		due:    time.Now().Add(turn),
+	}
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// turn returns how long this steward leaves an intent to those before it.
+func (a *acceptor) turn(name string) time.Duration {
+	c := a.control
+	var zones []string
+	c.do(func() { zones = c.zones() })
+	return time.Duration(member.RankOf(name, c.Self.Zone, zones)) * c.Timing.Takeover
+}
+
+// zones returns the names of the other zones that have live nodes.
+func (c *Control) zones() []string {
+	_, far := c.split()
+	seen := make(map[string]bool)
+	var list []string
+	for _, r := range far {
+		if !seen[r.Zone] {
+			seen[r.Zone] = true
+			list = append(list, r.Zone)
+		}
+	}
+	return list
+}
+
+// acceptTick is how often the acceptor looks for what is due.
+const acceptTick = 50 * time.Millisecond
+
+// run accepts what is due until ctx ends.
+func (a *acceptor) run(ctx context.Context) {
+	tick := time.NewTicker(acceptTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-a.wake:
+		}
+		for _, p := range a.takeDue() {
+			if err := a.accept(ctx, p); err != nil {
+				a.control.Log.Warn().Err(err).Str("service", p.Name).Msg("accepting failed, trying again")
+				a.again(p, err)
+			}
+		}
+	}
+}
+
+// takeDue removes and returns the intents that are due and not done.
+func (a *acceptor) takeDue() []pendingIntent {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var list []pendingIntent
+	for name, p := range a.pending {
+		switch {
+		case p.Source <= a.sources[name]:
+			delete(a.pending, name)
+		case !time.Now().Before(p.due):
+			delete(a.pending, name)
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+// again keeps an intent that could not be accepted, unless a newer one has come.
+func (a *acceptor) again(p pendingIntent, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.pending[p.Name].Source > p.Source {
+		return
+	}
+	p.due = time.Now().Add(platform.Backoff(p.failures, err))
+	p.failures++
+	a.pending[p.Name] = p
+}
+
+// accept accepts one intent and says so in its status.
+func (a *acceptor) accept(ctx context.Context, p pendingIntent) error {
+	if f := a.hostsTaken(p.Intent); len(f) > 0 {
+		a.done(p.Name, p.Source)
+		a.reporter.refused(p.Intent, f)
+		return nil
+	}
+	result, err := rollout.Accept(ctx, a.control.API, p.Intent)
+	if err != nil {
+		return err
+	}
+	a.done(p.Name, p.Source)
+	if len(result.Refused) > 0 {
+		a.control.Log.Warn().Err(result.Refused).Str("service", p.Name).Msg("intent refused")
+		a.reporter.refused(p.Intent, result.Refused)
+	}
+	if result.Object == nil {
+		return nil
+	}
+	config, err := rollout.FromObject(result.Object)
+	if err != nil {
+		return err
+	}
+	a.control.do(func() { a.control.configs.put(config) })
+	a.reporter.accepted(result.Object)
+	return nil
+}
+
+// done records that nothing more is to be done about an intent.
+func (a *acceptor) done(name string, source uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sources[name] = max(a.sources[name], source)
+}
+
+// hostsTaken returns the faults of an intent whose hosts another service in
+// force has.
+func (a *acceptor) hostsTaken(in rollout.Intent) operator.Faults {
+	s, err := operator.ParseService(in.Spec)
+	if in.Spec == nil || err != nil {
+		return nil
+	}
+	var f operator.Faults
+	hosts := a.control.Snapshot().Hosts
+	for i, h := range s.Hosts {
+		if other := hosts[h]; other != nil && other.Name != in.Name {
+			f = append(f, operator.Fault{
+				Field:   fmt.Sprintf("hosts[%d]", i),
+				Message: fmt.Sprintf("%q belongs to the service %s", h, other.Name),
+			})
+		}
+	}
+	return f
+}
--- /dev/null
+++ b/control/bootstrap.go
@@ -0,0 +1,72 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package control
+
+import (
+	"context"
+	"time"
+
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/platform"
+)
+
+// bootstrap learns from a first peer. It goes on until one has answered, or
+// this node is the steward of its zone and so learns from the platform.
+func (c *Control) bootstrap(ctx context.Context) {
+	for n := 0; ctx.Err() == nil && !c.steward.Load(); n++ {
+		if c.learnFrom(ctx, c.Contacts) {
+			return
+		}
+		if c.API != nil {
+			if s, ok := c.readSteward(ctx, c.Self.Zone); ok && c.learnFrom(ctx, s.Contacts) {
+				return
+			}
+		}
+		sleep(ctx, platform.Backoff(n, nil))
+	}
+}
+
+// learnFrom compares the state with each of some addresses until one answers,
+// and returns whether one did.
+func (c *Control) learnFrom(ctx context.Context, addrs []string) bool {
+	for _, addr := range addrs {
+		if addr == c.Self.Addr {
+			continue
+		}
+		var p *peer.Client
+		if !c.do(func() { p = c.client(addr) }) {
+			return false
+		}
+		ctx, cancel := context.WithTimeout(ctx, 4*compareTimeout)
+		err := c.compareWith(ctx, p)
+		cancel()
+		if err == nil {
+			c.Log.Info().Str("peer", addr).Msg("learnt from a first peer")
+			return true
+		}
+	}
+	return false
+}
+
+// readSteward returns the lease of a zone's steward, if there is one.
+func (c *Control) readSteward(ctx context.Context, zone string) (operator.Steward, bool) {
+	o, err := c.API.Get(ctx, operator.KindSteward, zone)
+	if err != nil {
+		return operator.Steward{}, false
+	}
+	s, err := platform.SpecOf[operator.Steward](o)
+	return s, err == nil
+}
+
+// sleep waits for d, or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,269 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"sassafrasfront.example/entry"
+	"sassafrasfront.example/member"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/platform"
+	"sassafrasfront.example/rollout"
+	"sassafrasfront.example/watch"
+)
+
+// Timing are the periods of the control work. The zero value of a field stands
+// for its default.
+type Timing struct {
+	// Push is the time for which changes are gathered before they are pushed.
+	// The default is 50 ms.
+	Push time.Duration
+	// Compare is the time between comparisons with a neighbour. The default is
+	// 1 s.
+	Compare time.Duration
+	// Turnover is the time after which one neighbour is replaced by another.
+	// The default is 10 s.
+	Turnover time.Duration
+	// Lease is the duration of a steward's lease. The default is 15 s.
+	Lease time.Duration
+	// Bridge is the time after which a steward looks for nodes of other zones
+	// that it has lost. The default is 60 s.
+	Bridge time.Duration
+	// Patience is the time of silence after which a node is removed. The
+	// default is 3 min.
+	Patience time.Duration
+	// Sweep is the time in which a steward asks all nodes of its zone for a sign
+	// of life. The default is 60 s.
+	Sweep time.Duration
+	// Takeover is the wait of a steward for each of those that come before it
+	// in accepting a change. The default is 300 ms.
+	Takeover time.Duration
+}
+
+func (t Timing) withDefaults() Timing {
+	fill := func(d *time.Duration, v time.Duration) {
+		if *d == 0 {
+			*d = v
+		}
+	}
+	fill(&t.Push, 50*time.Millisecond)
+	fill(&t.Compare, time.Second)
+	fill(&t.Turnover, 10*time.Second)
+	fill(&t.Lease, 15*time.Second)
+	fill(&t.Bridge, time.Minute)
+	fill(&t.Patience, 3*time.Minute)
+	fill(&t.Sweep, time.Minute)
+	fill(&t.Takeover, 300*time.Millisecond)
+	return t
+}
+
+// Control is a node's control state. The exported fields are set before Run.
+type Control struct {
+	// Self is this node's record. Its incarnation and version are set by Run.
+	Self member.Record
+	// API is the platform. Nil means that there is none.
+	API platform.API
+	// Contacts are peer addresses to learn from at the start, if any.
+	Contacts []string
+	// Timing are the periods of the work.
+	Timing Timing
+	// Budget is what comparisons and pushes of records cost.
+	Budget *watch.Budget
+	// Limits bounds the control connections.
+	Limits peer.Limits
+	// Counters, if not nil, counts their traffic.
+	Counters *peer.Counters
+	// Log takes the events.
+	Log zerolog.Logger
+	// Published is called with each new snapshot, by the goroutine that owns
+	// the state.
+	Published func(*Snapshot)
+
+	starting sync.Once
+	jobs     chan func()
+	done     chan struct{}
+	snapshot atomic.Pointer[Snapshot]
+	steward  atomic.Bool
+
+	// The goroutine of Run owns what follows.
+	self       member.Record
+	members    exchanger[member.Record]
+	configs    exchanger[rollout.Config]
+	byService  map[string]map[string]member.Record
+	live       int
+	dirty      map[string]bool
+	neighbours []member.Record
+	clients    map[string]*peer.Client
+	comparing  bool
+	random     *rand.Rand
+}
+
+// init makes the state once.
+func (c *Control) init() {
+	c.starting.Do(func() {
+		c.Timing = c.Timing.withDefaults()
+		c.jobs = make(chan func(), jobQueue)
+		c.done = make(chan struct{})
+		c.byService = make(map[string]map[string]member.Record)
+		c.dirty = make(map[string]bool)
+		c.clients = make(map[string]*peer.Client)
+		c.random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+		c.members = exchanger[member.Record]{
+			topic: "members",
+			accept: func(r member.Record) bool {
+				return !r.Expired(time.Now())
+			},
+			changed: c.memberChanged,
+		}
+		c.configs = exchanger[rollout.Config]{
+			topic:   "configs",
+			accept:  func(rollout.Config) bool { return true },
+			changed: c.configChanged,
+		}
+		c.snapshot.Store(&Snapshot{
+			Services:  map[string]*entry.Service{},
+			Sequences: map[string]uint64{},
+		})
+		c.self = c.Self.Reborn(member.Record{}, time.Now())
+		c.members.put(c.self)
+	})
+}
+
+// jobQueue is the number of jobs that may wait for the goroutine that owns the
+// state.
+const jobQueue = 256
+
+// Snapshot returns the present picture.
+func (c *Control) Snapshot() *Snapshot {
+	c.init()
+	return c.snapshot.Load()
+}
+
+// Steward returns whether this node holds its zone's lease, as far as it
+// knows.
+func (c *Control) Steward() bool { return c.steward.Load() }
+
+// Run keeps the state until ctx ends. It then tells a few peers that the node
+// has left.
+func (c *Control) Run(ctx context.Context) {
+	c.init()
+	defer close(c.done)
+	var work sync.WaitGroup
+	defer work.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	work.Go(func() { c.bootstrap(ctx) })
+	if c.API != nil {
+		work.Go(func() { c.runSteward(ctx) })
+	}
+	push := time.NewTicker(c.Timing.Push)
+	defer push.Stop()
+	compare := time.NewTicker(c.Timing.Compare)
+	defer compare.Stop()
+	turnover := time.NewTicker(c.Timing.Turnover)
+	defer turnover.Stop()
+	expire := time.NewTicker(member.Keep / 60)
+	defer expire.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			c.leave()
+			return
+		case f := <-c.jobs:
+			f()
+		case <-push.C:
+			if len(c.dirty) > 0 {
+				c.rebuild()
+			}
+			c.push(ctx)
+		case <-compare.C:
+			c.compare(ctx)
+		case <-turnover.C:
+			c.turnOver()
+		case <-expire.C:
+			c.expire()
+		}
+	}
+}
+
+// do has f run by the goroutine that owns the state, and waits for it. It
+// returns false if that goroutine has ended.
+func (c *Control) do(f func()) bool {
+	ran := make(chan struct{})
+	select {
+	case c.jobs <- func() { f(); close(ran) }:
+	case <-c.done:
+		return false
+	}
+	select {
+	case <-ran:
+		return true
+	case <-c.done:
+		return false
+	}
+}
+
+// Announce says what the node's upstream is now.
+func (c *Control) Announce(service string, slots int, s member.State) {
+	c.init()
+	c.do(func() {
+		if c.self.Service == service && c.self.Slots == slots && c.self.State == s {
+			return
+		}
+		c.setSelf(c.self.WithUpstream(service, slots, s))
+		c.push(context.Background())
+	})
+}
+
+// setSelf replaces the node's own record.
+func (c *Control) setSelf(r member.Record) {
+	c.self = r
+	c.members.put(r)
+}
+
+// memberChanged takes in a change of a member's record.
+func (c *Control) memberChanged(old, r member.Record) {
+	c.index(old, r)
+	if r.ID == c.self.ID && c.self.Rank().Less(r.Rank()) {
+		// Somebody knows a later word than this node's own: one from before its
+		// restart, or its tombstone.
+		c.Log.Info().Str("heard", string(r.State)).Msg("taking a higher incarnation")
+		c.setSelf(c.self.Reborn(r, time.Now()))
+	}
+}
+
+// configChanged takes in a change of a configuration.
+func (c *Control) configChanged(_, r rollout.Config) {
+	c.dirty[r.Name] = true
+	c.Log.Info().Str("service", r.Name).Uint64("sequence", r.Sequence).Bool("deleted", r.Deleted).Msg("configuration in force")
+}
+
+// expire drops the records of nodes that are gone for long.
+func (c *Control) expire() {
+	now := time.Now()
+	for r := range c.members.set.All {
+		if r.Expired(now) {
+			c.members.set.Remove(r.ID)
+		}
+	}
+}
+
+// leave tells a few peers that the node has left.
+func (c *Control) leave() {
+	c.setSelf(c.self.WithState(member.Left))
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	c.pushAndWait(ctx)
+	for _, client := range c.clients {
+		client.Close()
+	}
+}
--- /dev/null
+++ b/control/reporter.go
@@ -0,0 +1,288 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"sassafrasfront.example/member"
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/platform"
+	"sassafrasfront.example/rollout"
+)
+
+const (
+	// sample is the number of nodes of the zone that are asked whether they
+	// have a configuration. In a smaller zone all are asked.
+	sample = 16
+	// reportWindow is the time over which the stewards of all zones spread
+	// their writes of a status.
+	reportWindow = 500 * time.Millisecond
+	// reportTries bounds the tries of one write of a status against other
+	// stewards.
+	reportTries = 8
+	// reportFor is how long a steward goes on asking for a configuration that
+	// not all have.
+	reportFor = 30 * time.Second
+	reportAsk = 250 * time.Millisecond
+)
+
+// reporter writes the statuses of services, as far as this zone is concerned.
+type reporter struct {
+	control *Control
+
+	mu      sync.Mutex
+	pending map[string]*report
+	written map[string]uint64 // the sequence last reported in full
+	wake    chan struct{}
+}
+
+// report is what is to be said of one service.
+type report struct {
+	name     string
+	accepted *operator.Accepted
+	refused  *operator.ServiceStatus
+	due      time.Time
+	until    time.Time
+}
+
+func newReporter(c *Control) *reporter {
+	return &reporter{
+		control: c,
+		pending: make(map[string]*report),
+		written: make(map[string]uint64),
+		wake:    make(chan struct{}, 1),
+	}
+}
+
+// accepted has the rollout of an Accepted object reported.
+func (r *reporter) accepted(o *platform.Object) {
+	spec, err := platform.SpecOf[operator.Accepted](o)
+	if err != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.pending[o.Metadata.Name]
+	if spec.Sequence <= r.written[o.Metadata.Name] || p != nil && p.accepted != nil && p.accepted.Sequence >= spec.Sequence {
+		return
+	}
+	r.pending[o.Metadata.Name] = &report{
+		name:     o.Metadata.Name,
+		accepted: &spec,
+		due:      time.Now().Add(rand.N(reportWindow)),
+		until:    time.Now().Add(reportFor),
+	}
+}
+
+// refused has the refusal of an intent reported.
+func (r *reporter) refused(in rollout.Intent, f operator.Faults) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p := r.pending[in.Name]; p != nil && p.accepted != nil {
+		return // tried again by the next list
+	}
+	r.pending[in.Name] = &report{
+		name: in.Name,
+		refused: &operator.ServiceStatus{
+			Phase:    operator.PhaseRefused,
+			Observed: strconv.FormatUint(in.Source, 10),
+			Faults:   f,
+		},
+		due:   time.Now(),
+		until: time.Now().Add(reportFor),
+	}
+}
+
+// run writes what is due until ctx ends.
+func (r *reporter) run(ctx context.Context) {
+	tick := time.NewTicker(reportAsk / 5)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		for _, p := range r.due() {
+			r.write(ctx, p)
+		}
+	}
+}
+
+func (r *reporter) due() []*report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []*report
+	for _, p := range r.pending {
+		if !time.Now().Before(p.due) {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+// write asks how far the zone is and writes the status. The report stays
+// pending until all that were asked have the configuration.
+func (r *reporter) write(ctx context.Context, p *report) {
+	next := p.refused
+	complete := true
+	if p.accepted != nil {
+		zone := r.ask(ctx, p.name, p.accepted.Sequence)
+		next = statusOf(p.accepted, r.control.Self.Zone, zone)
+		complete = zone.Having == zone.Asked
+	}
+	err := r.merge(ctx, p.name, next)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.pending[p.name] != p {
+		return
+	}
+	switch {
+	case err != nil || !complete && time.Now().Before(p.until):
+		p.due = time.Now().Add(reportAsk + rand.N(reportAsk))
+	default:
+		delete(r.pending, p.name)
+		if p.accepted != nil {
+			r.written[p.name] = p.accepted.Sequence
+		}
+	}
+}
+
+// statusOf returns the status of an accepted configuration in one zone.
+func statusOf(a *operator.Accepted, zone string, z operator.ZoneStatus) *operator.ServiceStatus {
+	s := &operator.ServiceStatus{
+		Phase:    operator.PhaseAccepted,
+		Observed: strconv.FormatUint(a.Source, 10),
+		Sequence: a.Sequence,
+		Since:    a.At,
+		Zones:    map[string]operator.ZoneStatus{zone: z},
+	}
+	if a.Deleted {
+		s.Phase = operator.PhaseDeleted
+	}
+	return s
+}
+
+// merge writes a status, keeping what other zones say of the same sequence.
+func (r *reporter) merge(ctx context.Context, name string, next *operator.ServiceStatus) error {
+	var err error
+	for range reportTries {
+		var present *platform.Object
+		present, err = r.control.API.Get(ctx, operator.KindServiceStatus, name)
+		if err != nil && !platform.IsNotFound(err) {
+			return err
+		}
+		o := platform.NewObject(operator.KindServiceStatus, name, next)
+		if err == nil {
+			old, err := platform.SpecOf[operator.ServiceStatus](present)
+			if err != nil {
+				return err
+			}
+			merged, changed := mergeStatus(old, *next)
+			if !changed {
+				return nil
+			}
+			o = platform.NewObject(operator.KindServiceStatus, name, merged).WithVersion(present.Metadata.ResourceVersion)
+		}
+		if _, err = platform.Put(ctx, r.control.API, o); !platform.IsConflict(err) {
+			return err
+		}
+		sleep(ctx, rand.N(reportWindow/4))
+	}
+	return err
+}
+
+// mergeStatus returns what follows from two statuses, and whether that differs
+// from the old one. The later intent has the say on phase and faults, the higher
+// sequence on what is in force.
+func mergeStatus(old, next operator.ServiceStatus) (operator.ServiceStatus, bool) {
+	merged := old
+	changed := false
+	if platform.ParseVersion(next.Observed) > platform.ParseVersion(old.Observed) {
+		merged.Phase, merged.Observed, merged.Faults = next.Phase, next.Observed, next.Faults
+		changed = true
+	}
+	if next.Sequence > old.Sequence {
+		merged.Sequence, merged.Since = next.Sequence, next.Since
+		changed = true
+	}
+	merged.Zones = make(map[string]operator.ZoneStatus)
+	for name, z := range old.Zones {
+		merged.Zones[name] = z
+	}
+	for name, z := range next.Zones {
+		was := old.Zones[name]
+		if z.Sequence < was.Sequence || z.Sequence == was.Sequence && z.Having == was.Having && z.Members == was.Members && z.Upstreams == was.Upstreams {
+			continue
+		}
+		merged.Zones[name] = z
+		changed = true
+	}
+	return merged, changed
+}
+
+// ask returns how far this zone has a configuration.
+func (r *reporter) ask(ctx context.Context, name string, sequence uint64) operator.ZoneStatus {
+	c := r.control
+	var near []member.Record
+	var own uint64
+	z := operator.ZoneStatus{
+		Sequence: sequence,
+		At:       time.Now().UTC(),
+	}
+	c.do(func() {
+		near, _ = c.split()
+		config, _ := c.configs.set.Get(name)
+		own = config.Sequence
+		for _, m := range c.byService[name] {
+			if m.Zone == c.self.Zone {
+				z.Upstreams++
+			}
+		}
+	})
+	z.Members = len(near) + 1
+	near = slices.DeleteFunc(near, func(m member.Record) bool { return !m.Live() })
+	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+	near = near[:min(len(near), sample)]
+	z.Asked = len(near) + 1
+	if own >= sequence {
+		z.Having++
+	}
+	z.Having += r.askAll(ctx, near, name, sequence)
+	return z
+}
+
+// askAll returns how many of the nodes have the sequence, or a higher one.
+func (r *reporter) askAll(ctx context.Context, nodes []member.Record, name string, sequence uint64) int {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	var mu sync.Mutex
+	var having int
+	var all sync.WaitGroup
+	for _, m := range nodes {
+		var p *peer.Client
+		r.control.do(func() { p = r.control.client(m.Addr) })
+		if p == nil {
+			continue
+		}
+		all.Go(func() {
+			reply, err := ask[haveQuery, haveReply](ctx, p, topicHave, haveQuery{Service: name})
+			if err == nil && reply.Sequence >= sequence {
+				mu.Lock()
+				having++
+				mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	return having
+}
--- /dev/null
+++ b/control/snapshot.go
@@ -0,0 +1,127 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package control
+
+import (
+	"maps"
+	"sort"
+
+	"sassafrasfront.example/entry"
+	"sassafrasfront.example/member"
+	"sassafrasfront.example/rollout"
+)
+
+// Snapshot is a node's picture at one moment. It is an immutable value.
+type Snapshot struct {
+	// Services are the services in force by name.
+	Services map[string]*entry.Service
+	// Hosts are the services by host. If two services have a host, the one
+	// whose name comes first has it.
+	Hosts map[string]*entry.Service
+	// Sequences are those of the configurations held, deleted ones included.
+	Sequences map[string]uint64
+	// Members is the number of live nodes known.
+	Members int
+	// Ready is whether any configuration is known.
+	Ready bool
+}
+
+// Lookup returns the service that has a host, or nil.
+func (s *Snapshot) Lookup(host string) *entry.Service { return s.Hosts[host] }
+
+// rebuild publishes a snapshot with the changes since the last one.
+func (c *Control) rebuild() {
+	old := c.snapshot.Load()
+	next := &Snapshot{
+		Services:  maps.Clone(old.Services),
+		Hosts:     old.Hosts,
+		Sequences: maps.Clone(old.Sequences),
+		Members:   c.live,
+	}
+	hosts := false
+	for name := range c.dirty {
+		config, ok := c.configs.set.Get(name)
+		if !ok {
+			continue
+		}
+		next.Sequences[name] = config.Sequence
+		before := next.Services[name]
+		s := c.service(config)
+		if s == nil {
+			delete(next.Services, name)
+		} else {
+			next.Services[name] = s
+		}
+		hosts = hosts || before == nil || s == nil || old.Sequences[name] != config.Sequence || before != s
+	}
+	clear(c.dirty)
+	if hosts {
+		next.Hosts = hostsOf(next.Services)
+	}
+	next.Ready = len(next.Sequences) > 0
+	c.snapshot.Store(next)
+	c.Published(next)
+}
+
+// service returns a service in force with its members, or nil if it is deleted.
+func (c *Control) service(config rollout.Config) *entry.Service {
+	if config.Deleted {
+		return nil
+	}
+	parsed, err := config.Service()
+	if err != nil {
+		c.Log.Error().Err(err).Str("service", config.Name).Msg("configuration can't be read")
+		return c.snapshot.Load().Services[config.Name]
+	}
+	s := &entry.Service{
+		Name:   config.Name,
+		Config: parsed,
+	}
+	for _, r := range c.byService[config.Name] {
+		s.Members = append(s.Members, entry.Member{
+			ID:     r.ID,
+			Addr:   r.Addr,
+			Zone:   r.Zone,
+			Region: r.Region,
+			Slots:  r.Slots,
+		})
+	}
+	sort.Slice(s.Members, func(i, j int) bool { return s.Members[i].ID < s.Members[j].ID })
+	return s
+}
+
+// hostsOf returns the services by host.
+func hostsOf(services map[string]*entry.Service) map[string]*entry.Service {
+	hosts := make(map[string]*entry.Service)
+	for _, s := range services {
+		for _, h := range s.Config.Hosts {
+			if other := hosts[h]; other == nil || s.Name < other.Name {
+				hosts[h] = s
+			}
+		}
+	}
+	return hosts
+}
+
+// index takes a change of a member's record into what the snapshot is made of.
+func (c *Control) index(old, r member.Record) {
+	if old.Live() && old.ID != "" {
+		c.live--
+	}
+	if r.Live() {
+		c.live++
+	}
+	if old.Takes() {
+		delete(c.byService[old.Service], old.ID)
+		c.dirty[old.Service] = true
+	}
+	if r.Takes() {
+		if c.byService[r.Service] == nil {
+			c.byService[r.Service] = make(map[string]member.Record)
+		}
+		c.byService[r.Service][r.ID] = r
+		c.dirty[r.Service] = true
+	}
+}
--- /dev/null
+++ b/control/spread.go
@@ -0,0 +1,324 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package control
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"sassafrasfront.example/gossip"
+	"sassafrasfront.example/member"
+	"sassafrasfront.example/peer"
+)
+
+const (
+	// fanOut is the number of nodes that a change is pushed to.
+	fanOut = 4
+	// nearNeighbours and farNeighbours are the numbers of neighbours in the
+	// node's own zone and elsewhere.
+	nearNeighbours = 7
+	farNeighbours  = 5
+	// maxClients bounds the control connections that are kept.
+	maxClients = 64
+	// compareCost is what a comparison that finds no difference costs, in
+	// bytes.
+	compareCost = 150
+	// pushBatch is the number of records in one push message.
+	pushBatch = 200
+	// compareTimeout bounds a comparison.
+	compareTimeout = 5 * time.Second
+)
+
+// roots are the hashes over all of a node's state.
+type roots struct {
+	Members uint64 `msgpack:"members"`
+	Configs uint64 `msgpack:"configs"`
+}
+
+// The topics beside those of the exchangers.
+const (
+	topicRoots = "roots"
+	topicHave  = "have"
+)
+
+// haveQuery asks for the sequence in force of a service.
+type haveQuery struct {
+	Service string `msgpack:"service"`
+}
+
+// haveReply tells it.
+type haveReply struct {
+	Sequence uint64 `msgpack:"sequence"`
+}
+
+// Handle answers a control request of a peer.
+func (c *Control) Handle(_ context.Context, _ peer.Hello, r *peer.Request) ([]byte, error) {
+	c.init()
+	var reply any
+	var err error
+	if !c.do(func() { reply, err = c.handle(r.Topic, r.Payload) }) {
+		return nil, eris.New("stopped")
+	}
+	if err != nil || reply == nil {
+		return nil, err
+	}
+	return msgpack.Marshal(reply)
+}
+
+// handle answers a request within the goroutine that owns the state.
+func (c *Control) handle(topic string, payload []byte) (any, error) {
+	switch topic {
+	case topicRoots:
+		return c.roots(), nil
+	case topicHave:
+		q, err := unpack[haveQuery](payload)
+		if err != nil {
+			return nil, err
+		}
+		config, _ := c.configs.set.Get(q.Service)
+		return haveReply{Sequence: config.Sequence}, nil
+	}
+	if reply, ok, err := c.members.handle(topic, payload); ok {
+		return reply, err
+	}
+	if reply, ok, err := c.configs.handle(topic, payload); ok {
+		return reply, err
+	}
+	return nil, eris.Errorf("unknown topic %q", topic)
+}
+
+func (c *Control) roots() roots {
+	return roots{
+		Members: c.members.set.Root(),
+		Configs: c.configs.set.Root(),
+	}
+}
+
+// client returns the client for control requests to an address.
+func (c *Control) client(addr string) *peer.Client {
+	if p := c.clients[addr]; p != nil {
+		return p
+	}
+	if len(c.clients) >= maxClients {
+		for other, p := range c.clients {
+			if !slices.ContainsFunc(c.neighbours, func(r member.Record) bool { return r.Addr == other }) {
+				time.AfterFunc(compareTimeout, p.Close)
+				delete(c.clients, other)
+			}
+		}
+	}
+	limits := c.Limits
+	limits.Idle = 30 * time.Second
+	p := &peer.Client{
+		Addr: addr,
+		Hello: peer.Hello{
+			Node:        c.self.ID,
+			Incarnation: c.self.Incarnation,
+			Zone:        c.self.Zone,
+			Control:     true,
+		},
+		Limits:   limits,
+		Counters: c.Counters,
+	}
+	c.clients[addr] = p
+	return p
+}
+
+// turnOver replaces one neighbour and fills up their number. Changes and
+// comparisons go to neighbours only, so that few connections are needed; as
+// they change, the picture of each node comes to each other.
+func (c *Control) turnOver() {
+	near, far := c.split()
+	kept := slices.DeleteFunc(c.neighbours, func(r member.Record) bool {
+		now, ok := c.members.set.Get(r.ID)
+		return !ok || !now.Live() || now.Addr != r.Addr
+	})
+	if len(kept) > 0 {
+		i := c.random.IntN(len(kept))
+		kept = slices.Delete(kept, i, i+1)
+	}
+	c.neighbours = kept
+	c.fill(near, nearNeighbours, true)
+	c.fill(far, farNeighbours, false)
+}
+
+// split returns the other live nodes, by whether they are in the node's zone.
+func (c *Control) split() (near, far []member.Record) {
+	for r := range c.members.set.All {
+		switch {
+		case r.ID == c.self.ID || !r.Live():
+		case r.Zone == c.self.Zone:
+			near = append(near, r)
+		default:
+			far = append(far, r)
+		}
+	}
+	return near, far
+}
+
+// fill adds neighbours from the list up to the given number.
+func (c *Control) fill(list []member.Record, n int, near bool) {
+	for _, r := range c.neighbours {
+		if (r.Zone == c.self.Zone) == near {
+			n--
+		}
+	}
+	c.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	for _, r := range list {
+		if n <= 0 {
+			return
+		}
+		if !slices.ContainsFunc(c.neighbours, func(o member.Record) bool { return o.ID == r.ID }) {
+			c.neighbours = append(c.neighbours, r)
+			n--
+		}
+	}
+}
+
+// targets returns random neighbours, at most n.
+func (c *Control) targets(n int) []*peer.Client {
+	if len(c.neighbours) < min(n, c.live-1) {
+		c.turnOver()
+	}
+	c.random.Shuffle(len(c.neighbours), func(i, j int) {
+		c.neighbours[i], c.neighbours[j] = c.neighbours[j], c.neighbours[i]
+	})
+	var list []*peer.Client
+	for _, r := range c.neighbours[:min(n, len(c.neighbours))] {
+		list = append(list, c.client(r.Addr))
+	}
+	return list
+}
+
+// push sends the changes since the last push to a few neighbours.
+func (c *Control) push(ctx context.Context) {
+	targets, messages := c.takeOutbox()
+	for _, p := range targets {
+		go func() {
+			for _, m := range messages {
+				ctx, cancel := context.WithTimeout(ctx, compareTimeout)
+				_, _ = p.Request(ctx, m.topic, m.payload, true)
+				cancel()
+			}
+		}()
+	}
+}
+
+// pushAndWait is push, but waits for the messages to be written.
+func (c *Control) pushAndWait(ctx context.Context) {
+	targets, messages := c.takeOutbox()
+	var all sync.WaitGroup
+	for _, p := range targets {
+		all.Go(func() {
+			for _, m := range messages {
+				_, _ = p.Request(ctx, m.topic, m.payload, true)
+			}
+		})
+	}
+	all.Wait()
+}
+
+// message is an encoded push.
+type message struct {
+	topic   string
+	payload []byte
+}
+
+// takeOutbox returns the changes to push and whom to push them to. Changes of
+// configurations always go; changes of members wait while the budget is spent,
+// and comparisons carry them meanwhile.
+func (c *Control) takeOutbox() ([]*peer.Client, []message) {
+	if len(c.members.outbox)+len(c.configs.outbox) == 0 {
+		return nil, nil
+	}
+	targets := c.targets(fanOut)
+	if len(targets) == 0 {
+		return nil, nil
+	}
+	messages := batches(&c.configs, func(n int) bool {
+		c.Budget.Take(n * len(targets))
+		return true
+	})
+	messages = append(messages, batches(&c.members, func(n int) bool {
+		return c.Budget.Take(n * len(targets))
+	})...)
+	return targets, messages
+}
+
+// batches empties an outbox into messages, as far as afford allows.
+func batches[R gossip.Record](e *exchanger[R], afford func(n int) bool) []message {
+	var list []message
+	for keys := range slices.Chunk(slices.Collect(maps.Keys(e.outbox)), pushBatch) {
+		batch := records[R]{}
+		for _, key := range keys {
+			batch.Records = append(batch.Records, e.outbox[key])
+		}
+		payload, err := msgpack.Marshal(batch)
+		if err != nil || !afford(len(payload)) {
+			return list
+		}
+		for _, key := range keys {
+			delete(e.outbox, key)
+		}
+		list = append(list, message{
+			topic:   e.topic + tellRecords,
+			payload: payload,
+		})
+	}
+	return list
+}
+
+// compare compares the state with one neighbour's, unless a comparison is
+// still on.
+func (c *Control) compare(ctx context.Context) {
+	if c.comparing || !c.Budget.Take(compareCost) {
+		return
+	}
+	targets := c.targets(1)
+	if len(targets) == 0 {
+		return
+	}
+	c.comparing = true
+	go func() {
+		defer c.do(func() { c.comparing = false })
+		ctx, cancel := context.WithTimeout(ctx, compareTimeout)
+		defer cancel()
+		if err := c.compareWith(ctx, targets[0]); err != nil && ctx.Err() == nil {
+			c.Log.Debug().Err(err).Str("peer", targets[0].Addr).Msg("comparison failed")
+			c.do(func() { c.dropNeighbour(targets[0].Addr) })
+		}
+	}()
+}
+
+// dropNeighbour forgets a neighbour that does not answer, until it comes up
+// again by chance.
+func (c *Control) dropNeighbour(addr string) {
+	c.neighbours = slices.DeleteFunc(c.neighbours, func(r member.Record) bool { return r.Addr == addr })
+}
+
+// compareWith makes the state the same as a peer's.
+func (c *Control) compareWith(ctx context.Context, p *peer.Client) error {
+	theirs, err := ask[struct{}, roots](ctx, p, topicRoots, struct{}{})
+	if err != nil {
+		return err
+	}
+	var own roots
+	c.do(func() { own = c.roots() })
+	if own.Configs != theirs.Configs {
+		if err := reconcile(ctx, c, &c.configs, p); err != nil {
+			return err
+		}
+	}
+	if own.Members != theirs.Members {
+		return reconcile(ctx, c, &c.members, p)
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/attempt.go
@@ -0,0 +1,88 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package entry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/route"
+	"sassafrasfront.example/verdict"
+)
+
+// attempt is one sending of a request.
+type attempt struct {
+	use      *route.Use[string]
+	member   Member
+	exchange *peer.Exchange
+	began    time.Time
+}
+
+// end closes the attempt and tells the routing how it went.
+func (a *attempt) end(failure *verdict.Error) {
+	a.use.Done(outcome(failure))
+	if a.exchange != nil {
+		a.exchange.Close()
+	}
+}
+
+// outcome returns what a failure says of the upstream.
+func outcome(failure *verdict.Error) route.Outcome {
+	if failure == nil {
+		return route.Succeeded
+	}
+	switch failure.Cause {
+	case verdict.DialFailed, verdict.UpstreamDialFailed, verdict.Misrouted:
+		return route.Down
+	case verdict.PeerLost, verdict.UpstreamLost, verdict.TimedOut, verdict.AnswerInvalid:
+		return route.Failed
+	case verdict.Refused, verdict.Draining, verdict.UpstreamRefused:
+		return route.Refused
+	}
+	return route.Unknown
+}
+
+// start picks an upstream that the request has not been sent to yet, or any if
+// it has been sent to all, and sends the request there.
+func (d *Dispatcher) start(ctx context.Context, s *service, r *Request, tried []string) (*attempt, *verdict.Error) {
+	if !time.Now().Before(r.Deadline) {
+		return nil, verdict.New(verdict.DeadlinePassed, nil)
+	}
+	use, ok := s.pool.Pick(func(id string) bool { return slices.Contains(tried, id) })
+	if !ok && len(tried) > 0 {
+		use, ok = s.pool.Pick(nil)
+	}
+	if !ok {
+		return nil, verdict.New(verdict.NoUpstream, nil)
+	}
+	a := &attempt{
+		use:   use,
+		began: time.Now(),
+	}
+	a.member, ok = s.member(use.Key())
+	if !ok {
+		a.end(verdict.New(verdict.Misrouted, nil))
+		return a, verdict.New(verdict.Misrouted, nil)
+	}
+	x, failure := d.client(s, a.member).Start(ctx, r.call(len(tried)+1), r.Stream)
+	if failure != nil {
+		a.end(failure)
+		return a, failure
+	}
+	a.exchange = x
+	return a, nil
+}
+
+// member returns the member with the given id.
+func (s *service) member(id string) (Member, bool) {
+	for _, m := range s.Members {
+		if m.ID == id {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
--- /dev/null
+++ b/entry/dispatcher.go
@@ -0,0 +1,249 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package entry
+
+import (
+	"maps"
+	"reflect"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/retry"
+	"sassafrasfront.example/route"
+)
+
+// Member is a node with its upstream, as a Dispatcher needs to know it.
+type Member struct {
+	// ID is the node's.
+	ID string
+	// Addr is where the node takes peer connections.
+	Addr string
+	// Zone and Region are where it is.
+	Zone, Region string
+	// Slots is the number of requests that its upstream runs at once.
+	Slots int
+}
+
+// Service is a service in force with its members. It is an immutable value.
+type Service struct {
+	// Name is the name of the service.
+	Name string
+	// Config is its configuration.
+	Config operator.Service
+	// Members are the nodes whose upstreams take requests.
+	Members []Member
+}
+
+// Dispatcher sends requests. The exported fields are set before the first
+// call. Its methods may be called from any goroutine.
+type Dispatcher struct {
+	// Hello introduces this node to its peers.
+	Hello peer.Hello
+	// Region is the region of this node; its zone is in Hello.
+	Region string
+	// Limits bounds the connections to peers.
+	Limits peer.Limits
+	// Counters, if not nil, counts the traffic to peers.
+	Counters *peer.Counters
+	// Policy, if not empty, overrides the routing policy of all services.
+	Policy string
+	// Event, if not nil, is called with each event of the kinds below.
+	Event func(service string, e Event)
+
+	services atomic.Pointer[map[string]*service]
+
+	mu      sync.Mutex
+	clients map[string]*peer.Client // by node
+}
+
+// Event is something that a Dispatcher did beyond the first sending.
+type Event string
+
+// The events.
+const (
+	EventRetry  Event = "retry"
+	EventHedge  Event = "hedge"
+	EventRevoke Event = "revoke"
+)
+
+// service is the state kept for one service.
+type service struct {
+	Service
+	pool     *route.Pool[string]
+	budget   *retry.Budget
+	hedges   *retry.Budget
+	latency  *retry.Latency
+	settings settings
+}
+
+// settings are the parts of the configuration that the kept state was made
+// with. When they change, it is made anew.
+type settings struct {
+	policy string
+	retry  operator.Retry
+	hedge  operator.Hedge
+}
+
+// Set replaces the services. What is known of those that stay is kept.
+func (d *Dispatcher) Set(services map[string]*Service) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.load()
+	next := make(map[string]*service, len(services))
+	for name, s := range services {
+		if o := old[name]; o != nil && same(&o.Service, s) {
+			next[name] = o
+			continue
+		}
+		next[name] = d.build(old[name], s)
+	}
+	d.services.Store(&next)
+	d.closeUnused(next)
+}
+
+// same returns whether nothing has changed from a to b.
+func same(a, b *Service) bool {
+	return slices.Equal(a.Members, b.Members) && reflect.DeepEqual(a.Config, b.Config)
+}
+
+func (d *Dispatcher) load() map[string]*service {
+	if p := d.services.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
+
+// build makes the state of a service, taking over what old has.
+func (d *Dispatcher) build(old *service, s *Service) *service {
+	n := &service{
+		Service: *s,
+		settings: settings{
+			policy: s.Config.Policy,
+			retry:  s.Config.Retry,
+			hedge:  s.Config.Hedge,
+		},
+	}
+	if d.Policy != "" {
+		n.settings.policy = d.Policy
+	}
+	if old != nil && old.settings == n.settings {
+		n.pool, n.budget, n.hedges, n.latency = old.pool, old.budget, old.hedges, old.latency
+	} else {
+		policy, _ := route.ByName(n.settings.policy)
+		n.pool = &route.Pool[string]{Policy: policy}
+		n.budget = &retry.Budget{
+			Share: s.Config.Retry.Share,
+			Burst: s.Config.Retry.Burst,
+		}
+		n.hedges = &retry.Budget{
+			Share: s.Config.Hedge.Share,
+			Burst: 10,
+		}
+		n.latency = new(retry.Latency)
+	}
+	targets := make(map[string]route.Target, len(s.Members))
+	for _, m := range s.Members {
+		targets[m.ID] = route.Target{
+			Slots:    max(1, m.Slots),
+			Distance: d.distance(s, m),
+			Local:    m.ID == d.Hello.Node,
+		}
+	}
+	n.pool.Set(targets)
+	return n
+}
+
+// distance returns the cost of sending to m.
+func (d *Dispatcher) distance(s *Service, m Member) time.Duration {
+	switch {
+	case m.Region != d.Region:
+		return s.Config.RegionCost.Std()
+	case m.Zone != d.Hello.Zone:
+		return s.Config.ZoneCost.Std()
+	}
+	return 0
+}
+
+// closeUnused closes the clients of nodes that are in no service any more.
+func (d *Dispatcher) closeUnused(services map[string]*service) {
+	used := make(map[string]string)
+	for _, s := range services {
+		for _, m := range s.Members {
+			used[m.ID] = m.Addr
+		}
+	}
+	maps.DeleteFunc(d.clients, func(id string, c *peer.Client) bool {
+		if used[id] == c.Addr {
+			return false
+		}
+		// Calls that are open get time to end.
+		time.AfterFunc(closeDelay, c.Close)
+		return true
+	})
+}
+
+// closeDelay is how long the connection to a node that is gone stays open for
+// the calls on it.
+const closeDelay = time.Minute
+
+// client returns the client of a member.
+func (d *Dispatcher) client(s *service, m Member) *peer.Client {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c := d.clients[m.ID]; c != nil && c.Addr == m.Addr {
+		return c
+	}
+	c := &peer.Client{
+		Addr:     m.Addr,
+		Hello:    d.Hello,
+		Limits:   d.Limits,
+		Counters: d.Counters,
+		Report:   func(r peer.Report) { d.observe(s.Name, m.ID, r) },
+	}
+	if d.clients == nil {
+		d.clients = make(map[string]*peer.Client)
+	}
+	d.clients[m.ID] = c
+	return c
+}
+
+// observe takes in a load report. The service is looked up anew, as its state
+// may have been made anew since the client was.
+func (d *Dispatcher) observe(name, id string, r peer.Report) {
+	if s := d.load()[name]; s != nil {
+		s.pool.Observe(id, loadOf(r))
+	}
+}
+
+// loadOf returns a report as package route knows it.
+func loadOf(r peer.Report) route.Load {
+	return route.Load{
+		Running:  r.Running,
+		Waiting:  r.Waiting,
+		Allowed:  r.Allowed,
+		Service:  r.Service,
+		Draining: r.Draining,
+	}
+}
+
+// Close closes all connections.
+func (d *Dispatcher) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range d.clients {
+		c.Close()
+	}
+	d.clients = nil
+}
+
+func (d *Dispatcher) event(service string, e Event) {
+	if d.Event != nil {
+		d.Event(service, e)
+	}
+}
--- /dev/null
+++ b/entry/do.go
@@ -0,0 +1,191 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package entry
+
+import (
+	"context"
+	"time"
+
+	"sassafrasfront.example/retry"
+	"sassafrasfront.example/verdict"
+)
+
+// least is the remaining time below which another sending is of no use.
+const least = time.Millisecond
+
+// Do sends the request until it is answered or given up on. The caller closes
+// the result. The failure bears the verdict on all sendings together: it is
+// NotRun only if none of them can have run.
+func (d *Dispatcher) Do(ctx context.Context, r *Request) (*Result, *verdict.Error) {
+	s := d.load()[r.Service]
+	if s == nil {
+		return nil, final(verdict.New(verdict.UnknownHost, nil))
+	}
+	s.budget.Earn()
+	s.hedges.Earn()
+	f := &flight{
+		dispatcher: d,
+		service:    s,
+		request:    r,
+		ctx:        ctx,
+		deadline:   time.NewTimer(time.Until(r.Deadline)),
+	}
+	defer f.deadline.Stop()
+	result, failure := f.fly()
+	if failure != nil {
+		return nil, final(failure)
+	}
+	return result, nil
+}
+
+// flight is the handling of one request.
+type flight struct {
+	dispatcher *Dispatcher
+	service    *service
+	request    *Request
+	ctx        context.Context
+	deadline   *time.Timer
+
+	tried   []string
+	open    []*attempt     // the one sent first comes first
+	mayRun  *verdict.Error // the first failure after which the request may have run
+	revoked bool
+}
+
+// fly sends the request as often as it may, and returns the first answer.
+func (f *flight) fly() (*Result, *verdict.Error) {
+	defer f.abandonAll()
+	plan := retry.Plan{
+		MaxTries: f.service.Config.Retry.MaxTries,
+		Budget:   f.service.budget,
+		Least:    least,
+	}
+	for {
+		failure := f.launch()
+		for failure == nil {
+			var a *attempt
+			a, failure = f.await()
+			if a != nil {
+				return f.land(a), nil
+			}
+			if failure != nil && len(f.open) > 0 {
+				failure = nil // the other sending goes on
+			}
+		}
+		if failure.Verdict() != verdict.NotRun && f.mayRun == nil {
+			f.mayRun = failure
+		}
+		remaining := time.Until(f.request.Deadline)
+		if f.ctx.Err() != nil || !f.repeatable() || !plan.Again(failure, f.request.Idempotent, len(f.tried), remaining) {
+			return nil, f.verdict(failure)
+		}
+		f.dispatcher.event(f.service.Name, EventRetry)
+	}
+}
+
+// verdict returns the failure to report: the last one, unless an earlier one
+// left it open whether the request ran and the last one does not.
+func (f *flight) verdict(last *verdict.Error) *verdict.Error {
+	if last.Verdict() == verdict.NotRun && f.mayRun != nil {
+		return f.mayRun
+	}
+	return last
+}
+
+// repeatable returns whether the body can be sent again. The body of a stream
+// is read only once the peer has granted credit, and from then on it is gone.
+func (f *flight) repeatable() bool {
+	s, ok := f.request.Stream.(*onceReader)
+	return !ok || !s.begun.Load()
+}
+
+// launch sends the request once more.
+func (f *flight) launch() *verdict.Error {
+	a, failure := f.dispatcher.start(f.ctx, f.service, f.request, f.tried)
+	if a != nil {
+		f.tried = append(f.tried, a.member.ID)
+	}
+	if failure != nil {
+		return failure
+	}
+	f.open = append(f.open, a)
+	return nil
+}
+
+// await waits for the next thing to happen. It returns an attempt that has its
+// answer, or a failure, or neither if there is more to wait for.
+func (f *flight) await() (*attempt, *verdict.Error) {
+	first := f.open[0]
+	var second <-chan struct{}
+	if len(f.open) > 1 {
+		second = f.open[1].exchange.Ready()
+	}
+	slow, stop := f.slow()
+	defer stop()
+	select {
+	case <-first.exchange.Ready():
+		return f.settle(0)
+	case <-second:
+		return f.settle(1)
+	case m := <-first.exchange.Informs():
+		if f.request.Inform != nil {
+			f.request.Inform(m)
+		}
+		return nil, nil
+	case <-slow:
+		f.hurry()
+		return nil, nil
+	case <-f.deadline.C:
+		return nil, f.abandon(verdict.New(verdict.TimedOut, nil))
+	case <-f.ctx.Done():
+		return nil, f.abandon(verdict.New(verdict.CallerGone, context.Cause(f.ctx)))
+	}
+}
+
+// settle takes in the result of an open attempt.
+func (f *flight) settle(i int) (*attempt, *verdict.Error) {
+	a := f.open[i]
+	_, failure := a.exchange.Result()
+	f.open = append(f.open[:i:i], f.open[i+1:]...)
+	if failure == nil {
+		return a, nil
+	}
+	a.end(failure)
+	if failure.Verdict() != verdict.NotRun && f.mayRun == nil {
+		f.mayRun = failure
+	}
+	return nil, failure
+}
+
+// abandon ends all open attempts with e, without waiting for their peers.
+func (f *flight) abandon(e *verdict.Error) *verdict.Error {
+	for _, a := range f.open {
+		a.exchange.Abandon(e)
+		a.end(e)
+	}
+	f.open = nil
+	return e
+}
+
+// abandonAll cancels the attempts that are not needed any more.
+func (f *flight) abandonAll() {
+	for _, a := range f.open {
+		a.end(verdict.New(verdict.CallerGone, nil))
+	}
+	f.open = nil
+}
+
+// land makes the result of an answered attempt.
+func (f *flight) land(a *attempt) *Result {
+	f.service.latency.Observe(time.Since(a.began))
+	response, _ := a.exchange.Result()
+	return &Result{
+		Response: response,
+		Node:     a.member.ID,
+		Zone:     a.member.Zone,
+		Tries:    len(f.tried),
+		attempt:  a,
+	}
+}
--- /dev/null
+++ b/entry/request.go
@@ -0,0 +1,83 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package entry
+
+import (
+	"io"
+	"time"
+
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/verdict"
+)
+
+// Request is a caller's request.
+type Request struct {
+	// Service is the name of its service.
+	Service string
+	// Class is its class.
+	Class string
+	// Method, Target and Host are as in HTTP, the target in origin form.
+	Method, Target, Host string
+	// Header are the header fields to send.
+	Header []peer.Field
+	// Body is the whole body, unless Stream is set.
+	Body []byte
+	// Stream yields the body if it is large. It is read at most once.
+	Stream io.Reader
+	// Length is the length of the body, or -1 if it is not known.
+	Length int64
+	// Idempotent is whether running the request twice does no harm.
+	Idempotent bool
+	// Deadline is when the answer must have begun.
+	Deadline time.Time
+	// Inform, if not nil, is called with informational answers.
+	Inform func(*peer.Inform)
+}
+
+// call returns the message that sends r for the given time.
+func (r *Request) call(try int) *peer.Call {
+	return &peer.Call{
+		Service:   r.Service,
+		Class:     r.Class,
+		Method:    r.Method,
+		Target:    r.Target,
+		Host:      r.Host,
+		Header:    r.Header,
+		Remaining: time.Until(r.Deadline),
+		Body:      r.Body,
+		Streams:   r.Stream != nil,
+		Length:    r.Length,
+		Try:       try,
+	}
+}
+
+// Result is the answer to a request.
+type Result struct {
+	*peer.Response
+	// Node is the node that answered.
+	Node string
+	// Zone is where it is.
+	Zone string
+	// Tries is the number of sendings, the first included.
+	Tries int
+
+	attempt *attempt
+}
+
+// Close ends the exchange. It must be called, whether or not the body has been
+// read.
+func (r *Result) Close() { r.attempt.end(nil) }
+
+// comeBack is what a caller is told to wait for where there is no estimate.
+const comeBack = time.Second
+
+// final returns the failure as it goes to the caller: given up, and with a
+// time to come back.
+func final(e *verdict.Error) *verdict.Error {
+	if e.RetryAfter == 0 && e.Status() == 503 {
+		e = e.WithRetryAfter(comeBack)
+	}
+	return e.WithGivenUp()
+}
--- /dev/null
+++ b/gate/call.go
@@ -0,0 +1,201 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package gate
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"sassafrasfront.example/internal/tracing"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/verdict"
+)
+
+// TimeoutHeader bears the remaining time until the deadline of a request, in
+// milliseconds. Callers set it, and upstreams get it to hand it on.
+const TimeoutHeader = "Sassafras-Timeout-Ms"
+
+// gatherLimit is the largest answer that is sent in one frame.
+const gatherLimit = 32 << 10
+
+// call is the handling of one call.
+type call struct {
+	gate   *Gate
+	in     *peer.Inbound
+	status int
+	waited time.Duration
+}
+
+// run handles the call up to the end of its answer, or returns why there is
+// none, or why it is cut.
+func (c *call) run(ctx context.Context) *verdict.Error {
+	ticket, b, failure := c.gate.admitCall(ctx, c.in)
+	if failure != nil {
+		return failure
+	}
+	c.waited = ticket.Waited()
+	var healthy bool
+	released := false
+	release := func() {
+		if !released {
+			released = true
+			ticket.Release(healthy)
+		}
+	}
+	defer release()
+	if err := c.in.Admit(); err != nil {
+		e := verdict.As(err, verdict.BodyLost)
+		return verdict.New(verdict.Revoked, e)
+	}
+	r, err := c.request(ctx)
+	if err != nil {
+		return verdict.New(verdict.BadRequest, err)
+	}
+	ctx, span := c.gate.Tracer.Start(ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient))
+	tracing.Inject(ctx, propagation.HeaderCarrier(r.Header))
+	response, failure := b.transport.Send(r, c.inform)
+	if failure != nil {
+		tracing.End(span, 0, failure)
+		return failure
+	}
+	defer response.Body.Close()
+	c.status = response.StatusCode
+	failure = c.answer(response, func() {
+		healthy = true
+		release()
+	})
+	tracing.End(span, c.status, failure)
+	return failure
+}
+
+// request returns the request for the upstream.
+func (c *call) request(ctx context.Context) (*http.Request, error) {
+	m := c.in.Call
+	target, err := url.ParseRequestURI(m.Target)
+	if err != nil {
+		return nil, err
+	}
+	r := (&http.Request{
+		Method:        m.Method,
+		URL:           target,
+		Host:          m.Host,
+		Header:        headerOf(m.Header),
+		ContentLength: m.Length,
+	}).WithContext(ctx)
+	if _, ok := r.Header["User-Agent"]; !ok {
+		r.Header["User-Agent"] = nil // keeps the library from adding its own
+	}
+	remaining := max(1, time.Until(c.in.Deadline()).Milliseconds())
+	r.Header.Set(TimeoutHeader, strconv.FormatInt(remaining, 10))
+	if m.Length != 0 {
+		r.Body = io.NopCloser(c.in.Body())
+	}
+	if m.Streams && m.Length < 0 {
+		r.Trailer = make(http.Header)
+		r.Body = &trailing{
+			Reader: c.in.Body(),
+			in:     c.in,
+			to:     r.Trailer,
+		}
+	}
+	return r, nil
+}
+
+// trailing is a body that fills in the trailer at its end.
+type trailing struct {
+	io.Reader
+	in *peer.Inbound
+	to http.Header
+}
+
+// Read implements io.Reader.
+func (t *trailing) Read(p []byte) (int, error) {
+	n, err := t.Reader.Read(p)
+	if err == io.EOF {
+		for _, f := range t.in.Trailer() {
+			t.to.Add(f.Name, f.Value)
+		}
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (t *trailing) Close() error { return nil }
+
+func (c *call) inform(status int, h http.Header) {
+	_ = c.in.Inform(status, fieldsOf(h))
+}
+
+// answer passes the upstream's answer on. It calls ended once the upstream has
+// sent all of it, so that the slot is free before the last frame is written.
+func (c *call) answer(r *http.Response, ended func()) *verdict.Error {
+	a := &peer.Answer{
+		Status: r.StatusCode,
+		Header: fieldsOf(r.Header),
+		Length: r.ContentLength,
+		Report: c.gate.reportFor(c.in.From.Node),
+	}
+	if r.ContentLength < 0 || r.ContentLength > gatherLimit {
+		return c.stream(r, a, ended)
+	}
+	data, err := io.ReadAll(r.Body)
+	a.Body = data
+	if err != nil {
+		// The whole head and what there is of the body go on, and then the cut.
+		_ = c.in.Begin(a)
+		return verdict.As(err, verdict.AnswerCut)
+	}
+	ended()
+	a.Trailer = fieldsOf(r.Trailer)
+	if c.in.Reply(a) != nil {
+		return verdict.New(verdict.AnswerCut, nil)
+	}
+	return nil
+}
+
+// stream passes on an answer that is large or of unknown length.
+func (c *call) stream(r *http.Response, a *peer.Answer, ended func()) *verdict.Error {
+	if err := c.in.Begin(a); err != nil {
+		return verdict.As(err, verdict.AnswerCut)
+	}
+	if err := c.in.CopyBody(r.Body); err != nil {
+		return verdict.As(err, verdict.AnswerCut)
+	}
+	ended()
+	if c.in.Finish(fieldsOf(r.Trailer)) != nil {
+		return verdict.New(verdict.AnswerCut, nil)
+	}
+	return nil
+}
+
+// headerOf returns header fields as a http.Header.
+func headerOf(fields []peer.Field) http.Header {
+	h := make(http.Header, len(fields)+4)
+	for _, f := range fields {
+		h.Add(f.Name, f.Value)
+	}
+	return h
+}
+
+// fieldsOf returns a http.Header as header fields.
+func fieldsOf(h http.Header) []peer.Field {
+	fields := make([]peer.Field, 0, len(h))
+	for name, values := range h {
+		for _, v := range values {
+			fields = append(fields, peer.Field{
+				Name:  name,
+				Value: v,
+			})
+		}
+	}
+	return fields
+}
--- /dev/null
+++ b/gate/gate.go
@@ -0,0 +1,190 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package gate
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"sassafrasfront.example/admit"
+	"sassafrasfront.example/internal/tracing"
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/upstream"
+	"sassafrasfront.example/verdict"
+	"sassafrasfront.example/watch"
+)
+
+// Gate runs calls at the upstream beside this node. The exported fields are set
+// before the first call.
+type Gate struct {
+	// Tracer makes a span for each call and one for each upstream request.
+	Tracer trace.Tracer
+	// Reports says when a load report goes to which node. Nil means never.
+	Reports *watch.Pacer[string]
+	// Ended, if not nil, is called at the end of each call.
+	Ended func(service, class string, failure *verdict.Error, waited, took time.Duration)
+
+	admit   admit.Gate
+	current atomic.Pointer[binding]
+
+	mu      sync.Mutex
+	service *operator.Service // in force for the announced service
+	start   string            // of the latest announcement
+	leaving bool              // whether the node leaves
+}
+
+// binding is the upstream that requests go to.
+type binding struct {
+	announcement *upstream.Announcement
+	transport    *upstream.Transport
+}
+
+// Announce takes in an announcement, or the withdrawal of one if a is nil.
+func (g *Gate) Announce(a *upstream.Announcement) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	old := g.current.Load()
+	if a == nil {
+		g.current.Store(nil)
+		g.update()
+		return
+	}
+	b := &binding{announcement: a}
+	if old != nil && old.announcement.Address == a.Address && old.announcement.Connections == a.Connections {
+		b.transport = old.transport
+	} else {
+		b.transport = &upstream.Transport{
+			Addr:        a.Address,
+			Connections: a.Connections,
+			Warm:        min(a.Slots, a.Connections),
+		}
+	}
+	g.current.Store(b)
+	g.update()
+	if a.Start != g.start {
+		g.start = a.Start
+		g.admit.Restart()
+	}
+	if old != nil && old.transport != b.transport {
+		old.transport.CloseIdle()
+	}
+}
+
+// Configure takes in the configuration in force for the announced service, or
+// nil if there is none.
+func (g *Gate) Configure(s *operator.Service) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.service = s
+	g.update()
+}
+
+// update sets the limits from the announcement and the configuration.
+func (g *Gate) update() {
+	b := g.current.Load()
+	limits := admit.Limits{}
+	if b != nil && g.service != nil {
+		limits = limitsOf(*g.service).WithSlots(min(b.announcement.Slots, b.announcement.Connections))
+	}
+	g.admit.Set(limits)
+	if g.leaving || b != nil && b.announcement.Draining {
+		g.admit.Drain()
+	} else {
+		g.admit.Resume()
+	}
+}
+
+// limitsOf returns the limits that a service is configured to have.
+func limitsOf(s operator.Service) admit.Limits {
+	classes := make([]admit.Class, len(s.Classes))
+	for i, c := range s.Classes {
+		classes[i] = admit.Class{
+			Name:     c.Name,
+			Weight:   c.Weight,
+			Share:    c.MaxShare,
+			Priority: c.Priority,
+		}
+	}
+	return admit.Limits{
+		QueueLength: s.Queue.Length,
+		QueueWait:   s.Queue.Wait.Std(),
+		SlowStart:   s.Queue.SlowStart.Std(),
+		Adaptive:    s.Queue.Adaptive == nil || *s.Queue.Adaptive,
+	}.WithClasses(classes...)
+}
+
+// Leave refuses all new calls from now on. The returned channel is closed once
+// no request runs at the upstream.
+func (g *Gate) Leave() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leaving = true
+	return g.admit.Drain()
+}
+
+// Load returns the present load of the upstream.
+func (g *Gate) Load() admit.Report { return g.admit.Report() }
+
+// Report returns the load as it is told to peers.
+func (g *Gate) Report() *peer.Report {
+	r := g.admit.Report()
+	return &peer.Report{
+		Running:  r.Running,
+		Waiting:  r.Waiting,
+		Allowed:  r.Allowed,
+		Service:  r.Service,
+		Draining: r.Draining,
+	}
+}
+
+// reportFor returns a load report if one is due to the node.
+func (g *Gate) reportFor(node string) *peer.Report {
+	if g.Reports == nil || !g.Reports.Due(node) {
+		return nil
+	}
+	return g.Report()
+}
+
+// Serve handles one call from a peer.
+func (g *Gate) Serve(in *peer.Inbound) {
+	began := time.Now()
+	ctx := tracing.Extract(in.Context(), &tracing.Fields{List: in.Call.Header})
+	ctx, span := g.Tracer.Start(ctx, "gate", trace.WithSpanKind(trace.SpanKindServer))
+	if span.IsRecording() {
+		span.SetAttributes(attribute.String("sassafras.service", in.Call.Service), attribute.Int("sassafras.try", in.Call.Try), attribute.String("sassafras.entry", in.From.Node))
+	}
+	c := &call{
+		gate: g,
+		in:   in,
+	}
+	failure := c.run(ctx)
+	if failure != nil {
+		in.Fail(failure, g.reportFor(in.From.Node))
+	}
+	tracing.End(span, c.status, failure)
+	if g.Ended != nil {
+		g.Ended(in.Call.Service, in.Call.Class, failure, c.waited, time.Since(began))
+	}
+}
+
+// admitCall gets a slot for the call, waiting for it if need be.
+func (g *Gate) admitCall(ctx context.Context, in *peer.Inbound) (*admit.Ticket, *binding, *verdict.Error) {
+	b := g.current.Load()
+	if b == nil || b.announcement.Service != in.Call.Service {
+		return nil, nil, verdict.New(verdict.Misrouted, nil)
+	}
+	t := g.admit.Enter(in.Call.Class, in.Deadline())
+	in.OnRevoke(t.Revoke)
+	if err := t.Wait(ctx); err != nil {
+		return nil, nil, err
+	}
+	return t, b, nil
+}
--- /dev/null
+++ b/gossip/set.go
@@ -0,0 +1,184 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package gossip
+
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// groupBits is the binary logarithm of the number of children of an inner
+	// node of the hash tree. The tree has a root, groups and leaves.
+	groupBits = 6
+	// Groups is the number of children of the root, and of each group.
+	Groups = 1 << groupBits
+	// Leaves is the number of leaves.
+	Leaves = Groups * Groups
+)
+
+// Version orders the versions of one record: by Major, then by Minor.
+type Version struct {
+	Major uint64 `msgpack:"a"`
+	Minor uint64 `msgpack:"i"`
+}
+
+// Less returns whether v comes before w.
+func (v Version) Less(w Version) bool {
+	return v.Major < w.Major || v.Major == w.Major && v.Minor < w.Minor
+}
+
+// Record is what a Set holds.
+type Record interface {
+	// Key identifies the record.
+	Key() string
+	// Rank orders its versions.
+	Rank() Version
+}
+
+// Set holds the newest version of each record. The zero value is empty. It is
+// not safe for use by several goroutines at once.
+type Set[R Record] struct {
+	leaves [Leaves]map[string]R
+	hashes [Leaves]uint64
+	groups [Groups]uint64
+	root   uint64
+	count  int
+}
+
+// leafOf returns the leaf that holds a key.
+func leafOf(key string) int {
+	return int(xxhash.Sum64String(key) >> (64 - 2*groupBits))
+}
+
+// hash returns the hash of a record's key and version.
+func hash(r Record) uint64 {
+	v := r.Rank()
+	b := make([]byte, 0, 64)
+	b = append(b, r.Key()...)
+	b = binary.BigEndian.AppendUint64(b, v.Major)
+	b = binary.BigEndian.AppendUint64(b, v.Minor)
+	return xxhash.Sum64(b)
+}
+
+// Put takes in a record if it is newer than the one held under its key, and
+// returns whether it was.
+func (s *Set[R]) Put(r R) bool {
+	key := r.Key()
+	i := leafOf(key)
+	old, ok := s.leaves[i][key]
+	if ok && !old.Rank().Less(r.Rank()) {
+		return false
+	}
+	if ok {
+		s.toggle(i, hash(old))
+	} else {
+		s.count++
+	}
+	if s.leaves[i] == nil {
+		s.leaves[i] = make(map[string]R)
+	}
+	s.leaves[i][key] = r
+	s.toggle(i, hash(r))
+	return true
+}
+
+// Remove drops the record under a key. It may come back from another node.
+func (s *Set[R]) Remove(key string) {
+	i := leafOf(key)
+	if old, ok := s.leaves[i][key]; ok {
+		delete(s.leaves[i], key)
+		s.toggle(i, hash(old))
+		s.count--
+	}
+}
+
+// toggle adds the hash h to the hashes above leaf i, or takes it out again.
+func (s *Set[R]) toggle(i int, h uint64) {
+	s.hashes[i] ^= h
+	s.groups[i>>groupBits] ^= h
+	s.root ^= h
+}
+
+// Get returns the record under a key.
+func (s *Set[R]) Get(key string) (R, bool) {
+	r, ok := s.leaves[leafOf(key)][key]
+	return r, ok
+}
+
+// Len returns the number of records.
+func (s *Set[R]) Len() int { return s.count }
+
+// Root returns the hash over all records. Two sets that hold the same records
+// have the same hash, and two that don't have different ones but for a chance
+// of 2⁻⁶⁴.
+func (s *Set[R]) Root() uint64 { return s.root }
+
+// Group returns the hashes of all groups.
+func (s *Set[R]) Group() []uint64 { return slices.Clone(s.groups[:]) }
+
+// Leaf returns the hashes of the leaves of group g. It panics if there is no
+// such group.
+func (s *Set[R]) Leaf(g int) []uint64 {
+	return slices.Clone(s.hashes[g<<groupBits : (g+1)<<groupBits])
+}
+
+// All calls yield with each record, until yield returns false.
+func (s *Set[R]) All(yield func(R) bool) {
+	for _, leaf := range s.leaves {
+		for _, r := range leaf {
+			if !yield(r) {
+				return
+			}
+		}
+	}
+}
+
+// Versions returns the version of each record in a leaf.
+func (s *Set[R]) Versions(leaf int) map[string]Version {
+	m := make(map[string]Version, len(s.leaves[leaf]))
+	for key, r := range s.leaves[leaf] {
+		m[key] = r.Rank()
+	}
+	return m
+}
+
+// Newer returns the records in a leaf that are newer than the given versions,
+// or are not among them.
+func (s *Set[R]) Newer(leaf int, than map[string]Version) []R {
+	var list []R
+	for key, r := range s.leaves[leaf] {
+		if v, ok := than[key]; !ok || v.Less(r.Rank()) {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// From returns the records of the leaves from the given one on, until there are
+// at least n, and the leaf to go on from, which is Leaves at the end.
+func (s *Set[R]) From(leaf, n int) ([]R, int) {
+	var list []R
+	for ; leaf < Leaves && len(list) < n; leaf++ {
+		for _, r := range s.leaves[leaf] {
+			list = append(list, r)
+		}
+	}
+	return list, leaf
+}
+
+// Differing returns the indexes at which two lists of hashes differ. A list
+// that is too short differs in what it lacks.
+func Differing(a, b []uint64) []int {
+	var list []int
+	for i := range max(len(a), len(b)) {
+		if i >= len(a) || i >= len(b) || a[i] != b[i] {
+			list = append(list, i)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/backend/backend.go
@@ -0,0 +1,191 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package backend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"sassafrasfront.example/upstream"
+)
+
+// IDHeader names a request in the record.
+const IDHeader = "X-Request-Id"
+
+// Knobs are what the stand-in can be told while it runs.
+type Knobs struct {
+	// Mean is the mean service time, in milliseconds.
+	Mean float64 `json:"meanMillis"`
+	// Sigma is the standard deviation of the logarithm of the service time,
+	// which is log-normal. Zero means that it is constant.
+	Sigma float64 `json:"sigma"`
+	// Slow multiplies the service time. Zero means 1.
+	Slow float64 `json:"slow"`
+}
+
+// Record is what a stand-in has run.
+type Record struct {
+	// Runs are the number of runs by request id.
+	Runs map[string]int `json:"runs"`
+	// OverSlots counts the requests that came while all slots were taken.
+	OverSlots int `json:"overSlots"`
+	// MostRunning is the largest number of requests at once.
+	MostRunning int `json:"mostRunning"`
+	// Last is when the last request came.
+	Last time.Time `json:"last"`
+}
+
+// Server is the stand-in as an http.Handler. The exported fields are set before
+// the first request.
+type Server struct {
+	// Slots is the number of requests that it runs at once.
+	Slots int
+	// Name is told in each answer.
+	Name string
+
+	mu      sync.Mutex
+	knobs   Knobs
+	record  Record
+	running int
+}
+
+// Turn replaces the knobs.
+func (s *Server) Turn(k Knobs) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.knobs = k
+}
+
+// Record returns what has been run.
+func (s *Server) Record() Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.record
+	r.Runs = make(map[string]int, len(s.record.Runs))
+	for id, n := range s.record.Runs {
+		r.Runs[id] = n
+	}
+	return r
+}
+
+// ServeHTTP implements http.Handler. Paths under /stand/ steer the stand-in; a
+// request to any other path is run.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/stand/knobs":
+		var k Knobs
+		if err := json.NewDecoder(r.Body).Decode(&k); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.Turn(k)
+	case "/stand/record":
+		_ = json.NewEncoder(w).Encode(s.Record())
+	default:
+		s.run(w, r)
+	}
+}
+
+// run runs a request: it takes its time, and answers with the request's id and
+// body. The query may say how it goes: ?hang=1 never answers, ?cut=1 cuts the
+// answer in half, ?die=1 closes the connection unanswered, ?millis=N takes that
+// time.
+func (s *Server) run(w http.ResponseWriter, r *http.Request) {
+	d := s.begin(r.Header.Get(IDHeader))
+	defer s.end()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	q := r.URL.Query()
+	if ms, err := strconv.Atoi(q.Get("millis")); err == nil {
+		d = time.Duration(ms) * time.Millisecond
+	}
+	if q.Has("hang") {
+		d = time.Hour
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-r.Context().Done():
+		return
+	}
+	answer := fmt.Sprintf("%s %s %s", r.Header.Get(IDHeader), s.Name, body)
+	switch {
+	case q.Has("die"):
+		panic(http.ErrAbortHandler)
+	case q.Has("cut"):
+		w.Header().Set("Content-Length", strconv.Itoa(2*len(answer)))
+		_, _ = io.WriteString(w, answer)
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, answer)
+}
+
+// begin records a request and returns how long it takes.
+func (s *Server) begin(id string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.record.Runs == nil {
+		s.record.Runs = make(map[string]int)
+	}
+	s.record.Runs[id]++
+	s.record.Last = time.Now()
+	if s.running >= s.Slots {
+		s.record.OverSlots++
+	}
+	s.running++
+	s.record.MostRunning = max(s.record.MostRunning, s.running)
+	k := s.knobs
+	ms := k.Mean * math.Exp(k.Sigma*rand.NormFloat64()-k.Sigma*k.Sigma/2)
+	if k.Slow > 0 {
+		ms *= k.Slow
+	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
+
+// Announce tells a node of the stand-in, trying until it succeeds or ctx ends.
+// The address is the node's for announcements.
+func Announce(ctx context.Context, address string, a upstream.Announcement) error {
+	data, err := json.Marshal(a)
+	if err != nil {
+		return err
+	}
+	for {
+		r, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+address+"/v1/upstream", bytes.NewReader(data))
+		if err != nil {
+			return err
+		}
+		answer, err := http.DefaultClient.Do(r)
+		if err == nil {
+			_ = answer.Body.Close()
+			if answer.StatusCode < 300 {
+				return nil
+			}
+			err = fmt.Errorf("node answers %s", answer.Status)
+		}
+		select {
+		case <-time.After(20 * time.Millisecond):
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/tracing/tracing.go
@@ -0,0 +1,123 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package tracing
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdk "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/verdict"
+)
+
+// Setup says where traces go. The zero value makes none, and costs nothing.
+type Setup struct {
+	// URL is the OTLP collector's, such as http://10.0.0.1:4318/v1/traces.
+	URL string
+	// Sample is the share of the traces begun here that are kept. Traces begun
+	// by a caller keep the caller's choice.
+	Sample float64
+	// Node, Zone name this process in its spans.
+	Node, Zone string
+}
+
+// maxQueue bounds the spans that wait for the collector. More are dropped, so
+// that traffic never waits.
+const maxQueue = 2048
+
+// Tracer returns a tracer, and a function that sends what is left and stops it.
+func (s Setup) Tracer(ctx context.Context) (trace.Tracer, func(context.Context) error, error) {
+	if s.URL == "" {
+		return noop.NewTracerProvider().Tracer(""), func(context.Context) error { return nil }, nil
+	}
+	exporter, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(s.URL))
+	if err != nil {
+		return nil, nil, err
+	}
+	provider := sdk.NewTracerProvider(
+		sdk.WithBatcher(exporter, sdk.WithMaxQueueSize(maxQueue), sdk.WithBatchTimeout(time.Second)),
+		sdk.WithSampler(sdk.ParentBased(sdk.TraceIDRatioBased(s.Sample))),
+		sdk.WithResource(resource.NewSchemaless(
+			attribute.String("service.name", "sassafrasnode"),
+			attribute.String("service.instance.id", s.Node),
+			attribute.String("cloud.availability_zone", s.Zone),
+		)),
+	)
+	return provider.Tracer("sassafrasfront.example"), provider.Shutdown, nil
+}
+
+// propagator reads and writes W3C trace contexts.
+var propagator = propagation.TraceContext{}
+
+// Extract returns ctx with the trace context of the header h.
+func Extract(ctx context.Context, h propagation.TextMapCarrier) context.Context {
+	return propagator.Extract(ctx, h)
+}
+
+// Inject writes the trace context of ctx into the header h, if it has one.
+func Inject(ctx context.Context, h propagation.TextMapCarrier) {
+	propagator.Inject(ctx, h)
+}
+
+// Fields is a list of header fields as a carrier of trace contexts.
+type Fields struct {
+	List []peer.Field
+}
+
+// Get implements propagation.TextMapCarrier.
+func (f *Fields) Get(key string) string {
+	for _, x := range f.List {
+		if strings.EqualFold(x.Name, key) {
+			return x.Value
+		}
+	}
+	return ""
+}
+
+// Set implements propagation.TextMapCarrier. The list is copied before it is
+// changed.
+func (f *Fields) Set(key, value string) {
+	list := make([]peer.Field, 0, len(f.List)+1)
+	for _, x := range f.List {
+		if !strings.EqualFold(x.Name, key) {
+			list = append(list, x)
+		}
+	}
+	f.List = append(list, peer.Field{
+		Name:  key,
+		Value: value,
+	})
+}
+
+// Keys implements propagation.TextMapCarrier.
+func (f *Fields) Keys() []string {
+	keys := make([]string, len(f.List))
+	for i, x := range f.List {
+		keys[i] = x.Name
+	}
+	return keys
+}
+
+// End ends a span with the verdict on its request. A nil failure means that
+// the request was answered with the given status.
+func End(span trace.Span, status int, failure *verdict.Error) {
+	if failure == nil {
+		span.SetAttributes(attribute.Int("http.response.status_code", status), attribute.String("sassafras.verdict", verdict.Ran.String()))
+	} else {
+		span.SetAttributes(attribute.String("sassafras.verdict", failure.Verdict().String()), attribute.String("sassafras.cause", string(failure.Cause)))
+		span.SetStatus(codes.Error, failure.Error())
+	}
+	span.End()
+}
--- /dev/null
+++ b/member/member_test.go
@@ -0,0 +1,107 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package member_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"sassafrasfront.example/gossip"
+	"sassafrasfront.example/member"
+)
+
+func TestRanks(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := member.Record{ID: "a", State: member.Up, Incarnation: 5, Version: 3}
+	tests := map[string]struct {
+		older, newer member.Record
+	}{
+		"next version":              {older: r, newer: r.WithState(member.Draining)},
+		"tombstone":                 {older: r.WithState(member.Draining), newer: r.Tombstone()},
+		"back after the tombstone":  {older: r.Tombstone(), newer: r.Reborn(r.Tombstone(), now)},
+		"restart":                   {older: r, newer: r.Reborn(member.Record{}, now)},
+		"restart with a slow clock": {older: r, newer: r.Reborn(r, time.Unix(0, 1))},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			qt.Check(t, test.older.Rank().Less(test.newer.Rank()), qt.IsTrue)
+			qt.Check(t, test.newer.Rank().Less(test.older.Rank()), qt.IsFalse)
+		})
+	}
+}
+
+func TestLiveness(t *testing.T) {
+	start := time.Unix(1000, 0)
+	tests := map[string]struct {
+		known, silent int
+		after         time.Duration
+		heard         bool
+		want          int
+	}{
+		"not long enough":             {known: 100, silent: 3, after: time.Minute},
+		"a few":                       {known: 100, silent: 3, after: 5 * time.Minute, want: 3},
+		"back in time":                {known: 100, silent: 3, after: 5 * time.Minute, heard: true, want: 2},
+		"a zone at once: only a part": {known: 100, silent: 100, after: 5 * time.Minute, want: 5},
+		"few nodes: one may go":       {known: 3, silent: 3, after: 5 * time.Minute, want: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := member.Liveness{Patience: 5 * time.Minute, Every: 10 * time.Minute, MaxShare: 0.05}
+			for i := range test.silent {
+				l.Missed(fmt.Sprint(i), start)
+				l.Missed(fmt.Sprint(i), start.Add(time.Minute))
+			}
+			if test.heard {
+				l.Heard("0")
+			}
+			qt.Check(t, l.Due(test.known, start.Add(test.after)), qt.HasLen, test.want)
+			qt.Check(t, len(l.Due(test.known, start.Add(test.after+time.Second))) == 0, qt.IsTrue,
+				qt.Commentf("nothing more within the same time"))
+		})
+	}
+}
+
+func TestOrder(t *testing.T) {
+	ids := []string{"a", "b", "c", "d"}
+	order := member.Order("zone", ids)
+	qt.Check(t, order, qt.HasLen, 4)
+	for i, id := range order {
+		qt.Check(t, member.RankOf("zone", id, ids), qt.Equals, i)
+	}
+	less := member.Order("zone", []string{"d", "a", "b"})
+	var want []string
+	for _, id := range order {
+		if id != "c" {
+			want = append(want, id)
+		}
+	}
+	qt.Check(t, less, qt.DeepEquals, want)
+}
+
+// TestWrongRemovalHeals has a node that is removed while cut off. Whatever the
+// order of the deliveries, every set ends with the node's own latest word.
+func TestWrongRemovalHeals(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		own := member.Record{ID: "a", State: member.Up, Incarnation: 1, Version: 1}
+		words := []member.Record{own, own.WithState(member.Draining)}
+		stone := words[1].Tombstone()
+		back := words[1].Reborn(stone, time.Unix(0, 1))
+		words = append(words, stone, back, back.WithState(member.Up))
+		last := words[len(words)-1]
+		var s gossip.Set[member.Record]
+		for _, i := range rapid.SliceOf(rapid.IntRange(0, len(words)-1)).Draw(t, "deliveries") {
+			s.Put(words[i])
+		}
+		s.Put(last)
+		got, _ := s.Get("a")
+		if got != last {
+			t.Fatalf("ends with %v", got)
+		}
+	})
+}
--- /dev/null
+++ b/member/order.go
@@ -0,0 +1,43 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package member
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Order returns the ids in the order of rendezvous hashing for the given
+// subject: every node that knows the same ids finds the same order, different
+// subjects have different orders, and one id more or less leaves the order of
+// the others. See D. Thaler and C. Ravishankar, Using name-based mappings to
+// increase hit rates, 1998. doi:10.1109/90.663936.
+func Order(subject string, ids []string) []string {
+	weight := make(map[string]uint64, len(ids))
+	for _, id := range ids {
+		weight[id] = xxhash.Sum64String(subject + "\x00" + id)
+	}
+	list := append([]string(nil), ids...)
+	sort.Slice(list, func(i, j int) bool {
+		a, b := weight[list[i]], weight[list[j]]
+		return a > b || a == b && list[i] < list[j]
+	})
+	return list
+}
+
+// RankOf returns the place of id in the order for a subject, from 0, without
+// sorting. An id that is not among the ids gets the place it would have.
+func RankOf(subject, id string, ids []string) int {
+	own := xxhash.Sum64String(subject + "\x00" + id)
+	var rank int
+	for _, other := range ids {
+		w := xxhash.Sum64String(subject + "\x00" + other)
+		if w > own || w == own && other < id {
+			rank++
+		}
+	}
+	return rank
+}
--- /dev/null
+++ b/member/record.go
@@ -0,0 +1,116 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package member
+
+import (
+	"time"
+
+	"sassafrasfront.example/gossip"
+)
+
+// State is what a node says of itself and its upstream.
+type State string
+
+const (
+	// Up means that the upstream takes requests.
+	Up State = "up"
+	// Idle means that the node has no upstream, or one that is down. It is an
+	// entry all the same.
+	Idle State = "idle"
+	// Draining means that the upstream or the node is leaving.
+	Draining State = "draining"
+	// Left means that the node has stopped in good order.
+	Left State = "left"
+	// Removed means that a steward took the node for gone.
+	Removed State = "removed"
+)
+
+// Record is what is known of one node. It is an immutable value.
+type Record struct {
+	// ID is the node's name. It stays the same over restarts.
+	ID string `msgpack:"id" json:"id"`
+	// Addr is where the node takes peer connections.
+	Addr string `msgpack:"addr" json:"addr"`
+	// Zone and Region are where it is.
+	Zone   string `msgpack:"zone" json:"zone"`
+	Region string `msgpack:"region" json:"region"`
+	// Service is the service of its upstream, or empty.
+	Service string `msgpack:"service,omitempty" json:"service,omitempty"`
+	// Slots is the number of requests that its upstream runs at once.
+	Slots int `msgpack:"slots,omitempty" json:"slots,omitempty"`
+	// State is what the node says of itself.
+	State State `msgpack:"state" json:"state"`
+	// Incarnation grows with each start of the node.
+	Incarnation uint64 `msgpack:"incarnation" json:"incarnation"`
+	// Version grows with each change within an incarnation.
+	Version uint64 `msgpack:"version" json:"version"`
+	// At is when the record was written, in seconds since 1970.
+	At int64 `msgpack:"at" json:"at"`
+}
+
+// Keep is how long a record of a node that is gone is kept after it was
+// written. Nodes whose clocks differ drop it at different times, and until
+// then may hand it to each other; it is not taken in again.
+const Keep = time.Hour
+
+// Expired returns whether the record is of a node that is gone for long.
+func (r Record) Expired(now time.Time) bool {
+	return !r.Live() && now.Sub(time.Unix(r.At, 0)) > Keep
+}
+
+// Key implements gossip.Record.
+func (r Record) Key() string { return r.ID }
+
+// Rank implements gossip.Record.
+func (r Record) Rank() gossip.Version {
+	return gossip.Version{
+		Major: r.Incarnation,
+		Minor: r.Version,
+	}
+}
+
+// Live returns whether the node is there, as far as is known.
+func (r Record) Live() bool { return r.State != Left && r.State != Removed }
+
+// Takes returns whether the node's upstream takes requests.
+func (r Record) Takes() bool { return r.State == Up && r.Service != "" }
+
+// WithState returns the next version of r, with the given state.
+func (r Record) WithState(s State) Record {
+	r.State = s
+	r.Version++
+	r.At = time.Now().Unix()
+	return r
+}
+
+// WithUpstream returns the next version of r, with the given upstream.
+func (r Record) WithUpstream(service string, slots int, s State) Record {
+	r.Service = service
+	r.Slots = slots
+	return r.WithState(s)
+}
+
+// Reborn returns r as of a new incarnation, which is higher than its present
+// one and that of the record heard of it, and otherwise counts the nanoseconds
+// since 1970 at the given time.
+func (r Record) Reborn(heard Record, now time.Time) Record {
+	r.Incarnation = max(uint64(now.UnixNano()), heard.Incarnation+1, r.Incarnation+1)
+	r.Version = 1
+	r.At = now.Unix()
+	return r
+}
+
+// Tombstone returns the record by which a steward removes the node. It comes
+// after all that the node has said, and before anything that the node says in
+// its next incarnation.
+func (r Record) Tombstone() Record {
+	r.State = Removed
+	r.At = time.Now().Unix()
+	r.Version = tombstoneVersion
+	return r
+}
+
+// tombstoneVersion comes after every version that a node reaches.
+const tombstoneVersion = 1 << 62
--- /dev/null
+++ b/node/metrics.go
@@ -0,0 +1,87 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package node
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"sassafrasfront.example/caller"
+	"sassafrasfront.example/entry"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/verdict"
+	"sassafrasfront.example/watch"
+)
+
+// metricSet holds the node's metrics.
+type metricSet struct {
+	set           *metrics.Set
+	traffic       peer.Counters // to gates
+	control       peer.Counters // to other nodes' control
+	platformCalls func() uint64
+}
+
+// newMetricSet returns the metrics of n.
+func newMetricSet(n *Node, reports, exchange *watch.Budget) *metricSet {
+	m := &metricSet{
+		set:           metrics.NewSet(),
+		platformCalls: func() uint64 { return 0 },
+	}
+	gauge := func(name string, f func() float64) { m.set.NewGauge(name, f) }
+	gauge(`sassafras_upstream_running`, func() float64 { return float64(n.gate.Load().Running) })
+	gauge(`sassafras_upstream_waiting`, func() float64 { return float64(n.gate.Load().Waiting) })
+	gauge(`sassafras_upstream_allowed`, func() float64 { return float64(n.gate.Load().Allowed) })
+	gauge(`sassafras_upstream_service_seconds`, func() float64 { return n.gate.Load().Service.Seconds() })
+	gauge(`sassafras_members`, func() float64 { return float64(n.control.Snapshot().Members) })
+	gauge(`sassafras_steward`, func() float64 {
+		if n.control.Steward() {
+			return 1
+		}
+		return 0
+	})
+	gauge(`sassafras_platform_calls_total`, func() float64 { return float64(m.platformCalls()) })
+	for name, b := range map[string]*watch.Budget{"reports": reports, "control": exchange} {
+		gauge(fmt.Sprintf(`sassafras_watch_bytes_total{part=%q}`, name), func() float64 { return float64(b.Bytes.Load()) })
+		gauge(fmt.Sprintf(`sassafras_watch_messages_total{part=%q}`, name), func() float64 { return float64(b.Messages.Load()) })
+		gauge(fmt.Sprintf(`sassafras_watch_denied_total{part=%q}`, name), func() float64 { return float64(b.Denied.Load()) })
+	}
+	for name, c := range map[string]*peer.Counters{"traffic": &m.traffic, "control": &m.control} {
+		gauge(fmt.Sprintf(`sassafras_peer_bytes_total{part=%q,direction="out"}`, name), func() float64 { return float64(c.BytesOut.Load()) })
+		gauge(fmt.Sprintf(`sassafras_peer_bytes_total{part=%q,direction="in"}`, name), func() float64 { return float64(c.BytesIn.Load()) })
+	}
+	return m
+}
+
+// requestEnded counts a caller's request.
+func (m *metricSet) requestEnded(o caller.Outcome) {
+	v, cause := verdict.Ran, verdict.Cause("")
+	if o.Failure != nil {
+		v, cause = o.Failure.Verdict(), o.Failure.Cause
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`sassafras_requests_total{service=%q,class=%q,verdict=%q,cause=%q}`, o.Service, o.Class, v, string(cause))).Inc()
+	if o.Service != "" {
+		m.set.GetOrCreateHistogram(fmt.Sprintf(`sassafras_request_seconds{service=%q,class=%q}`, o.Service, o.Class)).Update(o.Took.Seconds())
+	}
+}
+
+// gateEnded counts a call at the gate.
+func (m *metricSet) gateEnded(service, class string, failure *verdict.Error, waited, took time.Duration) {
+	cause := "none"
+	if failure != nil {
+		cause = string(failure.Cause)
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`sassafras_gate_calls_total{service=%q,class=%q,cause=%q}`, service, class, cause)).Inc()
+	if failure == nil {
+		m.set.GetOrCreateHistogram(fmt.Sprintf(`sassafras_gate_wait_seconds{service=%q,class=%q}`, service, class)).Update(waited.Seconds())
+		m.set.GetOrCreateHistogram(fmt.Sprintf(`sassafras_gate_seconds{service=%q,class=%q}`, service, class)).Update(took.Seconds())
+	}
+}
+
+// dispatcherEvent counts what the entry does beyond the first sending.
+func (m *metricSet) dispatcherEvent(service string, e entry.Event) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`sassafras_resends_total{service=%q,kind=%q}`, service, string(e))).Inc()
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,307 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/time/rate"
+
+	"sassafrasfront.example/caller"
+	"sassafrasfront.example/control"
+	"sassafrasfront.example/entry"
+	"sassafrasfront.example/gate"
+	"sassafrasfront.example/internal/tracing"
+	"sassafrasfront.example/member"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/platform"
+	"sassafrasfront.example/settings"
+	"sassafrasfront.example/upstream"
+	"sassafrasfront.example/watch"
+)
+
+const (
+	// reportEvery is the least time between two load reports to one node.
+	reportEvery = 10 * time.Millisecond
+	// reportSize is what a load report adds to an answer, in bytes.
+	reportSize = 60
+	// headTimeout bounds the head of a caller's request, and idleTimeout an idle
+	// connection of a caller.
+	headTimeout = 10 * time.Second
+	idleTimeout = 2 * time.Minute
+	// flushTimeout bounds the sending of the last traces.
+	flushTimeout = 2 * time.Second
+)
+
+// Node is one process of the system. The exported fields are set before Run.
+type Node struct {
+	// Settings are the node's settings, already checked.
+	Settings settings.Settings
+	// Log takes the events.
+	Log zerolog.Logger
+
+	tracer     trace.Tracer
+	metrics    *metricSet
+	gate       *gate.Gate
+	control    *control.Control
+	dispatcher *entry.Dispatcher
+	peers      *peer.Server
+	announced  *upstream.Announcements
+
+	mu        sync.Mutex
+	down      bool // whether the prober says that the upstream is down
+	leaving   bool
+	stopProbe context.CancelFunc
+}
+
+// listeners are the node's open ports.
+type listeners struct {
+	caller, peer, announce, operator net.Listener
+}
+
+// listen opens the node's ports.
+func (n *Node) listen() (*listeners, error) {
+	l := new(listeners)
+	for _, p := range []struct {
+		to   *net.Listener
+		key  string
+		addr string
+	}{
+		{&l.caller, "callerAddress", n.Settings.CallerAddress},
+		{&l.peer, "peerAddress", n.Settings.PeerAddress},
+		{&l.announce, "announceAddress", n.Settings.AnnounceAddress},
+		{&l.operator, "operatorAddress", n.Settings.OperatorAddress},
+	} {
+		var err error
+		if *p.to, err = net.Listen("tcp", p.addr); err != nil {
+			l.close()
+			return nil, eris.Wrap(err, p.key)
+		}
+	}
+	return l, nil
+}
+
+func (l *listeners) close() {
+	for _, x := range []net.Listener{l.caller, l.peer, l.announce, l.operator} {
+		if x != nil {
+			_ = x.Close()
+		}
+	}
+}
+
+// Run runs the node until ctx ends, and then stops it in good order. An error
+// means that it could not start.
+func (n *Node) Run(ctx context.Context) error {
+	l, err := n.listen()
+	if err != nil {
+		return err
+	}
+	defer l.close()
+	tracer, flush, err := tracing.Setup{
+		URL:    n.Settings.TraceURL,
+		Sample: n.Settings.TraceSample,
+		Node:   n.Settings.Node,
+		Zone:   n.Settings.Zone,
+	}.Tracer(ctx)
+	if err != nil {
+		return eris.Wrap(err, "traceURL")
+	}
+	n.tracer = tracer
+	n.build()
+	n.Log.Info().Str("zone", n.Settings.Zone).Str("caller", l.caller.Addr().String()).Str("peer", l.peer.Addr().String()).Msg("node started")
+	n.serve(ctx, l)
+	flushing, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	if err := flush(flushing); err != nil {
+		n.Log.Warn().Err(err).Msg("last traces not sent")
+	}
+	n.Log.Info().Msg("node stopped")
+	return nil
+}
+
+// build makes the parts.
+func (n *Node) build() {
+	s := &n.Settings
+	reports := watch.NewBudget(s.ReportBytes)
+	exchange := watch.NewBudget(s.ControlBytes)
+	n.metrics = newMetricSet(n, reports, exchange)
+	n.gate = &gate.Gate{
+		Tracer: n.tracer,
+		Reports: &watch.Pacer[string]{
+			Budget: reports,
+			Every:  reportEvery,
+			Size:   reportSize,
+		},
+		Ended: n.metrics.gateEnded,
+	}
+	hello := peer.Hello{
+		Node: s.Node,
+		Zone: s.Zone,
+	}
+	n.dispatcher = &entry.Dispatcher{
+		Hello:    hello,
+		Region:   s.Region,
+		Counters: &n.metrics.traffic,
+		Policy:   s.Policy,
+		Event:    n.metrics.dispatcherEvent,
+	}
+	n.control = &control.Control{
+		Self: member.Record{
+			ID:     s.Node,
+			Addr:   s.PeerAddress,
+			Zone:   s.Zone,
+			Region: s.Region,
+			State:  member.Idle,
+		},
+		Contacts: s.PeerList(),
+		Timing: control.Timing{
+			Lease:    s.Lease,
+			Patience: s.Patience,
+			Sweep:    s.Patience / 3,
+		},
+		Budget:    exchange,
+		Counters:  &n.metrics.control,
+		Log:       n.Log,
+		Published: n.published,
+	}
+	if s.PlatformURL != "" {
+		n.control.API = n.platform()
+	}
+	n.peers = &peer.Server{
+		Hello:   hello,
+		Call:    n.gate.Serve,
+		Control: n.control.Handle,
+		Closed:  n.peerClosed,
+	}
+	n.announced = &upstream.Announcements{Changed: n.upstreamChanged}
+}
+
+// platform returns the client of the object API.
+func (n *Node) platform() *platform.Client {
+	c := &platform.Client{
+		URL:       n.Settings.PlatformURL,
+		Namespace: n.Settings.Namespace,
+		Budget:    rate.NewLimiter(rate.Limit(n.Settings.PlatformCalls), int(n.Settings.PlatformCalls)),
+	}
+	n.metrics.platformCalls = c.Calls
+	return c
+}
+
+// peerClosed logs why the connection of a peer ended, if it broke the protocol.
+func (n *Node) peerClosed(from peer.Hello, reason error) {
+	if eris.Is(reason, peer.ErrProtocol) {
+		n.Log.Warn().Str("peer", from.Node).Err(reason).Msg("peer connection closed")
+	}
+}
+
+// published takes in a new picture of the system.
+func (n *Node) published(s *control.Snapshot) {
+	n.dispatcher.Set(s.Services)
+	n.configureGate(s)
+}
+
+// configureGate gives the gate the configuration of its upstream's service.
+func (n *Node) configureGate(s *control.Snapshot) {
+	a := n.announced.Current()
+	if a == nil {
+		n.gate.Configure(nil)
+		return
+	}
+	if service := s.Services[a.Service]; service != nil {
+		n.gate.Configure(&service.Config)
+	} else {
+		n.gate.Configure(nil)
+	}
+}
+
+// serve runs the parts until ctx ends, and then stops them in order.
+func (n *Node) serve(ctx context.Context, l *listeners) {
+	inner, stop := context.WithCancel(context.Background())
+	defer stop()
+	callers := &http.Server{
+		Handler:           n.callerHandler(),
+		ReadHeaderTimeout: headTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    n.Settings.MaxHeaderBytes,
+		Protocols:         new(http.Protocols),
+	}
+	callers.Protocols.SetHTTP1(true)
+	callers.Protocols.SetUnencryptedHTTP2(true)
+	announce := &http.Server{
+		Handler:           n.announceHandler(),
+		ReadHeaderTimeout: headTimeout,
+	}
+	operator := &http.Server{
+		Handler:           n.operatorHandler(),
+		ReadHeaderTimeout: headTimeout,
+	}
+	controlCtx, stopControl := context.WithCancel(inner)
+	var all, controlling sync.WaitGroup
+	controlling.Go(func() { n.control.Run(controlCtx) })
+	all.Go(func() { _ = n.peers.Run(inner, l.peer) })
+	all.Go(func() { _ = callers.Serve(l.caller) })
+	all.Go(func() { _ = announce.Serve(l.announce) })
+	all.Go(func() { _ = operator.Serve(l.operator) })
+	<-ctx.Done()
+	n.leave(callers)
+	stopControl()
+	controlling.Wait()
+	n.dispatcher.Close()
+	stop()
+	_ = announce.Close()
+	_ = operator.Close()
+	all.Wait()
+}
+
+func (n *Node) callerHandler() http.Handler {
+	return &caller.Handler{
+		Lookup: func(host string) (*entry.Service, bool) {
+			s := n.control.Snapshot()
+			return s.Lookup(host), s.Ready
+		},
+		Dispatcher: n.dispatcher,
+		Node:       n.Settings.Node,
+		Tracer:     n.tracer,
+		Ended:      n.requestEnded,
+	}
+}
+
+// requestEnded counts a request and logs it if it failed.
+func (n *Node) requestEnded(o caller.Outcome) {
+	n.metrics.requestEnded(o)
+	if o.Failure == nil {
+		return
+	}
+	n.Log.Debug().Str("requestId", o.ID).Str("service", o.Service).Str("class", o.Class).Str("method", o.Method).Str("path", o.Path).
+		Int("status", o.Status).Str("verdict", o.Failure.Verdict().String()).Int("tries", o.Tries).Dur("took", o.Took).Err(o.Failure).Msg("request failed")
+}
+
+func (n *Node) announceHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/v1/upstream", n.announced)
+	return mux
+}
+
+func (n *Node) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.set.WritePrometheus(w) })
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.HandleFunc("GET /readyz", n.ready)
+	mux.HandleFunc("GET /v1/picture", n.picture)
+	if n.Settings.Pprof {
+		mux.HandleFunc("/debug/pprof/", pprof.Index)
+		mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+		mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	}
+	return mux
+}
--- /dev/null
+++ b/node/state.go
@@ -0,0 +1,156 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"sassafrasfront.example/member"
+	"sassafrasfront.example/upstream"
+)
+
+// upstreamChanged takes in an announcement, or a withdrawal.
+func (n *Node) upstreamChanged(a *upstream.Announcement) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.gate.Announce(a)
+	if n.stopProbe != nil {
+		n.stopProbe()
+		n.stopProbe = nil
+	}
+	n.down = false
+	if a == nil {
+		n.Log.Info().Msg("upstream withdrawn")
+	} else {
+		n.Log.Info().Str("service", a.Service).Str("address", a.Address).Int("slots", a.Slots).Bool("draining", a.Draining).Msg("upstream announced")
+		n.probe(a)
+	}
+	go n.announce()
+}
+
+// probe watches the announced upstream.
+func (n *Node) probe(a *upstream.Announcement) {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stopProbe = cancel
+	p := &upstream.Prober{
+		Transport: &upstream.Transport{Addr: a.Address},
+		Changed: func(up bool) {
+			n.mu.Lock()
+			n.down = !up && ctx.Err() == nil
+			n.mu.Unlock()
+			n.Log.Warn().Str("address", a.Address).Bool("up", up).Msg("upstream probed")
+			n.announce()
+		},
+	}
+	go p.Run(ctx)
+}
+
+// announce tells the other nodes what the upstream is now.
+func (n *Node) announce() {
+	a := n.announced.Current()
+	n.mu.Lock()
+	state := member.Up
+	switch {
+	case a == nil || n.down:
+		state = member.Idle
+	case n.leaving || a.Draining:
+		state = member.Draining
+	}
+	n.mu.Unlock()
+	if a == nil {
+		n.control.Announce("", 0, state)
+	} else {
+		n.control.Announce(a.Service, min(a.Slots, a.Connections), state)
+	}
+	n.configureGate(n.control.Snapshot())
+}
+
+// leave stops the traffic without cutting a request: first new work is refused
+// and others are told, then what is in flight is let end.
+func (n *Node) leave(callers *http.Server) {
+	began := time.Now()
+	n.Log.Info().Msg("leaving")
+	n.mu.Lock()
+	n.leaving = true
+	n.mu.Unlock()
+	idle := n.gate.Leave()
+	n.announce()
+	callers.SetKeepAlivesEnabled(false)
+	ctx, cancel := context.WithTimeout(context.Background(), n.Settings.LeaveDelay+n.Settings.DrainTimeout)
+	defer cancel()
+	wait(ctx, n.Settings.LeaveDelay)
+	err := callers.Shutdown(ctx)
+	select {
+	case <-idle:
+	case <-ctx.Done():
+	}
+	if err == nil {
+		err = n.peers.Quiesce(ctx)
+	}
+	if err != nil {
+		n.Log.Warn().Err(err).Msg("requests in flight cut at the end of drainTimeout")
+	}
+	n.Log.Info().Dur("took", time.Since(began)).Msg("drained")
+}
+
+// wait waits for d, or until ctx ends.
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// ready answers whether the node can serve callers.
+func (n *Node) ready(w http.ResponseWriter, _ *http.Request) {
+	n.mu.Lock()
+	leaving := n.leaving
+	n.mu.Unlock()
+	switch {
+	case leaving:
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+	case !n.control.Snapshot().Ready:
+		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+	default:
+		_, _ = w.Write([]byte("ready\n"))
+	}
+}
+
+// Picture is what a node tells an operator of what it knows.
+type Picture struct {
+	Node      string            `json:"node"`
+	Zone      string            `json:"zone"`
+	Steward   bool              `json:"steward"`
+	Members   int               `json:"members"`
+	Sequences map[string]uint64 `json:"sequences"`
+	// Upstreams are the nodes whose upstreams take requests, by service.
+	Upstreams map[string][]string `json:"upstreams"`
+}
+
+// picture answers with what the node knows.
+func (n *Node) picture(w http.ResponseWriter, _ *http.Request) {
+	s := n.control.Snapshot()
+	p := Picture{
+		Node:      n.Settings.Node,
+		Zone:      n.Settings.Zone,
+		Steward:   n.control.Steward(),
+		Members:   s.Members,
+		Sequences: s.Sequences,
+		Upstreams: make(map[string][]string),
+	}
+	for name, service := range s.Services {
+		p.Upstreams[name] = []string{}
+		for _, m := range service.Members {
+			p.Upstreams[name] = append(p.Upstreams[name], m.ID)
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(p)
+}
--- a/operator/kinds.go
+++ b/operator/kinds.go
@@ -14,8 +14,6 @@
 	KindServiceStatus = "ServiceStatus"
 	// KindAccepted is the configuration in force. The system writes it.
 	KindAccepted = "Accepted"
-	// KindMemberPage lists the members of an availability zone.
-	KindMemberPage = "MemberPage"
 	// KindSteward is the lease of an availability zone's steward.
 	KindSteward = "Steward"
 	// KindClaim records a non-idempotent request that may be sent again.
--- a/peer/inbound.go
+++ b/peer/inbound.go
@@ -27,6 +27,7 @@
 	session *session
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
+	arrived time.Time
 	late    *time.Timer // ends the call at its deadline, until its answer begins
 	body    *incoming
 	credit  *outgoing
@@ -41,6 +42,7 @@
 		Call:    m,
 		From:    n.from,
 		session: n,
+		arrived: time.Now(),
 		credit:  newOutgoing(n.limits.Window),
 	}
 	in.body = newIncoming(n.limits.Window, in.grant)
@@ -67,6 +69,9 @@
 // deadline passes before its answer has begun. Its cause is a *verdict.Error.
 func (in *Inbound) Context() context.Context { return in.ctx }
 
+// Deadline returns when the call's answer is no longer of use.
+func (in *Inbound) Deadline() time.Time { return in.arrived.Add(in.Call.Remaining) }
+
 // OnRevoke sets the function that takes the call back while it waits. It
 // returns whether it is now certain that the call never runs, and is called
 // from another goroutine.
--- /dev/null
+++ b/rollout/accept.go
@@ -0,0 +1,64 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package rollout
+
+import (
+	"context"
+	"time"
+
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/platform"
+)
+
+// Accepted is what became of an intent.
+type Accepted struct {
+	// Object is the Accepted object as it now is, or nil if there is none.
+	Object *platform.Object
+	// Wrote is whether this call wrote it.
+	Wrote bool
+	// Refused says why the intent is invalid, if it is.
+	Refused operator.Faults
+}
+
+// acceptTries bounds the tries of one Accept against other stewards.
+const acceptTries = 5
+
+// Accept makes an intent the configuration in force, unless that has been done
+// or the intent is invalid. Any number of stewards may do so at once, and each
+// may be paused at any point: the conditional write decides.
+func Accept(ctx context.Context, api platform.API, in Intent) (Accepted, error) {
+	var lastErr error
+	for range acceptTries {
+		present, err := api.Get(ctx, operator.KindAccepted, in.Name)
+		if platform.IsNotFound(err) {
+			present, err = nil, nil
+		}
+		if err != nil {
+			return Accepted{}, err
+		}
+		d, err := Decide(in, present, time.Now())
+		if err != nil {
+			return Accepted{}, err
+		}
+		if d.Write == nil {
+			return Accepted{
+				Object:  present,
+				Refused: d.Refused,
+			}, nil
+		}
+		written, err := platform.Put(ctx, api, d.Write)
+		if err == nil {
+			return Accepted{
+				Object: written,
+				Wrote:  true,
+			}, nil
+		}
+		if !platform.IsConflict(err) {
+			return Accepted{}, err
+		}
+		lastErr = err
+	}
+	return Accepted{}, lastErr
+}
--- /dev/null
+++ b/rollout/rollout_test.go
@@ -0,0 +1,173 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package rollout_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/internal/objectapi"
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/platform"
+	"sassafrasfront.example/rollout"
+)
+
+func accepted(sequence, source uint64, deleted bool) *platform.Object {
+	return platform.NewObject(operator.KindAccepted, "pledgebook", operator.Accepted{
+		Sequence: sequence,
+		Source:   source,
+		Deleted:  deleted,
+	}).WithVersion("7")
+}
+
+func TestDecide(t *testing.T) {
+	valid, invalid := []byte(`{"hosts":["a"]}`), []byte(`{"hosts":[]}`)
+	tests := map[string]struct {
+		present  *platform.Object
+		source   uint64
+		spec     []byte
+		sequence uint64 // of the write, or 0
+		deleted  bool
+		refused  bool
+	}{
+		"first":                      {source: 1, spec: valid, sequence: 1},
+		"newer":                      {present: accepted(4, 8, false), source: 9, spec: valid, sequence: 5},
+		"the same again":             {present: accepted(4, 9, false), source: 9, spec: valid},
+		"older, by a paused steward": {present: accepted(4, 9, false), source: 8, spec: valid},
+		"invalid":                    {present: accepted(4, 8, false), source: 9, spec: invalid, refused: true},
+		"invalid and old":            {present: accepted(4, 9, false), source: 8, spec: invalid},
+		"deleted":                    {present: accepted(4, 8, false), source: 9, sequence: 5, deleted: true},
+		"deleted before":             {present: accepted(4, 8, true), source: 9},
+		"never there":                {source: 9},
+		"gone from an old list":      {present: accepted(4, 9, false), source: 8},
+		"created again":              {present: accepted(4, 8, true), source: 9, spec: valid, sequence: 5},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d, err := rollout.Decide(rollout.Intent{Name: "pledgebook", Source: test.source, Spec: test.spec}, test.present, time.Now())
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, len(d.Refused) > 0, qt.Equals, test.refused)
+			if test.sequence == 0 {
+				qt.Check(t, d.Write == nil, qt.IsTrue)
+				return
+			}
+			qt.Assert(t, d.Write != nil, qt.IsTrue)
+			a, err := platform.SpecOf[operator.Accepted](d.Write)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, a.Sequence, qt.Equals, test.sequence)
+			qt.Check(t, a.Deleted, qt.Equals, test.deleted)
+			if test.present != nil {
+				qt.Check(t, d.Write.Metadata.ResourceVersion, qt.Equals, "7")
+			}
+		})
+	}
+}
+
+func start(t *testing.T) (*objectapi.Server, *platform.Client) {
+	t.Helper()
+	s := new(objectapi.Server)
+	h := httptest.NewServer(s)
+	t.Cleanup(func() {
+		h.CloseClientConnections()
+		h.Close()
+	})
+	return s, &platform.Client{URL: h.URL, Namespace: "test", Timeout: time.Second}
+}
+
+// paused is an API whose holder is paused between its read and its write, while
+// between acts.
+type paused struct {
+	platform.API
+	between func()
+}
+
+func (p *paused) Get(ctx context.Context, kind, name string) (*platform.Object, error) {
+	o, err := p.API.Get(ctx, kind, name)
+	if f := p.between; f != nil {
+		p.between = nil
+		f()
+	}
+	return o, err
+}
+
+// TestPausedStewardIsHarmless has one steward read, then another accept a newer
+// intent, and then the first go on with its old one.
+func TestPausedStewardIsHarmless(t *testing.T) {
+	ctx := context.Background()
+	_, api := start(t)
+	old := rollout.Intent{Name: "a", Source: 5, Spec: []byte(`{"hosts":["old"]}`)}
+	next := rollout.Intent{Name: "a", Source: 6, Spec: []byte(`{"hosts":["next"]}`)}
+	slow := &paused{API: api, between: func() {
+		_, err := rollout.Accept(ctx, api, next)
+		qt.Assert(t, err, qt.IsNil)
+	}}
+	result, err := rollout.Accept(ctx, slow, old)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, result.Wrote, qt.IsFalse)
+	a, err := platform.SpecOf[operator.Accepted](result.Object)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, a.Service.Hosts, qt.DeepEquals, []string{"next"})
+	qt.Check(t, a.Sequence, qt.Equals, uint64(1))
+}
+
+// TestStewardsRace has three stewards accept a stream of intents at once, with
+// answers lost. The sequences that they see form one growing history, and the
+// last intent is in force at the end.
+func TestStewardsRace(t *testing.T) {
+	ctx := context.Background()
+	s, api := start(t)
+	s.SetFaults(objectapi.Faults{LoseWrites: 0.2})
+	const intents = 30
+	var mu sync.Mutex
+	history := make(map[uint64]uint64) // source by sequence
+	var all sync.WaitGroup
+	for range 3 {
+		all.Go(func() {
+			var last uint64
+			for i := uint64(1); i <= intents; {
+				in := rollout.Intent{Name: "a", Source: i, Spec: fmt.Appendf(nil, `{"hosts":["h%d"]}`, i)}
+				result, err := rollout.Accept(ctx, api, in)
+				if err != nil {
+					continue
+				}
+				i++
+				a, err := platform.SpecOf[operator.Accepted](result.Object)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Check(t, a.Sequence >= last, qt.IsTrue)
+				last = a.Sequence
+				mu.Lock()
+				if was, ok := history[a.Sequence]; ok {
+					qt.Check(t, was, qt.Equals, a.Source, qt.Commentf("two values at sequence %d", a.Sequence))
+				}
+				history[a.Sequence] = a.Source
+				mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	o, err := api.Get(ctx, operator.KindAccepted, "a")
+	qt.Assert(t, err, qt.IsNil)
+	a, err := platform.SpecOf[operator.Accepted](o)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, a.Source, qt.Equals, uint64(intents))
+	qt.Check(t, a.Service.Hosts, qt.DeepEquals, []string{fmt.Sprintf("h%d", intents)})
+}
+
+func TestConfigSurvivesTheObject(t *testing.T) {
+	d, err := rollout.Decide(rollout.Intent{Name: "a", Source: 1, Spec: []byte(`{"hosts":["x"],"policy":"random"}`)}, nil, time.Now())
+	qt.Assert(t, err, qt.IsNil)
+	c, err := rollout.FromObject(d.Write)
+	qt.Assert(t, err, qt.IsNil)
+	s, err := c.Service()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, s.Policy, qt.Equals, "random")
+	qt.Check(t, c.Rank().Major, qt.Equals, uint64(1))
+}
--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,131 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package settings
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"regexp"
+	"strings"
+	"time"
+
+	"sassafrasfront.example/route"
+)
+
+// Fault is what is wrong with one setting.
+type Fault struct {
+	// Key is the name of the setting.
+	Key string
+	// File and Line say where it was set, if that was in a file.
+	File string
+	Line int
+	// Message says what is wrong, and what would be right.
+	Message string
+}
+
+// String returns the fault as one line.
+func (f Fault) String() string {
+	where := f.Key
+	if f.File != "" {
+		where = fmt.Sprintf("%s:%d: %s", f.File, f.Line, f.Key)
+	}
+	return where + ": " + f.Message
+}
+
+// Faults are all faults of the settings. They are an error if there are any.
+type Faults []Fault
+
+// Error implements the error interface.
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i, x := range f {
+		lines[i] = x.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([-a-z0-9.]{0,61}[a-z0-9])?$`)
+
+// checker gathers faults.
+type checker struct {
+	faults Faults
+}
+
+func (c *checker) add(ok bool, key, format string, args ...any) {
+	if !ok {
+		c.faults = append(c.faults, Fault{
+			Key:     key,
+			Message: fmt.Sprintf(format, args...),
+		})
+	}
+}
+
+func (c *checker) name(key, v string) {
+	c.add(namePattern.MatchString(v), key, "%q is not a name of at most 63 lower-case letters, digits, dots and dashes", v)
+}
+
+func (c *checker) address(key, v string, loopback bool) {
+	host, port, err := net.SplitHostPort(v)
+	ip := net.ParseIP(host)
+	c.add(err == nil && ip != nil && port != "", key, "%q is not an IP number and port", v)
+	c.add(err != nil || ip == nil || !loopback || ip.IsLoopback(), key, "%q is not on loopback", v)
+}
+
+func (c *checker) url(key, v string) {
+	u, err := url.Parse(v)
+	c.add(err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != "", key, "%q is not an http or https URL", v)
+}
+
+func within[T int | float64 | time.Duration](c *checker, key string, v, low, high T) {
+	c.add(v >= low && v <= high, key, "%v is not within %v and %v", v, low, high)
+}
+
+// Check returns the faults of s.
+func (s *Settings) Check() Faults {
+	c := new(checker)
+	c.name("node", s.Node)
+	c.name("region", s.Region)
+	c.name("zone", s.Zone)
+	c.name("namespace", s.Namespace)
+	c.address("callerAddress", s.CallerAddress, false)
+	c.address("peerAddress", s.PeerAddress, false)
+	c.address("announceAddress", s.AnnounceAddress, true)
+	c.address("operatorAddress", s.OperatorAddress, false)
+	if s.PlatformURL != "" || s.Peers == "" {
+		c.url("platformURL", s.PlatformURL)
+	}
+	for _, p := range s.PeerList() {
+		c.address("peers", p, false)
+	}
+	if s.TraceURL != "" {
+		c.url("traceURL", s.TraceURL)
+	}
+	levels := map[string]bool{"debug": true, "info": true, "warn": true, "error": true}
+	c.add(levels[s.LogLevel], "logLevel", "%q is not debug, info, warn or error", s.LogLevel)
+	within(c, "traceSample", s.TraceSample, 0, 1)
+	within(c, "reportBytes", s.ReportBytes, 0, 1<<20)
+	within(c, "controlBytes", s.ControlBytes, 1000, 1<<20)
+	within(c, "platformCalls", s.PlatformCalls, 1, 1000)
+	within(c, "lease", s.Lease, 500*time.Millisecond, 10*time.Minute)
+	within(c, "patience", s.Patience, time.Second, 24*time.Hour)
+	within(c, "drainTimeout", s.DrainTimeout, 0, time.Hour)
+	within(c, "leaveDelay", s.LeaveDelay, 0, time.Minute)
+	within(c, "maxHeaderBytes", s.MaxHeaderBytes, 1<<10, 1<<20)
+	_, ok := route.ByName(s.Policy)
+	c.add(ok, "policy", "%q is not twoChoice, random, roundRobin, leastOutstanding or hotCold", s.Policy)
+	return c.faults
+}
+
+// PeerList returns the addresses in Peers.
+func (s *Settings) PeerList() []string {
+	var list []string
+	for p := range strings.SplitSeq(s.Peers, ",") {
+		if p = strings.TrimSpace(p); p != "" {
+			list = append(list, p)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/settings/read.go
@@ -0,0 +1,144 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package settings
+
+import (
+	"flag"
+	"io"
+	"regexp"
+	"strconv"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/rotisserie/eris"
+	"go.yaml.in/yaml/v3"
+)
+
+// EnvPrefix starts the names of the environment variables.
+const EnvPrefix = "SASSAFRAS"
+
+// configFlag names the file.
+const configFlag = "config"
+
+// Read reads the settings from the arguments, the environment and the file that
+// -config names, and checks them. Faults are returned as Faults; any other
+// error says that the arguments or the file could not be read at all.
+func Read(fs *flag.FlagSet, args []string) (*Settings, error) {
+	s := new(Settings)
+	s.Register(fs)
+	fs.String(configFlag, "", "file with settings in YAML")
+	f := &file{flags: fs}
+	err := ff.Parse(fs, args,
+		ff.WithEnvVarPrefix(EnvPrefix),
+		ff.WithConfigFileFlag(configFlag),
+		ff.WithConfigFileParser(f.parse),
+	)
+	if err != nil {
+		return nil, eris.Wrap(err, "settings")
+	}
+	f.name = fs.Lookup(configFlag).Value.String()
+	faults := f.faults
+	for _, fault := range s.Check() {
+		if _, set := f.broken[fault.Key]; !set {
+			faults = append(faults, fault)
+		}
+	}
+	f.locate(faults)
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return s, nil
+}
+
+// file reads settings from YAML.
+type file struct {
+	flags  *flag.FlagSet
+	name   string
+	lines  map[string]int
+	broken map[string]bool // settings whose value in the file can't be read
+	faults Faults
+}
+
+// locate fills in where faulty settings were set.
+func (f *file) locate(faults Faults) {
+	for i := range faults {
+		if line, ok := f.lines[faults[i].Key]; ok {
+			faults[i].File = f.name
+			faults[i].Line = line
+		}
+	}
+}
+
+func (f *file) fault(key string, line int, message string) {
+	f.lines[key] = line
+	f.broken[key] = true
+	f.faults = append(f.faults, Fault{
+		Key:     key,
+		Message: message,
+	})
+}
+
+// yamlLine finds the line in an error of the YAML library.
+var yamlLine = regexp.MustCompile(`line (\d+)`)
+
+// parse implements ff.ConfigFileParser. It gathers faults rather than stopping
+// at the first one.
+func (f *file) parse(r io.Reader, set func(name, value string) error) error {
+	f.lines = make(map[string]int)
+	f.broken = make(map[string]bool)
+	data, err := io.ReadAll(r)
+	if err != nil {
+		return err
+	}
+	var doc yaml.Node
+	if err := yaml.Unmarshal(data, &doc); err != nil {
+		line := 1
+		if m := yamlLine.FindStringSubmatch(err.Error()); m != nil {
+			line, _ = strconv.Atoi(m[1])
+		}
+		f.fault("(file)", line, err.Error())
+		return nil
+	}
+	if len(doc.Content) == 0 {
+		return nil
+	}
+	root := doc.Content[0]
+	if root.Kind != yaml.MappingNode {
+		f.fault("(file)", root.Line, "not a list of settings and their values")
+		return nil
+	}
+	for i := 0; i+1 < len(root.Content); i += 2 {
+		f.set(root.Content[i], root.Content[i+1], set)
+	}
+	return nil
+}
+
+// set takes in one setting of the file.
+func (f *file) set(key, value *yaml.Node, set func(name, value string) error) {
+	name := key.Value
+	_, twice := f.lines[name]
+	known := f.flags.Lookup(name) != nil && name != configFlag
+	switch {
+	case !known:
+		f.fault(name, key.Line, "unknown setting")
+	case twice:
+		f.fault(name, key.Line, "set twice")
+	case value.Kind != yaml.ScalarNode:
+		f.fault(name, key.Line, "not a single value")
+	default:
+		f.lines[name] = key.Line
+		if err := f.try(name, value.Value, set); err != nil {
+			f.fault(name, key.Line, err.Error())
+		}
+	}
+}
+
+// try has a value parsed by its flag.
+func (f *file) try(name, value string, set func(name, value string) error) error {
+	err := set(name, value)
+	if err == nil {
+		return nil
+	}
+	return eris.Errorf("%q can't be read: %v", value, eris.Cause(err))
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,87 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package settings
+
+import (
+	"flag"
+	"time"
+)
+
+// Settings are a node's settings. They are read once, at the start.
+type Settings struct {
+	// Node is the node's name, unique in the system.
+	Node string
+	// Region and Zone are where the node is.
+	Region, Zone string
+	// CallerAddress is where callers' requests are taken.
+	CallerAddress string
+	// PeerAddress is where other nodes connect, as an IP number and port.
+	PeerAddress string
+	// AnnounceAddress is where the upstream announces itself. It is on
+	// loopback.
+	AnnounceAddress string
+	// OperatorAddress serves metrics, health and readiness.
+	OperatorAddress string
+	// PlatformURL is the root of the platform's object API.
+	PlatformURL string
+	// Namespace holds the system's objects there.
+	Namespace string
+	// Peers are peer addresses to learn from at the start, separated by
+	// commas. They are needed only if the platform may be down then.
+	Peers string
+	// LogLevel is debug, info, warn or error.
+	LogLevel string
+	// TraceURL is the OTLP collector's. Empty means no traces.
+	TraceURL string
+	// TraceSample is the share of the traces begun here that are kept.
+	TraceSample float64
+	// ReportBytes is the budget for load reports on answers, and ControlBytes
+	// that for comparing and passing on the control state, in bytes per second.
+	ReportBytes, ControlBytes int
+	// PlatformCalls is the budget of calls to the platform, per second.
+	PlatformCalls float64
+	// Lease is the duration of the steward's lease.
+	Lease time.Duration
+	// Patience is the silence after which a node is removed.
+	Patience time.Duration
+	// DrainTimeout bounds the wait for requests in flight at a planned stop.
+	DrainTimeout time.Duration
+	// LeaveDelay is how long a node that leaves goes on taking callers'
+	// requests, so that those who send them can learn of it.
+	LeaveDelay time.Duration
+	// MaxHeaderBytes bounds the head of a caller's request.
+	MaxHeaderBytes int
+	// Policy, if not empty, overrides the routing policy of all services.
+	Policy string
+	// Pprof is whether profiles are served at OperatorAddress.
+	Pprof bool
+}
+
+// Register defines the settings as flags of fs, with their defaults.
+func (s *Settings) Register(fs *flag.FlagSet) {
+	fs.StringVar(&s.Node, "node", "", "name of the node, unique in the system")
+	fs.StringVar(&s.Region, "region", "", "region of the node")
+	fs.StringVar(&s.Zone, "zone", "", "availability zone of the node")
+	fs.StringVar(&s.CallerAddress, "callerAddress", "127.0.0.1:8080", "where callers' requests are taken")
+	fs.StringVar(&s.PeerAddress, "peerAddress", "127.0.0.1:8081", "where other nodes connect, an IP number and port")
+	fs.StringVar(&s.AnnounceAddress, "announceAddress", "127.0.0.1:8082", "where the upstream announces itself, on loopback")
+	fs.StringVar(&s.OperatorAddress, "operatorAddress", "127.0.0.1:8083", "metrics, health and readiness")
+	fs.StringVar(&s.PlatformURL, "platformURL", "", "root of the platform's object API")
+	fs.StringVar(&s.Namespace, "namespace", "sassafrasfront", "namespace of the system's objects")
+	fs.StringVar(&s.Peers, "peers", "", "peer addresses to learn from at the start, separated by commas")
+	fs.StringVar(&s.LogLevel, "logLevel", "info", "debug, info, warn or error")
+	fs.StringVar(&s.TraceURL, "traceURL", "", "OTLP collector, such as http://10.0.0.1:4318/v1/traces; empty for none")
+	fs.Float64Var(&s.TraceSample, "traceSample", 0.01, "share of the traces begun here that are kept")
+	fs.IntVar(&s.ReportBytes, "reportBytes", 8000, "budget for load reports, in bytes per second")
+	fs.IntVar(&s.ControlBytes, "controlBytes", 10000, "budget for the control state, in bytes per second")
+	fs.Float64Var(&s.PlatformCalls, "platformCalls", 20, "budget of calls to the platform, per second")
+	fs.DurationVar(&s.Lease, "lease", 15*time.Second, "duration of the steward's lease")
+	fs.DurationVar(&s.Patience, "patience", 3*time.Minute, "silence after which a node is removed")
+	fs.DurationVar(&s.DrainTimeout, "drainTimeout", 30*time.Second, "longest wait for requests in flight at a planned stop")
+	fs.DurationVar(&s.LeaveDelay, "leaveDelay", time.Second, "how long a leaving node goes on taking callers' requests")
+	fs.IntVar(&s.MaxHeaderBytes, "maxHeaderBytes", 64<<10, "largest head of a caller's request, in bytes")
+	fs.StringVar(&s.Policy, "policy", "", "routing policy for all services, overriding theirs")
+	fs.BoolVar(&s.Pprof, "pprof", false, "serve profiles at operatorAddress")
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,97 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package settings_test
+
+import (
+	"errors"
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/settings"
+)
+
+const good = "node: a\nregion: r\nzone: z\nplatformURL: http://127.0.0.1:1\n"
+
+func read(t *testing.T, yaml string, args ...string) (*settings.Settings, error) {
+	t.Helper()
+	name := filepath.Join(t.TempDir(), "node.yaml")
+	qt.Assert(t, os.WriteFile(name, []byte(yaml), 0o600), qt.IsNil)
+	fs := flag.NewFlagSet("test", flag.ContinueOnError)
+	return settings.Read(fs, append([]string{"-config", name}, args...))
+}
+
+// TestRead has one row for each kind of fault. Each wanted text is a line of
+// the error.
+func TestRead(t *testing.T) {
+	tests := map[string]struct {
+		yaml string
+		args []string
+		want []string
+	}{
+		"good":              {yaml: good},
+		"flag before file":  {yaml: good + "logLevel: loud\n", args: []string{"-logLevel", "debug"}},
+		"unknown key":       {yaml: good + "zones: x\n", want: []string{"node.yaml:5: zones: unknown setting"}},
+		"set twice":         {yaml: good + "zone: x\n", want: []string{"node.yaml:5: zone: set twice"}},
+		"list":              {yaml: good + "peers: [a]\n", want: []string{"node.yaml:5: peers: not a single value"}},
+		"bad number":        {yaml: good + "reportBytes: many\n", want: []string{"node.yaml:5: reportBytes: "}},
+		"out of range":      {yaml: good + "traceSample: 2\n", want: []string{"node.yaml:5: traceSample: 2 is not within 0 and 1"}},
+		"bad address":       {yaml: good + "peerAddress: localhost:1\n", want: []string{"node.yaml:5: peerAddress: "}},
+		"not on loopback":   {yaml: good + "announceAddress: 10.0.0.1:1\n", want: []string{"announceAddress: \"10.0.0.1:1\" is not on loopback"}},
+		"bad flag value":    {yaml: good, args: []string{"-lease", "1ms"}, want: []string{"lease: 1ms is not within"}},
+		"missing":           {yaml: "zone: z\n", want: []string{"node: ", "region: ", "platformURL: "}},
+		"all at once":       {yaml: good + "zones: x\nlease: soon\npolicy: best\n", want: []string{":5: zones", ":6: lease", ":7: policy"}},
+		"not YAML":          {yaml: "node: [\n", want: []string{"node.yaml:"}},
+		"not a mapping":     {yaml: "- a\n", want: []string{"not a list of settings"}},
+		"empty":             {yaml: "", want: []string{"node: "}},
+		"peers in place of": {yaml: "node: a\nregion: r\nzone: z\npeers: 127.0.0.1:1, 127.0.0.1:2\n"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, err := read(t, test.yaml, test.args...)
+			if test.want == nil {
+				qt.Assert(t, err, qt.IsNil)
+				qt.Check(t, s.Zone, qt.Equals, "z")
+				return
+			}
+			faults, ok := errors.AsType[settings.Faults](err)
+			qt.Assert(t, ok, qt.IsTrue, qt.Commentf("%v", err))
+			for _, w := range test.want {
+				qt.Check(t, err.Error(), qt.Contains, w)
+			}
+			qt.Check(t, len(faults) >= len(test.want), qt.IsTrue)
+		})
+	}
+}
+
+func TestEnvironment(t *testing.T) {
+	t.Setenv("SASSAFRAS_ZONE", "fromenv")
+	s, err := read(t, good)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, s.Zone, qt.Equals, "fromenv")
+}
+
+// TestExampleNamesEverySetting loads the documented example, and checks that it
+// has each setting with its default.
+func TestExampleNamesEverySetting(t *testing.T) {
+	data, err := os.ReadFile("../cmd/sassafrasnode/example.yaml")
+	qt.Assert(t, err, qt.IsNil)
+	_, err = read(t, string(data))
+	qt.Assert(t, err, qt.IsNil)
+	fs := flag.NewFlagSet("test", flag.ContinueOnError)
+	new(settings.Settings).Register(fs)
+	noDefault := map[string]bool{"node": true, "region": true, "zone": true, "platformURL": true}
+	fs.VisitAll(func(f *flag.Flag) {
+		want := "\n" + f.Name + ": "
+		if !noDefault[f.Name] {
+			want += strings.ReplaceAll(strings.TrimSuffix(f.DefValue, "0s"), "m0", "m")
+		}
+		qt.Check(t, string(data), qt.Contains, want)
+	})
+}
--- /dev/null
+++ b/upstream/announcement.go
@@ -0,0 +1,126 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package upstream
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+
+	"sassafrasfront.example/operator"
+)
+
+// Announcement is what an upstream says of itself. It is an immutable value.
+type Announcement struct {
+	// Service is the name of the service that the upstream belongs to.
+	Service string `json:"service"`
+	// Address is where it takes requests, as an IP number and port.
+	Address string `json:"address"`
+	// Slots is the number of requests that it runs at once.
+	Slots int `json:"slots"`
+	// Connections is the number of connections that it takes. Zero means as
+	// many as it has slots.
+	Connections int `json:"connections"`
+	// Draining is whether it wants no new requests.
+	Draining bool `json:"draining"`
+	// Start tells one start of the upstream from another. When it changes, the
+	// upstream is taken to be cold.
+	Start string `json:"start"`
+}
+
+// The bounds of an announcement.
+const (
+	maxSlots        = 10000
+	maxConnections  = 100000
+	maxAnnouncement = 4 << 10
+)
+
+// Check returns the faults of a.
+func (a Announcement) Check() operator.Faults {
+	f := operator.CheckName(a.Service)
+	for i := range f {
+		f[i].Field = "service"
+	}
+	add := func(ok bool, field, format string, args ...any) {
+		if !ok {
+			f = append(f, operator.Fault{
+				Field:   field,
+				Message: fmt.Sprintf(format, args...),
+			})
+		}
+	}
+	host, _, err := net.SplitHostPort(a.Address)
+	add(err == nil && net.ParseIP(host) != nil, "address", "%q is not an IP number and port", a.Address)
+	add(a.Slots >= 1 && a.Slots <= maxSlots, "slots", "%d is not within 1 and %d", a.Slots, maxSlots)
+	add(a.Connections >= 0 && a.Connections <= maxConnections, "connections", "%d is not within 0 and %d", a.Connections, maxConnections)
+	return f
+}
+
+// Announcements is the http.Handler through which the upstream announces
+// itself, at /v1/upstream: PUT announces, GET shows what holds, and DELETE
+// withdraws. The exported fields are set before the first request.
+type Announcements struct {
+	// Changed is called with each announcement, and with nil for a withdrawal.
+	Changed func(*Announcement)
+
+	mu      sync.Mutex
+	current *Announcement
+}
+
+// Current returns what holds, or nil.
+func (h *Announcements) Current() *Announcement {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.current
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Announcements) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.Method {
+	case http.MethodGet:
+		if a := h.Current(); a != nil {
+			w.Header().Set("Content-Type", "application/json")
+			_ = json.NewEncoder(w).Encode(a)
+			return
+		}
+		http.Error(w, "no upstream is announced", http.StatusNotFound)
+	case http.MethodPut:
+		h.put(w, r)
+	case http.MethodDelete:
+		h.set(nil)
+		w.WriteHeader(http.StatusNoContent)
+	default:
+		w.Header().Set("Allow", "GET, PUT, DELETE")
+		http.Error(w, "method not allowed", http.StatusMethodNotAllowed)
+	}
+}
+
+func (h *Announcements) put(w http.ResponseWriter, r *http.Request) {
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement))
+	d.DisallowUnknownFields()
+	a := new(Announcement)
+	if err := d.Decode(a); err != nil {
+		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	if a.Connections == 0 {
+		a.Connections = a.Slots
+	}
+	if f := a.Check(); len(f) > 0 {
+		http.Error(w, f.Error(), http.StatusUnprocessableEntity)
+		return
+	}
+	h.set(a)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (h *Announcements) set(a *Announcement) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.current = a
+	h.Changed(a)
+}
--- /dev/null
+++ b/upstream/conn.go
@@ -0,0 +1,158 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"sassafrasfront.example/verdict"
+)
+
+// conn is a connection to the upstream. It carries one request at a time.
+type conn struct {
+	net.Conn
+	reader    *bufio.Reader
+	writer    *bufio.Writer
+	allowed   int64 // bytes that may still be read
+	sent      atomic.Int64
+	ended     bool // whether a read has failed
+	idleSince time.Time
+}
+
+// errHeadTooLarge ends a connection whose answer's head is over the limit.
+var errHeadTooLarge = eris.New("head of the answer is too large")
+
+// Read implements io.Reader within the allowed number of bytes.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.allowed <= 0 {
+		return 0, errHeadTooLarge
+	}
+	if int64(len(p)) > c.allowed {
+		p = p[:c.allowed]
+	}
+	n, err := c.Conn.Read(p)
+	c.allowed -= int64(n)
+	c.ended = c.ended || err != nil
+	return n, err
+}
+
+// countingWriter counts what the kernel took of the request.
+type countingWriter struct {
+	*conn
+}
+
+// Write implements io.Writer.
+func (w countingWriter) Write(p []byte) (int, error) {
+	n, err := w.Conn.Write(p)
+	w.sent.Add(int64(n))
+	return n, err
+}
+
+// kill makes every read and write fail.
+func (c *conn) kill() {
+	_ = c.SetDeadline(time.Unix(1, 0))
+}
+
+// write writes the whole request.
+func (c *conn) write(r *http.Request) error {
+	c.sent.Store(0)
+	if err := r.Write(c.writer); err != nil {
+		return err
+	}
+	return c.writer.Flush()
+}
+
+// readHead reads the head of the final answer.
+func (c *conn) readHead(r *http.Request, inform func(int, http.Header)) (*http.Response, error) {
+	for range maxInforms {
+		c.allowed = maxHead
+		response, err := http.ReadResponse(c.reader, r)
+		if err != nil {
+			return nil, err
+		}
+		switch {
+		case response.StatusCode == http.StatusSwitchingProtocols:
+			return nil, eris.New("upstream switched protocols unasked")
+		case response.StatusCode >= 200:
+			c.allowed = unlimited
+			return response, nil
+		case inform != nil && response.StatusCode != http.StatusContinue:
+			inform(response.StatusCode, response.Header)
+		}
+	}
+	return nil, eris.New("too many informational answers")
+}
+
+// failure returns the verdict on a request whose answer's head could not be
+// read. The connection is closed by now. The writing may go on, waiting for
+// the caller's body; what it has sent is then not known for certain.
+func (c *conn) failure(ctx context.Context, err error, written chan error) *verdict.Error {
+	var writeErr error
+	certain := true
+	select {
+	case writeErr = <-written:
+	default:
+		certain = false
+	}
+	if ctx.Err() != nil {
+		err = context.Cause(ctx)
+	}
+	switch {
+	case certain && c.sent.Load() == 0:
+		return verdict.New(verdict.UpstreamDialFailed, err)
+	case ctx.Err() != nil:
+		return verdict.As(err, verdict.CallerGone)
+	case writeErr != nil && isBodyError(writeErr):
+		return verdict.As(writeErr, verdict.BodyLost)
+	case c.ended || isNetworkError(err):
+		return verdict.New(verdict.UpstreamLost, err)
+	}
+	return verdict.New(verdict.AnswerInvalid, err)
+}
+
+// isBodyError returns whether writing failed because the body of the request
+// could not be read.
+func isBodyError(err error) bool {
+	_, ok := errors.AsType[*verdict.Error](err)
+	return ok
+}
+
+// isNetworkError returns whether the connection failed, rather than what came
+// over it.
+func isNetworkError(err error) bool {
+	_, ok := errors.AsType[net.Error](err)
+	return ok || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
+// quiet returns whether the idle connection is open and has nothing to read: a
+// server that closed it, or that spoke out of turn, makes it unfit for a
+// request.
+func (c *conn) quiet() bool {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var peekErr error
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, peekErr = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return true
+	})
+	return err == nil && peekErr == syscall.EAGAIN
+}
--- /dev/null
+++ b/upstream/prober.go
@@ -0,0 +1,72 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package upstream
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// probeFailures is the number of failed probes in a row after which the
+	// upstream counts as down.
+	probeFailures = 3
+	defaultEvery  = time.Second
+)
+
+// Prober watches whether the upstream accepts connections. That is a hint: the
+// requests themselves say more. The exported fields are set before Run.
+type Prober struct {
+	// Transport dials the upstream.
+	Transport *Transport
+	// Every is the time between probes. Zero means 1 s.
+	Every time.Duration
+	// Changed is called when the upstream goes down or comes up again.
+	Changed func(up bool)
+}
+
+// Run probes until ctx ends.
+func (p *Prober) Run(ctx context.Context) {
+	every := p.Every
+	if every == 0 {
+		every = defaultEvery
+	}
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	up := true
+	var failures int
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if p.probe(ctx) {
+			failures = 0
+		} else {
+			failures++
+		}
+		if now := failures < probeFailures; now != up && ctx.Err() == nil {
+			up = now
+			p.Changed(up)
+		}
+	}
+}
+
+// probe returns whether a connection could be opened.
+func (p *Prober) probe(ctx context.Context) bool {
+	dial := p.Transport.Dial
+	if dial == nil {
+		dial = dialTCP
+	}
+	ctx, cancel := context.WithTimeout(ctx, defaultDial)
+	defer cancel()
+	c, err := dial(ctx, p.Transport.Addr)
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
--- /dev/null
+++ b/upstream/transport.go
@@ -0,0 +1,308 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"sassafrasfront.example/verdict"
+)
+
+const (
+	// maxHead bounds the head of an answer, in bytes.
+	maxHead = 64 << 10
+	// maxInforms bounds the informational answers to one request.
+	maxInforms = 8
+	// defaultDial bounds the opening of a connection.
+	defaultDial = time.Second
+	// defaultIdle is how long an idle connection is kept. It is shorter than
+	// the five seconds after which common servers close theirs.
+	defaultIdle = 4 * time.Second
+)
+
+// The headers with which an upstream says that it has not run a request. A
+// caller gets them too.
+const (
+	// VerdictHeader bears the verdict. An upstream that answers 503 with the
+	// verdict notRun has not run the request.
+	VerdictHeader = "Sassafras-Verdict"
+	// GivenUpHeader, if it is "true", says that the tries have been spent.
+	GivenUpHeader = "Sassafras-Given-Up"
+)
+
+// Transport sends requests to one upstream. The exported fields are set before
+// the first call.
+type Transport struct {
+	// Addr is the address of the upstream.
+	Addr string
+	// Connections is the largest number of open connections. Zero means no
+	// bound.
+	Connections int
+	// Warm is the largest number of idle connections that are kept.
+	Warm int
+	// Idle is how long an idle connection is kept. Zero means 4 s.
+	Idle time.Duration
+	// Dial opens a connection. Nil means TCP, bounded by 1 s.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
+
+	mu   sync.Mutex
+	open int
+	free chan struct{} // closed when a connection is closed or becomes idle
+	idle []*conn       // the latest used last
+}
+
+// Send writes the request and returns the head of the answer. The request's
+// context cancels it: the connection is then closed. Inform, if not nil, is
+// called with each informational answer. The caller closes the answer's body.
+func (t *Transport) Send(r *http.Request, inform func(status int, h http.Header)) (*http.Response, *verdict.Error) {
+	c, err := t.take(r.Context())
+	if err != nil {
+		return nil, verdict.As(err, verdict.UpstreamDialFailed)
+	}
+	stop := context.AfterFunc(r.Context(), c.kill)
+	written := make(chan error, 1)
+	if r.Body == nil || r.ContentLength >= 0 && r.ContentLength <= inlineBody {
+		written <- c.write(r)
+	} else {
+		go func() { written <- c.write(r) }()
+	}
+	response, err := c.readHead(r, inform)
+	if err != nil {
+		stop()
+		t.discard(c)
+		return nil, c.failure(r.Context(), err, written)
+	}
+	if refused := refusal(response); refused != nil {
+		stop()
+		t.discard(c)
+		return nil, refused
+	}
+	response.Body = &body{
+		ReadCloser: response.Body,
+		transport:  t,
+		conn:       c,
+		stop:       stop,
+		written:    written,
+		reusable:   !response.Close && !r.Close,
+	}
+	return response, nil
+}
+
+// inlineBody is the largest body that is written before the answer is read.
+const inlineBody = 64 << 10
+
+// refusal returns the failure that an answer stands for, if it says that the
+// upstream has not run the request.
+func refusal(r *http.Response) *verdict.Error {
+	v, ok := verdict.Parse(r.Header.Get(VerdictHeader))
+	if r.StatusCode != http.StatusServiceUnavailable || !ok || v != verdict.NotRun {
+		return nil
+	}
+	e := verdict.New(verdict.UpstreamRefused, nil)
+	if s, err := time.ParseDuration(r.Header.Get("Retry-After") + "s"); err == nil {
+		e = e.WithRetryAfter(s)
+	}
+	if r.Header.Get(GivenUpHeader) == "true" {
+		e = e.WithGivenUp()
+	}
+	return e
+}
+
+// take returns an idle connection that is still good, or opens one. It waits
+// while the upstream has as many connections as it may.
+func (t *Transport) take(ctx context.Context) (*conn, error) {
+	for {
+		t.mu.Lock()
+		c := t.popIdle()
+		switch {
+		case c != nil:
+			t.mu.Unlock()
+			return c, nil
+		case t.Connections <= 0 || t.open < t.Connections:
+			t.open++
+			t.mu.Unlock()
+			return t.dial(ctx)
+		}
+		if t.free == nil {
+			t.free = make(chan struct{})
+		}
+		free := t.free
+		t.mu.Unlock()
+		select {
+		case <-free:
+		case <-ctx.Done():
+			return nil, notSent(context.Cause(ctx))
+		}
+	}
+}
+
+// notSent returns the failure of a request that ended before it was written.
+func notSent(err error) *verdict.Error {
+	return verdict.New(verdict.UpstreamDialFailed, err)
+}
+
+// popIdle returns the idle connection used last that is still good, or nil,
+// and closes those that are not.
+func (t *Transport) popIdle() *conn {
+	for len(t.idle) > 0 {
+		c := t.idle[len(t.idle)-1]
+		t.idle = t.idle[:len(t.idle)-1]
+		if time.Since(c.idleSince) < t.maxIdle() && c.quiet() {
+			return c
+		}
+		t.closeLocked(c)
+	}
+	return nil
+}
+
+func (t *Transport) maxIdle() time.Duration {
+	if t.Idle == 0 {
+		return defaultIdle
+	}
+	return t.Idle
+}
+
+// dial opens a connection that is already counted.
+func (t *Transport) dial(ctx context.Context) (*conn, error) {
+	dial := t.Dial
+	if dial == nil {
+		dial = dialTCP
+	}
+	raw, err := dial(ctx, t.Addr)
+	if err != nil {
+		t.mu.Lock()
+		t.open--
+		t.signal()
+		t.mu.Unlock()
+		return nil, notSent(eris.Wrap(err, "dial upstream"))
+	}
+	c := &conn{Conn: raw}
+	c.reader = bufio.NewReader(c)
+	c.writer = bufio.NewWriter(countingWriter{c})
+	return c, nil
+}
+
+func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: defaultDial}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// put takes a connection back whose answer has been read to its end.
+func (t *Transport) put(c *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.idle) >= t.Warm || c.reader.Buffered() > 0 {
+		t.closeLocked(c)
+		return
+	}
+	c.idleSince = time.Now()
+	t.idle = append(t.idle, c)
+	t.signal()
+}
+
+// discard closes a connection.
+func (t *Transport) discard(c *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closeLocked(c)
+}
+
+func (t *Transport) closeLocked(c *conn) {
+	_ = c.Close()
+	t.open--
+	t.signal()
+}
+
+func (t *Transport) signal() {
+	if t.free != nil {
+		close(t.free)
+		t.free = nil
+	}
+}
+
+// CloseIdle closes the idle connections.
+func (t *Transport) CloseIdle() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range t.idle {
+		t.closeLocked(c)
+	}
+	t.idle = nil
+}
+
+// Open returns the number of open connections.
+func (t *Transport) Open() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.open
+}
+
+// body is the body of an answer. Its connection goes back to the transport at
+// its end, or is closed if it is left early.
+type body struct {
+	io.ReadCloser
+	transport *Transport
+	conn      *conn
+	stop      func() bool
+	written   chan error
+	reusable  bool
+	done      bool
+}
+
+// Read implements io.Reader. A body that is cut ends in a *verdict.Error.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == nil {
+		return n, nil
+	}
+	b.finish(err == io.EOF)
+	if err == io.EOF {
+		return n, io.EOF
+	}
+	return n, verdict.New(verdict.AnswerCut, err)
+}
+
+// Close implements io.Closer.
+func (b *body) Close() error {
+	b.finish(false)
+	return nil
+}
+
+// finish gives the connection back once. Whole says that the answer was read
+// to its end.
+func (b *body) finish(whole bool) {
+	if b.done {
+		return
+	}
+	b.done = true
+	alive := b.stop()
+	if whole && alive && b.reusable && b.requestWritten() {
+		b.transport.put(b.conn)
+		return
+	}
+	b.transport.discard(b.conn)
+}
+
+// requestWritten returns whether the whole request has been written by now.
+func (b *body) requestWritten() bool {
+	select {
+	case err := <-b.written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// unlimited lifts the bound on what is read from a connection.
+const unlimited = math.MaxInt64
--- /dev/null
+++ b/upstream/transport_test.go
@@ -0,0 +1,292 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/upstream"
+	"sassafrasfront.example/verdict"
+)
+
+// raw starts a listener that plays each connection with play, and returns its
+// address.
+func raw(t *testing.T, play func(n int, c net.Conn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				play(n, c)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func request(ctx context.Context, method string, body string, header ...string) *http.Request {
+	var reader io.Reader
+	if body != "" {
+		reader = strings.NewReader(body)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "http://service.example/path?q=1", reader)
+	if err != nil {
+		panic(err)
+	}
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	return r
+}
+
+// TestNeverWrittenTwice gives the upstream a connection that answers once and
+// is then reused for the request of the row. The upstream reads that request
+// and closes. net/http's Transport sends some of these again by itself.
+func TestNeverWrittenTwice(t *testing.T) {
+	tests := map[string]*http.Request{
+		"GET":                       request(context.Background(), "GET", ""),
+		"HEAD":                      request(context.Background(), "HEAD", ""),
+		"POST without body":         request(context.Background(), "POST", ""),
+		"POST with body":            request(context.Background(), "POST", "x"),
+		"POST with key":             request(context.Background(), "POST", "", "Idempotency-Key", "k"),
+		"POST with X key":           request(context.Background(), "POST", "", "X-Idempotency-Key", "k"),
+		"POST with key and body":    request(context.Background(), "POST", "x", "Idempotency-Key", "k"),
+		"DELETE":                    request(context.Background(), "DELETE", ""),
+		"PUT with body of any size": request(context.Background(), "PUT", strings.Repeat("x", 1<<20)),
+	}
+	for name, r := range tests {
+		t.Run(name, func(t *testing.T) {
+			var requests atomic.Int32
+			addr := raw(t, func(n int, c net.Conn) {
+				reader := bufio.NewReader(c)
+				for i := 0; ; i++ {
+					got, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, got.Body)
+					requests.Add(1)
+					if n > 0 || i > 0 {
+						return
+					}
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+			})
+			transport := &upstream.Transport{Addr: addr, Warm: 1}
+			first, failed := transport.Send(request(context.Background(), "GET", ""), nil)
+			qt.Assert(t, failed == nil, qt.IsTrue)
+			_, err := io.Copy(io.Discard, first.Body)
+			qt.Assert(t, err, qt.IsNil)
+			_, failed = transport.Send(r, nil)
+			qt.Assert(t, failed != nil, qt.IsTrue)
+			qt.Check(t, failed.Verdict(), qt.Equals, verdict.MayHaveRun)
+			time.Sleep(20 * time.Millisecond)
+			qt.Check(t, requests.Load(), qt.Equals, int32(2))
+		})
+	}
+}
+
+// TestAnswers has one row for each way in which an upstream answers or fails.
+func TestAnswers(t *testing.T) {
+	tests := map[string]struct {
+		answer string // written after the request is read
+		unread bool   // the connection is closed before the request is read
+		want   verdict.Cause
+		cut    bool
+		status int
+		body   string
+		reused bool
+	}{
+		"whole":                  {answer: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", status: 200, body: "ok", reused: true},
+		"chunked":                {answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", status: 200, body: "ok", reused: true},
+		"until close":            {answer: "HTTP/1.1 200 OK\r\n\r\nok", status: 200, body: "ok"},
+		"no content":             {answer: "HTTP/1.1 204 No Content\r\n\r\n", status: 204, reused: true},
+		"not modified":           {answer: "HTTP/1.1 304 Not Modified\r\nContent-Length: 10\r\n\r\n", status: 304, reused: true},
+		"asks to close":          {answer: "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", status: 200, body: "ok"},
+		"early hints first":      {answer: "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", status: 200, reused: true},
+		"more than one answer":   {answer: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n\r\n", status: 200, body: "ok"},
+		"cut body":               {answer: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", status: 200, body: "ok", cut: true},
+		"cut chunk":              {answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok", status: 200, body: "ok", cut: true},
+		"no answer":              {want: verdict.UpstreamLost},
+		"cut head":               {answer: "HTTP/1.1 200 OK\r\nCont", want: verdict.UpstreamLost},
+		"garbage":                {answer: "220 mail.example ESMTP\r\n\r\n", want: verdict.AnswerInvalid},
+		"huge head":              {answer: "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 1<<17) + "\r\n\r\n", want: verdict.AnswerInvalid},
+		"switches protocols":     {answer: "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n", want: verdict.AnswerInvalid},
+		"says that it did not":   {answer: "HTTP/1.1 503 No\r\nSassafras-Verdict: notRun\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n", want: verdict.UpstreamRefused},
+		"plain 503 is an answer": {answer: "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", status: 503, reused: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			addr := raw(t, func(_ int, c net.Conn) {
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, test.answer)
+				if test.reused {
+					_, _ = io.Copy(io.Discard, c)
+				}
+			})
+			transport := &upstream.Transport{Addr: addr, Warm: 1}
+			r, failed := transport.Send(request(context.Background(), "GET", ""), nil)
+			if test.want != "" {
+				qt.Assert(t, failed != nil, qt.IsTrue)
+				qt.Check(t, failed.Cause, qt.Equals, test.want)
+				qt.Check(t, transport.Open(), qt.Equals, 0)
+				return
+			}
+			qt.Assert(t, failed == nil, qt.IsTrue, qt.Commentf("%v", failed))
+			qt.Check(t, r.StatusCode, qt.Equals, test.status)
+			data, err := io.ReadAll(r.Body)
+			r.Body.Close()
+			qt.Check(t, string(data), qt.Equals, test.body)
+			qt.Check(t, err != nil, qt.Equals, test.cut)
+			if test.cut {
+				qt.Check(t, verdict.As(err, "").Cause, qt.Equals, verdict.AnswerCut)
+			}
+			qt.Check(t, transport.Open() == 1, qt.Equals, test.reused)
+		})
+	}
+}
+
+func TestDialFailureIsNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	listener.Close()
+	transport := &upstream.Transport{Addr: listener.Addr().String()}
+	_, failed := transport.Send(request(context.Background(), "POST", "x"), nil)
+	qt.Assert(t, failed != nil, qt.IsTrue)
+	qt.Check(t, failed.Cause, qt.Equals, verdict.UpstreamDialFailed)
+	qt.Check(t, failed.Verdict(), qt.Equals, verdict.NotRun)
+}
+
+// TestClosedIdleConnectionIsNotUsed has the server close its idle connections;
+// the next request must go over a new one and succeed.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer s.Close()
+	transport := &upstream.Transport{Addr: s.Listener.Addr().String(), Warm: 4}
+	for range 20 {
+		r, failed := transport.Send(request(context.Background(), "POST", ""), nil)
+		qt.Assert(t, failed == nil, qt.IsTrue, qt.Commentf("%v", failed))
+		_, _ = io.Copy(io.Discard, r.Body)
+		r.Body.Close()
+		s.CloseClientConnections()
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestAbortedRequestDoesNotReuseItsConnection cancels a request and leaves an
+// answer unread, and expects new connections each time.
+func TestAbortedRequestDoesNotReuseItsConnection(t *testing.T) {
+	var mu sync.Mutex
+	used := make(map[string]int)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		used[r.RemoteAddr]++
+		mu.Unlock()
+		if r.Method == "HANG" {
+			<-r.Context().Done()
+			return
+		}
+		fmt.Fprint(w, strings.Repeat("x", 1<<20))
+	}))
+	defer s.Close()
+	transport := &upstream.Transport{Addr: s.Listener.Addr().String(), Warm: 4}
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	_, failed := transport.Send(request(ctx, "HANG", ""), nil)
+	qt.Assert(t, failed != nil, qt.IsTrue)
+	qt.Check(t, failed.Cause, qt.Equals, verdict.CallerGone)
+	for range 3 {
+		r, failed := transport.Send(request(context.Background(), "GET", ""), nil)
+		qt.Assert(t, failed == nil, qt.IsTrue)
+		r.Body.Close()
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	qt.Check(t, len(used), qt.Equals, 4)
+	qt.Check(t, transport.Open(), qt.Equals, 0)
+}
+
+// TestConnectionsStayWithinTheAnnouncedNumber sends more requests at once than
+// the upstream takes connections.
+func TestConnectionsStayWithinTheAnnouncedNumber(t *testing.T) {
+	var now, most atomic.Int32
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		if n := now.Add(1); n > most.Load() {
+			most.Store(n)
+		}
+		time.Sleep(2 * time.Millisecond)
+		now.Add(-1)
+	}))
+	defer s.Close()
+	transport := &upstream.Transport{Addr: s.Listener.Addr().String(), Connections: 3, Warm: 2}
+	var all sync.WaitGroup
+	for range 40 {
+		all.Go(func() {
+			r, failed := transport.Send(request(context.Background(), "GET", ""), nil)
+			if failed != nil {
+				t.Error(failed)
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			r.Body.Close()
+		})
+	}
+	all.Wait()
+	qt.Check(t, most.Load() <= 3, qt.IsTrue)
+	qt.Check(t, transport.Open() <= 2, qt.IsTrue)
+}
+
+func TestAnnouncements(t *testing.T) {
+	tests := map[string]struct {
+		method, body string
+		status       int
+		text         string
+	}{
+		"good":           {method: "PUT", body: `{"service":"pledgebook","address":"127.0.0.1:80","slots":10}`, status: 204},
+		"not JSON":       {method: "PUT", body: `{`, status: 400},
+		"unknown field":  {method: "PUT", body: `{"service":"a","slot":1}`, status: 400, text: "slot"},
+		"host name":      {method: "PUT", body: `{"service":"a","address":"localhost:80","slots":1}`, status: 422, text: "address"},
+		"no slots":       {method: "PUT", body: `{"service":"a","address":"127.0.0.1:80"}`, status: 422, text: "slots"},
+		"none announced": {method: "GET", status: 404},
+		"wrong method":   {method: "POST", status: 405},
+		"withdraw":       {method: "DELETE", status: 204},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var got *upstream.Announcement
+			h := &upstream.Announcements{Changed: func(a *upstream.Announcement) { got = a }}
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, httptest.NewRequest(test.method, "/v1/upstream", strings.NewReader(test.body)))
+			qt.Check(t, w.Code, qt.Equals, test.status)
+			qt.Check(t, w.Body.String(), qt.Contains, test.text)
+			if test.status == 204 && test.method == "PUT" {
+				qt.Assert(t, got, qt.IsNotNil)
+				qt.Check(t, got.Connections, qt.Equals, 10)
+			}
+		})
+	}
+}
