--- /dev/null
+++ b/cmd/sassafrasbench/controls.go
@@ -0,0 +1,402 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"sassafrasfront.example/cmd/sassafrasbench/load"
+	"sassafrasfront.example/cmd/sassafrasbench/rig"
+	"sassafrasfront.example/internal/backend"
+	"sassafrasfront.example/internal/objectapi"
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/platform"
+)
+
+// small is a service for measurements of the control state.
+func small(upstreams int) rig.Spec {
+	return rig.Spec{
+		Service:   "pledgebook",
+		Upstreams: upstreams,
+		Slots:     10,
+		Knobs:     backend.Knobs{Mean: 2},
+	}
+}
+
+// watcher polls what all nodes know of one service's sequence.
+type watcher struct {
+	rig     *rig.Rig
+	service string
+	last    map[string]uint64 // by node and start
+	reverts int
+}
+
+// lowest returns the lowest sequence over the running nodes, and counts those
+// that went down without the node being started anew.
+func (w *watcher) lowest(restarted map[string]int) uint64 {
+	low := ^uint64(0)
+	for _, n := range w.rig.Nodes {
+		if !n.Running() {
+			continue
+		}
+		p, err := n.Picture()
+		if err != nil {
+			return 0
+		}
+		now := p.Sequences[w.service]
+		key := fmt.Sprint(n.Name, "/", restarted[n.Name])
+		if now < w.last[key] {
+			w.reverts++
+		}
+		w.last[key] = now
+		low = min(low, now)
+	}
+	return low
+}
+
+// config changes a service once a second at 30 nodes, kills a node every five
+// seconds, and measures the time until a change is in force everywhere.
+func config(ctx context.Context, b *bench) error {
+	spec := small(30)
+	r, err := b.start(ctx, nil, spec)
+	if err != nil {
+		return err
+	}
+	defer b.stop(r)
+	restarted := make(map[string]int)
+	w := &watcher{rig: r, service: spec.Service, last: make(map[string]uint64)}
+	if err := rig.Poll(ctx, func() bool { return w.lowest(restarted) >= 1 }); err != nil {
+		return err
+	}
+	var times []float64
+	const changes = 60
+	for i := range changes {
+		began := time.Now()
+		spec.Config.Timeout = operator.Duration(time.Duration(1000+i) * time.Millisecond)
+		if err := r.Configure(ctx, spec.Service, spec.Config); err != nil {
+			return err
+		}
+		if i%5 == 4 {
+			n := r.Nodes[rand.IntN(len(r.Nodes))]
+			n.SignalNode(syscall.SIGKILL)
+			n.WaitNode()
+			restarted[n.Name]++
+			if err := n.StartNode(); err != nil {
+				return err
+			}
+		}
+		want := uint64(i + 2)
+		if err := rig.Poll(ctx, func() bool { return w.lowest(restarted) >= want }); err != nil {
+			return err
+		}
+		times = append(times, time.Since(began).Seconds()*1000)
+		pause(ctx, time.Second-time.Since(began))
+	}
+	b.set("changes", changes)
+	b.set("kills", changes/5)
+	b.set("everywhereP50Ms", median(times))
+	b.set("everywhereP99Ms", quantile(times, 0.99))
+	b.set("everywhereMaxMs", largest(times))
+	b.set("reverts", w.reverts)
+	return nil
+}
+
+// outage turns the platform off for longer than every lease, while traffic, a
+// drain, a kill and a join go on.
+func outage(ctx context.Context, b *bench) error {
+	spec := small(9)
+	r, err := b.start(ctx, nil, spec, office())
+	if err != nil {
+		return err
+	}
+	defer b.stop(r)
+	if err := r.SetFaults(objectapi.Faults{Down: true}); err != nil {
+		return err
+	}
+	entries := of(r, "office")
+	var result *load.Result
+	var all sync.WaitGroup
+	all.Go(func() {
+		result = b.load(ctx, load.Plan{
+			Rate:     500,
+			Duration: 12 * time.Second,
+			Posts:    0.5,
+			Host:     spec.Service + ".example",
+		}, entries)
+	})
+	time.Sleep(3 * time.Second)
+	nodes := of(r, spec.Service)
+	if err := nodes[0].Drain(true); err != nil {
+		return err
+	}
+	time.Sleep(time.Second)
+	nodes[1].SignalNode(syscall.SIGKILL)
+	nodes[1].WaitNode()
+	// A node that starts while the platform is down learns from the peers in
+	// its settings.
+	joiner, err := r.AddWith(spec, benchZones[2], "-peers", entries[0].IP+":8081,"+nodes[2].IP+":8081")
+	if err != nil {
+		return err
+	}
+	joined := time.Now()
+	served := rig.Poll(ctx, func() bool { rec, err := joiner.Record(); return err == nil && len(rec.Runs) > 0 })
+	b.set("joinerServingAfterMs", time.Since(joined).Seconds()*1000)
+	all.Wait()
+	if served != nil {
+		return served
+	}
+	back := time.Now()
+	if err := r.SetFaults(objectapi.Faults{}); err != nil {
+		return err
+	}
+	spec.Config.Timeout = operator.Duration(3 * time.Second)
+	if err := r.Configure(ctx, spec.Service, spec.Config); err != nil {
+		return err
+	}
+	err = rig.Poll(ctx, func() bool { return statusComplete(ctx, r, spec.Service, 2) })
+	b.set("statusRightAfterMs", time.Since(back).Seconds()*1000)
+	b.set("sent", result.Sent)
+	b.set("refused", result.Refused)
+	b.set("failed", result.Failed+result.Cut)
+	b.set("failedIdempotent", result.FailedIdempotent)
+	return err
+}
+
+// statusComplete returns whether the status says that every zone has the
+// sequence.
+func statusComplete(ctx context.Context, r *rig.Rig, service string, sequence uint64) bool {
+	o, err := r.API.Get(ctx, operator.KindServiceStatus, service)
+	if err != nil {
+		return false
+	}
+	s, err := platform.SpecOf[operator.ServiceStatus](o)
+	if err != nil || s.Sequence < sequence || len(s.Zones) < len(benchZones) {
+		return false
+	}
+	for _, z := range s.Zones {
+		if z.Sequence < sequence || z.Having == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// race has operators write at once, while stewards race to accept and answers
+// are lost.
+func race(ctx context.Context, b *bench) error {
+	spec := small(9)
+	r, err := b.start(ctx, nil, spec)
+	if err != nil {
+		return err
+	}
+	defer b.stop(r)
+	if err := r.SetFaults(objectapi.Faults{LoseWrites: 0.2}); err != nil {
+		return err
+	}
+	const operators, writes = 8, 20
+	var mu sync.Mutex
+	acknowledged := make(map[string]bool) // versions
+	var conflicts, unknown int
+	history := newHistory(ctx, r.API, spec.Service)
+	var all sync.WaitGroup
+	for i := range operators {
+		all.Go(func() {
+			for j := range writes {
+				s := spec.Config
+				s.Hosts = []string{"pledgebook.example"}
+				s.Timeout = operator.Duration(time.Duration(1+i*writes+j) * time.Second)
+				present, err := r.API.Get(ctx, operator.KindService, spec.Service)
+				if err != nil {
+					continue
+				}
+				o := platform.NewObject(operator.KindService, spec.Service, s).WithVersion(present.Metadata.ResourceVersion)
+				written, err := platform.Put(ctx, r.API, o)
+				mu.Lock()
+				switch {
+				case err == nil:
+					acknowledged[written.Metadata.ResourceVersion] = true
+				case platform.IsConflict(err):
+					conflicts++
+				default:
+					unknown++
+				}
+				mu.Unlock()
+				time.Sleep(rand.N(100 * time.Millisecond))
+			}
+		})
+	}
+	all.Wait()
+	if err := r.SetFaults(objectapi.Faults{}); err != nil {
+		return err
+	}
+	last, err := r.API.Get(ctx, operator.KindService, spec.Service)
+	if err != nil {
+		return err
+	}
+	err = rig.Poll(ctx, func() bool { return history.source() >= last.Version() })
+	b.set("operators", operators)
+	b.set("acknowledged", len(acknowledged))
+	b.set("conflicts", conflicts)
+	b.set("unknown", unknown)
+	b.set("acceptedVersions", history.len())
+	b.set("historyBroken", history.broken())
+	b.set("lastWriteInForce", err == nil)
+	if history.broken() > 0 {
+		return fmt.Errorf("the accepted values form no growing history")
+	}
+	return err
+}
+
+// history follows the Accepted object of a service.
+type history struct {
+	mu      sync.Mutex
+	sources map[uint64]uint64 // by sequence
+	high    uint64
+	wrong   int
+}
+
+func newHistory(ctx context.Context, api *platform.Client, service string) *history {
+	h := &history{sources: make(map[uint64]uint64)}
+	take := func(o *platform.Object) {
+		a, err := platform.SpecOf[operator.Accepted](o)
+		if err != nil || o.Metadata.Name != service {
+			return
+		}
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if was, ok := h.sources[a.Sequence]; ok && was != a.Source || a.Source < h.high && a.Sequence > uint64(len(h.sources)) {
+			h.wrong++
+		}
+		h.sources[a.Sequence] = a.Source
+		h.high = max(h.high, a.Source)
+	}
+	f := &platform.Follower{
+		API:  api,
+		Kind: operator.KindAccepted,
+		Listed: func(l *platform.List) {
+			for _, o := range l.Items {
+				take(o)
+			}
+		},
+		Changed: func(e platform.Event) { take(e.Object) },
+	}
+	go f.Run(ctx)
+	return h
+}
+
+func (h *history) source() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.high
+}
+
+func (h *history) len() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.sources)
+}
+
+func (h *history) broken() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.wrong
+}
+
+// sizes are the numbers of nodes at which the cost of control is measured.
+var sizes = []int{9, 30, 90}
+
+// atSizes starts systems of each size and calls f with each once it is at rest.
+func atSizes(ctx context.Context, b *bench, f func(r *rig.Rig, n int) error) error {
+	for _, n := range sizes {
+		r, err := b.start(ctx, nil, small(n))
+		if err != nil {
+			return err
+		}
+		time.Sleep(8 * time.Second)
+		err = f(r, n)
+		b.stop(r)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// platformCost counts the calls on the platform at rest, and while a service
+// changes and a node restarts each second.
+func platformCost(ctx context.Context, b *bench) error {
+	rest := make(map[int]float64)
+	err := atSizes(ctx, b, func(r *rig.Rig, n int) error {
+		const seconds = 20
+		reads, writes, err := callsDuring(r, func() { time.Sleep(seconds * time.Second) })
+		if err != nil {
+			return err
+		}
+		rest[n] = (reads + writes) / seconds
+		b.set(fmt.Sprintf("restReads%d", n), reads/seconds)
+		b.set(fmt.Sprintf("restWrites%d", n), writes/seconds)
+		reads, writes, err = callsDuring(r, func() { churn(ctx, r, seconds) })
+		b.set(fmt.Sprintf("churnReads%d", n), reads/seconds)
+		b.set(fmt.Sprintf("churnWrites%d", n), writes/seconds)
+		return err
+	})
+	b.set("restRatio90to9", rest[90]/rest[9])
+	return err
+}
+
+// callsDuring returns the calls on the platform while f runs.
+func callsDuring(r *rig.Rig, f func()) (reads, writes float64, err error) {
+	before, err := r.Counts()
+	if err != nil {
+		return 0, 0, err
+	}
+	f()
+	after, err := r.Counts()
+	return float64(after.Reads - before.Reads), float64(after.Writes - before.Writes), err
+}
+
+// churn changes the service and restarts a node each second.
+func churn(ctx context.Context, r *rig.Rig, seconds int) {
+	for i := range seconds {
+		began := time.Now()
+		_ = r.Configure(ctx, "pledgebook", operator.Service{Timeout: operator.Duration(time.Duration(1000+i) * time.Millisecond)})
+		n := r.Nodes[rand.IntN(len(r.Nodes))]
+		n.SignalNode(syscall.SIGKILL)
+		n.WaitNode()
+		_ = n.StartNode()
+		pause(ctx, time.Second-time.Since(began))
+	}
+}
+
+// controlCost measures control traffic, processor time and memory of each node
+// at rest.
+func controlCost(ctx context.Context, b *bench) error {
+	return atSizes(ctx, b, func(r *rig.Rig, n int) error {
+		const seconds = 20
+		sent := func() (sum float64) {
+			for _, n := range r.Nodes {
+				sum += metric(n.OperatorURL(), "sassafras_peer_bytes_total", `part="control",direction="out"`)
+			}
+			return sum
+		}
+		bytes, processor := -sent(), -nodeSeconds(r.Nodes)
+		time.Sleep(seconds * time.Second)
+		bytes, processor = bytes+sent(), processor+nodeSeconds(r.Nodes)
+		var memory float64
+		for _, n := range r.Nodes {
+			memory += processMegabytes(n.NodePID())
+		}
+		count := float64(n)
+		b.set(fmt.Sprintf("bytesPerSecond%d", n), bytes/seconds/count)
+		b.set(fmt.Sprintf("processorShare%d", n), processor/seconds/count)
+		b.set(fmt.Sprintf("megabytes%d", n), memory/count)
+		return nil
+	})
+}
--- /dev/null
+++ b/cmd/sassafrasbench/demo.go
@@ -0,0 +1,188 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sort"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	collector "go.opentelemetry.io/proto/otlp/collector/trace/v1"
+	tracepb "go.opentelemetry.io/proto/otlp/trace/v1"
+	"google.golang.org/protobuf/proto"
+
+	"sassafrasfront.example/cmd/sassafrasbench/load"
+	"sassafrasfront.example/cmd/sassafrasbench/rig"
+	"sassafrasfront.example/internal/backend"
+)
+
+// spans is a stand-in for an OTLP collector. It keeps what it gets.
+type spans struct {
+	mu   sync.Mutex
+	list []*tracepb.Span
+}
+
+// ServeHTTP implements http.Handler.
+func (s *spans) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(r.Body)
+	var m collector.ExportTraceServiceRequest
+	if err != nil || proto.Unmarshal(data, &m) != nil {
+		http.Error(w, "bad request", http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, resource := range m.ResourceSpans {
+		for _, scope := range resource.ScopeSpans {
+			s.list = append(s.list, scope.Spans...)
+		}
+	}
+}
+
+// trace returns the spans of a trace in the order of their beginnings.
+func (s *spans) trace(id string) []*tracepb.Span {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []*tracepb.Span
+	for _, x := range s.list {
+		if fmt.Sprintf("%x", x.TraceId) == id {
+			list = append(list, x)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].StartTimeUnixNano < list[j].StartTimeUnixNano })
+	return list
+}
+
+// demo shows the system at work: where requests run, one whole trace, and what
+// callers see while one upstream drains and one dies under load.
+func demo(ctx context.Context) error {
+	b, err := newBench("demo")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(b.dir)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	collected := new(spans)
+	collectorServer := &http.Server{Handler: collected}
+	go func() { _ = collectorServer.Serve(l) }()
+	defer collectorServer.Close()
+	ctx, cancel := context.WithTimeout(ctx, time.Minute)
+	defer cancel()
+	fmt.Println("starting a platform stand-in, and three upstreams with a node beside each, in three zones")
+	spec := small(3)
+	spec.Knobs = backend.Knobs{Mean: 5}
+	r, err := b.start(ctx, []string{"-traceURL", "http://" + l.Addr().String() + "/v1/traces"}, spec)
+	if err != nil {
+		return err
+	}
+	defer r.Stop()
+	if err := showPlaces(ctx, r); err != nil {
+		return err
+	}
+	if err := showTrace(ctx, r, collected); err != nil {
+		return err
+	}
+	result := underLoad(ctx, b, r)
+	r.Stop()
+	for id, n := range r.Runs() {
+		b.runs[id] += n
+	}
+	double, lies := result.Broken(b.runs)
+	fmt.Printf("\nsummary: sent=%d answered=%d refused=%d failed=%d cut=%d wrong=%d doubleRuns=%d falseNotRun=%d p99=%.1fms\n",
+		result.Sent, result.Useful, result.Refused, result.Failed, result.Cut, result.Wrong, double, lies, result.P(0.99))
+	fmt.Printf("requests in flight on the killed upstream may fail if they are not idempotent; %d idempotent ones failed\n", result.FailedIdempotent)
+	if result.FailedIdempotent+result.Wrong+double+lies+result.Cut > 0 || result.Useful < result.Sent*99/100 {
+		return fmt.Errorf("the demonstration failed: see the summary")
+	}
+	fmt.Println("all promises held")
+	return nil
+}
+
+// showPlaces sends a few requests and prints where each ran.
+func showPlaces(ctx context.Context, r *rig.Rig) error {
+	fmt.Println("\nrequests through different nodes, and where each one ran:")
+	for i := range 6 {
+		entry := r.Nodes[i%len(r.Nodes)]
+		a, body, err := demoSend(ctx, entry, fmt.Sprint("demo-", i), "")
+		if err != nil {
+			return err
+		}
+		fmt.Printf("  demo-%d through %-14s -> %-14s %s %q\n", i, entry.Name, a.Header.Get("Sassafras-Node"), a.Status, body)
+	}
+	return nil
+}
+
+func demoSend(ctx context.Context, entry *rig.Node, id, parent string) (*http.Response, string, error) {
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, entry.CallerURL()+"/enquiries", strings.NewReader("hello"))
+	if err != nil {
+		return nil, "", err
+	}
+	q.Host = entry.Service + ".example"
+	q.Header.Set(backend.IDHeader, id)
+	if parent != "" {
+		q.Header.Set("traceparent", parent)
+	}
+	a, err := http.DefaultTransport.RoundTrip(q)
+	if err != nil {
+		return nil, "", err
+	}
+	defer a.Body.Close()
+	body, err := io.ReadAll(a.Body)
+	return a, string(body), err
+}
+
+// showTrace sends a request as part of a trace and prints its spans.
+func showTrace(ctx context.Context, r *rig.Rig, collected *spans) error {
+	const id = "0123456789abcdef0123456789abcdef"
+	if _, _, err := demoSend(ctx, r.Nodes[0], "demo-trace", "00-"+id+"-0123456789abcdef-01"); err != nil {
+		return err
+	}
+	const wanted = 3 // entry, gate, upstream
+	if err := rig.Poll(ctx, func() bool { return len(collected.trace(id)) >= wanted }); err != nil {
+		return fmt.Errorf("trace %s has %d spans, not %d: %w", id, len(collected.trace(id)), wanted, err)
+	}
+	fmt.Println("\none whole trace:")
+	for _, s := range collected.trace(id) {
+		attributes := make(map[string]string)
+		for _, a := range s.Attributes {
+			text, _ := json.Marshal(a.Value.Value)
+			attributes[a.Key] = string(text)
+		}
+		fmt.Printf("  %-9s span=%x parent=%x took=%.2fms %v\n", s.Name, s.SpanId, s.ParentSpanId,
+			float64(s.EndTimeUnixNano-s.StartTimeUnixNano)/1e6, attributes)
+	}
+	return nil
+}
+
+// underLoad sends requests while one upstream drains and another dies.
+func underLoad(ctx context.Context, b *bench, r *rig.Rig) *load.Result {
+	fmt.Println("\n200 requests a second for 5 s; one upstream drains after 1 s and comes back, another is killed after 3 s")
+	go func() {
+		time.Sleep(time.Second)
+		fmt.Println("  draining", r.Nodes[0].Name, r.Nodes[0].Drain(true))
+		time.Sleep(time.Second)
+		fmt.Println("  back:", r.Nodes[0].Name, r.Nodes[0].Drain(false))
+		time.Sleep(time.Second)
+		fmt.Println("  killing the upstream of", r.Nodes[1].Name)
+		r.Nodes[1].SignalUpstream(syscall.SIGKILL)
+	}()
+	return b.load(ctx, load.Plan{
+		Rate:     200,
+		Duration: 5 * time.Second,
+		Posts:    0.5,
+	}, r.Nodes)
+}
--- /dev/null
+++ b/cmd/sassafrasbench/load/load.go
@@ -0,0 +1,190 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+// Package load sends requests at a fixed rate, whatever becomes of them, and
+// counts their times from the moment at which each should have been sent. It
+// checks each answer, and keeps what callers were told.
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"sassafrasfront.example/internal/backend"
+)
+
+// Plan says what to send.
+type Plan struct {
+	// Rate is the number of requests per second.
+	Rate float64
+	// Duration is for how long to send.
+	Duration time.Duration
+	// Targets returns the URL that a request is sent to.
+	Target func(i int) string
+	// Host is the host of the service.
+	Host string
+	// Posts is the share of the requests that are not idempotent.
+	Posts float64
+	// Header is sent with each request.
+	Header http.Header
+	// Prefix starts the ids of the requests. It is unique to the plan.
+	Prefix string
+}
+
+// Result is what became of the requests. Times are in microseconds.
+type Result struct {
+	Sent, Useful, Refused, Failed, Cut, Wrong int
+	// FailedIdempotent counts those of Failed and Cut that are idempotent.
+	FailedIdempotent int
+	// Times are those of useful answers, RefusalTimes those of refusals.
+	Times, RefusalTimes *hdrhistogram.Histogram
+	// Told is what the caller was told of each request, by id: the verdict, or
+	// empty for a cut.
+	Told map[string]string
+	// Posts are the ids of the requests that are not idempotent.
+	Posts map[string]bool
+}
+
+const (
+	maxMicros = int64(60 * time.Second / time.Microsecond)
+	// maxConns bounds the idle connections to each node.
+	maxConns = 2000
+)
+
+// Run sends the requests of the plan and waits for all of them.
+func Run(ctx context.Context, p Plan) *Result {
+	r := &Result{
+		Times:        hdrhistogram.New(1, maxMicros, 3),
+		RefusalTimes: hdrhistogram.New(1, maxMicros, 3),
+		Told:         make(map[string]string),
+		Posts:        make(map[string]bool),
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: maxConns}
+	defer transport.CloseIdleConnections()
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	began := time.Now()
+	total := int(p.Rate * p.Duration.Seconds())
+	for i := 0; i < total && ctx.Err() == nil; i++ {
+		at := began.Add(time.Duration(float64(i) / p.Rate * float64(time.Second)))
+		if d := time.Until(at); d > 0 {
+			time.Sleep(d)
+		}
+		all.Go(func() {
+			o := p.one(ctx, transport, i, at)
+			mu.Lock()
+			defer mu.Unlock()
+			r.add(o)
+		})
+	}
+	all.Wait()
+	return r
+}
+
+// outcome is what became of one request.
+type outcome struct {
+	id, verdict string
+	post        bool
+	status      int
+	took        time.Duration
+	wrong, cut  bool
+}
+
+// one sends request i, which should have been sent at the given time.
+func (p *Plan) one(ctx context.Context, transport http.RoundTripper, i int, at time.Time) outcome {
+	o := outcome{
+		id:   fmt.Sprintf("%s-%d", p.Prefix, i),
+		post: float64(i%100) < 100*p.Posts,
+	}
+	method := http.MethodGet
+	var body io.Reader
+	if o.post {
+		method = http.MethodPost
+		body = strings.NewReader("intention")
+	}
+	q, err := http.NewRequestWithContext(ctx, method, p.Target(i), body)
+	if err != nil {
+		panic(err)
+	}
+	q.GetBody = nil // nothing is sent twice by the library
+	q.Host = p.Host
+	for k, v := range p.Header {
+		q.Header[k] = v
+	}
+	q.Header.Set(backend.IDHeader, o.id)
+	a, err := transport.RoundTrip(q)
+	if err != nil {
+		o.cut = true
+		return o
+	}
+	defer a.Body.Close()
+	data, err := io.ReadAll(a.Body)
+	o.took = time.Since(at)
+	o.status = a.StatusCode
+	o.verdict = a.Header.Get("Sassafras-Verdict")
+	o.cut = err != nil
+	o.wrong = err == nil && o.status == http.StatusOK && !strings.HasPrefix(string(data), o.id+" ")
+	return o
+}
+
+func (r *Result) add(o outcome) {
+	r.Sent++
+	r.Told[o.id] = o.verdict
+	if o.post {
+		r.Posts[o.id] = true
+	}
+	micros := min(maxMicros, o.took.Microseconds())
+	switch {
+	case o.cut:
+		r.Cut++
+	case o.wrong:
+		r.Wrong++
+	case o.status == http.StatusOK:
+		r.Useful++
+		_ = r.Times.RecordValue(micros)
+	case o.verdict == "notRun":
+		r.Refused++
+		_ = r.RefusalTimes.RecordValue(micros)
+	default:
+		r.Failed++
+	}
+	if !o.post && o.status != http.StatusOK && o.verdict != "notRun" {
+		r.FailedIdempotent++
+	}
+}
+
+// P returns the q-quantile of the times of useful answers, in milliseconds.
+func (r *Result) P(q float64) float64 { return float64(r.Times.ValueAtQuantile(100*q)) / 1000 }
+
+// RefusalP returns the q-quantile of the times of refusals, in milliseconds.
+func (r *Result) RefusalP(q float64) float64 {
+	return float64(r.RefusalTimes.ValueAtQuantile(100*q)) / 1000
+}
+
+// Broken counts the broken promises, given the number of runs of each request.
+func (r *Result) Broken(runs map[string]int) (doubleRuns, falseNotRun int) {
+	for id, verdict := range r.Told {
+		if r.Posts[id] && runs[id] > 1 {
+			doubleRuns++
+		}
+		if verdict == "notRun" && runs[id] > 0 {
+			falseNotRun++
+		}
+	}
+	return doubleRuns, falseNotRun
+}
+
+// Counter gives each plan a prefix of its own.
+var counter atomic.Int64
+
+// Prefix returns a new prefix.
+func Prefix(name string) string { return fmt.Sprintf("%s%d", name, counter.Add(1)) }
--- a/cmd/sassafrasbench/main.go
+++ b/cmd/sassafrasbench/main.go
@@ -30,6 +30,15 @@
 	if len(args) == 0 {
 		return usage
 	}
+	switch {
+	case args[0] == "list":
+		list()
+		return nil
+	case args[0] == "run" && len(args) == 2:
+		return runExperiment(ctx, args[1])
+	case args[0] == "demo":
+		return demo(ctx)
+	}
 	switch args[0] {
 	case "platform":
 		return runPlatform(ctx, args[1:])
--- a/cmd/sassafrasbench/rig/rig.go
+++ b/cmd/sassafrasbench/rig/rig.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -80,6 +81,7 @@
 	Spec                    Spec
 
 	rig      *Rig
+	flags    []string
 	node     *process
 	upstream *process
 }
@@ -200,7 +202,10 @@
 }
 
 // Add starts one more upstream of a service with its node.
-func (r *Rig) Add(s Spec, zone string) (*Node, error) {
+func (r *Rig) Add(s Spec, zone string) (*Node, error) { return r.AddWith(s, zone) }
+
+// AddWith is Add with more flags for the node.
+func (r *Rig) AddWith(s Spec, zone string, flags ...string) (*Node, error) {
 	r.mu.Lock()
 	i := len(r.Nodes) + 1
 	n := &Node{
@@ -210,6 +215,7 @@
 		IP:      r.address(i, 0),
 		Spec:    s,
 		rig:     r,
+		flags:   flags,
 	}
 	n.IP = n.IP[:strings.LastIndex(n.IP, ":")]
 	r.Nodes = append(r.Nodes, n)
@@ -239,7 +245,7 @@
 		"-announceAddress", n.at(announcePort), "-operatorAddress", n.at(operatorPort),
 		"-platformURL", n.rig.API.URL, "-lease", "3s",
 	}
-	p, err := n.rig.spawn(n.Name, "sassafrasnode", append(args, n.rig.options.Flags...)...)
+	p, err := n.rig.spawn(n.Name, "sassafrasnode", slices.Concat(args, n.rig.options.Flags, n.flags)...)
 	n.node = p
 	return err
 }
--- /dev/null
+++ b/cmd/sassafrasbench/traffic.go
@@ -0,0 +1,447 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"sassafrasfront.example/cmd/sassafrasbench/load"
+	"sassafrasfront.example/cmd/sassafrasbench/rig"
+	"sassafrasfront.example/internal/backend"
+	"sassafrasfront.example/operator"
+)
+
+// added compares calls through an entry and a gate with direct calls to the
+// same upstreams, which answer at once.
+func added(ctx context.Context, b *bench) error {
+	spec := pledgebook()
+	spec.Upstreams = 3
+	spec.Slots = 64
+	spec.Knobs = backend.Knobs{}
+	r, err := b.start(ctx, nil, spec)
+	if err != nil {
+		return err
+	}
+	defer b.stop(r)
+	const rate = 1500
+	plan := load.Plan{
+		Rate:     rate,
+		Duration: 2 * time.Second,
+	}
+	direct := plan
+	direct.Target = func(i int) string { return r.Nodes[i%len(r.Nodes)].BackendURL() + "/" }
+	b.load(ctx, plan, r.Nodes) // warms up
+	var seconds float64
+	var a50, a99, a999 []float64
+	for range 5 {
+		d := b.load(ctx, direct, r.Nodes)
+		before := nodeSeconds(r.Nodes)
+		t := b.load(ctx, plan, r.Nodes)
+		seconds += nodeSeconds(r.Nodes) - before
+		a50 = append(a50, t.P(0.5)-d.P(0.5))
+		a99 = append(a99, t.P(0.99)-d.P(0.99))
+		a999 = append(a999, t.P(0.999)-d.P(0.999))
+		fmt.Printf("direct p50=%.3g p99=%.3g p999=%.3g ms, through p50=%.3g p99=%.3g p999=%.3g ms\n",
+			d.P(0.5), d.P(0.99), d.P(0.999), t.P(0.5), t.P(0.99), t.P(0.999))
+	}
+	b.set("rate", rate)
+	b.set("addedP50Ms", median(a50))
+	b.set("addedP99Ms", median(a99))
+	b.set("addedP999Ms", median(a999))
+	b.set("processorMicrosPerCall", 1e6*seconds/(5*rate*plan.Duration.Seconds()))
+	return nil
+}
+
+func nodeSeconds(nodes []*rig.Node) float64 {
+	var sum float64
+	for _, n := range nodes {
+		sum += processSeconds(n.NodePID())
+	}
+	return sum
+}
+
+// slow makes one upstream 10x slower at 70% load, for each policy.
+func slow(ctx context.Context, b *bench) error {
+	for _, policy := range []string{"twoChoice", "roundRobin", "random", "leastOutstanding", "hotCold", "twoChoice+hedge"} {
+		if err := slowWith(ctx, b, policy); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func slowWith(ctx context.Context, b *bench, policy string) error {
+	spec := pledgebook()
+	name := policy
+	if policy == "twoChoice+hedge" {
+		name, policy = "hedged", "twoChoice"
+		spec.Config.Hedge.Share = 0.05
+	}
+	r, err := b.start(ctx, []string{"-policy", policy}, spec)
+	if err != nil {
+		return err
+	}
+	defer b.stop(r)
+	plan := load.Plan{
+		Rate:     0.7 * capacity(spec),
+		Duration: 6 * time.Second,
+		Posts:    0.5,
+	}
+	b.load(ctx, plan, r.Nodes)
+	before := b.load(ctx, plan, r.Nodes)
+	knobs := spec.Knobs
+	knobs.Slow = 10
+	if err := r.Nodes[0].Turn(knobs); err != nil {
+		return err
+	}
+	during := b.load(ctx, plan, r.Nodes)
+	fmt.Printf("%s: before p99=%.4g p999=%.4g, during p99=%.4g p999=%.4g ms, refused %d of %d\n",
+		name, before.P(0.99), before.P(0.999), during.P(0.99), during.P(0.999), during.Refused, during.Sent)
+	b.set(name+"P99Ms", during.P(0.99))
+	b.set(name+"P999Ms", during.P(0.999))
+	b.set(name+"P99Ratio", during.P(0.99)/before.P(0.99))
+	b.set(name+"Refused", during.Refused)
+	return nil
+}
+
+// overload sends 150% of what the service can run.
+func overload(ctx context.Context, b *bench) error {
+	spec := pledgebook()
+	r, err := b.start(ctx, nil, spec)
+	if err != nil {
+		return err
+	}
+	defer b.stop(r)
+	plan := load.Plan{
+		Rate:     0.7 * capacity(spec),
+		Duration: 5 * time.Second,
+		Posts:    0.5,
+	}
+	b.load(ctx, plan, r.Nodes)
+	normal := b.load(ctx, plan, r.Nodes)
+	plan.Rate = 1.5 * capacity(spec)
+	plan.Duration = 10 * time.Second
+	over := b.load(ctx, plan, r.Nodes)
+	b.set("usefulShareOfCapacity", float64(over.Useful)/plan.Duration.Seconds()/capacity(spec))
+	b.set("refusalP99Ms", over.RefusalP(0.99))
+	b.set("admittedP99Ms", over.P(0.99))
+	b.set("normalP99Ms", normal.P(0.99))
+	b.set("admittedP99Ratio", over.P(0.99)/normal.P(0.99))
+	b.set("failed", over.Failed)
+	return nil
+}
+
+// neighbour runs reconciliation at five times its share beside interactive
+// requests.
+func neighbour(ctx context.Context, b *bench) error {
+	spec := pledgebook()
+	const header = "X-Job"
+	spec.Config.Classes = []operator.Class{
+		{Name: "interactive", Weight: 4, Priority: 1},
+		{Name: "reconciliation", Weight: 1, MaxShare: 0.3, Header: header},
+	}
+	r, err := b.start(ctx, nil, spec)
+	if err != nil {
+		return err
+	}
+	defer b.stop(r)
+	interactive := load.Plan{
+		Rate:     0.3 * capacity(spec),
+		Duration: 8 * time.Second,
+		Posts:    0.5,
+	}
+	jobs := interactive
+	jobs.Rate = capacity(spec) // five times its fifth
+	jobs.Header = http.Header{header: {"1"}}
+	b.load(ctx, interactive, r.Nodes)
+	alone := b.load(ctx, interactive, r.Nodes)
+	var job *load.Result
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	all.Go(func() {
+		j := load.Run(ctx, withTarget(jobs, r.Nodes))
+		mu.Lock()
+		job = j
+		mu.Unlock()
+	})
+	beside := b.load(ctx, interactive, r.Nodes)
+	all.Wait()
+	b.results = append(b.results, job)
+	b.set("aloneP99Ms", alone.P(0.99))
+	b.set("besideP99Ms", beside.P(0.99))
+	b.set("ratio", beside.P(0.99)/alone.P(0.99))
+	b.set("interactiveRefused", beside.Refused)
+	b.set("jobsUseful", job.Useful)
+	b.set("jobsRefused", job.Refused)
+	return nil
+}
+
+// withTarget fills in what bench.load does, for loads that run beside another.
+func withTarget(p load.Plan, nodes []*rig.Node) load.Plan {
+	p.Target = func(i int) string { return nodes[i%len(nodes)].CallerURL() + "/" }
+	p.Host = nodes[0].Service + ".example"
+	p.Prefix = load.Prefix("beside")
+	return p
+}
+
+// office are nodes that callers use as entries only.
+func office() rig.Spec {
+	return rig.Spec{
+		Service:   "office",
+		Upstreams: 3,
+		Slots:     1,
+	}
+}
+
+// of returns the nodes of a service.
+func of(r *rig.Rig, service string) []*rig.Node {
+	var list []*rig.Node
+	for _, n := range r.Nodes {
+		if n.Service == service {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+// kill kills a node or an upstream every second and a half and starts it again
+// cold. Callers use entries that are not killed.
+func kill(ctx context.Context, b *bench) error {
+	spec := pledgebook()
+	r, err := b.start(ctx, nil, spec, office())
+	if err != nil {
+		return err
+	}
+	defer b.stop(r)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var kills int
+	var all sync.WaitGroup
+	all.Go(func() {
+		victims := of(r, spec.Service)
+		for ; ctx.Err() == nil; kills++ {
+			n := victims[rand.IntN(len(victims))]
+			if kills%2 == 0 {
+				n.SignalNode(syscall.SIGKILL)
+				n.WaitNode()
+				time.Sleep(300 * time.Millisecond)
+				_ = n.StartNode()
+			} else {
+				n.SignalUpstream(syscall.SIGKILL)
+				n.WaitUpstream()
+				time.Sleep(300 * time.Millisecond)
+				_ = n.StartUpstream()
+			}
+			pause(ctx, 1200*time.Millisecond)
+		}
+	})
+	result := b.load(ctx, load.Plan{
+		Rate:     0.4 * capacity(spec),
+		Duration: 20 * time.Second,
+		Posts:    0.5,
+		Host:     spec.Service + ".example",
+	}, of(r, "office"))
+	cancel()
+	all.Wait()
+	b.set("kills", kills)
+	b.set("sent", result.Sent)
+	b.set("refused", result.Refused)
+	b.set("failedIdempotent", result.FailedIdempotent)
+	b.set("failedOther", result.Failed+result.Cut-result.FailedIdempotent)
+	b.set("p99Ms", result.P(0.99))
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
+// rolling replaces all nodes and upstreams one by one: each upstream is drained
+// and replaced, and each node stopped and started. Callers leave out nodes that
+// say that they are not ready.
+func rolling(ctx context.Context, b *bench) error {
+	spec := pledgebook()
+	r, err := b.start(ctx, []string{"-drainTimeout", "10s"}, spec)
+	if err != nil {
+		return err
+	}
+	defer b.stop(r)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ready := newReadiness(ctx, r.Nodes)
+	var lastNew []float64
+	rolled := make(chan error, 1)
+	go func() {
+		for _, n := range r.Nodes {
+			d, err := replace(ctx, r, n)
+			if err != nil {
+				rolled <- err
+				return
+			}
+			lastNew = append(lastNew, d.Seconds()*1000)
+		}
+		rolled <- nil
+	}()
+	result := b.load(ctx, load.Plan{
+		Rate:     0.4 * capacity(spec),
+		Duration: 45 * time.Second,
+		Posts:    0.5,
+		Target:   func(int) string { return ready.pick().CallerURL() + "/" },
+	}, r.Nodes)
+	select {
+	case err = <-rolled:
+	default:
+		err = fmt.Errorf("not all were replaced within the load")
+	}
+	b.set("replaced", len(lastNew))
+	b.set("sent", result.Sent)
+	b.set("errors", result.Failed+result.Refused+result.Cut)
+	b.set("refused", result.Refused)
+	b.set("p99Ms", result.P(0.99))
+	b.set("drainToLastNewP50Ms", median(lastNew))
+	b.set("drainToLastNewMaxMs", largest(lastNew))
+	return err
+}
+
+// replace drains and replaces the upstream of a node, and then the node. It
+// returns the time from the drain to the last new request.
+func replace(ctx context.Context, r *rig.Rig, n *rig.Node) (time.Duration, error) {
+	drained := time.Now()
+	if err := n.Drain(true); err != nil {
+		return 0, err
+	}
+	time.Sleep(500 * time.Millisecond)
+	rec, err := n.Record()
+	if err != nil {
+		return 0, err
+	}
+	n.SignalUpstream(syscall.SIGTERM)
+	n.WaitUpstream()
+	n.SignalNode(syscall.SIGTERM)
+	n.WaitNode()
+	if err := n.StartNode(); err != nil {
+		return 0, err
+	}
+	if err := n.StartUpstream(); err != nil {
+		return 0, err
+	}
+	return max(0, rec.Last.Sub(drained)), r.Settle(ctx)
+}
+
+// readiness follows which nodes are ready.
+type readiness struct {
+	mu    sync.Mutex
+	ready []*rig.Node
+}
+
+func newReadiness(ctx context.Context, nodes []*rig.Node) *readiness {
+	r := &readiness{ready: nodes}
+	go func() {
+		for ctx.Err() == nil {
+			var ready []*rig.Node
+			for _, n := range nodes {
+				a, err := http.Get(n.OperatorURL() + "/readyz")
+				if err != nil {
+					continue
+				}
+				_ = a.Body.Close()
+				if a.StatusCode == http.StatusOK {
+					ready = append(ready, n)
+				}
+			}
+			r.mu.Lock()
+			r.ready = ready
+			r.mu.Unlock()
+			pause(ctx, 50*time.Millisecond)
+		}
+	}()
+	return r
+}
+
+func (r *readiness) pick() *rig.Node {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ready[rand.IntN(len(r.ready))]
+}
+
+// budget measures what watching costs at 1x and 10x callers.
+func budget(ctx context.Context, b *bench) error {
+	spec := pledgebook()
+	r, err := b.start(ctx, nil, spec)
+	if err != nil {
+		return err
+	}
+	defer b.stop(r)
+	cost := make(map[float64]float64)
+	for _, rate := range []float64{300, 3000} {
+		plan := load.Plan{
+			Rate:     rate,
+			Duration: 3 * time.Second,
+		}
+		b.load(ctx, plan, r.Nodes)
+		plan.Duration = 10 * time.Second
+		var bytes, messages float64
+		for _, n := range r.Nodes {
+			bytes -= metric(n.OperatorURL(), "sassafras_watch_bytes_total", "")
+			messages -= metric(n.OperatorURL(), "sassafras_watch_messages_total", "")
+		}
+		b.load(ctx, plan, r.Nodes)
+		for _, n := range r.Nodes {
+			bytes += metric(n.OperatorURL(), "sassafras_watch_bytes_total", "")
+			messages += metric(n.OperatorURL(), "sassafras_watch_messages_total", "")
+		}
+		nodeSeconds := plan.Duration.Seconds() * float64(len(r.Nodes))
+		cost[rate] = bytes / nodeSeconds
+		b.set(fmt.Sprintf("bytesPerNodeAndSecondAt%.0f", rate), cost[rate])
+		b.set(fmt.Sprintf("messagesPerNodeAndSecondAt%.0f", rate), messages/nodeSeconds)
+	}
+	b.set("ratio", cost[3000]/cost[300])
+	return nil
+}
+
+// hedge compares the tail with and without hedging of idempotent requests, with
+// one upstream that stalls now and then.
+func hedge(ctx context.Context, b *bench) error {
+	for _, share := range []float64{0, 0.05} {
+		spec := pledgebook()
+		spec.Knobs.Sigma = 1.2
+		spec.Config.Hedge.Share = share
+		r, err := b.start(ctx, nil, spec)
+		if err != nil {
+			return err
+		}
+		plan := load.Plan{
+			Rate:     0.4 * capacity(spec),
+			Duration: 4 * time.Second,
+		}
+		b.load(ctx, plan, r.Nodes)
+		plan.Duration = 12 * time.Second
+		before := totalRuns(r)
+		result := b.load(ctx, plan, r.Nodes)
+		name := fmt.Sprintf("share%g", share)
+		b.set(name+"P99Ms", result.P(0.99))
+		b.set(name+"P999Ms", result.P(0.999))
+		b.set(name+"ExtraRuns", float64(totalRuns(r)-before)/float64(result.Sent)-1)
+		b.stop(r)
+	}
+	return nil
+}
+
+func totalRuns(r *rig.Rig) int {
+	var sum int
+	for _, n := range r.Runs() {
+		sum += n
+	}
+	return sum
+}
