--- a/admit/gate_test.go
+++ b/admit/gate_test.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -116,6 +117,7 @@
 		g.Set(l)
 		const service = 20 * time.Millisecond
 		warm(&g, 5, service)
+		var mu sync.Mutex
 		var late, useful int
 		var longest time.Duration
 		began := time.Now()
@@ -124,18 +126,23 @@
 			go func() {
 				k := g.Enter("", time.Time{})
 				immediate := isReady(k)
-				if err := k.Wait(context.Background()); err != nil {
-					if !immediate && i > 1000 {
-						late++
-					}
-					return
+				err := k.Wait(context.Background())
+				mu.Lock()
+				if err != nil && !immediate && i > 1000 {
+					late++
 				}
-				if i > 1000 {
+				if err == nil && i > 1000 {
 					longest = max(longest, k.Waited())
 				}
+				mu.Unlock()
+				if err != nil {
+					return
+				}
 				time.Sleep(service)
 				k.Release(true)
+				mu.Lock()
 				useful++
+				mu.Unlock()
 			}()
 		}
 		time.Sleep(time.Second)
--- a/caller/answer.go
+++ b/caller/answer.go
@@ -88,7 +88,9 @@
 	copyHeader(h, result.Header, x.handler.Node)
 	h.Set(RequestID, x.outcome.ID)
 	h.Set(upstream.VerdictHeader, verdict.Ran.String())
-	h.Set(NodeHeader, result.Node)
+	if result.Node != "" {
+		h.Set(NodeHeader, result.Node)
+	}
 	x.w.WriteHeader(result.Status)
 	if err := x.copyBody(result); err != nil {
 		x.outcome.Failure = verdict.As(err, verdict.CallerGone)
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -20,6 +20,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
+	"sassafrasfront.example/claim"
 	"sassafrasfront.example/entry"
 	"sassafrasfront.example/gate"
 	"sassafrasfront.example/internal/tracing"
@@ -68,6 +69,9 @@
 	Lookup func(host string) (s *entry.Service, ready bool)
 	// Dispatcher sends the requests.
 	Dispatcher Dispatcher
+	// Claims keeps resent requests from running twice, for the services that ask
+	// for it. Nil refuses their requests that have a key.
+	Claims *claim.Ledger
 	// Node is named in Via and in the header that says where a request ran.
 	Node string
 	// Tracer makes a span for each request.
@@ -142,14 +146,26 @@
 		x.fail(failure)
 		return false
 	}
+	if key := x.r.Header.Get(IdempotencyKey); key != "" && s.Config.Resend.Enabled && !q.Idempotent {
+		return x.claimed(ctx, s, q, key)
+	}
+	return x.dispatch(ctx, q, nil)
+}
+
+// dispatch sends the request and passes its answer on. Keep, if not nil, gets
+// the answer as well.
+func (x *exchange) dispatch(ctx context.Context, q *entry.Request, keep *keeper) (cut bool) {
 	result, failure := x.handler.Dispatcher.Do(ctx, q)
+	keep.begin(result, failure)
 	if failure != nil {
 		x.fail(failure)
 		return false
 	}
 	defer result.Close()
 	x.outcome.Tries = result.Tries
-	return x.answer(result)
+	cut = x.answer(result)
+	keep.end(cut)
+	return cut
 }
 
 // service returns the service that has the request's host.
--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,170 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package claim_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/claim"
+	"sassafrasfront.example/internal/objectapi"
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/platform"
+	"sassafrasfront.example/verdict"
+)
+
+func start(t *testing.T) (*objectapi.Server, *claim.Ledger) {
+	t.Helper()
+	s := new(objectapi.Server)
+	h := httptest.NewServer(s)
+	l := &claim.Ledger{
+		API:  &platform.Client{URL: h.URL, Namespace: "test", Timeout: 300 * time.Millisecond},
+		Node: "n1",
+	}
+	t.Cleanup(func() {
+		s.SetFaults(objectapi.Faults{})
+		l.Wait()
+		h.CloseClientConnections()
+		h.Close()
+	})
+	return s, l
+}
+
+func request(parts ...string) claim.Request {
+	return claim.Request{Service: "pledgebook", Key: "k", Parts: parts, Keep: time.Hour}
+}
+
+// TestSecondSending has a first sending come as far as the row says, and tells
+// what the second one finds.
+func TestSecondSending(t *testing.T) {
+	kept := &claim.Answer{Status: 201, Body: []byte("letter 7")}
+	tests := map[string]struct {
+		first  func(c *claim.Claim)
+		parts  []string
+		want   verdict.Cause // of the failure, or empty
+		runs   bool
+		answer bool
+	}{
+		"the first is under way":           {first: func(*claim.Claim) {}, parts: []string{"a"}, want: verdict.ResendUnderway},
+		"the first was answered":           {first: func(c *claim.Claim) { c.Finish(kept) }, parts: []string{"a"}, answer: true},
+		"its answer is not kept":           {first: func(c *claim.Claim) { c.Finish(nil) }, parts: []string{"a"}, want: verdict.ResendNotKept},
+		"the first did not run":            {first: func(c *claim.Claim) { c.Release() }, parts: []string{"a"}, runs: true},
+		"another request, the same key":    {first: func(c *claim.Claim) { c.Finish(kept) }, parts: []string{"b"}, want: verdict.ResendMismatch},
+		"parts that only look the same":    {first: func(c *claim.Claim) { c.Finish(kept) }, parts: []string{"", "a"}, want: verdict.ResendMismatch},
+		"another request, first under way": {first: func(*claim.Claim) {}, parts: []string{"b"}, want: verdict.ResendMismatch},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			ctx := context.Background()
+			_, l := start(t)
+			c, _, failed := l.Begin(ctx, request("a"))
+			qt.Assert(t, failed == nil, qt.IsTrue)
+			test.first(c)
+			l.Wait()
+			c, a, failed := l.Begin(ctx, request(test.parts...))
+			qt.Check(t, c != nil, qt.Equals, test.runs)
+			qt.Check(t, a != nil, qt.Equals, test.answer)
+			if test.want == "" {
+				qt.Assert(t, failed == nil, qt.IsTrue, qt.Commentf("%v", failed))
+			} else {
+				qt.Assert(t, failed != nil, qt.IsTrue)
+				qt.Check(t, failed.Cause, qt.Equals, test.want)
+			}
+			if test.answer {
+				qt.Check(t, a, qt.DeepEquals, kept)
+			}
+		})
+	}
+}
+
+// TestFaults tells what a first sending finds under each fault of the platform.
+// Unless it gets the claim, it must not run.
+func TestFaults(t *testing.T) {
+	tests := map[string]struct {
+		faults objectapi.Faults
+		want   verdict.Cause
+	}{
+		"none":         {},
+		"down":         {faults: objectapi.Faults{Down: true}, want: verdict.ClaimFailed},
+		"hangs":        {faults: objectapi.Faults{Hang: true}, want: verdict.ClaimFailed},
+		"fails":        {faults: objectapi.Faults{Fail: 1}, want: verdict.ClaimFailed},
+		"lost answers": {faults: objectapi.Faults{LoseWrites: 1}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, l := start(t)
+			s.SetFaults(test.faults)
+			c, _, failed := l.Begin(context.Background(), request("a"))
+			qt.Check(t, c != nil, qt.Equals, test.want == "")
+			if test.want != "" {
+				qt.Assert(t, failed != nil, qt.IsTrue)
+				qt.Check(t, failed.Cause, qt.Equals, test.want)
+				qt.Check(t, failed.Verdict(), qt.Equals, verdict.NotRun)
+				qt.Check(t, failed.RetryAfter > 0, qt.IsTrue)
+			}
+		})
+	}
+}
+
+// TestOneOfManyRuns sends the same request through many nodes at once, with
+// answers of the platform lost.
+func TestOneOfManyRuns(t *testing.T) {
+	s, l := start(t)
+	s.SetFaults(objectapi.Faults{LoseWrites: 0.3})
+	var runs atomic.Int32
+	var all sync.WaitGroup
+	for range 20 {
+		all.Go(func() {
+			other := &claim.Ledger{API: l.API, Node: "other"}
+			c, _, _ := other.Begin(context.Background(), request("a"))
+			if c != nil {
+				runs.Add(1)
+				c.Finish(nil)
+				other.Wait()
+			}
+		})
+	}
+	all.Wait()
+	qt.Check(t, runs.Load(), qt.Equals, int32(1))
+}
+
+func TestBudget(t *testing.T) {
+	var l claim.Ledger
+	var allowed int
+	for range 100 {
+		if l.Allow("a", 5) {
+			allowed++
+		}
+	}
+	qt.Check(t, allowed >= 5 && allowed <= 7, qt.IsTrue, qt.Commentf("%d", allowed))
+	qt.Check(t, l.Allow("b", 5), qt.IsTrue)
+}
+
+func TestSweep(t *testing.T) {
+	ctx := context.Background()
+	_, l := start(t)
+	for _, key := range []string{"a", "b"} {
+		r := request("x")
+		r.Key = key
+		if key == "b" {
+			r.Keep = 24 * time.Hour
+		}
+		_, _, failed := l.Begin(ctx, r)
+		qt.Assert(t, failed == nil, qt.IsTrue)
+	}
+	n, err := claim.Sweep(ctx, l.API, time.Now().Add(2*time.Hour))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, n, qt.Equals, 1)
+	left, err := l.API.List(ctx, operator.KindClaim)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, left.Items, qt.HasLen, 1)
+}
--- /dev/null
+++ b/claim/ledger.go
@@ -0,0 +1,218 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package claim
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/platform"
+	"sassafrasfront.example/verdict"
+)
+
+const (
+	// MaxBody is the largest answer that is kept, in bytes.
+	MaxBody = 64 << 10
+	// beginTimeout bounds the claiming, finishTimeout the writing of the answer.
+	beginTimeout  = 2 * time.Second
+	finishTimeout = 10 * time.Second
+	// comeBack is when a caller may ask again for the outcome of a request that
+	// is under way.
+	comeBack = time.Second
+)
+
+// State is how far a claimed request has come.
+type State string
+
+const (
+	// Claimed means that the request may run, or may have run.
+	Claimed State = "claimed"
+	// Answered means that it has run.
+	Answered State = "answered"
+)
+
+// Record is the spec of a Claim object.
+type Record struct {
+	Service string `json:"service"`
+	// Fingerprint tells the request from others that use the same key wrongly.
+	Fingerprint string `json:"fingerprint"`
+	// Node is the node that claimed it.
+	Node string `json:"node"`
+	// Until is when the claim may be deleted.
+	Until time.Time `json:"until"`
+	State State     `json:"state"`
+	// Answer is the answer, if it has come and is kept.
+	Answer *Answer `json:"answer,omitempty"`
+}
+
+// Answer is an answer that is kept.
+type Answer struct {
+	Status int          `json:"status"`
+	Header []peer.Field `json:"header"`
+	Body   []byte       `json:"body"`
+}
+
+// Request names a request to claim.
+type Request struct {
+	// Service is the name of its service, Key the caller's key.
+	Service, Key string
+	// Parts are what the fingerprint is made of, such as method, target and
+	// body.
+	Parts []string
+	// Keep is how long the claim is kept.
+	Keep time.Duration
+}
+
+// Ledger makes claims. The exported fields are set before the first call.
+type Ledger struct {
+	// API is the platform.
+	API platform.API
+	// Node is the name of this node.
+	Node string
+
+	mu      sync.Mutex
+	budgets map[string]*rate.Limiter // by service
+	writing sync.WaitGroup
+}
+
+// Claim is the right to run a request.
+type Claim struct {
+	ledger *Ledger
+	object *platform.Object
+	record Record
+}
+
+// Allow returns whether the service's budget of claims per second has room, and
+// spends one.
+func (l *Ledger) Allow(service string, perSecond float64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.budgets == nil {
+		l.budgets = make(map[string]*rate.Limiter)
+	}
+	b := l.budgets[service]
+	if b == nil || float64(b.Limit()) != perSecond {
+		b = rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
+		l.budgets[service] = b
+	}
+	return b.Allow()
+}
+
+// Begin claims a request. Exactly one of the results is not nil: the claim, if
+// the request is to be run; the answer, if it has been run and that is kept; or
+// the failure.
+func (l *Ledger) Begin(ctx context.Context, r Request) (*Claim, *Answer, *verdict.Error) {
+	ctx, cancel := context.WithTimeout(ctx, beginTimeout)
+	defer cancel()
+	own := Record{
+		Service:     r.Service,
+		Fingerprint: digest(r.Parts...),
+		Node:        l.Node,
+		Until:       time.Now().Add(r.Keep).UTC(),
+		State:       Claimed,
+	}
+	name := digest(r.Service, r.Key)
+	written, err := platform.Put(ctx, l.API, platform.NewObject(operator.KindClaim, name, own))
+	if err == nil {
+		c := &Claim{
+			ledger: l,
+			object: written,
+			record: own,
+		}
+		return c, nil, nil
+	}
+	if !platform.IsConflict(err) {
+		return nil, nil, verdict.New(verdict.ClaimFailed, err).WithRetryAfter(comeBack)
+	}
+	present, err := l.API.Get(ctx, operator.KindClaim, name)
+	if err != nil {
+		return nil, nil, verdict.New(verdict.ResendUnderway, err).WithRetryAfter(comeBack)
+	}
+	other, err := platform.SpecOf[Record](present)
+	if err != nil {
+		return nil, nil, verdict.New(verdict.ResendUnderway, err)
+	}
+	return found(own, other)
+}
+
+// found returns what follows from a claim that is there already.
+func found(own, other Record) (*Claim, *Answer, *verdict.Error) {
+	switch {
+	case own.Fingerprint != other.Fingerprint:
+		return nil, nil, verdict.New(verdict.ResendMismatch, nil)
+	case other.State != Answered:
+		return nil, nil, verdict.New(verdict.ResendUnderway, nil).WithRetryAfter(comeBack)
+	case other.Answer == nil:
+		return nil, nil, verdict.New(verdict.ResendNotKept, nil)
+	}
+	return nil, other.Answer, nil
+}
+
+// digest returns a hash over the parts, each with its length, as a name that
+// the platform takes.
+func digest(parts ...string) string {
+	h := sha256.New()
+	for _, p := range parts {
+		var n [8]byte
+		for i := range n {
+			n[i] = byte(len(p) >> (8 * i))
+		}
+		h.Write(n[:])
+		h.Write([]byte(p))
+	}
+	return hex.EncodeToString(h.Sum(nil)[:20])
+}
+
+// Finish writes down that the request ran, and its answer, or nil if that is
+// not kept. It returns at once; the writing goes on until it succeeds or has
+// taken too long, and then a resent request is told that the first may have run.
+func (c *Claim) Finish(a *Answer) {
+	next := c.record
+	next.State = Answered
+	next.Answer = a
+	c.update(func(ctx context.Context) error {
+		o := platform.NewObject(operator.KindClaim, c.object.Metadata.Name, next)
+		_, err := platform.Put(ctx, c.ledger.API, o.WithVersion(c.object.Metadata.ResourceVersion))
+		return err
+	})
+}
+
+// Release gives the claim up because the request certainly has not run, so that
+// it can be sent again.
+func (c *Claim) Release() {
+	c.update(func(ctx context.Context) error {
+		return c.ledger.API.Delete(ctx, operator.KindClaim, c.object.Metadata.Name, c.object.Metadata.ResourceVersion)
+	})
+}
+
+// update has f try until it succeeds, or can't any more.
+func (c *Claim) update(f func(ctx context.Context) error) {
+	c.ledger.writing.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
+		defer cancel()
+		for n := 0; ctx.Err() == nil; n++ {
+			err := f(ctx)
+			if err == nil || platform.IsConflict(err) || platform.IsNotFound(err) {
+				return
+			}
+			t := time.NewTimer(platform.Backoff(n, err))
+			select {
+			case <-t.C:
+			case <-ctx.Done():
+				t.Stop()
+			}
+		}
+	})
+}
+
+// Wait waits until what has been begun to be written is written, or given up.
+func (l *Ledger) Wait() { l.writing.Wait() }
--- /dev/null
+++ b/cmd/sassafrasbench/chain_test.go
@@ -0,0 +1,110 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/cmd/sassafrasbench/rig"
+	"sassafrasfront.example/internal/backend"
+	"sassafrasfront.example/operator"
+)
+
+// TestChainDoesNotMultiplyTries has six services call each other in a chain, the
+// last of which dies on every request. The requests are idempotent, so the hop
+// before the last may repeat some; no other may, or the last would get the
+// sixth power.
+func TestChainDoesNotMultiplyTries(t *testing.T) {
+	const depth, requests, burst = 6, 100, 4
+	var specs []rig.Spec
+	var names []string
+	for i := range depth {
+		names = append(names, fmt.Sprint("chain", i))
+		specs = append(specs, rig.Spec{
+			Service:   names[i],
+			Upstreams: 2,
+			Slots:     20,
+			Knobs:     backend.Knobs{Mean: 1},
+			Config:    operator.Service{Retry: operator.Retry{Share: 0.1, Burst: burst}},
+		})
+	}
+	ctx, r := start(t, specs...)
+	entry := r.Nodes[0]
+	statuses := make(map[int]int)
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for worker := range 5 {
+		all.Go(func() {
+			for i := range requests / 5 {
+				got := ask(ctx, entry, names[0], http.MethodGet, "/?next="+strings.Join(names[1:], ","), fmt.Sprintf("chain-%d-%d", worker, i))
+				mu.Lock()
+				statuses[got.status]++
+				mu.Unlock()
+			}
+		})
+	}
+	all.Wait()
+	qt.Check(t, statuses[http.StatusBadGateway], qt.Equals, requests, qt.Commentf("%v", statuses))
+	runs := make([]int, depth)
+	for i, name := range names {
+		for _, n := range of(r, name) {
+			counts := make(map[string]int)
+			n.Runs(counts)
+			for _, k := range counts {
+				runs[i] += k
+			}
+		}
+	}
+	t.Logf("runs by depth: %v", runs)
+	// Two nodes call the last service, each with its own budget.
+	most := requests + requests/10 + 2*burst
+	for i, k := range runs {
+		qt.Check(t, k >= requests && k <= most, qt.IsTrue, qt.Commentf("%d runs at depth %d", k, i))
+	}
+}
+
+// TestResentRequestRunsOnce sends a request with an Idempotency-Key again and
+// again, through all nodes and at once, while its first sending is cut by its
+// deadline.
+func TestResentRequestRunsOnce(t *testing.T) {
+	s := spec(3)
+	s.Config.Resend = operator.Resend{Enabled: true, WritesPerSecond: 100}
+	ctx, r := start(t, s)
+	send := func(ctx context.Context, i int, target string) (int, string) {
+		q, err := http.NewRequestWithContext(ctx, http.MethodPost, r.Nodes[i%3].CallerURL()+target, strings.NewReader("letter"))
+		qt.Assert(t, err, qt.IsNil)
+		q.Host = "pledgebook.example"
+		q.Header.Set("Idempotency-Key", "letter-7"+target)
+		q.Header.Set(backend.IDHeader, "letter-7"+target)
+		a, err := http.DefaultTransport.RoundTrip(q)
+		qt.Assert(t, err, qt.IsNil)
+		defer a.Body.Close()
+		return a.StatusCode, a.Header.Get("Sassafras-Replayed")
+	}
+	var all sync.WaitGroup
+	for i := range 12 {
+		all.Go(func() { send(ctx, i, "/?millis=50") })
+	}
+	all.Wait()
+	err := rig.Poll(ctx, func() bool {
+		status, replayed := send(ctx, 1, "/?millis=50")
+		return status == http.StatusOK && replayed == "true"
+	})
+	qt.Assert(t, err, qt.IsNil)
+	for i := range 3 {
+		status, _ := send(ctx, i, "/?die=1")
+		qt.Check(t, status, qt.Equals, http.StatusBadGateway)
+	}
+	runs := r.Runs()
+	qt.Check(t, runs["letter-7/?millis=50"], qt.Equals, 1)
+	qt.Check(t, runs["letter-7/?die=1"], qt.Equals, 1)
+}
--- a/cmd/sassafrasbench/controls.go
+++ b/cmd/sassafrasbench/controls.go
@@ -166,6 +166,7 @@
 	b.set("refused", result.Refused)
 	b.set("failed", result.Failed+result.Cut)
 	b.set("failedIdempotent", result.FailedIdempotent)
+	b.set("causes", causes(result))
 	return err
 }
 
--- a/cmd/sassafrasbench/load/load.go
+++ b/cmd/sassafrasbench/load/load.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -50,6 +51,8 @@
 	// Told is what the caller was told of each request, by id: the verdict, or
 	// empty for a cut.
 	Told map[string]string
+	// Causes counts the failures that callers were told of, by cause.
+	Causes map[string]int
 	// Posts are the ids of the requests that are not idempotent.
 	Posts map[string]bool
 }
@@ -66,6 +69,7 @@
 		Times:        hdrhistogram.New(1, maxMicros, 3),
 		RefusalTimes: hdrhistogram.New(1, maxMicros, 3),
 		Told:         make(map[string]string),
+		Causes:       make(map[string]int),
 		Posts:        make(map[string]bool),
 	}
 	transport := &http.Transport{MaxIdleConnsPerHost: maxConns}
@@ -93,6 +97,7 @@
 // outcome is what became of one request.
 type outcome struct {
 	id, verdict string
+	cause       string
 	post        bool
 	status      int
 	took        time.Duration
@@ -132,6 +137,12 @@
 	o.status = a.StatusCode
 	o.verdict = a.Header.Get("Sassafras-Verdict")
 	o.cut = err != nil
+	var problem struct {
+		Cause string `json:"cause"`
+	}
+	if o.status >= 400 && json.Unmarshal(data, &problem) == nil {
+		o.cause = problem.Cause
+	}
 	o.wrong = err == nil && o.status == http.StatusOK && !strings.HasPrefix(string(data), o.id+" ")
 	return o
 }
@@ -142,6 +153,9 @@
 	if o.post {
 		r.Posts[o.id] = true
 	}
+	if o.cause != "" {
+		r.Causes[o.cause]++
+	}
 	micros := min(maxMicros, o.took.Microseconds())
 	switch {
 	case o.cut:
--- a/cmd/sassafrasbench/rig/rig.go
+++ b/cmd/sassafrasbench/rig/rig.go
@@ -228,6 +228,13 @@
 
 func (n *Node) at(port int) string { return fmt.Sprintf("%s:%d", n.IP, port) }
 
+// CallerOf returns the address for callers of the node beside the upstream with
+// the given address.
+func CallerOf(upstream string) string {
+	host, _, _ := net.SplitHostPort(upstream)
+	return fmt.Sprintf("%s:%d", host, callerPort)
+}
+
 // CallerURL is where callers reach the node.
 func (n *Node) CallerURL() string { return "http://" + n.at(callerPort) }
 
--- a/cmd/sassafrasbench/roles.go
+++ b/cmd/sassafrasbench/roles.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"time"
 
+	"sassafrasfront.example/cmd/sassafrasbench/rig"
 	"sassafrasfront.example/internal/backend"
 	"sassafrasfront.example/internal/objectapi"
 	"sassafrasfront.example/upstream"
@@ -45,6 +46,7 @@
 		Slots:   slots,
 		Name:    args[0],
 		Journal: journal,
+		Entry:   "http://" + rig.CallerOf(args[0]),
 	}
 	var knobs backend.Knobs
 	if err := json.Unmarshal([]byte(args[4]), &knobs); err != nil {
@@ -77,17 +79,28 @@
 	}
 }
 
-// serve serves h at an address until ctx ends.
+// shutdownTimeout bounds the wait for requests in flight when a stand-in is told
+// to stop.
+const shutdownTimeout = 10 * time.Second
+
+// serve serves h at an address until ctx ends, and lets requests in flight end.
 func serve(ctx context.Context, address string, h http.Handler) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
 	s := &http.Server{Handler: h}
-	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	stopped := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(stopped)
+		limited, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		_ = s.Shutdown(limited)
+	})
 	defer stop()
 	if err := s.Serve(l); err != http.ErrServerClosed {
 		return err
 	}
+	<-stopped
 	return nil
 }
--- a/cmd/sassafrasbench/traffic.go
+++ b/cmd/sassafrasbench/traffic.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -264,6 +266,7 @@
 	b.set("kills", kills)
 	b.set("sent", result.Sent)
 	b.set("refused", result.Refused)
+	b.set("causes", causes(result))
 	b.set("failedIdempotent", result.FailedIdempotent)
 	b.set("failedOther", result.Failed+result.Cut-result.FailedIdempotent)
 	b.set("p99Ms", result.P(0.99))
@@ -316,6 +319,7 @@
 	}
 	b.set("replaced", len(lastNew))
 	b.set("sent", result.Sent)
+	b.set("causes", causes(result))
 	b.set("errors", result.Failed+result.Refused+result.Cut)
 	b.set("refused", result.Refused)
 	b.set("p99Ms", result.P(0.99))
@@ -349,6 +353,16 @@
 	return max(0, rec.Last.Sub(drained)), r.Settle(ctx)
 }
 
+// causes returns the failures of a result by cause, as one word.
+func causes(r *load.Result) string {
+	var list []string
+	for cause, n := range r.Causes {
+		list = append(list, fmt.Sprint(cause, ":", n))
+	}
+	slices.Sort(list)
+	return "[" + strings.Join(list, ",") + "]"
+}
+
 // readiness follows which nodes are ready.
 type readiness struct {
 	mu    sync.Mutex
--- a/control/control.go
+++ b/control/control.go
@@ -99,7 +99,8 @@
 	members    exchanger[member.Record]
 	configs    exchanger[rollout.Config]
 	byService  map[string]map[string]member.Record
-	live       int
+	live       int // live nodes, this one included
+	near       int // those in the node's own zone, without this one
 	dirty      map[string]bool
 	neighbours []member.Record
 	clients    map[string]*peer.Client
@@ -158,9 +159,9 @@
 // has left.
 func (c *Control) Run(ctx context.Context) {
 	c.init()
-	defer close(c.done)
 	var work sync.WaitGroup
 	defer work.Wait()
+	defer close(c.done) // which lets the work end that waits for this goroutine
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	work.Go(func() { c.bootstrap(ctx) })
@@ -235,6 +236,9 @@
 // memberChanged takes in a change of a member's record.
 func (c *Control) memberChanged(old, r member.Record) {
 	c.index(old, r)
+	if r.Live() && !wasLive(old) && r.ID != c.self.ID {
+		c.consider(r)
+	}
 	if r.ID == c.self.ID && c.self.Rank().Less(r.Rank()) {
 		// Somebody knows a later word than this node's own: one from before its
 		// restart, or its tombstone.
@@ -243,6 +247,9 @@
 	}
 }
 
+// wasLive returns whether a record was there and live.
+func wasLive(old member.Record) bool { return old.ID != "" && old.Live() }
+
 // configChanged takes in a change of a configuration.
 func (c *Control) configChanged(_, r rollout.Config) {
 	c.dirty[r.Name] = true
--- /dev/null
+++ b/control/control_test.go
@@ -0,0 +1,486 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"sassafrasfront.example/internal/objectapi"
+	"sassafrasfront.example/member"
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/platform"
+	"sassafrasfront.example/watch"
+)
+
+// cluster is some nodes' control states, connected over loopback, and a
+// platform stand-in.
+type cluster struct {
+	t     *testing.T
+	store *objectapi.Server
+	api   *platform.Client
+	nodes []*testNode
+}
+
+// testNode is one control state with its peer server.
+type testNode struct {
+	*Control
+	client *platform.Client
+	stop   func()
+}
+
+func newCluster(t *testing.T) *cluster {
+	c := &cluster{t: t, store: new(objectapi.Server)}
+	h := httptest.NewServer(c.store)
+	t.Cleanup(func() {
+		for _, n := range c.nodes {
+			n.stop()
+		}
+		h.CloseClientConnections()
+		h.Close()
+	})
+	c.api = &platform.Client{URL: h.URL, Namespace: "test"}
+	return c
+}
+
+// add starts a node. It takes a new address each time.
+func (c *cluster) add(id, zone string, contacts ...string) *testNode {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(c.t, err, qt.IsNil)
+	client := &platform.Client{
+		URL:       c.api.URL,
+		Namespace: "test",
+		Timeout:   500 * time.Millisecond,
+		WatchFor:  2 * time.Second,
+	}
+	n := &testNode{
+		client: client,
+		Control: &Control{
+			Self:     member.Record{ID: id, Zone: zone, Region: "r", Addr: listener.Addr().String(), State: member.Idle},
+			API:      client,
+			Contacts: contacts,
+			Timing: Timing{
+				Push:     10 * time.Millisecond,
+				Compare:  50 * time.Millisecond,
+				Turnover: 200 * time.Millisecond,
+				Lease:    600 * time.Millisecond,
+				Bridge:   500 * time.Millisecond,
+				Patience: time.Second,
+				Sweep:    200 * time.Millisecond,
+				Takeover: 50 * time.Millisecond,
+			},
+			Budget:    watch.NewBudget(1<<20, 1),
+			Limits:    peer.Limits{Silence: 400 * time.Millisecond, Handshake: 400 * time.Millisecond},
+			Log:       zerolog.Nop(),
+			Published: func(*Snapshot) {},
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	serving, stopServing := context.WithCancel(context.Background())
+	s := &peer.Server{Control: n.Handle}
+	var all, running sync.WaitGroup
+	all.Go(func() { _ = s.Run(serving, listener) })
+	running.Go(func() { n.Run(ctx) })
+	var once sync.Once
+	n.stop = func() {
+		once.Do(func() {
+			cancel()
+			running.Wait()
+			stopServing()
+			all.Wait()
+		})
+	}
+	c.nodes = append(c.nodes, n)
+	return n
+}
+
+// grow adds nodes spread over three zones.
+func (c *cluster) grow(n int) {
+	for i := range n {
+		c.add(fmt.Sprint("n", len(c.nodes)), fmt.Sprint("z", i%3))
+	}
+}
+
+// eventually polls until f returns true.
+func (c *cluster) eventually(what string, f func() bool) {
+	c.t.Helper()
+	for range 2000 {
+		if f() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.t.Fatal("never: " + what)
+}
+
+// allHave waits until all nodes have a sequence of the service in force.
+func (c *cluster) allHave(service string, sequence uint64) {
+	c.t.Helper()
+	c.eventually(fmt.Sprintf("sequence %d of %s everywhere", sequence, service), func() bool {
+		for _, n := range c.nodes {
+			if n.Snapshot().Sequences[service] < sequence {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// apply writes a Service as an operator does.
+func (c *cluster) apply(name, spec string) *platform.Object {
+	c.t.Helper()
+	o := platform.NewObject(operator.KindService, name, json.RawMessage(spec))
+	present, err := c.api.Get(context.Background(), operator.KindService, name)
+	if err == nil {
+		o = o.WithVersion(present.Metadata.ResourceVersion)
+	}
+	written, err := platform.Put(context.Background(), c.api, o)
+	qt.Assert(c.t, err, qt.IsNil)
+	return written
+}
+
+func (c *cluster) status(name string) operator.ServiceStatus {
+	o, err := c.api.Get(context.Background(), operator.KindServiceStatus, name)
+	if err != nil {
+		return operator.ServiceStatus{}
+	}
+	s, err := platform.SpecOf[operator.ServiceStatus](o)
+	qt.Assert(c.t, err, qt.IsNil)
+	return s
+}
+
+// TestChangesReachAllAndStatusSaysSo follows a service through its life.
+func TestChangesReachAllAndStatusSaysSo(t *testing.T) {
+	c := newCluster(t)
+	c.grow(9)
+	first := c.apply("a", `{"hosts":["a.example"]}`)
+	c.allHave("a", 1)
+	c.eventually("status of all zones", func() bool {
+		s := c.status("a")
+		having := 0
+		for _, z := range s.Zones {
+			having += z.Having
+		}
+		return s.Phase == operator.PhaseAccepted && s.Observed == first.Metadata.ResourceVersion && having == 9
+	})
+
+	bad := c.apply("a", `{"hosts":["a.example"],"retry":{"share":7}}`)
+	c.eventually("refusal", func() bool {
+		s := c.status("a")
+		return s.Phase == operator.PhaseRefused && s.Observed == bad.Metadata.ResourceVersion
+	})
+	s := c.status("a")
+	qt.Check(t, s.Faults, qt.HasLen, 1)
+	qt.Check(t, s.Faults[0].Field, qt.Equals, "retry.share")
+	qt.Check(t, s.Sequence, qt.Equals, uint64(1))
+	for _, n := range c.nodes {
+		qt.Check(t, n.Snapshot().Hosts["a.example"], qt.IsNotNil, qt.Commentf("an invalid edit must not touch what is in force"))
+	}
+
+	present, err := c.api.Get(context.Background(), operator.KindService, "a")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, c.api.Delete(context.Background(), operator.KindService, "a", present.Metadata.ResourceVersion), qt.IsNil)
+	c.allHave("a", 2)
+	for _, n := range c.nodes {
+		qt.Check(t, n.Snapshot().Services["a"], qt.IsNil)
+	}
+	c.apply("a", `{"hosts":["a.example"],"policy":"random"}`)
+	c.allHave("a", 3)
+}
+
+func TestHostOfAnotherServiceIsRefused(t *testing.T) {
+	c := newCluster(t)
+	c.grow(3)
+	c.apply("a", `{"hosts":["x.example"]}`)
+	c.allHave("a", 1)
+	c.apply("b", `{"hosts":["x.example"]}`)
+	c.eventually("refusal", func() bool { return c.status("b").Phase == operator.PhaseRefused })
+	qt.Check(t, c.nodes[0].Snapshot().Hosts["x.example"].Name, qt.Equals, "a")
+}
+
+// TestOutage turns the platform off or makes it hang. Announcements and a node
+// that is born then must come through, and a configuration must not revert.
+func TestOutage(t *testing.T) {
+	tests := map[string]objectapi.Faults{
+		"down":  {Down: true},
+		"hangs": {Hang: true},
+	}
+	for name, faults := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t)
+			c.grow(6)
+			c.apply("a", `{"hosts":["a.example"]}`)
+			c.allHave("a", 1)
+			c.store.SetFaults(faults)
+			c.nodes[1].Announce("a", 10, member.Up)
+			c.eventually("the announcement everywhere", func() bool {
+				for _, n := range c.nodes {
+					if s := n.Snapshot().Services["a"]; s == nil || len(s.Members) != 1 {
+						return false
+					}
+				}
+				return true
+			})
+			time.Sleep(2 * c.nodes[0].Timing.Lease)
+			c.add("born", "z0", c.nodes[0].Self.Addr)
+			c.allHave("a", 1)
+			c.store.SetFaults(objectapi.Faults{})
+			c.apply("a", `{"hosts":["a.example"],"policy":"random"}`)
+			c.allHave("a", 2)
+		})
+	}
+}
+
+// TestOldValuesDoNotRevert gives a node an old configuration and an old record,
+// as a peer does that comes back after long.
+func TestOldValuesDoNotRevert(t *testing.T) {
+	c := newCluster(t)
+	c.grow(3)
+	c.apply("a", `{"hosts":["a.example"]}`)
+	c.allHave("a", 1)
+	n := c.nodes[0]
+	old, ok := n.configs.set.Get("a")
+	qt.Assert(t, ok, qt.IsTrue)
+	c.apply("a", `{"hosts":["a.example"],"policy":"random"}`)
+	c.allHave("a", 2)
+	n.do(func() { n.configs.put(old) })
+	time.Sleep(100 * time.Millisecond)
+	qt.Check(t, n.Snapshot().Sequences["a"], qt.Equals, uint64(2))
+	qt.Check(t, n.Snapshot().Services["a"].Config.Policy, qt.Equals, "random")
+}
+
+// TestRestartOfAllButOne stops all nodes but one and starts others, while the
+// platform is down: what the one knows comes to all.
+func TestRestartOfAllButOne(t *testing.T) {
+	c := newCluster(t)
+	c.grow(6)
+	c.apply("a", `{"hosts":["a.example"]}`)
+	c.apply("a", `{"hosts":["a.example"],"policy":"random"}`)
+	c.eventually("accepted", func() bool { return c.nodes[0].Snapshot().Services["a"] != nil })
+	c.eventually("latest", func() bool { return c.nodes[0].Snapshot().Services["a"].Config.Policy == "random" })
+	sequence := c.nodes[0].Snapshot().Sequences["a"]
+	c.store.SetFaults(objectapi.Faults{Down: true})
+	for _, n := range c.nodes[1:] {
+		n.stop()
+	}
+	c.nodes = c.nodes[:1]
+	for i := range 5 {
+		c.add(fmt.Sprint("n", i+1), fmt.Sprint("z", i%3), c.nodes[0].Self.Addr)
+	}
+	c.allHave("a", sequence)
+}
+
+// TestStewardDies kills stewards one after another. Another node of the zone
+// takes over, and changes are accepted again.
+func TestStewardDies(t *testing.T) {
+	c := newCluster(t)
+	for i := range 8 {
+		c.add(fmt.Sprint("n", i), "z0")
+	}
+	for i := range 5 {
+		var steward *testNode
+		c.eventually("a steward", func() bool {
+			for _, n := range c.nodes {
+				if n.Steward() {
+					steward = n
+					return true
+				}
+			}
+			return false
+		})
+		c.apply("a", fmt.Sprintf(`{"hosts":["a.example"],"timeout":"%ds"}`, i+1))
+		c.allHave("a", uint64(i+1))
+		steward.stop()
+		for j, n := range c.nodes {
+			if n == steward {
+				c.nodes = append(c.nodes[:j:j], c.nodes[j+1:]...)
+				break
+			}
+		}
+	}
+}
+
+// TestWrongRemovalIsUndone writes the tombstone of a live node, which then
+// announces itself again.
+func TestWrongRemovalIsUndone(t *testing.T) {
+	c := newCluster(t)
+	c.grow(4)
+	c.apply("a", `{"hosts":["a.example"]}`)
+	c.allHave("a", 1)
+	victim := c.nodes[3]
+	victim.Announce("a", 5, member.Up)
+	knows := func() bool {
+		for _, n := range c.nodes {
+			if s := n.Snapshot().Services["a"]; s == nil || len(s.Members) != 1 {
+				return false
+			}
+		}
+		return true
+	}
+	c.eventually("the upstream everywhere", knows)
+	n := c.nodes[0]
+	var before uint64
+	n.do(func() {
+		r, _ := n.members.set.Get(victim.Self.ID)
+		before = r.Incarnation
+		n.members.put(r.Tombstone())
+	})
+	c.eventually("a higher incarnation", func() bool {
+		var now uint64
+		n.do(func() { r, _ := n.members.set.Get(victim.Self.ID); now = r.Incarnation })
+		return now > before && knows()
+	})
+}
+
+// TestSilentNodeIsRemoved stops a node without a word.
+func TestSilentNodeIsRemoved(t *testing.T) {
+	c := newCluster(t)
+	c.grow(9)
+	c.apply("a", `{"hosts":["a.example"]}`)
+	c.allHave("a", 1)
+	for _, n := range c.nodes {
+		n.Announce("a", 1, member.Up)
+	}
+	members := func(want int) func() bool {
+		return func() bool { return len(c.nodes[0].Snapshot().Services["a"].Members) == want }
+	}
+	c.eventually("nine upstreams", members(9))
+	// A node that is cut off: it neither answers nor hears.
+	mute := c.nodes[8]
+	mute.do(func() {
+		for _, p := range mute.clients {
+			p.Close()
+		}
+		mute.neighbours = nil
+	})
+	silent := make(chan struct{})
+	defer close(silent)
+	go mute.do(func() { <-silent })
+	c.eventually("eight upstreams", members(8))
+}
+
+// TestZoneRestartsWithoutAStampede starts a whole zone at once and counts the
+// calls on the platform.
+func TestZoneRestartsWithoutAStampede(t *testing.T) {
+	c := newCluster(t)
+	c.grow(3)
+	c.apply("a", `{"hosts":["a.example"]}`)
+	c.allHave("a", 1)
+	before := c.store.Counts()
+	const nodes = 30
+	for i := range nodes {
+		c.add(fmt.Sprint("fresh", i), "z0")
+	}
+	c.allHave("a", 1)
+	after := c.store.Counts()
+	calls := after.Reads + after.Writes - before.Reads - before.Writes
+	t.Logf("%d calls for %d nodes", calls, nodes)
+	qt.Check(t, calls < 10*nodes, qt.IsTrue, qt.Commentf("%d calls", calls))
+}
+
+// TestPartitionHeals has two halves that know nothing of each other, and that
+// only the platform joins.
+func TestPartitionHeals(t *testing.T) {
+	c := newCluster(t)
+	for i := range 3 {
+		c.add(fmt.Sprint("a", i), "z0")
+	}
+	for i := range 3 {
+		c.add(fmt.Sprint("b", i), "z1")
+	}
+	c.eventually("all know all", func() bool {
+		for _, n := range c.nodes {
+			if n.Snapshot().Members != 6 {
+				var live int
+				n.do(func() { live = n.live })
+				if live != 6 {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
+// TestLateZoneHearsChangesByPush starts a zone after the others have all their
+// neighbours. Comparisons are off, so only pushes bring the change.
+func TestLateZoneHearsChangesByPush(t *testing.T) {
+	c := newCluster(t)
+	for i := range 24 {
+		c.add(fmt.Sprint("n", i), fmt.Sprint("z", i%2))
+	}
+	c.apply("a", `{"hosts":["a.example"]}`)
+	c.allHave("a", 1)
+	for i := range 8 {
+		c.add(fmt.Sprint("late", i), "z2")
+	}
+	c.allHave("a", 1)
+	c.eventually("all know all", func() bool {
+		for _, n := range c.nodes {
+			var live int
+			n.do(func() { live = n.live })
+			if live != 32 {
+				return false
+			}
+		}
+		return true
+	})
+	for _, n := range c.nodes {
+		n.do(func() { n.comparing = true }) // holds all further comparisons off
+	}
+	c.apply("a", `{"hosts":["a.example"],"policy":"random"}`)
+	c.eventually("some node of the late zone has it", func() bool {
+		for _, n := range c.nodes[24:] {
+			if n.Snapshot().Sequences["a"] == 2 && !n.Steward() {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// TestBadRequestsAreRefused sends the control goroutine what it can't read.
+func TestBadRequestsAreRefused(t *testing.T) {
+	c := newCluster(t)
+	n := c.add("n", "z")
+	tests := map[string]struct {
+		topic   string
+		payload []byte
+	}{
+		"unknown topic":  {topic: "nonsense"},
+		"garbage":        {topic: "members.records", payload: []byte{0xc1}},
+		"group too high": {topic: "members.leaves", payload: mustPack(leafQuery{Group: 64})},
+		"group negative": {topic: "configs.leaves", payload: mustPack(leafQuery{Group: -1})},
+		"leaf negative":  {topic: "configs.bulk", payload: mustPack(bulkQuery{From: -1})},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := n.Handle(context.Background(), peer.Hello{}, &peer.Request{ID: 1, Topic: test.topic, Payload: test.payload})
+			qt.Check(t, err, qt.IsNotNil)
+		})
+	}
+	_, err := n.Handle(context.Background(), peer.Hello{}, &peer.Request{ID: 1, Topic: topicRoots})
+	qt.Check(t, err, qt.IsNil)
+}
+
+func mustPack(v any) []byte {
+	data, err := msgpack.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
--- a/control/lease.go
+++ b/control/lease.go
@@ -46,8 +46,8 @@
 		}
 		// The first in the order comes back soonest, so that those after it find
 		// the lease renewed.
-		pause := c.Timing.Lease / 4 * time.Duration(1+min(rank, candidates))
-		sleep(ctx, pause/2+rand.N(pause/2))
+		pause := c.Timing.Lease * time.Duration(1+min(rank, candidates-1))
+		sleep(ctx, pause-rand.N(pause/4))
 	}
 }
 
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -107,11 +107,11 @@
 
 // index takes a change of a member's record into what the snapshot is made of.
 func (c *Control) index(old, r member.Record) {
-	if old.Live() && old.ID != "" {
-		c.live--
+	if wasLive(old) {
+		c.countLive(old, -1)
 	}
 	if r.Live() {
-		c.live++
+		c.countLive(r, 1)
 	}
 	if old.Takes() {
 		delete(c.byService[old.Service], old.ID)
@@ -125,3 +125,11 @@
 		c.dirty[r.Service] = true
 	}
 }
+
+// countLive adds n to the counts that a live node is part of.
+func (c *Control) countLive(r member.Record, n int) {
+	c.live += n
+	if r.Zone == c.self.Zone && r.ID != c.self.ID {
+		c.near += n
+	}
+}
--- a/control/spread.go
+++ b/control/spread.go
@@ -157,6 +157,30 @@
 	c.fill(c.unsuspected(far), farNeighbours, false)
 }
 
+// consider makes a node that has come up a neighbour, with the chance that each
+// node of its kind has. Without it, nodes that start late would be nobody's
+// neighbours for some time, and changes would reach them by comparisons only.
+func (c *Control) consider(r member.Record) {
+	c.neighbours = slices.DeleteFunc(c.neighbours, func(o member.Record) bool { return o.ID == r.ID })
+	near := r.Zone == c.self.Zone
+	quota, known := farNeighbours, c.live-c.near-1
+	if near {
+		quota, known = nearNeighbours, c.near
+	}
+	var places []int // of the neighbours of that kind
+	for i, o := range c.neighbours {
+		if (o.Zone == c.self.Zone) == near {
+			places = append(places, i)
+		}
+	}
+	switch {
+	case len(places) < quota:
+		c.neighbours = append(c.neighbours, r)
+	case c.random.IntN(max(known, 1)) < quota:
+		c.neighbours[places[c.random.IntN(len(places))]] = r
+	}
+}
+
 // split returns the other live nodes, by whether they are in the node's zone.
 func (c *Control) split() (near, far []member.Record) {
 	for r := range c.members.set.All {
--- a/control/stewardwork.go
+++ b/control/stewardwork.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"sassafrasfront.example/claim"
 	"sassafrasfront.example/member"
 	"sassafrasfront.example/operator"
 	"sassafrasfront.example/peer"
@@ -67,6 +68,7 @@
 	all.Go(func() { s.reporter.run(ctx) })
 	all.Go(func() { s.sweep(ctx) })
 	all.Go(func() { s.bridge(ctx) })
+	all.Go(func() { s.sweepClaims(ctx) })
 	all.Wait()
 }
 
@@ -133,6 +135,25 @@
 	}
 }
 
+// claimSweep is the time between two deletions of claims whose time is over.
+const claimSweep = time.Hour
+
+// sweepClaims deletes the claims whose time is over, now and then. The steward
+// of the zone that comes first does so for all.
+func (s *stewardWork) sweepClaims(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, claimSweep/2+rand.N(claimSweep))
+		if ctx.Err() != nil || s.acceptor.turn(operator.KindClaim) > 0 {
+			continue
+		}
+		if n, err := claim.Sweep(ctx, s.API, time.Now()); err != nil {
+			s.Log.Warn().Err(err).Msg("sweep of claims failed")
+		} else if n > 0 {
+			s.Log.Info().Int("deleted", n).Msg("claims swept")
+		}
+	}
+}
+
 // bridge compares the state with a node of each zone now and then, by the
 // contacts that the stewards leave on the platform. It joins what a cut has
 // parted, and zones that start at the same time.
--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,227 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/entry"
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/verdict"
+)
+
+// gates are peers that are played by functions.
+type gates struct {
+	mu    sync.Mutex
+	calls []string // the nodes that got a call, in order
+	ended []string // the nodes whose call was cancelled
+}
+
+// play answers one call.
+type play func(in *peer.Inbound)
+
+func answer(in *peer.Inbound) {
+	_ = in.Reply(&peer.Answer{Status: 200, Body: []byte("done")})
+}
+
+func fail(c verdict.Cause) play {
+	return func(in *peer.Inbound) { in.Fail(verdict.New(c, nil), nil) }
+}
+
+func hang(in *peer.Inbound) { <-in.Context().Done() }
+
+// queued waits until it is revoked.
+func queued(in *peer.Inbound) {
+	revoked := make(chan struct{})
+	var once sync.Once
+	in.OnRevoke(func() bool {
+		once.Do(func() { close(revoked) })
+		return true
+	})
+	select {
+	case <-revoked:
+	case <-in.Context().Done():
+	}
+}
+
+// dispatcher returns a dispatcher for a service whose gates are played in the
+// order in which they are called, the last one for all further calls.
+func dispatcher(t *testing.T, config operator.Service, n int, plays ...play) (*entry.Dispatcher, *gates) {
+	t.Helper()
+	g := new(gates)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	s := &entry.Service{Name: "service", Config: config.WithDefaults()}
+	for i := range n {
+		id := fmt.Sprint("gate", i)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		qt.Assert(t, err, qt.IsNil)
+		server := &peer.Server{Call: func(in *peer.Inbound) {
+			g.mu.Lock()
+			g.calls = append(g.calls, id)
+			p := plays[min(len(g.calls), len(plays))-1]
+			g.mu.Unlock()
+			p(in)
+			if in.Context().Err() != nil {
+				g.mu.Lock()
+				g.ended = append(g.ended, id)
+				g.mu.Unlock()
+			}
+		}}
+		go server.Run(ctx, listener)
+		s.Members = append(s.Members, entry.Member{ID: id, Addr: listener.Addr().String(), Slots: 10})
+	}
+	d := &entry.Dispatcher{Hello: peer.Hello{Node: "entry"}}
+	d.Set(map[string]*entry.Service{"service": s})
+	t.Cleanup(d.Close)
+	return d, g
+}
+
+func (g *gates) count() (calls, distinct, ended int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	seen := make(map[string]bool)
+	for _, id := range g.calls {
+		seen[id] = true
+	}
+	return len(g.calls), len(seen), len(g.ended)
+}
+
+// TestDo has one row for each course that a request may take.
+func TestDo(t *testing.T) {
+	budget := operator.Service{Retry: operator.Retry{MaxTries: 3, Share: 0.1, Burst: 5}}
+	tests := map[string]struct {
+		plays      []play
+		idempotent bool
+		timeout    time.Duration
+		stream     bool
+		want       verdict.Cause // empty for an answer
+		calls      int
+	}{
+		"answered":                               {plays: []play{answer}, calls: 1},
+		"refused once, POST":                     {plays: []play{fail(verdict.Refused), answer}, calls: 2},
+		"refused by all":                         {plays: []play{fail(verdict.Refused)}, want: verdict.Refused, calls: 3},
+		"draining, streamed":                     {plays: []play{fail(verdict.Draining), answer}, stream: true, calls: 2},
+		"upstream lost, POST":                    {plays: []play{fail(verdict.UpstreamLost), answer}, want: verdict.UpstreamLost, calls: 1},
+		"upstream lost, GET":                     {plays: []play{fail(verdict.UpstreamLost), answer}, idempotent: true, calls: 2},
+		"answer invalid, GET":                    {plays: []play{fail(verdict.AnswerInvalid), answer}, idempotent: true, want: verdict.AnswerInvalid, calls: 1},
+		"lost and then refused":                  {plays: []play{fail(verdict.UpstreamLost), fail(verdict.Refused)}, idempotent: true, want: verdict.UpstreamLost, calls: 3},
+		"no answer in time":                      {plays: []play{hang}, timeout: 50 * time.Millisecond, want: verdict.TimedOut, calls: 1},
+		"no time at all":                         {plays: []play{answer}, timeout: -1, want: verdict.DeadlinePassed},
+		"refused, and no time for another":       {plays: []play{func(in *peer.Inbound) { time.Sleep(60 * time.Millisecond); fail(verdict.Refused)(in) }}, timeout: 50 * time.Millisecond, want: verdict.TimedOut, calls: 1},
+		"upstream says not run, within a budget": {plays: []play{fail(verdict.UpstreamRefused), answer}, calls: 2},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d, g := dispatcher(t, budget, 3, test.plays...)
+			timeout := test.timeout
+			if timeout == 0 {
+				timeout = 10 * time.Second
+			}
+			r := &entry.Request{Service: "service", Method: "X", Target: "/", Idempotent: test.idempotent, Deadline: time.Now().Add(timeout)}
+			if test.stream {
+				r.Stream = entry.Once(strings.NewReader("body"))
+				r.Length = -1
+			}
+			result, failed := d.Do(context.Background(), r)
+			calls, distinct, _ := g.count()
+			qt.Check(t, calls, qt.Equals, test.calls)
+			qt.Check(t, distinct, qt.Equals, test.calls, qt.Commentf("each try goes to another gate"))
+			if test.want != "" {
+				qt.Assert(t, failed != nil, qt.IsTrue)
+				qt.Check(t, failed.Cause, qt.Equals, test.want)
+				qt.Check(t, failed.GivenUp, qt.IsTrue)
+				if failed.Status() == 503 {
+					qt.Check(t, failed.RetryAfter > 0, qt.IsTrue)
+				}
+				return
+			}
+			qt.Assert(t, failed == nil, qt.IsTrue, qt.Commentf("%v", failed))
+			defer result.Close()
+			data, err := io.ReadAll(result.Body)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, string(data), qt.Equals, "done")
+			qt.Check(t, result.Tries, qt.Equals, test.calls)
+		})
+	}
+}
+
+// TestSlowRequests warms the latency up and then has a request hang. An
+// idempotent one is sent a second time and the loser cancelled; any other is
+// taken back if it waits, and left alone if it runs.
+func TestSlowRequests(t *testing.T) {
+	config := operator.Service{Hedge: operator.Hedge{Share: 0.2, MinDelay: operator.Duration(20 * time.Millisecond)}}
+	tests := map[string]struct {
+		slow       play
+		idempotent bool
+		want       verdict.Cause
+		calls      int
+		ended      int
+	}{
+		"hedged":           {slow: hang, idempotent: true, calls: 2, ended: 1},
+		"revoked":          {slow: queued, calls: 2},
+		"runs, left alone": {slow: hang, want: verdict.TimedOut, calls: 1, ended: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			const warm = 64
+			plays := make([]play, warm, warm+2)
+			for i := range plays {
+				plays[i] = answer
+			}
+			d, g := dispatcher(t, config, 2, append(plays, test.slow, answer)...)
+			send := func() *verdict.Error {
+				result, failed := d.Do(context.Background(), &entry.Request{
+					Service: "service", Method: "X", Target: "/",
+					Idempotent: test.idempotent,
+					Deadline:   time.Now().Add(time.Second),
+				})
+				if failed == nil {
+					result.Close()
+				}
+				return failed
+			}
+			for range warm {
+				qt.Assert(t, send() == nil, qt.IsTrue)
+			}
+			failed := send()
+			if test.want == "" {
+				qt.Check(t, failed == nil, qt.IsTrue, qt.Commentf("%v", failed))
+			} else {
+				qt.Assert(t, failed != nil, qt.IsTrue)
+				qt.Check(t, failed.Cause, qt.Equals, test.want)
+			}
+			for range 500 {
+				if _, _, ended := g.count(); ended >= test.ended {
+					break
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			calls, _, ended := g.count()
+			qt.Check(t, calls, qt.Equals, warm+test.calls)
+			qt.Check(t, ended, qt.Equals, test.ended)
+		})
+	}
+}
+
+// TestNowhereToSend tells an unknown service from one without upstreams.
+func TestNowhereToSend(t *testing.T) {
+	d, _ := dispatcher(t, operator.Service{}, 0)
+	for service, want := range map[string]verdict.Cause{"service": verdict.NoUpstream, "other": verdict.UnknownHost} {
+		_, failed := d.Do(context.Background(), &entry.Request{Service: service, Deadline: time.Now().Add(time.Second)})
+		qt.Assert(t, failed != nil, qt.IsTrue)
+		qt.Check(t, failed.Cause, qt.Equals, want)
+	}
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -183,8 +183,13 @@
 	}
 	t := g.admit.Enter(in.Call.Class, in.Deadline())
 	in.OnRevoke(t.Revoke)
-	if err := t.Wait(ctx); err != nil {
-		return nil, nil, err
+	err := t.Wait(ctx)
+	switch {
+	case err == nil:
+		return t, b, nil
+	case err.Cause == verdict.NoUpstream:
+		// This gate does not know its service yet; another may.
+		return nil, nil, verdict.New(verdict.Misrouted, err)
 	}
-	return t, b, nil
+	return nil, nil, err
 }
--- /dev/null
+++ b/gate/gate_test.go
@@ -0,0 +1,192 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package gate_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"sassafrasfront.example/gate"
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/upstream"
+	"sassafrasfront.example/verdict"
+	"sassafrasfront.example/watch"
+)
+
+// rig is a gate before an upstream, with a client that calls it.
+type rig struct {
+	gate   *gate.Gate
+	client *peer.Client
+	mu     sync.Mutex
+	ended  []verdict.Cause // of the calls, as the gate tells
+	loads  []peer.Report
+}
+
+func newRig(t *testing.T, slots int, h http.HandlerFunc) *rig {
+	t.Helper()
+	back := httptest.NewServer(h)
+	r := new(rig)
+	r.gate = &gate.Gate{
+		Tracer:  noop.NewTracerProvider().Tracer(""),
+		Reports: &watch.Pacer[string]{Budget: watch.NewBudget(1<<20, 1), Size: 1},
+		Ended: func(_, _ string, failure *verdict.Error, _, _ time.Duration) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			if failure == nil {
+				r.ended = append(r.ended, "")
+			} else {
+				r.ended = append(r.ended, failure.Cause)
+			}
+		},
+	}
+	config := operator.Service{Queue: operator.Queue{Length: 1, Wait: operator.Duration(50 * time.Millisecond)}}.WithDefaults()
+	r.gate.Configure(&config)
+	r.gate.Announce(&upstream.Announcement{Service: "service", Address: back.Listener.Addr().String(), Slots: slots, Connections: slots})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	server := &peer.Server{Call: r.gate.Serve}
+	go server.Run(ctx, listener)
+	r.client = &peer.Client{
+		Addr: listener.Addr().String(),
+		Report: func(l peer.Report) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.loads = append(r.loads, l)
+		},
+	}
+	t.Cleanup(func() {
+		r.client.Close()
+		cancel()
+		back.CloseClientConnections()
+		back.Close()
+	})
+	return r
+}
+
+// call makes a call and returns its failure.
+func (r *rig) call(service string, remaining time.Duration) *verdict.Error {
+	m := &peer.Call{Service: service, Method: "POST", Target: "/", Remaining: remaining}
+	x, failure := r.client.Start(context.Background(), m, nil)
+	if failure != nil {
+		return failure
+	}
+	defer x.Close()
+	_, failure = x.Wait()
+	return failure
+}
+
+// TestCalls has one row for each state in which a call can find the gate.
+func TestCalls(t *testing.T) {
+	tests := map[string]struct {
+		before    func(g *gate.Gate)
+		service   string
+		remaining time.Duration
+		want      verdict.Cause
+		ran       bool
+	}{
+		"runs":                  {ran: true},
+		"another service":       {service: "other", want: verdict.Misrouted},
+		"withdrawn":             {before: func(g *gate.Gate) { g.Announce(nil) }, want: verdict.Misrouted},
+		"not configured":        {before: func(g *gate.Gate) { g.Configure(nil) }, want: verdict.Misrouted},
+		"leaving":               {before: func(g *gate.Gate) { g.Leave() }, want: verdict.Draining},
+		"no time left":          {remaining: -1, want: verdict.DeadlinePassed},
+		"upstream moved away":   {before: func(g *gate.Gate) { move(g, false) }, want: verdict.UpstreamDialFailed},
+		"upstream drains":       {before: func(g *gate.Gate) { move(g, true) }, want: verdict.Draining},
+		"left, and called late": {before: func(g *gate.Gate) { <-g.Leave() }, want: verdict.Draining},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var mu sync.Mutex
+			ran := false
+			r := newRig(t, 1, func(http.ResponseWriter, *http.Request) {
+				mu.Lock()
+				ran = true
+				mu.Unlock()
+			})
+			if test.before != nil {
+				test.before(r.gate)
+			}
+			service, remaining := test.service, test.remaining
+			if service == "" {
+				service = "service"
+			}
+			if remaining == 0 {
+				remaining = 10 * time.Second
+			}
+			failure := r.call(service, remaining)
+			mu.Lock()
+			defer mu.Unlock()
+			qt.Check(t, ran, qt.Equals, test.ran)
+			if test.want == "" {
+				qt.Check(t, failure == nil, qt.IsTrue, qt.Commentf("%v", failure))
+				return
+			}
+			qt.Assert(t, failure != nil, qt.IsTrue)
+			qt.Check(t, failure.Verdict(), qt.Equals, verdict.NotRun)
+			// A deadline that has passed may be told by either side's clock.
+			if test.remaining == 0 {
+				qt.Check(t, failure.Cause, qt.Equals, test.want)
+			}
+		})
+	}
+}
+
+// move announces an address where nobody listens.
+func move(g *gate.Gate, draining bool) {
+	g.Announce(&upstream.Announcement{Service: "service", Address: "127.0.0.1:1", Slots: 1, Connections: 1, Draining: draining})
+}
+
+// TestSlotsAreExact sends many calls at once to an upstream of three slots.
+func TestSlotsAreExact(t *testing.T) {
+	var mu sync.Mutex
+	var now, most, runs int
+	r := newRig(t, 3, func(http.ResponseWriter, *http.Request) {
+		mu.Lock()
+		now++
+		runs++
+		most = max(most, now)
+		mu.Unlock()
+		time.Sleep(5 * time.Millisecond)
+		mu.Lock()
+		now--
+		mu.Unlock()
+	})
+	var answered, refused int
+	var all sync.WaitGroup
+	for range 60 {
+		all.Go(func() {
+			failure := r.call("service", 10*time.Second)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case failure == nil:
+				answered++
+			case failure.Cause == verdict.Refused:
+				refused++
+			default:
+				t.Error(failure)
+			}
+		})
+	}
+	all.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	qt.Check(t, most <= 3, qt.IsTrue, qt.Commentf("%d at once", most))
+	qt.Check(t, answered+refused, qt.Equals, 60)
+	qt.Check(t, runs, qt.Equals, answered, qt.Commentf("what was refused must not have run"))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	qt.Check(t, len(r.loads) > 0, qt.IsTrue, qt.Commentf("answers and refusals bear load reports"))
+}
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -14,6 +14,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -53,6 +54,9 @@
 	Slots int
 	// Name is told in each answer.
 	Name string
+	// Entry is the URL of the node beside the stand-in, through which it calls
+	// other services.
+	Entry string
 	// Journal, if not nil, gets the id of each request as it comes, a line
 	// each. It outlives the process where the record does not.
 	Journal io.Writer
@@ -125,6 +129,10 @@
 	case <-r.Context().Done():
 		return
 	}
+	if next := q.Get("next"); next != "" {
+		s.callNext(w, r, next)
+		return
+	}
 	answer := fmt.Sprintf("%s %s %s", r.Header.Get(IDHeader), s.Name, body)
 	switch {
 	case q.Has("die"):
@@ -137,6 +145,37 @@
 	_, _ = io.WriteString(w, answer)
 }
 
+// callNext calls the first of some services, separated by commas, which calls
+// those after it. The last one dies unanswered. What the caller is told of a
+// failure is passed on.
+func (s *Server) callNext(w http.ResponseWriter, r *http.Request, next string) {
+	first, rest, more := strings.Cut(next, ",")
+	target := s.Entry + "/?die=1"
+	if more {
+		target = s.Entry + "/?next=" + rest
+	}
+	q, err := http.NewRequestWithContext(r.Context(), r.Method, target, nil)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	q.Host = first + ".example"
+	q.Header.Set(IDHeader, r.Header.Get(IDHeader))
+	a, err := http.DefaultTransport.RoundTrip(q)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	defer a.Body.Close()
+	for _, h := range []string{upstream.VerdictHeader, upstream.GivenUpHeader} {
+		if v := a.Header.Get(h); v != "" {
+			w.Header().Set(h, v)
+		}
+	}
+	w.WriteHeader(a.StatusCode)
+	_, _ = io.Copy(w, a.Body)
+}
+
 // begin records a request and returns how long it takes.
 func (s *Server) begin(id string) time.Duration {
 	s.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"golang.org/x/time/rate"
 
 	"sassafrasfront.example/caller"
+	"sassafrasfront.example/claim"
 	"sassafrasfront.example/control"
 	"sassafrasfront.example/entry"
 	"sassafrasfront.example/gate"
@@ -63,6 +64,7 @@
 	dispatcher *entry.Dispatcher
 	peers      *peer.Server
 	announced  *upstream.Announcements
+	claims     *claim.Ledger
 	configured atomic.Bool // whether the gate knows its service
 
 	mu        sync.Mutex
@@ -183,6 +185,10 @@
 	}
 	if s.PlatformURL != "" {
 		n.control.API = n.platform()
+		n.claims = &claim.Ledger{
+			API:  n.control.API,
+			Node: s.Node,
+		}
 	}
 	n.peers = &peer.Server{
 		Hello:   hello,
@@ -261,6 +267,9 @@
 	all.Go(func() { _ = operators.Serve(l.operator) })
 	<-ctx.Done()
 	n.leave(callers)
+	if n.claims != nil {
+		n.claims.Wait()
+	}
 	stopControl()
 	controlling.Wait()
 	n.dispatcher.Close()
@@ -277,6 +286,7 @@
 			return s.Lookup(host), s.Ready
 		},
 		Dispatcher: n.dispatcher,
+		Claims:     n.claims,
 		Node:       n.Settings.Node,
 		Tracer:     n.tracer,
 		Ended:      n.requestEnded,
--- a/verdict/cause.go
+++ b/verdict/cause.go
@@ -47,6 +47,14 @@
 	// ClaimFailed: the record that keeps a resent request from running twice
 	// could not be made.
 	ClaimFailed Cause = "claimFailed"
+	// ResendMismatch: another request was sent under the same idempotency key.
+	ResendMismatch Cause = "resendMismatch"
+	// ResendUnderway: a request with the same idempotency key was sent before,
+	// and its outcome is not known yet, or will never be.
+	ResendUnderway Cause = "resendUnderway"
+	// ResendNotKept: a request with the same idempotency key has run, and its
+	// answer has not been kept.
+	ResendNotKept Cause = "resendNotKept"
 	// PeerLost: the connection to the node beside the upstream was lost after
 	// the whole request had been handed to it.
 	PeerLost Cause = "peerLost"
@@ -94,6 +102,9 @@
 	UpstreamDialFailed: {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
 	UpstreamRefused:    {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
 	ClaimFailed:        {Verdict: NotRun, Status: http.StatusServiceUnavailable},
+	ResendMismatch:     {Verdict: NotRun, Status: http.StatusUnprocessableEntity},
+	ResendUnderway:     {Verdict: MayHaveRun, Status: http.StatusBadGateway},
+	ResendNotKept:      {Verdict: Ran, Status: http.StatusConflict},
 	PeerLost:           {Verdict: MayHaveRun, Status: http.StatusBadGateway, Elsewhere: true},
 	TimedOut:           {Verdict: MayHaveRun, Status: http.StatusGatewayTimeout},
 	CallerGone:         {Verdict: MayHaveRun, Status: http.StatusBadGateway},
