--- a/control/acceptor.go
+++ b/control/acceptor.go
@@ -27,6 +27,8 @@
 	pending map[string]pendingIntent
 	sources map[string]uint64 // the newest source known to be accepted
 	wake    chan struct{}
+	zones   []string // other zones with live nodes, as of zonesAt
+	zonesAt time.Time
 }
 
 // pendingIntent is an intent that is due at a time.
@@ -98,12 +100,12 @@
 // consider has an intent accepted when it is this steward's turn, unless it is
 // known to be done.
 func (a *acceptor) consider(in rollout.Intent) {
+	if a.settled(in) {
+		return
+	}
 	turn := a.turn(in.Name)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if in.Source <= a.sources[in.Name] || in.Source <= a.pending[in.Name].Source {
-		return
-	}
 	a.pending[in.Name] = pendingIntent{
 		Intent: in,
 		due:    time.Now().Add(turn),
@@ -114,11 +116,32 @@
 	}
 }
 
+// settled returns whether an intent, or a newer one for the same service, is
+// accepted or pending.
+func (a *acceptor) settled(in rollout.Intent) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return in.Source <= a.sources[in.Name] || in.Source <= a.pending[in.Name].Source
+}
+
+// zonesFor is how long the list of zones is used before it is made anew: that
+// takes a walk over all members, and a list of services asks for it often.
+const zonesFor = time.Second
+
 // turn returns how long this steward leaves an intent to those before it.
 func (a *acceptor) turn(name string) time.Duration {
+	a.mu.Lock()
+	fresh := time.Since(a.zonesAt) < zonesFor
+	zones := a.zones
+	a.mu.Unlock()
 	c := a.control
-	var zones []string
-	c.do(func() { zones = c.zones() })
+	if !fresh {
+		c.do(func() { zones = c.zones() })
+		a.mu.Lock()
+		a.zones = zones
+		a.zonesAt = time.Now()
+		a.mu.Unlock()
+	}
 	return time.Duration(member.RankOf(name, c.Self.Zone, zones)) * c.Timing.Takeover
 }
 
