--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -6,8 +6,6 @@
 
 import (
 	"maps"
-	"reflect"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,7 +57,7 @@
 	services atomic.Pointer[map[string]*service]
 
 	mu      sync.Mutex
-	clients map[string]*peer.Client // by node
+	clients map[string]*client // by node
 }
 
 // Event is something that a Dispatcher did beyond the first sending.
@@ -74,7 +72,7 @@
 
 // service is the state kept for one service.
 type service struct {
-	Service
+	*Service
 	pool     *route.Pool[string]
 	budget   *retry.Budget
 	hedges   *retry.Budget
@@ -90,14 +88,16 @@
 	hedge  operator.Hedge
 }
 
-// Set replaces the services. What is known of those that stay is kept.
+// Set replaces the services. What is known of those that stay is kept. A service
+// that has not changed is best given as the same pointer: nothing is done for it
+// then.
 func (d *Dispatcher) Set(services map[string]*Service) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	old := d.load()
 	next := make(map[string]*service, len(services))
 	for name, s := range services {
-		if o := old[name]; o != nil && same(&o.Service, s) {
+		if o := old[name]; o != nil && o.Service == s {
 			next[name] = o
 			continue
 		}
@@ -107,11 +107,6 @@
 	d.closeUnused(next)
 }
 
-// same returns whether nothing has changed from a to b.
-func same(a, b *Service) bool {
-	return slices.Equal(a.Members, b.Members) && reflect.DeepEqual(a.Config, b.Config)
-}
-
 func (d *Dispatcher) load() map[string]*service {
 	if p := d.services.Load(); p != nil {
 		return *p
@@ -122,7 +117,7 @@
 // build makes the state of a service, taking over what old has.
 func (d *Dispatcher) build(old *service, s *Service) *service {
 	n := &service{
-		Service: *s,
+		Service: s,
 		settings: settings{
 			policy: s.Config.Policy,
 			retry:  s.Config.Retry,
@@ -170,17 +165,14 @@
 	return 0
 }
 
-// closeUnused closes the clients of nodes that are in no service any more.
+// closeUnused closes the clients of nodes that are not in their service any
+// more.
 func (d *Dispatcher) closeUnused(services map[string]*service) {
-	used := make(map[string]string)
-	for _, s := range services {
-		for _, m := range s.Members {
-			used[m.ID] = m.Addr
-		}
-	}
-	maps.DeleteFunc(d.clients, func(id string, c *peer.Client) bool {
-		if used[id] == c.Addr {
-			return false
+	maps.DeleteFunc(d.clients, func(id string, c *client) bool {
+		if s := services[c.service]; s != nil {
+			if m, ok := s.member(id); ok && m.Addr == c.Addr {
+				return false
+			}
 		}
 		// Calls that are open get time to end.
 		time.AfterFunc(closeDelay, c.Close)
@@ -192,22 +184,31 @@
 // the calls on it.
 const closeDelay = time.Minute
 
+// client is the connection to a member of a service.
+type client struct {
+	*peer.Client
+	service string
+}
+
 // client returns the client of a member.
-func (d *Dispatcher) client(s *service, m Member) *peer.Client {
+func (d *Dispatcher) client(s *service, m Member) *client {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if c := d.clients[m.ID]; c != nil && c.Addr == m.Addr {
+	if c := d.clients[m.ID]; c != nil && c.Addr == m.Addr && c.service == s.Name {
 		return c
 	}
-	c := &peer.Client{
-		Addr:     m.Addr,
-		Hello:    d.Hello,
-		Limits:   d.Limits,
-		Counters: d.Counters,
-		Report:   func(r peer.Report) { d.observe(s.Name, m.ID, r) },
+	c := &client{
+		service: s.Name,
+		Client: &peer.Client{
+			Addr:     m.Addr,
+			Hello:    d.Hello,
+			Limits:   d.Limits,
+			Counters: d.Counters,
+			Report:   func(r peer.Report) { d.observe(s.Name, m.ID, r) },
+		},
 	}
 	if d.clients == nil {
-		d.clients = make(map[string]*peer.Client)
+		d.clients = make(map[string]*client)
 	}
 	d.clients[m.ID] = c
 	return c
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -225,3 +225,25 @@
 		qt.Check(t, failed.Cause, qt.Equals, want)
 	}
 }
+
+// BenchmarkSet times the taking in of one changed service of many.
+func BenchmarkSet(b *testing.B) {
+	for _, n := range []int{160, 1000, 3000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			d := new(entry.Dispatcher)
+			services := make(map[string]*entry.Service)
+			for i := range n {
+				s := &entry.Service{Name: fmt.Sprint("service", i), Config: operator.Service{}.WithDefaults()}
+				for j := range 6 {
+					s.Members = append(s.Members, entry.Member{ID: fmt.Sprint(i, "/", j), Slots: 10})
+				}
+				services[s.Name] = s
+			}
+			for b.Loop() {
+				changed := *services["service0"]
+				services["service0"] = &changed
+				d.Set(services)
+			}
+		})
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -77,7 +77,7 @@
 	fs.StringVar(&s.LogLevel, "logLevel", "info", "debug, info, warn or error")
 	fs.StringVar(&s.TraceURL, "traceURL", "", "OTLP collector, such as http://10.0.0.1:4318/v1/traces; empty for none")
 	fs.Float64Var(&s.TraceSample, "traceSample", 0.01, "share of the traces begun here that are kept")
-	fs.IntVar(&s.ReportBytes, "reportBytes", 1200, "budget for load reports, in bytes per second")
+	fs.IntVar(&s.ReportBytes, "reportBytes", 1000, "budget for load reports, in bytes per second")
 	fs.IntVar(&s.ControlBytes, "controlBytes", 10000, "budget for the control state, in bytes per second")
 	fs.Float64Var(&s.PlatformCalls, "platformCalls", 20, "budget of calls to the platform, per second")
 	fs.DurationVar(&s.Lease, "lease", 15*time.Second, "duration of the steward's lease")
