--- a/caller/handler.go
+++ b/caller/handler.go
@@ -23,6 +23,7 @@
 	"sassafrasfront.example/claim"
 	"sassafrasfront.example/entry"
 	"sassafrasfront.example/gate"
+	"sassafrasfront.example/internal/httpfield"
 	"sassafrasfront.example/internal/tracing"
 	"sassafrasfront.example/operator"
 	"sassafrasfront.example/peer"
@@ -238,7 +239,7 @@
 	h := forward(r, x.handler.Node)
 	h.Set(RequestID, x.outcome.ID)
 	tracing.Inject(ctx, propagation.HeaderCarrier(h))
-	q.Header = fields(h)
+	q.Header = httpfield.From(h)
 	return q, nil
 }
 
@@ -314,4 +315,4 @@
 }
 
 // Trailer implements peer.Trailered.
-func (t *trailered) Trailer() []peer.Field { return fields(t.request.Trailer) }
+func (t *trailered) Trailer() []peer.Field { return httpfield.From(t.request.Trailer) }
--- a/caller/header.go
+++ b/caller/header.go
@@ -91,17 +91,3 @@
 	to.Del(upstream.VerdictHeader)
 	to.Add("Via", "1.1 "+node)
 }
-
-// fields returns h as header fields.
-func fields(h http.Header) []peer.Field {
-	list := make([]peer.Field, 0, len(h))
-	for name, values := range h {
-		for _, v := range values {
-			list = append(list, peer.Field{
-				Name:  name,
-				Value: v,
-			})
-		}
-	}
-	return list
-}
--- /dev/null
+++ b/cmd/sassafrasbench/rig/node.go
@@ -0,0 +1,165 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package rig
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+
+	"sassafrasfront.example/internal/backend"
+	"sassafrasfront.example/node"
+)
+
+// Node is a node with the upstream beside it.
+type Node struct {
+	Name, Zone, Service, IP string
+	Spec                    Spec
+
+	rig      *Rig
+	flags    []string
+	node     *process
+	upstream *process
+}
+
+// process is a child process.
+type process struct {
+	cmd    *exec.Cmd
+	exited chan struct{}
+}
+
+func (n *Node) at(port int) string { return fmt.Sprintf("%s:%d", n.IP, port) }
+
+// CallerOf returns the address for callers of the node beside the upstream with
+// the given address.
+func CallerOf(upstream string) string {
+	host, _, _ := net.SplitHostPort(upstream)
+	return fmt.Sprintf("%s:%d", host, callerPort)
+}
+
+// CallerURL is where callers reach the node.
+func (n *Node) CallerURL() string { return "http://" + n.at(callerPort) }
+
+// BackendURL is where the upstream beside the node is.
+func (n *Node) BackendURL() string { return "http://" + n.at(backendPort) }
+
+// OperatorURL is where the node serves metrics.
+func (n *Node) OperatorURL() string { return "http://" + n.at(operatorPort) }
+
+// StartNode starts the node's process.
+func (n *Node) StartNode() error {
+	args := []string{
+		"run", "-node", n.Name, "-region", "r1", "-zone", n.Zone,
+		"-callerAddress", n.at(callerPort), "-peerAddress", n.at(peerPort),
+		"-announceAddress", n.at(announcePort), "-operatorAddress", n.at(operatorPort),
+		"-platformURL", n.rig.API.URL, "-lease", "3s",
+	}
+	p, err := n.rig.spawn(n.Name, "sassafrasnode", slices.Concat(args, n.rig.options.Flags, n.flags)...)
+	n.node = p
+	return err
+}
+
+// StartUpstream starts the upstream's process, which announces itself.
+func (n *Node) StartUpstream() error {
+	knobs, err := json.Marshal(n.Spec.Knobs)
+	if err != nil {
+		return err
+	}
+	p, err := n.rig.spawn(n.Name+"-upstream", "sassafrasbench", "upstream", n.at(backendPort), n.at(announcePort), n.Service, fmt.Sprint(n.Spec.Slots), string(knobs), n.journal())
+	n.upstream = p
+	return err
+}
+
+// SignalNode sends a signal to the node's process.
+func (n *Node) SignalNode(s syscall.Signal) { n.node.signal(s) }
+
+// SignalUpstream sends a signal to the upstream's process.
+func (n *Node) SignalUpstream(s syscall.Signal) { n.upstream.signal(s) }
+
+// NodePID returns the id of the node's process.
+func (n *Node) NodePID() int { return n.node.cmd.Process.Pid }
+
+// WaitNode waits for the node's process to end.
+func (n *Node) WaitNode() { <-n.node.exited }
+
+// WaitUpstream waits for the upstream's process to end.
+func (n *Node) WaitUpstream() { <-n.upstream.exited }
+
+func (p *process) signal(s syscall.Signal) {
+	if p != nil {
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// Running returns whether both processes run.
+func (n *Node) Running() bool {
+	for _, p := range []*process{n.node, n.upstream} {
+		if p == nil {
+			return false
+		}
+		select {
+		case <-p.exited:
+			return false
+		default:
+		}
+	}
+	return true
+}
+
+// Turn sets the knobs of the upstream.
+func (n *Node) Turn(k backend.Knobs) error { return put(n.BackendURL()+"/stand/knobs", k) }
+
+// Record returns what the upstream has run.
+func (n *Node) Record() (backend.Record, error) {
+	var rec backend.Record
+	err := get(n.BackendURL()+"/stand/record", &rec)
+	return rec, err
+}
+
+// journal is the file with the ids of the requests that the upstream has run,
+// over all its starts.
+func (n *Node) journal() string { return filepath.Join(n.rig.options.Dir, n.Name+".journal") }
+
+// Runs adds the number of runs of each request at the upstream to the given
+// counts.
+func (n *Node) Runs(counts map[string]int) {
+	data, _ := os.ReadFile(n.journal())
+	for id := range strings.FieldsSeq(string(data)) {
+		counts[id]++
+	}
+}
+
+// Runs returns the number of runs of each request over all upstreams.
+func (r *Rig) Runs() map[string]int {
+	counts := make(map[string]int)
+	for _, n := range r.Nodes {
+		n.Runs(counts)
+	}
+	return counts
+}
+
+// Drain has the upstream announce that it drains, or that it no longer does.
+func (n *Node) Drain(draining bool) error {
+	var a map[string]any
+	url := "http://" + n.at(announcePort) + "/v1/upstream"
+	if err := get(url, &a); err != nil {
+		return err
+	}
+	a["draining"] = draining
+	return put(url, a)
+}
+
+// Picture returns what the node knows.
+func (n *Node) Picture() (node.Picture, error) {
+	var p node.Picture
+	err := get(n.OperatorURL()+"/v1/picture", &p)
+	return p, err
+}
--- a/control/lease.go
+++ b/control/lease.go
@@ -11,9 +11,7 @@
 	"sync"
 	"time"
 
-	"sassafrasfront.example/member"
 	"sassafrasfront.example/operator"
-	"sassafrasfront.example/peer"
 	"sassafrasfront.example/platform"
 )
 
@@ -51,83 +49,6 @@
 	}
 }
 
-// stewardRank returns this node's place among the live nodes of its zone, and
-// their number. Nodes that are suspected don't count.
-func (c *Control) stewardRank() (rank, zone int) {
-	ids := c.candidateIDs()
-	return member.RankOf(c.self.Zone, c.self.ID, ids), len(ids) + 1
-}
-
-// candidateIDs returns the other live nodes of the zone that are not suspected.
-func (c *Control) candidateIDs() []string {
-	near, _ := c.split()
-	now := time.Now()
-	var ids []string
-	for _, r := range near {
-		if now.After(c.suspects[r.ID]) {
-			ids = append(ids, r.ID)
-		}
-	}
-	return ids
-}
-
-const (
-	// suspicion is how long a node that did not answer is suspected.
-	suspicion = time.Minute
-	// topicCandidates tells a node which nodes are suspected.
-	topicCandidates = "candidates"
-)
-
-// suspicions names nodes that did not answer.
-type suspicions struct {
-	Nodes []string `msgpack:"nodes"`
-}
-
-// suspect takes in that some nodes did not answer.
-func (c *Control) suspect(ids []string) {
-	for _, id := range ids {
-		if id != c.self.ID {
-			c.suspects[id] = time.Now().Add(suspicion)
-		}
-	}
-}
-
-// probeCandidates asks the candidates for stewardship in their order for a sign
-// of life until one answers, and tells it of those before it that did not. All
-// candidates may have died at once, and the nodes after them would not know
-// that it is their turn. A few nodes of each zone do so in each period, so the
-// cost does not grow with the zone.
-func (c *Control) probeCandidates(ctx context.Context) {
-	var ids []string
-	c.do(func() { ids = member.Order(c.self.Zone, c.candidateIDs()) })
-	var silent []string
-	for _, id := range ids {
-		err := c.askCandidate(ctx, id, silent)
-		if err == nil || ctx.Err() != nil {
-			break
-		}
-		silent = append(silent, id)
-	}
-	c.do(func() { c.suspect(silent) })
-}
-
-// askCandidate tells a node who is suspected. An error means that it is silent.
-func (c *Control) askCandidate(ctx context.Context, id string, silent []string) error {
-	var p *peer.Client
-	c.do(func() {
-		if r, ok := c.members.set.Get(id); ok {
-			p = c.client(r.Addr)
-		}
-	})
-	if p == nil {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
-	defer cancel()
-	_, err := ask[suspicions, struct{}](ctx, p, topicCandidates, suspicions{Nodes: silent})
-	return err
-}
-
 // lease is the lease of this node's zone as this node last saw it.
 type lease struct {
 	control *Control
--- a/gate/call.go
+++ b/gate/call.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
+	"sassafrasfront.example/internal/httpfield"
 	"sassafrasfront.example/internal/tracing"
 	"sassafrasfront.example/peer"
 	"sassafrasfront.example/verdict"
@@ -88,7 +89,7 @@
 		Method:        m.Method,
 		URL:           target,
 		Host:          m.Host,
-		Header:        headerOf(m.Header),
+		Header:        httpfield.Header(m.Header),
 		ContentLength: m.Length,
 	}).WithContext(ctx)
 	if _, ok := r.Header["User-Agent"]; !ok {
@@ -132,7 +133,7 @@
 func (t *trailing) Close() error { return nil }
 
 func (c *call) inform(status int, h http.Header) {
-	_ = c.in.Inform(status, fieldsOf(h))
+	_ = c.in.Inform(status, httpfield.From(h))
 }
 
 // answer passes the upstream's answer on. It calls ended once the upstream has
@@ -140,7 +141,7 @@
 func (c *call) answer(r *http.Response, ended func()) *verdict.Error {
 	a := &peer.Answer{
 		Status: r.StatusCode,
-		Header: fieldsOf(r.Header),
+		Header: httpfield.From(r.Header),
 		Length: r.ContentLength,
 		Report: c.gate.reportFor(c.in.From.Node),
 	}
@@ -155,7 +156,7 @@
 		return verdict.As(err, verdict.AnswerCut)
 	}
 	ended()
-	a.Trailer = fieldsOf(r.Trailer)
+	a.Trailer = httpfield.From(r.Trailer)
 	if c.in.Reply(a) != nil {
 		return verdict.New(verdict.AnswerCut, nil)
 	}
@@ -171,31 +172,8 @@
 		return verdict.As(err, verdict.AnswerCut)
 	}
 	ended()
-	if c.in.Finish(fieldsOf(r.Trailer)) != nil {
+	if c.in.Finish(httpfield.From(r.Trailer)) != nil {
 		return verdict.New(verdict.AnswerCut, nil)
 	}
 	return nil
 }
-
-// headerOf returns header fields as a http.Header.
-func headerOf(fields []peer.Field) http.Header {
-	h := make(http.Header, len(fields)+4)
-	for _, f := range fields {
-		h.Add(f.Name, f.Value)
-	}
-	return h
-}
-
-// fieldsOf returns a http.Header as header fields.
-func fieldsOf(h http.Header) []peer.Field {
-	fields := make([]peer.Field, 0, len(h))
-	for name, values := range h {
-		for _, v := range values {
-			fields = append(fields, peer.Field{
-				Name:  name,
-				Value: v,
-			})
-		}
-	}
-	return fields
-}
--- /dev/null
+++ b/internal/httpfield/doc.go
@@ -0,0 +1,3 @@
+// Package httpfield converts header fields between net/http and the protocol
+// between nodes.
+package httpfield
--- /dev/null
+++ b/internal/httpfield/httpfield.go
@@ -0,0 +1,33 @@
+package httpfield
+
+import (
+	"net/http"
+
+	"sassafrasfront.example/peer"
+)
+
+// spare is the room for fields that are added after a conversion.
+const spare = 4
+
+// From returns the fields of h, each value on its own.
+func From(h http.Header) []peer.Field {
+	fields := make([]peer.Field, 0, len(h))
+	for name, values := range h {
+		for _, v := range values {
+			fields = append(fields, peer.Field{
+				Name:  name,
+				Value: v,
+			})
+		}
+	}
+	return fields
+}
+
+// Header returns fields as a http.Header.
+func Header(fields []peer.Field) http.Header {
+	h := make(http.Header, len(fields)+spare)
+	for _, f := range fields {
+		h.Add(f.Name, f.Value)
+	}
+	return h
+}
