One caller's many header fields no longer end others' requests

Cause: a caller with more than 256 header fields, or an upstream that answered with as many, made the node send a frame over the peer's bound; the peer closed the connection, and with it what other callers had under way there. The sender now keeps the bound: too many from a caller is 413 notRun, from an upstream answerInvalid, in a caller's trailer bodyLost; informational answers are left out. Ruled out: raising the bound, which only moves it.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -226,6 +226,18 @@
 			want: []string{"200 OK", "length=-1 body=\n"},
 			not:  []string{"Content-Length=", "Transfer-Encoding="},
 		},
+		"more header fields than a frame takes": {
+			request: "GET / HTTP/1.1\nHost: service.example\n" + strings.Repeat("X-Many: 1\n", 300) + end,
+			want:    []string{"413 Request Entity Too Large", `"verdict":"notRun"`},
+		},
+		"an answer with more fields than a frame takes": {
+			request: "GET /fields HTTP/1.1\nHost: service.example\n" + end,
+			want:    []string{"502 Bad Gateway", `"cause":"answerInvalid"`, `"verdict":"ran"`},
+		},
+		"more trailer fields than a frame takes": {
+			request: "POST / HTTP/1.1\nHost: service.example\nTransfer-Encoding: chunked\nTrailer: X-Many\n" + end + "5\nhello\n0\n" + strings.Repeat("X-Many: 1\n", 300) + "\n",
+			want:    []string{"502 Bad Gateway", `"cause":"bodyLost"`},
+		},
 		"request id kept": {
 			request: "GET / HTTP/1.1\nHost: service.example\nX-Request-Id: abc\n" + end,
 			want:    []string{"X-Request-Id: abc", "X-Request-Id=abc"},
@@ -279,6 +291,11 @@
 		return
 	case "/die":
 		panic(http.ErrAbortHandler)
+	case "/fields":
+		for range 300 {
+			w.Header().Add("X-Many", "1")
+		}
+		return
 	case "/shed":
 		w.Header().Set("Sassafras-Verdict", "notRun")
 		w.Header().Set("Retry-After", "3")
@@ -303,6 +320,29 @@
 	_, _ = io.WriteString(w, b.String())
 }
 
+// TestManyFieldsHurtNobodyElse has a caller send too many header fields while
+// another's request is under way on the same connection between the nodes.
+func TestManyFieldsHurtNobodyElse(t *testing.T) {
+	began, release := make(chan struct{}), make(chan struct{})
+	p := newPath(t, operator.Service{}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/fields" {
+			tell(w, r)
+			return
+		}
+		close(began)
+		<-release
+	}))
+	answer := make(chan string, 1)
+	go func() {
+		answer <- p.raw(t, "POST / HTTP/1.1\nHost: service.example\nContent-Length: 0\nConnection: close\n\n")
+	}()
+	<-began
+	p.raw(t, "GET / HTTP/1.1\nHost: service.example\n"+strings.Repeat("X-Many: 1\n", 300)+"Connection: close\n\n")
+	p.raw(t, "GET /fields HTTP/1.1\nHost: service.example\nConnection: close\n\n")
+	close(release)
+	qt.Check(t, <-answer, qt.Contains, "200 OK")
+}
+
 // TestLargeBodiesFlow sends and receives bodies far larger than any window, over
 // HTTP/1.1 and h2c.
 func TestLargeBodiesFlow(t *testing.T) {
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -240,6 +240,9 @@
 	h.Set(RequestID, x.outcome.ID)
 	tracing.Inject(ctx, propagation.HeaderCarrier(h))
 	q.Header = httpfield.From(h)
+	if len(q.Header) > peer.MaxFields {
+		return nil, verdict.New(verdict.TooLarge, eris.Errorf("%d header fields are over %d", len(q.Header), peer.MaxFields))
+	}
 	return q, nil
 }
 
--- a/gate/call.go
+++ b/gate/call.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
@@ -132,8 +133,12 @@
 // Close implements io.Closer.
 func (t *trailing) Close() error { return nil }
 
+// inform passes an informational answer on, unless it is too large: it may be
+// left out.
 func (c *call) inform(status int, h http.Header) {
-	_ = c.in.Inform(status, httpfield.From(h))
+	if fields := httpfield.From(h); len(fields) <= peer.MaxFields {
+		_ = c.in.Inform(status, fields)
+	}
 }
 
 // answer passes the upstream's answer on. It calls ended once the upstream has
@@ -145,6 +150,9 @@
 		Length: r.ContentLength,
 		Report: c.gate.reportFor(c.in.From.Node),
 	}
+	if len(a.Header) > peer.MaxFields {
+		return verdict.New(verdict.AnswerInvalid, eris.Errorf("%d header fields", len(a.Header)))
+	}
 	if r.ContentLength < 0 || r.ContentLength > gatherLimit {
 		return c.stream(r, a, ended)
 	}
@@ -172,7 +180,8 @@
 		return verdict.As(err, verdict.AnswerCut)
 	}
 	ended()
-	if c.in.Finish(httpfield.From(r.Trailer)) != nil {
+	trailer := httpfield.From(r.Trailer)
+	if len(trailer) > peer.MaxFields || c.in.Finish(trailer) != nil {
 		return verdict.New(verdict.AnswerCut, nil)
 	}
 	return nil
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -200,11 +200,15 @@
 		x.bodyFailed(err)
 		return
 	}
-	x.written.Store(true)
 	end := &End{ID: x.id}
 	if t, ok := body.(Trailered); ok {
 		end.Trailer = t.Trailer()
 	}
+	if len(end.Trailer) > x.link.limits.Fields {
+		x.bodyFailed(eris.Errorf("%d trailer fields", len(end.Trailer)))
+		return
+	}
+	x.written.Store(true)
 	_ = x.link.send(KindEnd, end)
 }
 
--- a/peer/limits.go
+++ b/peer/limits.go
@@ -12,7 +12,7 @@
 	// Frame is the largest frame in bytes. The default is 1 MiB.
 	Frame int
 	// Fields is the largest number of header or trailer fields of one
-	// message. The default is 256.
+	// message. The default is MaxFields.
 	Fields int
 	// Open is the largest number of open calls per connection. The default is
 	// 4096.
@@ -33,13 +33,18 @@
 	Idle time.Duration
 }
 
+// MaxFields is the default bound on header or trailer fields. Who sends a
+// message keeps to it, as the receiver ends the connection over a breach, and
+// with it what others have under way there.
+const MaxFields = 256
+
 // chunk is the largest number of body bytes in one frame.
 const chunk = 32 << 10
 
 // withDefaults returns l with its zero fields replaced.
 func (l Limits) withDefaults() Limits {
 	l.Frame = orDefault(l.Frame, 1<<20)
-	l.Fields = orDefault(l.Fields, 256)
+	l.Fields = orDefault(l.Fields, MaxFields)
 	l.Open = orDefault(l.Open, 4096)
 	l.Window = orDefault(l.Window, 256<<10)
 	l.Handshake = orDefault(l.Handshake, time.Second)
