control: a node that took the lease knowing nobody is found; a stopping steward no longer crashes

Printed state showed a steward with no members that no other node knew: it had taken the lapsed lease before it met anyone, wrote itself as the only contact, and stopped looking as it was steward. The others, who know each other, never look at the lease's contacts again. Now who reads or takes the lease meets its contacts if it does not know the holder, known addresses are kept in the lease, and a lone node goes on looking. Ruled out: the acceptor and the watch (the change was accepted each time) and stuck comparisons (none was in progress). TestWorkAfterTheEnd panicked before.

--- a/control/bootstrap.go
+++ b/control/bootstrap.go
@@ -14,14 +14,24 @@
 	"sassafrasfront.example/platform"
 )
 
-// bootstrap learns from a first peer. It goes on until one has answered, or
-// this node is the steward of its zone and so learns from the platform.
+// bootstrap learns from a first peer. It goes on until one has answered, or this
+// node has met others in another way. The first node of a system goes on for
+// long, so as a steward it asks seldom.
 func (c *Control) bootstrap(ctx context.Context) {
-	for n := 0; ctx.Err() == nil && !c.steward.Load(); n++ {
+	for n := 0; ctx.Err() == nil; n++ {
 		if c.learnFrom(ctx, c.Contacts) || c.API != nil && c.learnFromStewards(ctx) {
 			return
 		}
-		sleep(ctx, platform.Backoff(n, nil))
+		var alone bool
+		c.do(func() { alone = c.live <= 1 })
+		if !alone {
+			return
+		}
+		pause := platform.Backoff(n, nil)
+		if c.steward.Load() {
+			pause = max(pause, c.Timing.Lease)
+		}
+		sleep(ctx, pause)
 	}
 }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -58,8 +58,18 @@
 
 // add starts a node. It takes a new address each time.
 func (c *cluster) add(id, zone string, contacts ...string) *testNode {
+	return c.addAt(c.listener(), id, zone, contacts...)
+}
+
+// listener opens a new address.
+func (c *cluster) listener() net.Listener {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(c.t, err, qt.IsNil)
+	return listener
+}
+
+// addAt starts a node at an address.
+func (c *cluster) addAt(listener net.Listener, id, zone string, contacts ...string) *testNode {
 	client := &platform.Client{
 		URL:       c.api.URL,
 		Namespace: "test",
@@ -123,6 +133,20 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
+	for _, n := range c.nodes {
+		n.do(func() {
+			var near []string
+			for _, r := range n.neighbours {
+				near = append(near, r.ID)
+			}
+			c.t.Logf("%s: steward=%v live=%d neighbours=%v suspects=%d comparing=%v sequences=%v", n.Self.ID, n.Steward(), n.live, near, len(n.suspects), n.comparing, n.Snapshot().Sequences)
+		})
+	}
+	l, err := c.api.List(context.Background(), operator.KindAccepted)
+	c.t.Logf("accepted: %v", err)
+	for _, o := range l.Items {
+		c.t.Logf("accepted %s: %.60s", o.Metadata.Name, o.Spec)
+	}
 	c.t.Fatal("never: " + what)
 }
 
@@ -453,6 +477,35 @@
 	})
 }
 
+// TestWorkAfterTheEnd has a steward's work go on for a moment after the control
+// goroutine has ended.
+func TestWorkAfterTheEnd(t *testing.T) {
+	c := newCluster(t)
+	c.grow(2)
+	n := c.nodes[0]
+	n.stop()
+	newStewardWork(n.Control).check(context.Background(), c.nodes[1].Self)
+	n.probeCandidates(context.Background())
+	qt.Check(t, n.learnFrom(context.Background(), []string{c.nodes[1].Self.Addr}), qt.IsFalse)
+	_, err := n.Handle(context.Background(), peer.Hello{}, &peer.Request{ID: 1, Topic: topicRoots})
+	qt.Check(t, err, qt.IsNotNil)
+}
+
+// TestIslandIsFound has a steward that knows nobody and that nobody knows, as
+// the others learnt of each other by their settings.
+func TestIslandIsFound(t *testing.T) {
+	c := newCluster(t)
+	island := c.add("island", "z0")
+	c.eventually("the island is steward", island.Steward)
+	// The others learn from each other, and so never ask for the steward's
+	// contacts.
+	a, b := c.listener(), c.listener()
+	c.addAt(a, "n0", "z0", b.Addr().String())
+	c.addAt(b, "n1", "z0", a.Addr().String())
+	c.apply("a", `{"hosts":["a.example"]}`)
+	c.allHave("a", 1)
+}
+
 // TestBadRequestsAreRefused sends the control goroutine what it can't read.
 func TestBadRequestsAreRefused(t *testing.T) {
 	c := newCluster(t)
--- a/control/exchanger.go
+++ b/control/exchanger.go
@@ -169,9 +169,16 @@
 	return list
 }
 
+// errStopped is the failure of what is asked for after the control goroutine
+// has ended, when there is no client to ask with any more.
+var errStopped = eris.New("control stopped")
+
 // ask sends a request to a peer and decodes its reply.
 func ask[Q, A any](ctx context.Context, p *peer.Client, topic string, q Q) (A, error) {
 	var none A
+	if p == nil {
+		return none, errStopped
+	}
 	payload, err := msgpack.Marshal(q)
 	if err != nil {
 		return none, eris.Wrap(err, "encode "+topic)
--- a/control/lease.go
+++ b/control/lease.go
@@ -81,6 +81,9 @@
 	}
 	l.object = o
 	l.spec = spec
+	if l.meet(ctx) {
+		return false // with what it has learnt, it may not be this node's turn
+	}
 	// A holder that left in good order, or this node before its restart, is not
 	// waited for.
 	free := spec.Holder == "" || spec.Holder == c.Self.ID
@@ -90,6 +93,19 @@
 	return l.write(ctx)
 }
 
+// meet learns from the contacts in the lease if this node knows nobody, or does
+// not know the holder, and returns whether one answered. Without it, a node that
+// took the lease before it knew the others could go on apart from them.
+func (l *lease) meet(ctx context.Context) bool {
+	c := l.control
+	var known bool
+	c.do(func() {
+		r, ok := c.members.set.Get(l.spec.Holder)
+		known = c.live > 1 && (ok && r.Live() || l.spec.Holder == "")
+	})
+	return !known && c.learnFrom(ctx, l.spec.Contacts)
+}
+
 // write takes or renews the lease, and returns whether that succeeded.
 func (l *lease) write(ctx context.Context) bool {
 	c := l.control
@@ -102,6 +118,12 @@
 		next.Incarnation = c.self.Incarnation
 		next.Contacts = c.contacts()
 	})
+	// A node that knows few others keeps the addresses that are there.
+	for _, addr := range l.spec.Contacts {
+		if len(next.Contacts) < contactCount && !slices.Contains(next.Contacts, addr) {
+			next.Contacts = append(next.Contacts, addr)
+		}
+	}
 	o := platform.NewObject(operator.KindSteward, c.Self.Zone, next)
 	if l.object != nil {
 		o = o.WithVersion(l.object.Metadata.ResourceVersion)
--- a/control/spread.go
+++ b/control/spread.go
@@ -58,7 +58,7 @@
 	var reply any
 	var err error
 	if !c.do(func() { reply, err = c.handle(r.Topic, r.Payload) }) {
-		return nil, eris.New("stopped")
+		return nil, errStopped
 	}
 	if err != nil || reply == nil {
 		return nil, err
