control: a status goes on looking for late members

Cause: TestChangesReachAllAndStatusSaysSo failed in 1 of 6 runs under the race detector, six at once: a steward that knew few members when it asked wrote a status complete for those and never asked again. A report now stays for 30 s and asks again when the zone's number of members changes; refusals are reported on their own. Ruled out: lost writes (the merge was retried).

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -225,6 +225,26 @@
 	c.allHave("a", 3)
 }
 
+// TestStatusSeesLateMembers starts nodes after the status said that all have the
+// configuration.
+func TestStatusSeesLateMembers(t *testing.T) {
+	c := newCluster(t)
+	having := func(want int) func() bool {
+		return func() bool {
+			var sum int
+			for _, z := range c.status("a").Zones {
+				sum += z.Having
+			}
+			return sum == want
+		}
+	}
+	c.grow(3)
+	c.apply("a", `{"hosts":["a.example"]}`)
+	c.eventually("three in the status", having(3))
+	c.grow(3)
+	c.eventually("six in the status", having(6))
+}
+
 func TestHostOfAnotherServiceIsRefused(t *testing.T) {
 	c := newCluster(t)
 	c.grow(3)
--- a/control/reporter.go
+++ b/control/reporter.go
@@ -30,9 +30,11 @@
 	// stewards.
 	reportTries = 8
 	// reportFor is how long a steward goes on asking for a configuration that
-	// not all have.
+	// not all have, or that the zone's later members may lack.
 	reportFor = 30 * time.Second
 	reportAsk = 250 * time.Millisecond
+	// reportLook is how often it looks for new members once all have it.
+	reportLook = time.Second
 )
 
 // reporter writes the statuses of services, as far as this zone is concerned.
@@ -40,26 +42,32 @@
 	control *Control
 
 	mu      sync.Mutex
-	pending map[string]*report
+	pending map[reportKey]*report
 	written map[string]uint64 // the sequence last reported in full
-	wake    chan struct{}
+}
+
+// reportKey tells reports apart. What is in force and what was refused are
+// reported on their own, as the one goes on while the other comes.
+type reportKey struct {
+	name    string
+	refused bool
 }
 
 // report is what is to be said of one service.
 type report struct {
-	name     string
-	accepted *operator.Accepted
-	refused  *operator.ServiceStatus
+	reportKey
+	accepted *operator.Accepted      // of a report of what is in force
+	status   *operator.ServiceStatus // of a report of a refusal
 	due      time.Time
 	until    time.Time
+	members  int // of the zone, when all that were asked had it; 0 before
 }
 
 func newReporter(c *Control) *reporter {
 	return &reporter{
 		control: c,
-		pending: make(map[string]*report),
+		pending: make(map[reportKey]*report),
 		written: make(map[string]uint64),
-		wake:    make(chan struct{}, 1),
 	}
 }
 
@@ -71,15 +79,16 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p := r.pending[o.Metadata.Name]
-	if spec.Sequence <= r.written[o.Metadata.Name] || p != nil && p.accepted != nil && p.accepted.Sequence >= spec.Sequence {
+	key := reportKey{name: o.Metadata.Name}
+	p := r.pending[key]
+	if spec.Sequence <= r.written[key.name] || p != nil && p.accepted.Sequence >= spec.Sequence {
 		return
 	}
-	r.pending[o.Metadata.Name] = &report{
-		name:     o.Metadata.Name,
-		accepted: &spec,
-		due:      time.Now().Add(rand.N(reportWindow)),
-		until:    time.Now().Add(reportFor),
+	r.pending[key] = &report{
+		reportKey: key,
+		accepted:  &spec,
+		due:       time.Now().Add(rand.N(reportWindow)),
+		until:     time.Now().Add(reportFor),
 	}
 }
 
@@ -87,12 +96,13 @@
 func (r *reporter) refused(in rollout.Intent, f operator.Faults) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if p := r.pending[in.Name]; p != nil && p.accepted != nil {
-		return // tried again by the next list
+	key := reportKey{
+		name:    in.Name,
+		refused: true,
 	}
-	r.pending[in.Name] = &report{
-		name: in.Name,
-		refused: &operator.ServiceStatus{
+	r.pending[key] = &report{
+		reportKey: key,
+		status: &operator.ServiceStatus{
 			Phase:    operator.PhaseRefused,
 			Observed: strconv.FormatUint(in.Source, 10),
 			Faults:   f,
@@ -131,29 +141,54 @@
 }
 
 // write asks how far the zone is and writes the status. The report stays
-// pending until all that were asked have the configuration.
+// pending for a while after all that were asked have the configuration: a
+// steward that has just started may not know all members yet.
 func (r *reporter) write(ctx context.Context, p *report) {
-	next := p.refused
-	complete := true
+	if p.members > 0 && p.members == r.zoneMembers() {
+		r.settle(p, nil, reportLook)
+		return
+	}
+	next := p.status
+	wait := reportLook
+	p.members = r.zoneMembers()
 	if p.accepted != nil {
 		zone := r.ask(ctx, p.name, p.accepted.Sequence)
 		next = statusOf(p.accepted, r.control.Self.Zone, zone)
-		complete = zone.Having == zone.Asked
+		if zone.Having < zone.Asked {
+			wait = reportAsk
+			p.members = 0
+		}
 	}
 	err := r.merge(ctx, p.name, next)
+	if err != nil {
+		wait = reportAsk
+		p.members = 0
+	}
+	r.settle(p, err, wait)
+}
+
+// zoneMembers returns the number of live nodes of the zone.
+func (r *reporter) zoneMembers() int {
+	var n int
+	r.control.do(func() { n = r.control.near + 1 })
+	return n
+}
+
+// settle keeps a report for later, or ends it when its time is over. One that
+// could not be written is kept in any case.
+func (r *reporter) settle(p *report, err error, wait time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.pending[p.name] != p {
+	if r.pending[p.reportKey] != p {
 		return
 	}
-	switch {
-	case err != nil || !complete && time.Now().Before(p.until):
-		p.due = time.Now().Add(reportAsk + rand.N(reportAsk))
-	default:
-		delete(r.pending, p.name)
-		if p.accepted != nil {
-			r.written[p.name] = p.accepted.Sequence
-		}
+	if err != nil || !p.refused && time.Now().Before(p.until) {
+		p.due = time.Now().Add(wait + rand.N(wait))
+		return
+	}
+	delete(r.pending, p.reportKey)
+	if p.accepted != nil {
+		r.written[p.name] = p.accepted.Sequence
 	}
 }
 
