entry: the body of a stream belongs to one sending

Cause, found by reading the whole change once more: a sending that lost its connection just after credit was granted counts as not run and is sent elsewhere, but its goroutine could still read the caller's body and take bytes from the second sending. Each sending now has a view of the body, and the right to it is taken back under the lock that the first read takes, so one of the two wins. Ruled out: waiting for the first goroutine, which may be blocked in the caller's body. TestBodyBelongsToOneSending fails with the reader as it was (the first took bytes) and passes now; entry and caller pass under the race detector. Also gone: a second place in fly that noted what settle had noted already.

--- a/entry/do.go
+++ b/entry/do.go
@@ -74,9 +74,6 @@
 				failure = nil // the other sending goes on
 			}
 		}
-		if failure.Verdict() != verdict.NotRun && f.mayRun == nil {
-			f.mayRun = failure
-		}
 		remaining := time.Until(f.request.Deadline)
 		if f.ctx.Err() != nil || !f.repeatable() || !plan.Again(failure, f.request.Idempotent, len(f.tried), remaining) {
 			return nil, f.verdict(failure)
@@ -95,10 +92,11 @@
 }
 
 // repeatable returns whether the body can be sent again. The body of a stream
-// is read only once the peer has granted credit, and from then on it is gone.
+// is read only once the peer has granted credit, and from then on it is gone. If
+// it has not been read, the sending that failed can't read it any more.
 func (f *flight) repeatable() bool {
 	s, ok := f.request.Stream.(*onceReader)
-	return !ok || !s.begun.Load()
+	return !ok || s.takeBack()
 }
 
 // launch sends the request once more.
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -4,13 +4,7 @@
 
 package entry
 
-import (
-	"io"
-	"sync/atomic"
-	"time"
-
-	"sassafrasfront.example/peer"
-)
+import "time"
 
 // slow returns a channel that yields once the request counts as slow and
 // something can be done about it, and a function that releases it.
@@ -46,27 +40,3 @@
 		d.event(f.service.Name, EventHedge)
 	}
 }
-
-// onceReader remembers whether it has been read.
-type onceReader struct {
-	io.Reader
-	begun atomic.Bool
-}
-
-// Read implements io.Reader.
-func (r *onceReader) Read(p []byte) (int, error) {
-	r.begun.Store(true)
-	return r.Reader.Read(p)
-}
-
-// Once returns a reader for Request.Stream. It lets the Dispatcher know whether
-// the body has been begun, after which the request can't be sent again.
-func Once(r io.Reader) io.Reader { return &onceReader{Reader: r} }
-
-// Trailer implements peer.Trailered.
-func (r *onceReader) Trailer() []peer.Field {
-	if t, ok := r.Reader.(peer.Trailered); ok {
-		return t.Trailer()
-	}
-	return nil
-}
--- /dev/null
+++ b/entry/stream_test.go
@@ -0,0 +1,30 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package entry
+
+import (
+	"io"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestBodyBelongsToOneSending has a first sending come late to the body, after
+// the request has been found fit to be sent again.
+func TestBodyBelongsToOneSending(t *testing.T) {
+	body := Once(strings.NewReader("whole"))
+	f := &flight{request: &Request{Stream: body}}
+	first := streamOf(body)
+	qt.Assert(t, f.repeatable(), qt.IsTrue)
+	second := streamOf(body)
+	n, err := first.Read(make([]byte, 2))
+	qt.Check(t, n, qt.Equals, 0)
+	qt.Check(t, err, qt.IsNotNil)
+	data, err := io.ReadAll(second)
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, string(data), qt.Equals, "whole")
+	qt.Check(t, f.repeatable(), qt.IsFalse)
+}
