control: an Accepted object is decoded once

Cause: a steward decoded each Accepted object three times, for the set, the acceptor and the reporter, and acceptor and reporter had the same lines for it. The acceptor now learns it in one place, for what it accepted itself and for what it watches. Ruled out: caching decoded objects, which nothing else needs.

--- a/control/acceptor.go
+++ b/control/acceptor.go
@@ -86,15 +86,18 @@
 	a.consider(in)
 }
 
-// known takes in an Accepted object.
-func (a *acceptor) known(o *platform.Object) {
+// learn takes in an Accepted object: its configuration is put in force here and
+// reported, and the intent that it comes from is done.
+func (a *acceptor) learn(o *platform.Object) error {
 	spec, err := platform.SpecOf[operator.Accepted](o)
 	if err != nil {
-		return
+		return err
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.sources[o.Metadata.Name] = max(a.sources[o.Metadata.Name], spec.Source)
+	name := o.Metadata.Name
+	a.done(name, spec.Source)
+	a.control.do(func() { a.control.configs.put(rollout.FromAccepted(name, spec)) })
+	a.reporter.accepted(name, &spec)
+	return nil
 }
 
 // consider has an intent accepted when it is this steward's turn, unless it is
@@ -230,13 +233,7 @@
 	if result.Object == nil {
 		return nil
 	}
-	config, err := rollout.FromObject(result.Object)
-	if err != nil {
-		return err
-	}
-	a.control.do(func() { a.control.configs.put(config) })
-	a.reporter.accepted(result.Object)
-	return nil
+	return a.learn(result.Object)
 }
 
 // done records that nothing more is to be done about an intent.
--- a/control/reporter.go
+++ b/control/reporter.go
@@ -71,22 +71,18 @@
 	}
 }
 
-// accepted has the rollout of an Accepted object reported.
-func (r *reporter) accepted(o *platform.Object) {
-	spec, err := platform.SpecOf[operator.Accepted](o)
-	if err != nil {
-		return
-	}
+// accepted has the rollout of an accepted configuration reported.
+func (r *reporter) accepted(name string, spec *operator.Accepted) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	key := reportKey{name: o.Metadata.Name}
+	key := reportKey{name: name}
 	p := r.pending[key]
 	if spec.Sequence <= r.written[key.name] || p != nil && p.accepted.Sequence >= spec.Sequence {
 		return
 	}
 	r.pending[key] = &report{
 		reportKey: key,
-		accepted:  &spec,
+		accepted:  spec,
 		due:       time.Now().Add(rand.N(reportWindow)),
 		until:     time.Now().Add(reportFor),
 	}
--- a/control/size_test.go
+++ b/control/size_test.go
@@ -15,7 +15,6 @@
 
 	"sassafrasfront.example/member"
 	"sassafrasfront.example/operator"
-	"sassafrasfront.example/platform"
 	"sassafrasfront.example/rollout"
 	"sassafrasfront.example/watch"
 )
@@ -60,12 +59,7 @@
 
 func configOf(i int, sequence uint64) rollout.Config {
 	s := operator.Service{Hosts: []string{serviceName(i) + ".example"}}.WithDefaults()
-	o := platform.NewObject(operator.KindAccepted, serviceName(i), operator.Accepted{Sequence: sequence, Service: s, At: time.Now()})
-	c, err := rollout.FromObject(o)
-	if err != nil {
-		panic(err)
-	}
-	return c
+	return rollout.FromAccepted(serviceName(i), operator.Accepted{Sequence: sequence, Service: s, At: time.Now()})
 }
 
 // BenchmarkState reports the memory of a node's whole control state, the sizes
--- a/control/stewardwork.go
+++ b/control/stewardwork.go
@@ -15,7 +15,6 @@
 	"sassafrasfront.example/operator"
 	"sassafrasfront.example/peer"
 	"sassafrasfront.example/platform"
-	"sassafrasfront.example/rollout"
 )
 
 // stewardWork is what the steward of a zone does while it holds the lease.
@@ -80,14 +79,9 @@
 
 // learnAccepted takes in an Accepted object of the platform.
 func (s *stewardWork) learnAccepted(o *platform.Object) {
-	config, err := rollout.FromObject(o)
-	if err != nil {
+	if err := s.acceptor.learn(o); err != nil {
 		s.Log.Error().Err(err).Msg("accepted object can't be read")
-		return
 	}
-	s.do(func() { s.configs.put(config) })
-	s.acceptor.known(o)
-	s.reporter.accepted(o)
 }
 
 // sweep asks the nodes of the zone in turn for a sign of life, and removes those
--- a/rollout/config.go
+++ b/rollout/config.go
@@ -12,7 +12,6 @@
 
 	"sassafrasfront.example/gossip"
 	"sassafrasfront.example/operator"
-	"sassafrasfront.example/platform"
 )
 
 // Config is the configuration of one service as nodes pass it on. It is an
@@ -45,21 +44,18 @@
 	return s.WithDefaults(), nil
 }
 
-// FromObject returns the configuration that an Accepted object holds.
-func FromObject(o *platform.Object) (Config, error) {
-	a, err := platform.SpecOf[operator.Accepted](o)
-	if err != nil {
-		return Config{}, err
-	}
+// FromAccepted returns the configuration that the Accepted object of a service
+// holds. It panics if the service can't be encoded.
+func FromAccepted(name string, a operator.Accepted) Config {
 	spec, err := json.Marshal(a.Service)
 	if err != nil {
-		return Config{}, eris.Wrap(err, "encode service")
+		panic("rollout: service can't be encoded: " + err.Error())
 	}
 	return Config{
-		Name:     o.Metadata.Name,
+		Name:     name,
 		Sequence: a.Sequence,
 		At:       a.At,
 		Deleted:  a.Deleted,
 		Spec:     spec,
-	}, nil
+	}
 }
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -164,8 +164,9 @@
 func TestConfigSurvivesTheObject(t *testing.T) {
 	d, err := rollout.Decide(rollout.Intent{Name: "a", Source: 1, Spec: []byte(`{"hosts":["x"],"policy":"random"}`)}, nil, time.Now())
 	qt.Assert(t, err, qt.IsNil)
-	c, err := rollout.FromObject(d.Write)
+	a, err := platform.SpecOf[operator.Accepted](d.Write)
 	qt.Assert(t, err, qt.IsNil)
+	c := rollout.FromAccepted("a", a)
 	s, err := c.Service()
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, s.Policy, qt.Equals, "random")
