--- a/admit/gate.go
+++ b/admit/gate.go
@@ -23,6 +23,9 @@
 	Service time.Duration
 	// Draining is whether the gate refuses all new requests.
 	Draining bool
+	// Slowdown is how many times longer than usual work takes now, as the
+	// upstream told last. It is 1 if it has not told.
+	Slowdown float64
 }
 
 // Gate admits requests to one upstream. The zero value refuses everything
@@ -41,6 +44,7 @@
 	epoch    time.Time
 	draining bool
 	idle     chan struct{}
+	slowdown float64 // as last told by the upstream, 0 if never
 }
 
 // Set replaces the limits. Requests that run or wait keep their places, also
@@ -106,9 +110,26 @@
 		Allowed:  g.limiter.allowed(g.limits, now),
 		Service:  g.service(now),
 		Draining: g.draining,
+		Slowdown: g.slow(),
 	}
 }
 
+// Observe takes in how many times longer than usual work takes at the upstream
+// now.
+func (g *Gate) Observe(slowdown float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.slowdown = slowdown
+}
+
+// slow returns the last known slowdown.
+func (g *Gate) slow() float64 {
+	if g.slowdown <= 0 {
+		return 1
+	}
+	return g.slowdown
+}
+
 // Enter asks for a slot for a request of the given class that is of no use
 // after the deadline. A zero deadline means none. The ticket that it returns
 // runs, waits, or is refused.
--- a/caller/answer.go
+++ b/caller/answer.go
@@ -56,18 +56,28 @@
 	h := x.w.Header()
 	h.Set("Content-Type", "application/problem+json")
 	h.Set("Cache-Control", "no-store")
-	h.Set(RequestID, x.outcome.ID)
+	names := x.handler.Names.OrDefault()
+	h.Set(names.RequestID, x.outcome.ID)
 	h.Set(upstream.VerdictHeader, p.Verdict)
 	if e.GivenUp {
 		h.Set(upstream.GivenUpHeader, "true")
 	}
 	if status == http.StatusServiceUnavailable {
-		h.Set("Retry-After", strconv.Itoa(seconds(e.RetryAfter)))
+		h.Set("Retry-After", retryAfter(e.RetryAfter, names.FractionalRetryAfter))
 	}
 	x.w.WriteHeader(status)
 	_ = json.NewEncoder(x.w).Encode(p)
 }
 
+// retryAfter returns d as the value of Retry-After, in whole seconds unless
+// callers take fractions.
+func retryAfter(d time.Duration, fractional bool) string {
+	if fractional {
+		return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
+	}
+	return strconv.Itoa(seconds(d))
+}
+
 // seconds returns d in whole seconds, rounded up, and at least one.
 func seconds(d time.Duration) int { return max(1, int(math.Ceil(d.Seconds()))) }
 
@@ -86,7 +96,7 @@
 	x.outcome.Status = result.Status
 	h := x.w.Header()
 	copyHeader(h, result.Header, x.handler.Node)
-	h.Set(RequestID, x.outcome.ID)
+	h.Set(x.handler.Names.OrDefault().RequestID, x.outcome.ID)
 	h.Set(upstream.VerdictHeader, verdict.Ran.String())
 	if result.Node != "" {
 		h.Set(NodeHeader, result.Node)
--- a/caller/header.go
+++ b/caller/header.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"strings"
 
-	"sassafrasfront.example/gate"
 	"sassafrasfront.example/peer"
 	"sassafrasfront.example/upstream"
 )
@@ -49,7 +48,6 @@
 	h := r.Header.Clone()
 	stripHopByHop(h)
 	h.Del("Expect")
-	h.Del(gate.TimeoutHeader)
 	client, _, err := net.SplitHostPort(r.RemoteAddr)
 	if err != nil {
 		client = r.RemoteAddr
--- /dev/null
+++ b/caller/target.go
@@ -0,0 +1,120 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package caller
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"sassafrasfront.example/entry"
+	"sassafrasfront.example/routes"
+	"sassafrasfront.example/verdict"
+)
+
+// Target is where a request goes and what holds for it.
+type Target struct {
+	// Service is the service that runs it.
+	Service *entry.Service
+	// Route is the name of the route, or empty.
+	Route string
+	// Class is the request's class.
+	Class string
+	// Idempotent is whether running it twice does no harm.
+	Idempotent bool
+	// Timeout is the longest time that the caller is kept waiting.
+	Timeout time.Duration
+	// Objective is the latency within which the answer is of full value, or 0.
+	Objective time.Duration
+	// Attempts bounds the upstreams that it is sent to. Zero means that the
+	// service's configuration says so.
+	Attempts int
+	// MaxBody is the largest body, in bytes.
+	MaxBody int64
+}
+
+// Resolver finds the target of a request.
+type Resolver interface {
+	Resolve(r *http.Request) (*Target, *verdict.Error)
+}
+
+// notReadyWait is when a caller may come back to a node that has no
+// configuration yet. A node learns it in well under a second where the platform
+// answers.
+const notReadyWait = 250 * time.Millisecond
+
+// byHost resolves by the service that has the host.
+type byHost func(host string) (s *entry.Service, ready bool)
+
+// Resolve implements Resolver.
+func (f byHost) Resolve(r *http.Request) (*Target, *verdict.Error) {
+	host := strings.ToLower(r.Host)
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	s, ready := f(strings.Trim(host, "[]"))
+	switch {
+	case !ready:
+		return nil, verdict.New(verdict.NotReady, nil).WithRetryAfter(time.Second)
+	case s == nil:
+		return nil, verdict.New(verdict.UnknownHost, eris.Errorf("no service has the host %q", host))
+	}
+	return &Target{
+		Service:    s,
+		Class:      classOf(&s.Config, r),
+		Idempotent: idempotent(r.Method),
+		Timeout:    s.Config.Timeout.Std(),
+		MaxBody:    s.Config.MaxBody,
+	}, nil
+}
+
+// ByRoute resolves by a table of routes. The exported fields are set before the
+// first request.
+type ByRoute struct {
+	// Table returns the table in force, or nil if none is known.
+	Table func() *routes.Table
+	// Service returns a service in force, or nil.
+	Service func(name string) *entry.Service
+
+	splitter routes.Splitter
+}
+
+// Resolve implements Resolver.
+func (b *ByRoute) Resolve(r *http.Request) (*Target, *verdict.Error) {
+	t := b.Table()
+	if t == nil {
+		return nil, verdict.New(verdict.NotReady, nil).WithRetryAfter(notReadyWait)
+	}
+	route := t.Match(r.Host, r.URL.EscapedPath())
+	if route == nil {
+		return nil, verdict.New(verdict.UnknownHost, eris.Errorf("no route for %s%s in version %d", r.Host, r.URL.EscapedPath(), t.Version))
+	}
+	name := b.splitter.Choose(route)
+	s := b.Service(name)
+	if s == nil {
+		return nil, verdict.New(verdict.NoUpstream, eris.Errorf("route %s leads to the unknown service %q", route.Name, name))
+	}
+	maxBody := s.Config.MaxBody
+	if t.Limits.BodyBytes > 0 {
+		maxBody = t.Limits.BodyBytes
+	}
+	return &Target{
+		Service:    s,
+		Route:      route.Name,
+		Class:      ClassOf(route.Priority),
+		Idempotent: route.Idempotent,
+		Timeout:    route.Timeout,
+		Objective:  route.Objective,
+		Attempts:   route.Attempts,
+		MaxBody:    maxBody,
+	}, nil
+}
+
+// ClassOf returns the name of the class of the requests with a priority.
+func ClassOf(priority int) string { return "priority" + strconv.Itoa(priority) }
--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -13,9 +13,9 @@
 
 	"golang.org/x/time/rate"
 
+	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/operator"
 	"sassafrasfront.example/peer"
-	"sassafrasfront.example/platform"
 	"sassafrasfront.example/verdict"
 )
 
@@ -75,7 +75,7 @@
 // Ledger makes claims. The exported fields are set before the first call.
 type Ledger struct {
 	// API is the platform.
-	API platform.API
+	API objectapi.API
 	// Node is the name of this node.
 	Node string
 
@@ -87,7 +87,7 @@
 // Claim is the right to run a request.
 type Claim struct {
 	ledger *Ledger
-	object *platform.Object
+	object *objectapi.Object
 	record Record
 }
 
@@ -121,7 +121,7 @@
 		State:       Claimed,
 	}
 	name := digest(r.Service, r.Key)
-	written, err := platform.Put(ctx, l.API, platform.NewObject(operator.KindClaim, name, own))
+	written, err := objectapi.Put(ctx, l.API, objectapi.NewObject(operator.KindClaim, name, own))
 	if err == nil {
 		c := &Claim{
 			ledger: l,
@@ -130,14 +130,14 @@
 		}
 		return c, nil, nil
 	}
-	if !platform.IsConflict(err) {
+	if !objectapi.IsConflict(err) {
 		return nil, nil, verdict.New(verdict.ClaimFailed, err).WithRetryAfter(comeBack)
 	}
 	present, err := l.API.Get(ctx, operator.KindClaim, name)
 	if err != nil {
 		return nil, nil, verdict.New(verdict.ResendUnderway, err).WithRetryAfter(comeBack)
 	}
-	other, err := platform.SpecOf[Record](present)
+	other, err := objectapi.SpecOf[Record](present)
 	if err != nil {
 		return nil, nil, verdict.New(verdict.ResendUnderway, err)
 	}
@@ -180,8 +180,8 @@
 	next.State = Answered
 	next.Answer = a
 	c.update(func(ctx context.Context) error {
-		o := platform.NewObject(operator.KindClaim, c.object.Metadata.Name, next)
-		_, err := platform.Put(ctx, c.ledger.API, o.WithVersion(c.object.Metadata.ResourceVersion))
+		o := objectapi.NewObject(operator.KindClaim, c.object.Metadata.Name, next)
+		_, err := objectapi.Put(ctx, c.ledger.API, o.WithVersion(c.object.Metadata.ResourceVersion))
 		return err
 	})
 }
@@ -201,10 +201,10 @@
 		defer cancel()
 		for n := 0; ctx.Err() == nil; n++ {
 			err := f(ctx)
-			if err == nil || platform.IsConflict(err) || platform.IsNotFound(err) {
+			if err == nil || objectapi.IsConflict(err) || objectapi.IsNotFound(err) {
 				return
 			}
-			t := time.NewTimer(platform.Backoff(n, err))
+			t := time.NewTimer(objectapi.Backoff(n, err))
 			select {
 			case <-t.C:
 			case <-ctx.Done():
--- a/claim/sweep.go
+++ b/claim/sweep.go
@@ -8,25 +8,25 @@
 	"context"
 	"time"
 
+	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/operator"
-	"sassafrasfront.example/platform"
 )
 
 // Sweep deletes the claims whose time is over, and returns how many they were.
 // Any number of nodes may sweep at once.
-func Sweep(ctx context.Context, api platform.API, now time.Time) (int, error) {
+func Sweep(ctx context.Context, api objectapi.API, now time.Time) (int, error) {
 	l, err := api.List(ctx, operator.KindClaim)
 	if err != nil {
 		return 0, err
 	}
 	var deleted int
 	for _, o := range l.Items {
-		r, err := platform.SpecOf[Record](o)
+		r, err := objectapi.SpecOf[Record](o)
 		if err != nil || now.Before(r.Until) {
 			continue
 		}
 		err = api.Delete(ctx, operator.KindClaim, o.Metadata.Name, o.Metadata.ResourceVersion)
-		if err != nil && !platform.IsNotFound(err) && !platform.IsConflict(err) {
+		if err != nil && !objectapi.IsNotFound(err) && !objectapi.IsConflict(err) {
 			return deleted, err
 		}
 		deleted++
--- a/cmd/sassafrasctl/commands.go
+++ b/cmd/sassafrasctl/commands.go
@@ -13,8 +13,8 @@
 	"strings"
 	"text/tabwriter"
 
+	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/operator"
-	"sassafrasfront.example/platform"
 	"sassafrasfront.example/verdict"
 )
 
@@ -38,14 +38,14 @@
 	api := t.api()
 	present, err := api.Get(ctx, o.Kind, o.Metadata.Name)
 	switch {
-	case platform.IsNotFound(err):
+	case objectapi.IsNotFound(err):
 	case err != nil:
 		return err
 	case o.Metadata.ResourceVersion == "":
 		o = o.WithVersion(present.Metadata.ResourceVersion)
 	}
-	written, err := platform.Put(ctx, api, o)
-	if platform.IsConflict(err) {
+	written, err := objectapi.Put(ctx, api, o)
+	if objectapi.IsConflict(err) {
 		return exitError{exitConflict, conflictText(o, err)}
 	}
 	if err != nil {
@@ -56,13 +56,13 @@
 }
 
 // conflictText shows both sides of a conflict.
-func conflictText(o *platform.Object, err error) error {
+func conflictText(o *objectapi.Object, err error) error {
 	present := "unknown"
-	if c, ok := errors.AsType[*platform.Conflict](err); ok {
+	if c, ok := errors.AsType[*objectapi.Conflict](err); ok {
 		present = fmt.Sprintf("version %s\n%s", c.Present.Metadata.ResourceVersion, indent(c.Present.Spec))
 	}
 	effect := "nothing was written"
-	if e, ok := errors.AsType[*platform.Error](err); ok && e.Verdict == verdict.MayHaveRun {
+	if e, ok := errors.AsType[*objectapi.Error](err); ok && e.Verdict == verdict.MayHaveRun {
 		effect = "an answer was lost, so this may have been written and then overwritten"
 	}
 	return fmt.Errorf("another change came first; %s\n--- yours, for version %s\n%s\n--- on the platform, %s",
@@ -92,7 +92,7 @@
 	switch {
 	case err == nil:
 		old = indent(present.Spec)
-	case !platform.IsNotFound(err):
+	case !objectapi.IsNotFound(err):
 		return err
 	}
 	lines := make(map[string]int)
@@ -124,7 +124,7 @@
 	w := tabwriter.NewWriter(t.out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "NAME\tVERSION\tHOSTS\tCLASSES\tTIMEOUT")
 	for _, o := range objects {
-		s, err := platform.SpecOf[operator.Service](o)
+		s, err := objectapi.SpecOf[operator.Service](o)
 		if err != nil {
 			return err
 		}
@@ -139,7 +139,7 @@
 }
 
 // objects returns one object by name, or all of a kind.
-func (t *tool) objects(ctx context.Context, kind string, args []string) ([]*platform.Object, error) {
+func (t *tool) objects(ctx context.Context, kind string, args []string) ([]*objectapi.Object, error) {
 	if len(args) > 1 {
 		return nil, exitError{exitUsage, errors.New("at most one name")}
 	}
@@ -148,7 +148,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return []*platform.Object{o}, nil
+		return []*objectapi.Object{o}, nil
 	}
 	l, err := t.api().List(ctx, kind)
 	if err != nil {
@@ -180,7 +180,7 @@
 		fmt.Fprintln(t.out, statusHeader)
 	}
 	for _, o := range objects {
-		s, err := platform.SpecOf[operator.ServiceStatus](o)
+		s, err := objectapi.SpecOf[operator.ServiceStatus](o)
 		if err != nil {
 			return err
 		}
@@ -212,22 +212,22 @@
 
 // watch prints statuses as they change, until it is interrupted.
 func (t *tool) watch(ctx context.Context, _ []string) error {
-	show := func(o *platform.Object) {
-		s, err := platform.SpecOf[operator.ServiceStatus](o)
+	show := func(o *objectapi.Object) {
+		s, err := objectapi.SpecOf[operator.ServiceStatus](o)
 		if err != nil || t.json(o) {
 			return
 		}
 		t.printStatus(o.Metadata.Name, s)
 	}
-	f := &platform.Follower{
+	f := &objectapi.Follower{
 		API:  t.api(),
 		Kind: operator.KindServiceStatus,
-		Listed: func(l *platform.List) {
+		Listed: func(l *objectapi.List) {
 			for _, o := range l.Items {
 				show(o)
 			}
 		},
-		Changed: func(e platform.Event) { show(e.Object) },
+		Changed: func(e objectapi.Event) { show(e.Object) },
 		Failed:  func(err error) { fmt.Fprintln(t.out, "#", err) },
 	}
 	f.Run(ctx)
--- a/cmd/sassafrasctl/main.go
+++ b/cmd/sassafrasctl/main.go
@@ -23,7 +23,7 @@
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
-	"sassafrasfront.example/platform"
+	"sassafrasfront.example/objectapi"
 )
 
 // The exit codes.
@@ -117,9 +117,11 @@
 }
 
 // api returns the client of the platform.
-func (t *tool) api() *platform.Client {
-	return &platform.Client{
-		URL:       t.url,
+func (t *tool) api() *objectapi.Client {
+	return &objectapi.Client{
+		Caller: objectapi.Caller{
+			URL: t.url,
+		},
 		Namespace: t.namespace,
 	}
 }
--- a/cmd/sassafrasnode/main.go
+++ b/cmd/sassafrasnode/main.go
@@ -25,6 +25,8 @@
 
 	"sassafrasfront.example/internal/keyvalue"
 	"sassafrasfront.example/node"
+	"sassafrasfront.example/objectapi"
+	"sassafrasfront.example/platform"
 	"sassafrasfront.example/settings"
 )
 
@@ -106,13 +108,35 @@
 	if s.Processors > 0 {
 		runtime.GOMAXPROCS(s.Processors)
 	}
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
+	}
 	n := &node.Node{
 		Settings: *s,
 		Log:      keyvalue.New(os.Stderr, s.LogLevel).With().Str("node", s.Node).Logger(),
 	}
+	if s.Dialect == settings.DialectManaged {
+		n.Platform = managed()
+	}
 	return n.Run(ctx)
 }
 
+// memoryShare is the part of the memory at which the garbage collector works
+// harder. The rest is for what it does not count.
+const memoryShare = 0.7
+
+// managed returns the users' platform.
+func managed() *node.Platform {
+	return &node.Platform{
+		Names:    platform.Names(),
+		API:      func(c *objectapi.Caller) objectapi.API { return &platform.Store{Caller: c} },
+		Kind:     platform.ManifestKind,
+		Name:     platform.ManifestName,
+		Table:    platform.Table,
+		Announce: platform.Instances,
+	}
+}
+
 // versionLine returns the version of the program and of Go.
 func versionLine() string {
 	goVersion := "unknown"
--- a/control/acceptor.go
+++ b/control/acceptor.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"sassafrasfront.example/member"
+	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/operator"
-	"sassafrasfront.example/platform"
 	"sassafrasfront.example/rollout"
 )
 
@@ -50,7 +50,7 @@
 
 // listed takes in a list of all Service objects. Services in force that are not
 // on it have been deleted.
-func (a *acceptor) listed(l *platform.List) {
+func (a *acceptor) listed(l *objectapi.List) {
 	gone := a.inForce()
 	for _, o := range l.Items {
 		a.consider(rollout.IntentOf(o))
@@ -59,7 +59,7 @@
 	for name := range gone {
 		a.consider(rollout.Intent{
 			Name:   name,
-			Source: platform.ParseVersion(l.Metadata.ResourceVersion),
+			Source: objectapi.ParseVersion(l.Metadata.ResourceVersion),
 		})
 	}
 }
@@ -78,9 +78,9 @@
 }
 
 // changed takes in a change of a Service object.
-func (a *acceptor) changed(e platform.Event) {
+func (a *acceptor) changed(e objectapi.Event) {
 	in := rollout.IntentOf(e.Object)
-	if e.Type == platform.Deleted {
+	if e.Type == objectapi.Deleted {
 		in.Spec = nil
 	}
 	a.consider(in)
@@ -88,8 +88,8 @@
 
 // learn takes in an Accepted object: its configuration is put in force here and
 // reported, and the intent that it comes from is done.
-func (a *acceptor) learn(o *platform.Object) error {
-	spec, err := platform.SpecOf[operator.Accepted](o)
+func (a *acceptor) learn(o *objectapi.Object) error {
+	spec, err := objectapi.SpecOf[operator.Accepted](o)
 	if err != nil {
 		return err
 	}
@@ -209,7 +209,7 @@
 	if a.pending[p.Name].Source > p.Source {
 		return
 	}
-	p.due = time.Now().Add(platform.Backoff(p.failures, err))
+	p.due = time.Now().Add(objectapi.Backoff(p.failures, err))
 	p.failures++
 	a.pending[p.Name] = p
 }
--- a/control/bootstrap.go
+++ b/control/bootstrap.go
@@ -9,9 +9,9 @@
 	"math/rand/v2"
 	"time"
 
+	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/operator"
 	"sassafrasfront.example/peer"
-	"sassafrasfront.example/platform"
 )
 
 // bootstrap learns from a first peer. It goes on until one has answered, or this
@@ -19,7 +19,7 @@
 // long, so as a steward it asks seldom.
 func (c *Control) bootstrap(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
-		if c.learnFrom(ctx, c.Contacts) || c.API != nil && c.learnFromStewards(ctx) {
+		if c.Book != nil && c.learnFrom(ctx, c.Book(ctx)) || c.learnFrom(ctx, c.Contacts) || c.API != nil && c.learnFromStewards(ctx) {
 			return
 		}
 		var alone bool
@@ -27,7 +27,7 @@
 		if !alone {
 			return
 		}
-		pause := platform.Backoff(n, nil)
+		pause := objectapi.Backoff(n, nil)
 		if c.steward.Load() {
 			pause = max(pause, c.Timing.Lease)
 		}
@@ -48,7 +48,7 @@
 	}
 	rand.Shuffle(len(l.Items), func(i, j int) { l.Items[i], l.Items[j] = l.Items[j], l.Items[i] })
 	for _, o := range l.Items {
-		s, err := platform.SpecOf[operator.Steward](o)
+		s, err := objectapi.SpecOf[operator.Steward](o)
 		if err == nil && c.learnFrom(ctx, s.Contacts) {
 			return true
 		}
@@ -84,7 +84,7 @@
 	if err != nil {
 		return operator.Steward{}, false
 	}
-	s, err := platform.SpecOf[operator.Steward](o)
+	s, err := objectapi.SpecOf[operator.Steward](o)
 	return s, err == nil
 }
 
--- a/control/control.go
+++ b/control/control.go
@@ -15,9 +15,11 @@
 
 	"sassafrasfront.example/entry"
 	"sassafrasfront.example/member"
+	"sassafrasfront.example/objectapi"
+	"sassafrasfront.example/operator"
 	"sassafrasfront.example/peer"
-	"sassafrasfront.example/platform"
 	"sassafrasfront.example/rollout"
+	"sassafrasfront.example/routes"
 	"sassafrasfront.example/watch"
 )
 
@@ -71,9 +73,15 @@
 	// Self is this node's record. Its incarnation and version are set by Run.
 	Self member.Record
 	// API is the platform. Nil means that there is none.
-	API platform.API
+	API objectapi.API
 	// Contacts are peer addresses to learn from at the start, if any.
 	Contacts []string
+	// Book, if not nil, returns addresses of other nodes from the platform.
+	Book func(ctx context.Context) []string
+	// Template, if not nil, says that the configuration is one table of routes,
+	// given by Configure. It returns what holds for a service of a table, given
+	// the number of live nodes.
+	Template func(t *routes.Table, service string, nodes int) operator.Service
 	// Timing are the periods of the work.
 	Timing Timing
 	// Budget is what comparisons and pushes of records cost.
@@ -99,8 +107,9 @@
 	members    exchanger[member.Record]
 	configs    exchanger[rollout.Config]
 	byService  map[string]map[string]member.Record
-	live       int // live nodes, this one included
-	near       int // those in the node's own zone, without this one
+	table      *routes.Table // in force, or nil
+	live       int           // live nodes, this one included
+	near       int           // those in the node's own zone, without this one
 	dirty      map[string]bool
 	neighbours []member.Record
 	clients    map[string]*peer.Client
@@ -252,6 +261,10 @@
 
 // configChanged takes in a change of a configuration.
 func (c *Control) configChanged(_, r rollout.Config) {
+	if r.Name == rollout.Whole {
+		c.tableChanged(r)
+		return
+	}
 	c.dirty[r.Name] = true
 	c.Log.Info().Str("service", r.Name).Uint64("sequence", r.Sequence).Bool("deleted", r.Deleted).Msg("configuration in force")
 }
--- a/control/lease.go
+++ b/control/lease.go
@@ -11,8 +11,8 @@
 	"sync"
 	"time"
 
+	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/operator"
-	"sassafrasfront.example/platform"
 )
 
 const (
@@ -53,7 +53,7 @@
 type lease struct {
 	control *Control
 	wait    time.Duration
-	object  *platform.Object
+	object  *objectapi.Object
 	spec    operator.Steward
 	since   time.Time // when the present number of renewals was first seen
 }
@@ -65,13 +65,13 @@
 	c := l.control
 	o, err := c.API.Get(ctx, operator.KindSteward, c.Self.Zone)
 	switch {
-	case platform.IsNotFound(err):
+	case objectapi.IsNotFound(err):
 		l.object = nil
 		return l.write(ctx)
 	case err != nil:
 		return false
 	}
-	spec, err := platform.SpecOf[operator.Steward](o)
+	spec, err := objectapi.SpecOf[operator.Steward](o)
 	if err != nil {
 		c.Log.Error().Err(err).Msg("steward object can't be read")
 		return false
@@ -124,11 +124,11 @@
 			next.Contacts = append(next.Contacts, addr)
 		}
 	}
-	o := platform.NewObject(operator.KindSteward, c.Self.Zone, next)
+	o := objectapi.NewObject(operator.KindSteward, c.Self.Zone, next)
 	if l.object != nil {
 		o = o.WithVersion(l.object.Metadata.ResourceVersion)
 	}
-	written, err := platform.Put(ctx, c.API, o)
+	written, err := objectapi.Put(ctx, c.API, o)
 	if err != nil {
 		return false
 	}
@@ -190,7 +190,7 @@
 	if err != nil {
 		return true
 	}
-	spec, err := platform.SpecOf[operator.Steward](o)
+	spec, err := objectapi.SpecOf[operator.Steward](o)
 	if err != nil {
 		return true
 	}
@@ -205,6 +205,6 @@
 	defer cancel()
 	next := l.spec
 	next.Holder = ""
-	o := platform.NewObject(operator.KindSteward, l.control.Self.Zone, next)
+	o := objectapi.NewObject(operator.KindSteward, l.control.Self.Zone, next)
 	_, _ = l.control.API.Update(ctx, o.WithVersion(l.object.Metadata.ResourceVersion))
 }
--- a/control/reporter.go
+++ b/control/reporter.go
@@ -13,9 +13,9 @@
 	"time"
 
 	"sassafrasfront.example/member"
+	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/operator"
 	"sassafrasfront.example/peer"
-	"sassafrasfront.example/platform"
 	"sassafrasfront.example/rollout"
 )
 
@@ -207,14 +207,14 @@
 func (r *reporter) merge(ctx context.Context, name string, next *operator.ServiceStatus) error {
 	var err error
 	for range reportTries {
-		var present *platform.Object
+		var present *objectapi.Object
 		present, err = r.control.API.Get(ctx, operator.KindServiceStatus, name)
-		if err != nil && !platform.IsNotFound(err) {
+		if err != nil && !objectapi.IsNotFound(err) {
 			return err
 		}
-		o := platform.NewObject(operator.KindServiceStatus, name, next)
+		o := objectapi.NewObject(operator.KindServiceStatus, name, next)
 		if err == nil {
-			old, err := platform.SpecOf[operator.ServiceStatus](present)
+			old, err := objectapi.SpecOf[operator.ServiceStatus](present)
 			if err != nil {
 				return err
 			}
@@ -222,9 +222,9 @@
 			if !changed {
 				return nil
 			}
-			o = platform.NewObject(operator.KindServiceStatus, name, merged).WithVersion(present.Metadata.ResourceVersion)
+			o = objectapi.NewObject(operator.KindServiceStatus, name, merged).WithVersion(present.Metadata.ResourceVersion)
 		}
-		if _, err = platform.Put(ctx, r.control.API, o); !platform.IsConflict(err) {
+		if _, err = objectapi.Put(ctx, r.control.API, o); !objectapi.IsConflict(err) {
 			return err
 		}
 		sleep(ctx, rand.N(reportWindow/4))
@@ -238,7 +238,7 @@
 func mergeStatus(old, next operator.ServiceStatus) (operator.ServiceStatus, bool) {
 	merged := old
 	changed := false
-	if platform.ParseVersion(next.Observed) > platform.ParseVersion(old.Observed) {
+	if objectapi.ParseVersion(next.Observed) > objectapi.ParseVersion(old.Observed) {
 		merged.Phase, merged.Observed, merged.Faults = next.Phase, next.Observed, next.Faults
 		changed = true
 	}
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -10,7 +10,9 @@
 
 	"sassafrasfront.example/entry"
 	"sassafrasfront.example/member"
+	"sassafrasfront.example/operator"
 	"sassafrasfront.example/rollout"
+	"sassafrasfront.example/routes"
 )
 
 // Snapshot is a node's picture at one moment. It is an immutable value.
@@ -24,6 +26,8 @@
 	Sequences map[string]uint64
 	// Members is the number of live nodes known.
 	Members int
+	// Table is the table of routes in force, if there is one.
+	Table *routes.Table
 	// Ready is whether any configuration is known.
 	Ready bool
 }
@@ -40,8 +44,13 @@
 		Sequences: maps.Clone(old.Sequences),
 		Members:   c.live,
 	}
+	next.Table = c.table
 	hosts := false
 	for name := range c.dirty {
+		if c.Template != nil {
+			c.rebuildFromTable(next, name)
+			continue
+		}
 		config, ok := c.configs.set.Get(name)
 		if !ok {
 			continue
@@ -60,7 +69,7 @@
 	if hosts {
 		next.Hosts = hostsOf(next.Services)
 	}
-	next.Ready = len(next.Sequences) > 0
+	next.Ready = len(next.Sequences) > 0 || c.table != nil
 	c.snapshot.Store(next)
 	c.Published(next)
 }
@@ -75,11 +84,16 @@
 		c.Log.Error().Err(err).Str("service", config.Name).Msg("configuration can't be read")
 		return c.snapshot.Load().Services[config.Name]
 	}
+	return c.withMembers(config.Name, parsed)
+}
+
+// withMembers returns a service with its members.
+func (c *Control) withMembers(name string, config operator.Service) *entry.Service {
 	s := &entry.Service{
-		Name:   config.Name,
-		Config: parsed,
+		Name:   name,
+		Config: config,
 	}
-	for _, r := range c.byService[config.Name] {
+	for _, r := range c.byService[name] {
 		s.Members = append(s.Members, entry.Member{
 			ID:     r.ID,
 			Addr:   r.Addr,
--- a/control/stewardwork.go
+++ b/control/stewardwork.go
@@ -12,9 +12,9 @@
 
 	"sassafrasfront.example/claim"
 	"sassafrasfront.example/member"
+	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/operator"
 	"sassafrasfront.example/peer"
-	"sassafrasfront.example/platform"
 )
 
 // stewardWork is what the steward of a zone does while it holds the lease.
@@ -46,18 +46,18 @@
 // run does the work until ctx ends.
 func (s *stewardWork) run(ctx context.Context) {
 	failed := func(err error) { s.Log.Warn().Err(err).Msg("platform watch failed") }
-	services := &platform.Follower{
+	services := &objectapi.Follower{
 		API:     s.API,
 		Kind:    operator.KindService,
 		Listed:  s.acceptor.listed,
 		Changed: s.acceptor.changed,
 		Failed:  failed,
 	}
-	accepted := &platform.Follower{
+	accepted := &objectapi.Follower{
 		API:     s.API,
 		Kind:    operator.KindAccepted,
 		Listed:  s.acceptedListed,
-		Changed: func(e platform.Event) { s.learnAccepted(e.Object) },
+		Changed: func(e objectapi.Event) { s.learnAccepted(e.Object) },
 		Failed:  failed,
 	}
 	var all sync.WaitGroup
@@ -71,14 +71,14 @@
 	all.Wait()
 }
 
-func (s *stewardWork) acceptedListed(l *platform.List) {
+func (s *stewardWork) acceptedListed(l *objectapi.List) {
 	for _, o := range l.Items {
 		s.learnAccepted(o)
 	}
 }
 
 // learnAccepted takes in an Accepted object of the platform.
-func (s *stewardWork) learnAccepted(o *platform.Object) {
+func (s *stewardWork) learnAccepted(o *objectapi.Object) {
 	if err := s.acceptor.learn(o); err != nil {
 		s.Log.Error().Err(err).Msg("accepted object can't be read")
 	}
@@ -173,7 +173,7 @@
 		if o.Metadata.Name == s.Self.Zone {
 			continue
 		}
-		spec, err := platform.SpecOf[operator.Steward](o)
+		spec, err := objectapi.SpecOf[operator.Steward](o)
 		if err == nil && s.learnFrom(ctx, spec.Contacts[:min(1, len(spec.Contacts))]) {
 			found++
 		}
--- /dev/null
+++ b/control/table.go
@@ -0,0 +1,57 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package control
+
+import (
+	"sassafrasfront.example/rollout"
+	"sassafrasfront.example/routes"
+)
+
+// Configure takes in a table of routes, unless a later one is in force.
+func (c *Control) Configure(t *routes.Table) {
+	c.init()
+	record := rollout.FromTable(t)
+	c.do(func() {
+		c.configs.put(record)
+		// The platform gives it to the other nodes as well; comparisons find those
+		// that it does not reach.
+		delete(c.configs.outbox, rollout.Whole)
+		if len(c.dirty) > 0 {
+			c.rebuild()
+		}
+	})
+}
+
+// tableChanged takes in a table of routes. It is not taken back: the exchanger
+// accepts higher sequences only.
+func (c *Control) tableChanged(r rollout.Config) {
+	t, err := r.Table()
+	if err != nil {
+		c.Log.Error().Err(err).Uint64("version", r.Sequence).Msg("configuration can't be read")
+		return
+	}
+	if c.table != nil {
+		for _, s := range c.table.Services {
+			c.dirty[s.Name] = true
+		}
+	}
+	c.table = t
+	for _, s := range t.Services {
+		c.dirty[s.Name] = true
+	}
+	c.Log.Info().Uint64("version", t.Version).Int("routes", len(t.Routes)).Int("services", len(t.Services)).Msg("configuration in force")
+}
+
+// rebuildFromTable puts a service into the next snapshot as the table has it.
+func (c *Control) rebuildFromTable(next *Snapshot, name string) {
+	if c.table == nil {
+		return
+	}
+	if _, ok := c.table.Service(name); !ok {
+		delete(next.Services, name)
+		return
+	}
+	next.Services[name] = c.withMembers(name, c.Template(c.table, name, max(1, c.live)))
+}
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -138,7 +138,7 @@
 		}
 		n.hedges = &retry.Budget{
 			Share: s.Config.Hedge.Share,
-			Burst: 10,
+			Burst: s.Config.Hedge.Burst,
 		}
 		n.latency = new(retry.Latency)
 	}
--- a/entry/do.go
+++ b/entry/do.go
@@ -50,6 +50,7 @@
 
 	tried   []string
 	open    []*attempt     // the one sent first comes first
+	reached int            // failed sendings that may have reached an upstream
 	mayRun  *verdict.Error // the first failure after which the request may have run
 	revoked bool
 }
@@ -75,13 +76,20 @@
 			}
 		}
 		remaining := time.Until(f.request.Deadline)
-		if f.ctx.Err() != nil || !f.repeatable() || !plan.Again(failure, f.request.Idempotent, len(f.tried), remaining) {
+		if f.ctx.Err() != nil || !f.attemptsLeft() || !f.repeatable() || !plan.Again(failure, f.request.Idempotent, len(f.tried), remaining) {
 			return nil, f.verdict(failure)
 		}
 		f.dispatcher.event(f.service.Name, EventRetry)
 	}
 }
 
+// attemptsLeft returns whether one more upstream may get the request. Sendings
+// that are known to have reached none don't count.
+func (f *flight) attemptsLeft() bool {
+	most := f.request.Attempts
+	return most == 0 || f.reached+len(f.open) < most
+}
+
 // verdict returns the failure to report: the last one, unless an earlier one
 // left it open whether the request ran and the last one does not.
 func (f *flight) verdict(last *verdict.Error) *verdict.Error {
@@ -151,6 +159,9 @@
 		return a, nil
 	}
 	a.end(failure)
+	if retry.Reached(failure) {
+		f.reached++
+	}
 	if failure.Verdict() != verdict.NotRun && f.mayRun == nil {
 		f.mayRun = failure
 	}
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -33,7 +33,7 @@
 		d.event(f.service.Name, EventRevoke)
 		return
 	}
-	if len(f.tried) >= f.service.Config.Retry.MaxTries || !f.service.hedges.Take() {
+	if !f.attemptsLeft() || len(f.tried) >= f.service.Config.Retry.MaxTries || !f.service.hedges.Take() {
 		return
 	}
 	if f.launch() == nil {
--- a/entry/request.go
+++ b/entry/request.go
@@ -14,6 +14,8 @@
 
 // Request is a caller's request.
 type Request struct {
+	// ID names the request in logs.
+	ID string
 	// Service is the name of its service.
 	Service string
 	// Class is its class.
@@ -30,6 +32,11 @@
 	Length int64
 	// Idempotent is whether running the request twice does no harm.
 	Idempotent bool
+	// Attempts bounds the upstreams that the request is sent to. Zero means that
+	// the service's configuration says so.
+	Attempts int
+	// Objective is the latency within which the answer is of full value, or 0.
+	Objective time.Duration
 	// Deadline is when the answer must have begun.
 	Deadline time.Time
 	// Inform, if not nil, is called with informational answers.
--- a/gate/call.go
+++ b/gate/call.go
@@ -22,10 +22,6 @@
 	"sassafrasfront.example/verdict"
 )
 
-// TimeoutHeader bears the remaining time until the deadline of a request, in
-// milliseconds. Callers set it, and upstreams get it to hand it on.
-const TimeoutHeader = "Sassafras-Timeout-Ms"
-
 // gatherLimit is the largest answer that is sent in one frame.
 const gatherLimit = 32 << 10
 
@@ -58,7 +54,7 @@
 		e := verdict.As(err, verdict.BodyLost)
 		return verdict.New(verdict.Revoked, e)
 	}
-	r, err := c.request(ctx)
+	r, err := c.request(ctx, b)
 	if err != nil {
 		return verdict.New(verdict.BadRequest, err)
 	}
@@ -67,6 +63,7 @@
 	response, failure := b.transport.Send(r, c.inform)
 	if failure != nil {
 		tracing.End(span, 0, failure)
+		c.gate.sendFailed(b, failure)
 		return failure
 	}
 	defer response.Body.Close()
@@ -80,7 +77,7 @@
 }
 
 // request returns the request for the upstream.
-func (c *call) request(ctx context.Context) (*http.Request, error) {
+func (c *call) request(ctx context.Context, b *binding) (*http.Request, error) {
 	m := c.in.Call
 	target, err := url.ParseRequestURI(m.Target)
 	if err != nil {
@@ -97,7 +94,11 @@
 		r.Header["User-Agent"] = nil // keeps the library from adding its own
 	}
 	remaining := max(1, time.Until(c.in.Deadline()).Milliseconds())
-	r.Header.Set(TimeoutHeader, strconv.FormatInt(remaining, 10))
+	names := c.gate.Names.OrDefault()
+	r.Header.Set(names.Timeout, strconv.FormatInt(remaining, 10))
+	if names.Expected != "" {
+		r.Header.Set(names.Expected, b.announcement.Start)
+	}
 	if m.Length != 0 {
 		r.Body = io.NopCloser(c.in.Body())
 	}
@@ -158,6 +159,10 @@
 	}
 	data, err := io.ReadAll(r.Body)
 	a.Body = data
+	if err != nil && c.gate.Names.Signature != "" {
+		// Nothing of the answer has gone on yet: another upstream may give one.
+		return verdict.New(verdict.AnswerSpoilt, err)
+	}
 	if err != nil {
 		// The whole head and what there is of the body go on, and then the cut.
 		_ = c.in.Begin(a)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +28,11 @@
 type Gate struct {
 	// Tracer makes a span for each call and one for each upstream request.
 	Tracer trace.Tracer
+	// Names are the header fields that the upstream uses.
+	Names upstream.Names
+	// Failed, if not nil, is called when a call shows that the announced upstream
+	// is not there: it can't be reached, or another has its address.
+	Failed func(a *upstream.Announcement, failure *verdict.Error)
 	// Reports says when a load report goes to which node. Nil means never.
 	Reports *watch.Pacer[string]
 	// Ended, if not nil, is called at the end of each call.
@@ -65,6 +71,8 @@
 			Addr:        a.Address,
 			Connections: a.Connections,
 			Warm:        min(a.Slots, a.Connections),
+			Names:       g.Names.OrDefault(),
+			Observed:    g.observe,
 		}
 	}
 	g.current.Store(b)
@@ -78,6 +86,11 @@
 	}
 }
 
+// observe takes in the load that the upstream tells.
+func (g *Gate) observe(l upstream.Load) {
+	g.admit.Observe(l.Slowdown)
+}
+
 // Configure takes in the configuration in force for the announced service, or
 // nil if there is none.
 func (g *Gate) Configure(s *operator.Service) {
@@ -193,3 +206,11 @@
 	}
 	return nil, nil, err
 }
+
+// sendFailed tells of a failure that shows the upstream to be gone.
+func (g *Gate) sendFailed(b *binding, failure *verdict.Error) {
+	gone := failure.Cause == verdict.UpstreamDialFailed && !errors.Is(failure, context.Canceled) || failure.Cause == verdict.WrongUpstream
+	if gone && g.Failed != nil {
+		g.Failed(b.announcement, failure)
+	}
+}
--- a/internal/objectapi/server.go
+++ b/internal/objectstore/server.go
@@ -2,7 +2,7 @@
 // Use of this source code is governed by a BSD-style
 // license that can be found in the LICENSE file.
 
-package objectapi
+package objectstore
 
 import (
 	"encoding/json"
@@ -14,7 +14,7 @@
 	"sync"
 	"time"
 
-	"sassafrasfront.example/platform"
+	"sassafrasfront.example/objectapi"
 )
 
 // Faults are the ways in which the stand-in fails. Shares are in [0, 1].
@@ -58,7 +58,7 @@
 	mu     sync.Mutex
 	faults Faults
 	counts Counts
-	old    map[string]*platform.Object
+	old    map[string]*objectapi.Object
 }
 
 // SetFaults replaces the faults.
@@ -157,7 +157,7 @@
 
 // split returns the collection and the name in a path.
 func split(path string) (collection, name string, ok bool) {
-	rest, ok := strings.CutPrefix(path, "/apis/"+platform.GroupVersion+"/namespaces/")
+	rest, ok := strings.CutPrefix(path, "/apis/"+objectapi.GroupVersion+"/namespaces/")
 	if !ok {
 		return "", "", false
 	}
@@ -188,7 +188,7 @@
 }
 
 // stale returns o, or at times what it was before.
-func (s *Server) stale(f Faults, collection string, o *platform.Object) *platform.Object {
+func (s *Server) stale(f Faults, collection string, o *objectapi.Object) *objectapi.Object {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if before := s.old[key(collection, o.Metadata.Name)]; before != nil && rand.Float64() < f.StaleReads {
@@ -198,13 +198,13 @@
 }
 
 func (s *Server) write(w http.ResponseWriter, r *http.Request, f Faults, collection, name string) {
-	var result *platform.Object
+	var result *objectapi.Object
 	var refused *refusal
 	if r.Method == http.MethodDelete {
 		refused = s.store.delete(collection, name, r.URL.Query().Get("resourceVersion"))
 	} else {
-		o := new(platform.Object)
-		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, platform.MaxValue)).Decode(o); err != nil {
+		o := new(objectapi.Object)
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, objectapi.MaxValue)).Decode(o); err != nil {
 			http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 			return
 		}
@@ -230,7 +230,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.old == nil {
-		s.old = make(map[string]*platform.Object)
+		s.old = make(map[string]*objectapi.Object)
 	}
 	s.old[key(collection, name)] = o
 }
@@ -239,7 +239,7 @@
 func (s *Server) watch(w http.ResponseWriter, r *http.Request, collection string) {
 	seconds, _ := strconv.ParseFloat(r.URL.Query().Get("timeoutSeconds"), 64)
 	end := time.After(time.Duration(seconds * float64(time.Second)))
-	version := platform.ParseVersion(r.URL.Query().Get("resourceVersion"))
+	version := objectapi.ParseVersion(r.URL.Query().Get("resourceVersion"))
 	flusher := http.NewResponseController(w)
 	for {
 		events, changed, ok := s.store.since(version)
@@ -290,7 +290,7 @@
 
 // collectionOf returns the last part of the path of a kind's collection.
 func collectionOf(kind string) string {
-	p := platform.Path("", kind, "")
+	p := objectapi.Path("", kind, "")
 	return p[strings.LastIndex(p, "/")+1:]
 }
 
--- a/internal/objectapi/store.go
+++ b/internal/objectstore/store.go
@@ -2,7 +2,7 @@
 // Use of this source code is governed by a BSD-style
 // license that can be found in the LICENSE file.
 
-package objectapi
+package objectstore
 
 import (
 	"net/http"
@@ -10,7 +10,7 @@
 	"strconv"
 	"sync"
 
-	"sassafrasfront.example/platform"
+	"sassafrasfront.example/objectapi"
 )
 
 // historyLength is the number of events that a watch can start back at.
@@ -20,7 +20,7 @@
 type store struct {
 	mu      sync.Mutex
 	version uint64
-	objects map[string]*platform.Object // by kind and name
+	objects map[string]*objectapi.Object // by kind and name
 	history []event
 	changed chan struct{} // closed at the next change
 }
@@ -28,7 +28,7 @@
 // event is a change at a version of the whole store.
 type event struct {
 	version uint64
-	platform.Event
+	objectapi.Event
 }
 
 // refusal is an HTTP status with a reason.
@@ -39,7 +39,7 @@
 
 func key(collection, name string) string { return collection + "/" + name }
 
-func (s *store) get(collection, name string) (*platform.Object, *refusal) {
+func (s *store) get(collection, name string) (*objectapi.Object, *refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o := s.objects[key(collection, name)]
@@ -52,10 +52,10 @@
 	return o, nil
 }
 
-func (s *store) list(collection string) *platform.List {
+func (s *store) list(collection string) *objectapi.List {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := &platform.List{Items: []*platform.Object{}}
+	l := &objectapi.List{Items: []*objectapi.Object{}}
 	l.Metadata.ResourceVersion = strconv.FormatUint(s.version, 10)
 	for k, o := range s.objects {
 		if k == key(collection, o.Metadata.Name) {
@@ -67,7 +67,7 @@
 }
 
 // put creates or replaces an object. An empty version means to create.
-func (s *store) put(collection string, o *platform.Object, create bool) (*platform.Object, *refusal) {
+func (s *store) put(collection string, o *objectapi.Object, create bool) (*objectapi.Object, *refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := key(collection, o.Metadata.Name)
@@ -83,9 +83,9 @@
 	case !create && o.Metadata.ResourceVersion != "" && o.Metadata.ResourceVersion != old.Metadata.ResourceVersion:
 		return nil, conflict("the object is at version " + old.Metadata.ResourceVersion)
 	}
-	kind := platform.Modified
+	kind := objectapi.Modified
 	if create {
-		kind = platform.Added
+		kind = objectapi.Added
 	}
 	return s.record(k, kind, o), nil
 }
@@ -104,7 +104,7 @@
 	case version != "" && version != old.Metadata.ResourceVersion:
 		return conflict("the object is at version " + old.Metadata.ResourceVersion)
 	}
-	s.record(k, platform.Deleted, old)
+	s.record(k, objectapi.Deleted, old)
 	delete(s.objects, k)
 	return nil
 }
@@ -117,16 +117,16 @@
 }
 
 // record stores o under the next version and wakes the watches.
-func (s *store) record(k, kind string, o *platform.Object) *platform.Object {
+func (s *store) record(k, kind string, o *objectapi.Object) *objectapi.Object {
 	s.version++
 	o = o.WithVersion(strconv.FormatUint(s.version, 10))
 	if s.objects == nil {
-		s.objects = make(map[string]*platform.Object)
+		s.objects = make(map[string]*objectapi.Object)
 	}
 	s.objects[k] = o
 	s.history = append(s.history, event{
 		version: s.version,
-		Event: platform.Event{
+		Event: objectapi.Event{
 			Type:   kind,
 			Object: o,
 		},
--- a/node/node.go
+++ b/node/node.go
@@ -25,9 +25,10 @@
 	"sassafrasfront.example/gate"
 	"sassafrasfront.example/internal/tracing"
 	"sassafrasfront.example/member"
+	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/operator"
 	"sassafrasfront.example/peer"
-	"sassafrasfront.example/platform"
+	"sassafrasfront.example/routes"
 	"sassafrasfront.example/settings"
 	"sassafrasfront.example/upstream"
 	"sassafrasfront.example/watch"
@@ -56,6 +57,9 @@
 	Settings settings.Settings
 	// Log takes the events.
 	Log zerolog.Logger
+	// Platform, if not nil, is the platform whose table of routes the node
+	// follows. Otherwise each service has a configuration of its own.
+	Platform *Platform
 
 	tracer     trace.Tracer
 	metrics    *metricSet
@@ -65,7 +69,8 @@
 	peers      *peer.Server
 	announced  *upstream.Announcements
 	claims     *claim.Ledger
-	configured atomic.Bool // whether the gate knows its service
+	api        objectapi.API // of Platform
+	configured atomic.Bool   // whether the gate knows its service
 
 	// announcing is held while the node's state is found and told, so that what
 	// is told last was found last. configuring is held while the gate is given
@@ -188,7 +193,10 @@
 		Log:       n.Log,
 		Published: n.published,
 	}
-	if s.PlatformURL != "" {
+	switch {
+	case n.Platform != nil:
+		n.buildManaged()
+	case s.PlatformURL != "":
 		n.control.API = n.platform()
 		n.claims = &claim.Ledger{
 			API:  n.control.API,
@@ -204,12 +212,25 @@
 	n.announced = &upstream.Announcements{Changed: n.upstreamChanged}
 }
 
+// buildManaged sets the parts up for a table of routes.
+func (n *Node) buildManaged() {
+	n.gate.Names = n.Platform.Names
+	n.gate.Failed = n.upstreamFailed
+	n.control.Template = n.template
+	store := n.storeClient()
+	n.metrics.platformCalls = store.Calls
+	n.api = n.Platform.API(store)
+	n.control.Book = n.book(n.api).Addresses
+}
+
 // platform returns the client of the object API.
-func (n *Node) platform() *platform.Client {
-	c := &platform.Client{
-		URL:       n.Settings.PlatformURL,
+func (n *Node) platform() *objectapi.Client {
+	c := &objectapi.Client{
+		Caller: objectapi.Caller{
+			URL:    n.Settings.PlatformURL,
+			Budget: rate.NewLimiter(rate.Limit(n.Settings.PlatformCalls), int(n.Settings.PlatformCalls)),
+		},
 		Namespace: n.Settings.Namespace,
-		Budget:    rate.NewLimiter(rate.Limit(n.Settings.PlatformCalls), int(n.Settings.PlatformCalls)),
 	}
 	n.metrics.platformCalls = c.Calls
 	return c
@@ -271,6 +292,10 @@
 	controlCtx, stopControl := context.WithCancel(inner)
 	var all, controlling sync.WaitGroup
 	controlling.Go(func() { n.control.Run(controlCtx) })
+	if n.Platform != nil {
+		controlling.Go(func() { n.follow(controlCtx, n.api) })
+		all.Go(func() { n.findUpstream(inner) })
+	}
 	all.Go(func() { _ = n.peers.Run(inner, l.peer) })
 	all.Go(func() { _ = callers.Serve(l.caller) })
 	all.Go(func() { _ = announce.Serve(l.announce) })
@@ -290,7 +315,7 @@
 }
 
 func (n *Node) callerHandler() http.Handler {
-	return &caller.Handler{
+	h := &caller.Handler{
 		Lookup: func(host string) (*entry.Service, bool) {
 			s := n.control.Snapshot()
 			return s.Lookup(host), s.Ready
@@ -301,6 +326,15 @@
 		Tracer:     n.tracer,
 		Ended:      n.requestEnded,
 	}
+	if n.Platform != nil {
+		h.Names = n.Platform.Names
+		h.Service = n.Settings.Service
+		h.Resolver = &caller.ByRoute{
+			Table:   func() *routes.Table { return n.control.Snapshot().Table },
+			Service: func(name string) *entry.Service { return n.control.Snapshot().Services[name] },
+		}
+	}
+	return h
 }
 
 // requestEnded counts a request and logs it if it failed.
@@ -316,6 +350,9 @@
 func (n *Node) announceHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/v1/upstream", n.announced)
+	if n.Platform != nil {
+		mux.Handle("/", n.Platform.Announce(n.announced))
+	}
 	return mux
 }
 
--- /dev/null
+++ b/node/platform.go
@@ -0,0 +1,121 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"sassafrasfront.example/contact"
+	"sassafrasfront.example/objectapi"
+	"sassafrasfront.example/routes"
+	"sassafrasfront.example/upstream"
+)
+
+// Platform is what a node has to know of a platform whose configuration is one
+// table of routes. The exported fields are set before Run.
+type Platform struct {
+	// Names are the header fields that callers and upstreams use.
+	Names upstream.Names
+	// API returns the object API, given what makes its calls.
+	API func(c *objectapi.Caller) objectapi.API
+	// Kind and Name are those of the object that holds the table.
+	Kind, Name string
+	// Table decodes that object.
+	Table func(o *objectapi.Object) (*routes.Table, error)
+	// Announce returns the handler of the calls by which the upstream announces
+	// itself.
+	Announce func(to *upstream.Announcements) http.Handler
+}
+
+const (
+	// storeTimeout bounds a call to the platform other than a watch. A store that
+	// is slowed down sixtyfold answers in a quarter of that.
+	storeTimeout = time.Second
+	// storeBackoff is the longest wait before the platform is asked again after a
+	// failure: a change has to be in force within two seconds of its return.
+	storeBackoff = 500 * time.Millisecond
+	// keepAliveIdle and keepAliveEvery find a connection to the platform that a
+	// partition has silenced, within keepAliveCount tries.
+	keepAliveIdle  = time.Second
+	keepAliveEvery = time.Second
+	keepAliveCount = 3
+)
+
+// storeClient returns what makes the calls to the platform.
+func (n *Node) storeClient() *objectapi.Caller {
+	dialer := &net.Dialer{
+		Timeout: storeTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepAliveIdle,
+			Interval: keepAliveEvery,
+			Count:    keepAliveCount,
+		},
+	}
+	return &objectapi.Caller{
+		URL:     n.Settings.PlatformURL,
+		Timeout: storeTimeout,
+		Budget:  rate.NewLimiter(rate.Limit(n.Settings.PlatformCalls), int(n.Settings.PlatformCalls)),
+		HTTP: &http.Client{
+			Transport: &http.Transport{
+				DialContext:        dialer.DialContext,
+				DisableCompression: true,
+				MaxIdleConns:       2,
+			},
+		},
+	}
+}
+
+// follow keeps up with the table of routes until ctx ends.
+func (n *Node) follow(ctx context.Context, api objectapi.API) {
+	f := &objectapi.Follower{
+		API:        api,
+		Kind:       n.Platform.Kind,
+		MaxBackoff: storeBackoff,
+		Listed: func(l *objectapi.List) {
+			for _, o := range l.Items {
+				n.tableFound(o)
+			}
+		},
+		Changed: func(e objectapi.Event) {
+			if e.Type != objectapi.Deleted {
+				n.tableFound(e.Object)
+			}
+		},
+		Failed: func(err error) { n.Log.Warn().Err(err).Msg("configuration not read") },
+	}
+	f.Run(ctx)
+}
+
+// tableFound takes in an object of the table's kind.
+func (n *Node) tableFound(o *objectapi.Object) {
+	if o.Metadata.Name != n.Platform.Name {
+		return
+	}
+	t, err := n.Platform.Table(o)
+	if err != nil {
+		n.Log.Error().Err(err).Str("revision", o.Metadata.ResourceVersion).Msg("configuration refused")
+		return
+	}
+	n.control.Configure(t)
+}
+
+// book returns the nodes' addresses as the platform holds them.
+func (n *Node) book(api objectapi.API) *contact.Book {
+	return &contact.Book{
+		API:  api,
+		Node: n.Settings.Node,
+		Entry: contact.Entry{
+			Address: n.Settings.PeerAddress,
+			Zone:    n.Settings.Zone,
+		},
+		Log: n.Log,
+	}
+}
--- a/node/state.go
+++ b/node/state.go
@@ -28,7 +28,9 @@
 		n.Log.Info().Msg("upstream withdrawn")
 	} else {
 		n.Log.Info().Str("service", a.Service).Str("address", a.Address).Int("slots", a.Slots).Bool("draining", a.Draining).Msg("upstream announced")
-		n.probe(a)
+		if n.Platform == nil {
+			n.probe(a)
+		}
 	}
 	go n.announce()
 }
--- /dev/null
+++ b/node/template.go
@@ -0,0 +1,83 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package node
+
+import (
+	"slices"
+	"time"
+
+	"sassafrasfront.example/caller"
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/routes"
+)
+
+const (
+	// budgetSafety is the part of the budget for repeated sendings that is used:
+	// calls that a repeated request makes count as repeated too, and the nodes'
+	// counts of each other differ for a while.
+	budgetSafety = 0.6
+	// hedgePart is the part of that which goes to requests that are slow rather
+	// than failed.
+	hedgePart = 0.5
+	// mostTries bounds the sendings of a request. Refusals by gates reach no
+	// upstream, and each costs one exchange between nodes.
+	mostTries = 5
+	// queueWait is the longest wait at a gate, queueLength the most that wait.
+	queueWait   = 60 * time.Millisecond
+	queueLength = 16
+	// priorityWeight is how many times the slots of the next lower priority a
+	// priority gets while requests of both wait.
+	priorityWeight = 4.0
+)
+
+// template returns what holds for a service of a table of routes.
+func (n *Node) template(t *routes.Table, service string, nodes int) operator.Service {
+	fixed := false
+	s := &n.Settings
+	o := operator.Service{
+		Classes: classes(t, service),
+		Queue: operator.Queue{
+			Length:   queueLength,
+			Wait:     operator.Duration(queueWait),
+			Adaptive: &fixed,
+		},
+		Retry: operator.Retry{
+			MaxTries: mostTries,
+			Share:    (1 - hedgePart) * budgetSafety * s.RetryRatio,
+			Burst:    (1 - hedgePart) * budgetSafety * s.RetrySlack / float64(nodes),
+		},
+		Hedge: operator.Hedge{
+			Share: hedgePart * budgetSafety * s.RetryRatio,
+			Burst: hedgePart * budgetSafety * s.RetrySlack / float64(nodes),
+		},
+	}
+	return o.WithDefaults()
+}
+
+// classes returns a class for each priority of the routes that lead to the
+// service. The lowest number is the highest priority.
+func classes(t *routes.Table, service string) []operator.Class {
+	var priorities []int
+	for _, r := range t.Routes {
+		leads := slices.ContainsFunc(r.Parts, func(p routes.Part) bool { return p.Service == service })
+		if leads && !slices.Contains(priorities, r.Priority) {
+			priorities = append(priorities, r.Priority)
+		}
+	}
+	slices.Sort(priorities)
+	slices.Reverse(priorities)
+	weight := 1.0
+	var list []operator.Class
+	for _, p := range priorities {
+		list = append(list, operator.Class{
+			Name:     caller.ClassOf(p),
+			Weight:   weight,
+			MaxShare: 1,
+			Priority: -p,
+		})
+		weight *= priorityWeight
+	}
+	return list
+}
--- /dev/null
+++ b/node/upstreamwatch.go
@@ -0,0 +1,114 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package node
+
+import (
+	"context"
+	"time"
+
+	"sassafrasfront.example/upstream"
+	"sassafrasfront.example/verdict"
+)
+
+const (
+	// healthTimeout bounds one question to the upstream's health check.
+	healthTimeout = 500 * time.Millisecond
+	// healthEvery is the time between two questions while it is not known
+	// whether the upstream is there.
+	healthEvery = 300 * time.Millisecond
+)
+
+// healthPath returns the path of the health check of a service, if it is known.
+func (n *Node) healthPath(service string) (string, bool) {
+	t := n.control.Snapshot().Table
+	if t == nil {
+		return "", false
+	}
+	s, ok := t.Service(service)
+	return s.HealthPath, ok && s.HealthPath != ""
+}
+
+// findUpstream asks the health check of the upstream that the settings name
+// until the upstream is known. A node that is started beside a running upstream
+// does not have to wait for its next announcement.
+func (n *Node) findUpstream(ctx context.Context) {
+	s := &n.Settings
+	if s.Service == "" || s.UpstreamAddress == "" {
+		return
+	}
+	tick := time.NewTicker(healthEvery)
+	defer tick.Stop()
+	for n.announced.Current() == nil {
+		if path, ok := n.healthPath(s.Service); ok {
+			h, err := upstream.Health(ctx, s.UpstreamAddress, path, n.Platform.Names, healthTimeout)
+			if err == nil && h.Start != "" && h.Load.Slots > 0 {
+				n.announced.Offer(&upstream.Announcement{
+					Service:     s.Service,
+					Address:     s.UpstreamAddress,
+					Slots:       h.Load.Slots,
+					Connections: h.Load.Slots,
+					Start:       h.Start,
+				})
+				return
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// upstreamFailed takes in that the announced upstream was not there. It takes no
+// requests until its health check answers again or it announces itself anew.
+func (n *Node) upstreamFailed(a *upstream.Announcement, failure *verdict.Error) {
+	n.mu.Lock()
+	current := n.announced.Current()
+	if n.down || current == nil || current.Start != a.Start {
+		n.mu.Unlock()
+		return
+	}
+	n.down = true
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stopProbe = cancel
+	n.mu.Unlock()
+	n.Log.Warn().Str("address", a.Address).Str("start", a.Start).Err(failure).Msg("upstream down")
+	go n.announce()
+	go n.awaitUpstream(ctx, a)
+}
+
+// awaitUpstream asks the health check until the upstream answers.
+func (n *Node) awaitUpstream(ctx context.Context, a *upstream.Announcement) {
+	tick := time.NewTicker(healthEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		path, ok := n.healthPath(a.Service)
+		if !ok {
+			continue
+		}
+		h, err := upstream.Health(ctx, a.Address, path, n.Platform.Names, healthTimeout)
+		if err == nil && h.Start == a.Start {
+			n.upstreamBack(ctx, a)
+			return
+		}
+	}
+}
+
+// upstreamBack takes in that an upstream that was down answers again.
+func (n *Node) upstreamBack(ctx context.Context, a *upstream.Announcement) {
+	n.mu.Lock()
+	if ctx.Err() == nil {
+		n.down = false
+	}
+	n.mu.Unlock()
+	n.Log.Info().Str("address", a.Address).Str("start", a.Start).Msg("upstream up")
+	n.announce()
+}
--- a/platform/client.go
+++ b/objectapi/caller.go
@@ -2,10 +2,9 @@
 // Use of this source code is governed by a BSD-style
 // license that can be found in the LICENSE file.
 
-package platform
+package objectapi
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -14,7 +13,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"strconv"
 	"sync/atomic"
 	"syscall"
@@ -26,20 +24,21 @@
 	"sassafrasfront.example/verdict"
 )
 
-// Client is an API over HTTP. The exported fields are set before the first
-// call.
-type Client struct {
+const (
+	defaultTimeout = 3 * time.Second
+	// maxList bounds the answer to a list.
+	maxList = 256 << 20
+)
+
+// Caller makes calls with JSON bodies to an object API of any dialect. The
+// exported fields are set before the first call.
+type Caller struct {
 	// URL is the root of the API, such as http://10.0.0.1:8080.
 	URL string
-	// Namespace holds the system's objects.
-	Namespace string
 	// HTTP makes the calls. Nil means http.DefaultClient.
 	HTTP *http.Client
 	// Timeout bounds each call but a watch. Zero means 3 s.
 	Timeout time.Duration
-	// WatchFor is how long the platform is asked to keep a watch open. Zero
-	// means 30 s.
-	WatchFor time.Duration
 	// Budget bounds the calls of this process. Nil means no bound. A call
 	// waits for its turn.
 	Budget *rate.Limiter
@@ -47,97 +46,20 @@
 	calls atomic.Uint64
 }
 
-const (
-	defaultTimeout  = 3 * time.Second
-	defaultWatchFor = 30 * time.Second
-	// watchGrace is how much longer than asked a silent watch is kept.
-	watchGrace = 5 * time.Second
-	// maxList bounds the answer to a list.
-	maxList = 256 << 20
-)
-
 // Calls returns the number of calls made so far, a watch counting as one.
-func (c *Client) Calls() uint64 { return c.calls.Load() }
-
-// Get implements API.
-func (c *Client) Get(ctx context.Context, kind, name string) (*Object, error) {
-	var o Object
-	return &o, c.do(ctx, http.MethodGet, Path(c.Namespace, kind, name), nil, &o)
-}
-
-// List implements API.
-func (c *Client) List(ctx context.Context, kind string) (*List, error) {
-	var l List
-	return &l, c.do(ctx, http.MethodGet, Path(c.Namespace, kind, ""), nil, &l)
-}
-
-// Create implements API.
-func (c *Client) Create(ctx context.Context, o *Object) (*Object, error) {
-	var answer Object
-	return &answer, c.do(ctx, http.MethodPost, Path(c.Namespace, o.Kind, ""), o, &answer)
-}
-
-// Update implements API.
-func (c *Client) Update(ctx context.Context, o *Object) (*Object, error) {
-	var answer Object
-	return &answer, c.do(ctx, http.MethodPut, Path(c.Namespace, o.Kind, o.Metadata.Name), o, &answer)
-}
-
-// Delete implements API.
-func (c *Client) Delete(ctx context.Context, kind, name, version string) error {
-	p := Path(c.Namespace, kind, name) + "?resourceVersion=" + url.QueryEscape(version)
-	return c.do(ctx, http.MethodDelete, p, nil, nil)
-}
-
-// Watch implements API.
-func (c *Client) Watch(ctx context.Context, kind, version string, f func(Event)) error {
-	watchFor := c.WatchFor
-	if watchFor == 0 {
-		watchFor = defaultWatchFor
-	}
-	ctx, cancel := context.WithTimeout(ctx, watchFor+watchGrace)
-	defer cancel()
-	query := url.Values{
-		"watch":           {"1"},
-		"resourceVersion": {version},
-		"timeoutSeconds":  {strconv.FormatFloat(watchFor.Seconds(), 'f', -1, 64)},
-	}
-	r, err := c.call(ctx, http.MethodGet, Path(c.Namespace, kind, "")+"?"+query.Encode(), nil)
-	if err != nil {
-		return err
-	}
-	defer r.Body.Close()
-	lines := bufio.NewScanner(r.Body)
-	lines.Buffer(nil, 2*MaxValue)
-	for lines.Scan() {
-		var e Event
-		if err := json.Unmarshal(lines.Bytes(), &e); err != nil || e.Object == nil {
-			return readError(eris.Errorf("event can't be read: %v", err))
-		}
-		if e.Type == failed {
-			return &Error{
-				Status:  http.StatusGone,
-				Verdict: verdict.Ran,
-				Err:     eris.New("watch failed"),
-			}
-		}
-		f(e)
-	}
-	if err := lines.Err(); err != nil {
-		return readError(err)
-	}
-	return nil
-}
+func (c *Caller) Calls() uint64 { return c.calls.Load() }
 
-// do makes one call and decodes its answer.
-func (c *Client) do(ctx context.Context, method, path string, body, answer any) error {
+// Do makes one call and decodes its answer, within the timeout. Body is encoded
+// as JSON unless it is nil; a nil answer is not decoded. Every failure is an
+// *Error.
+func (c *Caller) Do(ctx context.Context, method, path string, body, answer any) error {
 	timeout := c.Timeout
 	if timeout == 0 {
 		timeout = defaultTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	r, err := c.call(ctx, method, path, body)
+	r, err := c.Call(ctx, method, path, body)
 	if err != nil {
 		return err
 	}
@@ -164,8 +86,9 @@
 	}
 }
 
-// call makes one call and returns its answer if the status is a good one.
-func (c *Client) call(ctx context.Context, method, path string, body any) (*http.Response, error) {
+// Call makes one call and returns its answer if the status is a good one. The
+// caller closes its body.
+func (c *Caller) Call(ctx context.Context, method, path string, body any) (*http.Response, error) {
 	data, err := encode(body)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/objectapi/client.go
@@ -0,0 +1,106 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package objectapi
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"sassafrasfront.example/verdict"
+)
+
+// Client is an API over HTTP. The exported fields are set before the first
+// call.
+type Client struct {
+	Caller
+	// Namespace holds the system's objects.
+	Namespace string
+	// WatchFor is how long the platform is asked to keep a watch open. Zero
+	// means 30 s.
+	WatchFor time.Duration
+}
+
+const (
+	defaultWatchFor = 30 * time.Second
+	// watchGrace is how much longer than asked a silent watch is kept.
+	watchGrace = 5 * time.Second
+)
+
+// Get implements API.
+func (c *Client) Get(ctx context.Context, kind, name string) (*Object, error) {
+	var o Object
+	return &o, c.Do(ctx, http.MethodGet, Path(c.Namespace, kind, name), nil, &o)
+}
+
+// List implements API.
+func (c *Client) List(ctx context.Context, kind string) (*List, error) {
+	var l List
+	return &l, c.Do(ctx, http.MethodGet, Path(c.Namespace, kind, ""), nil, &l)
+}
+
+// Create implements API.
+func (c *Client) Create(ctx context.Context, o *Object) (*Object, error) {
+	var answer Object
+	return &answer, c.Do(ctx, http.MethodPost, Path(c.Namespace, o.Kind, ""), o, &answer)
+}
+
+// Update implements API.
+func (c *Client) Update(ctx context.Context, o *Object) (*Object, error) {
+	var answer Object
+	return &answer, c.Do(ctx, http.MethodPut, Path(c.Namespace, o.Kind, o.Metadata.Name), o, &answer)
+}
+
+// Delete implements API.
+func (c *Client) Delete(ctx context.Context, kind, name, version string) error {
+	p := Path(c.Namespace, kind, name) + "?resourceVersion=" + url.QueryEscape(version)
+	return c.Do(ctx, http.MethodDelete, p, nil, nil)
+}
+
+// Watch implements API.
+func (c *Client) Watch(ctx context.Context, kind, version string, f func(Event)) error {
+	watchFor := c.WatchFor
+	if watchFor == 0 {
+		watchFor = defaultWatchFor
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchFor+watchGrace)
+	defer cancel()
+	query := url.Values{
+		"watch":           {"1"},
+		"resourceVersion": {version},
+		"timeoutSeconds":  {strconv.FormatFloat(watchFor.Seconds(), 'f', -1, 64)},
+	}
+	r, err := c.Call(ctx, http.MethodGet, Path(c.Namespace, kind, "")+"?"+query.Encode(), nil)
+	if err != nil {
+		return err
+	}
+	defer r.Body.Close()
+	lines := bufio.NewScanner(r.Body)
+	lines.Buffer(nil, 2*MaxValue)
+	for lines.Scan() {
+		var e Event
+		if err := json.Unmarshal(lines.Bytes(), &e); err != nil || e.Object == nil {
+			return readError(eris.Errorf("event can't be read: %v", err))
+		}
+		if e.Type == failed {
+			return &Error{
+				Status:  http.StatusGone,
+				Verdict: verdict.Ran,
+				Err:     eris.New("watch failed"),
+			}
+		}
+		f(e)
+	}
+	if err := lines.Err(); err != nil {
+		return readError(err)
+	}
+	return nil
+}
--- a/platform/follower.go
+++ b/objectapi/follower.go
@@ -2,7 +2,7 @@
 // Use of this source code is governed by a BSD-style
 // license that can be found in the LICENSE file.
 
-package platform
+package objectapi
 
 import (
 	"context"
@@ -26,6 +26,8 @@
 	// Relist is the time between lists in which nothing failed: it finds
 	// changes that a watch has dropped. Zero means 5 min.
 	Relist time.Duration
+	// MaxBackoff is the longest wait after a failure. Zero means 5 s.
+	MaxBackoff time.Duration
 	// Failed, if not nil, is called with each failure.
 	Failed func(error)
 }
@@ -67,7 +69,11 @@
 		if f.Failed != nil {
 			f.Failed(err)
 		}
-		pause(ctx, Backoff(failures, err))
+		wait := Backoff(failures, err)
+		if f.MaxBackoff > 0 {
+			wait = min(wait, f.MaxBackoff/2+rand.N(f.MaxBackoff/2))
+		}
+		pause(ctx, wait)
 		failures++
 	}
 }
--- a/platform/object.go
+++ b/objectapi/object.go
@@ -2,7 +2,7 @@
 // Use of this source code is governed by a BSD-style
 // license that can be found in the LICENSE file.
 
-package platform
+package objectapi
 
 import (
 	"encoding/json"
@@ -41,7 +41,7 @@
 func NewObject(kind, name string, spec any) *Object {
 	data, err := json.Marshal(spec)
 	if err != nil {
-		panic("platform: spec can't be encoded: " + err.Error())
+		panic("objectapi: spec can't be encoded: " + err.Error())
 	}
 	return &Object{
 		APIVersion: GroupVersion,
--- a/operator/service.go
+++ b/operator/service.go
@@ -92,6 +92,8 @@
 	Quantile float64 `json:"quantile"`
 	// MinDelay is the least time before a hedge.
 	MinDelay Duration `json:"minDelay"`
+	// Burst is the largest number of hedges saved up.
+	Burst float64 `json:"burst,omitempty"`
 }
 
 // Resend is the rule for resent requests.
@@ -116,6 +118,7 @@
 	defaultBurst      = 20
 	defaultQuantile   = 0.95
 	defaultMinDelay   = 5 * time.Millisecond
+	defaultHedgeBurst = 10
 	defaultZoneCost   = 2 * time.Millisecond
 	defaultRegionCost = 40 * time.Millisecond
 	defaultWrites     = 5
@@ -138,6 +141,7 @@
 	fill(&s.Retry.Burst, defaultBurst)
 	fill(&s.Hedge.Quantile, defaultQuantile)
 	fill(&s.Hedge.MinDelay, Duration(defaultMinDelay))
+	fill(&s.Hedge.Burst, defaultHedgeBurst)
 	fill(&s.Resend.WritesPerSecond, defaultWrites)
 	fill(&s.Resend.Keep, Duration(defaultKeep))
 	fill(&s.Policy, defaultPolicy)
--- a/rollout/accept.go
+++ b/rollout/accept.go
@@ -8,14 +8,14 @@
 	"context"
 	"time"
 
+	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/operator"
-	"sassafrasfront.example/platform"
 )
 
 // Accepted is what became of an intent.
 type Accepted struct {
 	// Object is the Accepted object as it now is, or nil if there is none.
-	Object *platform.Object
+	Object *objectapi.Object
 	// Wrote is whether this call wrote it.
 	Wrote bool
 	// Refused says why the intent is invalid, if it is.
@@ -28,11 +28,11 @@
 // Accept makes an intent the configuration in force, unless that has been done
 // or the intent is invalid. Any number of stewards may do so at once, and each
 // may be paused at any point: the conditional write decides.
-func Accept(ctx context.Context, api platform.API, in Intent) (Accepted, error) {
+func Accept(ctx context.Context, api objectapi.API, in Intent) (Accepted, error) {
 	var lastErr error
 	for range acceptTries {
 		present, err := api.Get(ctx, operator.KindAccepted, in.Name)
-		if platform.IsNotFound(err) {
+		if objectapi.IsNotFound(err) {
 			present, err = nil, nil
 		}
 		if err != nil {
@@ -48,14 +48,14 @@
 				Refused: d.Refused,
 			}, nil
 		}
-		written, err := platform.Put(ctx, api, d.Write)
+		written, err := objectapi.Put(ctx, api, d.Write)
 		if err == nil {
 			return Accepted{
 				Object: written,
 				Wrote:  true,
 			}, nil
 		}
-		if !platform.IsConflict(err) {
+		if !objectapi.IsConflict(err) {
 			return Accepted{}, err
 		}
 		lastErr = err
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -8,8 +8,8 @@
 	"errors"
 	"time"
 
+	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/operator"
-	"sassafrasfront.example/platform"
 )
 
 // Intent is what is known of an operator's wish for one service.
@@ -24,7 +24,7 @@
 }
 
 // IntentOf returns the intent that a Service object states.
-func IntentOf(o *platform.Object) Intent {
+func IntentOf(o *objectapi.Object) Intent {
 	return Intent{
 		Name:   o.Metadata.Name,
 		Source: o.Version(),
@@ -36,7 +36,7 @@
 type Decision struct {
 	// Write is the Accepted object to write, conditionally, or nil if nothing
 	// is to be written.
-	Write *platform.Object
+	Write *objectapi.Object
 	// Refused says why the intent is invalid, if it is. What is in force stays.
 	Refused operator.Faults
 }
@@ -47,11 +47,11 @@
 // An intent that is not newer than the one in force is done already: a steward
 // that was paused, or reads old state, then writes nothing. If the present
 // object is itself out of date, the conditional write fails.
-func Decide(in Intent, present *platform.Object, now time.Time) (Decision, error) {
+func Decide(in Intent, present *objectapi.Object, now time.Time) (Decision, error) {
 	var accepted operator.Accepted
 	if present != nil {
 		var err error
-		if accepted, err = platform.SpecOf[operator.Accepted](present); err != nil {
+		if accepted, err = objectapi.SpecOf[operator.Accepted](present); err != nil {
 			return Decision{}, err
 		}
 	}
@@ -93,8 +93,8 @@
 }
 
 // object returns the Accepted object that replaces the present one.
-func object(name string, a operator.Accepted, present *platform.Object) *platform.Object {
-	o := platform.NewObject(operator.KindAccepted, name, a)
+func object(name string, a operator.Accepted, present *objectapi.Object) *objectapi.Object {
+	o := objectapi.NewObject(operator.KindAccepted, name, a)
 	if present != nil {
 		o = o.WithVersion(present.Metadata.ResourceVersion)
 	}
--- /dev/null
+++ b/routes/routes_test.go
@@ -0,0 +1,101 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package routes_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/routes"
+)
+
+func route(name, host, prefix string, parts ...routes.Part) routes.Route {
+	if len(parts) == 0 {
+		parts = []routes.Part{{Service: name, Weight: 1}}
+	}
+	return routes.Route{Name: name, Host: host, Prefix: prefix, Parts: parts, Timeout: time.Second}
+}
+
+func TestMatch(t *testing.T) {
+	table, err := routes.New(routes.Table{Routes: []routes.Route{
+		route("all", "a.example", "/"),
+		route("orders", "a.example", "/orders/"),
+		route("new", "a.example", "/orders/new/"),
+		route("other", "b.example", "/x/"),
+	}})
+	qt.Assert(t, err, qt.IsNil)
+	tests := map[string]struct{ host, path, want string }{
+		"longest prefix":      {"a.example", "/orders/new/1", "new"},
+		"shorter prefix":      {"a.example", "/orders/1", "orders"},
+		"no slash after it":   {"a.example", "/orders", "all"},
+		"case and port":       {"A.Example:80", "/", "all"},
+		"other host":          {"b.example", "/x/1", "other"},
+		"no prefix":           {"b.example", "/y/", ""},
+		"unknown host":        {"c.example", "/", ""},
+		"escaped is verbatim": {"a.example", "/orders%2fnew/", "all"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var got string
+			if r := table.Match(test.host, test.path); r != nil {
+				got = r.Name
+			}
+			qt.Check(t, got, qt.Equals, test.want)
+		})
+	}
+}
+
+func TestNewRefuses(t *testing.T) {
+	good := route("r", "a.example", "/x/")
+	tests := map[string]func(*routes.Route){
+		"no host":     func(r *routes.Route) { r.Host = "" },
+		"bare prefix": func(r *routes.Route) { r.Prefix = "/x" },
+		"no parts":    func(r *routes.Route) { r.Parts = nil },
+		"no timeout":  func(r *routes.Route) { r.Timeout = 0 },
+	}
+	for name, spoil := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := good
+			spoil(&r)
+			_, err := routes.New(routes.Table{Routes: []routes.Route{r}})
+			qt.Check(t, err, qt.IsNotNil)
+		})
+	}
+}
+
+// TestEncode has a table survive its encoding.
+func TestEncode(t *testing.T) {
+	table, err := routes.New(routes.Table{
+		Version:  7,
+		Routes:   []routes.Route{route("r", "a.example", "/x/")},
+		Services: []routes.Service{{Name: "r", HealthPath: "/h", Connections: 5}},
+	})
+	qt.Assert(t, err, qt.IsNil)
+	data, err := table.Encode()
+	qt.Assert(t, err, qt.IsNil)
+	again, err := routes.Decode(data)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, again.Version, qt.Equals, uint64(7))
+	qt.Check(t, again.Match("a.example", "/x/1").Name, qt.Equals, "r")
+	s, ok := again.Service("r")
+	qt.Check(t, ok, qt.IsTrue)
+	qt.Check(t, s.Connections, qt.Equals, 5)
+}
+
+// TestSplit has each part's share stay within one request of its weight.
+func TestSplit(t *testing.T) {
+	r := route("r", "a.example", "/", routes.Part{Service: "a", Weight: 90}, routes.Part{Service: "b", Weight: 10}, routes.Part{Service: "c", Weight: 0})
+	var s routes.Splitter
+	counts := make(map[string]int)
+	for n := 1; n <= 1000; n++ {
+		counts[s.Choose(&r)]++
+		for _, p := range r.Parts {
+			off := counts[p.Service]*100 - n*p.Weight
+			qt.Assert(t, off >= -100 && off <= 100, qt.IsTrue, qt.Commentf("part %s has %d of %d", p.Service, counts[p.Service], n))
+		}
+	}
+}
--- /dev/null
+++ b/routes/splitter.go
@@ -0,0 +1,79 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package routes
+
+import "sync"
+
+// Splitter divides the requests of each route among its parts in proportion to
+// their weights. Its zero value is ready, and its methods may be called from any
+// goroutine.
+//
+// Each part has a credit that grows by its weight with each request. The part
+// with the largest credit gets the request and pays the sum W of all weights, so
+// that after n requests a part of weight w has had between nw/W - 1 and nw/W + 1
+// of them.
+type Splitter struct {
+	mu     sync.Mutex
+	states map[string]*split
+}
+
+// split is the state of one route.
+type split struct {
+	parts  []Part
+	credit []int
+}
+
+// Choose returns the service for the next request of the route. A route whose
+// weights are all zero has its first part chosen.
+func (s *Splitter) Choose(r *Route) string {
+	if len(r.Parts) == 1 {
+		return r.Parts[0].Service
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state(r).next()
+}
+
+// state returns the state of a route. It begins anew when the parts change.
+func (s *Splitter) state(r *Route) *split {
+	if s.states == nil {
+		s.states = make(map[string]*split)
+	}
+	x := s.states[r.Name]
+	if x == nil || !sameParts(x.parts, r.Parts) {
+		x = &split{
+			parts:  r.Parts,
+			credit: make([]int, len(r.Parts)),
+		}
+		s.states[r.Name] = x
+	}
+	return x
+}
+
+func sameParts(a, b []Part) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// next returns the service that has the largest credit.
+func (x *split) next() string {
+	best, sum := 0, 0
+	for i, p := range x.parts {
+		x.credit[i] += p.Weight
+		sum += p.Weight
+		if x.credit[i] > x.credit[best] {
+			best = i
+		}
+	}
+	x.credit[best] -= sum
+	return x.parts[best].Service
+}
--- /dev/null
+++ b/routes/table.go
@@ -0,0 +1,158 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package routes
+
+import (
+	"cmp"
+	"encoding/json"
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Part is one of the services that a route leads to.
+type Part struct {
+	// Service is the name of the service.
+	Service string `json:"service"`
+	// Weight is its part of the requests, relative to the other parts. It is
+	// not negative.
+	Weight int `json:"weight"`
+}
+
+// Route says what holds for the requests of a host whose path begins with a
+// prefix. It is an immutable value.
+type Route struct {
+	// Name identifies the route in logs and metrics.
+	Name string `json:"name"`
+	// Host and Prefix select the requests. A prefix begins and ends with a
+	// slash.
+	Host   string `json:"host"`
+	Prefix string `json:"prefix"`
+	// Parts are the services, at least one.
+	Parts []Part `json:"parts"`
+	// Idempotent is whether a request may run more than once.
+	Idempotent bool `json:"idempotent,omitempty"`
+	// Timeout is the longest time that a caller is kept waiting.
+	Timeout time.Duration `json:"timeout"`
+	// Objective is the latency within which an answer is of full value. Zero
+	// means that there is none.
+	Objective time.Duration `json:"objective,omitempty"`
+	// Attempts is the largest number of upstreams that one request is sent to.
+	Attempts int `json:"attempts"`
+	// Priority is the rank of the requests; 0 is the highest.
+	Priority int `json:"priority"`
+}
+
+// Service is what the configuration says of a service.
+type Service struct {
+	// Name identifies the service.
+	Name string `json:"name"`
+	// HealthPath is the path of the upstreams' health check, or empty.
+	HealthPath string `json:"healthPath,omitempty"`
+	// Connections is the number of connections that an upstream takes, from all
+	// callers. Zero means that it is not known.
+	Connections int `json:"connections,omitempty"`
+}
+
+// Limits bound what a caller may send. Zero fields mean the node's own limits.
+type Limits struct {
+	// HeaderBytes and BodyBytes bound the head and the body of a request.
+	HeaderBytes int   `json:"headerBytes,omitempty"`
+	BodyBytes   int64 `json:"bodyBytes,omitempty"`
+	// HeaderTimeout bounds the time for the head of a request, and IdleTimeout
+	// the time for which a connection may be idle.
+	HeaderTimeout time.Duration `json:"headerTimeout,omitempty"`
+	IdleTimeout   time.Duration `json:"idleTimeout,omitempty"`
+}
+
+// Table is a whole configuration. It is an immutable value.
+type Table struct {
+	// Version orders the tables. The higher one is in force.
+	Version  uint64    `json:"version"`
+	Routes   []Route   `json:"routes"`
+	Services []Service `json:"services"`
+	Limits   Limits    `json:"limits"`
+
+	hosts map[string][]*Route // the longest prefix first
+}
+
+// New returns t ready for Match, or the first fault of it.
+func New(t Table) (*Table, error) {
+	t.hosts = make(map[string][]*Route)
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		if err := r.check(); err != nil {
+			return nil, err
+		}
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, list := range t.hosts {
+		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return &t, nil
+}
+
+// Decode returns the table that Encode has encoded.
+func Decode(data []byte) (*Table, error) {
+	var t Table
+	if err := json.Unmarshal(data, &t); err != nil {
+		return nil, eris.Wrap(err, "table of routes")
+	}
+	return New(t)
+}
+
+// Encode returns the table as JSON.
+func (t *Table) Encode() ([]byte, error) { return json.Marshal(t) }
+
+// check returns what is wrong with a route.
+func (r *Route) check() error {
+	switch {
+	case r.Host == "":
+		return eris.Errorf("route %q has no host", r.Name)
+	case !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/"):
+		return eris.Errorf("route %q: the prefix %q does not begin and end with a slash", r.Name, r.Prefix)
+	case len(r.Parts) == 0:
+		return eris.Errorf("route %q leads nowhere", r.Name)
+	case r.Timeout <= 0:
+		return eris.Errorf("route %q: the timeout %v is not positive", r.Name, r.Timeout)
+	}
+	return nil
+}
+
+// Match returns the route of a request with the given Host field and path, or
+// nil if there is none. A port in the host does not count.
+func (t *Table) Match(host, path string) *Route {
+	list, ok := t.hosts[host]
+	if !ok {
+		list = t.hosts[bare(host)]
+	}
+	for _, r := range list {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// bare returns a host in lower case and without its port.
+func bare(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	return strings.ToLower(strings.Trim(host, "[]"))
+}
+
+// Service returns what the table says of a service.
+func (t *Table) Service(name string) (Service, bool) {
+	i := slices.IndexFunc(t.Services, func(s Service) bool { return s.Name == name })
+	if i < 0 {
+		return Service{}, false
+	}
+	return t.Services[i], true
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -92,7 +92,7 @@
 	c.name("namespace", s.Namespace)
 	c.address("callerAddress", s.CallerAddress, false)
 	c.address("peerAddress", s.PeerAddress, false)
-	c.address("announceAddress", s.AnnounceAddress, true)
+	c.address("announceAddress", s.AnnounceAddress, s.Dialect == DialectNative)
 	c.address("operatorAddress", s.OperatorAddress, false)
 	if s.PlatformURL != "" || s.Peers == "" {
 		c.url("platformURL", s.PlatformURL)
@@ -103,6 +103,15 @@
 	if s.TraceURL != "" {
 		c.url("traceURL", s.TraceURL)
 	}
+	c.add(s.Dialect == DialectNative || s.Dialect == DialectManaged, "dialect", "%q is not %s or %s", s.Dialect, DialectNative, DialectManaged)
+	if s.UpstreamAddress != "" {
+		c.address("upstreamAddress", s.UpstreamAddress, false)
+	}
+	within(c, "heartbeat", s.Heartbeat, 0, time.Hour)
+	within(c, "retryRatio", s.RetryRatio, 0, 10)
+	within(c, "retrySlack", s.RetrySlack, 0, 1e6)
+	within(c, "retryWindow", s.RetryWindow, time.Second, time.Hour)
+	within(c, "memoryMB", s.MemoryMB, 0, 1<<20)
 	levels := map[string]bool{"debug": true, "info": true, "warn": true, "error": true}
 	c.add(levels[s.LogLevel], "logLevel", "%q is not debug, info, warn or error", s.LogLevel)
 	within(c, "traceSample", s.TraceSample, 0, 1)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -9,6 +9,12 @@
 	"time"
 )
 
+// The dialects.
+const (
+	DialectNative  = "native"
+	DialectManaged = "managed"
+)
+
 // Settings are a node's settings. They are read once, at the start.
 type Settings struct {
 	// Node is the node's name, unique in the system.
@@ -31,6 +37,24 @@
 	// Peers are peer addresses to learn from at the start, separated by
 	// commas. They are needed only if the platform may be down then.
 	Peers string
+	// Dialect says which names the platform and the upstream use on the wire: the
+	// product's own, "native", or those of the users' platform, "managed".
+	Dialect string
+	// Service and UpstreamAddress are the service that runs beside this node and
+	// where it takes requests, if the settings say so; otherwise they are known
+	// from its announcement alone.
+	Service, UpstreamAddress string
+	// Heartbeat is the time between two announcements of the upstream. Zero means
+	// that it announces itself on changes only.
+	Heartbeat time.Duration
+	// RetryRatio and RetrySlack bound the repeated sendings to a service by all
+	// nodes together, in each RetryWindow: RetryRatio for each request, and
+	// RetrySlack more. They hold where the configuration is one table of routes.
+	RetryRatio, RetrySlack float64
+	RetryWindow            time.Duration
+	// MemoryMB is the memory that the process may use, in MiB. Zero means that it
+	// is not bounded.
+	MemoryMB int
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
 	// TraceURL is the OTLP collector's. Empty means no traces.
@@ -74,6 +98,14 @@
 	fs.StringVar(&s.PlatformURL, "platformURL", "", "root of the platform's object API")
 	fs.StringVar(&s.Namespace, "namespace", "sassafrasfront", "namespace of the system's objects")
 	fs.StringVar(&s.Peers, "peers", "", "peer addresses to learn from at the start, separated by commas")
+	fs.StringVar(&s.Dialect, "dialect", DialectNative, "names on the wire: native or managed")
+	fs.StringVar(&s.Service, "service", "", "service that runs beside this node, if it is known beforehand")
+	fs.StringVar(&s.UpstreamAddress, "upstreamAddress", "", "where the upstream takes requests, if it is known beforehand")
+	fs.DurationVar(&s.Heartbeat, "heartbeat", 0, "time between two announcements of the upstream; 0 if it announces changes only")
+	fs.Float64Var(&s.RetryRatio, "retryRatio", 0.1, "repeated sendings for each request, where the configuration is a table of routes")
+	fs.Float64Var(&s.RetrySlack, "retrySlack", 20, "repeated sendings beyond that in a retryWindow, all nodes together")
+	fs.DurationVar(&s.RetryWindow, "retryWindow", 10*time.Second, "time over which repeated sendings are bounded")
+	fs.IntVar(&s.MemoryMB, "memoryMB", 0, "memory that the process may use, in MiB; 0 for no bound")
 	fs.StringVar(&s.LogLevel, "logLevel", "info", "debug, info, warn or error")
 	fs.StringVar(&s.TraceURL, "traceURL", "", "OTLP collector, such as http://10.0.0.1:4318/v1/traces; empty for none")
 	fs.Float64Var(&s.TraceSample, "traceSample", 0.01, "share of the traces begun here that are kept")
--- a/upstream/announcement.go
+++ b/upstream/announcement.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"sassafrasfront.example/operator"
 )
@@ -30,6 +31,12 @@
 	// Start tells one start of the upstream from another. When it changes, the
 	// upstream is taken to be cold.
 	Start string `json:"start"`
+	// Cold is how much longer the upstream stays slow after its start. Zero
+	// means that it does not say.
+	Cold time.Duration `json:"cold,omitempty"`
+	// Sequence grows with each announcement of a start, so that a late one can
+	// be told. Zero means that there is no order.
+	Sequence uint64 `json:"sequence,omitempty"`
 }
 
 // The bounds of an announcement.
@@ -69,6 +76,7 @@
 
 	mu      sync.Mutex
 	current *Announcement
+	left    map[string]bool // the starts that have withdrawn
 }
 
 // Current returns what holds, or nil.
@@ -118,10 +126,63 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// Set replaces the announcement as a PUT does, or withdraws it if a is nil.
+// Set replaces the announcement as a PUT does, or withdraws it if a is nil. An
+// announcement that is older than the one that holds, or of a start that has
+// left, changes nothing; nor does one that says the same.
 func (h *Announcements) Set(a *Announcement) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if a != nil && h.stale(a) {
+		return
+	}
+	old := h.current
 	h.current = a
-	h.Changed(a)
+	if old == nil || a == nil || !old.same(a) {
+		h.Changed(a)
+	}
+}
+
+// Offer sets the announcement unless one holds already.
+func (h *Announcements) Offer(a *Announcement) {
+	h.mu.Lock()
+	known := h.current != nil
+	h.mu.Unlock()
+	if !known {
+		h.Set(a)
+	}
+}
+
+// stale returns whether the announcement comes too late to count.
+func (h *Announcements) stale(a *Announcement) bool {
+	if h.left[a.Start] {
+		return true
+	}
+	c := h.current
+	return c != nil && c.Start == a.Start && a.Sequence != 0 && a.Sequence < c.Sequence
+}
+
+// same returns whether b says the same as a, but for what changes with time.
+func (a *Announcement) same(b *Announcement) bool {
+	x, y := *a, *b
+	x.Sequence, y.Sequence = 0, 0
+	x.Cold, y.Cold = 0, 0
+	return x == y
+}
+
+// Leave takes in that the given start of the upstream gets no more requests. It
+// goes on with those that it has. Later announcements of that start are ignored.
+func (h *Announcements) Leave(start string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.left == nil {
+		h.left = make(map[string]bool)
+	}
+	h.left[start] = true
+	if h.current == nil || h.current.Start != start || h.current.Draining {
+		return
+	}
+	a := *h.current
+	a.Draining = true
+	h.current = &a
+	h.Changed(&a)
 }
--- /dev/null
+++ b/upstream/answer.go
@@ -0,0 +1,107 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package upstream
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"sassafrasfront.example/verdict"
+)
+
+const (
+	// maxCrossed bounds the answers to other requests that are skipped ahead of
+	// the right one, and maxCrossedBody the body of each, in bytes.
+	maxCrossed     = 4
+	maxCrossedBody = 1 << 20
+)
+
+// errCrossed ends a connection whose answers can't be told apart.
+var errCrossed = eris.New("answers to other requests, and no end of them")
+
+// readAnswer reads the head of the answer to r. Answers that name another
+// request are skipped: an upstream may send one twice, and late.
+func (t *Transport) readAnswer(c *conn, r *http.Request, inform func(int, http.Header)) (*http.Response, error) {
+	names := t.Names
+	id := ""
+	if names.RequestID != "" {
+		id = r.Header.Get(names.RequestID)
+	}
+	for range maxCrossed {
+		response, err := c.readHead(r, inform)
+		if err != nil {
+			return nil, err
+		}
+		got := ""
+		if id != "" {
+			got = response.Header.Get(names.RequestID)
+		}
+		if got == "" || got == id {
+			return response, nil
+		}
+		c.crossed = true
+		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxCrossedBody))
+		if err != nil || n == maxCrossedBody || response.Close {
+			return nil, errCrossed
+		}
+	}
+	return nil, errCrossed
+}
+
+// observe hands on the load that an answer tells.
+func (t *Transport) observe(r *http.Response) {
+	if t.Names.Load == "" || t.Observed == nil {
+		return
+	}
+	if text := r.Header.Get(t.Names.Load); text != "" {
+		if l, err := ParseLoad(text); err == nil {
+			t.Observed(l)
+		}
+	}
+}
+
+// namedRefusal returns the failure that an answer stands for by the fields of
+// Names: that the request has not run, that the answer breaks a promise, or that
+// it is no answer of the upstream's.
+func (t *Transport) namedRefusal(r *http.Response) *verdict.Error {
+	names := t.Names
+	switch {
+	case names.Expected != "" && r.StatusCode == http.StatusMisdirectedRequest:
+		return verdict.New(verdict.WrongUpstream, nil)
+	case names.NotRun != "" && r.Header.Get(names.NotRun) != "":
+		return verdict.New(verdict.UpstreamRefused, nil).WithRetryAfter(retryAfter(r))
+	case names.NotRun != "" && promises(r.StatusCode):
+		// The status says to a caller that the request has not run, and the
+		// upstream does not say so.
+		return verdict.New(verdict.AnswerSpoilt, eris.Errorf("status %d without word that the request has not run", r.StatusCode))
+	case names.Signature != "" && r.StatusCode/100 == 2 && r.Header.Get(names.Signature) == "":
+		return verdict.New(verdict.AnswerSpoilt, eris.New("success without a signature"))
+	}
+	return nil
+}
+
+// promises returns whether a caller takes the status as a promise that its
+// request has not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// retryAfter returns the wait that an answer asks for, or 0.
+func retryAfter(r *http.Response) time.Duration {
+	s, err := strconv.ParseFloat(strings.TrimSpace(r.Header.Get("Retry-After")), 64)
+	if err != nil || s <= 0 || s > time.Hour.Seconds() {
+		return 0
+	}
+	return time.Duration(s * float64(time.Second))
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -8,6 +8,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -28,9 +29,13 @@
 	allowed   int64 // bytes that may still be read
 	sent      atomic.Int64
 	ended     bool // whether a read has failed
+	crossed   bool // whether an answer to another request was read
 	idleSince time.Time
 }
 
+// errUnusable is an answer that is in order and can't be passed on.
+var errUnusable = eris.New("unusable answer")
+
 // errHeadTooLarge ends a connection whose answer's head is over the limit.
 var errHeadTooLarge = eris.New("head of the answer is too large")
 
@@ -84,7 +89,7 @@
 		}
 		switch {
 		case response.StatusCode == http.StatusSwitchingProtocols:
-			return nil, eris.New("upstream switched protocols unasked")
+			return nil, fmt.Errorf("%w: protocols switched unasked", errUnusable)
 		case response.StatusCode >= 200:
 			c.allowed = unlimited
 			return response, nil
@@ -92,7 +97,7 @@
 			inform(response.StatusCode, response.Header)
 		}
 	}
-	return nil, eris.New("too many informational answers")
+	return nil, fmt.Errorf("%w: too many informational ones", errUnusable)
 }
 
 // failure returns the verdict on a request whose answer's head could not be
@@ -119,7 +124,10 @@
 	case c.ended || isNetworkError(err):
 		return verdict.New(verdict.UpstreamLost, err)
 	}
-	return verdict.New(verdict.AnswerInvalid, err)
+	if errors.Is(err, errHeadTooLarge) || errors.Is(err, errUnusable) {
+		return verdict.New(verdict.AnswerInvalid, err)
+	}
+	return verdict.New(verdict.AnswerSpoilt, err)
 }
 
 // isBodyError returns whether writing failed because the body of the request
--- /dev/null
+++ b/upstream/names.go
@@ -0,0 +1,48 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package upstream
+
+// Names are the header fields that callers, nodes and upstreams use. An empty
+// name means that there is no such field. It is an immutable value; the zero
+// value stands for DefaultNames.
+type Names struct {
+	// RequestID names a request. An answer echoes it.
+	RequestID string
+	// Timeout bears the remaining time of a request, in milliseconds.
+	Timeout string
+	// CallerService bears the service that a request comes from.
+	CallerService string
+	// Expected bears the start of the upstream that a request is meant for. An
+	// upstream of another start does not run it and answers 421.
+	Expected string
+	// Instance bears the start of the upstream that answers.
+	Instance string
+	// NotRun on an answer says that the request has not been run.
+	NotRun string
+	// Signature is a field that each success of an upstream has.
+	Signature string
+	// Load bears the load of the upstream that answers; see ParseLoad.
+	Load string
+	// FractionalRetryAfter is whether Retry-After may have a fraction.
+	FractionalRetryAfter bool
+}
+
+// DefaultNames are the product's own.
+var DefaultNames = Names{
+	RequestID: "X-Request-Id",
+	Timeout:   "Sassafras-Timeout-Ms",
+}
+
+// OrDefault returns the names, or DefaultNames if they are the zero value.
+func (n Names) OrDefault() Names {
+	if n == (Names{}) {
+		return DefaultNames
+	}
+	return n
+}
+
+// MakesIDs returns whether a request without an id is given one. Where
+// upstreams know only ids that callers have sent, it is not.
+func (n Names) MakesIDs() bool { return n.RequestID == DefaultNames.RequestID }
--- a/verdict/cause.go
+++ b/verdict/cause.go
@@ -70,6 +70,12 @@
 	UpstreamLost Cause = "upstreamLost"
 	// AnswerCut: the upstream's answer ended before it was whole.
 	AnswerCut Cause = "answerCut"
+	// WrongUpstream: another upstream has taken the address; it said that it has
+	// not run the request.
+	WrongUpstream Cause = "wrongUpstream"
+	// AnswerSpoilt: the upstream sent what is no whole answer to the request, and
+	// nothing of it has been passed on.
+	AnswerSpoilt Cause = "answerSpoilt"
 	// AnswerInvalid: the upstream's answer can't be passed on.
 	AnswerInvalid Cause = "answerInvalid"
 )
@@ -110,6 +116,8 @@
 	CallerGone:         {Verdict: MayHaveRun, Status: http.StatusBadGateway},
 	BodyLost:           {Verdict: MayHaveRun, Status: http.StatusBadGateway},
 	UpstreamLost:       {Verdict: MayHaveRun, Status: http.StatusBadGateway, Elsewhere: true},
+	WrongUpstream:      {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
+	AnswerSpoilt:       {Verdict: MayHaveRun, Status: http.StatusBadGateway, Elsewhere: true},
 	AnswerCut:          {Verdict: Ran, Status: http.StatusBadGateway},
 	AnswerInvalid:      {Verdict: Ran, Status: http.StatusBadGateway},
 }
