SIGHUP reloads the settings; scouts ask the store anew

Now it reads the settings again, as does a change of their file. Now one node of each zone, the scout, watches for 0.7 s at a time and pushes what it finds.

--- a/cmd/sassafrasnode/main.go
+++ b/cmd/sassafrasnode/main.go
@@ -20,6 +20,7 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
@@ -118,9 +119,53 @@
 	if s.Dialect == settings.DialectManaged {
 		n.Platform = managed()
 	}
+	go reload(ctx, n, args)
 	return n.Run(ctx)
 }
 
+// watchFileEvery is the time between two looks at the file with the settings,
+// which may change without a signal.
+const watchFileEvery = 2 * time.Second
+
+// reload reads the settings again at each SIGHUP and when their file changes,
+// until ctx ends. Settings that can't be read change nothing.
+func reload(ctx context.Context, n *node.Node, args []string) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	tick := time.NewTicker(watchFileEvery)
+	defer tick.Stop()
+	seen := changedAt(n.Settings.File)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+		case <-tick.C:
+			if changedAt(n.Settings.File).Equal(seen) {
+				continue
+			}
+		}
+		seen = changedAt(n.Settings.File)
+		s, err := read(args)
+		if err != nil {
+			n.Log.Error().Err(err).Msg("changed settings refused, the old ones stay")
+			continue
+		}
+		n.Reload(*s)
+	}
+}
+
+// changedAt returns when a file was last changed, or the zero time if there is
+// none.
+func changedAt(name string) time.Time {
+	info, err := os.Stat(name)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
 // memoryShare is the part of the memory at which the garbage collector works
 // harder. The rest is for what it does not count.
 const memoryShare = 0.7
@@ -128,8 +173,13 @@
 // managed returns the users' platform.
 func managed() *node.Platform {
 	return &node.Platform{
-		Names:    platform.Names(),
-		API:      func(c *objectapi.Caller) objectapi.API { return &platform.Store{Caller: c} },
+		Names: platform.Names(),
+		API: func(c *objectapi.Caller, watchFor func() time.Duration) objectapi.API {
+			return &platform.Store{
+				Caller:   c,
+				WatchFor: watchFor,
+			}
+		},
 		Kind:     platform.ManifestKind,
 		Name:     platform.ManifestName,
 		Table:    platform.Table,
--- a/control/table.go
+++ b/control/table.go
@@ -9,15 +9,26 @@
 	"sassafrasfront.example/routes"
 )
 
-// Configure takes in a table of routes, unless a later one is in force.
-func (c *Control) Configure(t *routes.Table) {
+// Scout returns whether this node is the one of its zone that looks after the
+// platform most closely, as far as it knows. It is the first of the zone's live
+// nodes in the order of stewardship.
+func (c *Control) Scout() bool {
+	c.init()
+	var rank int
+	return c.do(func() { rank, _ = c.stewardRank() }) && rank == 0
+}
+
+// Configure takes in a table of routes, unless a later one is in force. Spread
+// is whether it is pushed to other nodes: the platform gives it to them as well,
+// so one node of each zone does, for those that the platform does not reach.
+func (c *Control) Configure(t *routes.Table, spread bool) {
 	c.init()
 	record := rollout.FromTable(t)
 	c.do(func() {
 		c.configs.put(record)
-		// The platform gives it to the other nodes as well; comparisons find those
-		// that it does not reach.
-		delete(c.configs.outbox, rollout.Whole)
+		if !spread {
+			delete(c.configs.outbox, rollout.Whole)
+		}
 		if len(c.dirty) > 0 {
 			c.rebuild()
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -69,8 +69,9 @@
 	peers      *peer.Server
 	announced  *upstream.Announcements
 	claims     *claim.Ledger
-	api        objectapi.API // of Platform
-	configured atomic.Bool   // whether the gate knows its service
+	api        objectapi.API                     // of Platform
+	reloaded   atomic.Pointer[settings.Settings] // nil until the settings change
+	configured atomic.Bool                       // whether the gate knows its service
 
 	// announcing is held while the node's state is found and told, so that what
 	// is told last was found last. configuring is held while the gate is given
@@ -219,7 +220,7 @@
 	n.control.Template = n.template
 	store := n.storeClient()
 	n.metrics.platformCalls = store.Calls
-	n.api = n.Platform.API(store)
+	n.api = n.Platform.API(store, n.watchFor)
 	n.control.Book = n.book(n.api).Addresses
 }
 
--- a/node/platform.go
+++ b/node/platform.go
@@ -23,8 +23,9 @@
 type Platform struct {
 	// Names are the header fields that callers and upstreams use.
 	Names upstream.Names
-	// API returns the object API, given what makes its calls.
-	API func(c *objectapi.Caller) objectapi.API
+	// API returns the object API, given what makes its calls and what says how
+	// long the next watch is to be.
+	API func(c *objectapi.Caller, watchFor func() time.Duration) objectapi.API
 	// Kind and Name are those of the object that holds the table.
 	Kind, Name string
 	// Table decodes that object.
@@ -35,6 +36,12 @@
 }
 
 const (
+	// scoutWatch is the length of the watches of a zone's scout, and idleWatch
+	// that of the other nodes'. A store that has dropped its history may leave a
+	// watch open that hears nothing more; a change has to be in force two seconds
+	// after it was made, so a scout asks anew well within that.
+	scoutWatch = 700 * time.Millisecond
+	idleWatch  = 15 * time.Second
 	// storeTimeout bounds a call to the platform other than a watch. A store that
 	// is slowed down sixtyfold answers in a quarter of that.
 	storeTimeout = time.Second
@@ -104,7 +111,15 @@
 		n.Log.Error().Err(err).Str("revision", o.Metadata.ResourceVersion).Msg("configuration refused")
 		return
 	}
-	n.control.Configure(t)
+	n.control.Configure(t, n.control.Scout())
+}
+
+// watchFor returns how long the next watch is to be.
+func (n *Node) watchFor() time.Duration {
+	if n.control.Scout() {
+		return scoutWatch
+	}
+	return idleWatch
 }
 
 // book returns the nodes' addresses as the platform holds them.
--- a/node/template.go
+++ b/node/template.go
@@ -35,7 +35,7 @@
 // template returns what holds for a service of a table of routes.
 func (n *Node) template(t *routes.Table, service string, nodes int) operator.Service {
 	fixed := false
-	s := &n.Settings
+	s := n.live()
 	o := operator.Service{
 		Classes: classes(t, service),
 		Queue: operator.Queue{
--- a/settings/read.go
+++ b/settings/read.go
@@ -38,6 +38,7 @@
 		return nil, eris.Wrap(err, "settings")
 	}
 	f.name = fs.Lookup(configFlag).Value.String()
+	s.File = f.name
 	faults := f.faults
 	for _, fault := range s.Check() {
 		if _, set := f.broken[fault.Key]; !set {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -82,6 +82,9 @@
 	// Processors is the number of processors that the process uses at once.
 	// Zero means all.
 	Processors int
+	// File is the file that the settings were read from, or empty. It is no
+	// setting itself.
+	File string
 	// Pprof is whether profiles are served at OperatorAddress.
 	Pprof bool
 }
