--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -5,6 +5,7 @@
 package entry
 
 import (
+	"context"
 	"maps"
 	"sync"
 	"sync/atomic"
@@ -151,9 +152,26 @@
 		}
 	}
 	n.pool.Set(targets)
+	d.warm(n)
 	return n
 }
 
+// warmMembers is the largest number of members of a service to which connections
+// are opened ahead of the first call. Beyond it they are opened as needed, as
+// the number of connections in the system would grow with its square.
+const warmMembers = 100
+
+// warm opens the connections to the members of a service. The lock is held.
+func (d *Dispatcher) warm(s *service) {
+	if len(s.Members) > warmMembers {
+		return
+	}
+	for _, m := range s.Members {
+		c := d.clientLocked(s, m)
+		go func() { _ = c.Warm(context.Background()) }() // a call tells the failure
+	}
+}
+
 // distance returns the cost of sending to m.
 func (d *Dispatcher) distance(s *Service, m Member) time.Duration {
 	switch {
@@ -194,6 +212,10 @@
 func (d *Dispatcher) client(s *service, m Member) *client {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.clientLocked(s, m)
+}
+
+func (d *Dispatcher) clientLocked(s *service, m Member) *client {
 	if c := d.clients[m.ID]; c != nil && c.Addr == m.Addr && c.service == s.Name {
 		return c
 	}
@@ -230,6 +252,7 @@
 		Allowed:  r.Allowed,
 		Service:  r.Service,
 		Draining: r.Draining,
+		Slowdown: r.Slowdown,
 	}
 }
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -33,6 +33,9 @@
 	// Failed, if not nil, is called when a call shows that the announced upstream
 	// is not there: it can't be reached, or another has its address.
 	Failed func(a *upstream.Announcement, failure *verdict.Error)
+	// Tell, if not nil, sends a report to all nodes that send calls here. It is
+	// called when the upstream's speed has changed.
+	Tell func(*peer.Report)
 	// Reports says when a load report goes to which node. Nil means never.
 	Reports *watch.Pacer[string]
 	// Ended, if not nil, is called at the end of each call.
@@ -45,6 +48,7 @@
 	service *operator.Service // in force for the announced service
 	start   string            // of the latest announcement
 	leaving bool              // whether the node leaves
+	told    float64           // the slowdown told last
 }
 
 // binding is the upstream that requests go to.
@@ -72,7 +76,7 @@
 			Connections: a.Connections,
 			Warm:        min(a.Slots, a.Connections),
 			Names:       g.Names.OrDefault(),
-			Observed:    g.observe,
+			Observed:    g.Observe,
 		}
 	}
 	g.current.Store(b)
@@ -86,9 +90,25 @@
 	}
 }
 
-// observe takes in the load that the upstream tells.
-func (g *Gate) observe(l upstream.Load) {
+// tellRatio is the change of the upstream's speed from which it is told at once.
+const tellRatio = 1.3
+
+// Observe takes in the load that the upstream tells.
+func (g *Gate) Observe(l upstream.Load) {
 	g.admit.Observe(l.Slowdown)
+	if g.Tell == nil {
+		return
+	}
+	g.mu.Lock()
+	told := max(g.told, 1)
+	changed := l.Slowdown > told*tellRatio || l.Slowdown < told/tellRatio
+	if changed {
+		g.told = l.Slowdown
+	}
+	g.mu.Unlock()
+	if changed {
+		g.Tell(g.Report())
+	}
 }
 
 // Configure takes in the configuration in force for the announced service, or
@@ -155,6 +175,7 @@
 		Allowed:  r.Allowed,
 		Service:  r.Service,
 		Draining: r.Draining,
+		Slowdown: r.Slowdown,
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -217,6 +217,7 @@
 func (n *Node) buildManaged() {
 	n.gate.Names = n.Platform.Names
 	n.gate.Failed = n.upstreamFailed
+	n.gate.Tell = func(r *peer.Report) { n.peers.Tell(r) }
 	n.control.Template = n.template
 	store := n.storeClient()
 	n.metrics.platformCalls = store.Calls
@@ -296,6 +297,7 @@
 	if n.Platform != nil {
 		controlling.Go(func() { n.follow(controlCtx, n.api) })
 		all.Go(func() { n.findUpstream(inner) })
+		all.Go(func() { n.pollLoad(inner) })
 	}
 	all.Go(func() { _ = n.peers.Run(inner, l.peer) })
 	all.Go(func() { _ = callers.Serve(l.caller) })
--- a/node/template.go
+++ b/node/template.go
@@ -38,6 +38,7 @@
 	s := n.live()
 	o := operator.Service{
 		Classes: classes(t, service),
+		Policy:  "fastest",
 		Queue: operator.Queue{
 			Length:   queueLength,
 			Wait:     operator.Duration(queueWait),
--- a/node/upstreamwatch.go
+++ b/node/upstreamwatch.go
@@ -112,3 +112,42 @@
 	n.Log.Info().Str("address", a.Address).Str("start", a.Start).Msg("upstream up")
 	n.announce()
 }
+
+// loadEvery is the time between two questions to the upstream's health check for
+// its present speed. Instances share their processors with others for some
+// hundred milliseconds at a time; answers alone would tell of it late. At 25 a
+// second it is under half of what the platform allows.
+const loadEvery = 40 * time.Millisecond
+
+// pollLoad asks the upstream for its speed until ctx ends.
+func (n *Node) pollLoad(ctx context.Context) {
+	poller := &upstream.Poller{
+		Names:    n.Platform.Names,
+		Timeout:  healthTimeout,
+		Observed: n.gate.Observe,
+	}
+	defer poller.Close()
+	tick := time.NewTicker(loadEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		a := n.announced.Current()
+		if a == nil || n.isDown() {
+			continue
+		}
+		if path, ok := n.healthPath(a.Service); ok {
+			poller.Poll(ctx, a.Address, path)
+		}
+	}
+}
+
+// isDown returns whether the upstream is known to be down.
+func (n *Node) isDown() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.down
+}
--- a/peer/link.go
+++ b/peer/link.go
@@ -151,6 +151,8 @@
 		return with(payload, l.handleCredit)
 	case KindReply:
 		return with(payload, l.handleReply)
+	case KindReport:
+		return with(payload, func(m *Report) error { l.observe(m); return nil })
 	case KindPong:
 		return nil
 	}
--- a/peer/message.go
+++ b/peer/message.go
@@ -29,6 +29,7 @@
 	KindPong
 	KindRequest
 	KindReply
+	KindReport
 )
 
 // Hello is the first message in each direction of a connection.
@@ -89,6 +90,9 @@
 	Allowed  int           `msgpack:"allowed"`
 	Service  time.Duration `msgpack:"service"`
 	Draining bool          `msgpack:"draining,omitempty"`
+	// Slowdown is how many times longer than usual work takes now, or 0 if that
+	// is not known.
+	Slowdown float64 `msgpack:"slowdown,omitempty"`
 }
 
 // Failure ends a call that got no answer, or cuts an answer that has begun.
--- a/peer/session.go
+++ b/peer/session.go
@@ -8,6 +8,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 
 	"github.com/rotisserie/eris"
 
@@ -17,8 +18,9 @@
 // session is one connection of a Server.
 type session struct {
 	*conn
-	server *Server
-	from   Hello
+	server  *Server
+	from    Hello
+	greeted atomic.Bool // whether from is set
 
 	mu     sync.Mutex
 	open   map[uint64]*Inbound
@@ -32,6 +34,7 @@
 		return err
 	}
 	n.from = *from
+	n.greeted.Store(true)
 	ctx, cancel := context.WithCancelCause(ctx)
 	for {
 		k, payload, err := n.read()
--- /dev/null
+++ b/peer/tell.go
@@ -0,0 +1,31 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package peer
+
+import "context"
+
+// Tell sends a load report to every node that has a connection for calls to this
+// one. It does not wait for slow receivers longer than a frame may take, and
+// leaves out those whose connection has failed.
+func (s *Server) Tell(r *Report) {
+	s.mu.Lock()
+	list := make([]*session, 0, len(s.sessions))
+	for n := range s.sessions {
+		if n.greeted.Load() && !n.from.Control {
+			list = append(list, n)
+		}
+	}
+	s.mu.Unlock()
+	for _, n := range list {
+		_ = n.send(KindReport, r)
+	}
+}
+
+// Warm opens the connection if it is not open, so that the first call need not
+// wait for it. An error means that the peer can't be reached.
+func (c *Client) Warm(ctx context.Context) error {
+	_, err := c.connect(ctx)
+	return err
+}
--- /dev/null
+++ b/route/fastest.go
@@ -0,0 +1,70 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package route
+
+import "math/rand/v2"
+
+// Fastest draws some candidates at random and takes the one where the request is
+// likely to end first. It suits upstreams whose speed changes from one moment to
+// the next and that tell it, by the cost
+//
+//	slowdown * (1 + crowding(u)) * service + distance
+//
+// for the load u = (load + 1)/allowed, with
+//
+//	crowding(u) = u/4                       for u <= 0.7
+//	crowding(u) = 0.175 + 4 (u - 0.7)       beyond.
+//
+// Below the knee an upstream's load hardly matters for the request, so the term
+// only spreads the requests; beyond it, they slow each other down or wait.
+type Fastest struct {
+	// Choices is the number of candidates drawn. Zero means 16.
+	Choices int
+}
+
+const (
+	defaultChoices = 16
+	// kneeLoad is the load from which requests slow each other down. Upstreams
+	// that show one have it at seven to nine tenths of their slots.
+	kneeLoad = 0.7
+	// spreadSlope and crowdSlope are the slopes of the cost below and beyond it.
+	spreadSlope = 0.25
+	crowdSlope  = 4.0
+)
+
+// Choose implements Policy.
+func (p Fastest) Choose(v View, random *rand.Rand) int {
+	choices := p.Choices
+	if choices == 0 {
+		choices = defaultChoices
+	}
+	n := v.Len()
+	if n <= choices {
+		return argmin(v, random, fastestCost)
+	}
+	best := random.IntN(n)
+	least := fastestCost(v.At(best))
+	for range choices - 1 {
+		i := random.IntN(n)
+		if x := fastestCost(v.At(i)); x < least {
+			best, least = i, x
+		}
+	}
+	return best
+}
+
+// fastestCost is the expected time until a request sent to c ends, in seconds.
+func fastestCost(c Candidate) float64 {
+	u := (c.Load + 1) / float64(c.Allowed)
+	return c.Slowdown*(1+crowding(u))*c.Service.Seconds() + c.Distance.Seconds()
+}
+
+// crowding is the part by which the load u prolongs a request.
+func crowding(u float64) float64 {
+	if u <= kneeLoad {
+		return spreadSlope * u
+	}
+	return spreadSlope*kneeLoad + crowdSlope*(u-kneeLoad)
+}
--- a/route/policy.go
+++ b/route/policy.go
@@ -21,6 +21,9 @@
 	Service time.Duration
 	// Distance is the cost of reaching it.
 	Distance time.Duration
+	// Slowdown is how many times longer than usual work takes there now, 1 if that
+	// is not known.
+	Slowdown float64
 	// Local is whether it is the upstream beside this process, whose load is
 	// known exactly.
 	Local bool
@@ -191,6 +194,8 @@
 		return &RoundRobin{}, true
 	case "leastOutstanding":
 		return LeastOutstanding{}, true
+	case "fastest":
+		return Fastest{}, true
 	case "hotCold":
 		return HotCold{}, true
 	}
--- a/route/pool.go
+++ b/route/pool.go
@@ -19,6 +19,10 @@
 	// fades to the mean of the service. It is long, so that a slow upstream is
 	// tried again seldom.
 	serviceFade = 5 * time.Second
+	// slowdownFade is the time constant with which a reported slowdown is
+	// forgotten. Changes are reported at once, so it bounds only how long an
+	// upstream that no report comes from is passed over.
+	slowdownFade = 2 * time.Second
 	// meanGain is the weight of one report in the means of the service.
 	meanGain = 0.05
 	// defaultService is the service time assumed before the first report.
@@ -35,6 +39,9 @@
 	Service time.Duration
 	// Draining is whether it refuses new requests.
 	Draining bool
+	// Slowdown is how many times longer than usual work takes there now. Zero
+	// means that it is not known.
+	Slowdown float64
 }
 
 // Target describes an upstream of the service.
@@ -215,6 +222,7 @@
 		Service:  p.meanService(),
 		Distance: e.target.Distance,
 		Local:    e.target.Local,
+		Slowdown: 1,
 	}
 	if !e.at.IsZero() {
 		age := v.now.Sub(e.at)
@@ -224,6 +232,10 @@
 		c.Allowed = e.reported.Allowed
 		fresh = fade(age, serviceFade)
 		c.Service = time.Duration(fresh*float64(e.reported.Service) + (1-fresh)*float64(c.Service))
+		if e.reported.Slowdown > 0 {
+			fresh = fade(age, slowdownFade)
+			c.Slowdown = fresh*e.reported.Slowdown + (1-fresh)*c.Slowdown
+		}
 	}
 	if e.own > 0 {
 		c.Service = max(c.Service, v.now.Sub(base)-e.startSum/time.Duration(e.own))
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -40,7 +40,7 @@
 }
 
 func TestPoliciesCoverAllUpstreams(t *testing.T) {
-	for _, name := range []string{"twoChoice", "random", "roundRobin", "leastOutstanding", "hotCold"} {
+	for _, name := range []string{"twoChoice", "random", "roundRobin", "leastOutstanding", "hotCold", "fastest"} {
 		t.Run(name, func(t *testing.T) {
 			policy, ok := route.ByName(name)
 			qt.Assert(t, ok, qt.IsTrue)
