--- a/admit/gate.go
+++ b/admit/gate.go
@@ -17,9 +17,10 @@
 	Running, Waiting int
 	// Allowed is the number of requests that may run now, at most the slots.
 	Allowed int
-	// Service is the expected service time. It is the larger of the mean over
-	// recent requests and the mean age of the running ones, so that it grows
-	// at once when the upstream stops answering.
+	// Service is the expected service time at the usual speed. It is the larger of
+	// the mean over recent requests, each divided by the slowdown that it began
+	// with, and the mean age of the running ones, so that it grows at once when the
+	// upstream stops answering.
 	Service time.Duration
 	// Draining is whether the gate refuses all new requests.
 	Draining bool
@@ -252,6 +253,7 @@
 		g.startSum += now.Sub(g.epoch)
 		t.state = running
 		t.began = now
+		t.slowdown = g.slow()
 		close(t.ready)
 	}
 }
@@ -271,13 +273,22 @@
 	return best
 }
 
-// service returns the expected service time at the given time.
+// agePatience divides the age of running requests where the upstream tells its
+// speed: requests that began while it was slow stay slow, and only an age that
+// no slowdown explains says that it hangs. Slowdowns of four have been seen.
+const agePatience = 6
+
+// service returns the expected service time at the given time, for an upstream
+// that runs at its usual speed.
 func (g *Gate) service(now time.Time) time.Duration {
 	mean := time.Duration(g.limiter.fast * float64(time.Second))
 	if g.running == 0 {
 		return mean
 	}
 	age := now.Sub(g.epoch) - g.startSum/time.Duration(g.running)
+	if g.slowdown > 0 {
+		age /= agePatience
+	}
 	return max(mean, age)
 }
 
@@ -316,7 +327,8 @@
 	g.running--
 	g.startSum -= t.began.Sub(g.epoch)
 	if healthy {
-		g.limiter.observe(now.Sub(t.began), g.limits.Slots)
+		took := time.Duration(float64(now.Sub(t.began)) / t.slowdown)
+		g.limiter.observe(took, g.limits.Slots)
 	}
 	g.dispatch(now)
 	g.signalIdle()
--- a/admit/ticket.go
+++ b/admit/ticket.go
@@ -30,9 +30,11 @@
 	entered time.Time
 
 	// The gate's mutex guards what follows.
-	state   state
-	began   time.Time
-	failure *verdict.Error
+	state state
+	began time.Time
+	// slowdown is that of the upstream when the request began.
+	slowdown float64
+	failure  *verdict.Error
 }
 
 // Ready returns a channel that is closed when the request no longer waits:
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -125,7 +125,7 @@
 	b := g.current.Load()
 	limits := admit.Limits{}
 	if b != nil && g.service != nil {
-		limits = limitsOf(*g.service).WithSlots(min(b.announcement.Slots, b.announcement.Connections))
+		limits = limitsOf(*g.service).WithSlots(g.usableSlots(b.announcement))
 	}
 	g.admit.Set(limits)
 	if g.leaving || b != nil && b.announcement.Draining {
@@ -135,6 +135,15 @@
 	}
 }
 
+// usableSlots returns how many requests the upstream is given at once.
+func (g *Gate) usableSlots(a *upstream.Announcement) int {
+	slots := min(a.Slots, a.Connections)
+	if share := g.service.Queue.SlotShare; share > 0 {
+		slots = max(1, int(share*float64(slots)))
+	}
+	return slots
+}
+
 // limitsOf returns the limits that a service is configured to have.
 func limitsOf(s operator.Service) admit.Limits {
 	classes := make([]admit.Class, len(s.Classes))
--- a/node/template.go
+++ b/node/template.go
@@ -27,6 +27,10 @@
 	// queueWait is the longest wait at a gate, queueLength the most that wait.
 	queueWait   = 60 * time.Millisecond
 	queueLength = 16
+	// slotShare is the part of an upstream's slots that is used. Requests that
+	// began with more than eight of eleven slots taken were measured to run 1.7
+	// times as long (109 ms against 63 ms), so that more of them end with eight.
+	slotShare = 0.8
 	// priorityWeight is how many times the slots of the next lower priority a
 	// priority gets while requests of both wait.
 	priorityWeight = 4.0
@@ -40,9 +44,10 @@
 		Classes: classes(t, service),
 		Policy:  "fastest",
 		Queue: operator.Queue{
-			Length:   queueLength,
-			Wait:     operator.Duration(queueWait),
-			Adaptive: &fixed,
+			Length:    queueLength,
+			SlotShare: slotShare,
+			Wait:      operator.Duration(queueWait),
+			Adaptive:  &fixed,
 		},
 		Retry: operator.Retry{
 			MaxTries: mostTries,
--- a/operator/service.go
+++ b/operator/service.go
@@ -68,6 +68,9 @@
 	Wait Duration `json:"wait"`
 	// SlowStart is the time over which a cold upstream gets its full load.
 	SlowStart Duration `json:"slowStart"`
+	// SlotShare is the part of an upstream's slots that is used, in (0, 1]. Zero
+	// means all. Upstreams that are nearly full run each request more slowly.
+	SlotShare float64 `json:"slotShare,omitempty"`
 	// Adaptive is whether an upstream that slows down is given fewer requests
 	// at once.
 	Adaptive *bool `json:"adaptive,omitempty"`
--- a/route/pool.go
+++ b/route/pool.go
@@ -23,6 +23,9 @@
 	// forgotten. Changes are reported at once, so it bounds only how long an
 	// upstream that no report comes from is passed over.
 	slowdownFade = 2 * time.Second
+	// agePatience divides the age of own requests at an upstream that tells its
+	// speed: one that began while it was slow stays slow to its end.
+	agePatience = 6
 	// meanGain is the weight of one report in the means of the service.
 	meanGain = 0.05
 	// defaultService is the service time assumed before the first report.
@@ -238,7 +241,11 @@
 		}
 	}
 	if e.own > 0 {
-		c.Service = max(c.Service, v.now.Sub(base)-e.startSum/time.Duration(e.own))
+		age := v.now.Sub(base) - e.startSum/time.Duration(e.own)
+		if e.reported.Slowdown > 0 {
+			age /= agePatience
+		}
+		c.Service = max(c.Service, age)
 	}
 	return c
 }
