Nodes go on looking for others that they do not know

Ruled out: ejection, drains (the member list itself was empty). Change: a node looks into the book of contacts again, at 0.3 s and then ever more seldom, and learns from those whose address it does not know.

--- a/control/bootstrap.go
+++ b/control/bootstrap.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"sassafrasfront.example/objectapi"
@@ -19,7 +20,7 @@
 // long, so as a steward it asks seldom.
 func (c *Control) bootstrap(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
-		if c.Book != nil && c.learnFrom(ctx, c.Book(ctx)) || c.learnFrom(ctx, c.Contacts) || c.API != nil && c.learnFromStewards(ctx) {
+		if c.learnFrom(ctx, c.Contacts) || c.API != nil && c.learnFromStewards(ctx) {
 			return
 		}
 		var alone bool
@@ -97,3 +98,51 @@
 	case <-ctx.Done():
 	}
 }
+
+const (
+	// meetFirst is the wait between two looks into the book at the start, which
+	// doubles up to meetOften for a scout and meetSeldom for other nodes.
+	meetFirst  = 300 * time.Millisecond
+	meetOften  = 10 * time.Second
+	meetSeldom = time.Minute
+	// meetAtOnce is the number of nodes that are met after one look.
+	meetAtOnce = 3
+)
+
+// meet looks into the book for nodes that this one does not know, and learns from
+// some of them, time and again: two groups of nodes that have met only among
+// themselves, as may happen at a start of all at once or after a partition, would
+// otherwise never hear of each other.
+func (c *Control) meet(ctx context.Context) {
+	pause := meetFirst
+	for ctx.Err() == nil {
+		c.meetSome(ctx, c.strangers(c.Book(ctx)))
+		sleep(ctx, pause/2+rand.N(pause))
+		most := meetSeldom
+		if c.Scout() {
+			most = meetOften
+		}
+		pause = min(2*pause, most)
+	}
+}
+
+// strangers returns those of some addresses that no known node has.
+func (c *Control) strangers(addrs []string) []string {
+	known := make(map[string]bool)
+	c.do(func() {
+		for r := range c.members.set.All {
+			known[r.Addr] = true
+		}
+	})
+	return slices.DeleteFunc(addrs, func(a string) bool { return known[a] })
+}
+
+// meetSome learns from a few of some addresses that answer.
+func (c *Control) meetSome(ctx context.Context, addrs []string) {
+	for met := 0; met < meetAtOnce && len(addrs) > 0 && ctx.Err() == nil; addrs = addrs[1:] {
+		if c.learnFrom(ctx, addrs[:1]) {
+			met++
+			addrs = append(addrs[:1:1], c.strangers(addrs[1:])...)
+		}
+	}
+}
--- a/control/control.go
+++ b/control/control.go
@@ -173,7 +173,12 @@
 	defer close(c.done) // which lets the work end that waits for this goroutine
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	work.Go(func() { c.bootstrap(ctx) })
+	if c.Book != nil {
+		work.Go(func() { c.meet(ctx) })
+	}
+	if c.Book == nil || len(c.Contacts) > 0 {
+		work.Go(func() { c.bootstrap(ctx) })
+	}
 	if c.API != nil {
 		work.Go(func() { c.runSteward(ctx) })
 	}
