A node sends to a subset of a service's members; tests of the managed system

Change: a node's subset of a service is 6 members of its zone and 6 others, by rendezvous hashing; the rest are spare. Found by a new test and mended: a late answer without a length in front of ours was read until the connection ended.

--- /dev/null
+++ b/admit/slowdown_test.go
@@ -0,0 +1,39 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package admit_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/admit"
+)
+
+// TestServiceWithoutSlowdown has requests that begin while the upstream is slow
+// leave the reported service time as it is: it is what routing multiplies by the
+// slowdown of the moment.
+func TestServiceWithoutSlowdown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var g admit.Gate
+		g.Set(admit.Limits{Slots: 4})
+		run := func(took time.Duration) {
+			ticket := g.Enter("", time.Time{})
+			qt.Assert(t, ticket.Err() == nil, qt.IsTrue)
+			time.Sleep(took)
+			ticket.Release(true)
+		}
+		g.Observe(1)
+		run(50 * time.Millisecond)
+		for range 20 {
+			g.Observe(4)
+			run(200 * time.Millisecond)
+		}
+		qt.Check(t, g.Report().Service, qt.Equals, 50*time.Millisecond)
+		qt.Check(t, g.Report().Slowdown, qt.Equals, 4.0)
+	})
+}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -70,6 +70,11 @@
 
 // addAt starts a node at an address.
 func (c *cluster) addAt(listener net.Listener, id, zone string, contacts ...string) *testNode {
+	return c.addAtWith(listener, id, zone, func(k *Control) { k.Contacts = contacts })
+}
+
+// addAtWith starts a node at an address once set has completed it.
+func (c *cluster) addAtWith(listener net.Listener, id, zone string, set func(*Control)) *testNode {
 	client := &objectapi.Client{
 		Caller: objectapi.Caller{
 			URL:     c.api.URL,
@@ -81,9 +86,8 @@
 	n := &testNode{
 		client: client,
 		Control: &Control{
-			Self:     member.Record{ID: id, Zone: zone, Region: "r", Addr: listener.Addr().String(), State: member.Idle},
-			API:      client,
-			Contacts: contacts,
+			Self: member.Record{ID: id, Zone: zone, Region: "r", Addr: listener.Addr().String(), State: member.Idle},
+			API:  client,
 			Timing: Timing{
 				Push:     10 * time.Millisecond,
 				Compare:  50 * time.Millisecond,
@@ -100,6 +104,7 @@
 			Published: func(*Snapshot) {},
 		},
 	}
+	set(n.Control)
 	ctx, cancel := context.WithCancel(context.Background())
 	serving, stopServing := context.WithCancel(context.Background())
 	s := &peer.Server{Control: n.Handle}
--- /dev/null
+++ b/control/table_test.go
@@ -0,0 +1,88 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package control
+
+import (
+	"context"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/routes"
+)
+
+// tableNode starts a node that follows a table of routes and finds others by a
+// book.
+func (c *cluster) tableNode(id, zone string, book func() []string) *testNode {
+	listener := c.listener()
+	n := c.addAtWith(listener, id, zone, func(k *Control) {
+		k.API = nil
+		k.Book = func(context.Context) []string { return book() }
+		k.Template = func(*routes.Table, string, int) operator.Service { return operator.Service{}.WithDefaults() }
+	})
+	return n
+}
+
+// liveNodes returns the number of live nodes that n knows, itself included.
+func (n *testNode) liveNodes() (live int) {
+	n.do(func() { live = n.live })
+	return live
+}
+
+// TestMeet starts two pairs of nodes, each of which knows of no other at first.
+// They must find each other once the book has them.
+func TestMeet(t *testing.T) {
+	c := newCluster(t)
+	var list []*testNode
+	books := [][]string{nil, nil, nil, nil}
+	opened := make(chan struct{})
+	for i := range books {
+		n := c.tableNode(string(rune('a'+i)), "z", func() []string {
+			select {
+			case <-opened:
+				var all []string
+				for _, other := range list {
+					all = append(all, other.Self.Addr)
+				}
+				return all
+			default:
+				return append([]string(nil), books[i]...)
+			}
+		})
+		list = append(list, n)
+		if i%2 == 1 {
+			books[i] = []string{list[i-1].Self.Addr}
+		}
+	}
+	for _, n := range list {
+		c.eventually("pairs have met", func() bool { return n.liveNodes() == 2 })
+	}
+	close(opened)
+	for _, n := range list {
+		c.eventually("all have met", func() bool { return n.liveNodes() == len(list) })
+	}
+}
+
+// TestTableNeverReverts hands nodes tables in any order.
+func TestTableNeverReverts(t *testing.T) {
+	c := newCluster(t)
+	first := c.tableNode("a", "z", func() []string { return nil })
+	second := c.tableNode("b", "z", func() []string { return []string{first.Self.Addr} })
+	table := func(version uint64) *routes.Table {
+		r, err := routes.New(routes.Table{Version: version, Services: []routes.Service{{Name: "s"}}})
+		qt.Assert(t, err, qt.IsNil)
+		return r
+	}
+	c.eventually("they have met", func() bool { return first.liveNodes() == 2 })
+	for _, v := range []uint64{3, 1, 7, 2, 7} {
+		first.Configure(table(v), false)
+		second.Configure(table(v-1), false)
+	}
+	for _, n := range []*testNode{first, second} {
+		c.eventually("the latest is in force", func() bool { s := n.Snapshot(); return s.Table != nil && s.Table.Version == 7 })
+	}
+	qt.Check(t, first.Snapshot().Services["s"], qt.IsNotNil)
+}
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -143,30 +143,28 @@
 		}
 		n.latency = new(retry.Latency)
 	}
+	chosen := subset(d.Hello.Node, d.Hello.Zone, s.Members)
 	targets := make(map[string]route.Target, len(s.Members))
 	for _, m := range s.Members {
 		targets[m.ID] = route.Target{
 			Slots:    max(1, m.Slots),
 			Distance: d.distance(s, m),
 			Local:    m.ID == d.Hello.Node,
+			Spare:    !chosen[m.ID],
 		}
 	}
 	n.pool.Set(targets)
-	d.warm(n)
+	d.warm(n, chosen)
 	return n
 }
 
-// warmMembers is the largest number of members of a service to which connections
-// are opened ahead of the first call. Beyond it they are opened as needed, as
-// the number of connections in the system would grow with its square.
-const warmMembers = 100
-
-// warm opens the connections to the members of a service. The lock is held.
-func (d *Dispatcher) warm(s *service) {
-	if len(s.Members) > warmMembers {
-		return
-	}
+// warm opens the connections to the chosen members of a service ahead of the
+// first call. The lock is held.
+func (d *Dispatcher) warm(s *service, chosen map[string]bool) {
 	for _, m := range s.Members {
+		if !chosen[m.ID] {
+			continue
+		}
 		c := d.clientLocked(s, m)
 		go func() { _ = c.Warm(context.Background()) }() // a call tells the failure
 	}
--- /dev/null
+++ b/entry/subset.go
@@ -0,0 +1,56 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package entry
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// subsetNear and subsetFar are the largest numbers of a service's members, in
+	// the node's own availability zone and elsewhere, that a node sends to as long
+	// as one of them can take the request. Among so many there is nearly always
+	// one that is neither slow nor full: with a quarter of the upstreams slow, all
+	// of 12 are once in 16 million times. The connections, and the messages by
+	// which upstreams tell of their speed, then grow with the number of nodes and
+	// not with its square.
+	subsetNear = 6
+	subsetFar  = 6
+)
+
+// subset returns the ids of the members that a node sends to. Each node has a
+// subset of its own, drawn by rendezvous hashing, so that all members are in
+// about the same number of subsets and few change when a member comes or goes.
+// The member beside the node is always in it.
+func subset(node, zone string, members []Member) map[string]bool {
+	in := make(map[string]bool, len(members))
+	if len(members) <= subsetNear+subsetFar {
+		for _, m := range members {
+			in[m.ID] = true
+		}
+		return in
+	}
+	ranked := slices.Clone(members)
+	weight := make(map[string]uint64, len(members))
+	for _, m := range members {
+		weight[m.ID] = xxhash.Sum64String(node + "\x00" + m.ID)
+	}
+	slices.SortFunc(ranked, func(a, b Member) int { return cmp.Compare(weight[b.ID], weight[a.ID]) })
+	near, far := subsetNear, subsetFar
+	for _, m := range ranked {
+		left := &far
+		if m.Zone == zone {
+			left = &near
+		}
+		if *left > 0 || m.ID == node {
+			*left--
+			in[m.ID] = true
+		}
+	}
+	return in
+}
--- /dev/null
+++ b/entry/subset_test.go
@@ -0,0 +1,67 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package entry
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func members(n int) []Member {
+	list := make([]Member, n)
+	for i := range list {
+		list[i] = Member{ID: fmt.Sprint("m", i), Zone: fmt.Sprint("z", i%4)}
+	}
+	return list
+}
+
+func TestSubset(t *testing.T) {
+	tests := map[string]struct {
+		members int
+		want    int
+	}{
+		"few":  {8, 8},
+		"many": {60, subsetNear + subsetFar},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			list := members(test.members)
+			got := subset("m0", "z0", list)
+			qt.Check(t, got["m0"], qt.IsTrue)
+			qt.Check(t, len(got) >= test.want && len(got) <= test.want+1, qt.IsTrue, qt.Commentf("%d", len(got)))
+		})
+	}
+}
+
+// TestSubsetsAreEven has each member in some, and none in too many, of the
+// subsets of all nodes.
+func TestSubsetsAreEven(t *testing.T) {
+	list := members(60)
+	count := make(map[string]int)
+	for _, m := range list {
+		for id := range subset(m.ID, m.Zone, list) {
+			count[id]++
+		}
+	}
+	for _, m := range list {
+		qt.Check(t, count[m.ID] >= 4 && count[m.ID] <= 24, qt.IsTrue, qt.Commentf("%s is in %d", m.ID, count[m.ID]))
+	}
+}
+
+// TestSubsetChangesLittle has a member go.
+func TestSubsetChangesLittle(t *testing.T) {
+	list := members(60)
+	before := subset("m0", "z0", list)
+	after := subset("m0", "z0", list[:59])
+	var gone int
+	for id := range before {
+		if !after[id] {
+			gone++
+		}
+	}
+	qt.Check(t, gone <= 1, qt.IsTrue)
+}
--- /dev/null
+++ b/node/managed_test.go
@@ -0,0 +1,273 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"sassafrasfront.example/node"
+	"sassafrasfront.example/objectapi"
+	"sassafrasfront.example/platform"
+	"sassafrasfront.example/platform/standin"
+	"sassafrasfront.example/settings"
+)
+
+// world is a managed system on loopback: the store, and nodes with an upstream
+// each.
+type world struct {
+	t     *testing.T
+	store *standin.Store
+	url   string
+	nodes []*managed
+}
+
+// managed is a node with its upstream.
+type managed struct {
+	settings settings.Settings
+	upstream *standin.Upstream
+	stop     func()
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, store: new(standin.Store)}
+	server := httptest.NewServer(w.store)
+	w.url = server.URL
+	t.Cleanup(func() {
+		for _, m := range w.nodes {
+			m.stop()
+			m.upstream.Close()
+		}
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return w
+}
+
+// configure writes a manifest whose route /a/ leads to the service a and must not
+// repeat, and /b/ to the service b.
+func (w *world) configure(version int, extra string) {
+	route := func(name, kind, service string) string {
+		return fmt.Sprintf(`{"name":"%[1]s","pathPrefix":"/%[1]s/","kind":"%[2]s","timeoutS":1,"targetLatencyS":0.3,"priority":1,"service":"%[3]s","maxAttempts":2}`, name, kind, service)
+	}
+	list := []string{route("a", "non_idempotent", "a"), route("b", "idempotent", "b")}
+	if extra != "" {
+		list = append(list, route(extra, "idempotent", "b"))
+	}
+	w.store.Put("config", "main", rawJSON(fmt.Sprintf(`{"version":"r%d","services":[{"name":"a","healthPath":"/healthz"},{"name":"b","healthPath":"/healthz"}],"virtualHosts":[{"host":"h.example","paths":[%s]}]}`, version, strings.Join(list, ","))))
+}
+
+// rawJSON is encoded as it is.
+type rawJSON string
+
+func (r rawJSON) MarshalJSON() ([]byte, error) { return []byte(r), nil }
+
+// freeAddr returns an address that is free now.
+func freeAddr(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// add starts a node beside a new upstream of a service.
+func (w *world) add(service string, seeds ...string) *managed {
+	id := "i-" + strconv.Itoa(len(w.nodes))
+	m := &managed{upstream: &standin.Upstream{ID: id, Service: service, Slots: 8, Work: 5 * time.Millisecond}}
+	addr, err := m.upstream.Start()
+	qt.Assert(w.t, err, qt.IsNil)
+	m.settings = settings.Settings{
+		Node: "n" + id, Region: "r", Zone: "z", Dialect: settings.DialectManaged,
+		CallerAddress: freeAddr(w.t), PeerAddress: freeAddr(w.t), AnnounceAddress: freeAddr(w.t), OperatorAddress: freeAddr(w.t),
+		PlatformURL: w.url, Service: service, UpstreamAddress: addr, Peers: strings.Join(seeds, ","),
+		RetryRatio: 0.2, RetrySlack: 60, ReportBytes: 20000, ControlBytes: 100000, PlatformCalls: 100,
+		LeaveDelay: 50 * time.Millisecond, DrainTimeout: 2 * time.Second, MaxHeaderBytes: 1 << 16,
+	}
+	w.nodes = append(w.nodes, m)
+	w.run(m)
+	return m
+}
+
+// run starts the process of a node.
+func (w *world) run(m *managed) {
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &node.Node{
+		Settings: m.settings,
+		Log:      zerolog.Nop(),
+		Platform: &node.Platform{
+			Names: platform.Names(),
+			API: func(c *objectapi.Caller, watchFor func() time.Duration) objectapi.API {
+				return &platform.Store{Caller: c, WatchFor: watchFor}
+			},
+			Kind: platform.ManifestKind, Name: platform.ManifestName, Table: platform.Table, Announce: platform.Instances,
+		},
+	}
+	var done sync.WaitGroup
+	done.Go(func() { _ = n.Run(ctx) })
+	m.stop = func() {
+		cancel()
+		done.Wait()
+	}
+}
+
+// answer is what a caller got.
+type answer struct {
+	status     int
+	body       string
+	signature  string
+	retryAfter string
+}
+
+// ask sends a request to a node.
+func (m *managed) ask(method, path, id, body string) answer {
+	r, _ := http.NewRequest(method, "http://"+m.settings.CallerAddress+path, strings.NewReader(body))
+	r.Host = "h.example"
+	if id != "" {
+		r.Header.Set("Sassafrasfront-Request-Id", id)
+	}
+	r.Header.Set("Sassafrasfront-Deadline-Ms", "900")
+	r.Header.Set("Sassafrasfront-Caller-Service", "forged")
+	response, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return answer{}
+	}
+	defer response.Body.Close()
+	data, _ := io.ReadAll(response.Body)
+	return answer{response.StatusCode, string(data), response.Header.Get("Sassafrasfront-Response-Signature"), response.Header.Get("Retry-After")}
+}
+
+// ready returns whether the node calls itself ready.
+func (m *managed) ready() bool {
+	r, err := http.Get("http://" + m.settings.OperatorAddress + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer r.Body.Close()
+	return r.StatusCode == 200
+}
+
+// eventually polls until f returns true. The bound is no expectation: it ends a
+// test that would never end.
+func (w *world) eventually(what string, f func() bool) {
+	w.t.Helper()
+	for range 2000 {
+		if f() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	w.t.Fatalf("never: %s", what)
+}
+
+// TestManaged takes a small system through what may happen to it.
+func TestManaged(t *testing.T) {
+	w := newWorld(t)
+	first, second := w.add("a"), w.add("b")
+	w.eventually("a node answers", func() bool { return first.ask("GET", "/a/x", "0", "").status != 0 })
+	early := first.ask("GET", "/a/x", "0", "")
+	qt.Check(t, early.status, qt.Equals, 503, qt.Commentf("nothing is configured yet"))
+	wait, err := strconv.ParseFloat(early.retryAfter, 64)
+	qt.Check(t, err == nil && wait > 0 && wait < 1, qt.IsTrue, qt.Commentf("%q", early.retryAfter))
+	qt.Check(t, first.ready(), qt.IsFalse)
+
+	w.configure(1, "")
+	w.eventually("both are ready", func() bool { return first.ready() && second.ready() })
+	w.eventually("each finds the other's upstream by its health check", func() bool {
+		return first.ask("GET", "/b/x", "warm", "").status == 200 && second.ask("PUT", "/a/x", "warm", "").status == 200
+	})
+	got := second.ask("PUT", "/a/x%2Fy?q=1", "one", "body")
+	qt.Check(t, got, qt.Equals, answer{status: 200, body: "i-0 ran one", signature: standin.Sign("i-0", "one")})
+	runs := first.upstream.Runs()
+	last := runs[len(runs)-1]
+	last.At = time.Time{}
+	qt.Check(t, last, qt.Equals, standin.Run{ID: "one", Method: "PUT", Path: "/a/x%2Fy?q=1", Body: "body", Caller: "b"})
+	qt.Check(t, first.ask("GET", "/c/x", "1", "").status, qt.Equals, 404)
+	qt.Check(t, first.ask("GET", "/b/x", "", "").status, qt.Equals, 503, qt.Commentf("no id is made up, and the upstream takes none without"))
+
+	w.store.SetFaults(standin.Faults{Status: 503})
+	qt.Check(t, second.ask("PUT", "/a/x", "away", "").status, qt.Equals, 200, qt.Commentf("the store is away"))
+	w.store.SetFaults(standin.Faults{})
+
+	w.configure(2, "c")
+	w.eventually("the new route is there", func() bool { return first.ask("GET", "/c/x", "new", "").status == 200 })
+	w.configure(1, "")
+	time.Sleep(50 * time.Millisecond)
+	qt.Check(t, first.ask("GET", "/c/x", "kept", "").status, qt.Equals, 200, qt.Commentf("an older version changes nothing"))
+
+	first.upstream.Drain()
+	qt.Assert(t, first.upstream.Announce(first.settings.AnnounceAddress), qt.IsTrue)
+	before := len(first.upstream.Runs())
+	for i := range 10 {
+		qt.Check(t, second.ask("PUT", "/a/x", fmt.Sprint("drained", i), "").status, qt.Equals, 503)
+	}
+	qt.Check(t, len(first.upstream.Runs()), qt.Equals, before, qt.Commentf("an acknowledged drain binds"))
+}
+
+// TestManagedRestart stops a node beside a running upstream and starts it again:
+// it finds the upstream without an announcement, and nothing runs twice.
+func TestManagedRestart(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1, "")
+	first, second := w.add("a"), w.add("b")
+	w.eventually("it serves", func() bool { return second.ask("PUT", "/a/x", "warm", "").status == 200 })
+	first.stop()
+	qt.Check(t, second.ask("PUT", "/a/x", "gone", "").status, qt.Equals, 503)
+	w.run(first)
+	n := 0
+	w.eventually("it serves again", func() bool {
+		n++
+		return second.ask("PUT", "/a/x", fmt.Sprint("again", n), "").status == 200
+	})
+	seen := make(map[string]int)
+	for _, r := range first.upstream.Runs() {
+		seen[r.ID]++
+		if r.ID != "warm" {
+			qt.Check(t, seen[r.ID], qt.Equals, 1, qt.Commentf("request %s", r.ID))
+		}
+	}
+	qt.Check(t, seen["gone"], qt.Equals, 0)
+}
+
+// TestManagedUpstreamReplaced has an upstream crash and another service's take
+// its address: requests for the old one don't run there.
+func TestManagedUpstreamReplaced(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1, "")
+	first, second := w.add("a"), w.add("b")
+	w.eventually("it serves", func() bool { return second.ask("PUT", "/a/x", "warm", "").status == 200 })
+	first.upstream.ID = "i-9"
+	qt.Check(t, second.ask("PUT", "/a/x", "other", "").status, qt.Equals, 503)
+	for _, r := range first.upstream.Runs() {
+		qt.Check(t, r.ID, qt.Not(qt.Equals), "other")
+	}
+	qt.Assert(t, first.upstream.Announce(first.settings.AnnounceAddress), qt.IsTrue)
+	w.eventually("the new start serves", func() bool { return second.ask("PUT", "/a/x", "new", "").status == 200 })
+}
+
+// TestManagedStoreForgets has the store drop its history while its watches hear
+// nothing, and leave them open. The change that they have missed must be found
+// long before they end.
+func TestManagedStoreForgets(t *testing.T) {
+	w := newWorld(t)
+	w.configure(1, "")
+	first := w.add("b")
+	w.eventually("it serves", func() bool { return first.ask("GET", "/b/x", "warm", "").status == 200 })
+	w.store.SetFaults(standin.Faults{Deaf: true})
+	w.configure(2, "c")
+	w.store.Forget()
+	w.eventually("the change is found", func() bool { return first.ask("GET", "/c/x", "new", "").status == 200 })
+}
--- /dev/null
+++ b/route/fastest_test.go
@@ -0,0 +1,41 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package route_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/route"
+)
+
+// TestFastest has one row for each reason to prefer an upstream.
+func TestFastest(t *testing.T) {
+	load := func(running int, slowdown float64) route.Load {
+		return route.Load{Running: running, Allowed: 8, Service: 60 * time.Millisecond, Slowdown: slowdown}
+	}
+	tests := map[string]struct {
+		a, b route.Load
+		want string
+	}{
+		"the fast one":                      {load(5, 1), load(0, 4), "a"},
+		"the less loaded one":               {load(1, 1), load(4, 1), "a"},
+		"the slow one, when the fast waits": {load(18, 1), load(0, 4), "b"},
+		"the fast one, when it waits a bit": {load(9, 1), load(0, 4), "a"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := &route.Pool[string]{Policy: route.Fastest{}}
+			p.Set(map[string]route.Target{"a": {Slots: 8}, "b": {Slots: 8}})
+			p.Observe("a", test.a)
+			p.Observe("b", test.b)
+			use, ok := p.Pick(nil)
+			qt.Assert(t, ok, qt.IsTrue)
+			qt.Check(t, use.Key(), qt.Equals, test.want)
+		})
+	}
+}
--- a/route/pool.go
+++ b/route/pool.go
@@ -56,6 +56,8 @@
 	Distance time.Duration
 	// Local is whether it is beside this process.
 	Local bool
+	// Spare is whether it is picked only if no other upstream can be.
+	Spare bool
 }
 
 // Pool holds the upstreams of one service, known by keys of type K. The
@@ -186,8 +188,17 @@
 	}
 	trust := float64(ejected) <= limit*float64(len(p.entries))
 	p.usable = p.usable[:0]
+	p.collect(now, exclude, trust, false)
+	if len(p.usable) == 0 {
+		p.collect(now, exclude, trust, true)
+	}
+}
+
+// collect adds the upstreams that may be picked and are spare or not to
+// p.usable.
+func (p *Pool[K]) collect(now time.Time, exclude func(K) bool, trust, spare bool) {
 	for _, e := range p.entries {
-		if exclude != nil && exclude(e.key) {
+		if e.target.Spare != spare || exclude != nil && exclude(e.key) {
 			continue
 		}
 		if e.draining(now) || trust && !e.health.usable(now) {
--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -47,6 +47,9 @@
 			return response, nil
 		}
 		c.crossed = true
+		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+			return nil, errCrossed // it ends with the connection
+		}
 		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxCrossedBody))
 		if err != nil || n == maxCrossedBody || response.Close {
 			return nil, errCrossed
--- /dev/null
+++ b/upstream/answer_test.go
@@ -0,0 +1,111 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/upstream"
+	"sassafrasfront.example/verdict"
+)
+
+var testNames = upstream.Names{
+	RequestID: "Test-Id",
+	Timeout:   "Test-Timeout",
+	Expected:  "Test-Expected",
+	Instance:  "Test-Instance",
+	NotRun:    "Test-Not-Run",
+	Signature: "Test-Signature",
+	Load:      "Test-Load",
+}
+
+// TestNamedAnswers has one row for each thing that an answer's fields say.
+func TestNamedAnswers(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nTest-Signature: s\r\nContent-Length: 4\r\n\r\nmine"
+	tests := map[string]struct {
+		answer string
+		want   verdict.Cause
+		body   string
+		status int
+		reused bool
+	}{
+		"whole":                      {answer: ok, body: "mine", status: 200, reused: true},
+		"late answer in front":       {answer: "HTTP/1.1 200 OK\r\nTest-Id: 0\r\nTest-Signature: s\r\nContent-Length: 5\r\n\r\nother" + ok, body: "mine", status: 200},
+		"late chunked one in front":  {answer: "HTTP/1.1 200 OK\r\nTest-Id: 0\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nother\r\n0\r\n\r\n" + ok, body: "mine", status: 200},
+		"late one without an end":    {answer: "HTTP/1.1 200 OK\r\nTest-Id: 0\r\n\r\n" + ok, want: verdict.AnswerSpoilt},
+		"second answer behind":       {answer: ok + ok, body: "mine", status: 200},
+		"success without signature":  {answer: "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nContent-Length: 4\r\n\r\nmine", want: verdict.AnswerSpoilt},
+		"failure without signature":  {answer: "HTTP/1.1 500 No\r\nTest-Id: 1\r\nContent-Length: 0\r\n\r\n", status: 500, reused: true},
+		"full":                       {answer: "HTTP/1.1 503 No\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", want: verdict.UpstreamRefused},
+		"too many":                   {answer: "HTTP/1.1 429 No\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", want: verdict.UpstreamRefused},
+		"503 that may have run":      {answer: "HTTP/1.1 503 No\r\nTest-Id: 1\r\nContent-Length: 0\r\n\r\n", want: verdict.AnswerSpoilt},
+		"another upstream's address": {answer: "HTTP/1.1 421 No\r\nTest-Instance: x\r\nContent-Length: 0\r\n\r\n", want: verdict.WrongUpstream},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			connections := make(chan int, 4)
+			addr := raw(t, func(n int, c net.Conn) {
+				connections <- n
+				reader := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = io.WriteString(c, test.answer)
+				}
+			})
+			transport := &upstream.Transport{Addr: addr, Warm: 1, Names: testNames}
+			response, failed := transport.Send(request(context.Background(), "GET", "", "Test-Id", "1"), nil)
+			if test.want != "" {
+				qt.Assert(t, failed != nil, qt.IsTrue)
+				qt.Check(t, failed.Cause, qt.Equals, test.want)
+				return
+			}
+			qt.Assert(t, failed == nil, qt.IsTrue, qt.Commentf("%v", failed))
+			qt.Check(t, response.StatusCode, qt.Equals, test.status)
+			body, err := io.ReadAll(response.Body)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, string(body), qt.Equals, test.body)
+			time.Sleep(5 * time.Millisecond)
+			_, _ = transport.Send(request(context.Background(), "GET", "", "Test-Id", "1"), nil)
+			qt.Check(t, len(connections) == 1, qt.Equals, test.reused)
+		})
+	}
+}
+
+func TestParseLoad(t *testing.T) {
+	tests := map[string]struct {
+		text string
+		want upstream.Load
+		ok   bool
+	}{
+		"three figures": {"3,1,8", upstream.Load{Running: 3, Waiting: 1, Slots: 8, Slowdown: 1}, true},
+		"with speed":    {"3,1,8,400", upstream.Load{Running: 3, Waiting: 1, Slots: 8, Slowdown: 4}, true},
+		"more to come":  {"3,1,8,100,7", upstream.Load{Running: 3, Waiting: 1, Slots: 8, Slowdown: 1}, true},
+		"too few":       {"3,1", upstream.Load{}, false},
+		"negative":      {"-3,1,8", upstream.Load{}, false},
+		"no speed":      {"3,1,8,0", upstream.Load{}, false},
+		"words":         {"a,b,c", upstream.Load{}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got, err := upstream.ParseLoad(test.text)
+			qt.Check(t, err == nil, qt.Equals, test.ok)
+			if test.ok {
+				qt.Check(t, got, qt.Equals, test.want)
+			}
+		})
+	}
+}
