Fewer calls to the store: stale reads of the book, longer watches, GOGC 40

Change: looks after the first are stale reads (a tenth of the price) at 0.5, 2, 8 s and then by scouts only; watches of 28 s, those of scouts 1 s; a node that is no scout gathers changes for 0.4 s; the garbage collector runs at GOGC 40. A test hung on a state that its goroutine had not made yet (test only).

--- a/cmd/sassafrasnode/main.go
+++ b/cmd/sassafrasnode/main.go
@@ -110,6 +110,7 @@
 		runtime.GOMAXPROCS(s.Processors)
 	}
 	if s.MemoryMB > 0 {
+		debug.SetGCPercent(gcPercent)
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
 	}
 	n := &node.Node{
@@ -166,6 +167,10 @@
 	return info.ModTime()
 }
 
+// gcPercent is the garbage collector's GOGC where memory is bounded: a node's
+// heap is a few MB, and the process stands beside an upstream that needs the rest.
+const gcPercent = 40
+
 // memoryShare is the part of the memory at which the garbage collector works
 // harder. The rest is for what it does not count.
 const memoryShare = 0.7
--- a/contact/book.go
+++ b/contact/book.go
@@ -37,14 +37,14 @@
 	Log zerolog.Logger
 
 	mu   sync.Mutex
-	done bool
+	done bool // whether this node's object is as it should be
 }
 
 // Addresses registers this node, if that has not been done yet, and returns the
 // addresses of other nodes in random order, those of the node's own zone first.
 // It returns none if the platform does not answer.
 func (b *Book) Addresses(ctx context.Context) []string {
-	list, err := b.API.List(ctx, Kind)
+	list, err := b.list(ctx)
 	if err != nil {
 		b.Log.Warn().Err(err).Msg("contacts not read")
 		return nil
@@ -70,6 +70,18 @@
 	return append(near, far...)
 }
 
+// list reads the book. Once this node stands in it, nodes that came since may be
+// found a little later, which costs less.
+func (b *Book) list(ctx context.Context) (*objectapi.List, error) {
+	b.mu.Lock()
+	done := b.done
+	b.mu.Unlock()
+	if done {
+		return b.API.ListStale(ctx, Kind)
+	}
+	return b.API.List(ctx, Kind)
+}
+
 func shuffle(list []string) {
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 }
--- a/control/bootstrap.go
+++ b/control/bootstrap.go
@@ -23,9 +23,7 @@
 		if c.learnFrom(ctx, c.Contacts) || c.API != nil && c.learnFromStewards(ctx) {
 			return
 		}
-		var alone bool
-		c.do(func() { alone = c.live <= 1 })
-		if !alone {
+		if !c.alone() {
 			return
 		}
 		pause := objectapi.Backoff(n, nil)
@@ -101,10 +99,12 @@
 
 const (
 	// meetFirst is the wait between two looks into the book at the start, which
-	// doubles up to meetOften for a scout and meetSeldom for other nodes.
-	meetFirst  = 300 * time.Millisecond
+	// grows fourfold each time up to meetOften for a scout and meetSeldom for other
+	// nodes.
+	meetFirst  = 500 * time.Millisecond
 	meetOften  = 10 * time.Second
-	meetSeldom = time.Minute
+	meetSeldom = 2 * time.Minute
+	meetGrowth = 4
 	// meetAtOnce is the number of nodes that are met after one look.
 	meetAtOnce = 3
 )
@@ -122,10 +122,19 @@
 		if c.Scout() {
 			most = meetOften
 		}
-		pause = min(2*pause, most)
+		if c.alone() {
+			most = meetFirst
+		}
+		pause = min(meetGrowth*pause, most)
 	}
 }
 
+// alone returns whether this node knows no other.
+func (c *Control) alone() (alone bool) {
+	c.do(func() { alone = c.live <= 1 })
+	return alone
+}
+
 // strangers returns those of some addresses that no known node has.
 func (c *Control) strangers(addrs []string) []string {
 	known := make(map[string]bool)
--- a/control/table_test.go
+++ b/control/table_test.go
@@ -28,6 +28,7 @@
 
 // liveNodes returns the number of live nodes that n knows, itself included.
 func (n *testNode) liveNodes() (live int) {
+	n.init()
 	n.do(func() { live = n.live })
 	return live
 }
--- a/node/platform.go
+++ b/node/platform.go
@@ -40,8 +40,11 @@
 	// that of the other nodes'. A store that has dropped its history may leave a
 	// watch open that hears nothing more; a change has to be in force two seconds
 	// after it was made, so a scout asks anew well within that.
-	scoutWatch = 700 * time.Millisecond
-	idleWatch  = 15 * time.Second
+	scoutWatch = time.Second
+	idleWatch  = 28 * time.Second
+	// gatherChanges is how long a node that is no scout waits after a change before
+	// it watches again, so that changes in quick succession cost it few calls.
+	gatherChanges = 400 * time.Millisecond
 	// storeTimeout bounds a call to the platform other than a watch. A store that
 	// is slowed down sixtyfold answers in a quarter of that.
 	storeTimeout = time.Second
@@ -95,6 +98,9 @@
 			if e.Type != objectapi.Deleted {
 				n.tableFound(e.Object)
 			}
+			if !n.control.Scout() {
+				time.Sleep(gatherChanges)
+			}
 		},
 		Failed: func(err error) { n.Log.Warn().Err(err).Msg("configuration not read") },
 	}
--- a/objectapi/api.go
+++ b/objectapi/api.go
@@ -20,6 +20,9 @@
 	Get(ctx context.Context, kind, name string) (*Object, error)
 	// List returns all objects of a kind.
 	List(ctx context.Context, kind string) (*List, error)
+	// ListStale returns the objects of a kind as they were at some time, which may
+	// be seconds ago. It costs the platform less than List.
+	ListStale(ctx context.Context, kind string) (*List, error)
 	// Create creates an object and returns it with its resource version.
 	Create(ctx context.Context, o *Object) (*Object, error)
 	// Update replaces an object if it still has the resource version that o
--- a/objectapi/client.go
+++ b/objectapi/client.go
@@ -47,6 +47,12 @@
 	return &l, c.Do(ctx, http.MethodGet, Path(c.Namespace, kind, ""), nil, &l)
 }
 
+// ListStale implements API.
+func (c *Client) ListStale(ctx context.Context, kind string) (*List, error) {
+	var l List
+	return &l, c.Do(ctx, http.MethodGet, Path(c.Namespace, kind, "")+"?resourceVersion=0", nil, &l)
+}
+
 // Create implements API.
 func (c *Client) Create(ctx context.Context, o *Object) (*Object, error) {
 	var answer Object
