Logs that explain a request; sassafrasctl explain

Each decision on a request is kept with the picture it rests on (load, slowdown, age of the report) and logged when the request fails, or for one success in a hundred; a gate logs each call that it does not answer.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -55,6 +55,8 @@
 	Failure *verdict.Error
 	// Tries is the number of sendings.
 	Tries int
+	// Steps are the decisions on the request.
+	Steps []entry.Step
 	// Took is the time from the head of the request to the end of the answer.
 	Took time.Duration
 }
@@ -170,6 +172,7 @@
 // the answer as well.
 func (x *exchange) dispatch(ctx context.Context, q *entry.Request, keep *keeper) (cut bool) {
 	result, failure := x.handler.Dispatcher.Do(ctx, q)
+	x.outcome.Steps = q.Steps
 	keep.begin(result, failure)
 	if failure != nil {
 		x.fail(failure)
--- /dev/null
+++ b/cmd/sassafrasctl/explain.go
@@ -0,0 +1,131 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package main
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"strconv"
+	"strings"
+)
+
+// maxLine bounds a log line, in bytes.
+const maxLine = 1 << 20
+
+// explain prints the lines of a request from the logs of any number of nodes in
+// the order of their times, and what ended it.
+func (t *tool) explain(_ context.Context, args []string) error {
+	if len(args) < 2 {
+		return exitError{exitUsage, errors.New("usage: sassafrasctl explain REQUEST-ID FILE...")}
+	}
+	id := args[0]
+	var lines []logLine
+	for _, name := range args[1:] {
+		f, err := os.Open(name)
+		if err != nil {
+			return err
+		}
+		found, err := linesOf(f, id)
+		_ = f.Close()
+		if err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+		lines = append(lines, found...)
+	}
+	if len(lines) == 0 {
+		return fmt.Errorf("no line names the request %q: its lines may have been left out (sassafras_log_lines_left_out_total), or it ended well and was not sampled", id)
+	}
+	sort.SliceStable(lines, func(i, j int) bool { return lines[i].field("time") < lines[j].field("time") })
+	for _, l := range lines {
+		fmt.Fprintln(t.out, l.text)
+	}
+	fmt.Fprintln(t.out, summary(lines))
+	return nil
+}
+
+// logLine is a line of a log with its fields.
+type logLine struct {
+	text   string
+	fields map[string]string
+}
+
+func (l logLine) field(key string) string { return l.fields[key] }
+
+// linesOf returns the lines that have the request id.
+func linesOf(r io.Reader, id string) ([]logLine, error) {
+	var list []logLine
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLine)
+	for s.Scan() {
+		if !strings.Contains(s.Text(), id) {
+			continue
+		}
+		if l := parseLine(s.Text()); l.field("requestId") == id {
+			list = append(list, l)
+		}
+	}
+	return list, s.Err()
+}
+
+// parseLine reads key=value pairs, whose values may be quoted. What is no pair is
+// passed over.
+func parseLine(text string) logLine {
+	l := logLine{
+		text:   text,
+		fields: make(map[string]string),
+	}
+	rest := text
+	for rest != "" {
+		rest = strings.TrimLeft(rest, " ")
+		word, after, _ := strings.Cut(rest, " ")
+		key, value, ok := strings.Cut(word, "=")
+		if !ok {
+			rest = after
+			continue
+		}
+		if strings.HasPrefix(value, `"`) {
+			quoted, err := strconv.QuotedPrefix(rest[len(key)+1:])
+			if err != nil {
+				return l
+			}
+			rest = rest[len(key)+1+len(quoted):]
+			value, _ = strconv.Unquote(quoted)
+		} else {
+			rest = after
+		}
+		l.fields[key] = value
+	}
+	return l
+}
+
+// summary names what ended the request, by its last line and the failures
+// before it.
+func summary(lines []logLine) string {
+	var causes []string
+	end := logLine{}
+	for _, l := range lines {
+		switch l.field("event") {
+		case "request failed":
+			causes = append(causes, l.field("cause")+" at "+l.field("to"))
+		case "call not answered":
+			causes = append(causes, fmt.Sprintf("%s told by %s (running %s of %s, waiting %s, slowdown %s)", l.field("cause"), l.field("node"), l.field("running"), l.field("allowed"), l.field("waiting"), l.field("slowdown")))
+		case "request ended":
+			end = l
+		}
+	}
+	if end.fields == nil {
+		return "summary: no node's log says how it ended; failures: " + strings.Join(causes, "; ")
+	}
+	text := fmt.Sprintf("summary: status %s, verdict %s, cause %s, after %s ms and %s sendings, version %s in force", end.field("status"), end.field("verdict"), end.field("cause"), end.field("tookMs"), end.field("tries"), end.field("version"))
+	if len(causes) > 0 {
+		text += "; " + strings.Join(causes, "; ")
+	}
+	return text
+}
--- /dev/null
+++ b/cmd/sassafrasctl/explain_test.go
@@ -0,0 +1,57 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package main
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const entryLog = `time=2026-12-02T10:00:00.100Z level=info event="node started" node=n1
+time=2026-12-02T10:00:01.100Z level=info event="request sent" afterMs=0 load=8.0/8 node=n1 reportAgeMs=12 requestId=r1 slowdown=1 to=n2
+time=2026-12-02T10:00:01.102Z level=info event="request failed" afterMs=2 cause=refused node=n1 requestId=r1 to=n2
+time=2026-12-02T10:00:01.103Z level=info event="request ended" cause=refused node=n1 path="/a b=\"c\"" requestId=r1 status=503 tookMs=3 tries=1 verdict=notRun version=7
+time=2026-12-02T10:00:01.103Z level=info event="request ended" node=n1 requestId=r10 status=200 verdict=ran
+`
+
+const gateLog = `not a pair at all
+time=2026-12-02T10:00:01.101Z level=info event="call not answered" allowed=8 cause=refused node=n2 requestId=r1 running=8 slowdown=4 waiting=16
+`
+
+func TestExplain(t *testing.T) {
+	dir := t.TempDir()
+	one, two := filepath.Join(dir, "n1"), filepath.Join(dir, "n2")
+	qt.Assert(t, os.WriteFile(one, []byte(entryLog), 0o600), qt.IsNil)
+	qt.Assert(t, os.WriteFile(two, []byte(gateLog), 0o600), qt.IsNil)
+	tests := map[string]struct {
+		args []string
+		code int
+		want string
+	}{
+		"found":   {[]string{"explain", "r1", one, two}, 0, "summary: status 503, verdict notRun, cause refused, after 3 ms and 1 sendings, version 7 in force; refused told by n2 (running 8 of 8, waiting 16, slowdown 4); refused at n2\n"},
+		"unknown": {[]string{"explain", "r2", one}, exitFailed, ""},
+		"no file": {[]string{"explain", "r1", filepath.Join(dir, "n3")}, exitFailed, ""},
+		"usage":   {[]string{"explain", "r1"}, exitUsage, ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var out, errOut bytes.Buffer
+			qt.Assert(t, execute(context.Background(), test.args, &out, &errOut), qt.Equals, test.code)
+			if test.code != 0 {
+				qt.Check(t, errOut.Len() > 0, qt.IsTrue)
+				return
+			}
+			lines := bytes.SplitAfter(out.Bytes(), []byte("\n"))
+			qt.Check(t, lines, qt.HasLen, 6)
+			qt.Check(t, string(lines[4]), qt.Equals, test.want)
+			qt.Check(t, bytes.Contains(lines[1], []byte("call not answered")), qt.IsTrue, qt.Commentf("in the order of time"))
+		})
+	}
+}
--- a/cmd/sassafrasctl/main.go
+++ b/cmd/sassafrasctl/main.go
@@ -109,9 +109,10 @@
 			command("status", "status [NAME]", "show what became of services", t.status),
 			command("watch", "watch", "show statuses as they change", t.watch),
 			command("delete", "delete NAME", "delete a service", t.remove),
+			command("explain", "explain REQUEST-ID FILE...", "show what the logs of nodes say of a request", t.explain),
 		},
 		Exec: func(context.Context, []string) error {
-			return exitError{exitUsage, errors.New("usage: sassafrasctl [flags] <validate|apply|diff|get|status|watch|delete>")}
+			return exitError{exitUsage, errors.New("usage: sassafrasctl [flags] <validate|apply|diff|get|status|watch|delete|explain>")}
 		},
 	}
 }
--- a/cmd/sassafrasnode/main.go
+++ b/cmd/sassafrasnode/main.go
@@ -113,9 +113,11 @@
 		debug.SetGCPercent(gcPercent)
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB) * (1 << 20)))
 	}
+	out := keyvalue.Unblocking(os.Stdout)
+	defer out.Close()
 	n := &node.Node{
 		Settings: *s,
-		Log:      keyvalue.New(os.Stderr, s.LogLevel).With().Str("node", s.Node).Logger(),
+		Log:      keyvalue.New(out, s.LogLevel).With().Str("node", s.Node).Logger(),
 	}
 	if s.Dialect == settings.DialectManaged {
 		n.Platform = managed()
--- a/entry/do.go
+++ b/entry/do.go
@@ -31,6 +31,7 @@
 		request:    r,
 		ctx:        ctx,
 		deadline:   time.NewTimer(time.Until(r.Deadline)),
+		began:      time.Now(),
 	}
 	defer f.deadline.Stop()
 	result, failure := f.fly()
@@ -47,6 +48,7 @@
 	request    *Request
 	ctx        context.Context
 	deadline   *time.Timer
+	began      time.Time
 
 	tried   []string
 	open    []*attempt     // the one sent first comes first
@@ -79,7 +81,7 @@
 		if f.ctx.Err() != nil || !f.attemptsLeft() || !f.repeatable() || !plan.Again(failure, f.request.Idempotent, len(f.tried), remaining) {
 			return nil, f.verdict(failure)
 		}
-		f.dispatcher.event(f.service.Name, EventRetry)
+		f.did(EventRetry)
 	}
 }
 
@@ -112,6 +114,8 @@
 	a, failure := f.dispatcher.start(f.ctx, f.service, f.request, f.tried)
 	if a != nil {
 		f.tried = append(f.tried, a.member.ID)
+		picture, age := a.use.Picture()
+		f.note(Step{Event: EventSent, Node: a.member.ID, Picture: picture, Age: age})
 	}
 	if failure != nil {
 		return failure
@@ -159,6 +163,7 @@
 		return a, nil
 	}
 	a.end(failure)
+	f.note(Step{Event: EventFailed, Node: a.member.ID, Cause: failure.Cause})
 	if retry.Reached(failure) {
 		f.reached++
 	}
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -27,16 +27,15 @@
 // sent elsewhere as a request that has not run.
 func (f *flight) hurry() {
 	f.revoked = true // at most once for each request
-	d := f.dispatcher
 	if !f.request.Idempotent || f.request.Stream != nil {
 		f.open[0].exchange.Revoke()
-		d.event(f.service.Name, EventRevoke)
+		f.did(EventRevoke)
 		return
 	}
 	if !f.attemptsLeft() || len(f.tried) >= f.service.Config.Retry.MaxTries || !f.service.hedges.Take() {
 		return
 	}
 	if f.launch() == nil {
-		d.event(f.service.Name, EventHedge)
+		f.did(EventHedge)
 	}
 }
--- a/entry/request.go
+++ b/entry/request.go
@@ -41,6 +41,9 @@
 	Deadline time.Time
 	// Inform, if not nil, is called with informational answers.
 	Inform func(*peer.Inform)
+	// Steps are what was decided on the request. The Dispatcher adds to them until
+	// Do returns.
+	Steps []Step
 }
 
 // call returns the message that sends r for the given time.
--- /dev/null
+++ b/entry/step.go
@@ -0,0 +1,51 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package entry
+
+import (
+	"time"
+
+	"sassafrasfront.example/route"
+	"sassafrasfront.example/verdict"
+)
+
+// Step is one decision on a request, or what came of one.
+type Step struct {
+	// After is the time since the request was taken up.
+	After time.Duration
+	// Event says what it was.
+	Event Event
+	// Node is the node that it concerns, or empty.
+	Node string
+	// Picture is what the node was chosen by, and Age the age of the report that
+	// it rests on, negative if there was none. They are set for EventSent.
+	Picture route.Candidate
+	Age     time.Duration
+	// Cause is why a sending failed. It is set for EventFailed.
+	Cause verdict.Cause
+}
+
+// The events that are steps of a request only.
+const (
+	EventSent   Event = "sent"
+	EventFailed Event = "failed"
+)
+
+// maxSteps bounds the steps that are kept of a request.
+const maxSteps = 24
+
+// note keeps a step.
+func (f *flight) note(s Step) {
+	if len(f.request.Steps) < maxSteps {
+		s.After = time.Since(f.began)
+		f.request.Steps = append(f.request.Steps, s)
+	}
+}
+
+// did keeps a step that the Dispatcher's owner is told of as well.
+func (f *flight) did(e Event) {
+	f.dispatcher.event(f.service.Name, e)
+	f.note(Step{Event: e})
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -38,6 +38,9 @@
 	Tell func(*peer.Report)
 	// Reports says when a load report goes to which node. Nil means never.
 	Reports *watch.Pacer[string]
+	// Refused, if not nil, is called with each call that ends without an answer,
+	// with the load at that moment.
+	Refused func(c *peer.Call, from string, failure *verdict.Error, load admit.Report)
 	// Ended, if not nil, is called at the end of each call.
 	Ended func(service, class string, failure *verdict.Error, waited, took time.Duration)
 
@@ -211,6 +214,9 @@
 	failure := c.run(ctx)
 	if failure != nil {
 		in.Fail(failure, g.reportFor(in.From.Node))
+		if g.Refused != nil {
+			g.Refused(in.Call, in.From.Node, failure, g.admit.Report())
+		}
 	}
 	tracing.End(span, c.status, failure)
 	if g.Ended != nil {
--- /dev/null
+++ b/internal/keyvalue/limit.go
@@ -0,0 +1,59 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package keyvalue
+
+import (
+	"sync"
+	"time"
+)
+
+// Limit bounds the lines of each kind in a second. Its methods may be called from
+// any goroutine. The exported field is set before the first call.
+type Limit struct {
+	// LeftOut, if not nil, is called with the number of lines of a kind that a
+	// second has left out, when the next line of that kind is allowed.
+	LeftOut func(kind string, count int)
+
+	mu    sync.Mutex
+	kinds map[string]*second
+}
+
+// second is the count of one kind in the present second.
+type second struct {
+	began   time.Time
+	lines   int
+	leftOut int
+}
+
+// Allow returns whether n more lines of the kind may be written, given how many a
+// second are allowed.
+func (l *Limit) Allow(kind string, perSecond, n int) bool {
+	l.mu.Lock()
+	if l.kinds == nil {
+		l.kinds = make(map[string]*second)
+	}
+	s := l.kinds[kind]
+	if s == nil {
+		s = new(second)
+		l.kinds[kind] = s
+	}
+	now := time.Now()
+	leftOut := 0
+	if now.Sub(s.began) >= time.Second {
+		leftOut = s.leftOut
+		*s = second{began: now}
+	}
+	allowed := s.lines+n <= perSecond
+	if allowed {
+		s.lines += n
+	} else {
+		s.leftOut += n
+	}
+	l.mu.Unlock()
+	if leftOut > 0 && l.LeftOut != nil {
+		l.LeftOut(kind, leftOut)
+	}
+	return allowed
+}
--- a/internal/keyvalue/logger.go
+++ b/internal/keyvalue/logger.go
@@ -14,6 +14,9 @@
 	"github.com/rs/zerolog"
 )
 
+// Lines of many nodes are put in order by their times.
+func init() { zerolog.TimeFieldFormat = time.RFC3339Nano }
+
 // New returns a logger that writes to w the events of the given level and
 // above. The level is one that settings allow; any other counts as info.
 func New(w io.Writer, level string) zerolog.Logger {
--- /dev/null
+++ b/node/events.go
@@ -0,0 +1,96 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package node
+
+import (
+	"fmt"
+
+	"github.com/rs/zerolog"
+
+	"sassafrasfront.example/admit"
+	"sassafrasfront.example/caller"
+	"sassafrasfront.example/entry"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/verdict"
+)
+
+const (
+	// requestLines and callLines bound the log lines a second on requests taken
+	// from callers and on calls that the gate did not run. Under overload every
+	// request would have some; what is left out is counted.
+	requestLines = 200
+	callLines    = 100
+	// successShare is how many requests that went well stand behind each one that
+	// is logged.
+	successShare = 100
+)
+
+// requestEnded counts a request and logs it with its steps if it failed, or now
+// and then if it did not.
+func (n *Node) requestEnded(o caller.Outcome) {
+	n.metrics.requestEnded(o)
+	if o.Failure == nil && n.successes.Add(1)%successShare != 0 {
+		return
+	}
+	if !n.lines.Allow("request", requestLines, 1+len(o.Steps)) {
+		return
+	}
+	for _, s := range o.Steps {
+		n.logStep(o.ID, s)
+	}
+	v, cause := verdict.Ran.String(), ""
+	if o.Failure != nil {
+		v, cause = o.Failure.Verdict().String(), string(o.Failure.Cause)
+	}
+	e := n.Log.Info().Str("requestId", o.ID).Str("route", o.Route).Str("service", o.Service).Str("class", o.Class).Str("method", o.Method).Str("path", o.Path).
+		Int("status", o.Status).Str("verdict", v).Str("cause", cause).Int("tries", o.Tries).Dur("tookMs", o.Took).Uint64("version", n.version())
+	if o.Failure != nil && o.Failure.Err != nil {
+		e = e.AnErr("reason", o.Failure.Err)
+	}
+	e.Msg("request ended")
+}
+
+// logStep logs one decision on a request.
+func (n *Node) logStep(id string, s entry.Step) {
+	e := n.Log.Info().Str("requestId", id).Dur("afterMs", s.After)
+	switch s.Event {
+	case entry.EventSent:
+		e = e.Str("to", s.Node).Str("load", fmt.Sprintf("%.1f/%d", s.Picture.Load, s.Picture.Allowed)).
+			Float64("slowdown", s.Picture.Slowdown).Dur("serviceMs", s.Picture.Service).Dur("reportAgeMs", s.Age)
+	case entry.EventFailed:
+		e = e.Str("to", s.Node).Str("cause", string(s.Cause))
+	}
+	e.Msg("request " + string(s.Event))
+}
+
+// callRefused logs a call that the gate gave no answer to.
+func (n *Node) callRefused(c *peer.Call, from string, failure *verdict.Error, load admit.Report) {
+	if !n.lines.Allow("call", callLines, 1) {
+		return
+	}
+	name := n.names().RequestID
+	id := ""
+	for _, f := range c.Header {
+		if f.Name == name {
+			id = f.Value
+		}
+	}
+	n.Log.Info().Str("requestId", id).Str("from", from).Str("class", c.Class).Int("try", c.Try).Str("cause", string(failure.Cause)).Str("verdict", failure.Verdict().String()).
+		Int("running", load.Running).Int("waiting", load.Waiting).Int("allowed", load.Allowed).Float64("slowdown", load.Slowdown).Bool("draining", load.Draining).AnErr("reason", failure.Err).Msg("call not answered")
+}
+
+// version returns the version of the configuration in force, or 0.
+func (n *Node) version() uint64 {
+	if t := n.control.Snapshot().Table; t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+// linesLeftOut logs how many lines of a kind were left out in the last second.
+func (n *Node) linesLeftOut(kind string, count int) {
+	n.metrics.set.GetOrCreateCounter(fmt.Sprintf("sassafras_log_lines_left_out_total{kind=%q}", kind)).Add(count)
+	n.Log.WithLevel(zerolog.WarnLevel).Str("kind", kind).Int("count", count).Msg("log lines left out")
+}
--- a/node/node.go
+++ b/node/node.go
@@ -23,6 +23,7 @@
 	"sassafrasfront.example/control"
 	"sassafrasfront.example/entry"
 	"sassafrasfront.example/gate"
+	"sassafrasfront.example/internal/keyvalue"
 	"sassafrasfront.example/internal/tracing"
 	"sassafrasfront.example/member"
 	"sassafrasfront.example/objectapi"
@@ -71,7 +72,9 @@
 	claims     *claim.Ledger
 	api        objectapi.API                     // of Platform
 	reloaded   atomic.Pointer[settings.Settings] // nil until the settings change
-	configured atomic.Bool                       // whether the gate knows its service
+	lines      keyvalue.Limit
+	successes  atomic.Uint64
+	configured atomic.Bool // whether the gate knows its service
 
 	// announcing is held while the node's state is found and told, so that what
 	// is told last was found last. configuring is held while the gate is given
@@ -162,8 +165,10 @@
 			Every:  reportEvery,
 			Size:   reportSize,
 		},
-		Ended: n.metrics.gateEnded,
+		Ended:   n.metrics.gateEnded,
+		Refused: n.callRefused,
 	}
+	n.lines.LeftOut = n.linesLeftOut
 	hello := peer.Hello{
 		Node: s.Node,
 		Zone: s.Zone,
@@ -178,7 +183,7 @@
 	n.control = &control.Control{
 		Self: member.Record{
 			ID:     s.Node,
-			Addr:   s.PeerAddress,
+			Addr:   s.PeerAt(),
 			Zone:   s.Zone,
 			Region: s.Region,
 			State:  member.Idle,
@@ -238,6 +243,14 @@
 	return c
 }
 
+// names returns the header fields in use.
+func (n *Node) names() upstream.Names {
+	if n.Platform != nil {
+		return n.Platform.Names
+	}
+	return upstream.DefaultNames
+}
+
 // peerClosed logs why the connection of a peer ended, if it broke the protocol.
 func (n *Node) peerClosed(from peer.Hello, reason error) {
 	if eris.Is(reason, peer.ErrProtocol) {
@@ -340,16 +353,6 @@
 	return h
 }
 
-// requestEnded counts a request and logs it if it failed.
-func (n *Node) requestEnded(o caller.Outcome) {
-	n.metrics.requestEnded(o)
-	if o.Failure == nil {
-		return
-	}
-	n.Log.Debug().Str("requestId", o.ID).Str("service", o.Service).Str("class", o.Class).Str("method", o.Method).Str("path", o.Path).
-		Int("status", o.Status).Str("verdict", o.Failure.Verdict().String()).Int("tries", o.Tries).Dur("took", o.Took).Err(o.Failure).Msg("request failed")
-}
-
 func (n *Node) announceHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/v1/upstream", n.announced)
--- a/node/platform.go
+++ b/node/platform.go
@@ -134,7 +134,7 @@
 		API:  api,
 		Node: n.Settings.Node,
 		Entry: contact.Entry{
-			Address: n.Settings.PeerAddress,
+			Address: n.Settings.PeerAt(),
 			Zone:    n.Settings.Zone,
 		},
 		Log: n.Log,
--- a/route/pool.go
+++ b/route/pool.go
@@ -161,7 +161,9 @@
 		pool: p,
 		now:  now,
 	}
-	e := p.usable[policy.Choose(v, p.random)]
+	chosen := policy.Choose(v, p.random)
+	picture := v.At(chosen)
+	e := p.usable[chosen]
 	e.own++
 	e.sent++
 	e.startSum += now.Sub(base)
@@ -170,9 +172,20 @@
 		pool:  p,
 		entry: e,
 		began: now,
+
+		picture: picture,
+		age:     e.age(now),
 	}, true
 }
 
+// age returns the age of the last report, or -1 if there is none.
+func (e *entry[K]) age(now time.Time) time.Duration {
+	if e.at.IsZero() {
+		return -1
+	}
+	return now.Sub(e.at)
+}
+
 // gather fills p.usable with the upstreams that may be picked. If too many are
 // ejected, the ejections are not believed.
 func (p *Pool[K]) gather(now time.Time, exclude func(K) bool) {
--- a/route/use.go
+++ b/route/use.go
@@ -28,8 +28,16 @@
 	entry *entry[K]
 	began time.Time
 	done  bool
+
+	picture Candidate
+	age     time.Duration
 }
 
+// Picture returns what the choice was made by: the upstream as the pool saw it,
+// and the age of the report that this rests on. The age is negative if there was
+// none.
+func (u *Use[K]) Picture() (Candidate, time.Duration) { return u.picture, u.age }
+
 // Key returns the key of the upstream.
 func (u *Use[K]) Key() K { return u.entry.key }
 
--- a/settings/check.go
+++ b/settings/check.go
@@ -92,6 +92,9 @@
 	c.name("namespace", s.Namespace)
 	c.address("callerAddress", s.CallerAddress, false)
 	c.address("peerAddress", s.PeerAddress, false)
+	if s.AdvertisedPeerAddress != "" {
+		c.address("advertisedPeerAddress", s.AdvertisedPeerAddress, false)
+	}
 	c.address("announceAddress", s.AnnounceAddress, s.Dialect == DialectNative)
 	c.address("operatorAddress", s.OperatorAddress, false)
 	if s.PlatformURL != "" || s.Peers == "" {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -25,6 +25,9 @@
 	CallerAddress string
 	// PeerAddress is where other nodes connect, as an IP number and port.
 	PeerAddress string
+	// AdvertisedPeerAddress is where other nodes are told to connect, if that is
+	// not PeerAddress.
+	AdvertisedPeerAddress string
 	// AnnounceAddress is where the upstream announces itself. It is on
 	// loopback.
 	AnnounceAddress string
@@ -96,6 +99,7 @@
 	fs.StringVar(&s.Zone, "zone", "", "availability zone of the node")
 	fs.StringVar(&s.CallerAddress, "callerAddress", "127.0.0.1:8080", "where callers' requests are taken")
 	fs.StringVar(&s.PeerAddress, "peerAddress", "127.0.0.1:8081", "where other nodes connect, an IP number and port")
+	fs.StringVar(&s.AdvertisedPeerAddress, "advertisedPeerAddress", "", "where other nodes are told to connect, if that is not peerAddress")
 	fs.StringVar(&s.AnnounceAddress, "announceAddress", "127.0.0.1:8082", "where the upstream announces itself, on loopback")
 	fs.StringVar(&s.OperatorAddress, "operatorAddress", "127.0.0.1:8083", "metrics, health and readiness")
 	fs.StringVar(&s.PlatformURL, "platformURL", "", "root of the platform's object API")
@@ -124,3 +128,11 @@
 	fs.IntVar(&s.Processors, "processors", 2, "processors used at once; 0 for all")
 	fs.BoolVar(&s.Pprof, "pprof", false, "serve profiles at operatorAddress")
 }
+
+// PeerAt returns where other nodes are told to connect.
+func (s *Settings) PeerAt() string {
+	if s.AdvertisedPeerAddress != "" {
+		return s.AdvertisedPeerAddress
+	}
+	return s.PeerAddress
+}
