A fault soak of our own

A program that runs six real nodes on loopback against stand-ins of the store and the upstreams, with proxies between nodes and in front of the store, and faults that a seed draws: stop, kill, pause, hangup, links that delay, are silent, cut one way or reset, a store that is down, silent, loses answers or forgets, configurations and drains, overlapping. It checks answers, single runs, 'not run', drains, routes in force, recovery, and cuts where all was planned work.

--- /dev/null
+++ b/cmd/sassafrassoak/check.go
@@ -0,0 +1,140 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"sassafrasfront.example/platform/standin"
+)
+
+// check returns the promises that were broken. Whole is when the faults had long
+// ended.
+func (w *world) check(list []outcome, faults []fault, whole time.Time) []string {
+	runs := make(map[string][]standin.Run)
+	for _, n := range w.nodes {
+		for _, r := range n.upstream.Load().Runs() {
+			runs[r.ID] = append(runs[r.ID], r)
+		}
+	}
+	broken := checkOutcomes(list, runs)
+	broken = append(broken, w.checkDrains()...)
+	broken = append(broken, w.checkRoutes()...)
+	broken = append(broken, checkRecovery(list, whole)...)
+	if planned(faults) {
+		broken = append(broken, checkUncut(list)...)
+	}
+	const most = 8
+	return broken[:min(len(broken), most)]
+}
+
+// planned returns whether all faults are planned work.
+func planned(faults []fault) bool {
+	for _, f := range faults {
+		if !f.planned {
+			return false
+		}
+	}
+	return true
+}
+
+// checkOutcomes compares what callers saw with what upstreams ran.
+func checkOutcomes(list []outcome, runs map[string][]standin.Run) []string {
+	var broken []string
+	sent := make(map[string]outcome, len(list))
+	for _, o := range list {
+		sent[o.id] = o
+		ran := runs[o.id]
+		switch {
+		case o.wrong != "":
+			broken = append(broken, fmt.Sprintf("foreign or cut answer: request %s got %s", o.id, o.wrong))
+		case o.route == "a" && len(ran) > 1:
+			broken = append(broken, fmt.Sprintf("ran twice: request %s", o.id))
+		case o.status == http.StatusServiceUnavailable && len(ran) > 0 && o.route == "a":
+			broken = append(broken, fmt.Sprintf("told not run, and ran: request %s", o.id))
+		case o.status == http.StatusNotFound:
+			broken = append(broken, fmt.Sprintf("route denied: request %s", o.id))
+		case o.status == http.StatusOK && len(ran) == 0:
+			broken = append(broken, fmt.Sprintf("success without a run: request %s", o.id))
+		}
+	}
+	for id, list := range runs {
+		o, ok := sent[id]
+		if !ok && !strings.HasPrefix(id, "check-") {
+			broken = append(broken, fmt.Sprintf("ran unasked: request %s", id))
+			continue
+		}
+		for _, r := range list {
+			if ok && (r.Body != "body of "+id || r.Path != "/"+o.route+"/x") {
+				broken = append(broken, fmt.Sprintf("ran changed: request %s with %s %q", id, r.Path, r.Body))
+			}
+		}
+	}
+	return broken
+}
+
+// checkDrains finds requests that reached an upstream after its drain was bound.
+func (w *world) checkDrains() []string {
+	var broken []string
+	for _, n := range w.nodes {
+		at := n.drainAcknowledged.Load()
+		if at == 0 {
+			continue
+		}
+		bound := time.Unix(0, at).Add(drainBound)
+		for _, r := range n.upstream.Load().Runs() {
+			if r.At.After(bound) {
+				broken = append(broken, fmt.Sprintf("drained upstream of %s ran request %s %v after the bound", n.name, r.ID, r.At.Sub(bound)))
+				break
+			}
+		}
+	}
+	return broken
+}
+
+// checkRoutes asks each node for each route that was ever added.
+func (w *world) checkRoutes() []string {
+	client := &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+	var broken []string
+	for _, n := range w.nodes {
+		for _, route := range w.routes {
+			if o := ask(client, n, route, "check-"+n.name+route); o.status == http.StatusNotFound || o.status == 0 {
+				broken = append(broken, fmt.Sprintf("configuration %d is not in force at %s: route %s got %d", w.version, n.name, route, o.status))
+			}
+		}
+	}
+	return broken
+}
+
+// checkRecovery wants nearly all requests served once the faults are long over.
+func checkRecovery(list []outcome, whole time.Time) []string {
+	var asked, served int
+	for _, o := range list {
+		if o.sent.After(whole) {
+			asked++
+			if o.status == http.StatusOK {
+				served++
+			}
+		}
+	}
+	if asked == 0 || float64(served) < leastServed*float64(asked) {
+		return []string{fmt.Sprintf("not recovered: %d of %d requests served after the faults", served, asked)}
+	}
+	return nil
+}
+
+// checkUncut wants no request cut that a node had taken, where all was planned.
+func checkUncut(list []outcome) []string {
+	var broken []string
+	for _, o := range list {
+		if o.connection && (o.status == 0 || o.cut) {
+			broken = append(broken, fmt.Sprintf("cut by planned work: request %s sent at %s", o.id, o.sent.Format(time.RFC3339Nano)))
+		}
+	}
+	return broken
+}
--- /dev/null
+++ b/cmd/sassafrassoak/faults.go
@@ -0,0 +1,160 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"sassafrasfront.example/platform/standin"
+)
+
+// fault is something that is done to the system and undone after a while.
+type fault struct {
+	name string
+	at   time.Duration
+	last time.Duration
+	node int
+	// planned is whether it is planned work, during which no request may be cut.
+	planned bool
+}
+
+// kinds are the faults, with whether they are planned work.
+var kinds = map[string]bool{
+	"stop":         true,  // SIGTERM, and a start
+	"kill":         false, // SIGKILL, and a start
+	"pause":        false, // SIGSTOP and SIGCONT
+	"hangup":       true,  // SIGHUP
+	"linkDelayed":  false,
+	"linkSilent":   false,
+	"linkOneWay":   false,
+	"linkReset":    false,
+	"storeDown":    false,
+	"storeSilent":  false,
+	"storeLost":    false,
+	"storeForgets": false,
+	"configure":    true,
+	"drain":        true,
+}
+
+// names lists the kinds in a fixed order, so that a seed always draws the same.
+var names = []string{"stop", "kill", "pause", "hangup", "linkDelayed", "linkSilent", "linkOneWay", "linkReset", "storeDown", "storeSilent", "storeLost", "storeForgets", "configure", "drain"}
+
+// draw returns the faults of a seed. Some come together, and some on one node.
+func draw(seed uint64, duration time.Duration) []fault {
+	random := rand.New(rand.NewPCG(seed, 0))
+	pool := names
+	plannedOnly := seed%4 == 0
+	if plannedOnly {
+		pool = []string{"stop", "hangup", "configure", "drain"}
+	}
+	var list []fault
+	drained := false
+	for range 3 + random.IntN(4) {
+		f := fault{
+			name: pool[random.IntN(len(pool))],
+			at:   time.Duration(random.Int64N(int64(duration * 6 / 10))),
+			last: 300*time.Millisecond + time.Duration(random.Int64N(int64(1500*time.Millisecond))),
+			node: random.IntN(2 * pairs),
+		}
+		f.planned = kinds[f.name]
+		if f.name == "drain" {
+			if drained {
+				continue // one upstream of each service is to be left at least
+			}
+			drained = true
+		}
+		list = append(list, f)
+	}
+	return list
+}
+
+func (f fault) String() string {
+	return fmt.Sprintf("%s node %d at %v for %v", f.name, f.node, f.at.Round(time.Millisecond), f.last.Round(time.Millisecond))
+}
+
+// inject does the faults, each at its time, and returns when all are undone.
+func (w *world) inject(list []fault) {
+	var all sync.WaitGroup
+	var configuring, storing sync.Mutex
+	perNode := make([]sync.Mutex, len(w.nodes))
+	for _, f := range list {
+		all.Go(func() {
+			time.Sleep(f.at)
+			n := w.nodes[f.node]
+			switch f.name {
+			case "stop", "kill", "pause", "hangup":
+				perNode[f.node].Lock() // one process has one signal at a time
+				defer perNode[f.node].Unlock()
+			case "configure":
+				configuring.Lock()
+				defer configuring.Unlock()
+			case "storeDown", "storeSilent", "storeLost", "storeForgets":
+				storing.Lock()
+				defer storing.Unlock()
+			}
+			w.do(f, n)
+		})
+	}
+	all.Wait()
+}
+
+// do does one fault and undoes it.
+func (w *world) do(f fault, n *node) {
+	during := func(m mode) {
+		n.link.set(m)
+		time.Sleep(f.last)
+		n.link.set(open)
+	}
+	store := func(s standin.Faults) {
+		w.store.SetFaults(s)
+		time.Sleep(f.last)
+		w.store.SetFaults(standin.Faults{})
+	}
+	switch f.name {
+	case "stop":
+		n.signal(syscall.SIGTERM)
+		n.wait(graceTime)
+		_ = w.start(n)
+	case "kill":
+		n.signal(syscall.SIGKILL)
+		n.wait(graceTime)
+		_ = w.start(n)
+	case "pause":
+		n.signal(syscall.SIGSTOP)
+		time.Sleep(f.last)
+		n.signal(syscall.SIGCONT)
+	case "hangup":
+		n.signal(syscall.SIGHUP)
+	case "linkDelayed":
+		during(delayed)
+	case "linkSilent":
+		during(silent)
+	case "linkOneWay":
+		during(oneWay)
+	case "linkReset":
+		during(reset)
+	case "storeDown":
+		store(standin.Faults{Status: http.StatusServiceUnavailable})
+	case "storeSilent":
+		store(standin.Faults{Hang: true})
+	case "storeLost":
+		store(standin.Faults{LoseWrites: true})
+	case "storeForgets":
+		w.store.SetFaults(standin.Faults{Deaf: true})
+		time.Sleep(f.last / 4)
+		w.store.Forget()
+		w.store.SetFaults(standin.Faults{})
+	case "configure":
+		w.routes = append(w.routes, fmt.Sprintf("c%d", len(w.routes)))
+		w.configure()
+	case "drain":
+		n.upstream.Load().Drain()
+	}
+}
--- /dev/null
+++ b/cmd/sassafrassoak/main.go
@@ -0,0 +1,114 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+// Command sassafrassoak runs a small system of real processes on loopback under
+// faults that a seed draws, and checks what callers and upstreams saw.
+//
+//	sassafrassoak run -seed 7 -node bin/sassafrasnode
+//	sassafrassoak hunt -seeds 50 -node bin/sassafrasnode
+//
+// The store and the upstreams are stand-ins in this process; the nodes are
+// processes of their own, reached by their peers through proxies here. It ends
+// only the processes that it has started. Exit codes: 0 if every promise was
+// kept, 1 if one was broken or a run could not start, 2 for a wrong command line.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// options are the command line.
+type options struct {
+	program  string
+	seed     uint64
+	seeds    int
+	minutes  float64
+	parallel int
+	duration time.Duration
+	logs     string
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	os.Exit(execute(ctx, os.Args[1:], os.Stdout))
+}
+
+// execute runs the command line and returns the exit code.
+func execute(ctx context.Context, args []string, out io.Writer) int {
+	if len(args) == 0 || args[0] != "run" && args[0] != "hunt" {
+		fmt.Fprintln(out, "usage: sassafrassoak <run|hunt> [flags]; -h lists them")
+		return 2
+	}
+	var o options
+	fs := flag.NewFlagSet(args[0], flag.ContinueOnError)
+	fs.SetOutput(out)
+	fs.StringVar(&o.program, "node", "bin/sassafrasnode", "program of the nodes")
+	fs.Uint64Var(&o.seed, "seed", 1, "first seed")
+	fs.IntVar(&o.seeds, "seeds", 50, "number of seeds of a hunt")
+	fs.Float64Var(&o.minutes, "minutes", 0, "longest duration of a hunt; 0 for no bound")
+	fs.IntVar(&o.parallel, "parallel", 3, "seeds run at once in a hunt")
+	fs.DurationVar(&o.duration, "duration", 8*time.Second, "time under load")
+	fs.StringVar(&o.logs, "logs", "", "folder that gets the nodes' logs of a seed that failed; empty for none")
+	if err := fs.Parse(args[1:]); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return 0
+		}
+		return 2
+	}
+	if args[0] == "run" {
+		o.seeds, o.parallel = 1, 1
+	}
+	return o.hunt(ctx, out)
+}
+
+// hunt runs the seeds and returns the exit code.
+func (o *options) hunt(ctx context.Context, out io.Writer) int {
+	if o.minutes > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(o.minutes*float64(time.Minute)))
+		defer cancel()
+	}
+	seeds := make(chan uint64)
+	var mu sync.Mutex
+	var passed, failed int
+	var all sync.WaitGroup
+	for range max(1, o.parallel) {
+		all.Go(func() {
+			for seed := range seeds {
+				report, ok := play(o, seed)
+				mu.Lock()
+				fmt.Fprint(out, report)
+				if ok {
+					passed++
+				} else {
+					failed++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for i := range o.seeds {
+		if ctx.Err() != nil {
+			break
+		}
+		seeds <- o.seed + uint64(i)
+	}
+	close(seeds)
+	all.Wait()
+	fmt.Fprintf(out, "%d seeds passed, %d seeds failed\n", passed, failed)
+	if failed > 0 {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/cmd/sassafrassoak/world.go
@@ -0,0 +1,235 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"sassafrasfront.example/platform/standin"
+)
+
+const (
+	// heartbeat is the time between two announcements of an upstream.
+	heartbeat = 300 * time.Millisecond
+	// graceTime is what a node has between SIGTERM and SIGKILL.
+	graceTime = 6 * time.Second
+	// pairs is the number of nodes of each of the two services.
+	pairs = 3
+)
+
+// world is the system of one run.
+type world struct {
+	program string
+	dir     string
+	store   *standin.Store
+	server  *httptest.Server
+	front   *proxy // of the store
+	nodes   []*node
+	version int
+	routes  []string
+	done    chan struct{}
+}
+
+// node is a node with its upstream.
+type node struct {
+	name, service     string
+	caller, control   string
+	ready, peer       string
+	link              *proxy // of peers to the node
+	upstreamAt        string
+	config            string
+	upstream          atomic.Pointer[standin.Upstream]
+	drainAcknowledged atomic.Int64 // when, in nanoseconds since 1970, or 0
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	exited  chan struct{}
+	out     bytes.Buffer
+	stopped bool // not to be started again
+}
+
+// newWorld starts the system.
+func newWorld(program string, seed uint64) (*world, error) {
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		return nil, err
+	}
+	w := &world{program: program, dir: dir, store: new(standin.Store), done: make(chan struct{}), routes: []string{"a", "b"}}
+	w.server = httptest.NewServer(w.store)
+	if w.front, err = newProxy(w.server.Listener.Addr().String()); err != nil {
+		return nil, err
+	}
+	w.configure()
+	for i := range 2 * pairs {
+		service := []string{"a", "b"}[i%2]
+		n := &node{name: fmt.Sprintf("n%d", i), service: service}
+		w.nodes = append(w.nodes, n)
+		if err := w.build(n, seed); err != nil {
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+// build starts a node with its upstream.
+func (w *world) build(n *node, seed uint64) error {
+	u := &standin.Upstream{ID: fmt.Sprintf("i-%s-%d", n.name, seed), Service: n.service, Slots: 8, Work: 15 * time.Millisecond}
+	var err error
+	if n.upstreamAt, err = u.Start(); err != nil {
+		return err
+	}
+	n.upstream.Store(u)
+	for _, to := range []*string{&n.caller, &n.control, &n.ready, &n.peer} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		*to = l.Addr().String()
+		defer l.Close()
+	}
+	if n.link, err = newProxy(n.peer); err != nil {
+		return err
+	}
+	n.config = filepath.Join(w.dir, n.name+".yaml")
+	text := fmt.Sprintf("dialect: managed\nnode: %s\nregion: r\nzone: z%s\ncallerAddress: %s\npeerAddress: %s\nadvertisedPeerAddress: %s\nannounceAddress: %s\noperatorAddress: %s\nplatformURL: http://%s\nservice: %s\nupstreamAddress: %s\nretryRatio: 0.2\nretrySlack: 60\nreportBytes: 20000\ncontrolBytes: 100000\nplatformCalls: 100\nleaveDelay: 500ms\ndrainTimeout: 4s\nprocessors: 1\n",
+		n.name, n.service, n.caller, n.peer, n.link.addr(), n.control, n.ready, w.front.addr(), n.service, n.upstreamAt)
+	if err := os.WriteFile(n.config, []byte(text), 0o600); err != nil {
+		return err
+	}
+	go w.beat(n)
+	return nil
+}
+
+// beat announces the upstream until the run ends.
+func (w *world) beat(n *node) {
+	for {
+		select {
+		case <-w.done:
+			return
+		case <-time.After(heartbeat):
+		}
+		u := n.upstream.Load()
+		if u.Announce(n.control) && u.Draining() && n.drainAcknowledged.Load() == 0 {
+			n.drainAcknowledged.Store(time.Now().UnixNano())
+		}
+	}
+}
+
+// start starts the node's process.
+func (w *world) start(n *node) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	cmd := exec.Command(w.program, "run", "-config", n.config)
+	cmd.Stdout = &locked{n: n}
+	cmd.Stderr = cmd.Stdout
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	n.process = cmd
+	exited := make(chan struct{})
+	n.exited = exited
+	go func() {
+		_ = cmd.Wait()
+		close(exited)
+	}()
+	return nil
+}
+
+// locked writes a node's output.
+type locked struct{ n *node }
+
+func (l *locked) Write(p []byte) (int, error) {
+	l.n.mu.Lock()
+	defer l.n.mu.Unlock()
+	return l.n.out.Write(p)
+}
+
+// signal sends a signal to the node's process, if it runs.
+func (n *node) signal(s syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.process != nil {
+		_ = n.process.Process.Signal(s)
+	}
+}
+
+// wait waits for the end of the process, and kills it after the given time.
+func (n *node) wait(most time.Duration) {
+	n.mu.Lock()
+	exited := n.exited
+	n.mu.Unlock()
+	if exited == nil {
+		return
+	}
+	select {
+	case <-exited:
+	case <-time.After(most):
+		n.signal(syscall.SIGKILL)
+		<-exited
+	}
+}
+
+// configure writes the manifest with all routes.
+func (w *world) configure() {
+	w.version++
+	var list []json.RawMessage
+	for _, name := range w.routes {
+		kind, service := "idempotent", "b"
+		if name == "a" {
+			kind, service = "non_idempotent", "a"
+		}
+		list = append(list, json.RawMessage(fmt.Sprintf(`{"name":%q,"pathPrefix":"/%s/","kind":%q,"timeoutS":1,"targetLatencyS":0.3,"priority":1,"service":%q,"maxAttempts":2}`, name, name, kind, service)))
+	}
+	w.store.Put("config", "main", map[string]any{
+		"version":      fmt.Sprintf("r%d", w.version),
+		"services":     []map[string]any{{"name": "a", "healthPath": "/healthz"}, {"name": "b", "healthPath": "/healthz"}},
+		"virtualHosts": []map[string]any{{"host": "h.example", "paths": list}},
+	})
+}
+
+// readyNodes returns how many nodes call themselves ready.
+func (w *world) readyNodes() int {
+	client := &http.Client{Timeout: 300 * time.Millisecond}
+	var count int
+	for _, n := range w.nodes {
+		r, err := client.Get("http://" + n.ready + "/readyz")
+		if err != nil {
+			continue
+		}
+		_ = r.Body.Close()
+		if r.StatusCode == http.StatusOK {
+			count++
+		}
+	}
+	return count
+}
+
+// close ends everything that the run has started.
+func (w *world) close() {
+	close(w.done)
+	for _, n := range w.nodes {
+		n.signal(syscall.SIGCONT)
+		n.signal(syscall.SIGKILL)
+		n.wait(graceTime)
+		n.link.close()
+		n.upstream.Load().Close()
+	}
+	w.front.close()
+	w.server.CloseClientConnections()
+	w.server.Close()
+	_ = os.RemoveAll(w.dir)
+}
