Requests go to nodes that answer on an open connection; silence of 600 ms ends one

Change: a member is picked only if its node answers on an open connection, if any does; others are dialled meanwhile. Other zones cost 12 ms.

--- a/cmd/sassafrassoak/check.go
+++ b/cmd/sassafrassoak/check.go
@@ -14,8 +14,8 @@
 )
 
 // check returns the promises that were broken. Whole is when the faults had long
-// ended.
-func (w *world) check(list []outcome, faults []fault, whole time.Time) []string {
+// ended. Safety leaves out those that have a bound on time.
+func (w *world) check(list []outcome, faults []fault, whole time.Time, safety bool) []string {
 	runs := make(map[string][]standin.Run)
 	for _, n := range w.nodes {
 		for _, r := range n.upstream.Load().Runs() {
@@ -23,9 +23,11 @@
 		}
 	}
 	broken := checkOutcomes(list, runs)
-	broken = append(broken, w.checkDrains()...)
-	broken = append(broken, w.checkRoutes()...)
-	broken = append(broken, checkRecovery(list, whole)...)
+	if !safety {
+		broken = append(broken, w.checkDrains()...)
+		broken = append(broken, w.checkRoutes()...)
+		broken = append(broken, checkRecovery(list, whole)...)
+	}
 	if planned(faults) {
 		broken = append(broken, checkUncut(list, runs)...)
 	}
--- a/cmd/sassafrassoak/main.go
+++ b/cmd/sassafrassoak/main.go
@@ -36,6 +36,7 @@
 	parallel int
 	duration time.Duration
 	logs     string
+	safety   bool
 }
 
 func main() {
@@ -60,6 +61,7 @@
 	fs.IntVar(&o.parallel, "parallel", 3, "seeds run at once in a hunt")
 	fs.DurationVar(&o.duration, "duration", 8*time.Second, "time under load")
 	fs.StringVar(&o.logs, "logs", "", "folder that gets the nodes' logs of a seed that failed; empty for none")
+	fs.BoolVar(&o.safety, "safety", false, "leave out the promises that have a bound on time, for a busy machine")
 	if err := fs.Parse(args[1:]); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
 			return 0
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -52,7 +52,10 @@
 	if !time.Now().Before(r.Deadline) {
 		return nil, verdict.New(verdict.DeadlinePassed, nil)
 	}
-	use, ok := s.pool.Pick(func(id string) bool { return slices.Contains(tried, id) })
+	use, ok := s.pool.Pick(func(id string) bool { return slices.Contains(tried, id) || !d.reachable(s, id) })
+	if !ok {
+		use, ok = s.pool.Pick(func(id string) bool { return slices.Contains(tried, id) })
+	}
 	if !ok && len(tried) > 0 {
 		use, ok = s.pool.Pick(nil)
 	}
@@ -77,6 +80,27 @@
 	return a, nil
 }
 
+// reachable returns whether the node of a member answers on an open connection.
+// If there is none, one is opened meanwhile: a request need not wait for a node
+// that may be dead while others answer.
+func (d *Dispatcher) reachable(s *service, id string) bool {
+	m, ok := s.member(id)
+	if !ok {
+		return false
+	}
+	c := d.client(s, m)
+	if c.Responsive() {
+		return true
+	}
+	if !s.spare[id] && c.dialing.CompareAndSwap(false, true) {
+		go func() {
+			defer c.dialing.Store(false)
+			_ = c.Warm(context.Background()) // a request that has no other choice tells the failure
+		}()
+	}
+	return false
+}
+
 // member returns the member with the given id.
 func (s *service) member(id string) (Member, bool) {
 	for _, m := range s.Members {
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -78,6 +78,7 @@
 	budget   *retry.Budget
 	hedges   *retry.Budget
 	latency  *retry.Latency
+	spare    map[string]bool // the members outside the node's subset
 	settings settings
 }
 
@@ -144,8 +145,10 @@
 		n.latency = new(retry.Latency)
 	}
 	chosen := subset(d.Hello.Node, d.Hello.Zone, s.Members)
+	n.spare = make(map[string]bool)
 	targets := make(map[string]route.Target, len(s.Members))
 	for _, m := range s.Members {
+		n.spare[m.ID] = !chosen[m.ID]
 		targets[m.ID] = route.Target{
 			Slots:    max(1, m.Slots),
 			Distance: d.distance(s, m),
@@ -204,6 +207,7 @@
 type client struct {
 	*peer.Client
 	service string
+	dialing atomic.Bool // whether it is dialled ahead of need
 }
 
 // client returns the client of a member.
--- a/node/node.go
+++ b/node/node.go
@@ -222,6 +222,10 @@
 func (n *Node) buildManaged() {
 	n.gate.Names = n.Platform.Names
 	n.gate.Failed = n.upstreamFailed
+	n.dispatcher.Limits = peer.Limits{
+		Silence:   peerSilence,
+		Handshake: peerHandshake,
+	}
 	n.gate.Tell = func(r *peer.Report) { n.peers.Tell(r) }
 	n.control.Template = n.template
 	store := n.storeClient()
--- a/node/platform.go
+++ b/node/platform.go
@@ -36,6 +36,14 @@
 }
 
 const (
+	// peerSilence is how long a node that owes an answer may be silent, pings
+	// included, and peerHandshake bounds the opening of a connection to it. A node
+	// whose instance has died is silent; callers have 400 ms and more. A node whose
+	// processor is allotted by the tenth of a second answers well within that, and
+	// so does one behind a link that loses a packet, whose first repetition comes
+	// after 200 ms.
+	peerSilence   = 600 * time.Millisecond
+	peerHandshake = 400 * time.Millisecond
 	// scoutWatch is the length of the watches of a zone's scout, and idleWatch
 	// that of the other nodes'. A store that has dropped its history may leave a
 	// watch open that hears nothing more; a change has to be in force two seconds
--- a/node/template.go
+++ b/node/template.go
@@ -24,6 +24,10 @@
 	// mostTries bounds the sendings of a request. Refusals by gates reach no
 	// upstream, and each costs one exchange between nodes.
 	mostTries = 5
+	// zoneCost is what routing gives to another availability zone. It is several
+	// times the delay between zones, as the bytes are paid for; an upstream that is
+	// slowed down fourfold costs a request of 40 ms or more over 100 ms.
+	zoneCost = 12 * time.Millisecond
 	// queueWait is the longest wait at a gate, queueLength the most that wait.
 	queueWait   = 60 * time.Millisecond
 	queueLength = 16
@@ -41,8 +45,9 @@
 	fixed := false
 	s := n.live()
 	o := operator.Service{
-		Classes: classes(t, service),
-		Policy:  "fastest",
+		Classes:  classes(t, service),
+		Policy:   "fastest",
+		ZoneCost: operator.Duration(zoneCost),
 		Queue: operator.Queue{
 			Length:    queueLength,
 			SlotShare: slotShare,
--- a/peer/tell.go
+++ b/peer/tell.go
@@ -23,6 +23,20 @@
 	}
 }
 
+// Responsive returns whether there is an open connection on which the peer
+// answers, as far as is known. A peer that owes an answer or a pong for over two
+// thirds of the bound on silence is not.
+func (c *Client) Responsive() bool {
+	c.mu.Lock()
+	l := c.current
+	c.mu.Unlock()
+	if l == nil || !l.usable() {
+		return false
+	}
+	open, _, busy := l.activity()
+	return open == 0 || min(l.silence(), busy) <= l.limits.Silence*2/3
+}
+
 // Warm opens the connection if it is not open, so that the first call need not
 // wait for it. An error means that the peer can't be reached.
 func (c *Client) Warm(ctx context.Context) error {
