--- a/Makefile
+++ b/Makefile
@@ -1,23 +1,29 @@
-.PHONY: build test lint demo fuzz
+.PHONY: build test lint demo fuzz soak
 
 build:
-	go build -o bin/ ./cmd/sassafrasnode ./cmd/sassafrasctl ./cmd/sassafrasbench
+	go build -o bin/ ./cmd/sassafrasnode ./cmd/sassafrasctl ./cmd/sassafrasbench ./cmd/sassafrassoak
 
 # The demonstration: builds, starts everything on loopback, and ends it again.
 demo: build
 	bin/sassafrasbench demo
 
-# All checks: format, vet, linter, tests, the race detector, a short fuzz run.
+# All checks: format, vet, linter, tests, the race detector, a short fuzz run, a
+# short soak of two seeds without the promises that have a bound on time.
 test: lint
 	go test -timeout 300s work
-	go test -race -timeout 300s ./admit ./caller ./control ./entry ./gate ./peer ./objectapi ./rollout ./upstream
+	go test -race -timeout 300s ./admit ./caller ./control ./entry ./gate ./node ./peer ./platform ./objectapi ./rollout ./upstream
 	$(MAKE) fuzz
+	$(MAKE) soak
 
 lint:
 	test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
 	go vet work
-	go tool staticcheck ./... ./cmd/sassafrasnode/... ./cmd/sassafrasctl/... ./cmd/sassafrasbench/...
+	go tool staticcheck ./... ./cmd/sassafrasnode/... ./cmd/sassafrasctl/... ./cmd/sassafrasbench/... ./cmd/sassafrassoak/...
 
 fuzz:
 	go test ./peer -run XXX -fuzz FuzzFrames -fuzztime 20000x
 	go test ./caller -run XXX -fuzz FuzzHeader -fuzztime 5000x
+
+soak: build
+	bin/sassafrassoak run -seed 4 -duration 4s -safety
+	bin/sassafrassoak run -seed 7 -duration 4s -safety
--- a/cmd/sassafrasctl/explain.go
+++ b/cmd/sassafrasctl/explain.go
@@ -23,7 +23,7 @@
 // the order of their times, and what ended it.
 func (t *tool) explain(_ context.Context, args []string) error {
 	if len(args) < 2 {
-		return exitError{exitUsage, errors.New("usage: sassafrasctl explain REQUEST-ID FILE...")}
+		return exitError{exitUsage, errors.New("usage: sassafrasctl explain REQUEST-ID FILE [FILE]")}
 	}
 	id := args[0]
 	var lines []logLine
--- a/cmd/sassafrassoak/world.go
+++ b/cmd/sassafrassoak/world.go
@@ -61,7 +61,6 @@
 	process *exec.Cmd
 	exited  chan struct{}
 	out     bytes.Buffer
-	stopped bool // not to be started again
 }
 
 // newWorld starts the system.
