entry: the hanging gate of TestDo ends as a gate does

'no answer in time' failed once on a busy machine with peerLost for timedOut: the played gate returned without an answer at the call's deadline, which the server tells as peerLost, and on a busy machine that came before the entry's own timer. A real gate ends with the cause of its context (gate.call).

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -40,7 +40,11 @@
 	return func(in *peer.Inbound) { in.Fail(verdict.New(c, nil), nil) }
 }
 
-func hang(in *peer.Inbound) { <-in.Context().Done() }
+// hang gives no answer, and ends as a gate does when the call's time is over.
+func hang(in *peer.Inbound) {
+	<-in.Context().Done()
+	in.Fail(verdict.As(context.Cause(in.Context()), verdict.TimedOut), nil)
+}
 
 // queued waits until it is revoked.
 func queued(in *peer.Inbound) {
