entry: a gate that has refused a request is not asked again by it

Change: when all that have not refused are tried, the request is given up at once with a time to come back.

--- a/control/control.go
+++ b/control/control.go
@@ -284,10 +284,14 @@
 	}
 }
 
+// farewell bounds the last push of a node that stops: some of its neighbours may
+// be gone, and the process has to end in time.
+const farewell = 400 * time.Millisecond
+
 // leave tells a few peers that the node has left.
 func (c *Control) leave() {
 	c.setSelf(c.self.WithState(member.Left))
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), farewell)
 	defer cancel()
 	c.push(ctx).Wait()
 	for _, client := range c.clients {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -46,9 +46,9 @@
 	return route.Unknown
 }
 
-// start picks an upstream that the request has not been sent to yet, or any if
-// it has been sent to all, and sends the request there.
-func (d *Dispatcher) start(ctx context.Context, s *service, r *Request, tried []string) (*attempt, *verdict.Error) {
+// start picks an upstream that the request has not been sent to yet, or any that
+// has not refused it if it has been sent to all, and sends the request there.
+func (d *Dispatcher) start(ctx context.Context, s *service, r *Request, tried, refused []string) (*attempt, *verdict.Error) {
 	if !time.Now().Before(r.Deadline) {
 		return nil, verdict.New(verdict.DeadlinePassed, nil)
 	}
@@ -57,7 +57,10 @@
 		use, ok = s.pool.Pick(func(id string) bool { return slices.Contains(tried, id) })
 	}
 	if !ok && len(tried) > 0 {
-		use, ok = s.pool.Pick(nil)
+		use, ok = s.pool.Pick(func(id string) bool { return slices.Contains(refused, id) })
+	}
+	if !ok && len(refused) > 0 {
+		return nil, verdict.New(verdict.Refused, nil).WithRetryAfter(comeBackSoon).WithGivenUp() // all are full
 	}
 	if !ok {
 		return nil, verdict.New(verdict.NoUpstream, nil)
--- a/entry/do.go
+++ b/entry/do.go
@@ -51,6 +51,7 @@
 	began      time.Time
 
 	tried   []string
+	refused []string       // the nodes whose gates have refused the request
 	open    []*attempt     // the one sent first comes first
 	reached int            // failed sendings that may have reached an upstream
 	mayRun  *verdict.Error // the first failure after which the request may have run
@@ -111,7 +112,7 @@
 
 // launch sends the request once more.
 func (f *flight) launch() *verdict.Error {
-	a, failure := f.dispatcher.start(f.ctx, f.service, f.request, f.tried)
+	a, failure := f.dispatcher.start(f.ctx, f.service, f.request, f.tried, f.refused)
 	if a != nil {
 		f.tried = append(f.tried, a.member.ID)
 		picture, age := a.use.Picture()
@@ -164,6 +165,9 @@
 	}
 	a.end(failure)
 	f.note(Step{Event: EventFailed, Node: a.member.ID, Cause: failure.Cause})
+	if failure.Cause == verdict.Refused || failure.Cause == verdict.Draining {
+		f.refused = append(f.refused, a.member.ID)
+	}
 	if retry.Reached(failure) {
 		f.reached++
 	}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -113,10 +113,12 @@
 		stream     bool
 		want       verdict.Cause // empty for an answer
 		calls      int
+		gates      int // 3 if 0
 	}{
 		"answered":                               {plays: []play{answer}, calls: 1},
 		"refused once, POST":                     {plays: []play{fail(verdict.Refused), answer}, calls: 2},
 		"refused by all":                         {plays: []play{fail(verdict.Refused)}, want: verdict.Refused, calls: 3},
+		"refused by the only one":                {plays: []play{fail(verdict.Refused)}, gates: 1, want: verdict.Refused, calls: 1},
 		"draining, streamed":                     {plays: []play{fail(verdict.Draining), answer}, stream: true, calls: 2},
 		"upstream lost, POST":                    {plays: []play{fail(verdict.UpstreamLost), answer}, want: verdict.UpstreamLost, calls: 1},
 		"upstream lost, GET":                     {plays: []play{fail(verdict.UpstreamLost), answer}, idempotent: true, calls: 2},
@@ -129,7 +131,11 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			d, g := dispatcher(t, budget, 3, test.plays...)
+			gates := test.gates
+			if gates == 0 {
+				gates = 3
+			}
+			d, g := dispatcher(t, budget, gates, test.plays...)
 			timeout := test.timeout
 			if timeout == 0 {
 				timeout = 10 * time.Second
