--- a/node/node.go
+++ b/node/node.go
@@ -83,7 +83,8 @@
 
 	mu        sync.Mutex
 	down      bool // whether the prober says that the upstream is down
-	leaving   bool
+	leaving   bool // whether callers are sent away
+	closing   bool // whether the gate refuses as well
 	stopProbe context.CancelFunc
 }
 
--- a/node/state.go
+++ b/node/state.go
@@ -64,7 +64,7 @@
 	switch {
 	case a == nil || n.down || !n.configured.Load():
 		state = member.Idle
-	case n.leaving || a.Draining:
+	case n.closing || a.Draining:
 		state = member.Draining
 	}
 	n.mu.Unlock()
@@ -75,20 +75,27 @@
 	}
 }
 
-// leave stops the traffic without cutting a request: first new work is refused
-// and others are told, then what is in flight is let end.
+// leave stops the traffic without cutting a request: first callers are sent away,
+// then new work for the upstream is refused and others are told, and what is in
+// flight is let end. The upstream can be reached through this node alone, so its
+// room is given up as late as the end of what runs there allows.
 func (n *Node) leave(callers *http.Server) {
 	began := time.Now()
 	n.Log.Info().Msg("leaving")
 	n.mu.Lock()
 	n.leaving = true
 	n.mu.Unlock()
-	idle := n.gate.Leave()
-	n.announce()
 	callers.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithTimeout(context.Background(), n.Settings.LeaveDelay+n.Settings.DrainTimeout)
 	defer cancel()
-	wait(ctx, n.Settings.LeaveDelay)
+	admitting := min(n.Settings.AdmitDelay, n.Settings.LeaveDelay)
+	wait(ctx, admitting)
+	idle := n.gate.Leave()
+	n.mu.Lock()
+	n.closing = true
+	n.mu.Unlock()
+	n.announce()
+	wait(ctx, n.Settings.LeaveDelay-admitting)
 	err := callers.Shutdown(ctx)
 	select {
 	case <-idle:
--- a/settings/check.go
+++ b/settings/check.go
@@ -125,6 +125,7 @@
 	within(c, "patience", s.Patience, time.Second, 24*time.Hour)
 	within(c, "drainTimeout", s.DrainTimeout, 0, time.Hour)
 	within(c, "leaveDelay", s.LeaveDelay, 0, time.Minute)
+	within(c, "admitDelay", s.AdmitDelay, 0, s.LeaveDelay)
 	within(c, "maxHeaderBytes", s.MaxHeaderBytes, 1<<10, 1<<20)
 	within(c, "processors", s.Processors, 0, 1024)
 	_, ok := route.ByName(s.Policy)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -78,6 +78,9 @@
 	// LeaveDelay is how long a node that leaves goes on taking callers'
 	// requests, so that those who send them can learn of it.
 	LeaveDelay time.Duration
+	// AdmitDelay is how long a node that leaves goes on admitting requests to its
+	// upstream, at most LeaveDelay.
+	AdmitDelay time.Duration
 	// MaxHeaderBytes bounds the head of a caller's request.
 	MaxHeaderBytes int
 	// Policy, if not empty, overrides the routing policy of all services.
@@ -123,6 +126,7 @@
 	fs.DurationVar(&s.Patience, "patience", 3*time.Minute, "silence after which a node is removed")
 	fs.DurationVar(&s.DrainTimeout, "drainTimeout", 30*time.Second, "longest wait for requests in flight at a planned stop")
 	fs.DurationVar(&s.LeaveDelay, "leaveDelay", time.Second, "how long a leaving node goes on taking callers' requests")
+	fs.DurationVar(&s.AdmitDelay, "admitDelay", 0, "how long a leaving node goes on admitting requests to its upstream, at most leaveDelay")
 	fs.IntVar(&s.MaxHeaderBytes, "maxHeaderBytes", 64<<10, "largest head of a caller's request, in bytes")
 	fs.StringVar(&s.Policy, "policy", "", "routing policy for all services, overriding theirs")
 	fs.IntVar(&s.Processors, "processors", 2, "processors used at once; 0 for all")
