A SIGHUP while the node stops no longer ends it

Cause: the reloading of settings gave SIGHUP back to its default when the stop began, so one that came during the stop ended the process with all that ran. Traced on: SIGTERM at 28.700 s, hangup at 29.670 s, no line of the node after it. Change: the signal stays caught. The test ends its own process before ('signal: hangup') and passes after.

--- a/cmd/sassafrasnode/main.go
+++ b/cmd/sassafrasnode/main.go
@@ -131,11 +131,11 @@
 const watchFileEvery = 2 * time.Second
 
 // reload reads the settings again at each SIGHUP and when their file changes,
-// until ctx ends. Settings that can't be read change nothing.
+// until ctx ends. Settings that can't be read change nothing. The signal stays
+// caught after that: a SIGHUP must not end a process that is stopping.
 func reload(ctx context.Context, n *node.Node, args []string) {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
 	tick := time.NewTicker(watchFileEvery)
 	defer tick.Stop()
 	seen := changedAt(n.Settings.File)
--- a/cmd/sassafrasnode/reload_test.go
+++ b/cmd/sassafrasnode/reload_test.go
@@ -75,3 +75,22 @@
 	write("many", at)
 	eventually("changed settings refused")
 }
+
+// TestHangupWhileStopping sends SIGHUP after the stop has begun. It ended the
+// process, this test's as well, when the signal was given back too early.
+func TestHangupWhileStopping(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	n := &node.Node{Log: zerolog.Nop()}
+	go func() {
+		reload(ctx, n, nil)
+		close(done)
+	}()
+	time.Sleep(50 * time.Millisecond) // until the signal is taken
+	cancel()
+	<-done
+	for range 3 {
+		qt.Assert(t, syscall.Kill(os.Getpid(), syscall.SIGHUP), qt.IsNil)
+	}
+	time.Sleep(50 * time.Millisecond)
+}
