--- a/cmd/sassafrassoak/check_test.go
+++ b/cmd/sassafrassoak/check_test.go
@@ -73,7 +73,7 @@
 	n.upstream.Store(u)
 	w := &world{nodes: []*node{n}}
 	r, _ := http.NewRequest(http.MethodPost, "http://"+addr+"/a/x", nil)
-	r.Header.Set("Sassafrasfront-Request-Id", "late")
+	r.Header.Set(standin.RequestID, "late")
 	response, err := http.DefaultClient.Do(r)
 	qt.Assert(t, err, qt.IsNil)
 	_ = response.Body.Close()
--- a/cmd/sassafrassoak/play.go
+++ b/cmd/sassafrassoak/play.go
@@ -143,8 +143,8 @@
 	r, _ := http.NewRequest(http.MethodPost, "http://"+n.caller+"/"+route+"/x", strings.NewReader("body of "+id))
 	r.GetBody = nil // the library must not send it again
 	r.Host = "h.example"
-	r.Header.Set("Sassafrasfront-Request-Id", id)
-	r.Header.Set("Sassafrasfront-Deadline-Ms", "900")
+	r.Header.Set(standin.RequestID, id)
+	r.Header.Set(standin.Timeout, "900")
 	response, err := client.Do(r)
 	if err != nil {
 		o.connection = !strings.Contains(err.Error(), "connection refused")
@@ -160,7 +160,7 @@
 	}
 	if o.status == http.StatusOK {
 		upstream, _, _ := strings.Cut(string(body), " ")
-		if string(body) != upstream+" ran "+id || response.Header.Get("Sassafrasfront-Response-Signature") != standin.Sign(upstream, id) {
+		if string(body) != upstream+" ran "+id || response.Header.Get(standin.Signature) != standin.Sign(upstream, id) {
 			o.wrong = fmt.Sprintf("%q", body)
 		}
 	}
--- a/node/managed_test.go
+++ b/node/managed_test.go
@@ -137,17 +137,17 @@
 	r, _ := http.NewRequest(method, "http://"+m.settings.CallerAddress+path, strings.NewReader(body))
 	r.Host = "h.example"
 	if id != "" {
-		r.Header.Set("Sassafrasfront-Request-Id", id)
+		r.Header.Set(standin.RequestID, id)
 	}
-	r.Header.Set("Sassafrasfront-Deadline-Ms", "900")
-	r.Header.Set("Sassafrasfront-Caller-Service", "forged")
+	r.Header.Set(standin.Timeout, "900")
+	r.Header.Set(standin.CallerService, "forged")
 	response, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
 		return answer{}
 	}
 	defer response.Body.Close()
 	data, _ := io.ReadAll(response.Body)
-	return answer{response.StatusCode, string(data), response.Header.Get("Sassafrasfront-Response-Signature"), response.Header.Get("Retry-After")}
+	return answer{response.StatusCode, string(data), response.Header.Get(standin.Signature), response.Header.Get("Retry-After")}
 }
 
 // ready returns whether the node calls itself ready.
