Changes of one answer of the store are handed on at once

Change: the wait stands between two calls of a watch. TestWatchGathers hands 20 changes on though the wait is an hour.

--- a/cmd/sassafrasnode/main.go
+++ b/cmd/sassafrasnode/main.go
@@ -181,10 +181,11 @@
 func managed() *node.Platform {
 	return &node.Platform{
 		Names: platform.Names(),
-		API: func(c *objectapi.Caller, watchFor func() time.Duration) objectapi.API {
+		API: func(c *objectapi.Caller, watchFor, gather func() time.Duration) objectapi.API {
 			return &platform.Store{
 				Caller:   c,
 				WatchFor: watchFor,
+				Gather:   gather,
 			}
 		},
 		Kind:     platform.ManifestKind,
--- a/control/table_test.go
+++ b/control/table_test.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -40,8 +41,11 @@
 	var list []*testNode
 	books := [][]string{nil, nil, nil, nil}
 	opened := make(chan struct{})
+	var mu sync.Mutex // of list and books
 	for i := range books {
 		n := c.tableNode(string(rune('a'+i)), "z", func() []string {
+			mu.Lock()
+			defer mu.Unlock()
 			select {
 			case <-opened:
 				var all []string
@@ -53,10 +57,12 @@
 				return append([]string(nil), books[i]...)
 			}
 		})
+		mu.Lock()
 		list = append(list, n)
 		if i%2 == 1 {
 			books[i] = []string{list[i-1].Self.Addr}
 		}
+		mu.Unlock()
 	}
 	for _, n := range list {
 		c.eventually("pairs have met", func() bool { return n.liveNodes() == 2 })
--- a/node/node.go
+++ b/node/node.go
@@ -231,7 +231,7 @@
 	n.control.Template = n.template
 	store := n.storeClient()
 	n.metrics.platformCalls = store.Calls
-	n.api = n.Platform.API(store, n.watchFor)
+	n.api = n.Platform.API(store, n.watchFor, n.gather)
 	n.control.Book = n.book(n.api).Addresses
 }
 
--- a/node/platform.go
+++ b/node/platform.go
@@ -23,9 +23,10 @@
 type Platform struct {
 	// Names are the header fields that callers and upstreams use.
 	Names upstream.Names
-	// API returns the object API, given what makes its calls and what says how
-	// long the next watch is to be.
-	API func(c *objectapi.Caller, watchFor func() time.Duration) objectapi.API
+	// API returns the object API, given what makes its calls, what says how long
+	// the next watch is to be, and what says how long to wait after a change before
+	// that watch.
+	API func(c *objectapi.Caller, watchFor, gather func() time.Duration) objectapi.API
 	// Kind and Name are those of the object that holds the table.
 	Kind, Name string
 	// Table decodes that object.
@@ -48,7 +49,7 @@
 	// that of the other nodes'. A store that has dropped its history may leave a
 	// watch open that hears nothing more; a change has to be in force two seconds
 	// after it was made, so a scout asks anew well within that.
-	scoutWatch = time.Second
+	scoutWatch = 500 * time.Millisecond
 	idleWatch  = 28 * time.Second
 	// gatherChanges is how long a node that is no scout waits after a change before
 	// it watches again, so that changes in quick succession cost it few calls.
@@ -106,9 +107,6 @@
 			if e.Type != objectapi.Deleted {
 				n.tableFound(e.Object)
 			}
-			if !n.control.Scout() {
-				time.Sleep(gatherChanges)
-			}
 		},
 		Failed: func(err error) { n.Log.Warn().Err(err).Msg("configuration not read") },
 	}
@@ -128,6 +126,14 @@
 	n.control.Configure(t, n.control.Scout())
 }
 
+// gather returns how long to wait after a change before the next watch.
+func (n *Node) gather() time.Duration {
+	if n.control.Scout() {
+		return 0
+	}
+	return gatherChanges
+}
+
 // watchFor returns how long the next watch is to be.
 func (n *Node) watchFor() time.Duration {
 	if n.control.Scout() {
