entry: who answers is found out before the pool's lock is taken

Read in the last look at the change: Pick called the Dispatcher, which takes its lock, while it held the pool's; Set takes the two in the other order, so a change of members and a request at the same moment could lock up for good. Now the answering members are listed first.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -52,7 +52,10 @@
 	if !time.Now().Before(r.Deadline) {
 		return nil, verdict.New(verdict.DeadlinePassed, nil)
 	}
-	use, ok := s.pool.Pick(func(id string) bool { return slices.Contains(tried, id) || !d.reachable(s, id) })
+	// What answers is found out first: Pick holds the pool's lock, and Set takes
+	// that while it holds the Dispatcher's.
+	answering := d.answering(s)
+	use, ok := s.pool.Pick(func(id string) bool { return slices.Contains(tried, id) || !answering[id] })
 	if !ok {
 		use, ok = s.pool.Pick(func(id string) bool { return slices.Contains(tried, id) })
 	}
@@ -83,25 +86,25 @@
 	return a, nil
 }
 
-// reachable returns whether the node of a member answers on an open connection.
-// If there is none, one is opened meanwhile: a request need not wait for a node
-// that may be dead while others answer.
-func (d *Dispatcher) reachable(s *service, id string) bool {
-	m, ok := s.member(id)
-	if !ok {
-		return false
-	}
-	c := d.client(s, m)
-	if c.Responsive() {
-		return true
-	}
-	if !s.spare[id] && c.dialing.CompareAndSwap(false, true) {
-		go func() {
-			defer c.dialing.Store(false)
-			_ = c.Warm(context.Background()) // a request that has no other choice tells the failure
-		}()
+// answering returns the members of the node's subset whose nodes answer on an
+// open connection. To the others one is opened meanwhile: a request need not wait
+// for a node that may be dead while others answer.
+func (d *Dispatcher) answering(s *service) map[string]bool {
+	list := make(map[string]bool, len(s.Members))
+	for _, m := range s.Members {
+		if s.spare[m.ID] {
+			continue
+		}
+		c := d.client(s, m)
+		list[m.ID] = c.Responsive()
+		if !list[m.ID] && c.dialing.CompareAndSwap(false, true) {
+			go func() {
+				defer c.dialing.Store(false)
+				_ = c.Warm(context.Background()) // a request that has no other choice tells the failure
+			}()
+		}
 	}
-	return false
+	return list
 }
 
 // member returns the member with the given id.
