caller: ambiguous or broken requests end their connection; limits of the table on heads and idle time

Cause: net/http hides a Content-Length beside the chunked coding from handlers and went on with the connection; after a body that broke off or was malformed it read the next request from wherever it was, and wrote a second answer. Ruled out: refusing every chunked request or closing after it (costs callers a connection each). Now caller.Listener notes the field on the wire, and an exchange whose body broke is the last of its connection. Limits of the table of routes on heads (431), on the time of a head and on idle time hold beside the settings. A service that the Dispatcher has not been told of is 503 and no 404: whoever resolved the request knows it (the row of TestNowhereToSend is as strict).

Before: 6 of the 10 rows of TestConnections failed (2 answers, connection kept). After: all pass.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -65,10 +65,19 @@
 	if status == http.StatusServiceUnavailable {
 		h.Set("Retry-After", retryAfter(e.RetryAfter, names.FractionalRetryAfter))
 	}
-	x.w.WriteHeader(status)
+	x.writeHead(status)
 	_ = json.NewEncoder(x.w).Encode(p)
 }
 
+// writeHead writes the head of the final answer. It is the last answer of the
+// connection if nobody can be sure where the next request begins.
+func (x *exchange) writeHead(status int) {
+	if x.broken.Load() || twoLengths(x.r) {
+		x.w.Header().Set("Connection", "close")
+	}
+	x.w.WriteHeader(status)
+}
+
 // retryAfter returns d as the value of Retry-After, in whole seconds unless
 // callers take fractions.
 func retryAfter(d time.Duration, fractional bool) string {
@@ -101,7 +110,7 @@
 	if result.Node != "" {
 		h.Set(NodeHeader, result.Node)
 	}
-	x.w.WriteHeader(result.Status)
+	x.writeHead(result.Status)
 	if err := x.copyBody(result); err != nil {
 		x.outcome.Failure = verdict.As(err, verdict.CallerGone)
 		_ = http.NewResponseController(x.w).Flush() // what there is
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -27,6 +27,7 @@
 	"sassafrasfront.example/gate"
 	"sassafrasfront.example/operator"
 	"sassafrasfront.example/peer"
+	"sassafrasfront.example/routes"
 	"sassafrasfront.example/upstream"
 )
 
@@ -74,6 +75,9 @@
 		Node:       "entry",
 		Tracer:     tracer,
 	})
+	front.Listener = &caller.Listener{Listener: front.Listener}
+	front.Config.ConnContext = caller.ConnContext
+	front.Config.ConnState = caller.ConnState
 	front.Config.Protocols = new(http.Protocols)
 	front.Config.Protocols.SetHTTP1(true)
 	front.Config.Protocols.SetUnencryptedHTTP2(true)
@@ -516,3 +520,38 @@
 		}
 	})
 }
+
+// TestHeadLimit has heads at and over the limit of a route's table.
+func TestHeadLimit(t *testing.T) {
+	table, err := routes.New(routes.Table{
+		Version: 1,
+		Limits:  routes.Limits{HeaderBytes: 1000},
+		Routes: []routes.Route{{
+			Name:    "all",
+			Host:    "service.example",
+			Prefix:  "/",
+			Timeout: time.Second,
+			Parts:   []routes.Part{{Service: "service", Weight: 1}},
+		}},
+	})
+	qt.Assert(t, err, qt.IsNil)
+	h := &caller.Handler{
+		Resolver: &caller.ByRoute{
+			Table: func() *routes.Table { return table },
+			Service: func(string) *entry.Service {
+				return &entry.Service{Name: "service", Config: operator.Service{}.WithDefaults()}
+			},
+		},
+		Dispatcher: new(entry.Dispatcher),
+		Tracer:     noop.NewTracerProvider().Tracer(""),
+	}
+	const rest = len("GET / HTTP/1.1\r\nHost: service.example\r\nX-Long: \r\n\r\n")
+	for size, want := range map[int]int{1000: http.StatusServiceUnavailable, 1001: http.StatusRequestHeaderFieldsTooLarge} {
+		r := httptest.NewRequest(http.MethodGet, "/", nil)
+		r.Host = "service.example"
+		r.Header.Set("X-Long", strings.Repeat("x", size-rest))
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		qt.Check(t, w.Code, qt.Equals, want, qt.Commentf("%d bytes: %s", size, w.Body))
+	}
+}
--- a/caller/header.go
+++ b/caller/header.go
@@ -89,3 +89,20 @@
 	to.Del(upstream.VerdictHeader)
 	to.Add("Via", "1.1 "+node)
 }
+
+// headSize returns the size of a request's head on the wire, in bytes. The
+// server has taken Host out of the fields.
+func headSize(r *http.Request) int {
+	const (
+		lineEnd = len("\r\n")
+		colon   = len(": ")
+	)
+	n := len(r.Method) + len(" ") + len(r.RequestURI) + len(" ") + len(r.Proto) + 2*lineEnd
+	n += len("Host") + colon + len(r.Host) + lineEnd
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + colon + len(v) + lineEnd
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/caller/listener_test.go
@@ -0,0 +1,133 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package caller_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/caller"
+	"sassafrasfront.example/operator"
+)
+
+// kept writes requests to the front over one connection and returns all that
+// comes back until the front closes it, or nothing comes for a while.
+func (p *path) kept(t *testing.T, requests ...string) string {
+	t.Helper()
+	c, err := net.Dial("tcp", p.front.Listener.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer c.Close()
+	var all strings.Builder
+	for _, r := range requests {
+		_, _ = io.WriteString(c, strings.ReplaceAll(r, "\n", "\r\n"))
+		_ = c.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+		answer, err := io.ReadAll(c)
+		all.Write(answer)
+		if err == nil {
+			all.WriteString("[closed]")
+			break
+		}
+	}
+	return all.String()
+}
+
+// TestConnections has requests after which a connection may or may not go on.
+func TestConnections(t *testing.T) {
+	const (
+		plain   = "GET /second HTTP/1.1\nHost: service.example\n\n"
+		chunked = "POST / HTTP/1.1\nHost: service.example\nTransfer-Encoding: chunked\n\n5\nhello\n0\n\n"
+		sized   = "POST / HTTP/1.1\nHost: service.example\nContent-Length: 5\n\nhello"
+		both    = "POST / HTTP/1.1\nHost: service.example\nContent-Length: 5\nTransfer-Encoding: chunked\n\n5\nhello\n0\n\n"
+	)
+	tests := map[string]struct {
+		requests []string
+		answers  int
+		closed   bool
+		want     string
+	}{
+		"plain ones":                    {requests: []string{plain, plain}, answers: 2},
+		"chunked, then one more":        {requests: []string{chunked, plain}, answers: 2},
+		"a length, then chunked":        {requests: []string{sized, chunked, plain}, answers: 3},
+		"both lengths":                  {requests: []string{both, plain}, answers: 1, closed: true, want: "Connection: close"},
+		"both lengths, in two pieces":   {requests: []string{both[:50], both[50:], plain}, answers: 1, closed: true, want: "Connection: close"},
+		"both lengths after a plain":    {requests: []string{plain, both, plain}, answers: 2, closed: true, want: "Connection: close"},
+		"both lengths after a length":   {requests: []string{sized, both, plain}, answers: 2, closed: true, want: "Connection: close"},
+		"a chunk that is none":          {requests: []string{strings.Replace(chunked, "5\nhello", "z\nhello", 1), plain}, answers: 1, closed: true, want: "400 Bad Request"},
+		"a chunk extension of 20 KB":    {requests: []string{strings.Replace(chunked, "5\n", "5;"+strings.Repeat("x", 20<<10)+"\n", 1), plain}, answers: 1, closed: true, want: "400 Bad Request"},
+		"a small body that doesn't end": {requests: []string{strings.Replace(sized[:len(sized)-2], "Host:", "Sassafras-Timeout-Ms: 50\nHost:", 1), plain}, answers: 1, closed: true, want: "400 Bad Request"},
+	}
+	p := newPath(t, operator.Service{MaxBody: 1 << 20}, http.HandlerFunc(tell))
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			got := p.kept(t, test.requests...)
+			qt.Check(t, strings.Count(got, "HTTP/1.1 "), qt.Equals, test.answers, qt.Commentf("%s", got))
+			qt.Check(t, strings.HasSuffix(got, "[closed]"), qt.Equals, test.closed)
+			qt.Check(t, got, qt.Contains, test.want)
+		})
+	}
+}
+
+// deadlines is a connection that notes the deadlines that it gets.
+type deadlines struct {
+	net.Conn
+	last time.Time
+}
+
+func (d *deadlines) SetReadDeadline(t time.Time) error {
+	d.last = t
+	return nil
+}
+
+func (d *deadlines) Read(p []byte) (int, error) { return copy(p, "GET /"), nil }
+
+// once is a listener with one connection.
+type once struct {
+	net.Listener
+	conn net.Conn
+}
+
+func (o *once) Accept() (net.Conn, error) { return o.conn, nil }
+
+// TestBounds follows the deadlines of a connection through two requests, as a
+// server sets them.
+func TestBounds(t *testing.T) {
+	raw := new(deadlines)
+	bounds := caller.Bounds{Head: time.Minute, Idle: time.Hour}
+	var mu sync.Mutex
+	l := &caller.Listener{
+		Listener: &once{conn: raw},
+		Bounds: func() caller.Bounds {
+			mu.Lock()
+			defer mu.Unlock()
+			return bounds
+		},
+	}
+	c, err := l.Accept()
+	qt.Assert(t, err, qt.IsNil)
+	later := time.Now().Add(24 * time.Hour)
+	set := func() time.Duration {
+		_ = c.SetReadDeadline(later)
+		return time.Until(raw.last).Round(time.Minute)
+	}
+	qt.Check(t, set(), qt.Equals, time.Minute, qt.Commentf("head"))
+	caller.ConnState(c, http.StateActive)
+	qt.Check(t, set(), qt.Equals, 24*time.Hour, qt.Commentf("body"))
+	caller.ConnState(c, http.StateIdle)
+	qt.Check(t, set(), qt.Equals, time.Hour, qt.Commentf("idle"))
+	_, _ = c.Read(make([]byte, 10))
+	qt.Check(t, set(), qt.Equals, time.Minute, qt.Commentf("second head"))
+	bounds = caller.Bounds{}
+	qt.Check(t, set(), qt.Equals, 24*time.Hour, qt.Commentf("no bounds"))
+	_ = c.SetReadDeadline(time.Time{})
+	qt.Check(t, raw.last.IsZero(), qt.IsTrue)
+}
--- a/caller/target.go
+++ b/caller/target.go
@@ -37,6 +37,8 @@
 	Attempts int
 	// MaxBody is the largest body, in bytes.
 	MaxBody int64
+	// MaxHead is the largest head, in bytes. Zero means the server's own limit.
+	MaxHead int
 }
 
 // Resolver finds the target of a request.
@@ -113,6 +115,7 @@
 		Objective:  route.Objective,
 		Attempts:   route.Attempts,
 		MaxBody:    maxBody,
+		MaxHead:    t.Limits.HeaderBytes,
 	}, nil
 }
 
--- a/entry/do.go
+++ b/entry/do.go
@@ -21,7 +21,8 @@
 func (d *Dispatcher) Do(ctx context.Context, r *Request) (*Result, *verdict.Error) {
 	s := d.load()[r.Service]
 	if s == nil {
-		return nil, final(verdict.New(verdict.UnknownHost, nil))
+		// Whoever resolved the request knows the service already, so it exists.
+		return nil, final(verdict.New(verdict.NoUpstream, nil))
 	}
 	s.budget.Earn()
 	s.hedges.Earn()
--- a/node/node.go
+++ b/node/node.go
@@ -298,6 +298,8 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    n.Settings.MaxHeaderBytes,
 		Protocols:         new(http.Protocols),
+		ConnState:         caller.ConnState,
+		ConnContext:       caller.ConnContext,
 	}
 	callers.Protocols.SetHTTP1(true)
 	callers.Protocols.SetUnencryptedHTTP2(true)
@@ -318,7 +320,12 @@
 		all.Go(func() { n.pollLoad(inner) })
 	}
 	all.Go(func() { _ = n.peers.Run(inner, l.peer) })
-	all.Go(func() { _ = callers.Serve(l.caller) })
+	all.Go(func() {
+		_ = callers.Serve(&caller.Listener{
+			Listener: l.caller,
+			Bounds:   n.callerBounds,
+		})
+	})
 	all.Go(func() { _ = announce.Serve(l.announce) })
 	all.Go(func() { _ = operators.Serve(l.operator) })
 	<-ctx.Done()
@@ -358,6 +365,18 @@
 	return h
 }
 
+// callerBounds returns how long callers may take, as the table of routes says.
+func (n *Node) callerBounds() caller.Bounds {
+	t := n.control.Snapshot().Table
+	if t == nil {
+		return caller.Bounds{}
+	}
+	return caller.Bounds{
+		Head: t.Limits.HeaderTimeout,
+		Idle: t.Limits.IdleTimeout,
+	}
+}
+
 func (n *Node) announceHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/v1/upstream", n.announced)
--- a/verdict/cause.go
+++ b/verdict/cause.go
@@ -20,6 +20,8 @@
 	// TooLarge: a header or body is over its limit, found before any upstream
 	// was contacted.
 	TooLarge Cause = "tooLarge"
+	// HeadTooLarge: the head of the request is over its limit.
+	HeadTooLarge Cause = "headTooLarge"
 	// NotReady: the node holds no accepted configuration yet.
 	NotReady Cause = "notReady"
 	// NoUpstream: the service has no upstream that takes requests.
@@ -96,6 +98,7 @@
 	BadRequest:         {Verdict: NotRun, Status: http.StatusBadRequest},
 	NotSupported:       {Verdict: NotRun, Status: http.StatusNotImplemented},
 	TooLarge:           {Verdict: NotRun, Status: http.StatusRequestEntityTooLarge},
+	HeadTooLarge:       {Verdict: NotRun, Status: http.StatusRequestHeaderFieldsTooLarge},
 	NotReady:           {Verdict: NotRun, Status: http.StatusServiceUnavailable},
 	NoUpstream:         {Verdict: NotRun, Status: http.StatusServiceUnavailable},
 	DeadlinePassed:     {Verdict: NotRun, Status: http.StatusServiceUnavailable},
