Connections that fall silent are given up by the kernel; late heartbeats of an earlier start

The one to the upstream hung until the request's deadline, and each idle one after it as well; a scout's watch of the store was kept 3 s beyond its time. Ruled out: probing each idle connection (costs a request each). Between nodes pings do this already (600 ms).

Retry-After of the store may have fractions; it was read as a whole number.

--- /dev/null
+++ b/internal/tcp/dialer.go
@@ -0,0 +1,32 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package tcp
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Dialer returns a dialer whose connections are opened within the given time,
+// and end with ETIMEDOUT once what was written to them has been without an
+// acknowledgement for as long as silence says (TCP_USER_TIMEOUT, see RFC 5482).
+func Dialer(within, silence time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout: within,
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var failure error
+			err := raw.Control(func(fd uintptr) {
+				failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds()))
+			})
+			if err != nil {
+				return err
+			}
+			return failure
+		},
+	}
+}
--- a/node/platform.go
+++ b/node/platform.go
@@ -13,6 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"sassafrasfront.example/contact"
+	"sassafrasfront.example/internal/tcp"
 	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/routes"
 	"sassafrasfront.example/upstream"
@@ -69,14 +70,12 @@
 
 // storeClient returns what makes the calls to the platform.
 func (n *Node) storeClient() *objectapi.Caller {
-	dialer := &net.Dialer{
-		Timeout: storeTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     keepAliveIdle,
-			Interval: keepAliveEvery,
-			Count:    keepAliveCount,
-		},
+	dialer := tcp.Dialer(storeTimeout, storeTimeout)
+	dialer.KeepAliveConfig = net.KeepAliveConfig{
+		Enable:   true,
+		Idle:     keepAliveIdle,
+		Interval: keepAliveEvery,
+		Count:    keepAliveCount,
 	}
 	return &objectapi.Caller{
 		URL:     n.Settings.PlatformURL,
--- a/objectapi/caller.go
+++ b/objectapi/caller.go
@@ -28,6 +28,8 @@
 	defaultTimeout = 3 * time.Second
 	// maxList bounds the answer to a list.
 	maxList = 256 << 20
+	// maxRetryAfter bounds the wait that the platform may ask for, in seconds.
+	maxRetryAfter = 3600
 )
 
 // Caller makes calls with JSON bodies to an object API of any dialect. The
@@ -162,8 +164,8 @@
 	if r.StatusCode >= 500 {
 		e.Verdict = verdict.MayHaveRun
 	}
-	if s, err := strconv.Atoi(r.Header.Get("Retry-After")); err == nil {
-		e.RetryAfter = time.Duration(s) * time.Second
+	if s, err := strconv.ParseFloat(r.Header.Get("Retry-After"), 64); err == nil && s > 0 {
+		e.RetryAfter = time.Duration(min(s, maxRetryAfter) * float64(time.Second))
 	}
 	return e
 }
--- a/upstream/announcement.go
+++ b/upstream/announcement.go
@@ -76,7 +76,7 @@
 
 	mu      sync.Mutex
 	current *Announcement
-	left    map[string]bool // the starts that have withdrawn
+	past    map[string]bool // the starts that have left, or that another came after
 }
 
 // Current returns what holds, or nil.
@@ -128,7 +128,8 @@
 
 // Set replaces the announcement as a PUT does, or withdraws it if a is nil. An
 // announcement that is older than the one that holds, or of a start that has
-// left, changes nothing; nor does one that says the same.
+// left or that another has come after, changes nothing; nor does one that says
+// the same. A heartbeat may arrive long after its sender has crashed.
 func (h *Announcements) Set(a *Announcement) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -136,6 +137,9 @@
 		return
 	}
 	old := h.current
+	if old != nil && a != nil && old.Start != a.Start && old.Sequence != 0 {
+		h.pass(old.Start)
+	}
 	h.current = a
 	if old == nil || a == nil || !old.same(a) {
 		h.Changed(a)
@@ -154,7 +158,7 @@
 
 // stale returns whether the announcement comes too late to count.
 func (h *Announcements) stale(a *Announcement) bool {
-	if h.left[a.Start] {
+	if h.past[a.Start] {
 		return true
 	}
 	c := h.current
@@ -174,10 +178,7 @@
 func (h *Announcements) Leave(start string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.left == nil {
-		h.left = make(map[string]bool)
-	}
-	h.left[start] = true
+	h.pass(start)
 	if h.current == nil || h.current.Start != start || h.current.Draining {
 		return
 	}
@@ -186,3 +187,11 @@
 	h.current = &a
 	h.Changed(&a)
 }
+
+// pass notes that nothing more that a start says counts. The lock is held.
+func (h *Announcements) pass(start string) {
+	if h.past == nil {
+		h.past = make(map[string]bool)
+	}
+	h.past[start] = true
+}
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -7,15 +7,18 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"math"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"sassafrasfront.example/internal/tcp"
 	"sassafrasfront.example/verdict"
 )
 
@@ -29,6 +32,10 @@
 	// defaultIdle is how long an idle connection is kept. It is shorter than
 	// the five seconds after which common servers close theirs.
 	defaultIdle = 4 * time.Second
+	// silence is how long what was sent may be without an acknowledgement by the
+	// upstream's kernel. The upstream is on the same instance, so that a fraction
+	// of a millisecond is usual; callers have 250 ms and more.
+	silence = 200 * time.Millisecond
 )
 
 // The headers with which an upstream says that it has not run a request. A
@@ -85,6 +92,9 @@
 	if err != nil {
 		stop()
 		t.discard(c)
+		if errors.Is(err, syscall.ETIMEDOUT) {
+			t.CloseIdle() // whatever silenced one connection may have silenced those as well
+		}
 		return nil, c.failure(r.Context(), err, written)
 	}
 	t.observe(response)
@@ -200,8 +210,7 @@
 }
 
 func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
-	d := net.Dialer{Timeout: defaultDial}
-	return d.DialContext(ctx, "tcp", addr)
+	return tcp.Dialer(defaultDial, silence).DialContext(ctx, "tcp", addr)
 }
 
 // put takes a connection back whose answer has been read to its end.
--- a/upstream/transport_test.go
+++ b/upstream/transport_test.go
@@ -15,6 +15,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -290,3 +291,58 @@
 		})
 	}
 }
+
+// silenced is a connection that the kernel gives up once it is told to.
+type silenced struct {
+	net.Conn
+	silent *atomic.Bool
+}
+
+func (s silenced) Read(p []byte) (int, error) {
+	if s.silent.Load() {
+		return 0, &net.OpError{Op: "read", Err: syscall.ETIMEDOUT}
+	}
+	return s.Conn.Read(p)
+}
+
+// TestSilenceEndsIdleConnections has one connection time out: the idle ones, which
+// were as likely silenced, get no request.
+func TestSilenceEndsIdleConnections(t *testing.T) {
+	var both sync.WaitGroup
+	both.Add(2)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Wait") != "" {
+			both.Done()
+			both.Wait()
+		}
+	}))
+	defer server.Close()
+	var silent atomic.Bool
+	transport := &upstream.Transport{
+		Addr: server.Listener.Addr().String(),
+		Warm: 2,
+		Dial: func(_ context.Context, addr string) (net.Conn, error) {
+			c, err := net.Dial("tcp", addr)
+			return silenced{Conn: c, silent: &silent}, err
+		},
+	}
+	send := func(header ...string) *verdict.Error {
+		response, failure := transport.Send(request(context.Background(), "GET", "", header...), nil)
+		if failure == nil {
+			_, _ = io.ReadAll(response.Body)
+			response.Body.Close()
+		}
+		return failure
+	}
+	var all sync.WaitGroup
+	for range 2 {
+		all.Go(func() { qt.Check(t, send("X-Wait", "1") == nil, qt.IsTrue) })
+	}
+	all.Wait()
+	qt.Assert(t, transport.Open(), qt.Equals, 2)
+	silent.Store(true)
+	qt.Check(t, send().Cause, qt.Equals, verdict.UpstreamLost)
+	qt.Check(t, transport.Open(), qt.Equals, 0)
+	silent.Store(false)
+	qt.Check(t, send() == nil, qt.IsTrue)
+}
