caller: a connection is not closed under a request that comes in

Ruled out: not turning keep-alives off (Shutdown does the same). Now Close between two requests tells the reader to stop, which either finds nothing, or a request, which is let in and answered with Connection: close; the leaving node waits for these connections too.

--- a/caller/listener.go
+++ b/caller/listener.go
@@ -23,13 +23,15 @@
 }
 
 // Listener gives out callers' connections that know more of their requests than
-// a server tells its handlers. Its ConnContext and ConnState are to be those of
-// the server that accepts from it. The exported fields are set before the first
+// a server tells its handlers. ConnContext and ConnState are to be those of the
+// server that accepts from it. The exported fields are set before the first
 // Accept.
 type Listener struct {
 	net.Listener
 	// Bounds returns the bounds in force. Nil means none beside the server's own.
 	Bounds func() Bounds
+
+	open sync.WaitGroup // connections that are not closed
 }
 
 // Accept implements net.Listener.
@@ -38,12 +40,30 @@
 	if err != nil {
 		return nil, err
 	}
+	l.open.Add(1)
 	return &connection{
 		Conn:   c,
 		bounds: l.Bounds,
+		ended:  sync.OnceFunc(l.open.Done),
 	}, nil
 }
 
+// Quiesce waits until all connections are closed, or ctx ends. A server that is
+// shut down does not wait for those that it took for idle while a request came in.
+func (l *Listener) Quiesce(ctx context.Context) error {
+	all := make(chan struct{})
+	go func() {
+		l.open.Wait()
+		close(all)
+	}()
+	select {
+	case <-all:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
 // phase is where a connection stands between two requests.
 type phase uint8
 
@@ -54,22 +74,31 @@
 )
 
 // connection is a caller's connection. It notes whether a head with a
-// Content-Length came in since the connection was last idle, and keeps the
-// server's deadlines for reading within the bounds.
+// Content-Length came in since the connection was last idle, keeps the server's
+// deadlines for reading within the bounds, and is not closed under a request that
+// has begun to come in.
 type connection struct {
 	net.Conn
 	bounds func() Bounds
-
-	mu     sync.Mutex
-	phase  phase
-	length bool   // whether a Content-Length came in
-	tail   []byte // the last bytes read, where the field's name may have begun
+	ended  func()
+
+	mu      sync.Mutex
+	phase   phase
+	begun   bool   // whether part of the present head has been read
+	closing bool   // whether the connection is to end unless a request has begun
+	streams bool   // whether it speaks HTTP/2, whose server ends it in good order
+	length  bool   // whether a Content-Length came in
+	tail    []byte // the last bytes read, where the field's name may have begun
 }
 
-// lengthField is what a Content-Length looks like on the wire, in lower case. A
-// body may hold the same bytes, which then costs its connection and nothing
-// else.
-const lengthField = "\ncontent-length"
+const (
+	// lengthField is what a Content-Length looks like on the wire, in lower case. A
+	// body may hold the same bytes, which then costs its connection and nothing
+	// else.
+	lengthField = "\ncontent-length"
+	// streamsPreface is how a connection of HTTP/2 begins (RFC 9113, section 3.4).
+	streamsPreface = "PRI "
+)
 
 // Read implements net.Conn.
 func (c *connection) Read(p []byte) (int, error) {
@@ -80,9 +109,8 @@
 	return n, err
 }
 
-// scan looks for a Content-Length in what was read. The server reads only when
-// it has used up what it read before, so what comes in on an idle connection
-// begins a request.
+// scan takes in what was read. The server reads only when it has used up what it
+// read before, so what comes in on an idle connection begins a request.
 func (c *connection) scan(p []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -91,6 +119,9 @@
 		c.length = false
 		c.tail = c.tail[:0]
 	}
+	if c.phase == phaseHead && !c.begun {
+		c.begin(p)
+	}
 	if c.length {
 		return
 	}
@@ -99,23 +130,44 @@
 	c.tail = append(c.tail[:0], seen[max(0, len(seen)-len(lengthField)+1):]...)
 }
 
+// begin takes in the first bytes of a request. The lock is held.
+func (c *connection) begin(p []byte) {
+	c.begun = true
+	c.streams = c.streams || bytes.HasPrefix(p, []byte(streamsPreface))
+	if c.closing {
+		c.closing = false
+		_ = c.Conn.SetReadDeadline(c.deadline(time.Now().Add(headAfterClose)))
+	}
+}
+
+// headAfterClose bounds the rest of a head whose first bytes crossed the closing
+// of its connection, where no other bound is in force. Heads come in within a few
+// round trips.
+const headAfterClose = 2 * time.Second
+
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
 // SetReadDeadline implements net.Conn. The server sets a deadline before it
 // reads a head, another while it waits for the next request, and none while a
 // handler runs.
 func (c *connection) SetReadDeadline(t time.Time) error {
-	if !t.IsZero() && c.bounds != nil {
-		t = c.bounded(t)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return nil // longAgo is in force
 	}
-	return c.Conn.SetReadDeadline(t)
+	return c.Conn.SetReadDeadline(c.deadline(t))
 }
 
-// bounded returns the earlier of t and what the bounds say.
-func (c *connection) bounded(t time.Time) time.Time {
-	c.mu.Lock()
-	now := c.phase
-	c.mu.Unlock()
+// deadline returns t, or what the bounds say if that is earlier. The lock is
+// held.
+func (c *connection) deadline(t time.Time) time.Time {
+	if t.IsZero() || c.bounds == nil {
+		return t
+	}
 	var most time.Duration
-	switch now {
+	switch c.phase {
 	case phaseHead:
 		most = c.bounds().Head
 	case phaseIdle:
@@ -127,27 +179,60 @@
 	return t
 }
 
-// ambiguous returns whether a Content-Length came in with the present request.
-func (c *connection) ambiguous() bool {
+// Close implements net.Conn. A server that stops closes the connections that it
+// takes for idle, and takes them so until the head of the next request has been
+// read to its end. Such a request would be handled, and its answer lost. So
+// between two requests the connection is not closed here: its reader is told to
+// stop, and finds either nothing, or a request that it lets in. The server then
+// ends the connection, as it does after an answer, which changed takes in.
+func (c *connection) Close() error {
 	c.mu.Lock()
+	if c.phase == phaseHandled || c.streams {
+		c.mu.Unlock()
+		return c.end()
+	}
 	defer c.mu.Unlock()
-	return c.length
+	if c.begun {
+		return nil
+	}
+	c.closing = true
+	return c.Conn.SetReadDeadline(longAgo)
+}
+
+// end closes the connection in any case.
+func (c *connection) end() error {
+	defer c.ended()
+	return c.Conn.Close()
 }
 
 // ConnState takes in what a server says of a connection.
 func ConnState(c net.Conn, s http.ConnState) {
-	o, ok := c.(*connection)
-	if !ok {
-		return
+	if o, ok := c.(*connection); ok {
+		o.changed(s)
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
+}
+
+// changed takes in the connection's new state.
+func (c *connection) changed(s http.ConnState) {
+	c.mu.Lock()
+	c.begun = false
 	switch s {
 	case http.StateActive:
-		o.phase = phaseHandled
+		c.phase = phaseHandled
 	case http.StateIdle:
-		o.phase = phaseIdle
+		c.phase = phaseIdle
 	}
+	c.mu.Unlock()
+	if s == http.StateClosed {
+		_ = c.end() // no-one reads from it any more
+	}
+}
+
+// ambiguous returns whether a Content-Length came in with the present request.
+func (c *connection) ambiguous() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.length
 }
 
 // connectionKey is the key of a request's *connection in its context.
--- a/caller/listener_test.go
+++ b/caller/listener_test.go
@@ -5,6 +5,8 @@
 package caller_test
 
 import (
+	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -131,3 +133,59 @@
 	_ = c.SetReadDeadline(time.Time{})
 	qt.Check(t, raw.last.IsZero(), qt.IsTrue)
 }
+
+// pipes is a listener whose connections are pipes, on which a write returns once
+// it has been read.
+type pipes chan net.Conn
+
+func (p pipes) Accept() (net.Conn, error) {
+	c, ok := <-p
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+func (p pipes) Close() error   { return nil }
+func (p pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// TestStopWhileRequestComesIn has a server turn its callers away between the two
+// halves of a request's head, on a connection that was idle before.
+func TestStopWhileRequestComesIn(t *testing.T) {
+	const head = "GET / HTTP/1.1\r\nHost: service.example\r\n\r\n"
+	ours, theirs := net.Pipe()
+	source := make(pipes, 1)
+	source <- theirs
+	listener := &caller.Listener{Listener: source}
+	server := &http.Server{
+		Handler:     http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") }),
+		ConnState:   caller.ConnState,
+		ConnContext: caller.ConnContext,
+	}
+	go server.Serve(listener)
+	defer server.Close()
+	defer close(source)
+	_ = ours.SetDeadline(time.Now().Add(10 * time.Second))
+	reader := bufio.NewReader(ours)
+	read := func() string {
+		r, err := http.ReadResponse(reader, nil)
+		qt.Assert(t, err, qt.IsNil)
+		body, err := io.ReadAll(r.Body)
+		qt.Check(t, err, qt.IsNil)
+		return string(body)
+	}
+	write := func(s string) {
+		_, err := io.WriteString(ours, s)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	write(head)
+	qt.Check(t, read(), qt.Equals, "whole")
+	write(head[:20])
+	server.SetKeepAlivesEnabled(false)
+	write(head[20:])
+	qt.Check(t, read(), qt.Equals, "whole")
+	_, err := reader.ReadByte()
+	qt.Check(t, err, qt.Equals, io.EOF, qt.Commentf("the connection ends after its last answer"))
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	qt.Check(t, listener.Quiesce(ctx), qt.IsNil)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -320,16 +320,15 @@
 		all.Go(func() { n.pollLoad(inner) })
 	}
 	all.Go(func() { _ = n.peers.Run(inner, l.peer) })
-	all.Go(func() {
-		_ = callers.Serve(&caller.Listener{
-			Listener: l.caller,
-			Bounds:   n.callerBounds,
-		})
-	})
+	callerConns := &caller.Listener{
+		Listener: l.caller,
+		Bounds:   n.callerBounds,
+	}
+	all.Go(func() { _ = callers.Serve(callerConns) })
 	all.Go(func() { _ = announce.Serve(l.announce) })
 	all.Go(func() { _ = operators.Serve(l.operator) })
 	<-ctx.Done()
-	n.leave(callers)
+	n.leave(callers, callerConns)
 	if n.claims != nil {
 		n.claims.Wait()
 	}
--- a/node/state.go
+++ b/node/state.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"sassafrasfront.example/caller"
 	"sassafrasfront.example/member"
 	"sassafrasfront.example/upstream"
 )
@@ -79,7 +80,7 @@
 // then new work for the upstream is refused and others are told, and what is in
 // flight is let end. The upstream can be reached through this node alone, so its
 // room is given up as late as the end of what runs there allows.
-func (n *Node) leave(callers *http.Server) {
+func (n *Node) leave(callers *http.Server, conns *caller.Listener) {
 	began := time.Now()
 	n.Log.Info().Msg("leaving")
 	n.mu.Lock()
@@ -97,6 +98,9 @@
 	n.announce()
 	wait(ctx, n.Settings.LeaveDelay-admitting)
 	err := callers.Shutdown(ctx)
+	if err == nil {
+		err = conns.Quiesce(ctx)
+	}
 	select {
 	case <-idle:
 	case <-ctx.Done():
