admit: the queue of each class stands by itself; classes wait for a part of their objective

And 60 ms was the longest wait of requests of 22 and of 680 ms alike. Ruled out: strict priority (starves).

TestStandingQueueOfOneClass fails on the code before.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -35,7 +35,6 @@
 	mu       sync.Mutex
 	limits   Limits
 	limiter  limiter
-	standing standing
 	classes  []*classQueue
 	byName   map[string]*classQueue
 	virtual  float64
@@ -138,7 +137,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	g.standing.observe(g.waiting > 0, now)
+	g.observeQueues(now)
 	t := &Ticket{
 		gate:    g,
 		queue:   g.class(class),
@@ -183,7 +182,7 @@
 func (g *Gate) queueable(t *Ticket, now, deadline time.Time) *verdict.Error {
 	wait := g.expectedWait(t.queue, now)
 	full := verdict.New(verdict.Refused, nil).WithRetryAfter(wait)
-	if wait > g.standing.bound(g.limits.QueueWait) {
+	if wait > t.queue.standing.bound(g.longestWait(t.queue)) {
 		return full
 	}
 	if !deadline.IsZero() && now.Add(wait+g.service(now)).After(deadline) {
@@ -321,7 +320,7 @@
 		panic("admit: release of a request that is not running")
 	}
 	now := time.Now()
-	g.standing.observe(g.waiting > 0, now)
+	g.observeQueues(now)
 	t.state = released
 	t.queue.running--
 	g.running--
@@ -334,13 +333,31 @@
 	g.signalIdle()
 }
 
-// queueWait returns the longest time that a request waits.
-func (g *Gate) queueWait() time.Duration {
+// queueWait returns the longest time that t waits.
+func (g *Gate) queueWait(t *Ticket) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.longestWait(t.queue)
+}
+
+// longestWait returns the longest time that a request of q waits. The lock is
+// held.
+func (g *Gate) longestWait(q *classQueue) time.Duration {
+	if q != nil && q.class.Wait > 0 {
+		return q.class.Wait
+	}
 	return g.limits.QueueWait
 }
 
+// observeQueues takes in which classes wait. Each class stands by itself: where
+// the queue of a low priority never empties, a higher one may still be worth
+// waiting in.
+func (g *Gate) observeQueues(now time.Time) {
+	for _, q := range g.classes {
+		q.standing.observe(len(q.waiting) > 0, now)
+	}
+}
+
 // class returns the queue of the named class, or that of the first class.
 func (g *Gate) class(name string) *classQueue {
 	if q, ok := g.byName[name]; ok {
--- a/admit/gate_test.go
+++ b/admit/gate_test.go
@@ -361,3 +361,45 @@
 		g.Enter("", time.Time{}).Release(true)
 	}
 }
+
+// TestStandingQueueOfOneClass has a low class ask for twice the room for two
+// seconds, and a high one for a tenth of it. The queue of the low one stands, and
+// the high one waits its turn all the same.
+func TestStandingQueueOfOneClass(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var g admit.Gate
+		l := base.WithSlots(10).WithClasses(
+			admit.Class{Name: "low", Weight: 1, Share: 1, Wait: 30 * time.Millisecond},
+			admit.Class{Name: "high", Weight: 16, Share: 1, Priority: 1, Wait: 60 * time.Millisecond},
+		)
+		l.QueueLength = 100
+		g.Set(l)
+		const service = 20 * time.Millisecond
+		warm(&g, 5, service)
+		var mu sync.Mutex
+		var all sync.WaitGroup
+		refused := make(map[string]int)
+		for i := range 2000 { // one each millisecond
+			time.Sleep(time.Millisecond)
+			class := "low"
+			if i%20 == 0 {
+				class = "high"
+			}
+			all.Go(func() {
+				k := g.Enter(class, time.Time{})
+				if k.Wait(context.Background()) != nil {
+					mu.Lock()
+					refused[class]++
+					mu.Unlock()
+					return
+				}
+				qt.Check(t, k.Waited() <= 60*time.Millisecond, qt.IsTrue)
+				time.Sleep(service)
+				k.Release(true)
+			})
+		}
+		all.Wait()
+		qt.Check(t, refused["high"], qt.Equals, 0)
+		qt.Check(t, refused["low"] > 800, qt.IsTrue, qt.Commentf("%d", refused["low"]))
+	})
+}
--- a/admit/limits.go
+++ b/admit/limits.go
@@ -19,6 +19,9 @@
 	// Priority orders the classes for shedding. When the queue is full, a
 	// waiting request of the lowest priority gives way to one of a higher.
 	Priority int
+	// Wait is the longest time that a request of the class waits. Zero means that
+	// Limits says so.
+	Wait time.Duration
 }
 
 // Limits is what a Gate keeps to. It is an immutable value.
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -13,10 +13,11 @@
 // becomes its start tag. See P. Goyal, H. Vin and H. Cheng, Start-time fair
 // queueing, 1996. doi:10.1145/248157.248171.
 type classQueue struct {
-	class   Class
-	finish  float64
-	running int
-	waiting []*Ticket
+	class    Class
+	standing standing
+	finish   float64
+	running  int
+	waiting  []*Ticket
 }
 
 // tag gives t its start tag.
--- a/admit/ticket.go
+++ b/admit/ticket.go
@@ -83,7 +83,7 @@
 		return t.Err()
 	default:
 	}
-	timer := time.NewTimer(t.gate.queueWait())
+	timer := time.NewTimer(t.gate.queueWait(t))
 	defer timer.Stop()
 	select {
 	case <-t.ready:
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -156,6 +156,7 @@
 			Weight:   c.Weight,
 			Share:    c.MaxShare,
 			Priority: c.Priority,
+			Wait:     c.Wait.Std(),
 		}
 	}
 	return admit.Limits{
--- a/node/template.go
+++ b/node/template.go
@@ -28,7 +28,11 @@
 	// times the delay between zones, as the bytes are paid for; an upstream that is
 	// slowed down fourfold costs a request of 40 ms or more over 100 ms.
 	zoneCost = 12 * time.Millisecond
-	// queueWait is the longest wait at a gate, queueLength the most that wait.
+	// waitPart is the part of a route's latency objective for which its requests
+	// wait at a gate at most: a caller that is refused by then may still be served
+	// within the objective when it comes back. queueWait holds for routes without
+	// an objective, queueLength is the most that wait.
+	waitPart    = 0.25
 	queueWait   = 60 * time.Millisecond
 	queueLength = 16
 	// slotShare is the part of an upstream's slots that is used. Requests that
@@ -71,11 +75,17 @@
 // service. The lowest number is the highest priority.
 func classes(t *routes.Table, service string) []operator.Class {
 	var priorities []int
+	objectives := make(map[int]time.Duration) // the least by priority
 	for _, r := range t.Routes {
-		leads := slices.ContainsFunc(r.Parts, func(p routes.Part) bool { return p.Service == service })
-		if leads && !slices.Contains(priorities, r.Priority) {
+		if !slices.ContainsFunc(r.Parts, func(p routes.Part) bool { return p.Service == service }) {
+			continue
+		}
+		if !slices.Contains(priorities, r.Priority) {
 			priorities = append(priorities, r.Priority)
 		}
+		if o := objectives[r.Priority]; r.Objective > 0 && (o == 0 || r.Objective < o) {
+			objectives[r.Priority] = r.Objective
+		}
 	}
 	slices.Sort(priorities)
 	slices.Reverse(priorities)
@@ -87,6 +97,7 @@
 			Weight:   weight,
 			MaxShare: 1,
 			Priority: -p,
+			Wait:     operator.Duration(waitPart * float64(objectives[p])),
 		})
 		weight *= priorityWeight
 	}
--- a/operator/service.go
+++ b/operator/service.go
@@ -52,6 +52,8 @@
 	MaxShare float64 `json:"maxShare"`
 	// Priority orders the classes for shedding; the lowest goes first.
 	Priority int `json:"priority"`
+	// Wait is the longest time that its requests wait. Zero means the queue's.
+	Wait Duration `json:"wait,omitempty"`
 	// Header and Value select the requests of the class: those that have the
 	// header with that value. An empty Value stands for any.
 	Header string `json:"header,omitempty"`
