--- a/admit/gate_test.go
+++ b/admit/gate_test.go
@@ -374,13 +374,13 @@
 		)
 		l.QueueLength = 100
 		g.Set(l)
-		const service = 20 * time.Millisecond
+		const service = 100 * time.Millisecond
 		warm(&g, 5, service)
 		var mu sync.Mutex
 		var all sync.WaitGroup
 		refused := make(map[string]int)
-		for i := range 2000 { // one each millisecond
-			time.Sleep(time.Millisecond)
+		for i := range 400 {
+			time.Sleep(5 * time.Millisecond)
 			class := "low"
 			if i%20 == 0 {
 				class = "high"
@@ -400,6 +400,6 @@
 		}
 		all.Wait()
 		qt.Check(t, refused["high"], qt.Equals, 0)
-		qt.Check(t, refused["low"] > 800, qt.IsTrue, qt.Commentf("%d", refused["low"]))
+		qt.Check(t, refused["low"] > 150, qt.IsTrue, qt.Commentf("%d", refused["low"]))
 	})
 }
