--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -69,20 +69,17 @@
 	EventRetry  Event = "retry"
 	EventHedge  Event = "hedge"
 	EventRevoke Event = "revoke"
-	// EventThrottled is a request that was not sent, see admit.Throttle.
-	EventThrottled Event = "throttled"
 )
 
 // service is the state kept for one service.
 type service struct {
 	*Service
-	pool      *route.Pool[string]
-	budget    *retry.Budget
-	hedges    *retry.Budget
-	latency   *retry.Latency
-	throttles *throttles
-	spare     map[string]bool // the members outside the node's subset
-	settings  settings
+	pool     *route.Pool[string]
+	budget   *retry.Budget
+	hedges   *retry.Budget
+	latency  *retry.Latency
+	spare    map[string]bool // the members outside the node's subset
+	settings settings
 }
 
 // settings are the parts of the configuration that the kept state was made
@@ -147,10 +144,6 @@
 		}
 		n.latency = new(retry.Latency)
 	}
-	n.throttles = new(throttles)
-	if old != nil {
-		n.throttles = old.throttles
-	}
 	chosen := subset(d.Hello.Node, d.Hello.Zone, s.Members)
 	n.spare = make(map[string]bool)
 	targets := make(map[string]route.Target, len(s.Members))
--- a/entry/do.go
+++ b/entry/do.go
@@ -24,9 +24,6 @@
 		// Whoever resolved the request knows the service already, so it exists.
 		return nil, final(verdict.New(verdict.NoUpstream, nil))
 	}
-	if failure := d.held(s, r); failure != nil {
-		return nil, final(failure)
-	}
 	s.budget.Earn()
 	s.hedges.Earn()
 	f := &flight{
@@ -39,7 +36,6 @@
 	}
 	defer f.deadline.Stop()
 	result, failure := f.fly()
-	s.throttles.ended(r.Class, result, failure, time.Now())
 	if failure != nil {
 		return nil, final(failure)
 	}
--- a/node/template.go
+++ b/node/template.go
@@ -56,7 +56,6 @@
 			Length:    queueLength,
 			SlotShare: slotShare,
 			Wait:      operator.Duration(queueWait),
-			Throttle:  true,
 			Adaptive:  &fixed,
 		},
 		Retry: operator.Retry{
--- a/operator/service.go
+++ b/operator/service.go
@@ -73,9 +73,6 @@
 	// SlotShare is the part of an upstream's slots that is used, in (0, 1]. Zero
 	// means all. Upstreams that are nearly full run each request more slowly.
 	SlotShare float64 `json:"slotShare,omitempty"`
-	// Throttle is whether fewer requests of a kind are let in while its runs fail
-	// because calls to other services are refused.
-	Throttle bool `json:"throttle,omitempty"`
 	// Adaptive is whether an upstream that slows down is given fewer requests
 	// at once.
 	Adaptive *bool `json:"adaptive,omitempty"`
--- a/verdict/cause.go
+++ b/verdict/cause.go
@@ -26,9 +26,6 @@
 	NotReady Cause = "notReady"
 	// NoUpstream: the service has no upstream that takes requests.
 	NoUpstream Cause = "noUpstream"
-	// Throttled: the request was not sent, as too many of its kind fail for want
-	// of room at the services that they call.
-	Throttled Cause = "throttled"
 	// DeadlinePassed: the deadline passed before the request was sent on.
 	DeadlinePassed Cause = "deadlinePassed"
 	// DialFailed: no connection to the node beside the upstream.
@@ -104,7 +101,6 @@
 	HeadTooLarge:       {Verdict: NotRun, Status: http.StatusRequestHeaderFieldsTooLarge},
 	NotReady:           {Verdict: NotRun, Status: http.StatusServiceUnavailable},
 	NoUpstream:         {Verdict: NotRun, Status: http.StatusServiceUnavailable},
-	Throttled:          {Verdict: NotRun, Status: http.StatusServiceUnavailable},
 	DeadlinePassed:     {Verdict: NotRun, Status: http.StatusServiceUnavailable},
 	DialFailed:         {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
 	NotWritten:         {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
