Gates tell how many of their requests the upstream fails; errors of one that stands out are repeated

Ruled out: the health check (it lies), ejection by each sender (one request a second each at 75 nodes).

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -27,6 +27,8 @@
 	// Slowdown is how many times longer than usual work takes now, as the
 	// upstream told last. It is 1 if it has not told.
 	Slowdown float64
+	// Failing is the share of the latest requests that the upstream failed.
+	Failing float64
 }
 
 // Gate admits requests to one upstream. The zero value refuses everything
@@ -45,6 +47,7 @@
 	draining bool
 	idle     chan struct{}
 	slowdown float64 // as last told by the upstream, 0 if never
+	failing  Share   // of the requests that ran
 }
 
 // Set replaces the limits. Requests that run or wait keep their places, also
@@ -111,9 +114,17 @@
 		Service:  g.service(now),
 		Draining: g.draining,
 		Slowdown: g.slow(),
+		Failing:  g.failing.Value(now),
 	}
 }
 
+// Ran takes in whether the upstream failed a request that it was sent.
+func (g *Gate) Ran(failed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.failing.Add(failed, time.Now())
+}
+
 // Observe takes in how many times longer than usual work takes at the upstream
 // now.
 func (g *Gate) Observe(slowdown float64) {
--- /dev/null
+++ b/admit/share.go
@@ -0,0 +1,53 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package admit
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// shareTime is the time constant of a Share: long enough for some tens of
+	// requests of an upstream, and short against the seconds for which one fails.
+	shareTime = time.Second
+	// sharePrior is the number of events without a hit that a Share starts from, so
+	// that a single hit does not look like a rule.
+	sharePrior = 2
+)
+
+// Share is the share of recent events that are hits. It is
+//
+//	sum over hits of exp(-age/1 s) / (2 + sum over all events of exp(-age/1 s)),
+//
+// in [0, 1), and 0 before the first event. It is not safe for use by several
+// goroutines at once.
+type Share struct {
+	hits, all float64
+	at        time.Time
+}
+
+// Add takes in one event.
+func (s *Share) Add(hit bool, now time.Time) {
+	s.fade(now)
+	s.all++
+	if hit {
+		s.hits++
+	}
+}
+
+// Value returns the share.
+func (s *Share) Value(now time.Time) float64 {
+	s.fade(now)
+	return s.hits / (sharePrior + s.all)
+}
+
+// fade brings the sums to the given time.
+func (s *Share) fade(now time.Time) {
+	keep := math.Exp(-float64(now.Sub(s.at)) / float64(shareTime))
+	s.hits *= keep
+	s.all *= keep
+	s.at = now
+}
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -255,6 +255,7 @@
 		Service:  r.Service,
 		Draining: r.Draining,
 		Slowdown: r.Slowdown,
+		Failing:  r.Failing,
 	}
 }
 
--- a/entry/do.go
+++ b/entry/do.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"sassafrasfront.example/retry"
@@ -57,6 +58,7 @@
 	reached int            // failed sendings that may have reached an upstream
 	mayRun  *verdict.Error // the first failure after which the request may have run
 	revoked bool
+	aside   *attempt // answered with an error, while another upstream is asked
 }
 
 // fly sends the request as often as it may, and returns the first answer.
@@ -72,7 +74,12 @@
 		for failure == nil {
 			var a *attempt
 			a, failure = f.await()
-			if a != nil {
+			switch {
+			case a == nil:
+			case f.another(a, plan):
+				failure = f.launch()
+			case f.others(a):
+			default:
 				return f.land(a), nil
 			}
 			if failure != nil && len(f.open) > 0 {
@@ -81,12 +88,49 @@
 		}
 		remaining := time.Until(f.request.Deadline)
 		if f.ctx.Err() != nil || !f.attemptsLeft() || !f.repeatable() || !plan.Again(failure, f.request.Idempotent, len(f.tried), remaining) {
+			if f.aside != nil {
+				return f.land(f.aside), nil
+			}
 			return nil, f.verdict(failure)
 		}
 		f.did(EventRetry)
 	}
 }
 
+// failed returns whether an answer says that the upstream failed an idempotent
+// request, and another upstream may be asked.
+func (f *flight) failed(a *attempt) bool {
+	response, _ := a.exchange.Result()
+	return response.Status == http.StatusInternalServerError && f.service.Config.Retry.OnError && f.request.Idempotent && f.request.Stream == nil && f.aside == nil
+}
+
+// another returns whether an answer is set aside and the request sent once more:
+// if the upstream stands out by its failures. Where all fail alike, their faults lie
+// elsewhere, and more requests would make them worse.
+func (f *flight) another(a *attempt, plan retry.Plan) bool {
+	if !f.failed(a) || len(f.open) > 0 || !f.service.pool.StandsOut(a.member.ID) {
+		return false
+	}
+	f.reached++
+	if !f.attemptsLeft() || len(f.tried) >= plan.MaxTries || !plan.Budget.Take() {
+		return false
+	}
+	f.aside = a
+	f.did(EventRetry)
+	return true
+}
+
+// others returns whether an answer is set aside because another upstream has been
+// asked already.
+func (f *flight) others(a *attempt) bool {
+	if len(f.open) == 0 || !f.failed(a) {
+		return false
+	}
+	f.reached++
+	f.aside = a
+	return true
+}
+
 // attemptsLeft returns whether one more upstream may get the request. Sendings
 // that are known to have reached none don't count.
 func (f *flight) attemptsLeft() bool {
@@ -198,6 +242,9 @@
 
 // land makes the result of an answered attempt.
 func (f *flight) land(a *attempt) *Result {
+	if f.aside != nil && f.aside != a {
+		f.aside.end(nil)
+	}
 	f.service.latency.Observe(time.Since(a.began))
 	response, _ := a.exchange.Result()
 	return &Result{
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -169,6 +169,53 @@
 	}
 }
 
+// TestErrors has upstreams that answer with status 500 and tell how many of their
+// requests they fail.
+func TestErrors(t *testing.T) {
+	failing := func(share float64) play {
+		return func(in *peer.Inbound) {
+			_ = in.Reply(&peer.Answer{Status: 500, Body: []byte("error"), Report: &peer.Report{Allowed: 10, Failing: share}})
+		}
+	}
+	config := operator.Retry{MaxTries: 3, Share: 0.1, Burst: 5, OnError: true}
+	tests := map[string]struct {
+		plays   []play
+		retry   operator.Retry
+		once    bool // whether the request must not repeat
+		attempt int  // the most upstreams, if not 0
+		want    int
+		calls   int
+	}{
+		"of one that stands out": {plays: []play{failing(0.5), answer}, want: 200, calls: 2},
+		"of one that does not":   {plays: []play{failing(0.1), answer}, want: 500, calls: 1},
+		"not idempotent":         {plays: []play{failing(0.5), answer}, once: true, want: 500, calls: 1},
+		"twice":                  {plays: []play{failing(0.5), failing(0.5), answer}, want: 500, calls: 2},
+		"and the second is lost": {plays: []play{failing(0.5), fail(verdict.UpstreamLost), fail(verdict.UpstreamLost)}, want: 500, calls: 3},
+		"one upstream allowed":   {plays: []play{failing(0.5), answer}, attempt: 1, want: 500, calls: 1},
+		"not configured":         {plays: []play{failing(0.5), answer}, retry: operator.Retry{MaxTries: 3, Share: 0.1, Burst: 5}, want: 500, calls: 1},
+		"no budget":              {plays: []play{failing(0.5), answer}, retry: operator.Retry{MaxTries: 3, Share: 0.1, Burst: 0.5, OnError: true}, want: 500, calls: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			retry := test.retry
+			if retry.MaxTries == 0 {
+				retry = config
+			}
+			d, g := dispatcher(t, operator.Service{Retry: retry}, 4, test.plays...)
+			result, failed := d.Do(context.Background(), &entry.Request{Service: "service", Method: "X", Target: "/", Idempotent: !test.once, Attempts: test.attempt, Deadline: time.Now().Add(10 * time.Second)})
+			qt.Assert(t, failed == nil, qt.IsTrue, qt.Commentf("%v", failed))
+			defer result.Close()
+			qt.Check(t, result.Status, qt.Equals, test.want)
+			data, err := io.ReadAll(result.Body)
+			qt.Check(t, err, qt.IsNil)
+			qt.Check(t, string(data), qt.Equals, map[int]string{200: "done", 500: "error"}[test.want])
+			calls, distinct, _ := g.count()
+			qt.Check(t, calls, qt.Equals, test.calls)
+			qt.Check(t, distinct, qt.Equals, test.calls)
+		})
+	}
+}
+
 // TestSlowRequests warms the latency up and then has a request hang. An
 // idempotent one is sent a second time and the loser cancelled; any other is
 // taken back if it waits, and left alone if it runs.
--- a/gate/call.go
+++ b/gate/call.go
@@ -63,19 +63,37 @@
 	response, failure := b.transport.Send(r, c.inform)
 	if failure != nil {
 		tracing.End(span, 0, failure)
+		c.judge(failure)
 		c.gate.sendFailed(b, failure)
 		return failure
 	}
 	defer response.Body.Close()
 	c.status = response.StatusCode
+	c.judge(nil) // before the answer, which tells of it
 	failure = c.answer(response, func() {
-		healthy = true
+		healthy = c.status < http.StatusInternalServerError // errors may come in no time
 		release()
 	})
 	tracing.End(span, c.status, failure)
+	if failure != nil {
+		c.judge(failure)
+	}
 	return failure
 }
 
+// judge tells the gate whether the upstream failed the call. A deadline that
+// passed says nothing of the upstream, and neither does a caller that left.
+func (c *call) judge(failure *verdict.Error) {
+	if failure == nil {
+		c.gate.admit.Ran(c.status == http.StatusInternalServerError)
+		return
+	}
+	switch failure.Cause {
+	case verdict.UpstreamLost, verdict.UpstreamRefused, verdict.AnswerSpoilt, verdict.AnswerInvalid, verdict.AnswerCut:
+		c.gate.admit.Ran(true)
+	}
+}
+
 // request returns the request for the upstream.
 func (c *call) request(ctx context.Context, b *binding) (*http.Request, error) {
 	m := c.in.Call
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -189,6 +189,7 @@
 		Service:  r.Service,
 		Draining: r.Draining,
 		Slowdown: r.Slowdown,
+		Failing:  r.Failing,
 	}
 }
 
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -190,3 +191,31 @@
 	defer r.mu.Unlock()
 	qt.Check(t, len(r.loads) > 0, qt.IsTrue, qt.Commentf("answers and refusals bear load reports"))
 }
+
+// TestErrorsAreTold has an upstream that answers well in 20 ms and then fails all
+// requests at once. What it takes for that is no sample of its service time.
+func TestErrorsAreTold(t *testing.T) {
+	var failing atomic.Bool
+	r := newRig(t, 4, func(w http.ResponseWriter, _ *http.Request) {
+		if failing.Load() {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	})
+	for range 10 {
+		qt.Assert(t, r.call("service", time.Second) == nil, qt.IsTrue)
+	}
+	before := r.gate.Load()
+	qt.Check(t, before.Failing, qt.Equals, 0.0)
+	failing.Store(true)
+	for range 10 {
+		qt.Assert(t, r.call("service", time.Second) == nil, qt.IsTrue)
+	}
+	after := r.gate.Load()
+	qt.Check(t, after.Failing > 0.3, qt.IsTrue, qt.Commentf("%v", after.Failing))
+	qt.Check(t, after.Service, qt.Equals, before.Service)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	qt.Check(t, r.loads[10].Failing > 0, qt.IsTrue, qt.Commentf("the answer itself tells of it"))
+}
--- a/operator/service.go
+++ b/operator/service.go
@@ -86,6 +86,9 @@
 	Share float64 `json:"share"`
 	// Burst is the largest number of such retries saved up.
 	Burst float64 `json:"burst"`
+	// OnError is whether an idempotent request that an upstream answers with status
+	// 500 is sent to another, if that upstream fails far more than the others.
+	OnError bool `json:"onError,omitempty"`
 }
 
 // Hedge bounds second sendings of slow idempotent requests.
--- a/peer/message.go
+++ b/peer/message.go
@@ -93,6 +93,8 @@
 	// Slowdown is how many times longer than usual work takes now, or 0 if that
 	// is not known.
 	Slowdown float64 `msgpack:"slowdown,omitempty"`
+	// Failing is the share of the latest requests that the upstream failed.
+	Failing float64 `msgpack:"failing,omitempty"`
 }
 
 // Failure ends a call that got no answer, or cuts an answer that has begun.
--- a/route/fastest.go
+++ b/route/fastest.go
@@ -10,9 +10,9 @@
 // likely to end first. It suits upstreams whose speed changes from one moment to
 // the next and that tell it, by the cost
 //
-//	slowdown * (1 + crowding(u)) * service + distance
+//	slowdown * (1 + crowding(u)) * service + 6 failing * service + distance
 //
-// for the load u = (load + 1)/allowed, with
+// for the share of failures there and the load u = (load + 1)/allowed, with
 //
 //	crowding(u) = u/4                       for u <= 0.7
 //	crowding(u) = 0.175 + 4 (u - 0.7)       beyond.
@@ -32,6 +32,10 @@
 	// spreadSlope and crowdSlope are the slopes of the cost below and beyond it.
 	spreadSlope = 0.25
 	crowdSlope  = 4.0
+	// failureCost is what a failed request costs, in service times. Upstreams that
+	// fail half of their requests are then as bad as those that are slowed down
+	// fourfold, which make a request miss its objective.
+	failureCost = 6.0
 )
 
 // Choose implements Policy.
@@ -58,7 +62,8 @@
 // fastestCost is the expected time until a request sent to c ends, in seconds.
 func fastestCost(c Candidate) float64 {
 	u := (c.Load + 1) / float64(c.Allowed)
-	return c.Slowdown*(1+crowding(u))*c.Service.Seconds() + c.Distance.Seconds()
+	times := c.Slowdown*(1+crowding(u)) + failureCost*c.Failing
+	return times*c.Service.Seconds() + c.Distance.Seconds()
 }
 
 // crowding is the part by which the load u prolongs a request.
--- a/route/fastest_test.go
+++ b/route/fastest_test.go
@@ -18,6 +18,10 @@
 	load := func(running int, slowdown float64) route.Load {
 		return route.Load{Running: running, Allowed: 8, Service: 60 * time.Millisecond, Slowdown: slowdown}
 	}
+	failing := func(l route.Load, share float64) route.Load {
+		l.Failing = share
+		return l
+	}
 	tests := map[string]struct {
 		a, b route.Load
 		want string
@@ -25,6 +29,8 @@
 		"the fast one":                      {load(5, 1), load(0, 4), "a"},
 		"the less loaded one":               {load(1, 1), load(4, 1), "a"},
 		"the slow one, when the fast waits": {load(18, 1), load(0, 4), "b"},
+		"the one that fails nothing":        {failing(load(5, 1), 0), failing(load(0, 1), 0.5), "a"},
+		"a slow one before one that fails":  {load(0, 2), failing(load(0, 1), 0.5), "a"},
 		"the fast one, when it waits a bit": {load(9, 1), load(0, 4), "a"},
 	}
 	for name, test := range tests {
--- a/route/policy.go
+++ b/route/policy.go
@@ -24,6 +24,8 @@
 	// Slowdown is how many times longer than usual work takes there now, 1 if that
 	// is not known.
 	Slowdown float64
+	// Failing is the share of the latest requests there that failed.
+	Failing float64
 	// Local is whether it is the upstream beside this process, whose load is
 	// known exactly.
 	Local bool
--- a/route/pool.go
+++ b/route/pool.go
@@ -23,6 +23,9 @@
 	// forgotten. Changes are reported at once, so it bounds only how long an
 	// upstream that no report comes from is passed over.
 	slowdownFade = 2 * time.Second
+	// failingFade is the time constant with which a reported share of failures is
+	// forgotten, so that an upstream that is passed over for it is tried again.
+	failingFade = 2 * time.Second
 	// agePatience divides the age of own requests at an upstream that tells its
 	// speed: one that began while it was slow stays slow to its end.
 	agePatience = 6
@@ -45,6 +48,8 @@
 	// Slowdown is how many times longer than usual work takes there now. Zero
 	// means that it is not known.
 	Slowdown float64
+	// Failing is the share of the latest requests that it failed.
+	Failing float64
 }
 
 // Target describes an upstream of the service.
@@ -263,6 +268,7 @@
 			fresh = fade(age, slowdownFade)
 			c.Slowdown = fresh*e.reported.Slowdown + (1-fresh)*c.Slowdown
 		}
+		c.Failing = e.failing(v.now)
 	}
 	if e.own > 0 {
 		age := v.now.Sub(base) - e.startSum/time.Duration(e.own)
@@ -274,6 +280,42 @@
 	return c
 }
 
+// failing returns what is left of the share of failures that was reported last.
+func (e *entry[K]) failing(now time.Time) float64 {
+	if e.at.IsZero() {
+		return 0
+	}
+	return fade(now.Sub(e.at), failingFade) * e.reported.Failing
+}
+
+const (
+	// oddShare is the share of failures from which an upstream may stand out, and
+	// oddRatio how many times the mean of the others it then has to be: where most
+	// fail alike, the fault is not the upstream's.
+	oddShare = 0.15
+	oddRatio = 2.0
+)
+
+// StandsOut returns whether an upstream fails far more of its requests than the
+// others of the pool do.
+func (p *Pool[K]) StandsOut(key K) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.byKey[key]
+	if e == nil || len(p.entries) < 2 {
+		return false
+	}
+	now := time.Now()
+	own := e.failing(now)
+	var sum float64
+	for _, o := range p.entries {
+		if o != e {
+			sum += o.failing(now)
+		}
+	}
+	return own >= oddShare && own >= oddRatio*sum/float64(len(p.entries)-1)
+}
+
 // fade returns exp(-age/constant).
 func fade(age, constant time.Duration) float64 {
 	return math.Exp(-float64(age) / float64(constant))
