retry: budgets over a window, also where a node's part is less than one

A change in the number of nodes also made budgets, pools and latencies anew, and gave the slack out again. Now a budget holds over the window of the settings, spends the part beyond a whole number with that probability, and is adjusted. Ruled out: at least one a node (18,000 nodes would spend 18,000).

Tests: retry TestBudgetOfManyProcesses (0 before in its first row), TestBudgetWindow.

--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -5,6 +5,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"sync"
@@ -74,20 +75,12 @@
 // service is the state kept for one service.
 type service struct {
 	*Service
-	pool     *route.Pool[string]
-	budget   *retry.Budget
-	hedges   *retry.Budget
-	latency  *retry.Latency
-	spare    map[string]bool // the members outside the node's subset
-	settings settings
-}
-
-// settings are the parts of the configuration that the kept state was made
-// with. When they change, it is made anew.
-type settings struct {
-	policy string
-	retry  operator.Retry
-	hedge  operator.Hedge
+	pool    *route.Pool[string]
+	budget  *retry.Budget
+	hedges  *retry.Budget
+	latency *retry.Latency
+	spare   map[string]bool // the members outside the node's subset
+	policy  string          // the name of the pool's
 }
 
 // Set replaces the services. What is known of those that stay is kept. A service
@@ -120,30 +113,22 @@
 func (d *Dispatcher) build(old *service, s *Service) *service {
 	n := &service{
 		Service: s,
-		settings: settings{
-			policy: s.Config.Policy,
-			retry:  s.Config.Retry,
-			hedge:  s.Config.Hedge,
-		},
+		policy:  cmp.Or(d.Policy, s.Config.Policy),
 	}
-	if d.Policy != "" {
-		n.settings.policy = d.Policy
-	}
-	if old != nil && old.settings == n.settings {
+	if old != nil {
 		n.pool, n.budget, n.hedges, n.latency = old.pool, old.budget, old.hedges, old.latency
 	} else {
-		policy, _ := route.ByName(n.settings.policy)
-		n.pool = &route.Pool[string]{Policy: policy}
-		n.budget = &retry.Budget{
-			Share: s.Config.Retry.Share,
-			Burst: s.Config.Retry.Burst,
-		}
-		n.hedges = &retry.Budget{
-			Share: s.Config.Hedge.Share,
-			Burst: s.Config.Hedge.Burst,
-		}
+		window := s.Config.Retry.Window.Std()
+		n.budget = &retry.Budget{Window: window}
+		n.hedges = &retry.Budget{Window: window}
 		n.latency = new(retry.Latency)
 	}
+	n.budget.Adjust(s.Config.Retry.Share, s.Config.Retry.Burst)
+	n.hedges.Adjust(s.Config.Hedge.Share, s.Config.Hedge.Burst)
+	if old == nil || old.policy != n.policy {
+		policy, _ := route.ByName(n.policy)
+		n.pool = &route.Pool[string]{Policy: policy}
+	}
 	chosen := subset(d.Hello.Node, d.Hello.Zone, s.Members)
 	n.spare = make(map[string]bool)
 	targets := make(map[string]route.Target, len(s.Members))
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -193,7 +193,7 @@
 		"and the second is lost": {plays: []play{failing(0.5), fail(verdict.UpstreamLost), fail(verdict.UpstreamLost)}, want: 500, calls: 3},
 		"one upstream allowed":   {plays: []play{failing(0.5), answer}, attempt: 1, want: 500, calls: 1},
 		"not configured":         {plays: []play{failing(0.5), answer}, retry: operator.Retry{MaxTries: 3, Share: 0.1, Burst: 5}, want: 500, calls: 1},
-		"no budget":              {plays: []play{failing(0.5), answer}, retry: operator.Retry{MaxTries: 3, Share: 0.1, Burst: 0.5, OnError: true}, want: 500, calls: 1},
+		"no budget":              {plays: []play{failing(0.5), answer}, retry: operator.Retry{MaxTries: 3, Share: 1e-9, Burst: 1e-9, OnError: true}, want: 500, calls: 1},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/node/template.go
+++ b/node/template.go
@@ -61,6 +61,7 @@
 		Retry: operator.Retry{
 			MaxTries: mostTries,
 			OnError:  true,
+			Window:   operator.Duration(s.RetryWindow),
 			Share:    (1 - hedgePart) * budgetSafety * s.RetryRatio,
 			Burst:    (1 - hedgePart) * budgetSafety * s.RetrySlack / float64(nodes),
 		},
--- a/operator/check.go
+++ b/operator/check.go
@@ -102,6 +102,7 @@
 	within(&f, "retry.maxTries", s.Retry.MaxTries, 1, maxTries)
 	within(&f, "retry.share", s.Retry.Share, 0, 1)
 	within(&f, "retry.burst", s.Retry.Burst, 0, maxQueue)
+	within(&f, "retry.window", s.Retry.Window, 0, Duration(time.Hour))
 	within(&f, "hedge.share", s.Hedge.Share, 0, 0.5)
 	within(&f, "hedge.quantile", s.Hedge.Quantile, 0.5, 0.999)
 	within(&f, "hedge.minDelay", s.Hedge.MinDelay, 0, maxWait)
--- a/operator/service.go
+++ b/operator/service.go
@@ -84,8 +84,10 @@
 	MaxTries int `json:"maxTries"`
 	// Share is the number of retries per request that cost an upstream work.
 	Share float64 `json:"share"`
-	// Burst is the largest number of such retries saved up.
+	// Burst is the number of such retries beyond that, in each Window.
 	Burst float64 `json:"burst"`
+	// Window is the time over which Share and Burst hold, for hedges as well.
+	Window Duration `json:"window,omitempty"`
 	// OnError is whether an idempotent request that an upstream answers with status
 	// 500 is sent to another, if that upstream fails far more than the others.
 	OnError bool `json:"onError,omitempty"`
@@ -100,7 +102,7 @@
 	Quantile float64 `json:"quantile"`
 	// MinDelay is the least time before a hedge.
 	MinDelay Duration `json:"minDelay"`
-	// Burst is the largest number of hedges saved up.
+	// Burst is the number of hedges beyond that, in each window of the retries.
 	Burst float64 `json:"burst,omitempty"`
 }
 
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -4,27 +4,64 @@
 
 package retry
 
-import "sync"
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
 
-// Budget bounds extra requests to a share of the ordinary ones. Each ordinary
-// request earns Share of an extra one, and at most Burst are saved up. The
-// zero value allows none. The exported fields are set before the first call.
+const (
+	// DefaultWindow is the time over which a Budget is kept to if it does not say.
+	DefaultWindow = 10 * time.Second
+	// windowParts is the number of parts that a window is counted in. Requests and
+	// takings are forgotten a part at a time.
+	windowParts = 10
+)
+
+// Budget bounds extra requests to a share of the ordinary ones. In each Window
+// there are at most
+//
+//	Share * (ordinary requests in the window) + Burst
+//
+// extra ones. The part of this beyond a whole number is allowed with that
+// probability: where many processes have a small part each of what all may spend
+// together, some of them spend one and the others none. The zero value allows
+// none. The exported fields are set before the first call. The methods may be
+// called from any goroutine.
 type Budget struct {
 	// Share is the number of extra requests per ordinary one, such as 0.1.
 	Share float64
-	// Burst is the largest number of extra requests saved up. A new budget
-	// starts with that many.
+	// Burst is the number of extra requests beyond that.
 	Burst float64
+	// Window is the time over which both hold. Zero means DefaultWindow.
+	Window time.Duration
+
+	mu        sync.Mutex
+	parts     [windowParts]part
+	current   int       // the part that is counted in
+	began     time.Time // of the current part
+	threshold float64   // in [0, 1), drawn anew with each taking
+}
 
-	mu    sync.Mutex
-	spent float64 // extra requests taken and not earned back, 0 <= spent <= Burst
+// part counts the requests in one part of the window.
+type part struct {
+	ordinary, extra int
+}
+
+// Adjust sets Share and Burst. What was spent stays spent.
+func (b *Budget) Adjust(share, burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Share = share
+	b.Burst = burst
 }
 
 // Earn records one ordinary request.
 func (b *Budget) Earn() {
 	b.mu.Lock()
-	b.spent = max(0, b.spent-b.Share)
-	b.mu.Unlock()
+	defer b.mu.Unlock()
+	b.advance(time.Now())
+	b.parts[b.current].ordinary++
 }
 
 // Take takes one extra request out of the budget, and returns whether there
@@ -32,9 +69,38 @@
 func (b *Budget) Take() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.spent+1 > b.Burst {
+	b.advance(time.Now())
+	var ordinary, extra int
+	for _, p := range b.parts {
+		ordinary += p.ordinary
+		extra += p.extra
+	}
+	if float64(extra)+b.threshold >= b.Share*float64(ordinary)+b.Burst {
 		return false
 	}
-	b.spent++
+	b.parts[b.current].extra++
+	b.threshold = rand.Float64()
 	return true
 }
+
+// advance forgets the parts that are out of the window. The lock is held.
+func (b *Budget) advance(now time.Time) {
+	window := b.Window
+	if window == 0 {
+		window = DefaultWindow
+	}
+	length := window / windowParts
+	if b.began.IsZero() {
+		b.began = now
+		b.threshold = rand.Float64()
+	}
+	for range windowParts {
+		if now.Sub(b.began) < length {
+			return
+		}
+		b.began = b.began.Add(length)
+		b.current = (b.current + 1) % windowParts
+		b.parts[b.current] = part{}
+	}
+	b.began = now // the whole window is over
+}
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -7,6 +7,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -85,3 +86,62 @@
 	// false
 	// true
 }
+
+// TestBudgetOfManyProcesses has many processes with a small part each of one
+// budget: together they spend about what they may, and not more.
+func TestBudgetOfManyProcesses(t *testing.T) {
+	const processes = 1000
+	tests := map[string]struct {
+		share, burst float64
+		requests     int // of each process
+		least, most  int // extra ones of all together
+	}{
+		"a burst of under one each":    {burst: 0.76, requests: 5, least: 680, most: 840},
+		"a share of under one each":    {share: 0.06, requests: 5, least: 230, most: 370},
+		"more than one each":           {share: 0.06, burst: 0.76, requests: 50, least: 3600, most: 3900},
+		"a burst without any requests": {burst: 0.25, least: 170, most: 330},
+		"neither, and none is taken":   {requests: 50},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var taken int
+			for range processes {
+				b := &retry.Budget{Share: test.share, Burst: test.burst}
+				for range test.requests {
+					b.Earn()
+				}
+				for range 100 {
+					if b.Take() {
+						taken++
+					}
+				}
+			}
+			qt.Check(t, taken >= test.least && taken <= test.most, qt.IsTrue, qt.Commentf("%d", taken))
+		})
+	}
+}
+
+// TestBudgetWindow spends a budget, and has it back when the window is over.
+func TestBudgetWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &retry.Budget{Share: 0.1, Burst: 5, Window: 10 * time.Second}
+		spend := func() (n int) {
+			for b.Take() {
+				n++
+			}
+			return n
+		}
+		for range 100 {
+			b.Earn()
+		}
+		first := spend()
+		qt.Check(t, first >= 15 && first <= 16, qt.IsTrue, qt.Commentf("%d", first))
+		time.Sleep(8 * time.Second)
+		qt.Check(t, spend() <= 1, qt.IsTrue)
+		time.Sleep(4 * time.Second)
+		second := spend()
+		qt.Check(t, second >= 4 && second <= 6, qt.IsTrue, qt.Commentf("%d", second))
+		time.Sleep(time.Hour)
+		qt.Check(t, spend() >= 5, qt.IsTrue)
+	})
+}
