--- a/admit/gate.go
+++ b/admit/gate.go
@@ -20,7 +20,7 @@
 	// Service is the expected service time at the usual speed. It is the larger of
 	// the mean over recent requests, each divided by the slowdown that it began
 	// with, and the mean age of the running ones, so that it grows at once when the
-	// upstream stops answering.
+	// upstream stops answering. It is zero before the first request has ended.
 	Service time.Duration
 	// Draining is whether the gate refuses all new requests.
 	Draining bool
@@ -107,11 +107,15 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
+	var service time.Duration
+	if g.limiter.fast > 0 {
+		service = g.service(now)
+	}
 	return Report{
 		Running:  g.running,
 		Waiting:  g.waiting,
 		Allowed:  g.limiter.allowed(g.limits, now),
-		Service:  g.service(now),
+		Service:  service,
 		Draining: g.draining,
 		Slowdown: g.slow(),
 		Failing:  g.failing.Value(now),
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -127,7 +127,10 @@
 	n.hedges.Adjust(s.Config.Hedge.Share, s.Config.Hedge.Burst)
 	if old == nil || old.policy != n.policy {
 		policy, _ := route.ByName(n.policy)
-		n.pool = &route.Pool[string]{Policy: policy}
+		n.pool = &route.Pool[string]{
+			Policy:   policy,
+			Expected: s.Config.ServiceTime.Std(),
+		}
 	}
 	chosen := subset(d.Hello.Node, d.Hello.Zone, s.Members)
 	n.spare = make(map[string]bool)
--- a/node/template.go
+++ b/node/template.go
@@ -5,6 +5,7 @@
 package node
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -32,7 +33,11 @@
 	// wait at a gate at most: a caller that is refused by then may still be served
 	// within the objective when it comes back. queueWait holds for routes without
 	// an objective, queueLength is the most that wait.
-	waitPart    = 0.25
+	waitPart = 0.25
+	// servicePart is the part of the least latency objective that a request is
+	// expected to take before any has ended. Operators set objectives at two to
+	// five times the usual service time.
+	servicePart = 0.25
 	queueWait   = 60 * time.Millisecond
 	queueLength = 16
 	// slotShare is the part of an upstream's slots that is used. Requests that
@@ -49,9 +54,10 @@
 	fixed := false
 	s := n.live()
 	o := operator.Service{
-		Classes:  classes(t, service),
-		Policy:   "fastest",
-		ZoneCost: operator.Duration(zoneCost),
+		Classes:     classes(t, service),
+		Policy:      "fastest",
+		ZoneCost:    operator.Duration(zoneCost),
+		ServiceTime: operator.Duration(expectedService(t, service)),
 		Queue: operator.Queue{
 			Length:    queueLength,
 			SlotShare: slotShare,
@@ -76,19 +82,8 @@
 // classes returns a class for each priority of the routes that lead to the
 // service. The lowest number is the highest priority.
 func classes(t *routes.Table, service string) []operator.Class {
-	var priorities []int
-	objectives := make(map[int]time.Duration) // the least by priority
-	for _, r := range t.Routes {
-		if !slices.ContainsFunc(r.Parts, func(p routes.Part) bool { return p.Service == service }) {
-			continue
-		}
-		if !slices.Contains(priorities, r.Priority) {
-			priorities = append(priorities, r.Priority)
-		}
-		if o := objectives[r.Priority]; r.Objective > 0 && (o == 0 || r.Objective < o) {
-			objectives[r.Priority] = r.Objective
-		}
-	}
+	objectives := objectivesOf(t, service)
+	priorities := slices.Collect(maps.Keys(objectives))
 	slices.Sort(priorities)
 	slices.Reverse(priorities)
 	weight := 1.0
@@ -105,3 +100,30 @@
 	}
 	return list
 }
+
+// objectivesOf returns the least latency objective of the routes to a service, by
+// priority. It is 0 where no route of a priority has one.
+func objectivesOf(t *routes.Table, service string) map[int]time.Duration {
+	least := make(map[int]time.Duration)
+	for _, r := range t.Routes {
+		if !slices.ContainsFunc(r.Parts, func(p routes.Part) bool { return p.Service == service }) {
+			continue
+		}
+		if o := least[r.Priority]; o == 0 || r.Objective > 0 && r.Objective < o {
+			least[r.Priority] = r.Objective
+		}
+	}
+	return least
+}
+
+// expectedService returns what a request to a service is expected to take, by the
+// objectives of its routes.
+func expectedService(t *routes.Table, service string) time.Duration {
+	var least time.Duration
+	for _, o := range objectivesOf(t, service) {
+		if least == 0 || o > 0 && o < least {
+			least = o
+		}
+	}
+	return time.Duration(servicePart * float64(least))
+}
--- a/operator/check.go
+++ b/operator/check.go
@@ -99,6 +99,7 @@
 	within(&f, "queue.length", s.Queue.Length, 0, maxQueue)
 	within(&f, "queue.wait", s.Queue.Wait, 0, maxWait)
 	within(&f, "queue.slowStart", s.Queue.SlowStart, 0, maxTimeout)
+	within(&f, "serviceTime", s.ServiceTime, 0, maxTimeout)
 	within(&f, "retry.maxTries", s.Retry.MaxTries, 1, maxTries)
 	within(&f, "retry.share", s.Retry.Share, 0, 1)
 	within(&f, "retry.burst", s.Retry.Burst, 0, maxQueue)
--- a/operator/service.go
+++ b/operator/service.go
@@ -36,6 +36,9 @@
 	Resend Resend `json:"resend"`
 	// Policy is the routing policy.
 	Policy string `json:"policy"`
+	// ServiceTime is what a request is expected to take until the first one has
+	// been seen to end. Zero means that nothing is expected.
+	ServiceTime Duration `json:"serviceTime,omitempty"`
 	// ZoneCost is the cost that routing gives to another availability zone.
 	ZoneCost Duration `json:"zoneCost"`
 	// RegionCost is the cost that routing gives to another region.
--- a/route/pool.go
+++ b/route/pool.go
@@ -5,6 +5,7 @@
 package route
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -31,7 +32,8 @@
 	agePatience = 6
 	// meanGain is the weight of one report in the means of the service.
 	meanGain = 0.05
-	// defaultService is the service time assumed before the first report.
+	// defaultService is the service time assumed before the first report, where
+	// none is expected.
 	defaultService = 10 * time.Millisecond
 )
 
@@ -41,7 +43,7 @@
 	Running, Waiting int
 	// Allowed is the number of requests that it runs at once.
 	Allowed int
-	// Service is its expected service time.
+	// Service is its expected service time. Zero means that it is not known.
 	Service time.Duration
 	// Draining is whether it refuses new requests.
 	Draining bool
@@ -74,6 +76,9 @@
 	// MaxEjected is the largest part of the upstreams that may be ejected; if
 	// more look bad, none is. Zero means one half.
 	MaxEjected float64
+	// Expected is the service time to assume until one is reported. Zero means
+	// 10 ms.
+	Expected time.Duration
 
 	mu      sync.Mutex
 	random  *rand.Rand
@@ -133,11 +138,13 @@
 	if e == nil || l.Allowed <= 0 {
 		return
 	}
+	p.load += meanGain * (float64(l.Running+l.Waiting) - p.load)
 	if p.service == 0 {
 		p.service = l.Service.Seconds()
 	}
-	p.load += meanGain * (float64(l.Running+l.Waiting) - p.load)
-	p.service += meanGain * (l.Service.Seconds() - p.service)
+	if l.Service > 0 {
+		p.service += meanGain * (l.Service.Seconds() - p.service)
+	}
 	e.reported = l
 	e.at = time.Now()
 	e.sent = 0
@@ -262,8 +269,10 @@
 		known := float64(e.reported.Running + e.reported.Waiting + e.sent - e.ended)
 		c.Load = max(float64(e.own), fresh*known+(1-fresh)*c.Load)
 		c.Allowed = e.reported.Allowed
-		fresh = fade(age, serviceFade)
-		c.Service = time.Duration(fresh*float64(e.reported.Service) + (1-fresh)*float64(c.Service))
+		if e.reported.Service > 0 {
+			fresh = fade(age, serviceFade)
+			c.Service = time.Duration(fresh*float64(e.reported.Service) + (1-fresh)*float64(c.Service))
+		}
 		if e.reported.Slowdown > 0 {
 			fresh = fade(age, slowdownFade)
 			c.Slowdown = fresh*e.reported.Slowdown + (1-fresh)*c.Slowdown
@@ -324,7 +333,7 @@
 // meanService returns the mean service time over the reports.
 func (p *Pool[K]) meanService() time.Duration {
 	if p.service == 0 {
-		return defaultService
+		return cmp.Or(p.Expected, defaultService)
 	}
 	return time.Duration(p.service * float64(time.Second))
 }
