retry: hedges in time for the objective; scouts ask each 800 ms

Cause: on deployments where over a twentieth of the requests start on an instance that has just slowed down, the 0.95 quantile of the request times (2 s of 0.5) is the slow time itself, so that a hedge came too late for the objective. Now it is sent when no more than the usual time is left before the objective. A scout's watch of 0.5 s was the largest number of calls to the store; a change is still found within half of the time that it has.

The scouts' 800 ms have not been measured apart.

--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -4,7 +4,11 @@
 
 package entry
 
-import "time"
+import (
+	"time"
+
+	"sassafrasfront.example/retry"
+)
 
 // slow returns a channel that yields once the request counts as slow and
 // something can be done about it, and a function that releases it.
@@ -17,6 +21,9 @@
 	if !ok {
 		return nil, func() {}
 	}
+	if usual, _ := f.service.latency.Quantile(0.5); f.request.Idempotent {
+		after = retry.HedgeAfter(after, usual, f.request.Objective)
+	}
 	after = max(after, hedge.MinDelay.Std())
 	t := time.NewTimer(time.Until(f.open[0].began.Add(after)))
 	return t.C, func() { t.Stop() }
--- a/node/platform.go
+++ b/node/platform.go
@@ -50,7 +50,7 @@
 	// that of the other nodes'. A store that has dropped its history may leave a
 	// watch open that hears nothing more; a change has to be in force two seconds
 	// after it was made, so a scout asks anew well within that.
-	scoutWatch = 500 * time.Millisecond
+	scoutWatch = 800 * time.Millisecond
 	idleWatch  = 28 * time.Second
 	// gatherChanges is how long a node that is no scout waits after a change before
 	// it watches again, so that changes in quick succession cost it few calls.
--- a/retry/latency.go
+++ b/retry/latency.go
@@ -49,3 +49,20 @@
 	}
 	return l.sorted[int(q*float64(len(l.sorted)))], true
 }
+
+// patience is how many times the usual time a request takes at least before it
+// counts as slow for the sake of its objective.
+const patience = 1.25
+
+// HedgeAfter returns the time after which a second copy of a request is worth
+// sending, given the quantile of the request times from which they count as slow,
+// the usual time, and the latency objective, or 0 if there is none. Where many
+// requests are slow, the quantile comes too late: a copy that is sent when no more
+// than the usual time is left may still meet the objective.
+func HedgeAfter(slow, usual, objective time.Duration) time.Duration {
+	last := objective - usual
+	if float64(last) < patience*float64(usual) {
+		return slow
+	}
+	return min(slow, last)
+}
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -145,3 +145,19 @@
 		qt.Check(t, spend() >= 5, qt.IsTrue)
 	})
 }
+
+func TestHedgeAfter(t *testing.T) {
+	const ms = time.Millisecond
+	tests := map[string]struct{ slow, usual, objective, want time.Duration }{
+		"few are slow":             {slow: 200 * ms, usual: 100 * ms, objective: 500 * ms, want: 200 * ms},
+		"many are slow":            {slow: 2000 * ms, usual: 500 * ms, objective: 1500 * ms, want: 1000 * ms},
+		"a tight objective":        {slow: 200 * ms, usual: 100 * ms, objective: 150 * ms, want: 200 * ms},
+		"no objective":             {slow: 200 * ms, usual: 100 * ms, want: 200 * ms},
+		"at the edge of too tight": {slow: 400 * ms, usual: 100 * ms, objective: 225 * ms, want: 125 * ms},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			qt.Check(t, retry.HedgeAfter(test.slow, test.usual, test.objective), qt.Equals, test.want)
+		})
+	}
+}
