Nodes that are gone are forgotten where there are no stewards

Cause: with a table of routes nobody removed dead nodes' records, and nobody their contacts in the store: each look into the book dialled all of them, one after the other, 400 ms each.

Tests: control TestScoutRemovesSilentNode and contact TestBookForgets.

--- a/contact/book.go
+++ b/contact/book.go
@@ -8,6 +8,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -36,10 +37,22 @@
 	// Log takes the failures.
 	Log zerolog.Logger
 
-	mu   sync.Mutex
-	done bool // whether this node's object is as it should be
+	mu     sync.Mutex
+	done   bool                         // whether this node's object is as it should be
+	since  time.Time                    // when that was found out
+	listed map[string]*objectapi.Object // by address, as read last
+	silent map[string]time.Time         // since when nobody answers, by address
 }
 
+// staleness is how old a stale read may be at most, with a margin: the platform
+// says seconds.
+const staleness = time.Minute
+
+// Forget is how long nobody has to answer at an address before it is taken out
+// of the book. It is far longer than an instance is away for a restart; one that
+// comes back later writes itself in again.
+const Forget = 10 * time.Minute
+
 // Addresses registers this node, if that has not been done yet, and returns the
 // addresses of other nodes in random order, those of the node's own zone first.
 // It returns none if the platform does not answer.
@@ -51,8 +64,12 @@
 	}
 	var near, far []string
 	var present *objectapi.Object
+	listed := make(map[string]*objectapi.Object, len(list.Items))
 	for _, o := range list.Items {
 		e, err := objectapi.SpecOf[Entry](o)
+		if err == nil {
+			listed[e.Address] = o
+		}
 		switch {
 		case err != nil:
 			b.Log.Warn().Err(err).Msg("contact can't be read")
@@ -64,12 +81,59 @@
 			far = append(far, e.Address)
 		}
 	}
+	b.took(listed, present)
 	b.register(ctx, present)
 	shuffle(near)
 	shuffle(far)
 	return append(near, far...)
 }
 
+// took keeps what was read. A node that no longer stands in the book writes itself
+// in again.
+func (b *Book) took(listed map[string]*objectapi.Object, present *objectapi.Object) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.listed = listed
+	if present == nil && time.Since(b.since) > staleness {
+		b.done = false
+	}
+	for addr := range b.silent {
+		if listed[addr] == nil {
+			delete(b.silent, addr)
+		}
+	}
+}
+
+// Met takes in whether a node answered at an address of the book. An address at
+// which nobody has answered for long is taken out, unless it was written anew
+// meanwhile.
+func (b *Book) Met(ctx context.Context, addr string, answered bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	o := b.listed[addr]
+	since, silent := b.silent[addr]
+	switch {
+	case answered || o == nil:
+		delete(b.silent, addr)
+		return
+	case !silent:
+		if b.silent == nil {
+			b.silent = make(map[string]time.Time)
+		}
+		b.silent[addr] = time.Now()
+		return
+	case time.Since(since) < Forget:
+		return
+	}
+	if err := b.API.Delete(ctx, Kind, o.Metadata.Name, o.Metadata.ResourceVersion); err != nil && !objectapi.IsNotFound(err) {
+		b.Log.Warn().Err(err).Str("address", addr).Msg("contact not removed")
+		return
+	}
+	b.Log.Info().Str("node", o.Metadata.Name).Str("address", addr).Dur("silentMs", time.Since(since)).Msg("contact removed")
+	delete(b.silent, addr)
+	delete(b.listed, addr)
+}
+
 // list reads the book. Once this node stands in it, nodes that came since may be
 // found a little later, which costs less.
 func (b *Book) list(ctx context.Context) (*objectapi.List, error) {
@@ -105,4 +169,5 @@
 		return
 	}
 	b.done = err == nil
+	b.since = time.Now()
 }
--- a/contact/book_test.go
+++ b/contact/book_test.go
@@ -7,7 +7,10 @@
 import (
 	"context"
 	"net/http/httptest"
+	"slices"
+	"strconv"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -45,3 +48,74 @@
 	b := &contact.Book{API: api, Node: "a", Log: zerolog.Nop()}
 	qt.Check(t, b.Addresses(context.Background()), qt.HasLen, 0)
 }
+
+// TestBookForgets has a node go for good, and another that is slow to come back.
+func TestBookForgets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		store := newMemory()
+		open := func(node, address string) *contact.Book {
+			b := &contact.Book{API: store, Node: node, Entry: contact.Entry{Address: address, Zone: "z"}, Log: zerolog.Nop()}
+			b.Addresses(ctx)
+			return b
+		}
+		open("gone", "10.0.0.1:1")
+		back := open("back", "10.0.0.2:1")
+		b := open("a", "10.0.0.3:1")
+		look := func() []string {
+			list := b.Addresses(ctx)
+			for _, addr := range list {
+				b.Met(ctx, addr, false)
+			}
+			slices.Sort(list)
+			return list
+		}
+		qt.Check(t, look(), qt.DeepEquals, []string{"10.0.0.1:1", "10.0.0.2:1"})
+		time.Sleep(contact.Forget - time.Second)
+		qt.Check(t, look(), qt.HasLen, 2, qt.Commentf("not yet"))
+		b.Met(ctx, "10.0.0.2:1", true)
+		time.Sleep(2 * time.Second)
+		look()
+		qt.Check(t, look(), qt.DeepEquals, []string{"10.0.0.2:1"}, qt.Commentf("only the one that was silent all the time"))
+		time.Sleep(contact.Forget)
+		look()
+		qt.Check(t, look(), qt.HasLen, 0)
+		back.Addresses(ctx)
+		qt.Check(t, look(), qt.DeepEquals, []string{"10.0.0.2:1"}, qt.Commentf("who was removed writes itself in again"))
+	})
+}
+
+// memory is an object API in memory.
+type memory struct {
+	objectapi.API
+	objects  map[string]*objectapi.Object
+	revision int
+}
+
+func newMemory() *memory { return &memory{objects: make(map[string]*objectapi.Object)} }
+
+func (m *memory) List(context.Context, string) (*objectapi.List, error) {
+	l := new(objectapi.List)
+	for _, o := range m.objects {
+		l.Items = append(l.Items, o)
+	}
+	return l, nil
+}
+
+func (m *memory) ListStale(ctx context.Context, kind string) (*objectapi.List, error) {
+	return m.List(ctx, kind)
+}
+
+func (m *memory) Create(_ context.Context, o *objectapi.Object) (*objectapi.Object, error) {
+	m.revision++
+	m.objects[o.Metadata.Name] = o.WithVersion(strconv.Itoa(m.revision))
+	return m.objects[o.Metadata.Name], nil
+}
+
+func (m *memory) Delete(_ context.Context, _, name, version string) error {
+	if o := m.objects[name]; o == nil || o.Metadata.ResourceVersion != version {
+		return &objectapi.Error{Status: 409}
+	}
+	delete(m.objects, name)
+	return nil
+}
--- a/control/bootstrap.go
+++ b/control/bootstrap.go
@@ -149,7 +149,11 @@
 // meetSome learns from a few of some addresses that answer.
 func (c *Control) meetSome(ctx context.Context, addrs []string) {
 	for met := 0; met < meetAtOnce && len(addrs) > 0 && ctx.Err() == nil; addrs = addrs[1:] {
-		if c.learnFrom(ctx, addrs[:1]) {
+		answered := c.learnFrom(ctx, addrs[:1])
+		if c.Met != nil && ctx.Err() == nil {
+			c.Met(ctx, addrs[0], answered)
+		}
+		if answered {
 			met++
 			addrs = append(addrs[:1:1], c.strangers(addrs[1:])...)
 		}
--- a/control/control.go
+++ b/control/control.go
@@ -78,6 +78,8 @@
 	Contacts []string
 	// Book, if not nil, returns addresses of other nodes from the platform.
 	Book func(ctx context.Context) []string
+	// Met, if not nil, is told whether a node answered at an address of the Book.
+	Met func(ctx context.Context, addr string, answered bool)
 	// Template, if not nil, says that the configuration is one table of routes,
 	// given by Configure. It returns what holds for a service of a table, given
 	// the number of live nodes.
@@ -175,6 +177,7 @@
 	defer cancel()
 	if c.Book != nil {
 		work.Go(func() { c.meet(ctx) })
+		work.Go(func() { newSweeper(c).runAsScout(ctx) })
 	}
 	if c.Book == nil || len(c.Contacts) > 0 {
 		work.Go(func() { c.bootstrap(ctx) })
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -511,7 +511,7 @@
 	c.grow(2)
 	n := c.nodes[0]
 	n.stop()
-	newStewardWork(n.Control).check(context.Background(), c.nodes[1].Self)
+	newSweeper(n.Control).check(context.Background(), c.nodes[1].Self)
 	n.probeCandidates(context.Background())
 	qt.Check(t, n.learnFrom(context.Background(), []string{c.nodes[1].Self.Addr}), qt.IsFalse)
 	_, err := n.Handle(context.Background(), peer.Hello{}, &peer.Request{ID: 1, Topic: topicRoots})
--- a/control/stewardwork.go
+++ b/control/stewardwork.go
@@ -11,10 +11,8 @@
 	"time"
 
 	"sassafrasfront.example/claim"
-	"sassafrasfront.example/member"
 	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/operator"
-	"sassafrasfront.example/peer"
 )
 
 // stewardWork is what the steward of a zone does while it holds the lease.
@@ -22,7 +20,7 @@
 	*Control
 	acceptor *acceptor
 	reporter *reporter
-	liveness member.Liveness
+	sweeper  *sweeper
 }
 
 // minBridge is how often a steward looks for other zones while it knows of
@@ -35,11 +33,7 @@
 		Control:  c,
 		reporter: r,
 		acceptor: newAcceptor(c, r),
-		liveness: member.Liveness{
-			Patience: c.Timing.Patience,
-			Every:    10 * time.Minute,
-			MaxShare: 0.05,
-		},
+		sweeper:  newSweeper(c),
 	}
 }
 
@@ -65,7 +59,7 @@
 	all.Go(func() { accepted.Run(ctx) })
 	all.Go(func() { s.acceptor.run(ctx) })
 	all.Go(func() { s.reporter.run(ctx) })
-	all.Go(func() { s.sweep(ctx) })
+	all.Go(func() { s.sweeper.run(ctx) })
 	all.Go(func() { s.bridge(ctx) })
 	all.Go(func() { s.sweepClaims(ctx) })
 	all.Wait()
@@ -84,51 +78,6 @@
 	}
 }
 
-// sweep asks the nodes of the zone in turn for a sign of life, and removes those
-// that are silent for long.
-func (s *stewardWork) sweep(ctx context.Context) {
-	for ctx.Err() == nil {
-		var near []member.Record
-		s.do(func() { near, _ = s.split() })
-		rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-		pause := s.Timing.Sweep / time.Duration(len(near)+1)
-		for _, r := range near {
-			sleep(ctx, pause)
-			if ctx.Err() != nil {
-				return
-			}
-			s.check(ctx, r)
-		}
-		s.remove(len(near) + 1)
-		sleep(ctx, pause)
-	}
-}
-
-// check asks one node for a sign of life.
-func (s *stewardWork) check(ctx context.Context, r member.Record) {
-	var p *peer.Client
-	s.do(func() { p = s.client(r.Addr) })
-	ctx, cancel := context.WithTimeout(ctx, compareTimeout)
-	defer cancel()
-	if _, err := ask[struct{}, roots](ctx, p, topicRoots, struct{}{}); err == nil {
-		s.liveness.Heard(r.ID)
-	} else if ctx.Err() != context.Canceled {
-		s.liveness.Missed(r.ID, time.Now())
-	}
-}
-
-// remove removes the nodes that are due.
-func (s *stewardWork) remove(known int) {
-	for _, id := range s.liveness.Due(known, time.Now()) {
-		s.do(func() {
-			if r, ok := s.members.set.Get(id); ok && r.Live() {
-				s.Log.Warn().Str("node", id).Msg("node removed after long silence")
-				s.members.put(r.Tombstone())
-			}
-		})
-	}
-}
-
 // claimSweep is the time between two deletions of claims whose time is over.
 const claimSweep = time.Hour
 
--- a/control/table_test.go
+++ b/control/table_test.go
@@ -93,3 +93,37 @@
 	}
 	qt.Check(t, first.Snapshot().Services["s"], qt.IsNotNil)
 }
+
+// TestScoutRemovesSilentNode has a node fall silent where there are no stewards.
+func TestScoutRemovesSilentNode(t *testing.T) {
+	c := newCluster(t)
+	var mu sync.Mutex // of addrs
+	var addrs []string
+	book := func() []string {
+		mu.Lock()
+		defer mu.Unlock()
+		return append([]string(nil), addrs...)
+	}
+	var list []*testNode
+	for i := range 4 {
+		n := c.tableNode(string(rune('a'+i)), "z", book)
+		mu.Lock()
+		addrs = append(addrs, n.Self.Addr)
+		mu.Unlock()
+		list = append(list, n)
+	}
+	for _, n := range list {
+		c.eventually("all have met", func() bool { return n.liveNodes() == len(list) })
+	}
+	mute := list[3]
+	mute.do(func() {
+		for _, p := range mute.clients {
+			p.Close()
+		}
+		mute.neighbours = nil
+	})
+	silent := make(chan struct{})
+	defer close(silent)
+	go mute.do(func() { <-silent })
+	c.eventually("three are left", func() bool { return list[0].liveNodes() == 3 })
+}
--- a/node/node.go
+++ b/node/node.go
@@ -232,7 +232,9 @@
 	store := n.storeClient()
 	n.metrics.platformCalls = store.Calls
 	n.api = n.Platform.API(store, n.watchFor, n.gather)
-	n.control.Book = n.book(n.api).Addresses
+	book := n.book(n.api)
+	n.control.Book = book.Addresses
+	n.control.Met = book.Met
 }
 
 // platform returns the client of the object API.
