--- a/node/platform.go
+++ b/node/platform.go
@@ -53,8 +53,10 @@
 	scoutWatch = 800 * time.Millisecond
 	idleWatch  = 28 * time.Second
 	// gatherChanges is how long a node that is no scout waits after a change before
-	// it watches again, so that changes in quick succession cost it few calls.
-	gatherChanges = 400 * time.Millisecond
+	// it watches again, so that changes in quick succession cost it few calls. Scouts
+	// push them to it meanwhile; one that no other node reaches still has a change in
+	// force well within the two seconds that it has.
+	gatherChanges = 1200 * time.Millisecond
 	// storeTimeout bounds a call to the platform other than a watch. A store that
 	// is slowed down sixtyfold answers in a quarter of that.
 	storeTimeout = time.Second
