--- a/caller/handler.go
+++ b/caller/handler.go
@@ -235,7 +235,6 @@
 		return nil, verdict.New(verdict.BadRequest, err)
 	}
 	q := &entry.Request{
-		ID:         x.outcome.ID,
 		Service:    t.Service.Name,
 		Class:      t.Class,
 		Method:     r.Method,
--- a/cmd/sassafrasbench/rig/rig.go
+++ b/cmd/sassafrasbench/rig/rig.go
@@ -6,7 +6,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io/fs"
 	"net"
 	"os"
 	"os/exec"
@@ -16,6 +18,8 @@
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"sassafrasfront.example/internal/backend"
 	"sassafrasfront.example/internal/objectstore"
 	"sassafrasfront.example/objectapi"
@@ -165,9 +169,14 @@
 		return nil, err
 	}
 	defer f.Close()
+	cmd.Stdout = f // where the programs log
 	cmd.Stderr = f
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
+	err = cmd.Start()
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, eris.Errorf("%s is not in %s, beside this program: make build puts all programs into one directory, which go run does not", program, r.binaries)
+	}
+	if err != nil {
 		return nil, err
 	}
 	p := &process{
--- a/entry/request.go
+++ b/entry/request.go
@@ -14,8 +14,6 @@
 
 // Request is a caller's request.
 type Request struct {
-	// ID names the request in logs.
-	ID string
 	// Service is the name of its service.
 	Service string
 	// Class is its class.
--- a/node/upstreamwatch.go
+++ b/node/upstreamwatch.go
@@ -8,6 +8,8 @@
 	"context"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"sassafrasfront.example/upstream"
 	"sassafrasfront.example/verdict"
 )
@@ -41,27 +43,45 @@
 	tick := time.NewTicker(healthEvery)
 	defer tick.Stop()
 	for n.announced.Current() == nil {
-		if path, ok := n.healthPath(s.Service); ok {
-			h, err := upstream.Health(ctx, s.UpstreamAddress, path, n.Platform.Names, healthTimeout)
-			if err == nil && h.Start != "" && h.Load.Slots > 0 {
-				n.announced.Offer(&upstream.Announcement{
-					Service:     s.Service,
-					Address:     s.UpstreamAddress,
-					Slots:       h.Load.Slots,
-					Connections: h.Load.Slots,
-					Start:       h.Start,
-				})
-				return
-			}
+		h, err := n.health(ctx, s.Service, s.UpstreamAddress)
+		if err == nil && h.Start != "" && h.Load.Slots > 0 {
+			n.announced.Offer(&upstream.Announcement{
+				Service:     s.Service,
+				Address:     s.UpstreamAddress,
+				Slots:       h.Load.Slots,
+				Connections: h.Load.Slots,
+				Start:       h.Start,
+			})
+			return
 		}
-		select {
-		case <-ctx.Done():
+		if !next(ctx, tick) {
 			return
-		case <-tick.C:
 		}
 	}
 }
 
+// errNoHealthPath says that it is not known where the health check is.
+var errNoHealthPath = eris.New("no health path is known for the service")
+
+// health asks the health check of an upstream once.
+func (n *Node) health(ctx context.Context, service, address string) (upstream.Healthy, error) {
+	path, ok := n.healthPath(service)
+	if !ok {
+		return upstream.Healthy{}, errNoHealthPath
+	}
+	return upstream.Health(ctx, address, path, n.Platform.Names, healthTimeout)
+}
+
+// next waits for a tick. It returns false if ctx ends before.
+func next(ctx context.Context, tick *time.Ticker) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-tick.C:
+		return true
+	}
+}
+
 // upstreamFailed takes in that the announced upstream was not there. It takes no
 // requests until its health check answers again or it announces itself anew.
 func (n *Node) upstreamFailed(a *upstream.Announcement, failure *verdict.Error) {
@@ -84,17 +104,8 @@
 func (n *Node) awaitUpstream(ctx context.Context, a *upstream.Announcement) {
 	tick := time.NewTicker(healthEvery)
 	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		path, ok := n.healthPath(a.Service)
-		if !ok {
-			continue
-		}
-		h, err := upstream.Health(ctx, a.Address, path, n.Platform.Names, healthTimeout)
+	for next(ctx, tick) {
+		h, err := n.health(ctx, a.Service, a.Address)
 		if err == nil && h.Start == a.Start {
 			n.upstreamBack(ctx, a)
 			return
@@ -129,12 +140,7 @@
 	defer poller.Close()
 	tick := time.NewTicker(loadEvery)
 	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	for next(ctx, tick) {
 		a := n.announced.Current()
 		if a == nil || n.isDown() {
 			continue
