--- a/admit/gate.go
+++ b/admit/gate.go
@@ -46,8 +46,10 @@
 	epoch    time.Time
 	draining bool
 	idle     chan struct{}
-	slowdown float64 // as last told by the upstream, 0 if never
-	failing  Share   // of the requests that ran
+	slowdown float64   // as last told by the upstream, 0 if never
+	observed time.Time // when it was told last
+	slowed   time.Time // since when it is slowed down by slowRatio or more, zero if it is not
+	failing  Share     // of the requests that ran
 }
 
 // Set replaces the limits. Requests that run or wait keep their places, also
@@ -134,7 +136,33 @@
 func (g *Gate) Observe(slowdown float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := time.Now()
 	g.slowdown = slowdown
+	g.observed = now
+	switch {
+	case slowdown < slowRatio:
+		g.slowed = time.Time{}
+	case g.slowed.IsZero():
+		g.slowed = now
+	}
+}
+
+// slowRatio is the slowdown from which a request is better sent elsewhere.
+const slowRatio = 2.0
+
+// Observed returns how long ago the upstream told its speed last.
+func (g *Gate) Observed() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return time.Since(g.observed)
+}
+
+// JustSlowed returns whether the upstream has been found to be slowed down
+// within the given time, so that senders may not know it yet.
+func (g *Gate) JustSlowed(within time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.slowed.IsZero() && time.Since(g.slowed) < within
 }
 
 // slow returns the last known slowdown.
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -40,7 +40,7 @@
 		return route.Down
 	case verdict.PeerLost, verdict.UpstreamLost, verdict.TimedOut, verdict.AnswerInvalid:
 		return route.Failed
-	case verdict.Refused, verdict.Draining, verdict.UpstreamRefused:
+	case verdict.Refused, verdict.Slowed, verdict.Draining, verdict.UpstreamRefused:
 		return route.Refused
 	}
 	return route.Unknown
--- a/gate/call.go
+++ b/gate/call.go
@@ -50,6 +50,9 @@
 		}
 	}
 	defer release()
+	if slowed := c.gate.slowed(ctx, c.in); slowed != nil {
+		return slowed
+	}
 	if err := c.in.Admit(); err != nil {
 		e := verdict.As(err, verdict.BodyLost)
 		return verdict.New(verdict.Revoked, e)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -33,6 +33,9 @@
 	// Failed, if not nil, is called when a call shows that the announced upstream
 	// is not there: it can't be reached, or another has its address.
 	Failed func(a *upstream.Announcement, failure *verdict.Error)
+	// Ask, if not nil, asks the upstream for its present speed and returns when it
+	// has answered, or soon in any case.
+	Ask func(ctx context.Context)
 	// Tell, if not nil, sends a report to all nodes that send calls here. It is
 	// called when the upstream's speed has changed.
 	Tell func(*peer.Report)
@@ -245,6 +248,32 @@
 	return nil, nil, err
 }
 
+const (
+	// freshSpeed is how old the upstream's last word on its speed may be when a
+	// request is sent to it. Its speed at the start of a request holds for all of
+	// it, and changes several times a second.
+	freshSpeed = 15 * time.Millisecond
+	// newsTime is how long senders may not know of a slowdown: a one-way delay, and
+	// that of a call that crosses the news.
+	newsTime = 10 * time.Millisecond
+)
+
+// slowed returns why a call that has been admitted is sent elsewhere all the same:
+// the upstream has just slowed down, which its sender could not know. A call that
+// comes from elsewhere already is taken as it is.
+func (g *Gate) slowed(ctx context.Context, in *peer.Inbound) *verdict.Error {
+	if g.Ask == nil || in.Call.Try != 1 {
+		return nil
+	}
+	if g.admit.Observed() > freshSpeed {
+		g.Ask(ctx)
+	}
+	if !g.admit.JustSlowed(newsTime) {
+		return nil
+	}
+	return verdict.New(verdict.Slowed, nil)
+}
+
 // sendFailed tells of a failure that shows the upstream to be gone.
 func (g *Gate) sendFailed(b *binding, failure *verdict.Error) {
 	gone := failure.Cause == verdict.UpstreamDialFailed && !errors.Is(failure, context.Canceled) || failure.Cause == verdict.WrongUpstream
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -219,3 +219,38 @@
 	defer r.mu.Unlock()
 	qt.Check(t, r.loads[10].Failing > 0, qt.IsTrue, qt.Commentf("the answer itself tells of it"))
 }
+
+// TestSlowedIsSentBack has an upstream slow down unseen: the first sending of a
+// request finds it out and goes elsewhere, a second one is taken, and so is a first
+// one once senders can know.
+func TestSlowedIsSentBack(t *testing.T) {
+	r := newRig(t, 4, func(http.ResponseWriter, *http.Request) {})
+	var asked atomic.Int32
+	slowdown := 1.0
+	r.gate.Ask = func(context.Context) {
+		asked.Add(1)
+		r.gate.Observe(upstream.Load{Slowdown: slowdown})
+	}
+	call := func(try int) verdict.Cause {
+		x, failure := r.client.Start(context.Background(), &peer.Call{Service: "service", Method: "GET", Target: "/", Remaining: time.Second, Try: try}, nil)
+		qt.Assert(t, failure == nil, qt.IsTrue)
+		defer x.Close()
+		<-x.Ready()
+		if _, failure := x.Result(); failure != nil {
+			return failure.Cause
+		}
+		return ""
+	}
+	qt.Check(t, call(1), qt.Equals, verdict.Cause(""))
+	qt.Check(t, asked.Load(), qt.Equals, int32(1))
+	qt.Check(t, call(2), qt.Equals, verdict.Cause(""), qt.Commentf("nobody is asked for a later try"))
+	qt.Check(t, asked.Load(), qt.Equals, int32(1))
+	time.Sleep(30 * time.Millisecond) // until the word is old
+	slowdown = 4
+	qt.Check(t, call(1), qt.Equals, verdict.Slowed)
+	qt.Check(t, asked.Load(), qt.Equals, int32(2))
+	qt.Check(t, call(2), qt.Equals, verdict.Cause(""))
+	time.Sleep(30 * time.Millisecond)
+	qt.Check(t, call(1), qt.Equals, verdict.Cause(""), qt.Commentf("senders know by now"))
+	qt.Check(t, r.gate.Load().Running, qt.Equals, 0)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -75,6 +75,7 @@
 	lines      keyvalue.Limit
 	successes  atomic.Uint64
 	configured atomic.Bool // whether the gate knows its service
+	loadAsked  chan chan struct{}
 
 	// announcing is held while the node's state is found and told, so that what
 	// is told last was found last. configuring is held while the gate is given
@@ -228,6 +229,8 @@
 		Handshake: peerHandshake,
 	}
 	n.gate.Tell = func(r *peer.Report) { n.peers.Tell(r) }
+	n.loadAsked = make(chan chan struct{})
+	n.gate.Ask = n.askLoad
 	n.control.Template = n.template
 	store := n.storeClient()
 	n.metrics.platformCalls = store.Calls
--- a/node/upstreamwatch.go
+++ b/node/upstreamwatch.go
@@ -130,7 +130,32 @@
 // second it is under half of what the platform allows.
 const loadEvery = 40 * time.Millisecond
 
-// pollLoad asks the upstream for its speed until ctx ends.
+// askTimeout bounds the wait of a request for the upstream's speed. A health check
+// that takes longer is of no use to it.
+const askTimeout = 5 * time.Millisecond
+
+// askLoad has the upstream asked for its speed at once, and waits for its word.
+// Requests that ask at the same time wait for the same one.
+func (n *Node) askLoad(ctx context.Context) {
+	told := make(chan struct{})
+	late := time.NewTimer(askTimeout)
+	defer late.Stop()
+	select {
+	case n.loadAsked <- told:
+	case <-late.C:
+		return
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case <-told:
+	case <-late.C:
+	case <-ctx.Done():
+	}
+}
+
+// pollLoad asks the upstream for its speed, time and again and whenever askLoad
+// wants it, until ctx ends.
 func (n *Node) pollLoad(ctx context.Context) {
 	poller := &upstream.Poller{
 		Names:    n.Platform.Names,
@@ -140,13 +165,33 @@
 	defer poller.Close()
 	tick := time.NewTicker(loadEvery)
 	defer tick.Stop()
-	for next(ctx, tick) {
+	for {
+		told := make(chan struct{})
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case told = <-n.loadAsked:
+		}
 		a := n.announced.Current()
-		if a == nil || n.isDown() {
-			continue
+		if a != nil && !n.isDown() {
+			if path, ok := n.healthPath(a.Service); ok {
+				poller.Poll(ctx, a.Address, path)
+			}
 		}
-		if path, ok := n.healthPath(a.Service); ok {
-			poller.Poll(ctx, a.Address, path)
+		close(told)
+		n.answerAsked()
+	}
+}
+
+// answerAsked tells those that have asked meanwhile: the answer is theirs as well.
+func (n *Node) answerAsked() {
+	for {
+		select {
+		case told := <-n.loadAsked:
+			close(told)
+		default:
+			return
 		}
 	}
 }
--- a/verdict/cause.go
+++ b/verdict/cause.go
@@ -34,6 +34,8 @@
 	NotWritten Cause = "notWritten"
 	// Refused: the node beside the upstream refused, being full.
 	Refused Cause = "refused"
+	// Slowed: the upstream has just slowed down, which the sender could not know.
+	Slowed Cause = "slowed"
 	// Draining: the upstream or the node beside it is leaving.
 	Draining Cause = "draining"
 	// Misrouted: the node is not, or no longer, beside an upstream of the
@@ -105,6 +107,7 @@
 	DialFailed:         {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
 	NotWritten:         {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
 	Refused:            {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
+	Slowed:             {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
 	Draining:           {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
 	Misrouted:          {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
 	Revoked:            {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
