--- a/node/node.go
+++ b/node/node.go
@@ -76,6 +76,7 @@
 	successes  atomic.Uint64
 	configured atomic.Bool // whether the gate knows its service
 	loadAsked  chan chan struct{}
+	asks       *rate.Limiter
 
 	// announcing is held while the node's state is found and told, so that what
 	// is told last was found last. configuring is held while the gate is given
@@ -230,6 +231,7 @@
 	}
 	n.gate.Tell = func(r *peer.Report) { n.peers.Tell(r) }
 	n.loadAsked = make(chan chan struct{})
+	n.asks = rate.NewLimiter(askRate, askBurst)
 	n.gate.Ask = n.askLoad
 	n.control.Template = n.template
 	store := n.storeClient()
--- a/node/upstreamwatch.go
+++ b/node/upstreamwatch.go
@@ -134,9 +134,20 @@
 // that takes longer is of no use to it.
 const askTimeout = 5 * time.Millisecond
 
+// askRate and askBurst bound the questions that requests cause, per second, in
+// addition to those in turn. Together they stay below the 60 a second that the
+// platform allows.
+const (
+	askRate  = 30
+	askBurst = 10
+)
+
 // askLoad has the upstream asked for its speed at once, and waits for its word.
 // Requests that ask at the same time wait for the same one.
 func (n *Node) askLoad(ctx context.Context) {
+	if !n.asks.Allow() {
+		return
+	}
 	told := make(chan struct{})
 	late := time.NewTimer(askTimeout)
 	defer late.Stop()
