Logs tell the share of failures, answers set aside, and how often a request was sent

A request that failed was logged with tries=0 however often it had been sent: the number came from the result, which a failure has not. It is counted from the steps.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -180,13 +180,13 @@
 func (x *exchange) dispatch(ctx context.Context, q *entry.Request, keep *keeper) (cut bool) {
 	result, failure := x.handler.Dispatcher.Do(ctx, q)
 	x.outcome.Steps = q.Steps
+	x.outcome.Tries = entry.Sendings(q.Steps)
 	keep.begin(result, failure)
 	if failure != nil {
 		x.fail(failure)
 		return false
 	}
 	defer result.Close()
-	x.outcome.Tries = result.Tries
 	cut = x.answer(result)
 	keep.end(cut)
 	return cut
--- a/entry/do.go
+++ b/entry/do.go
@@ -115,7 +115,7 @@
 	if !f.attemptsLeft() || len(f.tried) >= plan.MaxTries || !plan.Budget.Take() {
 		return false
 	}
-	f.aside = a
+	f.setAside(a)
 	f.did(EventRetry)
 	return true
 }
@@ -127,10 +127,16 @@
 		return false
 	}
 	f.reached++
-	f.aside = a
+	f.setAside(a)
 	return true
 }
 
+// setAside keeps an answer for the case that no better one comes.
+func (f *flight) setAside(a *attempt) {
+	f.aside = a
+	f.note(Step{Event: EventAside, Node: a.member.ID})
+}
+
 // attemptsLeft returns whether one more upstream may get the request. Sendings
 // that are known to have reached none don't count.
 func (f *flight) attemptsLeft() bool {
--- a/entry/step.go
+++ b/entry/step.go
@@ -31,8 +31,21 @@
 const (
 	EventSent   Event = "sent"
 	EventFailed Event = "failed"
+	// EventAside is an error answer that is kept back while another upstream is
+	// asked.
+	EventAside Event = "answer set aside"
 )
 
+// Sendings returns how many of some steps are sendings of the request.
+func Sendings(steps []Step) (n int) {
+	for _, s := range steps {
+		if s.Event == EventSent {
+			n++
+		}
+	}
+	return n
+}
+
 // maxSteps bounds the steps that are kept of a request.
 const maxSteps = 24
 
--- a/node/events.go
+++ b/node/events.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"net/http"
 
 	"github.com/rs/zerolog"
 
@@ -58,7 +59,9 @@
 	switch s.Event {
 	case entry.EventSent:
 		e = e.Str("to", s.Node).Str("load", fmt.Sprintf("%.1f/%d", s.Picture.Load, s.Picture.Allowed)).
-			Float64("slowdown", s.Picture.Slowdown).Dur("serviceMs", s.Picture.Service).Dur("reportAgeMs", s.Age)
+			Float64("slowdown", s.Picture.Slowdown).Float64("failing", s.Picture.Failing).Dur("serviceMs", s.Picture.Service).Dur("reportAgeMs", s.Age)
+	case entry.EventAside:
+		e = e.Str("from", s.Node).Int("status", http.StatusInternalServerError)
 	case entry.EventFailed:
 		e = e.Str("to", s.Node).Str("cause", string(s.Cause))
 	}
@@ -78,7 +81,7 @@
 		}
 	}
 	n.Log.Info().Str("requestId", id).Str("from", from).Str("class", c.Class).Int("try", c.Try).Str("cause", string(failure.Cause)).Str("verdict", failure.Verdict().String()).
-		Int("running", load.Running).Int("waiting", load.Waiting).Int("allowed", load.Allowed).Float64("slowdown", load.Slowdown).Bool("draining", load.Draining).AnErr("reason", failure.Err).Msg("call not answered")
+		Int("running", load.Running).Int("waiting", load.Waiting).Int("allowed", load.Allowed).Float64("slowdown", load.Slowdown).Float64("failing", load.Failing).Bool("draining", load.Draining).AnErr("reason", failure.Err).Msg("call not answered")
 }
 
 // version returns the version of the configuration in force, or 0.
