--- a/control/bootstrap.go
+++ b/control/bootstrap.go
@@ -8,6 +8,8 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"sassafrasfront.example/objectapi"
@@ -105,7 +107,8 @@
 	meetOften  = 10 * time.Second
 	meetSeldom = 2 * time.Minute
 	meetGrowth = 4
-	// meetAtOnce is the number of nodes that are met after one look.
+	// meetAtOnce is the number of nodes that are met after one look, and that are
+	// tried at the same time.
 	meetAtOnce = 3
 )
 
@@ -146,16 +149,40 @@
 	return slices.DeleteFunc(addrs, func(a string) bool { return known[a] })
 }
 
-// meetSome learns from a few of some addresses that answer.
+// meetSome learns from a few of some addresses that answer. Several are tried at
+// once: those of instances that are gone are silent for as long as the opening of
+// a connection may take.
 func (c *Control) meetSome(ctx context.Context, addrs []string) {
-	for met := 0; met < meetAtOnce && len(addrs) > 0 && ctx.Err() == nil; addrs = addrs[1:] {
-		answered := c.learnFrom(ctx, addrs[:1])
-		if c.Met != nil && ctx.Err() == nil {
-			c.Met(ctx, addrs[0], answered)
-		}
-		if answered {
-			met++
-			addrs = append(addrs[:1:1], c.strangers(addrs[1:])...)
-		}
+	var met atomic.Int32
+	untried := make(chan string, len(addrs))
+	for _, a := range addrs {
+		untried <- a
+	}
+	close(untried)
+	var all sync.WaitGroup
+	for range meetAtOnce {
+		all.Go(func() {
+			for addr := range untried {
+				if met.Load() >= meetAtOnce || ctx.Err() != nil {
+					return
+				}
+				if met.Load() > 0 && len(c.strangers([]string{addr})) == 0 {
+					continue // learnt of meanwhile
+				}
+				if c.meetOne(ctx, addr) {
+					met.Add(1)
+				}
+			}
+		})
+	}
+	all.Wait()
+}
+
+// meetOne learns from the node at an address, and returns whether one answered.
+func (c *Control) meetOne(ctx context.Context, addr string) bool {
+	answered := c.learnFrom(ctx, []string{addr})
+	if c.Met != nil && ctx.Err() == nil {
+		c.Met(ctx, addr, answered)
 	}
+	return answered
 }
--- a/control/spread.go
+++ b/control/spread.go
@@ -208,13 +208,16 @@
 	}
 	var own roots
 	c.do(func() { own = c.roots() })
-	if own.Configs != theirs.Configs {
-		if err := reconcile(ctx, c, &c.configs, p); err != nil {
+	// Members come first: they are small, and nothing can be sent without them. A
+	// table of thousands of routes takes a slow link most of a second, and a node that
+	// starts reads it from the platform meanwhile.
+	if own.Members != theirs.Members {
+		if err := reconcile(ctx, c, &c.members, p); err != nil {
 			return err
 		}
 	}
-	if own.Members != theirs.Members {
-		return reconcile(ctx, c, &c.members, p)
+	if own.Configs != theirs.Configs {
+		return reconcile(ctx, c, &c.configs, p)
 	}
 	return nil
 }
