--- a/control/candidates.go
+++ b/control/candidates.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"sassafrasfront.example/member"
@@ -13,10 +14,24 @@
 )
 
 // stewardRank returns this node's place among the live nodes of its zone, and
-// their number. Nodes that are suspected don't count.
+// their number. Nodes that are suspected don't count. Those that can't reach the
+// platform come after those that can.
 func (c *Control) stewardRank() (rank, zone int) {
 	ids := c.candidateIDs()
-	return member.RankOf(c.self.Zone, c.self.ID, ids), len(ids) + 1
+	seeing := slices.DeleteFunc(slices.Clone(ids), c.blind)
+	switch {
+	case c.self.Blind && len(seeing) > 0:
+		return len(seeing), len(ids) + 1
+	case c.self.Blind:
+		return member.RankOf(c.self.Zone, c.self.ID, ids), len(ids) + 1
+	}
+	return member.RankOf(c.self.Zone, c.self.ID, seeing), len(ids) + 1
+}
+
+// blind returns whether a node is known not to reach the platform.
+func (c *Control) blind(id string) bool {
+	r, _ := c.members.set.Get(id)
+	return r.Blind
 }
 
 // candidateIDs returns the other live nodes of the zone that are not suspected.
--- a/control/table.go
+++ b/control/table.go
@@ -5,6 +5,8 @@
 package control
 
 import (
+	"context"
+
 	"sassafrasfront.example/rollout"
 	"sassafrasfront.example/routes"
 )
@@ -18,6 +20,23 @@
 	return c.do(func() { rank, _ = c.stewardRank() }) && rank == 0
 }
 
+// Sighted takes in whether the platform answered this node. A scout that it does
+// not answer tells the others, so that another node of its zone takes its place: a
+// partition may part it from the platform alone. Other nodes keep it to
+// themselves, or all of them would speak at once when the platform is away.
+func (c *Control) Sighted(answered bool) {
+	c.init()
+	c.do(func() {
+		rank, _ := c.stewardRank()
+		if answered == !c.self.Blind || !answered && rank > 0 {
+			return
+		}
+		c.Log.Info().Bool("platformAnswers", answered).Msg("scout's sight of the platform")
+		c.setSelf(c.self.WithBlind(!answered))
+		c.push(context.Background())
+	})
+}
+
 // Configure takes in a table of routes, unless a later one is in force. Spread
 // is whether it is pushed to other nodes: the platform gives it to them as well,
 // so one node of each zone does, for those that the platform does not reach.
--- a/control/table_test.go
+++ b/control/table_test.go
@@ -127,3 +127,56 @@
 	go mute.do(func() { <-silent })
 	c.eventually("three are left", func() bool { return list[0].liveNodes() == 3 })
 }
+
+// TestBlindScoutIsReplaced has the platform stop answering a zone's scout, then
+// its successor as well, then every node, and answer all of them again.
+func TestBlindScoutIsReplaced(t *testing.T) {
+	c := newCluster(t)
+	var mu sync.Mutex // of addrs
+	var addrs []string
+	book := func() []string {
+		mu.Lock()
+		defer mu.Unlock()
+		return append([]string(nil), addrs...)
+	}
+	var list []*testNode
+	for i := range 3 {
+		n := c.tableNode(string(rune('a'+i)), "z", book)
+		mu.Lock()
+		addrs = append(addrs, n.Self.Addr)
+		mu.Unlock()
+		list = append(list, n)
+	}
+	for _, n := range list {
+		c.eventually("all have met", func() bool { return n.liveNodes() == len(list) })
+	}
+	scouts := func() (ids []string) {
+		for _, n := range list {
+			if n.Scout() {
+				ids = append(ids, n.Self.ID)
+			}
+		}
+		return ids
+	}
+	one := func() bool { return len(scouts()) == 1 }
+	node := func(id string) *testNode { return list[id[0]-'a'] }
+	c.eventually("one scout", one)
+	first := scouts()[0]
+	for _, n := range list {
+		if n.Self.ID != first {
+			n.Sighted(false) // it is no scout, and tells nobody
+		}
+	}
+	qt.Check(t, scouts(), qt.DeepEquals, []string{first})
+	node(first).Sighted(false)
+	c.eventually("a second scout", func() bool { return one() && scouts()[0] != first })
+	second := scouts()[0]
+	node(second).Sighted(false)
+	c.eventually("a third scout", func() bool { return one() && scouts()[0] != first && scouts()[0] != second })
+	node(scouts()[0]).Sighted(false)
+	c.eventually("all are blind, and one of them goes on asking", one)
+	for _, n := range list {
+		n.Sighted(true)
+	}
+	c.eventually("the first again", func() bool { return one() && scouts()[0] == first })
+}
--- a/member/record.go
+++ b/member/record.go
@@ -46,6 +46,9 @@
 	Incarnation uint64 `msgpack:"incarnation" json:"incarnation"`
 	// Version grows with each change within an incarnation.
 	Version uint64 `msgpack:"version" json:"version"`
+	// Blind is whether the node was to look after the platform for others and can't
+	// reach it.
+	Blind bool `msgpack:"blind,omitempty" json:"blind,omitempty"`
 	// At is when the record was written, in seconds since 1970.
 	At int64 `msgpack:"at" json:"at"`
 }
@@ -92,12 +95,20 @@
 	return r.WithState(s)
 }
 
+// WithBlind returns the next version of r, which can't reach the platform, or can
+// again.
+func (r Record) WithBlind(blind bool) Record {
+	r.Blind = blind
+	return r.WithState(r.State)
+}
+
 // Reborn returns r as of a new incarnation, which is higher than its present
 // one and that of the record heard of it, and otherwise counts the nanoseconds
 // since 1970 at the given time.
 func (r Record) Reborn(heard Record, now time.Time) Record {
 	r.Incarnation = max(uint64(now.UnixNano()), heard.Incarnation+1, r.Incarnation+1)
 	r.Version = 1
+	r.Blind = false
 	r.At = now.Unix()
 	return r
 }
--- a/node/platform.go
+++ b/node/platform.go
@@ -8,6 +8,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -100,6 +101,7 @@
 		Kind:       n.Platform.Kind,
 		MaxBackoff: storeBackoff,
 		Listed: func(l *objectapi.List) {
+			n.control.Sighted(true)
 			for _, o := range l.Items {
 				n.tableFound(o)
 			}
@@ -109,9 +111,38 @@
 				n.tableFound(e.Object)
 			}
 		},
-		Failed: func(err error) { n.Log.Warn().Err(err).Msg("configuration not read") },
+		Failed: func(err error) {
+			n.Log.Warn().Err(err).Msg("configuration not read")
+			n.control.Sighted(false)
+		},
+	}
+	for ctx.Err() == nil {
+		n.followOnce(ctx, f)
+	}
+}
+
+// scoutCheck is how often a node looks whether it has become the scout.
+const scoutCheck = 200 * time.Millisecond
+
+// followOnce follows until the node becomes its zone's scout, or ctx ends. A node
+// that becomes the scout asks anew: its watch, meant to last for long, may be one
+// that hears nothing more.
+func (n *Node) followOnce(ctx context.Context, f *objectapi.Follower) {
+	ctx, cancel := context.WithCancel(ctx)
+	var ran sync.WaitGroup
+	ran.Go(func() { f.Run(ctx) })
+	defer ran.Wait()
+	defer cancel()
+	tick := time.NewTicker(scoutCheck)
+	defer tick.Stop()
+	was := true // at the start the watch is new in any case
+	for next(ctx, tick) {
+		is := n.control.Scout()
+		if is && !was {
+			return
+		}
+		was = is
 	}
-	f.Run(ctx)
 }
 
 // tableFound takes in an object of the table's kind.
