--- a/control/table_test.go
+++ b/control/table_test.go
@@ -27,6 +27,29 @@
 	return n
 }
 
+// tableNodes starts nodes a, b and so on that find each other by one book, and
+// waits until all have met.
+func (c *cluster) tableNodes(count int) (list []*testNode) {
+	var mu sync.Mutex // of addrs
+	var addrs []string
+	book := func() []string {
+		mu.Lock()
+		defer mu.Unlock()
+		return append([]string(nil), addrs...)
+	}
+	for i := range count {
+		n := c.tableNode(string(rune('a'+i)), "z", book)
+		mu.Lock()
+		addrs = append(addrs, n.Self.Addr)
+		mu.Unlock()
+		list = append(list, n)
+	}
+	for _, n := range list {
+		c.eventually("all have met", func() bool { return n.liveNodes() == len(list) })
+	}
+	return list
+}
+
 // liveNodes returns the number of live nodes that n knows, itself included.
 func (n *testNode) liveNodes() (live int) {
 	n.init()
@@ -97,24 +120,7 @@
 // TestScoutRemovesSilentNode has a node fall silent where there are no stewards.
 func TestScoutRemovesSilentNode(t *testing.T) {
 	c := newCluster(t)
-	var mu sync.Mutex // of addrs
-	var addrs []string
-	book := func() []string {
-		mu.Lock()
-		defer mu.Unlock()
-		return append([]string(nil), addrs...)
-	}
-	var list []*testNode
-	for i := range 4 {
-		n := c.tableNode(string(rune('a'+i)), "z", book)
-		mu.Lock()
-		addrs = append(addrs, n.Self.Addr)
-		mu.Unlock()
-		list = append(list, n)
-	}
-	for _, n := range list {
-		c.eventually("all have met", func() bool { return n.liveNodes() == len(list) })
-	}
+	list := c.tableNodes(4)
 	mute := list[3]
 	mute.do(func() {
 		for _, p := range mute.clients {
@@ -132,24 +138,7 @@
 // its successor as well, then every node, and answer all of them again.
 func TestBlindScoutIsReplaced(t *testing.T) {
 	c := newCluster(t)
-	var mu sync.Mutex // of addrs
-	var addrs []string
-	book := func() []string {
-		mu.Lock()
-		defer mu.Unlock()
-		return append([]string(nil), addrs...)
-	}
-	var list []*testNode
-	for i := range 3 {
-		n := c.tableNode(string(rune('a'+i)), "z", book)
-		mu.Lock()
-		addrs = append(addrs, n.Self.Addr)
-		mu.Unlock()
-		list = append(list, n)
-	}
-	for _, n := range list {
-		c.eventually("all have met", func() bool { return n.liveNodes() == len(list) })
-	}
+	list := c.tableNodes(3)
 	scouts := func() (ids []string) {
 		for _, n := range list {
 			if n.Scout() {
