soak: each process has a loopback address of its own

A seed's nodes took ports from a block of 40 on 127.0.0.1, the same for every run of that seed, so two runs at once ran out. Ruled out: the product, which did not start. Now as in TestManaged, an address by process id.

--- a/cmd/sassafrassoak/world.go
+++ b/cmd/sassafrassoak/world.go
@@ -122,10 +122,14 @@
 	portBlocks   = 500
 )
 
+// host is a loopback address of this process's own, so that runs of one seed at
+// the same time don't take each other's ports.
+var host = fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()/256%250, os.Getpid()%256)
+
 // freeAddr returns the next address of the run that nobody listens at.
 func (w *world) freeAddr() (string, error) {
 	for w.port++; w.port%portsPerSeed != 0; w.port++ {
-		addr := fmt.Sprintf("127.0.0.1:%d", w.port)
+		addr := fmt.Sprintf("%s:%d", host, w.port)
 		if l, err := net.Listen("tcp", addr); err == nil {
 			_ = l.Close()
 			return addr, nil
