--- a/node/managed_test.go
+++ b/node/managed_test.go
@@ -81,12 +81,21 @@
 // connections of tests that run beside this one may take a port that is free now.
 var host = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(255), 1+rand.IntN(254))
 
-// freeAddr returns an address that is free now.
+// given are the addresses that freeAddr has returned. The kernel may choose one
+// again as long as its node does not listen.
+var given sync.Map
+
+// freeAddr returns an address that is free now and that nobody else got.
 func freeAddr(t *testing.T) string {
-	l, err := net.Listen("tcp", host+":0")
-	qt.Assert(t, err, qt.IsNil)
-	defer l.Close()
-	return l.Addr().String()
+	for {
+		l, err := net.Listen("tcp", host+":0")
+		qt.Assert(t, err, qt.IsNil)
+		addr := l.Addr().String()
+		_ = l.Close()
+		if _, again := given.LoadOrStore(addr, true); !again {
+			return addr
+		}
+	}
 }
 
 // add starts a node beside a new upstream of a service.
