--- a/admit/dispatch.go
+++ b/admit/dispatch.go
@@ -57,13 +57,10 @@
 // classes with waiting requests have their share or are held.
 func (g *Gate) next(allowed int, now time.Time) *classQueue {
 	var best *classQueue
-	for i, q := range g.classes {
+	for _, q := range g.classes {
 		if len(q.waiting) == 0 || q.running >= q.cap(allowed) || g.held(q, now) {
 			continue
 		}
-		if float64(g.running)+g.reserve(i, allowed, now) >= float64(allowed) {
-			continue
-		}
 		if best == nil || q.waiting[0].start < best.waiting[0].start {
 			best = q
 		}
--- a/admit/gate.go
+++ b/admit/gate.go
@@ -193,7 +193,6 @@
 		t.refuse(err)
 		return t
 	}
-	t.queue.arrivals.add(now)
 	t.queue.tag(t, g.virtual, g.run(t.queue))
 	t.queue.push(t)
 	g.waiting++
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -21,7 +21,6 @@
 	finish   float64
 	running  int
 	waiting  []*Ticket
-	arrivals arrivals
 	run      float64 // mean run time at the usual speed, in seconds, 0 until one has ended
 }
 
--- a/admit/wait.go
+++ b/admit/wait.go
@@ -5,7 +5,6 @@
 package admit
 
 import (
-	"slices"
 	"time"
 
 	"sassafrasfront.example/verdict"
@@ -64,9 +63,8 @@
 	if g.held(q, now) {
 		wait = g.spells.rest(now, maxRest)
 	}
-	allowed := g.limiter.allowed(g.limits, now)
-	free := float64(min(allowed, q.cap(g.limits.Slots))-g.running) - g.reserve(slices.Index(g.classes, q), allowed, now)
-	ahead -= max(0, free)
+	free := min(g.limiter.allowed(g.limits, now), q.cap(g.limits.Slots)) - g.running
+	ahead -= float64(max(0, free))
 	if ahead <= 0 || g.freeing <= 0 {
 		return wait
 	}
