--- a/internal/keyvalue/logger.go
+++ b/internal/keyvalue/logger.go
@@ -5,10 +5,7 @@
 package keyvalue
 
 import (
-	"fmt"
 	"io"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -24,40 +21,5 @@
 	if err != nil {
 		l = zerolog.InfoLevel
 	}
-	out := zerolog.ConsoleWriter{
-		Out:              zerolog.SyncWriter(w),
-		NoColor:          true,
-		TimeFormat:       time.RFC3339Nano,
-		FormatTimestamp:  pair("time"),
-		FormatLevel:      pair("level"),
-		FormatMessage:    pair("event"),
-		FormatFieldValue: value,
-		FormatErrFieldValue: func(v any) string {
-			return value(v)
-		},
-	}
-	return zerolog.New(out).Level(l).With().Timestamp().Logger()
-}
-
-// pair returns a formatter for one part of an event.
-func pair(key string) zerolog.Formatter {
-	return func(v any) string { return key + "=" + value(v) }
-}
-
-// value returns a value, quoted if need be.
-func value(v any) string {
-	s := fmt.Sprint(v)
-	if b, ok := v.([]byte); ok {
-		s = string(b)
-	}
-	if unquoted, err := strconv.Unquote(s); err == nil {
-		s = unquoted // the library has quoted some strings already
-	}
-	needs := s == "" || strings.ContainsFunc(s, func(r rune) bool {
-		return r <= ' ' || r == '"' || r == '=' || r == '\\' || !strconv.IsPrint(r)
-	})
-	if needs {
-		return strconv.Quote(s)
-	}
-	return s
+	return zerolog.New(&formatter{out: w}).Level(l).With().Timestamp().Logger()
 }
