--- a/admit/wait.go
+++ b/admit/wait.go
@@ -15,9 +15,10 @@
 	// objective. Nine in ten requests whose run times have a standard deviation of
 	// 0.3 of their mean take less.
 	runSpread = 1.5
-	// waitFloor is the part of the objective that a request may wait in any case: a
-	// caller that is refused by then has lost little.
-	waitFloor = 0.125
+	// waitFloor is the part of the objective that a request may wait in any case. It
+	// counts where the run takes nearly all of the objective, as at cold upstreams:
+	// with an eighth, requests were refused for a slow spell while nothing ran.
+	waitFloor = 0.25
 	// expectedPart is the part of the objective that a request is expected to run
 	// before any of its class has. Operators set objectives at two to five times the
 	// usual run time.
