--- a/node/template.go
+++ b/node/template.go
@@ -77,7 +77,8 @@
 	return o.WithDefaults()
 }
 
-// kind is what tells the classes of a service apart.
+// kind is what tells the classes of a service apart. Requests of one priority may
+// run for 55 ms or for 260 ms; their objectives say which can wait.
 type kind struct {
 	priority  int // the lowest number goes first
 	objective time.Duration
--- a/node/upstreamwatch.go
+++ b/node/upstreamwatch.go
@@ -124,10 +124,10 @@
 	n.announce()
 }
 
-// loadEvery is the time between two questions to the upstream's health check for
-// its present speed. Instances share their processors with others for some
-// hundred milliseconds at a time; answers alone would tell of it late. At 25 a
-// second it is under half of what the platform allows.
+// loadEvery is how old the upstream's last word on its speed grows before its
+// health check is asked. Instances share their processors with others for some
+// hundred milliseconds at a time; answers alone would tell of it late. 25 questions
+// a second at most are under half of what the platform allows.
 const loadEvery = 40 * time.Millisecond
 
 // askTimeout bounds the wait of a request for the upstream's speed. A health check
--- a/peer/doc.go
+++ b/peer/doc.go
@@ -12,7 +12,9 @@
 // Many calls share a connection. The id of a call is never used again on its
 // connection, and a frame for an unknown id is dropped, so a late answer can't
 // reach another caller. Bodies go in chunks, each direction of each call under
-// a credit of its own, so a large body never holds up a small answer.
+// a credit of its own, so a large body never holds up a small answer. A node may
+// bound the body bytes that all its peers together have under way to it, so that
+// they don't fill its link either.
 //
 // The verdict of a call that fails follows from how far its frames came. Until
 // the frame that lets the receiver start it is wholly written, it has not run.
--- a/peer/limits.go
+++ b/peer/limits.go
@@ -41,7 +41,8 @@
 // with it what others have under way there.
 const MaxFields = 256
 
-// chunk is the largest number of body bytes in one frame.
+// chunk is the largest number of body bytes in one frame: a small frame that comes
+// behind one waits for no more than a quantum.
 const chunk = quantum
 
 // withDefaults returns l with its zero fields replaced.
