--- a/admit/wait.go
+++ b/admit/wait.go
@@ -13,7 +13,7 @@
 const (
 	// runSpread is how many times the mean run time a request is given within its
 	// objective. Nine in ten requests whose run times have a standard deviation of
-	// 0.3 of their mean take less.
+	// 0.3 of their mean take less. With 2.0 fewer were served, with 1.2 as many.
 	runSpread = 1.5
 	// waitFloor is the part of the objective that a request may wait in any case. It
 	// counts where the run takes nearly all of the objective, as at cold upstreams:
@@ -122,7 +122,10 @@
 }
 
 // longestWait returns the longest time that a request of q waits: what its
-// objective leaves beside its run. The lock is held.
+// objective leaves beside its run. With 37 ms for uploads and calls and 150 ms for
+// reads in place of that, 0.53 of the uploads and 0.49 of the calls end within
+// their objectives, in place of 0.96 and 0.78 (TestLongRequestsOfALowClass). The
+// lock is held.
 func (g *Gate) longestWait(q *classQueue) time.Duration {
 	switch {
 	case q == nil:
