objectapi: TestFollowerConverges asks often enough to converge in its 10 s

Cause: half of the calls fail by chance, and the follower backs off to 5 s; the waits before its first eight lists add up to 8.5 s on average, so that seven failures in a row, about one run in a hundred, leave no time.

--- a/objectapi/objectapi_test.go
+++ b/objectapi/objectapi_test.go
@@ -221,6 +221,9 @@
 				API:    api,
 				Kind:   "Service",
 				Relist: 400 * time.Millisecond,
+				// With the default of 5 s, seven failures in a row of a store that fails
+				// half of the calls take up the 10 s in which it has to converge.
+				MaxBackoff: 200 * time.Millisecond,
 				Listed: func(l *objectapi.List) {
 					mu.Lock()
 					defer mu.Unlock()
