--- a/admit/load_test.go
+++ b/admit/load_test.go
@@ -109,6 +109,22 @@
 	return served
 }
 
+// checks returns the share of requests of 220 ms that end within their objective at
+// an upstream of 14 slots. For a quarter of the time, 150 ms at a time, it takes five
+// times as long as its pace.
+func checks(hold bool, objective time.Duration, perSecond, pace float64) float64 {
+	return load{
+		limits: admit.Limits{
+			Slots:       14,
+			QueueLength: 16,
+			Hold:        hold,
+		}.WithClasses(admit.Class{Name: "check", Weight: 1, Share: 1, Objective: objective}),
+		flows:  []flow{{"check", perSecond, ms(220)}},
+		spells: spellsOf{ms(150), 0.25, 5, pace},
+		length: 60 * time.Second,
+	}.play()["check"]
+}
+
 // TestShortSlowSpells is an upstream that is slowed down fivefold for a quarter of
 // the time, 150 ms at a time, under three quarters of the load that it could run were
 // it never slow, in requests of 220 ms with an objective of 600 ms. Those that start
@@ -116,16 +132,7 @@
 func TestShortSlowSpells(t *testing.T) {
 	play := func(hold bool) (share float64) {
 		synctest.Test(t, func(*testing.T) {
-			share = load{
-				limits: admit.Limits{
-					Slots:       14,
-					QueueLength: 16,
-					Hold:        hold,
-				}.WithClasses(admit.Class{Name: "check", Weight: 1, Share: 1, Objective: ms(600)}),
-				flows:  []flow{{"check", 48, ms(220)}},
-				spells: spellsOf{ms(150), 0.25, 5, 1},
-				length: 60 * time.Second,
-			}.play()["check"]
+			share = checks(hold, ms(600), 48, 1)
 		})
 		return share
 	}
@@ -140,16 +147,7 @@
 // run then. Its slow spells are those in which it is slower still.
 func TestSlowSpellsOfAColdUpstream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		share := load{
-			limits: admit.Limits{
-				Slots:       14,
-				QueueLength: 16,
-				Hold:        true,
-			}.WithClasses(admit.Class{Name: "check", Weight: 1, Share: 1, Objective: ms(900)}),
-			flows:  []flow{{"check", 24, ms(220)}},
-			spells: spellsOf{ms(150), 0.25, 5, 2},
-			length: 60 * time.Second,
-		}.play()["check"]
+		share := checks(true, ms(900), 24, 2)
 		t.Logf("within the objective: %.3f", share)
 		qt.Check(t, share > 0.8, qt.IsTrue)
 	})
