control: what a control message declares is held against what is there, too

The twin of the fault that the fuzz run found in frames: control decodes the payloads of its requests and replies by itself, so that five bytes from a peer made it ask for 119 GB. The check of frames now serves both, as peer.Plausible. TestUnpackOfFewBytes ended the process, out of memory, before.

--- a/control/exchanger.go
+++ b/control/exchanger.go
@@ -192,6 +192,9 @@
 
 func unpack[T any](payload []byte) (T, error) {
 	var v T
+	if !peer.Plausible(payload) {
+		return v, eris.Wrap(peer.ErrProtocol, "decode: a length is over what follows it")
+	}
 	if err := msgpack.Unmarshal(payload, &v); err != nil {
 		return v, eris.Wrap(err, "decode")
 	}
--- /dev/null
+++ b/control/unpack_test.go
@@ -0,0 +1,19 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package control
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/peer"
+)
+
+// TestUnpackOfFewBytes declares a list of 3.7 thousand million fields in 5 bytes.
+func TestUnpackOfFewBytes(t *testing.T) {
+	_, err := unpack[[]peer.Field]([]byte{0xdd, 0xdd, 0xdd, 0xdd, 0xdd})
+	qt.Check(t, err, qt.ErrorIs, peer.ErrProtocol)
+}
--- a/peer/plausible.go
+++ b/peer/plausible.go
@@ -4,10 +4,11 @@
 
 package peer
 
-// plausible returns whether a msgpack value declares no more members and bytes than
+// Plausible returns whether a msgpack value declares no more members and bytes than
 // follow it. The decoder makes room for what is declared before it reads it, so that
-// 23 bytes could ask for a list of 119 GB and end the process.
-func plausible(p []byte) bool {
+// 23 bytes could ask for a list of 119 GB and end the process. Its own limit on that
+// does not hold for lists.
+func Plausible(p []byte) bool {
 	for pending := 1; pending > 0; {
 		if len(p) == 0 {
 			return false
