An object, a contact or a load that can't be read costs no other

A contact has an IP number and a port. A manifest is taken whole or refused, as before: the store takes valid ones only, and a part of one would answer 404 to what the operator has just added.

--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,11 @@
 fuzz:
 	go test ./peer -run XXX -fuzz FuzzFrames -fuzztime 20000x
 	go test ./caller -run XXX -fuzz FuzzHeader -fuzztime 5000x
+	go test ./platform -run XXX -fuzz FuzzHeartbeat -fuzztime 5000x
+	go test ./platform -run XXX -fuzz FuzzStoreAnswer -fuzztime 3000x
+	go test ./platform -run XXX -fuzz FuzzTable -fuzztime 5000x
+	go test ./contact -run XXX -fuzz FuzzEntry -fuzztime 5000x
+	go test ./upstream -run XXX -fuzz FuzzParseLoad -fuzztime 5000x
 
 soak: build
 	bin/sassafrassoak run -seed 4 -duration 4s -safety
--- a/contact/book.go
+++ b/contact/book.go
@@ -7,9 +7,11 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"sassafrasfront.example/objectapi"
@@ -26,6 +28,16 @@
 	Zone string `json:"zone"`
 }
 
+// check returns why nobody can be reached by an entry, or nil. Another program may
+// have written it.
+func (e Entry) check() error {
+	host, port, err := net.SplitHostPort(e.Address)
+	if err != nil || net.ParseIP(host) == nil || port == "" {
+		return eris.Errorf("%q is not an IP number and port", e.Address)
+	}
+	return nil
+}
+
 // Book is the nodes' addresses as the platform holds them. The exported fields
 // are set before the first call.
 type Book struct {
@@ -66,15 +78,20 @@
 	var present *objectapi.Object
 	listed := make(map[string]*objectapi.Object, len(list.Items))
 	for _, o := range list.Items {
+		if o.Metadata.Name == b.Node {
+			present = o
+			continue
+		}
 		e, err := objectapi.SpecOf[Entry](o)
 		if err == nil {
-			listed[e.Address] = o
+			err = e.check()
+		}
+		if err != nil {
+			b.Log.Warn().Err(err).Str("node", o.Metadata.Name).Msg("contact can't be used")
+			continue
 		}
+		listed[e.Address] = o
 		switch {
-		case err != nil:
-			b.Log.Warn().Err(err).Msg("contact can't be read")
-		case o.Metadata.Name == b.Node:
-			present = o
 		case e.Zone == b.Entry.Zone:
 			near = append(near, e.Address)
 		default:
--- a/contact/book_test.go
+++ b/contact/book_test.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http/httptest"
 	"slices"
 	"strconv"
@@ -112,6 +113,13 @@
 	return m.objects[o.Metadata.Name], nil
 }
 
+func (m *memory) Update(_ context.Context, o *objectapi.Object) (*objectapi.Object, error) {
+	if old := m.objects[o.Metadata.Name]; old == nil || old.Metadata.ResourceVersion != o.Metadata.ResourceVersion {
+		return nil, &objectapi.Error{Status: 409}
+	}
+	return m.Create(context.Background(), o)
+}
+
 func (m *memory) Delete(_ context.Context, _, name, version string) error {
 	if o := m.objects[name]; o == nil || o.Metadata.ResourceVersion != version {
 		return &objectapi.Error{Status: 409}
@@ -119,3 +127,49 @@
 	delete(m.objects, name)
 	return nil
 }
+
+// TestContactsOfOtherWriters has one row for each entry that leads nowhere: the
+// others hold, and the node's own is written anew.
+func TestContactsOfOtherWriters(t *testing.T) {
+	for name, spec := range map[string]string{
+		"no bytes":         ``,
+		"not JSON":         `{"address":`,
+		"no address":       `{"zone":"near"}`,
+		"address a number": `{"address":7,"zone":"near"}`,
+		"a host name":      `{"address":"node.example:1","zone":"near"}`,
+		"no port":          `{"address":"10.0.0.7","zone":"near"}`,
+		"a list":           `["10.0.0.7:1"]`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := newMemory()
+			bad := func(name string) {
+				store.objects[name] = (&objectapi.Object{Kind: contact.Kind, Metadata: objectapi.Metadata{Name: name}, Spec: []byte(spec)}).WithVersion("1")
+			}
+			bad("x")
+			bad("a")
+			store.objects["good"] = objectapi.NewObject(contact.Kind, "good", contact.Entry{Address: "10.0.0.2:1", Zone: "z"}).WithVersion("1")
+			b := &contact.Book{API: store, Node: "a", Entry: contact.Entry{Address: "10.0.0.1:1", Zone: "z"}, Log: zerolog.Nop()}
+			qt.Check(t, b.Addresses(context.Background()), qt.DeepEquals, []string{"10.0.0.2:1"})
+			e, err := objectapi.SpecOf[contact.Entry](store.objects["a"])
+			qt.Check(t, err, qt.IsNil)
+			qt.Check(t, e, qt.Equals, b.Entry)
+		})
+	}
+}
+
+// FuzzEntry has any bytes come as a contact: addresses that are tried are of an IP
+// number.
+func FuzzEntry(f *testing.F) {
+	f.Add([]byte(`{"address":"10.0.0.7:1","zone":"z"}`))
+	f.Fuzz(func(t *testing.T, spec []byte) {
+		store := newMemory()
+		store.objects["x"] = (&objectapi.Object{Kind: contact.Kind, Metadata: objectapi.Metadata{Name: "x"}, Spec: spec}).WithVersion("1")
+		b := &contact.Book{API: store, Node: "a", Log: zerolog.Nop()}
+		for _, addr := range b.Addresses(context.Background()) {
+			host, _, err := net.SplitHostPort(addr)
+			if err != nil || net.ParseIP(host) == nil {
+				t.Fatalf("%s: %q", spec, addr)
+			}
+		}
+	})
+}
--- a/node/platform.go
+++ b/node/platform.go
@@ -83,6 +83,7 @@
 	return &objectapi.Caller{
 		URL:     n.Settings.PlatformURL,
 		Timeout: storeTimeout,
+		Skipped: n.objectSkipped,
 		Budget:  rate.NewLimiter(rate.Limit(n.Settings.PlatformCalls), int(n.Settings.PlatformCalls)),
 		HTTP: &http.Client{
 			Transport: &http.Transport{
@@ -94,6 +95,16 @@
 	}
 }
 
+// skippedLines is the most log lines of objects that can't be read, per second.
+const skippedLines = 5
+
+// objectSkipped logs why an object of the platform is left out.
+func (n *Node) objectSkipped(reason error) {
+	if n.lines.Allow("object", skippedLines, 1) {
+		n.Log.Warn().Err(reason).Msg("object left out")
+	}
+}
+
 // follow keeps up with the table of routes until ctx ends.
 func (n *Node) follow(ctx context.Context, api objectapi.API) {
 	f := &objectapi.Follower{
--- a/objectapi/caller.go
+++ b/objectapi/caller.go
@@ -44,6 +44,9 @@
 	// Budget bounds the calls of this process. Nil means no bound. A call
 	// waits for its turn.
 	Budget *rate.Limiter
+	// Skipped, if not nil, is called with why an object of an answer can't be read
+	// and is left out.
+	Skipped func(reason error)
 
 	calls atomic.Uint64
 }
--- a/objectapi/client.go
+++ b/objectapi/client.go
@@ -43,14 +43,27 @@
 
 // List implements API.
 func (c *Client) List(ctx context.Context, kind string) (*List, error) {
-	var l List
-	return &l, c.Do(ctx, http.MethodGet, Path(c.Namespace, kind, ""), nil, &l)
+	return c.list(ctx, Path(c.Namespace, kind, ""))
 }
 
 // ListStale implements API.
 func (c *Client) ListStale(ctx context.Context, kind string) (*List, error) {
-	var l List
-	return &l, c.Do(ctx, http.MethodGet, Path(c.Namespace, kind, "")+"?resourceVersion=0", nil, &l)
+	return c.list(ctx, Path(c.Namespace, kind, "")+"?resourceVersion=0")
+}
+
+// list makes the call for a list.
+func (c *Client) list(ctx context.Context, path string) (*List, error) {
+	var answer struct {
+		Metadata Metadata          `json:"metadata"`
+		Items    []json.RawMessage `json:"items"`
+	}
+	if err := c.Do(ctx, http.MethodGet, path, nil, &answer); err != nil {
+		return nil, err
+	}
+	return &List{
+		Metadata: answer.Metadata,
+		Items:    DecodeEach[Object](answer.Items, c.Skipped),
+	}, nil
 }
 
 // Create implements API.
--- /dev/null
+++ b/objectapi/each.go
@@ -0,0 +1,34 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package objectapi
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/rotisserie/eris"
+)
+
+// DecodeEach decodes the elements of a JSON array one by one. Other programs write
+// objects too: one that can't be read is left out, and skipped, if not nil, is called
+// with the reason, so that it costs no other.
+func DecodeEach[T any](list []json.RawMessage, skipped func(reason error)) []*T {
+	decoded := make([]*T, 0, len(list))
+	for _, data := range list {
+		v := new(T)
+		err := json.Unmarshal(data, v)
+		if err == nil && bytes.Equal(data, []byte("null")) {
+			err = eris.New("null in place of an object")
+		}
+		if err == nil {
+			decoded = append(decoded, v)
+			continue
+		}
+		if skipped != nil {
+			skipped(err)
+		}
+	}
+	return decoded
+}
--- a/upstream/answer_test.go
+++ b/upstream/answer_test.go
@@ -98,6 +98,10 @@
 		"negative":      {"-3,1,8", upstream.Load{}, false},
 		"no speed":      {"3,1,8,0", upstream.Load{}, false},
 		"words":         {"a,b,c", upstream.Load{}, false},
+		"not a number":  {"1,2,3,NaN", upstream.Load{}, false},
+		"infinite":      {"1,2,3,+Inf", upstream.Load{}, false},
+		"beyond belief": {"1,2,3,1e300", upstream.Load{}, false},
+		"many slots":    {"1,2,300000000000", upstream.Load{}, false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -109,3 +113,19 @@
 		})
 	}
 }
+
+// FuzzParseLoad has any text come as a load: what is taken is a load that can be
+// reckoned with.
+func FuzzParseLoad(f *testing.F) {
+	f.Add("3,1,8,400")
+	f.Add("1,2,3,NaN")
+	f.Fuzz(func(t *testing.T, text string) {
+		l, err := upstream.ParseLoad(text)
+		if err != nil {
+			return
+		}
+		if l.Running < 0 || l.Waiting < 0 || l.Slots < 0 || !(l.Slowdown > 0 && l.Slowdown < 1e6) {
+			t.Fatalf("%q: %+v", text, l)
+		}
+	})
+}
--- a/upstream/health_test.go
+++ b/upstream/health_test.go
@@ -127,3 +127,37 @@
 		p.Poll(context.Background(), l.Addr().String(), "/healthz")
 	}
 }
+
+// TestHealthTellsTheBirth has one row for each body that a health check may have.
+func TestHealthTellsTheBirth(t *testing.T) {
+	tests := map[string]struct {
+		body string
+		want int64
+	}{
+		"told":       {`{"born":1700000000000}`, 1700000000000},
+		"with more":  {`{"more":{"born":1},"born":5}`, 5},
+		"no body":    {"", 0},
+		"words":      {"ok", 0},
+		"a list":     {"[1]", 0},
+		"cut":        {`{"born":17`, 0},
+		"a string":   {`{"born":"5"}`, 0},
+		"a fraction": {`{"born":5.5}`, 0},
+		"null":       {`{"born":null}`, 0},
+		"negative":   {`{"born":-5}`, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Instance-Id", "i-1")
+				_, _ = io.WriteString(w, test.body)
+			}))
+			defer server.Close()
+			names := healthNames
+			names.Born = "born"
+			got, err := upstream.Health(context.Background(), server.Listener.Addr().String(), "/", names, time.Second)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, got.Start, qt.Equals, "i-1")
+			qt.Check(t, got.Born, qt.Equals, test.want)
+		})
+	}
+}
--- a/upstream/load.go
+++ b/upstream/load.go
@@ -21,6 +21,14 @@
 	Slowdown float64
 }
 
+const (
+	// maxCount is the largest count of requests or slots that is believed: as many
+	// connections as an upstream may announce.
+	maxCount = maxConnections
+	// maxPercent is the largest slowdown that is believed, in percent: a thousandfold.
+	maxPercent = 100000
+)
+
 // ParseLoad reads "running,waiting,slots" or "running,waiting,slots,percent",
 // where percent is the present duration of work and 100 the usual one.
 func ParseLoad(text string) (Load, error) {
@@ -31,14 +39,14 @@
 	}
 	for i, to := range []*int{&l.Running, &l.Waiting, &l.Slots} {
 		n, err := strconv.Atoi(strings.TrimSpace(parts[i]))
-		if err != nil || n < 0 {
+		if err != nil || n < 0 || n > maxCount {
 			return l, eris.Errorf("load %q: %q is not a count", text, parts[i])
 		}
 		*to = n
 	}
 	if len(parts) > 3 {
 		percent, err := strconv.ParseFloat(strings.TrimSpace(parts[3]), 64)
-		if err != nil || percent <= 0 {
+		if err != nil || !(percent > 0 && percent <= maxPercent) { // NaN is none either
 			return l, eris.Errorf("load %q: %q is not a percentage", text, parts[3])
 		}
 		l.Slowdown = percent / 100
