--- a/cmd/sassafrasnode/main.go
+++ b/cmd/sassafrasnode/main.go
@@ -180,14 +180,8 @@
 // managed returns the users' platform.
 func managed() *node.Platform {
 	return &node.Platform{
-		Names: platform.Names(),
-		API: func(c *objectapi.Caller, watchFor, gather func() time.Duration) objectapi.API {
-			return &platform.Store{
-				Caller:   c,
-				WatchFor: watchFor,
-				Gather:   gather,
-			}
-		},
+		Names:    platform.Names(),
+		API:      func(c *objectapi.Caller) objectapi.Polled { return &platform.Store{Caller: c} },
 		Kind:     platform.ManifestKind,
 		Name:     platform.ManifestName,
 		Table:    platform.Table,
--- a/contact/book.go
+++ b/contact/book.go
@@ -42,18 +42,18 @@
 // are set before the first call.
 type Book struct {
 	// API is the platform.
-	API objectapi.API
+	API objectapi.Objects
 	// Node and Entry are what this node registers.
 	Node  string
 	Entry Entry
 	// Log takes the failures.
 	Log zerolog.Logger
 
-	mu     sync.Mutex
-	done   bool                         // whether this node's object is as it should be
-	since  time.Time                    // when that was found out
-	listed map[string]*objectapi.Object // by address, as read last
-	silent map[string]time.Time         // since when nobody answers, by address
+	mu      sync.Mutex
+	present *objectapi.Object            // this node's own, as read last, or nil
+	wrote   time.Time                    // when this node's own was written
+	listed  map[string]*objectapi.Object // by address, as read last
+	silent  map[string]time.Time         // since when nobody answers, by address
 }
 
 // staleness is how old a stale read may be at most, with a margin: the platform
@@ -65,11 +65,11 @@
 // comes back later writes itself in again.
 const Forget = 10 * time.Minute
 
-// Addresses registers this node, if that has not been done yet, and returns the
-// addresses of other nodes in random order, those of the node's own zone first.
+// Addresses returns the addresses of other nodes in random order, those of the
+// node's own zone first, as the platform had them at some time: it is a stale read.
 // It returns none if the platform does not answer.
 func (b *Book) Addresses(ctx context.Context) []string {
-	list, err := b.list(ctx)
+	list, err := b.API.ListStale(ctx, Kind)
 	if err != nil {
 		b.Log.Warn().Err(err).Msg("contacts not read")
 		return nil
@@ -91,29 +91,24 @@
 			continue
 		}
 		listed[e.Address] = o
-		switch {
-		case e.Zone == b.Entry.Zone:
+		if e.Zone == b.Entry.Zone {
 			near = append(near, e.Address)
-		default:
+		} else {
 			far = append(far, e.Address)
 		}
 	}
 	b.took(listed, present)
-	b.register(ctx, present)
 	shuffle(near)
 	shuffle(far)
 	return append(near, far...)
 }
 
-// took keeps what was read. A node that no longer stands in the book writes itself
-// in again.
+// took keeps what was read.
 func (b *Book) took(listed map[string]*objectapi.Object, present *objectapi.Object) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.listed = listed
-	if present == nil && time.Since(b.since) > staleness {
-		b.done = false
-	}
+	b.present = present
 	for addr := range b.silent {
 		if listed[addr] == nil {
 			delete(b.silent, addr)
@@ -151,40 +146,51 @@
 	delete(b.listed, addr)
 }
 
-// list reads the book. Once this node stands in it, nodes that came since may be
-// found a little later, which costs less.
-func (b *Book) list(ctx context.Context) (*objectapi.List, error) {
-	b.mu.Lock()
-	done := b.done
-	b.mu.Unlock()
-	if done {
-		return b.API.ListStale(ctx, Kind)
-	}
-	return b.API.List(ctx, Kind)
-}
-
 func shuffle(list []string) {
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 }
 
-// register writes this node's object unless it is as it should be.
-func (b *Book) register(ctx context.Context, present *objectapi.Object) {
+// Register writes this node into the book, unless it stood there as it should when
+// the addresses were read last, or was written since.
+func (b *Book) Register(ctx context.Context) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.done {
+	if b.stands(b.present) || time.Since(b.wrote) < staleness {
 		return
 	}
+	err := b.write(ctx, b.present)
+	if objectapi.IsConflict(err) {
+		// The read was stale, or an answer was lost: what is there now decides.
+		var now *objectapi.Object
+		if now, err = b.API.Get(ctx, Kind, b.Node); err == nil && !b.stands(now) {
+			err = b.write(ctx, now)
+		}
+	}
+	if err != nil {
+		b.Log.Warn().Err(err).Msg("contact not written")
+		return
+	}
+	b.wrote = time.Now()
+}
+
+// stands returns whether an object is this node's entry. One that can't be read is
+// not.
+func (b *Book) stands(o *objectapi.Object) bool {
+	if o == nil {
+		return false
+	}
+	e, err := objectapi.SpecOf[Entry](o)
+	return err == nil && e == b.Entry
+}
+
+// write creates this node's object, or replaces the one that is there.
+func (b *Book) write(ctx context.Context, present *objectapi.Object) error {
 	o := objectapi.NewObject(Kind, b.Node, b.Entry)
 	var err error
 	if present == nil {
 		_, err = b.API.Create(ctx, o)
-	} else if e, _ := objectapi.SpecOf[Entry](present); e != b.Entry {
+	} else {
 		_, err = b.API.Update(ctx, o.WithVersion(present.Metadata.ResourceVersion))
 	}
-	if err != nil && !objectapi.IsConflict(err) {
-		b.Log.Warn().Err(err).Msg("contact not written")
-		return
-	}
-	b.done = err == nil
-	b.since = time.Now()
+	return err
 }
--- a/contact/book_test.go
+++ b/contact/book_test.go
@@ -31,8 +31,10 @@
 	open := func(node, address, zone string) []string {
 		b := &contact.Book{API: api, Node: node, Entry: contact.Entry{Address: address, Zone: zone}, Log: zerolog.Nop()}
 		first := b.Addresses(context.Background())
+		b.Register(context.Background())
 		calls := api.Calls()
 		again := b.Addresses(context.Background())
+		b.Register(context.Background())
 		qt.Check(t, api.Calls()-calls, qt.Equals, uint64(1), qt.Commentf("what is registered is not written again"))
 		qt.Check(t, len(again), qt.Equals, len(first))
 		return first
@@ -58,6 +60,7 @@
 		open := func(node, address string) *contact.Book {
 			b := &contact.Book{API: store, Node: node, Entry: contact.Entry{Address: address, Zone: "z"}, Log: zerolog.Nop()}
 			b.Addresses(ctx)
+			b.Register(ctx)
 			return b
 		}
 		open("gone", "10.0.0.1:1")
@@ -82,6 +85,7 @@
 		look()
 		qt.Check(t, look(), qt.HasLen, 0)
 		back.Addresses(ctx)
+		back.Register(ctx)
 		qt.Check(t, look(), qt.DeepEquals, []string{"10.0.0.2:1"}, qt.Commentf("who was removed writes itself in again"))
 	})
 }
@@ -108,16 +112,30 @@
 }
 
 func (m *memory) Create(_ context.Context, o *objectapi.Object) (*objectapi.Object, error) {
+	if m.objects[o.Metadata.Name] != nil {
+		return nil, &objectapi.Error{Status: 409}
+	}
+	return m.store(o), nil
+}
+
+func (m *memory) store(o *objectapi.Object) *objectapi.Object {
 	m.revision++
 	m.objects[o.Metadata.Name] = o.WithVersion(strconv.Itoa(m.revision))
-	return m.objects[o.Metadata.Name], nil
+	return m.objects[o.Metadata.Name]
+}
+
+func (m *memory) Get(_ context.Context, _, name string) (*objectapi.Object, error) {
+	if o := m.objects[name]; o != nil {
+		return o, nil
+	}
+	return nil, &objectapi.Error{Status: 404}
 }
 
 func (m *memory) Update(_ context.Context, o *objectapi.Object) (*objectapi.Object, error) {
 	if old := m.objects[o.Metadata.Name]; old == nil || old.Metadata.ResourceVersion != o.Metadata.ResourceVersion {
 		return nil, &objectapi.Error{Status: 409}
 	}
-	return m.Create(context.Background(), o)
+	return m.store(o), nil
 }
 
 func (m *memory) Delete(_ context.Context, _, name, version string) error {
@@ -150,6 +168,7 @@
 			store.objects["good"] = objectapi.NewObject(contact.Kind, "good", contact.Entry{Address: "10.0.0.2:1", Zone: "z"}).WithVersion("1")
 			b := &contact.Book{API: store, Node: "a", Entry: contact.Entry{Address: "10.0.0.1:1", Zone: "z"}, Log: zerolog.Nop()}
 			qt.Check(t, b.Addresses(context.Background()), qt.DeepEquals, []string{"10.0.0.2:1"})
+			b.Register(context.Background())
 			e, err := objectapi.SpecOf[contact.Entry](store.objects["a"])
 			qt.Check(t, err, qt.IsNil)
 			qt.Check(t, e, qt.Equals, b.Entry)
@@ -173,3 +192,25 @@
 		}
 	})
 }
+
+// TestRegisterAfterAStaleRead has a node's entry written since the read that did not
+// show it: as it should be, with another address, or by another program.
+func TestRegisterAfterAStaleRead(t *testing.T) {
+	own := contact.Entry{Address: "10.0.0.1:1", Zone: "z"}
+	for name, there := range map[string]any{
+		"as it should be":   own,
+		"another address":   contact.Entry{Address: "10.0.0.9:1", Zone: "z"},
+		"by another writer": 7,
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := newMemory()
+			b := &contact.Book{API: store, Node: "a", Entry: own, Log: zerolog.Nop()}
+			b.Addresses(context.Background())
+			store.store(objectapi.NewObject(contact.Kind, "a", there))
+			b.Register(context.Background())
+			e, err := objectapi.SpecOf[contact.Entry](store.objects["a"])
+			qt.Check(t, err, qt.IsNil)
+			qt.Check(t, e, qt.Equals, own)
+		})
+	}
+}
--- a/control/bootstrap.go
+++ b/control/bootstrap.go
@@ -101,34 +101,76 @@
 
 const (
 	// meetFirst is the wait between two looks into the book at the start, which
-	// grows fourfold each time up to meetOften for a scout and meetSeldom for other
-	// nodes.
+	// grows fourfold each time up to meetOften for a scout. Other nodes look again
+	// after meetSeldom, once they know any.
 	meetFirst  = 500 * time.Millisecond
 	meetOften  = 10 * time.Second
 	meetSeldom = 2 * time.Minute
 	meetGrowth = 4
+	// meetCheck is how often a node looks whether it has become the scout, which looks
+	// more often.
+	meetCheck = time.Second
+	// meetAgain is the wait before the same addresses are tried again, and meetTries how
+	// often they are tried, by a node that knew none to answer: at a start of all at
+	// once, some are up a little later.
+	meetAgain = 150 * time.Millisecond
+	meetTries = 4
 	// meetAtOnce is the number of nodes that are met after one look, and that are
 	// tried at the same time.
 	meetAtOnce = 3
+	// enoughContacts is the number of nodes in the book up to which others write
+	// themselves in, with the chance of registerChance each. After a loss of power a
+	// tenth of 200 nodes tells the others of all, each some ten of them: a few hundred
+	// KB. Each entry costs a call, and is kept over restarts.
+	enoughContacts = 24
+	registerChance = 0.25
 )
 
 // meet looks into the book for nodes that this one does not know, and learns from
 // some of them, time and again: two groups of nodes that have met only among
 // themselves, as may happen at a start of all at once or after a partition, would
-// otherwise never hear of each other.
+// otherwise never hear of each other. Each has scouts, which stand in the book and
+// look into it.
 func (c *Control) meet(ctx context.Context) {
+	drawn := rand.Float64() < registerChance
 	pause := meetFirst
-	for ctx.Err() == nil {
-		c.meetSome(ctx, c.strangers(c.Book(ctx)))
-		sleep(ctx, pause/2+rand.N(pause))
-		most := meetSeldom
-		if c.Scout() {
-			most = meetOften
+	for n := 0; ctx.Err() == nil; n++ {
+		addrs := c.Book(ctx)
+		c.meetSome(ctx, c.strangers(slices.Clone(addrs)))
+		for try := 1; try < meetTries && len(addrs) > 0 && c.alone() && ctx.Err() == nil; try++ {
+			sleep(ctx, meetAgain/2+rand.N(meetAgain))
+			c.meetSome(ctx, c.strangers(slices.Clone(addrs)))
+		}
+		if c.register(n, drawn && len(addrs) < enoughContacts) {
+			c.Register(ctx)
 		}
+		c.restUntilMeeting(ctx, pause)
+		pause = min(meetGrowth*pause, meetOften)
 		if c.alone() {
-			most = meetFirst
+			pause = meetFirst
 		}
-		pause = min(meetGrowth*pause, most)
+	}
+}
+
+// register returns whether this node writes itself into the book after look n, from 0:
+// a scout, one that knows no other, and one that was drawn. At a start of all at once
+// nobody stands there, and the first ones that have waited for a moment are enough.
+func (c *Control) register(n int, drawn bool) bool {
+	if c.Register == nil || n == 0 && c.alone() {
+		return false
+	}
+	return drawn || c.Scout() // who knows no other is the scout
+}
+
+// restUntilMeeting waits until the next look: for about the given time at a scout, and
+// for long at another node.
+func (c *Control) restUntilMeeting(ctx context.Context, often time.Duration) {
+	often = often/2 + rand.N(often)
+	seldom := meetSeldom/2 + rand.N(meetSeldom)
+	began := time.Now()
+	sleep(ctx, often)
+	for ctx.Err() == nil && !c.Scout() && time.Since(began) < seldom {
+		sleep(ctx, meetCheck)
 	}
 }
 
--- a/control/control.go
+++ b/control/control.go
@@ -5,6 +5,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -14,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"sassafrasfront.example/entry"
+	"sassafrasfront.example/follow"
 	"sassafrasfront.example/member"
 	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/operator"
@@ -78,12 +80,17 @@
 	Contacts []string
 	// Book, if not nil, returns addresses of other nodes from the platform.
 	Book func(ctx context.Context) []string
+	// Register, if not nil, writes this node into the Book, unless it stands there.
+	Register func(ctx context.Context)
 	// Met, if not nil, is told whether a node answered at an address of the Book.
 	Met func(ctx context.Context, addr string, answered bool)
 	// Template, if not nil, says that the configuration is one table of routes,
 	// given by Configure. It returns what holds for a service of a table, given
 	// the number of live nodes.
 	Template func(t *routes.Table, service string, nodes int) operator.Service
+	// Within is the time within which a change of that table has to be in force
+	// everywhere. Zero means 2 s.
+	Within time.Duration
 	// Timing are the periods of the work.
 	Timing Timing
 	// Budget is what comparisons and pushes of records cost.
@@ -115,6 +122,11 @@
 	dirty      map[string]bool
 	neighbours []member.Record
 	clients    map[string]*peer.Client
+	reads      *follow.State // of the table, if there is a Template
+	heard      chan struct{}
+	placed     time.Time // when lastPlace was found
+	lastPlace  follow.Place
+	fetching   bool // whether a table is being fetched
 	comparing  bool
 	suspects   map[string]time.Time // until when, by node
 	random     *rand.Rand
@@ -147,11 +159,18 @@
 			Services:  map[string]*entry.Service{},
 			Sequences: map[string]uint64{},
 		})
+		c.heard = make(chan struct{}, 1)
+		if c.Template != nil {
+			c.reads = follow.New(cmp.Or(c.Within, defaultWithin), time.Now(), c.random)
+		}
 		c.self = c.Self.Reborn(member.Record{}, time.Now())
 		c.members.put(c.self)
 	})
 }
 
+// defaultWithin is the usual time within which a change is in force everywhere.
+const defaultWithin = 2 * time.Second
+
 // jobQueue is the number of jobs that may wait for the goroutine that owns the
 // state.
 const jobQueue = 256
@@ -201,9 +220,7 @@
 		case f := <-c.jobs:
 			f()
 		case <-push.C:
-			if len(c.dirty) > 0 {
-				c.rebuild()
-			}
+			c.publish()
 			c.push(ctx)
 		case <-compare.C:
 			c.compare(ctx)
@@ -215,6 +232,13 @@
 	}
 }
 
+// publish makes a new snapshot if something has changed.
+func (c *Control) publish() {
+	if len(c.dirty) > 0 {
+		c.rebuild()
+	}
+}
+
 // do has f run by the goroutine that owns the state, and waits for it. It
 // returns false if that goroutine has ended.
 func (c *Control) do(f func()) bool {
--- /dev/null
+++ b/control/reads.go
@@ -0,0 +1,230 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"sassafrasfront.example/follow"
+	"sassafrasfront.example/member"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/rollout"
+)
+
+// The topics of the reads of the platform.
+const (
+	// topicNews tells of the latest read, unasked.
+	topicNews = "news"
+	// topicAskNews asks for the latest read that the receiver knows.
+	topicAskNews = "askNews"
+	// topicTable asks for the table of routes in force.
+	topicTable = "table"
+)
+
+const (
+	// nearNews and farNews are the numbers of neighbours that news is passed on to, in
+	// the node's own zone and elsewhere: what crosses zones is paid for.
+	nearNews = 3
+	farNews  = 1
+	// askNews is the number of neighbours that a node asks which heard no news.
+	askNews = 2
+	// newsTimeout bounds the telling of news and what comes of it: the rest of the time
+	// in which a change is to be in force is for a read of the node's own.
+	newsTimeout = 500 * time.Millisecond
+	// placeEvery is how long a node's place among the others is kept: finding it takes
+	// a look at each.
+	placeEvery = 300 * time.Millisecond
+)
+
+// Next returns what the node is to do next about the platform, and after how long. A
+// Watch is to stay open for the third result.
+func (c *Control) Next() (action follow.Action, after, watchFor time.Duration) {
+	c.init()
+	c.do(func() {
+		now := time.Now()
+		var at time.Time
+		action, at = c.reads.Next(c.place(now), now)
+		after, watchFor = at.Sub(now), c.reads.WatchFor()
+	})
+	return action, after, watchFor
+}
+
+// Heard returns a channel that has a value when Next may have another answer.
+func (c *Control) Heard() <-chan struct{} {
+	c.init()
+	return c.heard
+}
+
+// Read takes in the node's own read of the platform: whether the platform answered,
+// and how long ago what it said held.
+func (c *Control) Read(answered bool, age time.Duration) {
+	c.init()
+	c.do(func() {
+		c.reads.Done(answered, age, time.Now())
+		c.sighted(answered)
+		c.passNews()
+	})
+}
+
+// AskNews asks a few neighbours for their news.
+func (c *Control) AskNews(ctx context.Context) {
+	c.do(func() {
+		for _, t := range c.targets(askNews) {
+			go func() {
+				ctx, cancel := context.WithTimeout(ctx, newsTimeout)
+				defer cancel()
+				news, err := ask[struct{}, follow.News](ctx, t.Client, topicAskNews, struct{}{})
+				if err != nil {
+					c.Log.Debug().Err(err).Str("peer", t.ID).Msg("news not told")
+					return
+				}
+				c.do(func() { c.hearNews(t.ID, news) })
+			}()
+		}
+	})
+}
+
+// place returns the node's place among the others. The leader is the first of the
+// live nodes that are not suspected and that the platform answers. Its order is that
+// of stewardship in the first zone, so that where there is one zone, the leader is its
+// scout.
+func (c *Control) place(now time.Time) follow.Place {
+	if now.Sub(c.placed) < placeEvery {
+		return c.lastPlace
+	}
+	zone := c.self.Zone
+	var all, seeing []string
+	for r := range c.members.set.All {
+		if r.ID == c.self.ID || !r.Live() || now.Before(c.suspects[r.ID]) {
+			continue
+		}
+		zone = min(zone, r.Zone)
+		all = append(all, r.ID)
+		if !r.Blind {
+			seeing = append(seeing, r.ID)
+		}
+	}
+	noneSees := c.self.Blind && len(seeing) == 0
+	if noneSees {
+		seeing = all
+	}
+	first := member.RankOf(zone, c.self.ID, seeing) == 0
+	c.placed = now
+	c.lastPlace = follow.Place{
+		Leads: first && (!c.self.Blind || noneSees),
+		Blind: first && c.self.Blind && !noneSees,
+		Nodes: c.live,
+	}
+	return c.lastPlace
+}
+
+// hearNews takes in news from another node.
+func (c *Control) hearNews(from string, news follow.News) {
+	if c.reads.Hear(news, time.Now()) {
+		c.fetchTable(from)
+	}
+	c.passNews()
+	c.wake()
+}
+
+// wake has the node look at Next again.
+func (c *Control) wake() {
+	select {
+	case c.heard <- struct{}{}:
+	default:
+	}
+}
+
+// passNews tells a few neighbours of the latest read, if that has not been done.
+func (c *Control) passNews() {
+	news, ok := c.reads.Pass(time.Now())
+	if !ok {
+		return
+	}
+	payload, err := msgpack.Marshal(news)
+	if err != nil {
+		c.Log.Error().Err(err).Msg("news not encoded")
+		return
+	}
+	for _, t := range c.newsTargets() {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), newsTimeout)
+			defer cancel()
+			if _, err := t.Request(ctx, topicNews, payload, true); err != nil {
+				c.do(func() { c.dropNeighbour(t.ID) })
+			}
+		}()
+	}
+}
+
+// newsTargets returns the neighbours that news goes to.
+func (c *Control) newsTargets() []target {
+	near, far := nearNews, farNews
+	var list, rest []target
+	for _, t := range c.targets(nearNeighbours + farNeighbours) {
+		left := &far
+		if t.Zone == c.self.Zone {
+			left = &near
+		}
+		if *left > 0 {
+			*left--
+			list = append(list, t)
+		} else {
+			rest = append(rest, t)
+		}
+	}
+	missing := nearNews + farNews - len(list)
+	return append(list, rest[:min(missing, len(rest))]...)
+}
+
+// fetchTable asks a node that has a later table of routes for it. News of it is
+// passed on once it is in force here.
+func (c *Control) fetchTable(from string) {
+	r, ok := c.members.set.Get(from)
+	if !ok || c.fetching {
+		return
+	}
+	p := c.client(r.Addr)
+	c.fetching = true
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), newsTimeout)
+		defer cancel()
+		reply, err := ask[struct{}, records[rollout.Config]](ctx, p, topicTable, struct{}{})
+		if err != nil {
+			c.Log.Debug().Err(err).Str("peer", from).Msg("table not fetched")
+		}
+		c.do(func() {
+			c.fetching = false
+			c.configs.putAll(reply.Records)
+			c.publish()
+			c.passNews()
+		})
+	}()
+}
+
+// handleReads answers a request about the reads of the platform. The second result is
+// false if it is none.
+func (c *Control) handleReads(from peer.Hello, topic string, payload []byte) (reply any, ok bool, err error) {
+	if c.reads == nil {
+		return nil, false, nil
+	}
+	switch topic {
+	case topicNews:
+		news, err := unpack[follow.News](payload)
+		if err != nil {
+			return nil, true, err
+		}
+		c.hearNews(from.Node, news)
+		return nil, true, nil
+	case topicAskNews:
+		return c.reads.Tell(time.Now()), true, nil
+	case topicTable:
+		return records[rollout.Config]{Records: c.configs.get([]string{rollout.Whole})}, true, nil
+	}
+	return nil, false, nil
+}
--- a/control/spread.go
+++ b/control/spread.go
@@ -53,11 +53,11 @@
 }
 
 // Handle answers a control request of a peer.
-func (c *Control) Handle(_ context.Context, _ peer.Hello, r *peer.Request) ([]byte, error) {
+func (c *Control) Handle(_ context.Context, from peer.Hello, r *peer.Request) ([]byte, error) {
 	c.init()
 	var reply any
 	var err error
-	if !c.do(func() { reply, err = c.handle(r.Topic, r.Payload) }) {
+	if !c.do(func() { reply, err = c.handle(from, r.Topic, r.Payload) }) {
 		return nil, errStopped
 	}
 	if err != nil || reply == nil {
@@ -67,7 +67,7 @@
 }
 
 // handle answers a request within the goroutine that owns the state.
-func (c *Control) handle(topic string, payload []byte) (any, error) {
+func (c *Control) handle(from peer.Hello, topic string, payload []byte) (any, error) {
 	switch topic {
 	case topicRoots:
 		return c.roots(), nil
@@ -86,6 +86,9 @@
 		c.suspect(q.Nodes)
 		return struct{}{}, nil
 	}
+	if reply, ok, err := c.handleReads(from, topic, payload); ok {
+		return reply, err
+	}
 	if reply, ok, err := c.members.handle(topic, payload); ok {
 		return reply, err
 	}
--- a/control/table.go
+++ b/control/table.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"time"
 
 	"sassafrasfront.example/rollout"
 	"sassafrasfront.example/routes"
@@ -20,43 +21,39 @@
 	return c.do(func() { rank, _ = c.stewardRank() }) && rank == 0
 }
 
-// Sighted takes in whether the platform answered this node. A scout that it does
-// not answer tells the others, so that another node of its zone takes its place: a
-// partition may part it from the platform alone. Other nodes keep it to
+// sighted takes in whether the platform answered this node. The scout of a zone and the leader of all nodes, if
+// the platform does not answer them, tell the others, so that another node takes their
+// place: a partition may part them from the platform alone. Other nodes keep it to
 // themselves, or all of them would speak at once when the platform is away.
-func (c *Control) Sighted(answered bool) {
-	c.init()
-	c.do(func() {
-		rank, _ := c.stewardRank()
-		if answered == !c.self.Blind || !answered && rank > 0 {
-			return
-		}
-		c.Log.Info().Bool("platformAnswers", answered).Msg("scout's sight of the platform")
-		c.setSelf(c.self.WithBlind(!answered))
-		c.push(context.Background())
-	})
+func (c *Control) sighted(answered bool) {
+	if answered == !c.self.Blind {
+		return
+	}
+	rank, _ := c.stewardRank()
+	if !answered && rank > 0 && !c.place(time.Now()).Leads {
+		return
+	}
+	c.Log.Info().Bool("platformAnswers", answered).Msg("sight of the platform")
+	c.setSelf(c.self.WithBlind(!answered))
+	c.placed = time.Time{}
+	c.push(context.Background())
 }
 
-// Configure takes in a table of routes, unless a later one is in force. Spread
-// is whether it is pushed to other nodes: the platform gives it to them as well,
-// so one node of each zone does, for those that the platform does not reach.
-func (c *Control) Configure(t *routes.Table, spread bool) {
+// Configure takes in a table of routes, unless a later one is in force.
+func (c *Control) Configure(t *routes.Table) {
 	c.init()
 	record := rollout.FromTable(t)
 	c.do(func() {
 		c.configs.put(record)
-		if !spread {
-			delete(c.configs.outbox, rollout.Whole)
-		}
-		if len(c.dirty) > 0 {
-			c.rebuild()
-		}
+		c.publish()
 	})
 }
 
 // tableChanged takes in a table of routes. It is not taken back: the exchanger
-// accepts higher sequences only.
+// accepts higher sequences only. It is not pushed: others fetch it from one of those
+// that tell them of it, so that a table of thousands of routes comes to each but once.
 func (c *Control) tableChanged(r rollout.Config) {
+	delete(c.configs.outbox, rollout.Whole)
 	t, err := r.Table()
 	if err != nil {
 		c.Log.Error().Err(err).Uint64("version", r.Sequence).Msg("configuration can't be read")
@@ -68,6 +65,9 @@
 		}
 	}
 	c.table = t
+	if c.reads != nil {
+		c.reads.InForce(t.Version)
+	}
 	for _, s := range t.Services {
 		c.dirty[s.Name] = true
 	}
--- a/control/table_test.go
+++ b/control/table_test.go
@@ -6,11 +6,14 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"sassafrasfront.example/follow"
 	"sassafrasfront.example/operator"
 	"sassafrasfront.example/routes"
 )
@@ -21,6 +24,7 @@
 	listener := c.listener()
 	n := c.addAtWith(listener, id, zone, func(k *Control) {
 		k.API = nil
+		k.Within = 500 * time.Millisecond
 		k.Book = func(context.Context) []string { return book() }
 		k.Template = func(*routes.Table, string, int) operator.Service { return operator.Service{}.WithDefaults() }
 	})
@@ -108,8 +112,8 @@
 	}
 	c.eventually("they have met", func() bool { return first.liveNodes() == 2 })
 	for _, v := range []uint64{3, 1, 7, 2, 7} {
-		first.Configure(table(v), false)
-		second.Configure(table(v-1), false)
+		first.Configure(table(v))
+		second.Configure(table(v - 1))
 	}
 	for _, n := range []*testNode{first, second} {
 		c.eventually("the latest is in force", func() bool { s := n.Snapshot(); return s.Table != nil && s.Table.Version == 7 })
@@ -153,19 +157,143 @@
 	first := scouts()[0]
 	for _, n := range list {
 		if n.Self.ID != first {
-			n.Sighted(false) // it is no scout, and tells nobody
+			n.Read(false, 0) // it is no scout, and tells nobody
 		}
 	}
 	qt.Check(t, scouts(), qt.DeepEquals, []string{first})
-	node(first).Sighted(false)
+	node(first).Read(false, 0)
 	c.eventually("a second scout", func() bool { return one() && scouts()[0] != first })
 	second := scouts()[0]
-	node(second).Sighted(false)
+	node(second).Read(false, 0)
 	c.eventually("a third scout", func() bool { return one() && scouts()[0] != first && scouts()[0] != second })
-	node(scouts()[0]).Sighted(false)
+	node(scouts()[0]).Read(false, 0)
 	c.eventually("all are blind, and one of them goes on asking", one)
 	for _, n := range list {
-		n.Sighted(true)
+		n.Read(true, 0)
 	}
 	c.eventually("the first again", func() bool { return one() && scouts()[0] == first })
 }
+
+// fakePlatform is a platform with one table of routes, which it gives to the nodes that
+// it does not turn away.
+type fakePlatform struct {
+	mu      sync.Mutex
+	version uint64
+	away    map[string]bool // by node
+	reads   int
+}
+
+// read returns the version, or false.
+func (p *fakePlatform) read(node string) (uint64, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reads++
+	return p.version, !p.away[node]
+}
+
+// change changes the table.
+func (p *fakePlatform) change() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.version++
+	return p.version
+}
+
+// follow has a node do what Next says until ctx ends.
+func (p *fakePlatform) follow(ctx context.Context, n *testNode) {
+	for ctx.Err() == nil {
+		action, after, watchFor := n.Next()
+		switch action {
+		case follow.Wait:
+			select {
+			case <-ctx.Done():
+			case <-n.Heard():
+			case <-time.After(min(after, 50*time.Millisecond)):
+			}
+			continue
+		case follow.Ask:
+			n.AskNews(ctx)
+			continue
+		case follow.Watch:
+			sleep(ctx, watchFor)
+		}
+		version, ok := p.read(n.Self.ID)
+		if ok {
+			t, err := routes.New(routes.Table{Version: version, Services: []routes.Service{{Name: "s"}}})
+			if err != nil {
+				panic(err)
+			}
+			n.Configure(t)
+		}
+		n.Read(ok, 0)
+	}
+}
+
+// TestReadsOfOneReachAll has nodes follow a platform that turns some of them away. A
+// change that any node can read comes into force everywhere.
+func TestReadsOfOneReachAll(t *testing.T) {
+	tests := map[string]func(leader string, all []*testNode) []string{
+		"all are served":           func(string, []*testNode) []string { return nil },
+		"the leader is not":        func(leader string, _ []*testNode) []string { return []string{leader} },
+		"only the last node is":    func(_ string, all []*testNode) []string { return ids(all[:len(all)-1]) },
+		"only the leader is":       func(leader string, all []*testNode) []string { return without(ids(all), leader) },
+		"all but two, not the two": func(_ string, all []*testNode) []string { return ids(all[:2]) },
+	}
+	for name, turnAway := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t)
+			list := c.tableNodes(6)
+			p := &fakePlatform{version: 1, away: make(map[string]bool)}
+			ctx, cancel := context.WithCancel(context.Background())
+			var all sync.WaitGroup
+			defer all.Wait()
+			defer cancel()
+			for _, n := range list {
+				all.Go(func() { p.follow(ctx, n) })
+			}
+			inForce := func(version uint64) func() bool {
+				return func() bool {
+					for _, n := range list {
+						if s := n.Snapshot(); s.Table == nil || s.Table.Version < version {
+							return false
+						}
+					}
+					return true
+				}
+			}
+			c.eventually("the first is in force", inForce(1))
+			var leader string
+			c.eventually("there is a leader", func() bool {
+				for _, n := range list {
+					n.do(func() {
+						if n.place(time.Now()).Leads {
+							leader = n.Self.ID
+						}
+					})
+				}
+				return leader != ""
+			})
+			p.mu.Lock()
+			for _, id := range turnAway(leader, list) {
+				p.away[id] = true
+			}
+			p.mu.Unlock()
+			for range 3 {
+				c.eventually("a change is in force", inForce(p.change()))
+			}
+		})
+	}
+}
+
+// ids returns the names of nodes.
+func ids(nodes []*testNode) (list []string) {
+	for _, n := range nodes {
+		list = append(list, n.Self.ID)
+	}
+	return list
+}
+
+// without returns a list without one of its elements.
+func without(list []string, one string) []string {
+	return slices.DeleteFunc(list, func(s string) bool { return s == one })
+}
--- /dev/null
+++ b/follow/state.go
@@ -0,0 +1,286 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package follow
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// News is what nodes tell each other of the latest reads of the configuration.
+type News struct {
+	// Round numbers the reads that the platform answered: a node that reads takes the
+	// number after the highest that it knows. The higher one is the later.
+	Round uint64 `msgpack:"round"`
+	// Version is that of the configuration in force at the reader after that read.
+	Version uint64 `msgpack:"version"`
+	// Age is the time since that read.
+	Age time.Duration `msgpack:"age"`
+	// Failure numbers the reads that the platform did not answer in the same way, and
+	// FailureAge is the time since the latest of them.
+	Failure    uint64        `msgpack:"failure"`
+	FailureAge time.Duration `msgpack:"failureAge"`
+}
+
+// The waits, as parts of the time within which a change has to be in force. The
+// reads by nodes that heard of none end at three quarters of it, so that there is
+// time for a slow answer.
+const (
+	// leadPart is how long the leader's reads stay open.
+	leadPart = 0.35
+	// askPart is the age from which a node asks two others for later news: one in
+	// fifty is missed by news that each node passes on to four.
+	askPart = 0.47
+	// leastPart and mostPart are the ages between which nodes read by themselves.
+	leastPart = 0.55
+	mostPart  = 0.75
+	// retryPart is the least time between two reads of a node that failed.
+	retryPart = 0.5
+	// gatherPart is the least time between two of the leader's reads, so that changes
+	// in quick succession are found by few.
+	gatherPart = 0.075
+	// alonePart is how long a node watches that hears nobody, at most.
+	alonePart = 1.0
+	// seeAgainPart is after how long a node that would lead, had the platform answered
+	// it, looks whether it does again.
+	seeAgainPart = 5.0
+)
+
+// aloneReads is the number of a node's reads in a row, with nothing heard from others,
+// from which it watches the platform by itself.
+const aloneReads = 2
+
+// enoughFailures is the number of failed reads since the last answered one from which
+// they spare the others theirs for a while. Where the platform turns away a third of
+// the nodes, these are the first three to read once in 27 times.
+const enoughFailures = 3
+
+// Action is what a node is to do next.
+type Action int
+
+// The actions.
+const (
+	// Wait is to ask Next again, at the time given or on news.
+	Wait Action = iota
+	// Ask is to ask a few nodes for their news.
+	Ask
+	// Read is to read what has changed.
+	Read
+	// Watch is to read what has changed as soon as something does, for WatchFor at
+	// most.
+	Watch
+)
+
+// Place is a node's place among the others, as far as it knows.
+type Place struct {
+	// Leads is whether it is the leader.
+	Leads bool
+	// Blind is whether it would be, had the platform answered it.
+	Blind bool
+	// Nodes is the number of live nodes.
+	Nodes int
+}
+
+// State is what one node knows of the reads; New makes it. It is not safe for use by
+// several goroutines at once.
+type State struct {
+	within  time.Duration
+	random  *rand.Rand
+	version uint64    // in force here
+	round   uint64    // of the latest answered read
+	found   uint64    // the version that it found
+	at      time.Time // of that read
+	failure uint64    // the number of the latest failed read
+	failed  time.Time // of that read
+	borne   uint64    // failure, at the latest answered read
+	fresh   time.Time // of the latest answered read that found nothing later than what is in force
+	passed  bool      // whether the latest was passed on
+	tried   time.Time // of the node's own last read
+	failing bool      // whether that failed
+	alone   int       // own reads since anything was heard
+	asked   time.Time // the value of since for which others were asked
+	drawn   time.Time // the value of since for which draw was drawn
+	draw    float64   // in (0, 1]
+}
+
+// New returns the State of a node that starts now, where a change has to be in force
+// everywhere within the given time. Random tells the nodes apart that wait for the same.
+func New(within time.Duration, now time.Time, random *rand.Rand) *State {
+	return &State{
+		within: within,
+		random: random,
+		fresh:  now,
+		passed: true,
+	}
+}
+
+func (s *State) part(p float64) time.Duration { return time.Duration(p * float64(s.within)) }
+
+// WatchFor returns how long a Watch is to stay open. A node that hears nobody watches
+// for longer each time: the platform tells it of a change at once.
+func (s *State) WatchFor() time.Duration {
+	d := s.part(leadPart)
+	for range s.alone - aloneReads {
+		d = min(2*d, s.part(alonePart))
+	}
+	return d
+}
+
+// InForce takes in the version of the configuration that is in force now.
+func (s *State) InForce(version uint64) {
+	s.version = max(s.version, version)
+	s.refresh()
+}
+
+// refresh takes the latest read for this node's own if it found nothing later than
+// what is in force.
+func (s *State) refresh() {
+	if s.found <= s.version && s.at.After(s.fresh) {
+		s.fresh = s.at
+	}
+}
+
+// Hear takes in what another node told, and returns whether that node has a later
+// configuration, which is then to be fetched from it.
+func (s *State) Hear(n News, now time.Time) (behind bool) {
+	s.alone = 0
+	if n.Failure > s.failure {
+		s.failure = n.Failure
+		s.failed = now.Add(-max(0, n.FailureAge))
+		s.passed = false
+	}
+	if n.Round > s.round {
+		s.answered(n.Round, n.Version, now.Add(-max(0, n.Age)))
+	}
+	return n.Version > s.version
+}
+
+// answered takes in a read that is later than the latest.
+func (s *State) answered(round, version uint64, at time.Time) {
+	s.round = round
+	s.found = version
+	s.at = at
+	s.borne = s.failure
+	s.passed = false
+	s.refresh()
+}
+
+// Done takes in the node's own read that ended now: whether the platform answered,
+// and how long ago what it said held.
+func (s *State) Done(answered bool, age time.Duration, now time.Time) {
+	s.tried = now
+	s.failing = !answered
+	s.alone++
+	if answered {
+		s.answered(s.round+1, s.version, now.Add(-age))
+		return
+	}
+	s.failure++
+	s.failed = now
+	s.passed = false
+}
+
+// Tell returns what this node knows.
+func (s *State) Tell(now time.Time) News {
+	return News{
+		Round:      s.round,
+		Version:    s.found,
+		Age:        now.Sub(s.at),
+		Failure:    s.failure,
+		FailureAge: now.Sub(s.failed),
+	}
+}
+
+// Pass returns news to be told to others, once for each read. Those who hear of a
+// later configuration fetch it from this node, so there are none before it has that
+// itself.
+func (s *State) Pass(now time.Time) (News, bool) {
+	if s.passed || s.found > s.version {
+		return News{}, false
+	}
+	s.passed = true
+	return s.Tell(now), true
+}
+
+// Next returns what to do now, or until when to wait.
+func (s *State) Next(p Place, now time.Time) (Action, time.Time) {
+	action, due := s.turn(p)
+	if !now.Before(due) {
+		return action, now
+	}
+	since := s.since()
+	ask := since.Add(s.part(askPart))
+	switch {
+	case p.Leads || p.Nodes < 2 || s.asked.Equal(since) || !ask.Before(due):
+		return Wait, due
+	case now.Before(ask):
+		return Wait, ask
+	}
+	s.asked = since
+	return Ask, now
+}
+
+// turn returns the node's own next read, and when it is due.
+func (s *State) turn(p Place) (Action, time.Time) {
+	if p.Leads && !s.away() {
+		return Watch, s.tried.Add(s.part(s.pausePart()))
+	}
+	if s.alone >= aloneReads && !s.failing {
+		return Watch, s.tried.Add(s.part(gatherPart))
+	}
+	since := s.since()
+	due := since.Add(s.wait(since, p.Nodes))
+	if again := s.tried.Add(s.part(seeAgainPart)); p.Blind && again.Before(due) {
+		due = again
+	}
+	if retry := s.tried.Add(s.part(s.pausePart())); retry.After(due) {
+		due = retry
+	}
+	return Read, due
+}
+
+// pausePart returns the least wait between two own reads.
+func (s *State) pausePart() float64 {
+	if s.failing {
+		return retryPart
+	}
+	return gatherPart
+}
+
+// away returns whether the platform seems to answer nobody.
+func (s *State) away() bool { return s.failure >= s.borne+enoughFailures }
+
+// since returns the time from which the node's own next read is reckoned: the latest
+// read that tells that it has what there is, or one that failed after that. Where
+// the platform answers nobody, a few failures spare the others theirs for a while.
+func (s *State) since() time.Time {
+	if s.away() && s.failed.After(s.fresh) {
+		return s.failed
+	}
+	return s.fresh
+}
+
+// wait returns how long after since the node reads by itself. Of n nodes that hear of
+// no read, a few are to read first, and the others to hear of them in time. With u
+// uniform in (0, 1), the part
+//
+//	max(0, 1 + log(u)/log(n))
+//
+// of the span is waited, so that n^x nodes are expected to have read after the part x
+// of it: one at its beginning, n at its end. See J. Nonnenmacher and E. Biersack,
+// Scalable feedback for large groups, 1999. doi:10.1109/90.779208.
+func (s *State) wait(since time.Time, n int) time.Duration {
+	if !s.drawn.Equal(since) {
+		s.drawn = since
+		s.draw = 1 - s.random.Float64()
+	}
+	least, most := s.part(leastPart), s.part(mostPart)
+	if n < 2 {
+		return least
+	}
+	x := max(0, 1+math.Log(s.draw)/math.Log(float64(n)))
+	return least + time.Duration(x*float64(most-least))
+}
--- /dev/null
+++ b/follow/system_test.go
@@ -0,0 +1,369 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package follow
+
+import (
+	"cmp"
+	"container/heap"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// The system that is played: nodes that pass news on to four others, as they do, over
+// connections that take up to hop; a store that answers after storeTime.
+const (
+	within    = 2 * time.Second
+	hop       = 40 * time.Millisecond
+	storeTime = 4 * time.Millisecond
+	// hangs is after how long a call is given up that nobody answers.
+	hangs = time.Second
+	// leaderNoticed is how long the others take to notice that the leader is gone.
+	leaderNoticed = 3 * time.Second
+	contacts      = 12
+	fanOut        = 4
+)
+
+// event is something that happens at a time.
+type event struct {
+	at time.Duration
+	do func()
+}
+
+type events []event
+
+func (q events) Len() int           { return len(q) }
+func (q events) Less(i, j int) bool { return q[i].at < q[j].at }
+func (q events) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *events) Push(x any)        { *q = append(*q, x.(event)) }
+func (q *events) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+// node is one node of the played system.
+type node struct {
+	*State
+	id       int
+	others   []int
+	version  uint64
+	inForce  map[uint64]time.Duration // when each version came into force
+	busy     bool                     // whether a read is on
+	woken    time.Duration            // the time of its next turn
+	dead     bool
+	alone    bool // cut off from the other nodes
+	refused  bool // the platform turns it away
+	silenced bool // the platform does not answer it
+	blind    bool
+	gone     time.Duration // when it died
+}
+
+// system is the played system.
+type system struct {
+	random  *rand.Rand
+	now     time.Duration
+	queue   events
+	nodes   []*node
+	leader  int
+	version uint64 // of the configuration at the store
+	down    bool   // whether the store refuses all
+	calls   int
+}
+
+var origin = time.Unix(0, 0)
+
+func (s *system) clock() time.Time { return origin.Add(s.now) }
+
+func (s *system) after(d time.Duration, do func()) {
+	heap.Push(&s.queue, event{at: s.now + d, do: do})
+}
+
+func newSystem(nodes int, seed uint64) *system {
+	s := &system{
+		random:  rand.New(rand.NewPCG(seed, seed)),
+		version: 1,
+	}
+	for id := range nodes {
+		n := &node{
+			State:   New(within, s.clock(), s.random),
+			id:      id,
+			version: 1,
+			inForce: map[uint64]time.Duration{1: 0},
+		}
+		n.InForce(1)
+		for range min(contacts, nodes-1) {
+			n.others = append(n.others, s.random.IntN(nodes))
+		}
+		s.nodes = append(s.nodes, n)
+		s.turn(n)
+	}
+	return s
+}
+
+// run plays until the given time.
+func (s *system) run(until time.Duration) {
+	for len(s.queue) > 0 && s.queue[0].at <= until {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		e.do()
+	}
+	s.now = until
+}
+
+// turn has a node do what is next.
+func (s *system) turn(n *node) {
+	if n.dead || n.busy {
+		return
+	}
+	leads := n.id == s.leader || n.alone && n.id == 0 // who leads does not know that it is cut off
+	action, at := n.Next(Place{Leads: leads && !n.blind, Blind: n.blind, Nodes: len(s.nodes)}, s.clock())
+	switch action {
+	case Wait:
+		wait := at.Sub(s.clock())
+		n.woken = s.now + wait
+		woken := n.woken
+		s.after(wait, func() {
+			if n.woken == woken {
+				s.turn(n)
+			}
+		})
+		return
+	case Ask:
+		for range 2 {
+			other := s.other(n)
+			s.send(n, other, func() {
+				news := other.Tell(s.clock())
+				s.send(other, n, func() { s.hear(n, other, news) })
+			})
+		}
+		s.turn(n)
+		return
+	case Read:
+		s.read(n, 0)
+	case Watch:
+		s.read(n, n.WatchFor())
+	}
+}
+
+// read has a node call the store, which answers after a while or at a change.
+func (s *system) read(n *node, wait time.Duration) {
+	s.calls++
+	n.busy = true
+	began := s.now
+	switch {
+	case n.silenced:
+		s.after(wait+hangs, func() { s.ended(n, false, 0) })
+		return
+	case n.refused || s.down:
+		s.after(storeTime, func() { s.ended(n, false, 0) })
+		return
+	}
+	var look func()
+	look = func() {
+		switch {
+		case n.refused || s.down:
+			s.ended(n, false, 0)
+		case s.version > n.version || s.now >= began+storeTime+wait:
+			s.enforce(n, s.version)
+			s.ended(n, true, storeTime)
+		default:
+			s.after(10*time.Millisecond, look)
+		}
+	}
+	s.after(storeTime, look)
+}
+
+func (s *system) ended(n *node, answered bool, age time.Duration) {
+	n.busy = false
+	n.Done(answered, age, s.clock())
+	if n.id == s.leader && !answered {
+		n.blind = true
+		s.after(200*time.Millisecond, s.elect)
+	}
+	s.pass(n)
+	s.turn(n)
+}
+
+// elect has the next node that can read lead.
+func (s *system) elect() {
+	for _, n := range s.nodes {
+		if !n.dead && !n.alone && !n.blind {
+			s.leader = n.id
+			s.turn(n)
+			return
+		}
+	}
+}
+
+func kill(n *node) { n.dead = true }
+func cut(n *node)  { n.alone = true }
+
+// lose does something to nodes that the others notice after a while.
+func (s *system) lose(nodes []*node, how func(n *node)) {
+	for _, n := range nodes {
+		how(n)
+		n.gone = s.now
+	}
+	s.after(leaderNoticed, func() {
+		if l := s.nodes[s.leader]; l.dead || l.alone {
+			s.elect()
+		}
+	})
+}
+
+func (s *system) enforce(n *node, version uint64) {
+	if version > n.version {
+		n.version = version
+		n.inForce[version] = s.now
+	}
+	n.InForce(n.version)
+}
+
+// other returns one of the nodes that n talks to. One that has been gone for a while
+// is replaced.
+func (s *system) other(n *node) *node {
+	i := s.random.IntN(len(n.others))
+	o := s.nodes[n.others[i]]
+	if (o.dead || o.alone) && s.now > o.gone+leaderNoticed {
+		n.others[i] = s.random.IntN(len(s.nodes))
+	}
+	return o
+}
+
+// send delivers something after a hop, if it can.
+func (s *system) send(from, to *node, deliver func()) {
+	if from.alone || to.alone || from.dead || to.dead {
+		return
+	}
+	s.after(time.Duration(s.random.Int64N(int64(hop))), func() {
+		if !to.dead && !to.alone {
+			deliver()
+		}
+	})
+}
+
+func (s *system) pass(n *node) {
+	news, ok := n.Pass(s.clock())
+	if !ok || len(n.others) == 0 {
+		return
+	}
+	for range fanOut {
+		other := s.other(n)
+		s.send(n, other, func() { s.hear(other, n, news) })
+	}
+}
+
+func (s *system) hear(n, from *node, news News) {
+	if n.Hear(news, s.clock()) {
+		s.send(n, from, func() {
+			version := from.version
+			s.send(from, n, func() {
+				s.enforce(n, version)
+				s.pass(n)
+			})
+		})
+	}
+	s.pass(n)
+	s.turn(n)
+}
+
+// late returns how long after a change that came at the given time the last of the
+// nodes that can read it, or hear of it, had it in force.
+func (s *system) late(version uint64, since time.Duration) (worst time.Duration) {
+	for _, n := range s.nodes {
+		if n.dead || n.alone && (n.refused || n.silenced) {
+			continue
+		}
+		at := s.now + time.Hour
+		for v, t := range n.inForce {
+			if v >= version {
+				at = min(at, t)
+			}
+		}
+		worst = max(worst, at-since)
+	}
+	return worst
+}
+
+// TestFollow has one row for each trouble: ten changes, two seconds and more from each
+// other, are made in the midst of it, at fifty seeds. Each is in force in time at every
+// node that reaches the store or another such node, and the calls stay those of a few
+// readers, whatever the number of nodes.
+func TestFollow(t *testing.T) {
+	const (
+		usual  = 50
+		begins = 10 * time.Second
+		lasts  = 30 * time.Second
+	)
+	tests := map[string]struct {
+		nodes   int
+		trouble func(s *system)
+		bound   time.Duration // of the worst change; 0 means within
+		calls   int           // of the mean seed, at most: a quarter above what was seen
+		seeds   uint64        // 0 means fifty
+	}{
+		"calm, 12 nodes":   {nodes: 12, calls: 65},
+		"calm, 200 nodes":  {nodes: 200, calls: 65},
+		"calm, 1000 nodes": {nodes: 1000, seeds: 3, calls: 110},
+		"one node":         {nodes: 1, calls: 65},
+		"the leader dies":  {nodes: 200, calls: 160, trouble: func(s *system) { s.lose(s.nodes[:1], kill) }},
+		"three leaders in turn die": {nodes: 200, calls: 200, trouble: func(s *system) {
+			for i := range 3 {
+				s.after(time.Duration(i)*5*time.Second, func() { s.lose([]*node{s.nodes[s.leader]}, kill) })
+			}
+		}},
+		"the platform turns the leader away":               {nodes: 200, calls: 120, trouble: func(s *system) { s.nodes[0].refused = true }},
+		"the platform does not answer the leader":          {nodes: 200, calls: 120, trouble: func(s *system) { s.nodes[0].silenced = true }},
+		"the leader is cut off from the others":            {nodes: 200, calls: 180, trouble: func(s *system) { s.lose(s.nodes[:1], cut) }},
+		"a third of the nodes are cut off from the others": {nodes: 200, calls: 1300, trouble: func(s *system) { s.lose(s.nodes[1:67], cut) }},
+		"half of the nodes die, the leader with them":      {nodes: 200, calls: 300, trouble: func(s *system) { s.lose(s.nodes[:100], kill) }},
+		"the platform turns a third away, the first three among them": {nodes: 200, calls: 180, bound: 2 * within, trouble: func(s *system) {
+			for _, n := range append(s.nodes[:3:3], s.nodes[100:163]...) {
+				n.refused = true
+			}
+		}},
+		"the platform is away for 8 s": {nodes: 200, calls: 375, bound: 8*time.Second + within, trouble: func(s *system) {
+			s.down = true
+			s.after(8*time.Second, func() { s.down = false })
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			bound := test.bound
+			if bound == 0 {
+				bound = within
+			}
+			var calls int
+			var worst time.Duration
+			seeds := cmp.Or(test.seeds, usual)
+			for seed := range seeds {
+				s := newSystem(test.nodes, seed)
+				s.run(begins)
+				if test.trouble != nil {
+					test.trouble(s)
+				}
+				changes := make(map[uint64]time.Duration)
+				for i := range 10 {
+					s.run(begins + time.Duration(i)*2*time.Second + time.Duration(s.random.Int64N(int64(time.Second))))
+					s.version++
+					changes[s.version] = s.now
+				}
+				s.run(begins + lasts)
+				for v, since := range changes {
+					late := s.late(v, since)
+					worst = max(worst, late)
+					qt.Check(t, late <= bound, qt.IsTrue, qt.Commentf("seed %d: version %d took %v", seed, v, late))
+				}
+				calls += s.calls
+			}
+			t.Logf("worst %v, %d calls a seed", worst, calls/int(seeds))
+			qt.Check(t, calls/int(seeds) <= test.calls, qt.IsTrue)
+		})
+	}
+}
--- a/node/managed_test.go
+++ b/node/managed_test.go
@@ -124,10 +124,8 @@
 		Log:      zerolog.Nop(),
 		Platform: &node.Platform{
 			Names: platform.Names(),
-			API: func(c *objectapi.Caller, watchFor, gather func() time.Duration) objectapi.API {
-				return &platform.Store{Caller: c, WatchFor: watchFor, Gather: gather}
-			},
-			Kind: platform.ManifestKind, Name: platform.ManifestName, Table: platform.Table, Announce: platform.Instances,
+			API:   func(c *objectapi.Caller) objectapi.Polled { return &platform.Store{Caller: c} },
+			Kind:  platform.ManifestKind, Name: platform.ManifestName, Table: platform.Table, Announce: platform.Instances,
 		},
 	}
 	var done sync.WaitGroup
--- a/node/node.go
+++ b/node/node.go
@@ -76,7 +76,7 @@
 	peers      *peer.Server
 	announced  *upstream.Announcements
 	claims     *claim.Ledger
-	api        objectapi.API                     // of Platform
+	api        objectapi.Polled                  // of Platform
 	reloaded   atomic.Pointer[settings.Settings] // nil until the settings change
 	lines      keyvalue.Limit
 	successes  atomic.Uint64
@@ -246,11 +246,13 @@
 	n.asks = rate.NewLimiter(askRate, askBurst)
 	n.gate.Ask = n.askLoad
 	n.control.Template = n.template
+	n.control.Within = n.Settings.ConfigWithin
 	store := n.storeClient()
 	n.metrics.platformCalls = store.Calls
-	n.api = n.Platform.API(store, n.watchFor, n.gather)
+	n.api = n.Platform.API(store)
 	book := n.book(n.api)
 	n.control.Book = book.Addresses
+	n.control.Register = book.Register
 	n.control.Met = book.Met
 }
 
@@ -344,7 +346,7 @@
 	var all, controlling sync.WaitGroup
 	controlling.Go(func() { n.control.Run(controlCtx) })
 	if n.Platform != nil {
-		controlling.Go(func() { n.follow(controlCtx, n.api) })
+		controlling.Go(func() { n.follow(controlCtx, n.reader(n.api)) })
 		all.Go(func() { n.findUpstream(inner) })
 		all.Go(func() { n.pollLoad(inner) })
 	}
--- a/objectapi/api.go
+++ b/objectapi/api.go
@@ -14,8 +14,8 @@
 	"sassafrasfront.example/verdict"
 )
 
-// API is what the system uses of the platform.
-type API interface {
+// Objects is what the system does with single objects and lists of the platform.
+type Objects interface {
 	// Get returns an object.
 	Get(ctx context.Context, kind, name string) (*Object, error)
 	// List returns all objects of a kind.
@@ -30,6 +30,11 @@
 	Update(ctx context.Context, o *Object) (*Object, error)
 	// Delete deletes an object if it still has the given resource version.
 	Delete(ctx context.Context, kind, name, version string) error
+}
+
+// API is what the system uses of the platform.
+type API interface {
+	Objects
 	// Watch calls f with each change of a kind after the given resource
 	// version. It returns nil when the platform ends the watch in good order.
 	Watch(ctx context.Context, kind, version string, f func(Event)) error
--- a/settings/check.go
+++ b/settings/check.go
@@ -111,6 +111,7 @@
 		c.address("upstreamAddress", s.UpstreamAddress, false)
 	}
 	within(c, "heartbeat", s.Heartbeat, 0, time.Hour)
+	within(c, "configWithin", s.ConfigWithin, 500*time.Millisecond, time.Hour)
 	within(c, "retryRatio", s.RetryRatio, 0, 10)
 	within(c, "retrySlack", s.RetrySlack, 0, 1e6)
 	within(c, "retryWindow", s.RetryWindow, time.Second, time.Hour)
