A request that waits is refused while it is known not to have run

Cause: a request could wait at a gate to its deadline, at which its entry gave up without a word from the gate and had to say that it may have run (504). Change: it waits until what is left of its time is its expected run. TestWaitEndsBeforeTheDeadline fails before (revoked at the deadline) and passes after.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -203,10 +203,11 @@
 	now := time.Now()
 	g.observeQueues(now)
 	t := &Ticket{
-		gate:    g,
-		queue:   g.class(class),
-		ready:   make(chan struct{}),
-		entered: now,
+		gate:     g,
+		queue:    g.class(class),
+		ready:    make(chan struct{}),
+		entered:  now,
+		deadline: deadline,
 	}
 	if err := g.admissible(t, now, deadline); err != nil {
 		t.refuse(err)
--- a/admit/gate_test.go
+++ b/admit/gate_test.go
@@ -425,3 +425,27 @@
 		qt.Check(t, g.JustSlowed(time.Hour), qt.IsFalse)
 	})
 }
+
+// TestWaitEndsBeforeTheDeadline has a request wait behind one that hangs, at a gate that
+// expected it to end in time. It is refused when what is left of its time is no longer
+// enough for its run, not at its deadline.
+func TestWaitEndsBeforeTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const run, left = 50 * time.Millisecond, 300 * time.Millisecond
+		var g admit.Gate
+		l := base.WithSlots(1)
+		l.QueueWait = time.Second
+		g.Set(l)
+		warm(&g, 20, run)
+		hanging := g.Enter("", time.Time{})
+		qt.Assert(t, hanging.Wait(context.Background()) == nil, qt.IsTrue)
+		began := time.Now()
+		ctx, cancel := context.WithDeadline(context.Background(), began.Add(left))
+		defer cancel()
+		failure := g.Enter("", began.Add(left)).Wait(ctx)
+		qt.Assert(t, failure, qt.IsNotNil)
+		qt.Check(t, failure.Cause, qt.Equals, verdict.Refused)
+		waited := time.Since(began)
+		qt.Check(t, waited >= left/2 && waited <= left-run, qt.IsTrue, qt.Commentf("%v", waited))
+	})
+}
--- a/admit/ticket.go
+++ b/admit/ticket.go
@@ -28,6 +28,8 @@
 	start   float64 // start tag
 	ready   chan struct{}
 	entered time.Time
+	// deadline is when an answer is of no use any more, or zero.
+	deadline time.Time
 
 	// The gate's mutex guards what follows.
 	state state
--- a/admit/wait.go
+++ b/admit/wait.go
@@ -114,11 +114,18 @@
 	g.revoke(t, verdict.New(verdict.Refused, nil).WithRetryAfter(after))
 }
 
-// queueWait returns the longest time that t waits.
+// queueWait returns the longest time that t waits: until what is left of its time is
+// its expected run. It is refused then, while its caller can still be told that it has
+// not run. One that waits on to its deadline is answered that it may have run, which
+// nobody repeats (TestWaitEndsBeforeTheDeadline).
 func (g *Gate) queueWait(t *Ticket) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.longestWait(t.queue)
+	longest := g.longestWait(t.queue)
+	if t.deadline.IsZero() {
+		return longest
+	}
+	return min(longest, max(0, time.Until(t.deadline)-g.run(t.queue)))
 }
 
 // longestWait returns the longest time that a request of q waits: what its
