--- a/admit/gate_test.go
+++ b/admit/gate_test.go
@@ -449,3 +449,61 @@
 		qt.Check(t, waited >= left/2 && waited <= left-run, qt.IsTrue, qt.Commentf("%v", waited))
 	})
 }
+
+// TestHangingUpstreamThatTellsItsSpeed has an upstream that tells its usual speed hang,
+// be slow as it says, or run on: only the first is reported as slow by its service time.
+func TestHangingUpstreamThatTellsItsSpeed(t *testing.T) {
+	const run = 100 * time.Millisecond
+	tests := map[string]struct {
+		slowdown    float64
+		age         time.Duration
+		least, most time.Duration // of the reported service time
+	}{
+		"hangs":                  {slowdown: 1, age: 10 * run, least: 4 * run, most: 5 * run},
+		"slow as it says":        {slowdown: 4, age: 4 * run, least: run, most: run},
+		"hangs and says slow":    {slowdown: 4, age: 40 * run, least: 4 * run, most: 5 * run},
+		"near the end of a run":  {slowdown: 1, age: run, least: run, most: run},
+		"a run of twice as long": {slowdown: 1, age: 2 * run, least: run, most: run},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var g admit.Gate
+				g.Set(base.WithSlots(8))
+				g.Observe(1)
+				warm(&g, 20, run)
+				g.Observe(test.slowdown)
+				for range 8 {
+					g.Enter("", time.Time{})
+				}
+				time.Sleep(test.age)
+				got := g.Report().Service
+				qt.Check(t, got >= test.least-time.Millisecond && got <= test.most+time.Millisecond, qt.IsTrue, qt.Commentf("%v", got))
+			})
+		})
+	}
+}
+
+// TestRunsGivenUpCount has all requests at an upstream time out after ten times their
+// usual run. With nothing running, it is still reported as slow.
+func TestRunsGivenUpCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const run = 100 * time.Millisecond
+		var g admit.Gate
+		g.Set(base.WithSlots(8))
+		g.Observe(1)
+		warm(&g, 20, run)
+		for range 8 {
+			k := g.Enter("", time.Time{})
+			time.Sleep(run / 4)
+			k.Release(false) // its caller left early, which says nothing
+		}
+		qt.Check(t, g.Report().Service, qt.Equals, run)
+		for range 8 {
+			k := g.Enter("", time.Time{})
+			time.Sleep(10 * run)
+			k.Release(false)
+		}
+		qt.Check(t, g.Report().Service >= 5*run, qt.IsTrue, qt.Commentf("%v", g.Report().Service))
+	})
+}
