--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -151,7 +151,6 @@
 			Expected: s.Config.ServiceTime.Std(),
 		}
 	}
-	near := membersIn(d.Hello.Zone, s.Members)
 	chosen := subset(d.Hello.Node, d.Hello.Zone, s.Members)
 	n.spare = make(map[string]bool)
 	targets := make(map[string]route.Target, len(s.Members))
@@ -160,7 +159,7 @@
 		targets[m.ID] = route.Target{
 			Slots:    max(1, m.Slots),
 			Distance: d.distance(s, m),
-			Crossing: d.crossing(s, m, near),
+			Crossing: d.crossing(s, m),
 			Local:    m.ID == d.Hello.Node,
 			Spare:    !chosen[m.ID],
 		}
@@ -193,14 +192,12 @@
 	return 0
 }
 
-// crossing returns what sending to m costs beside the distance, given the number of
-// members in the node's own zone. Where these are few, there is little choice among
-// them, and the others are needed as often as they are.
-func (d *Dispatcher) crossing(s *Service, m Member, near int) float64 {
+// crossing returns what sending to m costs beside the distance.
+func (d *Dispatcher) crossing(s *Service, m Member) float64 {
 	if m.Region == d.Region && m.Zone == d.Hello.Zone {
 		return 0
 	}
-	return s.Config.Crossing * min(1, float64(near)/subsetNear)
+	return s.Config.Crossing
 }
 
 // closeUnused closes the clients of nodes that are not in their service any
--- a/entry/subset.go
+++ b/entry/subset.go
@@ -44,7 +44,13 @@
 	}
 	slices.SortFunc(ranked, func(a, b Member) int { return cmp.Compare(weight[b.ID], weight[a.ID]) })
 	near, far := subsetNear, subsetFar
-	far += max(0, near-membersIn(zone, members))
+	here := 0
+	for _, m := range members {
+		if m.Zone == zone {
+			here++
+		}
+	}
+	far += max(0, near-here)
 	for _, m := range ranked {
 		left := &far
 		if m.Zone == zone {
@@ -57,13 +63,3 @@
 	}
 	return in
 }
-
-// membersIn returns the number of members in a zone.
-func membersIn(zone string, members []Member) (n int) {
-	for _, m := range members {
-		if m.Zone == zone {
-			n++
-		}
-	}
-	return n
-}
