--- a/admit/dispatch.go
+++ b/admit/dispatch.go
@@ -28,10 +28,10 @@
 	g.running++
 	q.running++
 	g.virtual = t.start
+	g.startSum += now.Sub(g.epoch)
 	t.state = running
 	t.began = now
 	t.slowdown = g.slow()
-	g.ages.add(now.Sub(g.epoch), t.slowdown)
 	t.rate = 1 / (t.slowdown * max(leastRun, g.run(q)).Seconds())
 	g.freeing += t.rate
 	close(t.ready)
--- a/admit/gate.go
+++ b/admit/gate.go
@@ -46,7 +46,7 @@
 	virtual  float64
 	running  int
 	waiting  int
-	ages     ages // of the running requests
+	startSum time.Duration // sum of the start times of running requests, since epoch
 	epoch    time.Time
 	draining bool
 	idle     chan struct{}
@@ -242,10 +242,10 @@
 	return nil
 }
 
-// agePatience divides the mean age of running requests where the upstream tells its
-// speed. Each age is that at the usual speed, so that a slowdown does not explain it;
-// but a few requests may be at the end of longer runs than most.
-const agePatience = 2
+// agePatience divides the age of running requests where the upstream tells its
+// speed: requests that began while it was slow stay slow, and only an age that
+// no slowdown explains says that it hangs. Slowdowns of four have been seen.
+const agePatience = 6
 
 // service returns the expected service time at the given time, for an upstream
 // that runs at its usual speed.
@@ -254,7 +254,7 @@
 	if g.running == 0 {
 		return mean
 	}
-	age := g.ages.mean(now.Sub(g.epoch))
+	age := now.Sub(g.epoch) - g.startSum/time.Duration(g.running)
 	if g.slowdown > 0 {
 		age /= agePatience
 	}
@@ -286,17 +286,12 @@
 	t.state = released
 	t.queue.running--
 	g.running--
-	g.ages.remove(t.began.Sub(g.epoch), t.slowdown)
+	g.startSum -= t.began.Sub(g.epoch)
 	g.freeing = max(0, g.freeing-t.rate)
-	took := time.Duration(float64(now.Sub(t.began)) / t.slowdown)
-	switch {
-	case healthy:
+	if healthy {
+		took := time.Duration(float64(now.Sub(t.began)) / t.slowdown)
 		g.limiter.observe(took, g.limits.Slots)
 		t.queue.ran(took)
-	case took.Seconds() > g.limiter.fast && g.limiter.fast > 0:
-		// It was given up on, and would have taken longer still. An upstream whose
-		// requests all time out otherwise looks as fast as it was before.
-		g.limiter.observe(took, g.limits.Slots)
 	}
 	g.dispatch(now)
 	g.signalIdle()
