sassafrasctl failures: a service's failed requests between two times, by class and cause

On-call engineers had one request at a time (explain). This counts, from the logs of any number of nodes, what failed, which gates refused and the first id to explain; it says when lines were left out. No part of the node.

--- a/cmd/sassafrasctl/main.go
+++ b/cmd/sassafrasctl/main.go
@@ -110,9 +110,10 @@
 			command("watch", "watch", "show statuses as they change", t.watch),
 			command("delete", "delete NAME", "delete a service", t.remove),
 			command("explain", "explain REQUEST-ID FILE...", "show what the logs of nodes say of a request", t.explain),
+			command("failures", "failures SERVICE FROM TO FILE...", "count a service's failed requests in the logs of nodes", t.failures),
 		},
 		Exec: func(context.Context, []string) error {
-			return exitError{exitUsage, errors.New("usage: sassafrasctl [flags] <validate|apply|diff|get|status|watch|delete|explain>")}
+			return exitError{exitUsage, errors.New("usage: sassafrasctl [flags] <validate|apply|diff|get|status|watch|delete|explain|failures>")}
 		},
 	}
 }
