follow: the count of a lone node's reads is bounded

It grew with each read of a node that hears nobody, and WatchFor went over it each time. Counted up to ten, from where a watch does not grow any more; nothing else changes.

--- a/control/table.go
+++ b/control/table.go
@@ -21,9 +21,10 @@
 	return c.do(func() { rank, _ = c.stewardRank() }) && rank == 0
 }
 
-// sighted takes in whether the platform answered this node. The scout of a zone and the leader of all nodes, if
-// the platform does not answer them, tell the others, so that another node takes their
-// place: a partition may part them from the platform alone. Other nodes keep it to
+// sighted takes in whether the platform answered this node. The scout of a zone and
+// the leader of all nodes, if the platform does not answer them, tell the others, so
+// that another node takes their place: a partition may part them from the platform
+// alone. Other nodes keep it to
 // themselves, or all of them would speak at once when the platform is away.
 func (c *Control) sighted(answered bool) {
 	if answered == !c.self.Blind {
--- a/follow/state.go
+++ b/follow/state.go
@@ -54,8 +54,12 @@
 )
 
 // aloneReads is the number of a node's reads in a row, with nothing heard from others,
-// from which it watches the platform by itself.
-const aloneReads = 2
+// from which it watches the platform by itself, and mostAlone how many are counted: its
+// watches don't grow any more then.
+const (
+	aloneReads = 2
+	mostAlone  = 10
+)
 
 // enoughFailures is the number of failed reads since the last answered one from which
 // they spare the others theirs for a while. Where the platform turns away a third of
@@ -179,7 +183,7 @@
 func (s *State) Done(answered bool, age time.Duration, now time.Time) {
 	s.tried = now
 	s.failing = !answered
-	s.alone++
+	s.alone = min(s.alone+1, mostAlone)
 	if answered {
 		s.answered(s.round+1, s.version, now.Add(-age))
 		return
