--- a/node/platform.go
+++ b/node/platform.go
@@ -77,15 +77,8 @@
 	}
 }
 
-// skippedLines is the most log lines of objects that can't be read, per second.
-const skippedLines = 5
-
 // objectSkipped logs why an object of the platform is left out.
-func (n *Node) objectSkipped(reason error) {
-	if n.lines.Allow("object", skippedLines, 1) {
-		n.Log.Warn().Err(reason).Msg("object left out")
-	}
-}
+func (n *Node) objectSkipped(reason error) { n.warnOfOther("object left out", reason) }
 
 // tableFound takes in an object of the table's kind.
 func (n *Node) tableFound(o *objectapi.Object) {
--- a/node/state.go
+++ b/node/state.go
@@ -20,8 +20,9 @@
 	// miss before one that says it began earlier can take its place. Two are lost
 	// now and then.
 	silentHeartbeats = 3
-	// refusedLines is the most log lines of refused announcements, per second.
-	refusedLines = 5
+	// otherLines is the most log lines of each kind on what other writers have written
+	// and can't be used, per second.
+	otherLines = 5
 )
 
 // serviceKnown returns whether there is such a service, or may be: before the node
@@ -36,9 +37,13 @@
 }
 
 // announcementRefused logs why an announcement names no upstream to use.
-func (n *Node) announcementRefused(reason error) {
-	if n.lines.Allow("announcement", refusedLines, 1) {
-		n.Log.Warn().Err(reason).Msg("announcement refused")
+func (n *Node) announcementRefused(reason error) { n.warnOfOther("announcement refused", reason) }
+
+// warnOfOther logs why something that another program has written is not used, within
+// bounds for each kind of event.
+func (n *Node) warnOfOther(event string, reason error) {
+	if n.lines.Allow(event, otherLines, 1) {
+		n.Log.Warn().Err(reason).Msg(event)
 	}
 }
 
--- a/objectapi/reader.go
+++ b/objectapi/reader.go
@@ -45,22 +45,17 @@
 // First reads all objects as they were at some time, which may be seconds ago: it
 // costs the platform little, and the reads after it find what has changed since.
 func (r *Reader) First(ctx context.Context) error {
-	list, err := r.API.ListStale(ctx, r.Kind)
-	if err != nil {
-		return err
-	}
-	r.take(list)
-	return nil
+	return r.take(r.API.ListStale(ctx, r.Kind))
 }
 
 // Read finds what has changed, as soon as something does or after the given time.
 func (r *Reader) Read(ctx context.Context, wait time.Duration) error {
 	if r.version == "" || time.Since(r.listed) > defaultRelist {
-		return r.list(ctx)
+		return r.take(r.API.List(ctx, r.Kind))
 	}
 	changes, err := r.API.Changes(ctx, r.Kind, r.version, wait)
 	if IsGone(err) {
-		return r.list(ctx)
+		return r.take(r.API.List(ctx, r.Kind))
 	}
 	if err != nil {
 		return err
@@ -74,21 +69,15 @@
 	return nil
 }
 
-// list reads all objects.
-func (r *Reader) list(ctx context.Context) error {
-	list, err := r.API.List(ctx, r.Kind)
+// take takes in a read of all objects, or returns why it failed.
+func (r *Reader) take(list *List, err error) error {
 	if err != nil {
 		return err
 	}
-	r.take(list)
-	return nil
-}
-
-// take takes in all objects.
-func (r *Reader) take(list *List) {
 	for _, o := range list.Items {
 		r.Found(o)
 	}
 	r.version = list.Metadata.ResourceVersion
 	r.listed = time.Now()
+	return nil
 }
