Logs tell which request an upstream ended under

A gate that lost its upstream logged ids, with which nobody could tell whether the same request was at each upstream that ended, nor whether it had ended or cut connections. Requests now have a fingerprint of caller, method, host, target and body; the gate keeps those in flight, or lost within two seconds, and tells them in one line when the upstream refuses connections or has a new start. It opens one connection to find that out, when a request is lost. Nothing is decided by it.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -25,6 +25,7 @@
 	"sassafrasfront.example/internal/tracing"
 	"sassafrasfront.example/operator"
 	"sassafrasfront.example/peer"
+	"sassafrasfront.example/quarantine"
 	"sassafrasfront.example/upstream"
 	"sassafrasfront.example/verdict"
 )
@@ -49,6 +50,8 @@
 	Route string
 	// Method and Path are the request's.
 	Method, Path string
+	// Print tells the request from others. It is zero if the request was not taken up.
+	Print quarantine.Fingerprint
 	// Status is the HTTP status that the caller got.
 	Status int
 	// Failure is why there was no answer, or why it was cut, or nil.
@@ -254,6 +257,11 @@
 	if failure := x.body(q, t.MaxBody); failure != nil {
 		return nil, failure
 	}
+	q.Print = quarantine.Head(x.handler.Service, q.Method, q.Host, q.Target)
+	if q.Stream == nil {
+		q.Print = q.Print.WithBody(q.Body)
+	}
+	x.outcome.Print = q.Print
 	h := x.handler.forward(r)
 	x.name(h, names)
 	tracing.Inject(ctx, propagation.HeaderCarrier(h))
--- a/entry/request.go
+++ b/entry/request.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"sassafrasfront.example/peer"
+	"sassafrasfront.example/quarantine"
 	"sassafrasfront.example/verdict"
 )
 
@@ -31,6 +32,8 @@
 	Length int64
 	// Idempotent is whether running the request twice does no harm.
 	Idempotent bool
+	// Print tells the request from others.
+	Print quarantine.Fingerprint
 	// Attempts bounds the upstreams that the request is sent to. Zero means that
 	// the service's configuration says so.
 	Attempts int
@@ -58,6 +61,7 @@
 		Streams:   r.Stream != nil || len(r.Body) > inlineBody,
 		Length:    r.Length,
 		Try:       try,
+		Print:     r.Print,
 	}
 	if !c.Streams {
 		c.Body = r.Body
--- a/gate/call.go
+++ b/gate/call.go
@@ -20,6 +20,7 @@
 	"sassafrasfront.example/internal/httpfield"
 	"sassafrasfront.example/internal/tracing"
 	"sassafrasfront.example/peer"
+	"sassafrasfront.example/quarantine"
 	"sassafrasfront.example/verdict"
 )
 
@@ -32,6 +33,7 @@
 	in     *peer.Inbound
 	status int
 	waited time.Duration
+	body   *quarantine.Body // that passes through, if the entry has not gathered it
 }
 
 // run handles the call up to the end of its answer, or returns why there is
@@ -60,6 +62,8 @@
 	}
 	ctx, stop := b.during(ctx)
 	defer stop()
+	run := c.track(b)
+	defer run.End()
 	r, err := c.request(ctx, b)
 	if err != nil {
 		return verdict.New(verdict.BadRequest, err)
@@ -69,6 +73,9 @@
 	response, failure := b.transport.Send(r, c.inform)
 	if failure != nil {
 		tracing.End(span, 0, failure)
+		if failure.Verdict() != verdict.NotRun {
+			run.Abandon()
+		}
 		c.judge(failure)
 		c.gate.sendFailed(b, failure)
 		return failure
@@ -82,6 +89,7 @@
 	})
 	tracing.End(span, c.status, failure)
 	if failure != nil {
+		run.Abandon()
 		c.judge(failure)
 	}
 	return failure
@@ -128,12 +136,12 @@
 		r.Header.Set(names.Expected, b.announcement.Start)
 	}
 	if m.Length != 0 {
-		r.Body = io.NopCloser(c.in.Body())
+		r.Body = io.NopCloser(c.reader())
 	}
 	if m.Streams && m.Length < 0 {
 		r.Trailer = make(http.Header)
 		r.Body = &trailing{
-			Reader: c.in.Body(),
+			Reader: c.reader(),
 			in:     c.in,
 			to:     r.Trailer,
 		}
@@ -141,6 +149,14 @@
 	return r, nil
 }
 
+// reader returns the body of the call.
+func (c *call) reader() io.Reader {
+	if c.body != nil {
+		return c.body
+	}
+	return c.in.Body()
+}
+
 // trailing is a body that fills in the trailer at its end.
 type trailing struct {
 	io.Reader
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -9,6 +9,7 @@
 	"errors"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -19,6 +20,7 @@
 	"sassafrasfront.example/internal/tracing"
 	"sassafrasfront.example/operator"
 	"sassafrasfront.example/peer"
+	"sassafrasfront.example/quarantine"
 	"sassafrasfront.example/upstream"
 	"sassafrasfront.example/verdict"
 	"sassafrasfront.example/watch"
@@ -45,6 +47,9 @@
 	// Refused, if not nil, is called with each call that ends without an answer,
 	// with the load at that moment.
 	Refused func(c *peer.Call, from string, failure *verdict.Error, load admit.Report)
+	// Gone, if not nil, is called when an upstream has ended without leave, with the
+	// requests that it may have ended under, if there were any.
+	Gone func(a *upstream.Announcement, prints []quarantine.Fingerprint)
 	// Ended, if not nil, is called at the end of each call.
 	Ended func(service, class string, failure *verdict.Error, waited, took time.Duration)
 
@@ -66,6 +71,10 @@
 	// cause is the failure of the calls that ran there.
 	over context.Context
 	end  context.CancelCauseFunc
+	// running are the requests at this start.
+	running *quarantine.Running
+	// looking is whether it is being found out if the upstream is still there.
+	looking *atomic.Bool
 }
 
 // errStartOver says why calls end whose upstream has started anew.
@@ -116,6 +125,9 @@
 	restarted := g.latest == nil || !g.latest.SameStart(a)
 	g.latest = a
 	if old != nil && old.transport != b.transport {
+		if !old.announcement.SameStart(a) {
+			g.gone(old)
+		}
 		old.replaced(a)
 	}
 	if restarted {
@@ -136,6 +148,8 @@
 			transport:    old.transport,
 			over:         old.over,
 			end:          old.end,
+			running:      old.running,
+			looking:      old.looking,
 		}
 	}
 	over, end := context.WithCancelCause(context.Background())
@@ -148,8 +162,10 @@
 			Names:       g.Names.OrDefault(),
 			Observed:    g.Observe,
 		},
-		over: over,
-		end:  end,
+		over:    over,
+		end:     end,
+		running: new(quarantine.Running),
+		looking: new(atomic.Bool),
 	}
 }
 
@@ -338,6 +354,12 @@
 
 // sendFailed tells of a failure that shows the upstream to be gone.
 func (g *Gate) sendFailed(b *binding, failure *verdict.Error) {
+	switch {
+	case failure.Cause == verdict.UpstreamLost:
+		go g.look(b)
+	case failure.Cause == verdict.WrongUpstream || errors.Is(failure, syscall.ECONNREFUSED):
+		g.gone(b)
+	}
 	gone := failure.Cause == verdict.UpstreamDialFailed && !errors.Is(failure, context.Canceled) || failure.Cause == verdict.WrongUpstream
 	if gone && g.Failed != nil {
 		g.Failed(b.announcement, failure)
--- a/node/events.go
+++ b/node/events.go
@@ -14,6 +14,8 @@
 	"sassafrasfront.example/caller"
 	"sassafrasfront.example/entry"
 	"sassafrasfront.example/peer"
+	"sassafrasfront.example/quarantine"
+	"sassafrasfront.example/upstream"
 	"sassafrasfront.example/verdict"
 )
 
@@ -49,7 +51,7 @@
 		v, cause = o.Failure.Verdict().String(), string(o.Failure.Cause)
 	}
 	e := n.Log.Info().Str("requestId", o.ID).Str("route", o.Route).Str("service", o.Service).Str("class", o.Class).Str("method", o.Method).Str("path", o.Path).
-		Int("status", o.Status).Str("verdict", v).Str("cause", cause).Int("tries", o.Tries).Dur("tookMs", o.Took).Uint64("version", n.version())
+		Int("status", o.Status).Str("verdict", v).Str("cause", cause).Int("tries", o.Tries).Dur("tookMs", o.Took).Uint64("version", n.version()).Stringer("print", o.Print)
 	if o.Failure != nil && o.Failure.Err != nil {
 		e = e.AnErr("reason", o.Failure.Err)
 	}
@@ -83,10 +85,23 @@
 			id = f.Value
 		}
 	}
-	n.Log.Info().Str("requestId", id).Str("from", from).Str("class", c.Class).Int("try", c.Try).Str("cause", string(failure.Cause)).Str("verdict", failure.Verdict().String()).
+	n.Log.Info().Str("requestId", id).Str("from", from).Str("class", c.Class).Str("target", c.Target).Stringer("print", c.Print).Int("try", c.Try).Str("cause", string(failure.Cause)).Str("verdict", failure.Verdict().String()).
 		Int("running", load.Running).Int("waiting", load.Waiting).Int("allowed", load.Allowed).Float64("slowdown", load.Slowdown).Float64("pace", load.Pace).Dur("restMs", load.Rest).Float64("failing", load.Failing).Bool("draining", load.Draining).AnErr("reason", failure.Err).Msg("call not answered")
 }
 
+// upstreamGone logs that the upstream has ended, with what it may have ended under.
+func (n *Node) upstreamGone(a *upstream.Announcement, prints []quarantine.Fingerprint) {
+	n.Log.Warn().Str("address", a.Address).Str("start", a.Start).Int("requests", len(prints)).Stringers("prints", stringers(prints)).Msg("upstream ended")
+}
+
+func stringers(prints []quarantine.Fingerprint) []fmt.Stringer {
+	list := make([]fmt.Stringer, len(prints))
+	for i, p := range prints {
+		list[i] = p
+	}
+	return list
+}
+
 // version returns the version of the configuration in force, or 0.
 func (n *Node) version() uint64 {
 	if t := n.control.Snapshot().Table; t != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -175,6 +175,7 @@
 			Size:   reportSize,
 		},
 		Ended:   n.metrics.gateEnded,
+		Gone:    n.upstreamGone,
 		Refused: n.callRefused,
 	}
 	n.lines.LeftOut = n.linesLeftOut
--- a/peer/message.go
+++ b/peer/message.go
@@ -4,7 +4,11 @@
 
 package peer
 
-import "time"
+import (
+	"time"
+
+	"sassafrasfront.example/quarantine"
+)
 
 // Version is the version of the protocol that this package speaks.
 const Version = 2
@@ -69,6 +73,9 @@
 	Length int64 `msgpack:"length"`
 	// Try counts the sendings of the same request, from 1.
 	Try int `msgpack:"try"`
+	// Print tells the request from others. Its body is not known where it Streams and
+	// was not gathered before.
+	Print quarantine.Fingerprint `msgpack:"print"`
 }
 
 // Body is a chunk of the body of a call or of its answer.
--- /dev/null
+++ b/quarantine/fingerprint.go
@@ -0,0 +1,106 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+	"hash"
+	"io"
+	"sync"
+)
+
+// Fingerprint tells requests apart by what an upstream is given to run. Two sendings of
+// the same request have the same one, and requests that differ in caller, method, host,
+// target or body have different ones. What differs from one attempt of a caller to the
+// next, such as the request id and the deadline, is no part of it. It is an immutable
+// value.
+//
+// It is made with SHA-256, of which 64 bits of each part are kept: nobody can make a
+// request that is taken for a given other one.
+type Fingerprint struct {
+	// Head stands for all but the body.
+	Head uint64 `msgpack:"h"`
+	// Body stands for the first MaxBody bytes of the body, or is 0 if they are not
+	// known.
+	Body uint64 `msgpack:"b"`
+}
+
+// MaxBody is how much of a body is part of a fingerprint, in bytes: as much as a node
+// gathers before it sends a request on.
+const MaxBody = 64 << 10
+
+// Head returns the fingerprint of a request without its body, given the service that it
+// comes from, its method, host and target.
+func Head(caller, method, host, target string) Fingerprint {
+	h := sha256.New()
+	for _, part := range []string{caller, method, host, target} {
+		_, _ = h.Write(binary.BigEndian.AppendUint32(nil, uint32(len(part))))
+		_, _ = io.WriteString(h, part)
+	}
+	return Fingerprint{
+		Head: sum(h),
+	}
+}
+
+// WithBody returns f with the given body, of which the first MaxBody bytes count.
+func (f Fingerprint) WithBody(body []byte) Fingerprint {
+	h := sha256.New()
+	_, _ = h.Write(body[:min(len(body), MaxBody)])
+	f.Body = sum(h)
+	return f
+}
+
+// Known returns whether f stands for a whole request, body included.
+func (f Fingerprint) Known() bool { return f.Head != 0 && f.Body != 0 }
+
+// String returns f as it stands in logs.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x.%016x", f.Head, f.Body) }
+
+// sum returns 64 bits of a hash that are not all 0.
+func sum(h hash.Hash) uint64 {
+	return max(1, binary.BigEndian.Uint64(h.Sum(nil)))
+}
+
+// Body is an io.Reader that takes the fingerprint of what passes through it. The
+// exported fields are set before the first Read.
+type Body struct {
+	// Reader yields the body.
+	Reader io.Reader
+
+	mu   sync.Mutex
+	hash hash.Hash
+	left int // bytes that still count
+}
+
+// Read implements io.Reader.
+func (b *Body) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.init()
+	counted := min(n, b.left)
+	_, _ = b.hash.Write(p[:counted])
+	b.left -= counted
+	return n, err
+}
+
+// Fingerprint returns f with the body that has passed so far. It may be called from
+// any goroutine.
+func (b *Body) Fingerprint(f Fingerprint) Fingerprint {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.init()
+	f.Body = sum(b.hash)
+	return f
+}
+
+func (b *Body) init() {
+	if b.hash == nil {
+		b.hash = sha256.New()
+		b.left = MaxBody
+	}
+}
--- /dev/null
+++ b/quarantine/fingerprint_test.go
@@ -0,0 +1,66 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package quarantine_test
+
+import (
+	"bytes"
+	"io"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/quarantine"
+)
+
+func TestFingerprint(t *testing.T) {
+	base := quarantine.Head("desk", "PUT", "h.example", "/a/x?y=1").WithBody([]byte("body"))
+	tests := map[string]struct {
+		other quarantine.Fingerprint
+		same  bool
+	}{
+		"the same":            {other: quarantine.Head("desk", "PUT", "h.example", "/a/x?y=1").WithBody([]byte("body")), same: true},
+		"another caller":      {other: quarantine.Head("crew", "PUT", "h.example", "/a/x?y=1").WithBody([]byte("body"))},
+		"another method":      {other: quarantine.Head("desk", "GET", "h.example", "/a/x?y=1").WithBody([]byte("body"))},
+		"another host":        {other: quarantine.Head("desk", "PUT", "i.example", "/a/x?y=1").WithBody([]byte("body"))},
+		"another query":       {other: quarantine.Head("desk", "PUT", "h.example", "/a/x?y=2").WithBody([]byte("body"))},
+		"another body":        {other: quarantine.Head("desk", "PUT", "h.example", "/a/x?y=1").WithBody([]byte("bodz"))},
+		"no body":             {other: quarantine.Head("desk", "PUT", "h.example", "/a/x?y=1").WithBody(nil)},
+		"a body not known":    {other: quarantine.Head("desk", "PUT", "h.example", "/a/x?y=1")},
+		"parts that run over": {other: quarantine.Head("deskP", "UT", "h.example", "/a/x?y=1").WithBody([]byte("body"))},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			qt.Check(t, test.other == base, qt.Equals, test.same)
+		})
+	}
+	qt.Check(t, base.Known(), qt.IsTrue)
+	qt.Check(t, quarantine.Head("a", "b", "c", "d").Known(), qt.IsFalse)
+}
+
+// TestFingerprintOfStream has a body pass in pieces: it has the fingerprint of the same
+// body in one.
+func TestFingerprintOfStream(t *testing.T) {
+	for name, size := range map[string]int{"empty": 0, "small": 100, "at the bound": quarantine.MaxBody, "over the bound": quarantine.MaxBody + 1000} {
+		t.Run(name, func(t *testing.T) {
+			data := bytes.Repeat([]byte("x"), size)
+			head := quarantine.Head("a", "b", "c", "d")
+			b := &quarantine.Body{Reader: bytes.NewReader(data)}
+			_, err := io.CopyBuffer(struct{ io.Writer }{io.Discard}, struct{ io.Reader }{b}, make([]byte, 777))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, b.Fingerprint(head), qt.Equals, head.WithBody(data))
+		})
+	}
+}
+
+func BenchmarkFingerprint(b *testing.B) {
+	for name, size := range map[string]int{"none": 0, "8KB": 8 << 10, "64KB": 64 << 10} {
+		b.Run(name, func(b *testing.B) {
+			body := make([]byte, size)
+			for b.Loop() {
+				quarantine.Head("desk", "PUT", "reports.example", "/area/reports/0a1b2c").WithBody(body)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/quarantine/running.go
@@ -0,0 +1,110 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package quarantine
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// MaxSuspects is the number of requests that are kept of those that were at an
+	// upstream when it ended, the ones begun last first. An upstream that runs more at
+	// once ends under one of the last: a request that ends upstreams does so within a
+	// fraction of its usual run.
+	MaxSuspects = 64
+	// linger is how long a request that was lost or given up counts as still at its
+	// upstream, which may go on with it and end under it: the callers' usual deadlines
+	// are about a second.
+	linger = 2 * time.Second
+)
+
+// Running knows the requests that are at one upstream. The zero value is ready. Its
+// methods may be called from any goroutine.
+type Running struct {
+	mu   sync.Mutex
+	open map[*Run]bool
+	lost []*Run // by the time of their loss
+}
+
+// Run is a request at an upstream.
+type Run struct {
+	running *Running
+	print   func() Fingerprint
+	began   time.Time
+	lost    time.Time
+}
+
+// Begin records that a request is sent to the upstream. Print returns its fingerprint,
+// as far as its body has been sent.
+func (r *Running) Begin(print func() Fingerprint) *Run {
+	run := &Run{
+		running: r,
+		print:   print,
+		began:   time.Now(),
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.open == nil {
+		r.open = make(map[*Run]bool)
+	}
+	r.open[run] = true
+	return run
+}
+
+// End records the end of a request that is over: answered, or known not to have run.
+// It does nothing for one that Abandon or Take has ended.
+func (u *Run) End() {
+	r := u.running
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.open[u] {
+		return
+	}
+	delete(r.open, u)
+	// The upstream lives, so what it was sent long ago has done it no harm.
+	long := time.Now().Add(-linger)
+	r.lost = slices.DeleteFunc(r.lost, func(o *Run) bool { return o.lost.Before(long) })
+}
+
+// Abandon records that nobody waits for the answer any more, be it that the connection
+// was lost: the upstream may still run the request.
+func (u *Run) Abandon() {
+	r := u.running
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.open[u] {
+		return
+	}
+	delete(r.open, u)
+	u.lost = time.Now()
+	if len(r.lost) >= MaxSuspects {
+		r.lost = slices.Delete(r.lost, 0, 1)
+	}
+	r.lost = append(r.lost, u)
+}
+
+// Take returns the fingerprints of the requests that are or may be at the upstream, at
+// most MaxSuspects, and forgets them. It is for an upstream that has ended.
+func (r *Running) Take() []Fingerprint {
+	r.mu.Lock()
+	runs := slices.Clone(r.lost)
+	for u := range r.open {
+		runs = append(runs, u)
+	}
+	clear(r.open)
+	r.lost = nil
+	r.mu.Unlock()
+	slices.SortFunc(runs, func(a, b *Run) int { return b.began.Compare(a.began) })
+	var prints []Fingerprint
+	for _, u := range runs {
+		p := u.print()
+		if p.Known() && !slices.Contains(prints, p) && len(prints) < MaxSuspects {
+			prints = append(prints, p)
+		}
+	}
+	return prints
+}
--- /dev/null
+++ b/quarantine/running_test.go
@@ -0,0 +1,102 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/quarantine"
+)
+
+// print returns the fingerprint of a request with the given number.
+func printOf(i int) quarantine.Fingerprint {
+	return quarantine.Head("caller", "GET", "h.example", fmt.Sprint("/", i)).WithBody(nil)
+}
+
+// TestRunning tells which requests an upstream may have ended under.
+func TestRunning(t *testing.T) {
+	tests := map[string]struct {
+		play func(r *quarantine.Running, begin func(i int) *quarantine.Run)
+		want []int
+	}{
+		"in flight, the last begun first": {
+			play: func(_ *quarantine.Running, begin func(i int) *quarantine.Run) { begin(1); begin(2) },
+			want: []int{2, 1},
+		},
+		"one that was answered is none": {
+			play: func(_ *quarantine.Running, begin func(i int) *quarantine.Run) { begin(1).End(); begin(2) },
+			want: []int{2},
+		},
+		"one whose connection was lost a moment ago": {
+			play: func(_ *quarantine.Running, begin func(i int) *quarantine.Run) {
+				u := begin(1)
+				u.Abandon()
+				u.End()
+				begin(2).End()
+			},
+			want: []int{1},
+		},
+		"one that was given up long before the last sign of life is none": {
+			play: func(_ *quarantine.Running, begin func(i int) *quarantine.Run) {
+				begin(1).Abandon()
+				time.Sleep(3 * time.Second)
+				begin(2).End()
+			},
+		},
+		"one that was lost long ago, and no sign of life since": {
+			play: func(_ *quarantine.Running, begin func(i int) *quarantine.Run) {
+				begin(1).Abandon()
+				time.Sleep(time.Minute)
+			},
+			want: []int{1},
+		},
+		"the same twice": {
+			play: func(_ *quarantine.Running, begin func(i int) *quarantine.Run) { begin(1); begin(1) },
+			want: []int{1},
+		},
+		"each end has its own": {
+			play: func(r *quarantine.Running, begin func(i int) *quarantine.Run) {
+				u := begin(1)
+				r.Take()
+				u.Abandon()
+				begin(2)
+			},
+			want: []int{2},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var r quarantine.Running
+				test.play(&r, func(i int) *quarantine.Run {
+					time.Sleep(time.Millisecond)
+					return r.Begin(func() quarantine.Fingerprint { return printOf(i) })
+				})
+				var want []quarantine.Fingerprint
+				for _, i := range test.want {
+					want = append(want, printOf(i))
+				}
+				qt.Check(t, r.Take(), qt.DeepEquals, want)
+				qt.Check(t, r.Take(), qt.HasLen, 0)
+			})
+		})
+	}
+}
+
+func TestRunningIsBounded(t *testing.T) {
+	var r quarantine.Running
+	for i := range 1000 {
+		u := r.Begin(func() quarantine.Fingerprint { return printOf(i) })
+		if i%2 == 0 {
+			u.Abandon()
+		}
+	}
+	qt.Check(t, r.Take(), qt.HasLen, quarantine.MaxSuspects)
+}
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -209,6 +209,19 @@
 	return c, nil
 }
 
+// Reach opens a connection and closes it again. An error says why there is none.
+func (t *Transport) Reach(ctx context.Context) error {
+	dial := t.Dial
+	if dial == nil {
+		dial = dialTCP
+	}
+	c, err := dial(ctx, t.Addr)
+	if err != nil {
+		return eris.Wrap(err, "dial upstream")
+	}
+	return c.Close()
+}
+
 func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
 	return tcp.Dialer(defaultDial, silence).DialContext(ctx, "tcp", addr)
 }
