--- a/node/events.go
+++ b/node/events.go
@@ -5,6 +5,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -96,6 +97,14 @@
 	n.Log.Warn().Str("address", a.Address).Str("start", a.Start).Int("requests", len(prints)).Stringers("prints", stringers(prints)).Bool("isolated", alone.Known()).Msg("upstream ended")
 	start := n.Settings.Node + "/" + a.Start + "/" + strconv.FormatInt(a.Born, 10)
 	n.control.Report(quarantine.Ended(start, prints, alone))
+	j := n.suspects.Judge(alone)
+	if j.Standing != quarantine.Held {
+		return
+	}
+	n.Log.Warn().Stringer("print", alone).Strs("upstreams", j.Upstreams).Time("until", j.Until).Msg("request held")
+	if n.holds != nil {
+		go n.holds.Save(context.Background(), j)
+	}
 }
 
 func stringers(prints []quarantine.Fingerprint) []fmt.Stringer {
--- a/node/fatal_test.go
+++ b/node/fatal_test.go
@@ -6,6 +6,9 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -161,3 +164,86 @@
 	}
 	qt.Check(t, other.ask("PUT", "/b/report", "harmless-caller", "fatal").status, qt.Equals, 200, qt.Commentf("another caller"))
 }
+
+// fatalWorld is a small system that knows of a fatal request.
+func fatalWorld(t *testing.T, fatal func(r standin.Run) bool, upstreams int) (*mortals, []*managed) {
+	w := newWorld(t)
+	m := &mortals{w: w, fatal: fatal}
+	t.Cleanup(m.close)
+	w.configure(1, "")
+	var nodes []*managed
+	for range upstreams {
+		nodes = append(nodes, m.add("b"))
+	}
+	for _, n := range nodes {
+		w.eventually("each node serves", func() bool { return n.ask("PUT", "/b/x", "warm", "").status == 200 })
+	}
+	time.Sleep(settle)
+	return m, nodes
+}
+
+// TestFatalRequestHeldOverRestarts restarts a node, and then all of them at once, after
+// a request was found to be fatal: it stays held, by what the other nodes know, and by
+// what the platform keeps.
+func TestFatalRequestHeldOverRestarts(t *testing.T) {
+	m, nodes := fatalWorld(t, func(r standin.Run) bool { return r.Body == "fatal" }, 3)
+	w := m.w
+	id := 0
+	fatal := func(n *managed) {
+		id++
+		got := n.ask("PUT", "/b/report", fmt.Sprint("fatal-", id), "fatal")
+		qt.Check(t, got.status == 502 || got.status == 503, qt.IsTrue, qt.Commentf("%+v", got))
+	}
+	for range 6 {
+		fatal(nodes[0])
+		time.Sleep(settle)
+	}
+	ended := m.ended()
+	qt.Check(t, ended <= allowedEnds, qt.IsTrue, qt.Commentf("%d upstreams ended", ended))
+
+	restart := func(list ...*managed) {
+		for _, n := range list {
+			n.stop()
+		}
+		for _, n := range list {
+			w.run(n)
+		}
+		for _, n := range list {
+			w.eventually("it serves again", func() bool { return n.ask("PUT", "/b/x", "warm", "").status == 200 })
+		}
+		time.Sleep(settle)
+	}
+	restart(nodes[1])
+	fatal(nodes[1])
+	restart(nodes...)
+	for _, n := range nodes {
+		fatal(n)
+	}
+	qt.Check(t, m.ended(), qt.Equals, ended, qt.Commentf("upstreams ended under a request that was held"))
+}
+
+// TestFatalStream has a fatal request whose body comes in chunks, so that a node sends it
+// on before it knows it, and harmless ones that differ from it in their bodies only.
+func TestFatalStream(t *testing.T) {
+	m, nodes := fatalWorld(t, func(r standin.Run) bool { return r.Body == "fatal" }, 3)
+	send := func(n *managed, id, body string) int {
+		r, _ := http.NewRequest("PUT", "http://"+n.settings.CallerAddress+"/b/report", struct{ io.Reader }{strings.NewReader(body)})
+		r.Host = "h.example"
+		r.Header.Set(standin.RequestID, id)
+		r.Header.Set(standin.Timeout, "900")
+		response, err := http.DefaultTransport.RoundTrip(r)
+		if err != nil {
+			return 0
+		}
+		defer response.Body.Close()
+		return response.StatusCode
+	}
+	for round := range 8 {
+		send(nodes[round%len(nodes)], fmt.Sprint("fatal-", round), "fatal")
+		time.Sleep(settle)
+	}
+	qt.Check(t, m.ended() >= 3 && m.ended() <= allowedEnds, qt.IsTrue, qt.Commentf("%d upstreams ended", m.ended()))
+	for i, n := range nodes {
+		qt.Check(t, send(n, fmt.Sprint("harmless-", i), "harmless"), qt.Equals, 200)
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -25,6 +25,7 @@
 	"sassafrasfront.example/control"
 	"sassafrasfront.example/entry"
 	"sassafrasfront.example/gate"
+	"sassafrasfront.example/holds"
 	"sassafrasfront.example/internal/keyvalue"
 	"sassafrasfront.example/internal/tracing"
 	"sassafrasfront.example/member"
@@ -78,6 +79,7 @@
 	announced  *upstream.Announcements
 	claims     *claim.Ledger
 	suspects   quarantine.Index                  // the requests that upstreams have ended under
+	holds      *holds.Ledger                     // of them, on the platform, or nil
 	api        objectapi.Polled                  // of Platform
 	reloaded   atomic.Pointer[settings.Settings] // nil until the settings change
 	lines      keyvalue.Limit
@@ -261,6 +263,12 @@
 	n.control.Book = book.Addresses
 	n.control.Register = book.Register
 	n.control.Met = book.Met
+	n.holds = &holds.Ledger{
+		API:    n.api,
+		Report: n.control.Report,
+		Scout:  n.control.Scout,
+		Log:    n.Log,
+	}
 }
 
 // underWay returns how many bytes of bodies peers may have under way to a node whose
@@ -354,6 +362,7 @@
 	controlling.Go(func() { n.control.Run(controlCtx) })
 	if n.Platform != nil {
 		controlling.Go(func() { n.follow(controlCtx, n.reader(n.api)) })
+		controlling.Go(func() { n.holds.Run(controlCtx) })
 		all.Go(func() { n.findUpstream(inner) })
 		all.Go(func() { n.pollLoad(inner) })
 	}
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -11,6 +11,8 @@
 	"hash"
 	"io"
 	"sync"
+
+	"github.com/rotisserie/eris"
 )
 
 // Fingerprint tells requests apart by what an upstream is given to run. Two sendings of
@@ -58,7 +60,19 @@
 func (f Fingerprint) Known() bool { return f.Head != 0 && f.Body != 0 }
 
 // String returns f as it stands in logs.
-func (f Fingerprint) String() string { return fmt.Sprintf("%016x.%016x", f.Head, f.Body) }
+func (f Fingerprint) String() string { return fmt.Sprintf(format, f.Head, f.Body) }
+
+// format is the format of a fingerprint in text.
+const format = "%016x.%016x"
+
+// Parse returns the fingerprint that String has written.
+func Parse(s string) (Fingerprint, error) {
+	var f Fingerprint
+	if _, err := fmt.Sscanf(s, format, &f.Head, &f.Body); err != nil || f.String() != s {
+		return Fingerprint{}, eris.Errorf("%q is no fingerprint", s)
+	}
+	return f, nil
+}
 
 // sum returns 64 bits of a hash that are not all 0.
 func sum(h hash.Hash) uint64 {
--- a/quarantine/fingerprint_test.go
+++ b/quarantine/fingerprint_test.go
@@ -36,6 +36,13 @@
 		})
 	}
 	qt.Check(t, base.Known(), qt.IsTrue)
+	parsed, err := quarantine.Parse(base.String())
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, parsed, qt.Equals, base)
+	for _, bad := range []string{"", "x", "1.2", base.String() + "0", "zz" + base.String()[2:]} {
+		_, err := quarantine.Parse(bad)
+		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", bad))
+	}
 	qt.Check(t, quarantine.Head("a", "b", "c", "d").Known(), qt.IsFalse)
 }
 
--- a/quarantine/index.go
+++ b/quarantine/index.go
@@ -59,8 +59,9 @@
 	Since time.Time
 	// Until is when a hold ends.
 	Until time.Time
-	// Upstreams are the starts that have ended.
-	Upstreams []string
+	// Upstreams are the starts that have ended, and Isolated those of them that ended
+	// while it was isolated.
+	Upstreams, Isolated []string
 }
 
 // Index knows the standing of requests, by the reports given to it. The zero value is
@@ -188,7 +189,6 @@
 		return j
 	}
 	var last, lastAlone int64
-	alone := 0
 	for u, at := range h.ends {
 		if at <= h.ran {
 			continue
@@ -196,7 +196,7 @@
 		j.Upstreams = append(j.Upstreams, u)
 		last = max(last, at)
 		if h.alone[u] > 0 {
-			alone++
+			j.Isolated = append(j.Isolated, u)
 			lastAlone = max(lastAlone, at)
 		}
 	}
@@ -205,13 +205,14 @@
 		return j
 	}
 	slices.Sort(j.Upstreams)
+	slices.Sort(j.Isolated)
 	j.Since = time.UnixMilli(last)
 	j.Standing = Seen
 	if j.Ends >= endsToIsolate {
 		j.Standing = Isolated
 	}
-	if alone > 0 {
-		j.Until = time.UnixMilli(lastAlone).Add(holdAfter(alone))
+	if len(j.Isolated) > 0 {
+		j.Until = time.UnixMilli(lastAlone).Add(holdAfter(len(j.Isolated)))
 	}
 	if now.Before(j.Until) {
 		j.Standing = Held
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -39,8 +39,9 @@
 	// zone that end at once have 18 requests each in mind, of which none is suspected
 	// again. With MaxSuspects requests each they take 0.7 MB.
 	MaxReports = 512
-	// maxUpstreams and maxName bound what one report may name.
-	maxUpstreams = 16
+	// MaxUpstreams and maxName bound what one report may name. Holds reach Keep, and
+	// grow no more, after five.
+	MaxUpstreams = 16
 	maxName      = 300
 	// ahead is how far the clock of another node may be ahead.
 	ahead = time.Minute
@@ -92,8 +93,8 @@
 		return eris.Errorf("written %v ahead of this node's clock", time.UnixMilli(r.At).Sub(now))
 	case len(r.Prints) == 0 || len(r.Prints) > MaxSuspects:
 		return eris.Errorf("%d requests are not within 1 and %d", len(r.Prints), MaxSuspects)
-	case len(r.Upstreams) > maxUpstreams:
-		return eris.Errorf("%d upstreams are over %d", len(r.Upstreams), maxUpstreams)
+	case len(r.Upstreams) > MaxUpstreams:
+		return eris.Errorf("%d upstreams are over %d", len(r.Upstreams), MaxUpstreams)
 	case slices.ContainsFunc(r.Upstreams, func(s string) bool { return s == "" || len(s) > maxName }):
 		return eris.New("an upstream without a name, or with too long a one")
 	case slices.ContainsFunc(r.Prints, func(p Fingerprint) bool { return !p.Known() }):
