Suspects at the gate, the entry and between nodes, each with its test; an end after a drain

A call that began before its upstream said that it drains was taken for one that the upstream had ended under, as it still had the earlier announcement (found by the test of which lost connections are ends, failing with the race detector). What the upstream has said last decides now; one that has left ends as it was to.

A request that was at hand at one end may still be sent again at once: it is one of a dozen, and most of them are harmless.

--- /dev/null
+++ b/control/quarantine_test.go
@@ -0,0 +1,97 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/quarantine"
+)
+
+// printOf returns the fingerprint of a request with the given number.
+func printOf(i int) quarantine.Fingerprint {
+	return quarantine.Head("caller", "GET", "h.example", fmt.Sprint("/", i)).WithBody(nil)
+}
+
+// endOf returns the report that an upstream has ended with a request at hand.
+func endOf(start string, i int) quarantine.Report {
+	return quarantine.Ended(start, []quarantine.Fingerprint{printOf(i)}, quarantine.Fingerprint{})
+}
+
+// TestReportsReachAll has nodes report ends of upstreams, one after the other: all nodes
+// know of each, and so does one that starts later. A run clears the request everywhere.
+func TestReportsReachAll(t *testing.T) {
+	c := newCluster(t)
+	c.grow(9)
+	c.eventually("all know each other", func() bool {
+		for _, n := range c.nodes {
+			if !knows(n, 9) {
+				return false
+			}
+		}
+		return true
+	})
+	standing := func(s quarantine.Standing) func() bool {
+		return func() bool {
+			for _, n := range c.nodes {
+				n.init() // which sets the field
+				if n.Quarantine.Judge(printOf(1)).Standing != s {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	c.nodes[0].Report(endOf("a", 1))
+	c.eventually("all have seen one end", standing(quarantine.Seen))
+	c.nodes[5].Report(endOf("b", 1))
+	c.eventually("all have seen two", standing(quarantine.Isolated))
+	c.add("late", "z0", c.nodes[0].Self.Addr)
+	c.eventually("so has one that starts late", standing(quarantine.Isolated))
+	c.nodes[3].Report(quarantine.Ran(printOf(1)))
+	c.eventually("all know that it ran", standing(quarantine.Unsuspected))
+}
+
+// knows returns whether a node knows the given number of live nodes.
+func knows(n *testNode, live int) (all bool) {
+	n.do(func() { all = n.live >= live })
+	return all
+}
+
+// TestReportsAreBounded gives a node more reports than it keeps, and some that can't be
+// used: it keeps the newest, and does not grow.
+func TestReportsAreBounded(t *testing.T) {
+	c := sized(60)
+	first := endOf("first", 0)
+	first.At -= time.Minute.Milliseconds()
+	c.reports.put(first)
+	for i := range 2 * quarantine.MaxReports {
+		r := endOf(fmt.Sprint(i), i)
+		r.At += int64(i)
+		c.reports.put(r)
+	}
+	qt.Check(t, c.reports.set.Len(), qt.Equals, quarantine.MaxReports)
+	c.reports.put(first)
+	qt.Check(t, c.reports.set.Len(), qt.Equals, quarantine.MaxReports)
+	qt.Check(t, c.Quarantine.Judge(printOf(0)).Standing, qt.Equals, quarantine.Unsuspected, qt.Commentf("an old report does not come back"))
+	qt.Check(t, c.Quarantine.Judge(printOf(2*quarantine.MaxReports-1)).Standing, qt.Equals, quarantine.Seen)
+
+	before := c.reports.set.Root()
+	future := endOf("future", 1)
+	future.At += time.Hour.Milliseconds()
+	past := endOf("past", 1)
+	past.At -= 2 * quarantine.Keep.Milliseconds()
+	for _, r := range []quarantine.Report{{}, future, past} {
+		c.reports.put(r)
+	}
+	qt.Check(t, c.reports.set.Root(), qt.Equals, before)
+	c.expireReports(time.Now().Add(quarantine.Keep + time.Minute))
+	qt.Check(t, c.reports.set.Len(), qt.Equals, 0)
+	qt.Check(t, c.Quarantine.All(), qt.HasLen, 0)
+}
--- a/entry/isolate.go
+++ b/entry/isolate.go
@@ -44,8 +44,8 @@
 }
 
 // mayGoOn returns whether a request may be sent again after a failure, by what is thought
-// of it. A suspected one that was lost may have ended the upstream. An isolated one has
-// its place at one upstream, and goes to the next only if that one is not there.
+// of it. An isolated one has its place at one upstream, and goes to the next only if that
+// one is not there.
 func (f *flight) mayGoOn(failure *verdict.Error) bool {
 	switch f.dispatcher.judge(f.request).Standing {
 	case quarantine.Held:
@@ -56,8 +56,6 @@
 			return true
 		}
 		return false
-	case quarantine.Seen:
-		return failure.Verdict() == verdict.NotRun
 	}
 	return true
 }
--- /dev/null
+++ b/entry/isolate_test.go
@@ -0,0 +1,105 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/entry"
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/quarantine"
+	"sassafrasfront.example/verdict"
+)
+
+// suspected returns an index by which the given number of upstreams have ended with a
+// request at hand, and the request.
+func suspected(ends int) (*quarantine.Index, quarantine.Fingerprint) {
+	p := quarantine.Head("caller", "GET", "h.example", "/fatal").WithBody(nil)
+	x := new(quarantine.Index)
+	for i := range ends {
+		var alone quarantine.Fingerprint
+		if x.Judge(p).Standing == quarantine.Isolated {
+			alone = p
+		}
+		x.Add(quarantine.Ended(fmt.Sprint(i), []quarantine.Fingerprint{p}, alone))
+	}
+	return x, p
+}
+
+// TestSuspectedRequests tells how often and where a suspected request is sent.
+func TestSuspectedRequests(t *testing.T) {
+	const gates = 4
+	tests := map[string]struct {
+		ends  int
+		plays []play
+		want  verdict.Cause
+		calls int
+	}{
+		"seen, lost and sent again":             {ends: 1, plays: []play{fail(verdict.UpstreamLost), answer}, calls: 2},
+		"seen, refused and sent again":          {ends: 1, plays: []play{fail(verdict.Refused), answer}, calls: 2},
+		"isolated, answered":                    {ends: 2, plays: []play{answer}, calls: 1},
+		"isolated, lost":                        {ends: 2, plays: []play{fail(verdict.UpstreamLost), answer}, want: verdict.UpstreamLost, calls: 1},
+		"isolated, another runs there":          {ends: 2, plays: []play{fail(verdict.Refused), answer}, want: verdict.Refused, calls: 1},
+		"isolated, its upstream is not there":   {ends: 2, plays: []play{fail(verdict.Misrouted), answer}, calls: 2},
+		"held":                                  {ends: 3, plays: []play{answer}, want: verdict.Quarantined},
+		"isolated, held by the gate's own word": {ends: 2, plays: []play{fail(verdict.Quarantined), answer}, want: verdict.Quarantined, calls: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			config := operator.Service{Retry: operator.Retry{MaxTries: 3, Share: 0.1, Burst: 5}}
+			d, g := dispatcher(t, config, gates, test.plays...)
+			var p quarantine.Fingerprint
+			d.Quarantine, p = suspected(test.ends)
+			r := &entry.Request{Service: "service", Method: "GET", Target: "/fatal", Print: p, Idempotent: true, Deadline: time.Now().Add(5 * time.Second)}
+			result, failure := d.Do(context.Background(), r)
+			if test.want == "" {
+				qt.Assert(t, failure == nil, qt.IsTrue, qt.Commentf("%v", failure))
+				result.Close()
+			} else {
+				qt.Assert(t, failure != nil, qt.IsTrue)
+				qt.Check(t, failure.Cause, qt.Equals, test.want)
+				qt.Check(t, failure.Verdict() != verdict.NotRun || failure.RetryAfter > 0, qt.IsTrue)
+			}
+			calls, _, _ := g.count()
+			qt.Check(t, calls, qt.Equals, test.calls)
+		})
+	}
+}
+
+// TestIsolatedRequestsMeet has several nodes send copies of an isolated request: all of
+// them go to the same upstream, and different requests to different ones.
+func TestIsolatedRequestsMeet(t *testing.T) {
+	const nodes, requests = 5, 40
+	d, g := dispatcher(t, operator.Service{}, 6, answer)
+	members := make(map[string]bool)
+	for i := range requests {
+		target := fmt.Sprint("/", i)
+		p := quarantine.Head("caller", "GET", "h.example", target).WithBody(nil)
+		index := new(quarantine.Index)
+		for _, start := range []string{"a", "b"} {
+			index.Add(quarantine.Ended(start, []quarantine.Fingerprint{p}, quarantine.Fingerprint{}))
+		}
+		d.Quarantine = index
+		g.mu.Lock()
+		g.calls = nil
+		g.mu.Unlock()
+		for n := range nodes {
+			d.Hello = peer.Hello{Node: fmt.Sprint("node", n)}
+			result, failure := d.Do(context.Background(), &entry.Request{Service: "service", Print: p, Deadline: time.Now().Add(5 * time.Second)})
+			qt.Assert(t, failure == nil, qt.IsTrue, qt.Commentf("%v", failure))
+			result.Close()
+		}
+		_, distinct, _ := g.count()
+		qt.Check(t, distinct, qt.Equals, 1, qt.Commentf("%v", g.calls))
+		members[g.calls[0]] = true
+	}
+	qt.Check(t, len(members), qt.Equals, 6)
+}
--- a/gate/gone.go
+++ b/gate/gone.go
@@ -39,9 +39,13 @@
 }
 
 // gone tells that an upstream has ended, with the requests that it may have ended under.
-// One that drains ends as it was to.
+// One that drains, or that has left, ends as it was to.
 func (g *Gate) gone(b *binding) {
-	if g.Gone == nil || b.announcement.Draining {
+	now := g.current.Load()
+	if now != nil && now.running == b.running {
+		b = now // what it has said since the call began
+	}
+	if g.Gone == nil || now == nil || b.announcement.Draining {
 		return
 	}
 	if prints, alone := b.running.Take(); len(prints) > 0 {
--- /dev/null
+++ b/gate/gone_test.go
@@ -0,0 +1,207 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package gate_test
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/quarantine"
+	"sassafrasfront.example/upstream"
+	"sassafrasfront.example/verdict"
+)
+
+// printOf returns the fingerprint of a request for a target.
+func printOf(target string) quarantine.Fingerprint {
+	return quarantine.Head("caller", "GET", "h.example", target).WithBody(nil)
+}
+
+// end is what a gate told of the end of its upstream.
+type end struct {
+	prints []quarantine.Fingerprint
+	alone  quarantine.Fingerprint
+}
+
+// watched is a rig whose gate knows suspects and tells of ends.
+type watched struct {
+	*rig
+	index   quarantine.Index
+	ends    chan end
+	cleared chan quarantine.Fingerprint
+}
+
+func newWatched(t *testing.T, h http.HandlerFunc) *watched {
+	t.Helper()
+	w := &watched{
+		rig:     newRig(t, 4, h),
+		ends:    make(chan end, 10),
+		cleared: make(chan quarantine.Fingerprint, 10),
+	}
+	w.gate.Quarantine = &w.index
+	w.gate.Gone = func(_ *upstream.Announcement, prints []quarantine.Fingerprint, alone quarantine.Fingerprint) {
+		w.ends <- end{prints, alone}
+	}
+	w.gate.Cleared = func(p quarantine.Fingerprint) { w.cleared <- p }
+	return w
+}
+
+// get makes a call for a target and returns its failure.
+func (w *watched) get(target string) *verdict.Error {
+	m := &peer.Call{Service: "service", Method: "GET", Target: target, Remaining: 5 * time.Second, Print: printOf(target)}
+	x, failure := w.client.Start(context.Background(), m, nil)
+	if failure != nil {
+		return failure
+	}
+	defer x.Close()
+	_, failure = x.Wait()
+	return failure
+}
+
+// suspect adds the report that some upstreams have ended with a request at hand.
+func (w *watched) suspect(target string, starts ...string) {
+	for _, s := range starts {
+		var alone quarantine.Fingerprint
+		if w.index.Judge(printOf(target)).Standing == quarantine.Isolated {
+			alone = printOf(target)
+		}
+		w.index.Add(quarantine.Ended(s, []quarantine.Fingerprint{printOf(target)}, alone))
+	}
+}
+
+// TestStandingsAtTheGate tells what a gate does with a suspected request, while another
+// isolated one runs.
+func TestStandingsAtTheGate(t *testing.T) {
+	tests := map[string]struct {
+		starts  []string // that have ended with it at hand
+		want    verdict.Cause
+		cleared bool
+	}{
+		"unsuspected": {},
+		"seen":        {starts: []string{"a"}, cleared: true},
+		"isolated":    {starts: []string{"a", "b"}, want: verdict.Refused},
+		"held":        {starts: []string{"a", "b", "c"}, want: verdict.Quarantined},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			inside, goOn := make(chan struct{}), make(chan struct{})
+			w := newWatched(t, func(_ http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/other" {
+					close(inside)
+					<-goOn
+				}
+			})
+			w.suspect("/other", "x", "y")
+			w.suspect("/it", test.starts...)
+			other := make(chan *verdict.Error, 1)
+			go func() { other <- w.get("/other") }()
+			<-inside
+			failure := w.get("/it")
+			close(goOn)
+			if test.want == "" {
+				qt.Check(t, failure == nil, qt.IsTrue, qt.Commentf("%v", failure))
+			} else {
+				qt.Assert(t, failure != nil, qt.IsTrue)
+				qt.Check(t, failure.Cause, qt.Equals, test.want)
+				qt.Check(t, failure.Verdict(), qt.Equals, verdict.NotRun)
+				qt.Check(t, failure.RetryAfter > 0, qt.IsTrue)
+			}
+			qt.Check(t, <-other == nil, qt.IsTrue)
+			want := map[quarantine.Fingerprint]bool{printOf("/other"): true}
+			if test.cleared {
+				want[printOf("/it")] = true
+			}
+			for range len(want) {
+				qt.Check(t, want[<-w.cleared], qt.IsTrue)
+			}
+			qt.Check(t, w.cleared, qt.HasLen, 0)
+		})
+	}
+}
+
+// TestErrorClearsNobody has a suspected request answered with an error: that is no sign
+// that it does no harm.
+func TestErrorClearsNobody(t *testing.T) {
+	w := newWatched(t, func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusInternalServerError) })
+	w.suspect("/it", "a")
+	qt.Check(t, w.get("/it") == nil, qt.IsTrue)
+	qt.Check(t, w.cleared, qt.HasLen, 0)
+}
+
+// TestGone tells which ends of connections are ends of the upstream.
+func TestGone(t *testing.T) {
+	tests := map[string]struct {
+		before func(w *watched) // the loss
+		isGone bool
+	}{
+		"it refuses connections": {
+			before: func(w *watched) {
+				w.back.Listener.Close()
+				w.back.CloseClientConnections()
+			},
+			isGone: true,
+		},
+		"its connections are reset, and it takes new ones": {
+			before: func(w *watched) { w.back.CloseClientConnections() },
+		},
+		"another start is announced": {
+			before: func(w *watched) {
+				w.gate.Announce(&upstream.Announcement{Service: "service", Address: w.address, Slots: 4, Connections: 4, Start: "another"})
+			},
+			isGone: true,
+		},
+		"it left before": {
+			before: func(w *watched) {
+				w.gate.Announce(nil)
+				w.back.Listener.Close()
+				w.back.CloseClientConnections()
+			},
+		},
+		"it drained before": {
+			before: func(w *watched) {
+				w.gate.Announce(&upstream.Announcement{Service: "service", Address: w.address, Slots: 4, Connections: 4, Draining: true})
+				w.back.Listener.Close()
+				w.back.CloseClientConnections()
+			},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var inside sync.WaitGroup
+			inside.Add(2)
+			goOn := make(chan struct{})
+			w := newWatched(t, func(_ http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != "/after" {
+					inside.Done()
+					<-goOn
+				}
+			})
+			w.suspect("/b", "x", "y")
+			done := make(chan *verdict.Error, 2)
+			for _, target := range []string{"/a", "/b"} {
+				go func() { done <- w.get(target) }()
+			}
+			inside.Wait()
+			test.before(w)
+			qt.Check(t, <-done != nil, qt.IsTrue)
+			qt.Check(t, <-done != nil, qt.IsTrue)
+			if test.isGone {
+				e := <-w.ends
+				close(goOn)
+				qt.Check(t, e.prints, qt.HasLen, 2)
+				qt.Check(t, e.alone, qt.Equals, printOf("/b"))
+				return
+			}
+			close(goOn)
+			w.get("/after") // by which the gate has looked
+			qt.Check(t, w.ends, qt.HasLen, 0)
+		})
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -226,6 +226,7 @@
 			API:  n.control.API,
 			Node: s.Node,
 		}
+		n.holds = n.holdsOn(n.control.API)
 	}
 	n.peers = &peer.Server{
 		Hello:   hello,
@@ -263,8 +264,13 @@
 	n.control.Book = book.Addresses
 	n.control.Register = book.Register
 	n.control.Met = book.Met
-	n.holds = &holds.Ledger{
-		API:    n.api,
+	n.holds = n.holdsOn(n.api)
+}
+
+// holdsOn returns the holds that a platform keeps.
+func (n *Node) holdsOn(api objectapi.Objects) *holds.Ledger {
+	return &holds.Ledger{
+		API:    api,
 		Report: n.control.Report,
 		Scout:  n.control.Scout,
 		Log:    n.Log,
@@ -362,10 +368,12 @@
 	controlling.Go(func() { n.control.Run(controlCtx) })
 	if n.Platform != nil {
 		controlling.Go(func() { n.follow(controlCtx, n.reader(n.api)) })
-		controlling.Go(func() { n.holds.Run(controlCtx) })
 		all.Go(func() { n.findUpstream(inner) })
 		all.Go(func() { n.pollLoad(inner) })
 	}
+	if n.holds != nil {
+		controlling.Go(func() { n.holds.Run(controlCtx) })
+	}
 	all.Go(func() { _ = n.peers.Run(inner, l.peer) })
 	callerConns := &caller.Listener{
 		Listener: l.caller,
