--- a/holds/ledger.go
+++ b/blocklist/ledger.go
@@ -2,7 +2,7 @@
 // Use of this source code is governed by a BSD-style
 // license that can be found in the LICENSE file.
 
-package holds
+package blocklist
 
 import (
 	"context"
@@ -16,23 +16,23 @@
 	"sassafrasfront.example/quarantine"
 )
 
-// Kind is the kind of the platform's objects that hold one request each.
-const Kind = "hold"
+// Kind is the kind of the platform's objects that block one request each.
+const Kind = "blockedRequest"
 
 const (
-	// saveTries is how often the writing of a hold is tried, with pauses that grow to
+	// saveTries is how often the writing of a block is tried, with pauses that grow to
 	// some seconds. A platform that is away for longer is read by nobody either.
 	saveTries = 8
-	// lookAgain is after how long a node that has started reads the holds once more: the
+	// lookAgain is after how long a node that has started reads the blocks once more: the
 	// first read is a cheap one that may be some seconds old.
 	lookAgain = 6 * time.Second
 	// sweepEvery is the time between two reads by a zone's scout, which deletes the
-	// holds that count no more.
+	// blocks that count no more.
 	sweepEvery = time.Hour
 )
 
-// Hold is the spec of one object. It is an immutable value.
-type Hold struct {
+// Block is the spec of one object. It is an immutable value.
+type Block struct {
 	// Print is the fingerprint of the request.
 	Print string `json:"print"`
 	// Upstreams are the starts of upstreams that have ended while it was isolated.
@@ -41,39 +41,39 @@
 	At int64 `json:"at"`
 }
 
-// report returns the hold as nodes tell it to each other, or why it can't be used.
-func (h Hold) report(now time.Time) (quarantine.Report, error) {
-	p, err := quarantine.Parse(h.Print)
+// report returns the block as nodes tell it to each other, or why it can't be used.
+func (b Block) report(now time.Time) (quarantine.Report, error) {
+	p, err := quarantine.Parse(b.Print)
 	if err != nil {
 		return quarantine.Report{}, err
 	}
-	if len(h.Upstreams) == 0 {
+	if len(b.Upstreams) == 0 {
 		return quarantine.Report{}, eris.New("no upstream has ended")
 	}
 	r := quarantine.Report{
-		Name:      "hold/" + h.Print,
-		At:        h.At,
-		Upstreams: h.Upstreams,
+		Name:      "block/" + b.Print,
+		At:        b.At,
+		Upstreams: b.Upstreams,
 		Prints:    []quarantine.Fingerprint{p},
 		Alone:     p,
 	}
 	return r, r.Check(now)
 }
 
-// Ledger reads and writes holds. The exported fields are set before the first call. Its
+// Ledger reads and writes blocks. The exported fields are set before the first call. Its
 // methods may be called from any goroutine.
 type Ledger struct {
 	// API is the platform.
 	API objectapi.Objects
-	// Report is called with each hold that is read.
+	// Report is called with each block that is read.
 	Report func(r quarantine.Report)
-	// Scout, if not nil, returns whether this node looks after the holds for its zone.
+	// Scout, if not nil, returns whether this node looks after the blocks for its zone.
 	Scout func() bool
 	// Log takes the failures.
 	Log zerolog.Logger
 }
 
-// Run reads the holds, once more a little later, and now and then if this node is the
+// Run reads the blocks, once more a little later, and now and then if this node is the
 // scout, until ctx ends.
 func (l *Ledger) Run(ctx context.Context) {
 	l.Load(ctx)
@@ -89,11 +89,11 @@
 	}
 }
 
-// Load reads the holds and reports them. Those that count no more are deleted.
+// Load reads the blocks and reports them. Those that count no more are deleted.
 func (l *Ledger) Load(ctx context.Context) {
 	list, err := l.API.ListStale(ctx, Kind)
 	if err != nil {
-		l.Log.Warn().Err(err).Msg("holds not read")
+		l.Log.Warn().Err(err).Msg("blocks not read")
 		return
 	}
 	now := time.Now()
@@ -101,7 +101,7 @@
 		r, err := reportOf(o, now)
 		switch {
 		case err != nil:
-			l.Log.Warn().Err(err).Str("hold", o.Metadata.Name).Msg("hold can't be used")
+			l.Log.Warn().Err(err).Str("block", o.Metadata.Name).Msg("block can't be used")
 		case r.Expired(now):
 			l.remove(ctx, o)
 		default:
@@ -112,57 +112,69 @@
 
 // reportOf returns the report in an object, or why it can't be used.
 func reportOf(o *objectapi.Object, now time.Time) (quarantine.Report, error) {
-	h, err := objectapi.SpecOf[Hold](o)
+	b, err := objectapi.SpecOf[Block](o)
 	if err != nil {
 		return quarantine.Report{}, err
 	}
-	return h.report(now)
+	return b.report(now)
 }
 
-// remove deletes the object of a hold that counts no more.
+// remove deletes the object of a block that counts no more.
 func (l *Ledger) remove(ctx context.Context, o *objectapi.Object) {
 	err := l.API.Delete(ctx, Kind, o.Metadata.Name, o.Metadata.ResourceVersion)
 	if err != nil && !objectapi.IsNotFound(err) && !objectapi.IsConflict(err) {
-		l.Log.Warn().Err(err).Str("hold", o.Metadata.Name).Msg("hold not deleted")
+		l.Log.Warn().Err(err).Str("block", o.Metadata.Name).Msg("block not deleted")
 	}
 }
 
-// Save writes the hold of a request that is held. It returns when it is written, or was
+// Save writes the block of a request that is blocked. It returns when it is written, or was
 // given up after some tries.
 func (l *Ledger) Save(ctx context.Context, j quarantine.Judgment) {
-	h := Hold{
+	b := Block{
 		Print:     j.Print.String(),
 		Upstreams: j.Isolated[max(0, len(j.Isolated)-quarantine.MaxUpstreams):],
 		At:        j.Since.UnixMilli(),
 	}
 	for n := range saveTries {
-		err := l.write(ctx, h)
+		err := l.write(ctx, b)
 		if err == nil || ctx.Err() != nil {
 			return
 		}
-		l.Log.Warn().Err(err).Stringer("print", j.Print).Int("try", n+1).Msg("hold not written")
+		l.Log.Warn().Err(err).Stringer("print", j.Print).Int("try", n+1).Msg("block not written")
 		wait(ctx, objectapi.Backoff(n, err))
 	}
 }
 
-// write writes a hold, unless a later one is there.
-func (l *Ledger) write(ctx context.Context, h Hold) error {
-	o := objectapi.NewObject(Kind, h.Print, h)
+// write writes a block, unless a later one is there.
+func (l *Ledger) write(ctx context.Context, b Block) error {
+	o := objectapi.NewObject(Kind, b.Print, b)
 	_, err := l.API.Create(ctx, o)
 	if !objectapi.IsConflict(err) {
 		return err
 	}
-	present, err := l.API.Get(ctx, Kind, h.Print)
+	present, err := l.API.Get(ctx, Kind, b.Print)
 	if err != nil {
 		return err
 	}
-	if old, err := objectapi.SpecOf[Hold](present); err == nil && old.At >= h.At {
+	if old, err := objectapi.SpecOf[Block](present); err == nil && old.At >= b.At {
 		return nil
 	}
 	_, err = l.API.Update(ctx, o.WithVersion(present.Metadata.ResourceVersion))
 	return err
 }
 
+// Release deletes the block of a request, if there is one.
+func (l *Ledger) Release(ctx context.Context, p quarantine.Fingerprint) error {
+	o, err := l.API.Get(ctx, Kind, p.String())
+	if err == nil {
+		err = l.API.Delete(ctx, Kind, o.Metadata.Name, o.Metadata.ResourceVersion)
+	}
+	if objectapi.IsNotFound(err) {
+		return nil
+	}
+	return err
+}
+
 // wait waits for d, or until ctx ends.
 func wait(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/holds/ledger_test.go
+++ b/blocklist/ledger_test.go
@@ -2,7 +2,7 @@
 // Use of this source code is governed by a BSD-style
 // license that can be found in the LICENSE file.
 
-package holds_test
+package blocklist_test
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
-	"sassafrasfront.example/holds"
+	"sassafrasfront.example/blocklist"
 	"sassafrasfront.example/internal/objectstore"
 	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/quarantine"
@@ -22,7 +22,7 @@
 var print = quarantine.Head("caller", "GET", "h.example", "/fatal").WithBody(nil)
 
 // open returns a ledger on a platform, with the index that it fills.
-func open(t *testing.T, store *objectstore.Server) (*holds.Ledger, *quarantine.Index) {
+func open(t *testing.T, store *objectstore.Server) (*blocklist.Ledger, *quarantine.Index) {
 	t.Helper()
 	server := httptest.NewServer(store)
 	t.Cleanup(func() {
@@ -30,26 +30,26 @@
 		server.Close()
 	})
 	index := new(quarantine.Index)
-	return &holds.Ledger{
+	return &blocklist.Ledger{
 		API:    &objectapi.Client{Caller: objectapi.Caller{URL: server.URL, Timeout: time.Second}, Namespace: "test"},
 		Report: index.Add,
 		Log:    zerolog.Nop(),
 	}, index
 }
 
-// held returns the judgment of a request that was held the given time ago.
-func held(ago time.Duration, upstreams ...string) quarantine.Judgment {
+// blocked returns the judgment of a request that was blocked the given time ago.
+func blocked(ago time.Duration, upstreams ...string) quarantine.Judgment {
 	return quarantine.Judgment{
 		Print:    print,
-		Standing: quarantine.Held,
+		Standing: quarantine.Blocked,
 		Ends:     len(upstreams),
 		Since:    time.Now().Add(-ago),
 		Isolated: upstreams,
 	}
 }
 
-// TestHoldsOutliveNodes has one node write, and another that starts read.
-func TestHoldsOutliveNodes(t *testing.T) {
+// TestBlocksOutliveNodes has one node write, and another that starts read.
+func TestBlocksOutliveNodes(t *testing.T) {
 	tests := map[string]struct {
 		saved []quarantine.Judgment
 		want  quarantine.Standing
@@ -57,12 +57,12 @@
 		kept  int // objects, after they were read
 	}{
 		"none":           {},
-		"a hold":         {saved: []quarantine.Judgment{held(0, "a")}, want: quarantine.Held, ends: 1, kept: 1},
-		"one that grew":  {saved: []quarantine.Judgment{held(time.Minute, "a"), held(0, "a", "b")}, want: quarantine.Held, ends: 2, kept: 1},
-		"an older one":   {saved: []quarantine.Judgment{held(0, "a", "b"), held(time.Minute, "a")}, want: quarantine.Held, ends: 2, kept: 1},
-		"one over":       {saved: []quarantine.Judgment{held(11*time.Minute, "a")}, want: quarantine.Seen, ends: 1, kept: 1},
-		"long forgotten": {saved: []quarantine.Judgment{held(3*time.Hour, "a")}},
-		"of no upstream": {saved: []quarantine.Judgment{held(0)}, kept: 1},
+		"a block":        {saved: []quarantine.Judgment{blocked(0, "a")}, want: quarantine.Blocked, ends: 1, kept: 1},
+		"one that grew":  {saved: []quarantine.Judgment{blocked(time.Minute, "a"), blocked(0, "a", "b")}, want: quarantine.Blocked, ends: 2, kept: 1},
+		"an older one":   {saved: []quarantine.Judgment{blocked(0, "a", "b"), blocked(time.Minute, "a")}, want: quarantine.Blocked, ends: 2, kept: 1},
+		"one over":       {saved: []quarantine.Judgment{blocked(11*time.Minute, "a")}, want: quarantine.Seen, ends: 1, kept: 1},
+		"long forgotten": {saved: []quarantine.Judgment{blocked(3*time.Hour, "a")}},
+		"of no upstream": {saved: []quarantine.Judgment{blocked(0)}, kept: 1},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -72,19 +72,31 @@
 				writer.Save(ctx, j)
 			}
 			index := new(quarantine.Index)
-			reader := &holds.Ledger{API: writer.API, Report: index.Add, Log: zerolog.Nop()}
+			reader := &blocklist.Ledger{API: writer.API, Report: index.Add, Log: zerolog.Nop()}
 			reader.Load(ctx)
 			j := index.Judge(print)
 			qt.Check(t, j.Standing, qt.Equals, test.want)
 			qt.Check(t, j.Ends, qt.Equals, test.ends)
-			list, err := writer.API.List(ctx, holds.Kind)
+			list, err := writer.API.List(ctx, blocklist.Kind)
 			qt.Assert(t, err, qt.IsNil)
 			qt.Check(t, list.Items, qt.HasLen, test.kept)
 		})
 	}
 }
 
-// TestSaveUnderFaults has the platform lose answers, and be away for a moment: the hold
+// TestRelease releases a block, and one that is not there.
+func TestRelease(t *testing.T) {
+	writer, index := open(t, new(objectstore.Server))
+	ctx := context.Background()
+	writer.Save(ctx, blocked(0, "a"))
+	for range 2 {
+		qt.Check(t, writer.Release(ctx, print), qt.IsNil)
+	}
+	writer.Load(ctx)
+	qt.Check(t, index.Judge(print).Standing, qt.Equals, quarantine.Unsuspected)
+}
+
+// TestSaveUnderFaults has the platform lose answers, and be away for a moment: the block
 // is written all the same.
 func TestSaveUnderFaults(t *testing.T) {
 	for name, faults := range map[string]objectstore.Faults{
@@ -96,10 +108,10 @@
 			store := new(objectstore.Server)
 			writer, index := open(t, store)
 			store.SetFaults(faults)
-			writer.Save(context.Background(), held(0, "a"))
+			writer.Save(context.Background(), blocked(0, "a"))
 			store.SetFaults(objectstore.Faults{})
 			writer.Load(context.Background())
-			qt.Check(t, index.Judge(print).Standing, qt.Equals, quarantine.Held)
+			qt.Check(t, index.Judge(print).Standing, qt.Equals, quarantine.Blocked)
 		})
 	}
 }
--- a/cmd/sassafrasctl/main.go
+++ b/cmd/sassafrasctl/main.go
@@ -73,6 +73,7 @@
 	namespace string
 	output    string
 	file      string
+	node      string
 }
 
 // root returns the command line.
@@ -88,6 +89,9 @@
 		if name == "validate" || name == "apply" || name == "diff" {
 			f.StringVar(&t.file, "f", "", "file with a Service in YAML or JSON")
 		}
+		if name == "suspects" || name == "release" {
+			f.StringVar(&t.node, "node", "", "operator address of a node, such as 10.1.0.38:8141")
+		}
 		return &ffcli.Command{
 			Name:       name,
 			ShortUsage: "sassafrasctl [flags] " + usage,
@@ -111,9 +115,11 @@
 			command("delete", "delete NAME", "delete a service", t.remove),
 			command("explain", "explain REQUEST-ID FILE...", "show what the logs of nodes say of a request", t.explain),
 			command("failures", "failures SERVICE FROM TO FILE...", "count a service's failed requests in the logs of nodes", t.failures),
+			command("suspects", "suspects -node ADDRESS", "show the requests under which upstreams have ended", t.suspects),
+			command("release", "release -node ADDRESS PRINT", "let such a request run again, at all nodes", t.release),
 		},
 		Exec: func(context.Context, []string) error {
-			return exitError{exitUsage, errors.New("usage: sassafrasctl [flags] <validate|apply|diff|get|status|watch|delete|explain|failures>")}
+			return exitError{exitUsage, errors.New("usage: sassafrasctl [flags] <validate|apply|diff|get|status|watch|delete|explain|failures|suspects|release>")}
 		},
 	}
 }
--- /dev/null
+++ b/cmd/sassafrasctl/suspects_test.go
@@ -0,0 +1,60 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package main
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestSuspects runs the commands on suspected requests against a node that blocks one.
+func TestSuspects(t *testing.T) {
+	const blocked = `[{"print":"00.01","standing":"blocked","ends":3,"upstreams":["n1/i-1/0"],"since":"2026-01-02T03:04:05Z","until":"2026-01-02T03:14:05Z"}]`
+	tests := map[string]struct {
+		args []string
+		code int
+		out  string
+		call string
+	}{
+		"list":            {args: []string{"suspects", "-node", "NODE"}, out: "2026-01-02T03:14:05Z", call: "GET /v1/suspects"},
+		"list as JSON":    {args: []string{"-o", "json", "suspects", "-node", "NODE"}, out: `"standing":"blocked"`, call: "GET /v1/suspects"},
+		"no node":         {args: []string{"suspects"}, code: exitUsage, out: "-node"},
+		"a bad node":      {args: []string{"suspects", "-node", "%%"}, code: exitUsage, out: "-node"},
+		"release":         {args: []string{"release", "-node", "NODE", "00.01"}, out: "00.01 released", call: "DELETE /v1/suspects/00.01"},
+		"release nothing": {args: []string{"release", "-node", "NODE"}, code: exitUsage, out: "PRINT"},
+		"release unknown": {args: []string{"release", "-node", "NODE", "00.02"}, code: exitFailed, out: "not suspected", call: "DELETE /v1/suspects/00.02"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var call string
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				call = r.Method + " " + r.URL.Path
+				switch call {
+				case "GET /v1/suspects":
+					_, _ = w.Write([]byte(blocked))
+				case "DELETE /v1/suspects/00.01":
+					w.WriteHeader(http.StatusNoContent)
+				default:
+					http.Error(w, "not suspected", http.StatusNotFound)
+				}
+			}))
+			defer s.Close()
+			for i, a := range test.args {
+				if a == "NODE" {
+					test.args[i] = s.Listener.Addr().String()
+				}
+			}
+			var out bytes.Buffer
+			qt.Check(t, execute(context.Background(), test.args, &out, &out), qt.Equals, test.code)
+			qt.Check(t, out.String(), qt.Contains, test.out)
+			qt.Check(t, call, qt.Equals, test.call)
+		})
+	}
+}
--- a/entry/do.go
+++ b/entry/do.go
@@ -25,8 +25,8 @@
 		// Whoever resolved the request knows the service already, so it exists.
 		return nil, final(verdict.New(verdict.NoUpstream, nil))
 	}
-	if held := d.judge(r).Failure(); held != nil {
-		return nil, final(held)
+	if blocked := d.judge(r).Failure(); blocked != nil {
+		return nil, final(blocked)
 	}
 	s.budget.Earn()
 	s.hedges.Earn()
--- a/entry/isolate.go
+++ b/entry/isolate.go
@@ -48,7 +48,7 @@
 // one is not there.
 func (f *flight) mayGoOn(failure *verdict.Error) bool {
 	switch f.dispatcher.judge(f.request).Standing {
-	case quarantine.Held:
+	case quarantine.Blocked:
 		return false
 	case quarantine.Isolated:
 		switch failure.Cause {
--- a/entry/isolate_test.go
+++ b/entry/isolate_test.go
@@ -43,14 +43,14 @@
 		want  verdict.Cause
 		calls int
 	}{
-		"seen, lost and sent again":             {ends: 1, plays: []play{fail(verdict.UpstreamLost), answer}, calls: 2},
-		"seen, refused and sent again":          {ends: 1, plays: []play{fail(verdict.Refused), answer}, calls: 2},
-		"isolated, answered":                    {ends: 2, plays: []play{answer}, calls: 1},
-		"isolated, lost":                        {ends: 2, plays: []play{fail(verdict.UpstreamLost), answer}, want: verdict.UpstreamLost, calls: 1},
-		"isolated, another runs there":          {ends: 2, plays: []play{fail(verdict.Refused), answer}, want: verdict.Refused, calls: 1},
-		"isolated, its upstream is not there":   {ends: 2, plays: []play{fail(verdict.Misrouted), answer}, calls: 2},
-		"held":                                  {ends: 3, plays: []play{answer}, want: verdict.Quarantined},
-		"isolated, held by the gate's own word": {ends: 2, plays: []play{fail(verdict.Quarantined), answer}, want: verdict.Quarantined, calls: 1},
+		"seen, lost and sent again":                {ends: 1, plays: []play{fail(verdict.UpstreamLost), answer}, calls: 2},
+		"seen, refused and sent again":             {ends: 1, plays: []play{fail(verdict.Refused), answer}, calls: 2},
+		"isolated, answered":                       {ends: 2, plays: []play{answer}, calls: 1},
+		"isolated, lost":                           {ends: 2, plays: []play{fail(verdict.UpstreamLost), answer}, want: verdict.UpstreamLost, calls: 1},
+		"isolated, another runs there":             {ends: 2, plays: []play{fail(verdict.Refused), answer}, want: verdict.Refused, calls: 1},
+		"isolated, its upstream is not there":      {ends: 2, plays: []play{fail(verdict.Misrouted), answer}, calls: 2},
+		"blocked":                                  {ends: 3, plays: []play{answer}, want: verdict.Quarantined},
+		"isolated, blocked by the gate's own word": {ends: 2, plays: []play{fail(verdict.Quarantined), answer}, want: verdict.Quarantined, calls: 1},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/gate/gone_test.go
+++ b/gate/gone_test.go
@@ -87,7 +87,7 @@
 		"unsuspected": {},
 		"seen":        {starts: []string{"a"}, cleared: true},
 		"isolated":    {starts: []string{"a", "b"}, want: verdict.Refused},
-		"held":        {starts: []string{"a", "b", "c"}, want: verdict.Quarantined},
+		"blocked":     {starts: []string{"a", "b", "c"}, want: verdict.Quarantined},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/node/events.go
+++ b/node/events.go
@@ -98,12 +98,12 @@
 	start := n.Settings.Node + "/" + a.Start + "/" + strconv.FormatInt(a.Born, 10)
 	n.control.Report(quarantine.Ended(start, prints, alone))
 	j := n.suspects.Judge(alone)
-	if j.Standing != quarantine.Held {
+	if j.Standing != quarantine.Blocked {
 		return
 	}
-	n.Log.Warn().Stringer("print", alone).Strs("upstreams", j.Upstreams).Time("until", j.Until).Msg("request held")
-	if n.holds != nil {
-		go n.holds.Save(context.Background(), j)
+	n.Log.Warn().Stringer("print", alone).Strs("upstreams", j.Upstreams).Time("until", j.Until).Msg("request blocked")
+	if n.blocked != nil {
+		go n.blocked.Save(context.Background(), j)
 	}
 }
 
--- a/node/fatal_test.go
+++ b/node/fatal_test.go
@@ -5,6 +5,7 @@
 package node_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -15,6 +16,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"sassafrasfront.example/operator"
 	"sassafrasfront.example/platform/standin"
 )
 
@@ -182,10 +184,10 @@
 	return m, nodes
 }
 
-// TestFatalRequestHeldOverRestarts restarts a node, and then all of them at once, after
-// a request was found to be fatal: it stays held, by what the other nodes know, and by
+// TestFatalRequestBlockedOverRestarts restarts a node, and then all of them at once, after
+// a request was found to be fatal: it stays blocked, by what the other nodes know, and by
 // what the platform keeps.
-func TestFatalRequestHeldOverRestarts(t *testing.T) {
+func TestFatalRequestBlockedOverRestarts(t *testing.T) {
 	m, nodes := fatalWorld(t, func(r standin.Run) bool { return r.Body == "fatal" }, 3)
 	w := m.w
 	id := 0
@@ -219,7 +221,53 @@
 	for _, n := range nodes {
 		fatal(n)
 	}
-	qt.Check(t, m.ended(), qt.Equals, ended, qt.Commentf("upstreams ended under a request that was held"))
+	qt.Check(t, m.ended(), qt.Equals, ended, qt.Commentf("upstreams ended under a request that was blocked"))
+}
+
+// TestReleaseSuspect has an operator release a request that is blocked: it runs again at all
+// nodes, and is blocked anew when it ends upstreams again.
+func TestReleaseSuspect(t *testing.T) {
+	m, nodes := fatalWorld(t, func(r standin.Run) bool { return r.Body == "fatal" }, 3)
+	list := func(n *managed) (suspects []operator.Suspect) {
+		r, err := http.Get("http://" + n.settings.OperatorAddress + "/v1/suspects")
+		qt.Assert(t, err, qt.IsNil)
+		defer r.Body.Close()
+		qt.Assert(t, json.NewDecoder(r.Body).Decode(&suspects), qt.IsNil)
+		return suspects
+	}
+	release := func(n *managed, print string) int {
+		r, _ := http.NewRequest("DELETE", "http://"+n.settings.OperatorAddress+"/v1/suspects/"+print, nil)
+		response, err := http.DefaultClient.Do(r)
+		qt.Assert(t, err, qt.IsNil)
+		defer response.Body.Close()
+		return response.StatusCode
+	}
+	id := 0
+	fatal := func() {
+		for range 4 {
+			id++
+			nodes[id%len(nodes)].ask("PUT", "/b/report", fmt.Sprint("fatal-", id), "fatal")
+			time.Sleep(settle)
+		}
+	}
+	fatal()
+	first := m.ended()
+	for _, n := range nodes {
+		suspects := list(n)
+		qt.Assert(t, suspects, qt.HasLen, 1)
+		qt.Check(t, suspects[0].Standing, qt.Equals, "blocked")
+		qt.Check(t, suspects[0].Ends, qt.Equals, first)
+		qt.Check(t, suspects[0].Until.After(time.Now()), qt.IsTrue)
+	}
+	print := list(nodes[0])[0].Print
+	qt.Check(t, release(nodes[0], "no print"), qt.Equals, 400)
+	qt.Check(t, release(nodes[0], strings.Repeat("1", 16)+"."+strings.Repeat("2", 16)), qt.Equals, 404)
+	qt.Check(t, release(nodes[1], print), qt.Equals, 204)
+	time.Sleep(settle)
+	qt.Check(t, release(nodes[2], print), qt.Equals, 404, qt.Commentf("all nodes know"))
+	fatal()
+	qt.Check(t, m.ended() > first, qt.IsTrue, qt.Commentf("it runs again"))
+	qt.Check(t, list(nodes[2])[0].Standing, qt.Equals, "blocked")
 }
 
 // TestFatalStream has a fatal request whose body comes in chunks, so that a node sends it
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -13,6 +13,7 @@
 	"sassafrasfront.example/caller"
 	"sassafrasfront.example/entry"
 	"sassafrasfront.example/peer"
+	"sassafrasfront.example/quarantine"
 	"sassafrasfront.example/verdict"
 	"sassafrasfront.example/watch"
 )
@@ -45,6 +46,9 @@
 		}
 		return 0
 	})
+	for _, s := range []quarantine.Standing{quarantine.Seen, quarantine.Isolated, quarantine.Blocked} {
+		gauge(fmt.Sprintf(`sassafras_suspected_requests{standing=%q}`, s), func() float64 { return float64(n.suspects.Count(s)) })
+	}
 	gauge(`sassafras_platform_calls_total`, func() float64 { return float64(m.platformCalls()) })
 	for name, b := range map[string]*watch.Budget{"reports": reports, "control": exchange} {
 		gauge(fmt.Sprintf(`sassafras_watch_bytes_total{part=%q}`, name), func() float64 { return float64(b.Bytes.Load()) })
--- a/node/node.go
+++ b/node/node.go
@@ -20,12 +20,12 @@
 	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/time/rate"
 
+	"sassafrasfront.example/blocklist"
 	"sassafrasfront.example/caller"
 	"sassafrasfront.example/claim"
 	"sassafrasfront.example/control"
 	"sassafrasfront.example/entry"
 	"sassafrasfront.example/gate"
-	"sassafrasfront.example/holds"
 	"sassafrasfront.example/internal/keyvalue"
 	"sassafrasfront.example/internal/tracing"
 	"sassafrasfront.example/member"
@@ -79,7 +79,7 @@
 	announced  *upstream.Announcements
 	claims     *claim.Ledger
 	suspects   quarantine.Index                  // the requests that upstreams have ended under
-	holds      *holds.Ledger                     // of them, on the platform, or nil
+	blocked    *blocklist.Ledger                 // of them, on the platform, or nil
 	api        objectapi.Polled                  // of Platform
 	reloaded   atomic.Pointer[settings.Settings] // nil until the settings change
 	lines      keyvalue.Limit
@@ -226,7 +226,7 @@
 			API:  n.control.API,
 			Node: s.Node,
 		}
-		n.holds = n.holdsOn(n.control.API)
+		n.blocked = n.blocklistOn(n.control.API)
 	}
 	n.peers = &peer.Server{
 		Hello:   hello,
@@ -264,12 +264,12 @@
 	n.control.Book = book.Addresses
 	n.control.Register = book.Register
 	n.control.Met = book.Met
-	n.holds = n.holdsOn(n.api)
+	n.blocked = n.blocklistOn(n.api)
 }
 
-// holdsOn returns the holds that a platform keeps.
-func (n *Node) holdsOn(api objectapi.Objects) *holds.Ledger {
-	return &holds.Ledger{
+// blocklistOn returns the blocked requests that a platform keeps.
+func (n *Node) blocklistOn(api objectapi.Objects) *blocklist.Ledger {
+	return &blocklist.Ledger{
 		API:    api,
 		Report: n.control.Report,
 		Scout:  n.control.Scout,
@@ -371,8 +371,8 @@
 		all.Go(func() { n.findUpstream(inner) })
 		all.Go(func() { n.pollLoad(inner) })
 	}
-	if n.holds != nil {
-		controlling.Go(func() { n.holds.Run(controlCtx) })
+	if n.blocked != nil {
+		controlling.Go(func() { n.blocked.Run(controlCtx) })
 	}
 	all.Go(func() { _ = n.peers.Run(inner, l.peer) })
 	callerConns := &caller.Listener{
@@ -465,6 +465,8 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /readyz", n.ready)
 	mux.HandleFunc("GET /v1/picture", n.picture)
+	mux.HandleFunc("GET /v1/suspects", n.listSuspects)
+	mux.HandleFunc("DELETE /v1/suspects/{print}", n.releaseSuspect)
 	if n.Settings.Pprof {
 		mux.HandleFunc("/debug/pprof/", pprof.Index)
 		mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
--- /dev/null
+++ b/node/suspects.go
@@ -0,0 +1,57 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package node
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/quarantine"
+)
+
+// listSuspects answers with the requests that are suspected.
+func (n *Node) listSuspects(w http.ResponseWriter, _ *http.Request) {
+	list := []operator.Suspect{}
+	for _, j := range n.suspects.All() {
+		s := operator.Suspect{
+			Print:     j.Print.String(),
+			Standing:  j.Standing.String(),
+			Ends:      j.Ends,
+			Upstreams: j.Upstreams,
+			Since:     j.Since.UTC(),
+		}
+		if j.Standing == quarantine.Blocked {
+			until := j.Until.UTC()
+			s.Until = &until
+		}
+		list = append(list, s)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+}
+
+// releaseSuspect lets a request run again, as if it had run to its end now. Ends of
+// upstreams before are forgotten at all nodes; those that come after count.
+func (n *Node) releaseSuspect(w http.ResponseWriter, r *http.Request) {
+	p, err := quarantine.Parse(r.PathValue("print"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if n.suspects.Judge(p).Standing == quarantine.Unsuspected {
+		http.Error(w, "not suspected", http.StatusNotFound)
+		return
+	}
+	if n.blocked != nil {
+		if err := n.blocked.Release(r.Context(), p); err != nil {
+			http.Error(w, "the platform keeps the block: "+err.Error(), http.StatusBadGateway)
+			return
+		}
+	}
+	n.Log.Info().Stringer("print", p).Msg("request released")
+	n.control.Report(quarantine.Ran(p))
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/quarantine/bystanders_test.go
+++ b/quarantine/bystanders_test.go
@@ -64,9 +64,9 @@
 	upstreams [simUpstreams]simUpstream
 	number    int
 
-	reads, isolated, held int // reads, and those that were ever so
-	refused               int // reads that found no upstream to run alone at
-	fatalEnds             int
+	reads, isolated, blocked int // reads, and those that were ever so
+	refused                  int // reads that found no upstream to run alone at
+	fatalEnds                int
 }
 
 // send sends a request to an upstream that is there, as nodes do.
@@ -76,9 +76,9 @@
 	if !r.fatal && standing == quarantine.Isolated {
 		s.isolated++
 	}
-	if standing == quarantine.Held {
+	if standing == quarantine.Blocked {
 		if !r.fatal {
-			s.held++
+			s.blocked++
 		}
 		return
 	}
@@ -219,7 +219,7 @@
 // TestBystanders has a request come again and again that ends each upstream which begins
 // to run it, among 300 reads a second that are lost with the upstreams and sent again; in
 // the last rows all upstreams end at once for another reason. A request that comes often
-// ends the six there are before anything is known of it, and three more. No read is held
+// ends the six there are before anything is known of it, and three more. No read is blocked
 // for it, also where one in ten is the same. A read that was at hand at two ends is sent
 // away while another of its kind runs alone, for the time of one run: one in a thousand
 // of all, and more only where all upstreams end at once and many reads are one and the
@@ -242,21 +242,21 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			var reads, isolated, held, refused, most int
+			var reads, isolated, blocked, refused, most int
 			for seed := range uint64(20) {
 				synctest.Test(t, func(t *testing.T) {
 					s := &sim{simLoad: test.load, random: rand.New(rand.NewPCG(seed, seed))}
 					s.play()
 					reads += s.reads
 					isolated += s.isolated
-					held += s.held
+					blocked += s.blocked
 					refused += s.refused
 					most = max(most, s.fatalEnds)
 				})
 			}
-			t.Logf("%d reads, %d isolated, %d refused for it, %d held; at most %d upstreams ended", reads, isolated, refused, held, most)
+			t.Logf("%d reads, %d isolated, %d refused for it, %d blocked; at most %d upstreams ended", reads, isolated, refused, blocked, most)
 			qt.Check(t, most <= test.most, qt.IsTrue, qt.Commentf("%d", most))
-			qt.Check(t, held, qt.Equals, 0)
+			qt.Check(t, blocked, qt.Equals, 0)
 			qt.Check(t, refused*test.away < reads, qt.IsTrue, qt.Commentf("%d of %d", refused, reads))
 		})
 	}
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -9,7 +9,7 @@
 // Index counts the upstreams that have ended with it at hand. One with which two have is
 // isolated: it runs only where no other isolated request does. If it comes back answered
 // it is cleared, as a request that ends upstreams never does; if a third upstream ends,
-// it is held, for ten minutes at first, and twice as long each time that this happens
+// it is blocked, for ten minutes at first, and twice as long each time that this happens
 // again. So the request in question stops, and those that were at hand go on, be it that
 // all upstreams have ended at once.
 //
--- a/quarantine/index.go
+++ b/quarantine/index.go
@@ -21,9 +21,9 @@
 	// One may end for any reason with it at hand. Two may as well, where all end at once
 	// and it is a request that many callers send: it then runs alone once, and is cleared.
 	endsToIsolate = 2
-	// firstHold is how long a request is held. After it one more upstream may end for
+	// firstBlock is how long a request is blocked. After it one more upstream may end for
 	// it: three in an hour, in place of some two a second.
-	firstHold = 10 * time.Minute
+	firstBlock = 10 * time.Minute
 )
 
 // Standing is what is thought of a request.
@@ -37,13 +37,13 @@
 	Seen
 	// Isolated means that it runs only where no other isolated request does.
 	Isolated
-	// Held means that it does not run: an upstream has ended while it was isolated.
-	Held
+	// Blocked means that it does not run: an upstream has ended while it was isolated.
+	Blocked
 )
 
 // String returns the name of s as it stands in logs and metrics.
 func (s Standing) String() string {
-	return [...]string{"unsuspected", "seen", "isolated", "held"}[s]
+	return [...]string{"unsuspected", "seen", "isolated", "blocked"}[s]
 }
 
 // Judgment is a request's standing with the grounds for it. It is an immutable value.
@@ -57,7 +57,7 @@
 	Ends int
 	// Since is when the last of them did.
 	Since time.Time
-	// Until is when a hold ends.
+	// Until is when a block ends.
 	Until time.Time
 	// Upstreams are the starts that have ended, and Isolated those of them that ended
 	// while it was isolated.
@@ -212,26 +212,26 @@
 		j.Standing = Isolated
 	}
 	if len(j.Isolated) > 0 {
-		j.Until = time.UnixMilli(lastAlone).Add(holdAfter(len(j.Isolated)))
+		j.Until = time.UnixMilli(lastAlone).Add(blockFor(len(j.Isolated)))
 	}
 	if now.Before(j.Until) {
-		j.Standing = Held
+		j.Standing = Blocked
 	}
 	return j
 }
 
-// holdAfter returns how long a request is held after the given number of upstreams have
+// blockFor returns how long a request is blocked after the given number of upstreams have
 // ended while it was isolated:
 //
-//	firstHold * 2^(ends - 1),
+//	firstBlock * 2^(ends - 1),
 //
 // and at most Keep.
-func holdAfter(ends int) time.Duration {
-	hold := firstHold
+func blockFor(ends int) time.Duration {
+	block := firstBlock
 	for range ends - 1 {
-		hold = min(2*hold, Keep)
+		block = min(2*block, Keep)
 	}
-	return hold
+	return block
 }
 
 // All returns the judgments of all requests that are suspected, those with the most ends
@@ -252,6 +252,16 @@
 	return list
 }
 
+// Count returns the number of requests with a standing.
+func (x *Index) Count(s Standing) (n int) {
+	for _, j := range x.All() {
+		if j.Standing == s {
+			n++
+		}
+	}
+	return n
+}
+
 // Oldest returns the report that is dropped first where there are too many, if there is
 // one.
 func (x *Index) Oldest() (Report, bool) {
@@ -289,7 +299,7 @@
 
 // Failure returns why a request with the judgment is not run, or nil if it may run.
 func (j Judgment) Failure() *verdict.Error {
-	if j.Standing != Held {
+	if j.Standing != Blocked {
 		return nil
 	}
 	return verdict.New(verdict.Quarantined, eris.Errorf("%d upstreams have ended under requests like this one", j.Ends)).WithRetryAfter(time.Until(j.Until))
--- a/quarantine/index_test.go
+++ b/quarantine/index_test.go
@@ -52,7 +52,7 @@
 		"another was at hand": {play: func(x *quarantine.Index) { end(x, "a", 2); end(x, "b", 2); end(x, "c", 2) }},
 		"one end":             {play: func(x *quarantine.Index) { end(x, "a", 1, 2) }, want: quarantine.Seen, ends: 1},
 		"two ends":            {play: func(x *quarantine.Index) { end(x, "a", 1, 2); end(x, "b", 1, 3) }, want: quarantine.Isolated, ends: 2},
-		"three ends":          {play: func(x *quarantine.Index) { end(x, "a", 1); end(x, "b", 1); end(x, "c", 1) }, want: quarantine.Held, ends: 3},
+		"three ends":          {play: func(x *quarantine.Index) { end(x, "a", 1); end(x, "b", 1); end(x, "c", 1) }, want: quarantine.Blocked, ends: 3},
 		"many end at once": {
 			play: func(x *quarantine.Index) {
 				for i := range 6 {
@@ -76,13 +76,13 @@
 		"ran since": {play: func(x *quarantine.Index) { end(x, "a", 1); end(x, "b", 1); end(x, "c", 1); ran(x, 1) }},
 		"ran before": {
 			play: func(x *quarantine.Index) { ran(x, 1); end(x, "a", 1); end(x, "b", 1); end(x, "c", 1) },
-			want: quarantine.Held, ends: 3,
+			want: quarantine.Blocked, ends: 3,
 		},
 		"another ran": {
 			play: func(x *quarantine.Index) { end(x, "a", 1); end(x, "b", 1); ran(x, 2); end(x, "c", 1) },
-			want: quarantine.Held, ends: 3,
+			want: quarantine.Blocked, ends: 3,
 		},
-		"the hold is over": {
+		"the block is over": {
 			play: func(x *quarantine.Index) {
 				end(x, "a", 1)
 				end(x, "b", 1)
@@ -91,7 +91,7 @@
 			},
 			want: quarantine.Isolated, ends: 3,
 		},
-		"ended one more after the hold, twice as long": {
+		"ended one more after the block, twice as long": {
 			play: func(x *quarantine.Index) {
 				end(x, "a", 1)
 				end(x, "b", 1)
@@ -100,7 +100,7 @@
 				end(x, "d", 1)
 				time.Sleep(19 * time.Minute)
 			},
-			want: quarantine.Held, ends: 4,
+			want: quarantine.Blocked, ends: 4,
 		},
 		"nothing lasts": {
 			play: func(x *quarantine.Index) {
@@ -120,7 +120,7 @@
 				j := x.Judge(printOf(1))
 				qt.Check(t, j.Standing, qt.Equals, test.want, qt.Commentf("%+v", j))
 				qt.Check(t, j.Ends, qt.Equals, test.ends)
-				qt.Check(t, j.Failure() != nil, qt.Equals, test.want == quarantine.Held)
+				qt.Check(t, j.Failure() != nil, qt.Equals, test.want == quarantine.Blocked)
 				qt.Check(t, x.Suspects(printOf(1)), qt.Equals, len(x.Judge(printOf(1)).Upstreams) > 0 || name == "ran since")
 			})
 		})
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -32,14 +32,14 @@
 }
 
 const (
-	// Keep is how long a report counts. Holds that have grown twice, to 40 minutes, end
+	// Keep is how long a report counts. Blocks that have grown twice, to 40 minutes, end
 	// within it.
 	Keep = 2 * time.Hour
 	// MaxReports bounds the reports that are kept, the newest ones: 850 upstreams of a
 	// zone that end at once have 18 requests each in mind, of which none is suspected
 	// again. With MaxSuspects requests each they take 0.7 MB.
 	MaxReports = 512
-	// MaxUpstreams and maxName bound what one report may name. Holds reach Keep, and
+	// MaxUpstreams and maxName bound what one report may name. Blocks reach Keep, and
 	// grow no more, after five.
 	MaxUpstreams = 16
 	maxName      = 300
