control: a test asked nodes that had not begun to run, and hung

TestReportsReachAll called a node's state before Run had made what takes the call. The fault was the test's alone: the product calls nothing before its parts are made.

--- a/control/quarantine_test.go
+++ b/control/quarantine_test.go
@@ -60,6 +60,7 @@
 
 // knows returns whether a node knows the given number of live nodes.
 func knows(n *testNode, live int) (all bool) {
+	n.init() // before Run there is nothing that do could hand its work to
 	n.do(func() { all = n.live >= live })
 	return all
 }
