--- a/follow/system_test.go
+++ b/follow/system_test.go
@@ -394,3 +394,48 @@
 	}
 	qt.Check(t, reads >= 5, qt.IsTrue, qt.Commentf("%d", reads))
 }
+
+// TestSomeTurnedAway has the platform turn away a third of the nodes, any third with the
+// leader among them, and a change come at any moment after that. It is in force in time
+// at every node. The node that reads next is refused once in three times; three in a row
+// once spared the others their reads until most of the time was over.
+func TestSomeTurnedAway(t *testing.T) {
+	const begins = 10 * time.Second
+	tests := map[string]struct {
+		nodes int
+		draws uint64
+		calls int // of the mean draw, at most: a quarter above what was seen
+	}{
+		"9 nodes":   {nodes: 9, draws: 1000, calls: 40},
+		"30 nodes":  {nodes: 30, draws: 1000, calls: 45},
+		"200 nodes": {nodes: 200, draws: 300, calls: 60},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var calls, over int
+			var worst time.Duration
+			for draw := range test.draws {
+				s := newSystem(test.nodes, draw)
+				s.run(begins)
+				order := s.random.Perm(test.nodes)
+				for _, i := range order[:test.nodes/3] {
+					s.nodes[i].refused = true
+				}
+				s.nodes[s.leader].refused = true
+				s.run(begins + time.Duration(s.random.Int64N(int64(2*within))))
+				s.version++
+				since := s.now
+				s.run(since + 3*within)
+				late := s.late(s.version, since)
+				worst = max(worst, late)
+				if late > within {
+					over++
+				}
+				calls += s.calls
+			}
+			t.Logf("worst %v, %d of %d late, %d calls a draw", worst, over, test.draws, calls/int(test.draws))
+			qt.Check(t, over, qt.Equals, 0)
+			qt.Check(t, calls/int(test.draws) <= test.calls, qt.IsTrue)
+		})
+	}
+}
