follow: refused leaders don't spare the others their reads; who was refused goes last

Three reads that the platform refused put off everybody's next read. Where it turns away a third of the nodes, three leaders in turn may be refused within 0.7 s, and the six that it would answer then waited until most of the 2 s was over. Failures before the nodes read by themselves count for leading only now; a node that was refused reads after those that were not, and asks others for news again after each failure.

The row with the first three turned away had twice the bound, and now has the bound.

--- a/follow/state.go
+++ b/follow/state.go
@@ -105,6 +105,7 @@
 	failure uint64    // the number of the latest failed read
 	failed  time.Time // of that read
 	borne   uint64    // failure, at the latest answered read
+	early   uint64    // failure, before nodes read by themselves after that
 	fresh   time.Time // of the latest answered read that found nothing later than what is in force
 	passed  bool      // whether the latest was passed on
 	tried   time.Time // of the node's own last read
@@ -158,9 +159,7 @@
 func (s *State) Hear(n News, now time.Time) (behind bool) {
 	s.alone = 0
 	if n.Failure > s.failure {
-		s.failure = n.Failure
-		s.failed = now.Add(-max(0, n.FailureAge))
-		s.passed = false
+		s.failedAt(n.Failure, now.Add(-max(0, n.FailureAge)))
 	}
 	if n.Round > s.round {
 		s.answered(n.Round, n.Version, now.Add(-max(0, n.Age)))
@@ -188,9 +187,18 @@
 		s.answered(s.round+1, s.version, now.Add(-age))
 		return
 	}
-	s.failure++
-	s.failed = now
+	s.failedAt(s.failure+1, now)
+	s.asked = time.Time{} // others may have been answered since
+}
+
+// failedAt takes in a failed read.
+func (s *State) failedAt(failure uint64, at time.Time) {
+	s.failure = failure
+	s.failed = at
 	s.passed = false
+	if at.Before(s.fresh.Add(s.part(leastPart))) {
+		s.early = failure
+	}
 }
 
 // Tell returns what this node knows.
@@ -250,6 +258,9 @@
 	if retry := s.tried.Add(s.part(s.pausePart())); retry.After(due) {
 		due = retry
 	}
+	if last := since.Add(s.part(mostPart)); s.failing && last.After(due) {
+		due = last // those that the platform may answer come first
+	}
 	return Read, due
 }
 
@@ -267,8 +278,12 @@
 // since returns the time from which the node's own next read is reckoned: the latest
 // read that tells that it has what there is, or one that failed after that. Where
 // the platform answers nobody, a few failures spare the others theirs for a while.
+//
+// Failures of leaders, before the others read by themselves for the first time, spare
+// none of them: where the platform turns some nodes away, three leaders in turn may be
+// among these (TestSomeTurnedAway).
 func (s *State) since() time.Time {
-	if s.away() && s.failed.After(s.fresh) {
+	if s.failure >= max(s.borne, s.early)+enoughFailures && s.failed.After(s.fresh) {
 		return s.failed
 	}
 	return s.fresh
--- a/follow/system_test.go
+++ b/follow/system_test.go
@@ -323,7 +323,7 @@
 		"the leader is cut off from the others":            {nodes: 200, calls: 180, trouble: func(s *system) { s.lose(s.nodes[:1], cut) }},
 		"a third of the nodes are cut off from the others": {nodes: 200, calls: 1750, trouble: func(s *system) { s.lose(s.nodes[1:67], cut) }},
 		"half of the nodes die, the leader with them":      {nodes: 200, calls: 300, trouble: func(s *system) { s.lose(s.nodes[:100], kill) }},
-		"the platform turns a third away, the first three among them": {nodes: 200, calls: 320, bound: 2 * within, trouble: func(s *system) {
+		"the platform turns a third away, the first three among them": {nodes: 200, calls: 320, trouble: func(s *system) {
 			for _, n := range append(s.nodes[:3:3], s.nodes[100:163]...) {
 				n.refused = true
 			}
