One way to wait, one way to ask for a request's standing

The same wait for a time or the end of a context stood in four packages; it is internal/sleep now. A nil index suspects nobody, which the gate and the entry each had asked for themselves.

--- a/blocklist/ledger.go
+++ b/blocklist/ledger.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"sassafrasfront.example/internal/sleep"
 	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/quarantine"
 )
@@ -77,12 +78,12 @@
 // scout, until ctx ends.
 func (l *Ledger) Run(ctx context.Context) {
 	l.Load(ctx)
-	wait(ctx, lookAgain/2+rand.N(lookAgain))
+	sleep.For(ctx, lookAgain/2+rand.N(lookAgain))
 	if ctx.Err() == nil {
 		l.Load(ctx)
 	}
 	for ctx.Err() == nil {
-		wait(ctx, sweepEvery/2+rand.N(sweepEvery))
+		sleep.For(ctx, sweepEvery/2+rand.N(sweepEvery))
 		if ctx.Err() == nil && l.Scout != nil && l.Scout() {
 			l.Load(ctx)
 		}
@@ -141,7 +142,7 @@
 			return
 		}
 		l.Log.Warn().Err(err).Stringer("print", j.Print).Int("try", n+1).Msg("block not written")
-		wait(ctx, objectapi.Backoff(n, err))
+		sleep.For(ctx, objectapi.Backoff(n, err))
 	}
 }
 
@@ -174,13 +175,3 @@
 	}
 	return err
 }
-
-// wait waits for d, or until ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/control/bootstrap.go
+++ b/control/bootstrap.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"sassafrasfront.example/internal/sleep"
 	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/operator"
 	"sassafrasfront.example/peer"
@@ -32,7 +33,7 @@
 		if c.steward.Load() {
 			pause = max(pause, c.Timing.Lease)
 		}
-		sleep(ctx, pause)
+		sleep.For(ctx, pause)
 	}
 }
 
@@ -89,16 +90,6 @@
 	return s, err == nil
 }
 
-// sleep waits for d, or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 const (
 	// meetFirst is the wait between two looks into the book at the start, which
 	// grows fourfold each time up to meetOften for a scout. Other nodes look again
@@ -138,7 +129,7 @@
 		addrs := c.Book(ctx)
 		c.meetSome(ctx, c.strangers(slices.Clone(addrs)))
 		for try := 1; try < meetTries && len(addrs) > 0 && c.alone() && ctx.Err() == nil; try++ {
-			sleep(ctx, meetAgain/2+rand.N(meetAgain))
+			sleep.For(ctx, meetAgain/2+rand.N(meetAgain))
 			c.meetSome(ctx, c.strangers(slices.Clone(addrs)))
 		}
 		if c.register(n, drawn && len(addrs) < enoughContacts) {
@@ -168,9 +159,9 @@
 	often = often/2 + rand.N(often)
 	seldom := meetSeldom/2 + rand.N(meetSeldom)
 	began := time.Now()
-	sleep(ctx, often)
+	sleep.For(ctx, often)
 	for ctx.Err() == nil && !c.Scout() && time.Since(began) < seldom {
-		sleep(ctx, meetCheck)
+		sleep.For(ctx, meetCheck)
 	}
 }
 
--- a/control/lease.go
+++ b/control/lease.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"sassafrasfront.example/internal/sleep"
 	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/operator"
 )
@@ -45,7 +46,7 @@
 		// The first in the order comes back soonest, so that those after it find
 		// the lease renewed.
 		pause := c.Timing.Lease * time.Duration(1+min(rank, candidates-1))
-		sleep(ctx, pause-rand.N(pause/4))
+		sleep.For(ctx, pause-rand.N(pause/4))
 	}
 }
 
--- a/control/reporter.go
+++ b/control/reporter.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"sassafrasfront.example/internal/sleep"
 	"sassafrasfront.example/member"
 	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/operator"
@@ -227,7 +228,7 @@
 		if _, err = objectapi.Put(ctx, r.control.API, o); !objectapi.IsConflict(err) {
 			return err
 		}
-		sleep(ctx, rand.N(reportWindow/4))
+		sleep.For(ctx, rand.N(reportWindow/4))
 	}
 	return err
 }
--- a/control/stewardwork.go
+++ b/control/stewardwork.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"sassafrasfront.example/claim"
+	"sassafrasfront.example/internal/sleep"
 	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/operator"
 )
@@ -85,7 +86,7 @@
 // of the zone that comes first does so for all.
 func (s *stewardWork) sweepClaims(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, claimSweep/2+rand.N(claimSweep))
+		sleep.For(ctx, claimSweep/2+rand.N(claimSweep))
 		if ctx.Err() != nil || s.acceptor.turn(operator.KindClaim) > 0 {
 			continue
 		}
@@ -107,7 +108,7 @@
 		if known == 0 {
 			pause = min(pause, minBridge)
 		}
-		sleep(ctx, pause/2+rand.N(pause/2))
+		sleep.For(ctx, pause/2+rand.N(pause/2))
 	}
 }
 
--- a/control/sweeper.go
+++ b/control/sweeper.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"time"
 
+	"sassafrasfront.example/internal/sleep"
 	"sassafrasfront.example/member"
 	"sassafrasfront.example/peer"
 )
@@ -42,7 +43,7 @@
 // runAsScout sweeps while this node is its zone's scout, until ctx ends.
 func (s *sweeper) runAsScout(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, s.Timing.Sweep)
+		sleep.For(ctx, s.Timing.Sweep)
 		if s.Scout() {
 			s.round(ctx)
 		}
@@ -64,14 +65,14 @@
 	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
 	pause := s.Timing.Sweep / time.Duration(len(near)+1)
 	for _, r := range near {
-		sleep(ctx, pause)
+		sleep.For(ctx, pause)
 		if ctx.Err() != nil {
 			return
 		}
 		s.check(ctx, r)
 	}
 	s.remove(len(near) + 1)
-	sleep(ctx, pause)
+	sleep.For(ctx, pause)
 }
 
 // check asks one node for a sign of life.
--- a/control/table_test.go
+++ b/control/table_test.go
@@ -14,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"sassafrasfront.example/follow"
+	"sassafrasfront.example/internal/sleep"
 	"sassafrasfront.example/operator"
 	"sassafrasfront.example/routes"
 )
@@ -215,7 +216,7 @@
 			n.AskNews(ctx)
 			continue
 		case follow.Watch:
-			sleep(ctx, watchFor)
+			sleep.For(ctx, watchFor)
 		}
 		version, ok := p.read(n.Self.ID)
 		if ok {
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -80,7 +80,7 @@
 
 // pick picks an upstream, as start says.
 func (d *Dispatcher) pick(s *service, r *Request, tried, refused []string) (*route.Use[string], bool) {
-	if d.judge(r).Standing == quarantine.Isolated {
+	if d.Quarantine.Judge(r.Print).Standing == quarantine.Isolated {
 		return s.pickIsolated(r.Print, tried)
 	}
 	// What answers is found out first: Pick holds the pool's lock, and Set takes
--- a/entry/do.go
+++ b/entry/do.go
@@ -25,7 +25,7 @@
 		// Whoever resolved the request knows the service already, so it exists.
 		return nil, final(verdict.New(verdict.NoUpstream, nil))
 	}
-	if blocked := d.judge(r).Failure(); blocked != nil {
+	if blocked := d.Quarantine.Judge(r.Print).Failure(); blocked != nil {
 		return nil, final(blocked)
 	}
 	s.budget.Earn()
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -49,7 +49,7 @@
 		f.did(EventRevoke)
 		return
 	}
-	if f.dispatcher.judge(f.request).Standing >= quarantine.Isolated || !f.attemptsLeft() || len(f.tried) >= f.service.Config.Retry.MaxTries || !f.service.takeHedge() {
+	if f.dispatcher.Quarantine.Judge(f.request.Print).Standing >= quarantine.Isolated || !f.attemptsLeft() || len(f.tried) >= f.service.Config.Retry.MaxTries || !f.service.takeHedge() {
 		return
 	}
 	if f.launch() == nil {
--- a/entry/isolate.go
+++ b/entry/isolate.go
@@ -13,16 +13,6 @@
 	"sassafrasfront.example/verdict"
 )
 
-// judge returns the standing of a request.
-func (d *Dispatcher) judge(r *Request) quarantine.Judgment {
-	if d.Quarantine == nil {
-		return quarantine.Judgment{
-			Print: r.Print,
-		}
-	}
-	return d.Quarantine.Judge(r.Print)
-}
-
 // pickIsolated picks the upstream for an isolated request: the first one of an order that
 // is the same at all nodes, so that all copies of the request meet at one gate, which
 // runs one of them. Three copies that come at once end one upstream in place of three
@@ -47,7 +37,7 @@
 // of it. An isolated one has its place at one upstream, and goes to the next only if that
 // one is not there.
 func (f *flight) mayGoOn(failure *verdict.Error) bool {
-	switch f.dispatcher.judge(f.request).Standing {
+	switch f.dispatcher.Quarantine.Judge(f.request.Print).Standing {
 	case quarantine.Blocked:
 		return false
 	case quarantine.Isolated:
--- a/gate/call.go
+++ b/gate/call.go
@@ -39,7 +39,7 @@
 // run handles the call up to the end of its answer, or returns why there is
 // none, or why it is cut.
 func (c *call) run(ctx context.Context) *verdict.Error {
-	if failure := c.gate.judge(c.in.Call.Print).Failure(); failure != nil {
+	if failure := c.gate.Quarantine.Judge(c.in.Call.Print).Failure(); failure != nil {
 		return failure
 	}
 	ticket, b, failure := c.gate.admitCall(ctx, c.in)
--- a/gate/gone.go
+++ b/gate/gone.go
@@ -57,21 +57,11 @@
 // runs: runs take some hundred milliseconds.
 const comeBackIsolated = 100 * time.Millisecond
 
-// judge returns the standing of a request.
-func (g *Gate) judge(p quarantine.Fingerprint) quarantine.Judgment {
-	if g.Quarantine == nil {
-		return quarantine.Judgment{
-			Print: p,
-		}
-	}
-	return g.Quarantine.Judge(p)
-}
-
 // isolate returns the standing of a request that is about to run, which may be another
 // than when it came, and what it owes at its end. An isolated one runs if no other
 // isolated one does: the upstream can then end under one of them only.
 func (g *Gate) isolate(p quarantine.Fingerprint) (j quarantine.Judgment, rejoin func(), failure *verdict.Error) {
-	j = g.judge(p)
+	j = g.Quarantine.Judge(p)
 	if failure := j.Failure(); failure != nil {
 		return j, nil, failure
 	}
--- a/node/state.go
+++ b/node/state.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"sassafrasfront.example/caller"
+	"sassafrasfront.example/internal/sleep"
 	"sassafrasfront.example/member"
 	"sassafrasfront.example/upstream"
 )
@@ -122,13 +123,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), n.Settings.LeaveDelay+n.Settings.DrainTimeout)
 	defer cancel()
 	admitting := min(n.Settings.AdmitDelay, n.Settings.LeaveDelay)
-	wait(ctx, admitting)
+	sleep.For(ctx, admitting)
 	idle := n.gate.Leave()
 	n.mu.Lock()
 	n.closing = true
 	n.mu.Unlock()
 	n.announce()
-	wait(ctx, n.Settings.LeaveDelay-admitting)
+	sleep.For(ctx, n.Settings.LeaveDelay-admitting)
 	err := callers.Shutdown(ctx)
 	if err == nil {
 		err = conns.Quiesce(ctx)
@@ -146,16 +147,6 @@
 	n.Log.Info().Dur("took", time.Since(began)).Msg("drained")
 }
 
-// wait waits for d, or until ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // ready answers whether the node can serve callers.
 func (n *Node) ready(w http.ResponseWriter, _ *http.Request) {
 	n.mu.Lock()
--- a/objectapi/follower.go
+++ b/objectapi/follower.go
@@ -9,6 +9,8 @@
 	"errors"
 	"math/rand/v2"
 	"time"
+
+	"sassafrasfront.example/internal/sleep"
 )
 
 // Follower keeps up with all objects of one kind by a list and watches. The
@@ -73,7 +75,7 @@
 		if f.MaxBackoff > 0 {
 			wait = min(wait, f.MaxBackoff/2+rand.N(f.MaxBackoff/2))
 		}
-		pause(ctx, wait)
+		sleep.For(ctx, wait)
 		failures++
 	}
 }
@@ -107,18 +109,8 @@
 			return err
 		}
 		if time.Since(began) < minBackoff {
-			pause(ctx, minBackoff)
+			sleep.For(ctx, minBackoff)
 		}
 	}
 	return nil
 }
-
-// pause sleeps for d, or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/quarantine/index.go
+++ b/quarantine/index.go
@@ -22,7 +22,7 @@
 	// and it is a request that many callers send: it then runs alone once, and is cleared.
 	endsToIsolate = 2
 	// firstBlock is how long a request is blocked. After it one more upstream may end for
-	// it: three in an hour, in place of some two a second.
+	// it: two in the first hour, in place of one or two a second.
 	firstBlock = 10 * time.Minute
 )
 
@@ -167,9 +167,9 @@
 }
 
 // Judge returns the standing of a request. Of a request whose body is not known nothing
-// is thought.
+// is thought, and a nil Index suspects none.
 func (x *Index) Judge(p Fingerprint) Judgment {
-	if x.known.Load() == 0 {
+	if x == nil || x.known.Load() == 0 {
 		return Judgment{
 			Print: p,
 		}
--- a/quarantine/running.go
+++ b/quarantine/running.go
@@ -63,10 +63,9 @@
 	r := u.running
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.open[u] {
+	if !r.close(u) {
 		return
 	}
-	delete(r.open, u)
 	// The upstream lives, so what it was sent long ago has done it no harm.
 	long := time.Now().Add(-linger)
 	r.lost = slices.DeleteFunc(r.lost, func(o *Run) bool { return o.lost.Before(long) })
@@ -78,10 +77,9 @@
 	r := u.running
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.open[u] {
+	if !r.close(u) {
 		return
 	}
-	delete(r.open, u)
 	u.lost = time.Now()
 	if len(r.lost) >= MaxSuspects {
 		r.lost = slices.Delete(r.lost, 0, 1)
@@ -89,6 +87,14 @@
 	r.lost = append(r.lost, u)
 }
 
+// close takes a request out of those in flight, and returns whether it was one of them.
+// The lock is held.
+func (r *Running) close(u *Run) bool {
+	open := r.open[u]
+	delete(r.open, u)
+	return open
+}
+
 // Take returns the fingerprints of the requests that are or may be at the upstream, at
 // most MaxSuspects, and the one of them that is isolated, and forgets them. It is for an
 // upstream that has ended. If one isolated request was given up and another has begun
