--- a/cmd/sassafrasbench/faults_test.go
+++ b/cmd/sassafrasbench/faults_test.go
@@ -124,13 +124,13 @@
 		},
 		"gate paused with the call in its buffer, and resumed": {
 			upstreams: 1, method: "POST", target: "/", timeout: 300 * time.Millisecond,
-			before: func(nodes []*rig.Node) { nodes[0].SignalNode(syscall.SIGSTOP) },
+			before: func(nodes []*rig.Node) { nodes[0].PauseNode() },
 			after:  func(nodes []*rig.Node) { nodes[0].SignalNode(syscall.SIGCONT) },
 			status: 504, verdict: "mayHaveRun", runs: [2]int{0, 1},
 		},
 		"gate paused for long, POST": {
 			upstreams: 2, method: "POST", target: "/" + slow,
-			during: func(runner, _ *rig.Node) { runner.SignalNode(syscall.SIGSTOP) },
+			during: func(runner, _ *rig.Node) { runner.PauseNode() },
 			after: func(nodes []*rig.Node) {
 				for _, n := range nodes {
 					n.SignalNode(syscall.SIGCONT)
@@ -140,7 +140,7 @@
 		},
 		"gate paused for long, GET goes elsewhere": {
 			upstreams: 2, method: "GET", target: "/" + slow,
-			during: func(runner, _ *rig.Node) { runner.SignalNode(syscall.SIGSTOP) },
+			during: func(runner, _ *rig.Node) { runner.PauseNode() },
 			after: func(nodes []*rig.Node) {
 				for _, n := range nodes {
 					n.SignalNode(syscall.SIGCONT)
--- a/cmd/sassafrasbench/rig/node.go
+++ b/cmd/sassafrasbench/rig/node.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strings"
 	"syscall"
+	"time"
 
 	"sassafrasfront.example/internal/backend"
 	"sassafrasfront.example/node"
@@ -81,6 +82,35 @@
 // SignalNode sends a signal to the node's process.
 func (n *Node) SignalNode(s syscall.Signal) { n.node.signal(s) }
 
+// PauseNode stops the node's process, and returns when all of its threads stand still.
+// The signal itself is only noted: on a busy machine one thread or another runs on for
+// some milliseconds, and may answer a request.
+func (n *Node) PauseNode() {
+	n.SignalNode(syscall.SIGSTOP)
+	for !n.paused() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// paused returns whether all threads of the node's process are stopped.
+func (n *Node) paused() bool {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", n.NodePID()))
+	if err != nil || len(threads) == 0 {
+		return true // the process has ended
+	}
+	for _, path := range threads {
+		stat, err := os.ReadFile(path)
+		if err != nil {
+			continue // the thread has ended
+		}
+		// The state follows the name, which is in parentheses.
+		if i := strings.LastIndexByte(string(stat), ')'); i < 0 || !strings.HasPrefix(string(stat[i+1:]), " T") {
+			return false
+		}
+	}
+	return true
+}
+
 // SignalUpstream sends a signal to the upstream's process.
 func (n *Node) SignalUpstream(s syscall.Signal) { n.upstream.signal(s) }
 
