--- a/follow/state.go
+++ b/follow/state.go
@@ -62,8 +62,9 @@
 )
 
 // enoughFailures is the number of failed reads since the last answered one from which
-// they spare the others theirs for a while. Where the platform turns away a third of
-// the nodes, these are the first three to read once in 27 times.
+// they spare the others theirs for a while; those of leaders, before the others read by
+// themselves, count for leading only. Where the platform turns away a third of the
+// nodes, it refuses the first three that read once in 27 times.
 const enoughFailures = 3
 
 // Action is what a node is to do next.
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -36,8 +36,8 @@
 	// within it.
 	Keep = 2 * time.Hour
 	// MaxReports bounds the reports that are kept, the newest ones: 850 upstreams of a
-	// zone that end at once have 18 requests each in mind, of which none is suspected
-	// again. With MaxSuspects requests each they take 0.7 MB.
+	// zone that end at once have 18 requests each at hand, few of which come again. With
+	// MaxSuspects requests each they take 0.7 MB.
 	MaxReports = 512
 	// MaxUpstreams and maxName bound what one report may name. Blocks reach Keep, and
 	// grow no more, after five.
