One bounded read of a body, one count of failed reads; counting suspects sorts nothing

The read of a body under the request's deadline stood twice in caller; the comparison with enoughFailures stood twice in follow; each scrape of the metrics sorted all suspected requests three times, up to 32,000 of them, to count them.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -282,7 +282,7 @@
 	case q.Stream == nil:
 		q.Print = q.Print.WithBody(q.Body)
 	case x.handler.Suspects != nil && x.handler.Suspects(q.Print):
-		body, err := x.peek(q.Deadline)
+		body, err := x.readUntil(q.Deadline, func() ([]byte, error) { return x.streamed.peek(quarantine.MaxBody) })
 		if err != nil {
 			return verdict.New(verdict.BadRequest, eris.Wrap(err, "body"))
 		}
@@ -292,12 +292,13 @@
 	return nil
 }
 
-// peek returns the part of a streamed body that is part of a fingerprint.
-func (x *exchange) peek(until time.Time) ([]byte, error) {
+// readUntil returns what read reads of the body, which fails if the caller has not sent
+// it by then.
+func (x *exchange) readUntil(until time.Time, read func() ([]byte, error)) ([]byte, error) {
 	control := http.NewResponseController(x.w)
 	_ = control.SetReadDeadline(until)
 	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
-	return x.streamed.peek(quarantine.MaxBody)
+	return read()
 }
 
 // name sets the fields by which the upstream knows the request.
@@ -359,10 +360,7 @@
 		q.Stream = entry.Once(x.streamed)
 		return nil
 	}
-	control := http.NewResponseController(x.w)
-	_ = control.SetReadDeadline(q.Deadline)
-	data, err := io.ReadAll(r.Body)
-	_ = control.SetReadDeadline(time.Time{})
+	data, err := x.readUntil(q.Deadline, func() ([]byte, error) { return io.ReadAll(r.Body) })
 	if err != nil {
 		x.broken.Store(true)
 		return verdict.New(verdict.BadRequest, eris.Wrap(err, "body"))
--- a/follow/state.go
+++ b/follow/state.go
@@ -274,7 +274,10 @@
 }
 
 // away returns whether the platform seems to answer nobody.
-func (s *State) away() bool { return s.failure >= s.borne+enoughFailures }
+func (s *State) away() bool { return s.failedEnough(s.borne) }
+
+// failedEnough returns whether enough reads have failed after the one with the number.
+func (s *State) failedEnough(after uint64) bool { return s.failure >= after+enoughFailures }
 
 // since returns the time from which the node's own next read is reckoned: the latest
 // read that tells that it has what there is, or one that failed after that. Where
@@ -284,7 +287,7 @@
 // none of them: where the platform turns some nodes away, three leaders in turn may be
 // among these (TestSomeTurnedAway).
 func (s *State) since() time.Time {
-	if s.failure >= max(s.borne, s.early)+enoughFailures && s.failed.After(s.fresh) {
+	if s.failedEnough(max(s.borne, s.early)) && s.failed.After(s.fresh) {
 		return s.failed
 	}
 	return s.fresh
--- a/quarantine/index.go
+++ b/quarantine/index.go
@@ -237,6 +237,15 @@
 // All returns the judgments of all requests that are suspected, those with the most ends
 // first.
 func (x *Index) All() []Judgment {
+	list := x.suspected()
+	slices.SortFunc(list, func(a, b Judgment) int {
+		return cmp.Or(cmp.Compare(b.Ends, a.Ends), b.Since.Compare(a.Since), cmp.Compare(a.Print.Head, b.Print.Head))
+	})
+	return list
+}
+
+// suspected returns the judgments of all requests that are suspected, in no order.
+func (x *Index) suspected() []Judgment {
 	x.mu.RLock()
 	defer x.mu.RUnlock()
 	now := time.Now()
@@ -246,15 +255,12 @@
 			list = append(list, j)
 		}
 	}
-	slices.SortFunc(list, func(a, b Judgment) int {
-		return cmp.Or(cmp.Compare(b.Ends, a.Ends), b.Since.Compare(a.Since), cmp.Compare(a.Print.Head, b.Print.Head))
-	})
 	return list
 }
 
-// Count returns the number of requests with a standing.
+// Count returns the number of requests with a standing other than Unsuspected.
 func (x *Index) Count(s Standing) (n int) {
-	for _, j := range x.All() {
+	for _, j := range x.suspected() {
 		if j.Standing == s {
 			n++
 		}
