Organisations in a table of routes: names, digests of keys, priority, regions, rate limit

Ruled out: keys in the table, which travels between nodes and is published; a table without keys for 'no organisations': an empty list asks for keys too.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -245,18 +245,19 @@
 		return nil, verdict.New(verdict.BadRequest, err)
 	}
 	q := &entry.Request{
-		Service:    t.Service.Name,
-		Class:      t.Class,
-		Method:     r.Method,
-		Target:     r.URL.RequestURI(),
-		Host:       r.Host,
-		Length:     r.ContentLength,
-		Idempotent: t.Idempotent,
-		Attempts:   t.Attempts,
-		Regions:    t.Regions,
-		Objective:  t.Objective,
-		Deadline:   time.Now().Add(timeout),
-		Inform:     x.inform,
+		Service:      t.Service.Name,
+		Class:        t.Class,
+		Organisation: t.Organisation,
+		Method:       r.Method,
+		Target:       r.URL.RequestURI(),
+		Host:         r.Host,
+		Length:       r.ContentLength,
+		Idempotent:   t.Idempotent,
+		Attempts:     t.Attempts,
+		Regions:      t.Regions,
+		Objective:    t.Objective,
+		Deadline:     time.Now().Add(timeout),
+		Inform:       x.inform,
 	}
 	if failure := x.body(q, t.MaxBody); failure != nil {
 		return nil, failure
--- a/caller/target.go
+++ b/caller/target.go
@@ -26,6 +26,8 @@
 	Route string
 	// Class is the request's class.
 	Class string
+	// Organisation is the name of the organisation whose key the caller shows, or empty.
+	Organisation string
 	// Idempotent is whether running it twice does no harm.
 	Idempotent bool
 	// Timeout is the longest time that the caller is kept waiting.
--- a/entry/request.go
+++ b/entry/request.go
@@ -20,6 +20,8 @@
 	Service string
 	// Class is its class.
 	Class string
+	// Organisation is the name of the organisation on whose behalf it is sent, or empty.
+	Organisation string
 	// Method, Target and Host are as in HTTP, the target in origin form.
 	Method, Target, Host string
 	// Header are the header fields to send.
@@ -54,17 +56,18 @@
 // call returns the message that sends r for the given time.
 func (r *Request) call(try int) *peer.Call {
 	c := &peer.Call{
-		Service:   r.Service,
-		Class:     r.Class,
-		Method:    r.Method,
-		Target:    r.Target,
-		Host:      r.Host,
-		Header:    r.Header,
-		Remaining: time.Until(r.Deadline),
-		Streams:   r.Stream != nil || len(r.Body) > inlineBody,
-		Length:    r.Length,
-		Try:       try,
-		Print:     r.Print,
+		Service:      r.Service,
+		Class:        r.Class,
+		Organisation: r.Organisation,
+		Method:       r.Method,
+		Target:       r.Target,
+		Host:         r.Host,
+		Header:       r.Header,
+		Remaining:    time.Until(r.Deadline),
+		Streams:      r.Stream != nil || len(r.Body) > inlineBody,
+		Length:       r.Length,
+		Try:          try,
+		Print:        r.Print,
 	}
 	if !c.Streams {
 		c.Body = r.Body
--- /dev/null
+++ b/organisation/organisation_test.go
@@ -0,0 +1,61 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package organisation_test
+
+import (
+	"encoding/json"
+	"math"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/organisation"
+)
+
+// TestSet finds organisations by name and by key, also after they have travelled.
+func TestSet(t *testing.T) {
+	list := []organisation.Organisation{
+		{Name: "a", Keys: []organisation.Digest{organisation.DigestOf("key-1"), organisation.DigestOf("key-2")}},
+		{Name: "b", Keys: []organisation.Digest{organisation.DigestOf("key-3")}, Rate: 3, Burst: 4},
+		{Name: "c"},
+	}
+	data, err := json.Marshal(list)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, strings.Contains(string(data), "key-"), qt.IsFalse, qt.Commentf("no key is in %s", data))
+	var travelled []organisation.Organisation
+	qt.Assert(t, json.Unmarshal(data, &travelled), qt.IsNil)
+	for _, l := range [][]organisation.Organisation{list, travelled} {
+		s, err := organisation.NewSet(l)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, s.ByKey("key-2").Name, qt.Equals, "a")
+		qt.Check(t, s.ByKey("key-3").Rate, qt.Equals, 3.0)
+		qt.Check(t, s.ByKey(""), qt.IsNil)
+		qt.Check(t, s.ByKey("KEY-1"), qt.IsNil)
+		qt.Check(t, s.Named("c").Name, qt.Equals, "c")
+		qt.Check(t, s.Named("d"), qt.IsNil)
+	}
+}
+
+// TestSetRefuses has organisations that must change nothing.
+func TestSetRefuses(t *testing.T) {
+	key := []organisation.Digest{organisation.DigestOf("key")}
+	for name, list := range map[string][]organisation.Organisation{
+		"no name":               {{Keys: key}},
+		"a name twice":          {{Name: "a"}, {Name: "a"}},
+		"a key twice":           {{Name: "a", Keys: key}, {Name: "b", Keys: key}},
+		"a key twice in one":    {{Name: "a", Keys: append(key, key...)}},
+		"rate below zero":       {{Name: "a", Rate: -1}},
+		"rate not a number":     {{Name: "a", Rate: math.NaN()}},
+		"endless rate":          {{Name: "a", Rate: math.Inf(1)}},
+		"burst below zero":      {{Name: "a", Burst: -1}},
+		"region without a name": {{Name: "a", Regions: []string{""}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := organisation.NewSet(list)
+			qt.Check(t, err, qt.IsNotNil)
+		})
+	}
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -58,7 +58,10 @@
 	ID      uint64 `msgpack:"id"`
 	Service string `msgpack:"service"`
 	Class   string `msgpack:"class,omitempty"`
-	Method  string `msgpack:"method"`
+	// Organisation is the name of the organisation on whose behalf the request is sent, or
+	// empty.
+	Organisation string `msgpack:"organisation,omitempty"`
+	Method       string `msgpack:"method"`
 	// Target is the request target, in origin form.
 	Target string  `msgpack:"target"`
 	Host   string  `msgpack:"host"`
--- a/routes/table.go
+++ b/routes/table.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"sassafrasfront.example/organisation"
 )
 
 // Part is one of the services that a route leads to.
@@ -48,6 +50,8 @@
 	Priority int `json:"priority"`
 	// Regions are those that the requests may be sent to. None means all.
 	Regions []string `json:"regions,omitempty"`
+	// Public is whether requests need no key where those of other routes do.
+	Public bool `json:"public,omitempty"`
 }
 
 // Service is what the configuration says of a service.
@@ -99,8 +103,14 @@
 	Routes   []Route   `json:"routes"`
 	Services []Service `json:"services"`
 	Limits   Limits    `json:"limits"`
-
-	hosts map[string][]*Route // the longest prefix first
+	// Keyed is whether requests need the key of an organisation, but for those of public
+	// routes.
+	Keyed bool `json:"keyed,omitempty"`
+	// Organisations are those that have keys.
+	Organisations []organisation.Organisation `json:"organisations,omitempty"`
+
+	hosts         map[string][]*Route // the longest prefix first
+	organisations *organisation.Set
 }
 
 // New returns t ready for Match, or the first fault of it.
@@ -119,6 +129,11 @@
 			return nil, err
 		}
 	}
+	organisations, err := organisation.NewSet(t.Organisations)
+	if err != nil {
+		return nil, err
+	}
+	t.organisations = organisations
 	for _, list := range t.hosts {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
@@ -169,6 +184,9 @@
 	return nil
 }
 
+// OrganisationSet returns the organisations by name and by key.
+func (t *Table) OrganisationSet() *organisation.Set { return t.organisations }
+
 // bare returns a host in lower case and without its port.
 func bare(host string) string {
 	if h, _, err := net.SplitHostPort(host); err == nil {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -60,6 +60,16 @@
 	// times the requests a second that the table of routes names for it, and ColdSlack
 	// more.
 	ColdRatio, ColdSlack float64
+	// RevokeWithin is the time after which no request may run any more whose key has been
+	// revoked, also at nodes that the platform does not answer: one whose table of routes
+	// is not known to be as fresh refuses requests that need a key. Zero means that such a
+	// node goes by the table that it has.
+	RevokeWithin time.Duration
+	// QuotaWindow, QuotaOverage and QuotaSlack bound the requests of an organisation that
+	// run in any QuotaWindow, at all nodes together: what its rate limit allows in that
+	// time, QuotaOverage times as much more, and QuotaSlack requests more.
+	QuotaWindow              time.Duration
+	QuotaOverage, QuotaSlack float64
 	// RetryRatio and RetrySlack bound the repeated sendings to a service by all
 	// nodes together, in each RetryWindow: RetryRatio for each request, and
 	// RetrySlack more. They hold where the configuration is one table of routes.
@@ -129,6 +139,10 @@
 	fs.DurationVar(&s.EvacuateWithin, "evacuateWithin", 0, "time after which an evacuated zone's upstreams get no more requests; 0 if zones are not evacuated")
 	fs.Float64Var(&s.ColdRatio, "coldRatio", 1, "requests to a cold upstream in any second, as a ratio of what the table of routes names for it")
 	fs.Float64Var(&s.ColdSlack, "coldSlack", 0, "requests to a cold upstream in any second beyond that")
+	fs.DurationVar(&s.RevokeWithin, "revokeWithin", 0, "time after which no request with a revoked key runs, also where the platform does not answer; 0 if such nodes go by what they know")
+	fs.DurationVar(&s.QuotaWindow, "quotaWindow", 5*time.Second, "time over which the rate limits of organisations are bounded")
+	fs.Float64Var(&s.QuotaOverage, "quotaOverage", 0.1, "requests of an organisation in a quotaWindow beyond its rate limit, as a ratio of that")
+	fs.Float64Var(&s.QuotaSlack, "quotaSlack", 20, "requests of an organisation in a quotaWindow beyond that")
 	fs.Float64Var(&s.RetryRatio, "retryRatio", 0.1, "repeated sendings for each request, where the configuration is a table of routes")
 	fs.Float64Var(&s.RetrySlack, "retrySlack", 20, "repeated sendings beyond that in a retryWindow, all nodes together")
 	fs.DurationVar(&s.RetryWindow, "retryWindow", 10*time.Second, "time over which repeated sendings are bounded")
