A node that has just started and knows no upstream yet asks its callers back soon

Ruled out: holding the requests (nobody knows yet whether there will be an upstream); not ready until then (readiness is asked once a second, two misses are needed to matter). Shown by TestStartOfAllNodesAtOnce.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -58,7 +58,7 @@
 		return nil, verdict.New(verdict.Refused, nil).WithRetryAfter(comeBackSoon).WithGivenUp() // all are full
 	}
 	if !ok {
-		return nil, verdict.New(verdict.NoUpstream, nil)
+		return nil, d.noUpstream()
 	}
 	a := &attempt{
 		use:   use,
@@ -78,6 +78,24 @@
 	return a, nil
 }
 
+const (
+	// learning is how long after its start a node may not have heard of the others yet.
+	learning = 2 * time.Second
+	// comeBackLearnt is what a caller is told to wait for meanwhile. After a start of all
+	// nodes at once most know the others within that time, and callers that came back
+	// after longer would all come at the same later moment.
+	comeBackLearnt = 250 * time.Millisecond
+)
+
+// noUpstream returns the failure of a request to a service without a known upstream.
+func (d *Dispatcher) noUpstream() *verdict.Error {
+	e := verdict.New(verdict.NoUpstream, nil)
+	if time.Since(d.Started) < learning {
+		e = e.WithRetryAfter(comeBackLearnt)
+	}
+	return e
+}
+
 // pick picks an upstream, as start says.
 func (d *Dispatcher) pick(s *service, r *Request, tried, refused []string) (*route.Use[string], bool) {
 	barred := func(id string) bool { return slices.Contains(tried, id) || !s.within(id, r.Regions) }
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -49,6 +49,8 @@
 	Hello peer.Hello
 	// Region is the region of this node; its zone is in Hello.
 	Region string
+	// Started is when the process started.
+	Started time.Time
 	// Limits bounds the connections to peers.
 	Limits peer.Limits
 	// Counters, if not nil, counts the traffic to peers.
--- a/entry/do.go
+++ b/entry/do.go
@@ -23,7 +23,7 @@
 	s := d.load()[r.Service]
 	if s == nil {
 		// Whoever resolved the request knows the service already, so it exists.
-		return nil, final(verdict.New(verdict.NoUpstream, nil))
+		return nil, final(d.noUpstream())
 	}
 	if blocked := d.Quarantine.Judge(r.Print).Failure(); blocked != nil {
 		return nil, final(blocked)
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -290,6 +291,38 @@
 	}
 }
 
+// TestStartOfAllNodesAtOnce has requests come to a node that has its configuration and has
+// not heard of any upstream yet. Its callers come back soon, and those of a node that has
+// had time to hear of one later.
+func TestStartOfAllNodesAtOnce(t *testing.T) {
+	for name, test := range map[string]struct {
+		age  time.Duration
+		want time.Duration
+	}{
+		"just started":    {age: 0, want: 250 * time.Millisecond},
+		"a second ago":    {age: time.Second, want: 250 * time.Millisecond},
+		"three ago":       {age: 3 * time.Second, want: time.Second},
+		"an hour ago":     {age: time.Hour, want: time.Second},
+		"clock not known": {age: 1 << 62, want: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := &entry.Dispatcher{Started: time.Now().Add(-test.age)}
+				defer d.Close()
+				s := &entry.Service{Name: "known", Config: operator.Service{}.WithDefaults()}
+				d.Set(map[string]*entry.Service{s.Name: s})
+				for _, service := range []string{"known", "not known yet"} {
+					_, failed := d.Do(context.Background(), &entry.Request{Service: service, Deadline: time.Now().Add(time.Second)})
+					qt.Assert(t, failed, qt.IsNotNil)
+					qt.Check(t, failed.Cause, qt.Equals, verdict.NoUpstream)
+					qt.Check(t, failed.Verdict(), qt.Equals, verdict.NotRun)
+					qt.Check(t, failed.RetryAfter, qt.Equals, test.want)
+				}
+			})
+		})
+	}
+}
+
 // BenchmarkSet times the taking in of one changed service of many.
 func BenchmarkSet(b *testing.B) {
 	for _, n := range []int{160, 1000, 3000} {
--- a/node/node.go
+++ b/node/node.go
@@ -195,6 +195,7 @@
 	n.dispatcher = &entry.Dispatcher{
 		Hello:      hello,
 		Region:     s.Region,
+		Started:    time.Now(),
 		Counters:   &n.metrics.traffic,
 		Policy:     s.Policy,
 		Quarantine: &n.suspects,
