--- a/control/crossing.go
+++ b/control/crossing.go
@@ -10,9 +10,8 @@
 // zone, or to compare their state with one there, of all that do so at about the same time.
 // Each that does takes it to nodes there, which pass it on among themselves. With eight
 // expected none crosses in 0.03% of the cases; the comparisons of the next seconds then find
-// it. As long as two in five copies crossed, the bytes between zones grew with the nodes for
-// each change: all that is paid for came to 0.504 of a day's worth at 300 nodes and to 0.274
-// at 100, where it is 0.322 and 0.255 with eight.
+// it. A fixed number keeps the bytes between zones for each change from growing with the
+// nodes.
 const crossings = 8.0
 
 // crosses draws whether this node takes something to another zone.
--- a/entry/subset.go
+++ b/entry/subset.go
@@ -18,9 +18,7 @@
 	// others. Among so many there is nearly always one that is neither slow nor full:
 	// with a quarter of the upstreams slow, all of eight are once in 65,000 times. The
 	// connections, and the messages by which upstreams tell of their speed, then grow
-	// with the number of nodes and not with its square, and few cross zones. With six
-	// far members in place of two, 1.8 times the bytes crossed zones, and no more was
-	// served.
+	// with the number of nodes and not with its square, and few cross zones.
 	subsetNear = 6
 	subsetFar  = 2
 )
--- a/follow/state.go
+++ b/follow/state.go
@@ -41,9 +41,9 @@
 	mostPart  = 0.75
 	// retryPart is the least time between two reads of a node that failed.
 	retryPart = 0.5
-	// startPart is how long a node that has started does not lead. Of 200 nodes that start
-	// at once each knows no other at first, and would be the first of all it knows: 249
-	// reads in the first second, in place of a few.
+	// startPart is how long a node that has started does not lead. Of nodes that start at
+	// once each knows no other at first, and would be the first of all it knows, so that
+	// every one of them would read.
 	startPart = 0.35
 	// gatherPart is the least time between two of the leader's reads, so that changes
 	// in quick succession are found by few.
@@ -300,7 +300,7 @@
 //
 // Failures of leaders, before the others read by themselves for the first time, spare
 // none of them: where the platform turns some nodes away, three leaders in turn may be
-// among these (TestSomeTurnedAway).
+// among these.
 func (s *State) since() time.Time {
 	if s.failedEnough(max(s.borne, s.early)) && s.failed.After(s.fresh) {
 		return s.failed
--- a/node/template.go
+++ b/node/template.go
@@ -29,14 +29,12 @@
 	// upstream, and each costs one exchange between nodes.
 	mostTries = 5
 	// zoneCost is what routing gives to another availability zone. It is several
-	// times the delay between zones, as the bytes are paid for; an upstream that is
-	// slowed down fourfold costs a request of 40 ms or more over 100 ms.
+	// times the delay between zones, as the bytes are paid for, and far less than a run
+	// at an upstream that is slowed down.
 	zoneCost = 12 * time.Millisecond
 	// crossing is what sending to another availability zone costs besides, in usual
 	// service times: bytes between zones are paid for. An upstream in the zone is passed
-	// over that is slowed down by a half or more, or nearly full, and no other. Of the
-	// requests 0.06 then cross in place of 0.30, 0.74 in place of 0.85 where nine in ten
-	// of the zone's upstreams are slow, and as many are in time (TestCrossing).
+	// over that is slowed down by a half or more, or nearly full, and no other.
 	crossing = 0.5
 	// servicePart is the part of the least latency objective that a request is
 	// expected to take before any has ended. Operators set objectives at two to
@@ -46,9 +44,8 @@
 	// the most requests that wait.
 	queueWait   = 60 * time.Millisecond
 	queueLength = 16
-	// slotShare is the part of an upstream's slots that is used. Requests that
-	// began with more than eight of eleven slots taken were measured to run 1.7
-	// times as long (109 ms against 63 ms), so that more of them end with eight.
+	// slotShare is the part of an upstream's slots that is used. Runs at an upstream
+	// that is nearly full take so much longer that more of them end with fewer at once.
 	slotShare = 0.8
 	// priorityWeight is how many times the slots of the next lower priority a
 	// priority gets while requests of both wait.
@@ -94,10 +91,9 @@
 	// apart by some milliseconds.
 	coldReserve = 1
 	// coldHeldPart is the part of the slack that admission leaves to requests which are held
-	// up before they are sent, and may come in the next second with that one's. With all of
-	// the slack left to them, 22 requests a second in place of 28, 0.003 to 0.006 less of a
-	// day's worth was served around a loss of all power, and 0.02 to 0.06 less in its worst
-	// seconds; no upstream fell over with either.
+	// up before they are sent, and may come in the next second with that one's. The last
+	// look before an upstream keeps the bound in any case: more is left to it at the cost
+	// of requests that are refused after they were admitted.
 	coldHeldPart = 0.25
 )
 
--- a/quarantine/answers.go
+++ b/quarantine/answers.go
@@ -64,8 +64,8 @@
 // answers is suspected as well.
 //
 // An isolated request that was answered here lately is not blocked: what ends upstreams is
-// never answered. Without that, of kinds that come ten times a second, six in 72,000
-// requests were blocked where two upstreams end twice a second (TestPopularKinds).
+// never answered. Without that, frequent harmless requests would be blocked where upstreams
+// end for other reasons.
 func (a *Answers) Ended(atHand []Fingerprint, isolated Fingerprint) (suspects []Fingerprint, blamed Fingerprint) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/retry/plan.go
+++ b/retry/plan.go
@@ -52,8 +52,7 @@
 //	1 - reserve * (1 - rank/(ranks - 1)).
 //
 // Where upstreams refuse half of all, at random, the budget is not enough to send each
-// refused request once more. With a reserve of a half, 0.66 of the most urgent requests
-// are answered in place of 0.51, and 0.46 of the least urgent (TestRefusalsOfHalf).
+// refused request once more; the reserve has it spent on the most urgent ones first.
 func PartOf(rank, ranks int, reserve float64) float64 {
 	if ranks < 2 {
 		return 1
--- a/route/fastest.go
+++ b/route/fastest.go
@@ -62,8 +62,8 @@
 // enough is the expected time, in usual service times, up to which a choice is good
 // enough: an upstream at its usual speed where the request takes the last slot is, and
 // one where it would wait, or that is slowed down threefold, is not. Where the upstreams
-// of a node's subset are all full or slow and others are not, all requests then go to
-// the others in place of none (TestSpareByNeed).
+// of a node's subset are all full or slow and others are not, requests then go to the
+// others.
 const enough = 2.4
 
 // Enough implements Demanding.
