Fair queueing of organisations at the gate

Cause: admission was fair over classes only, so that one organisation's rush filled the queue and made it stand for all others of its class.

--- a/admit/dispatch.go
+++ b/admit/dispatch.go
@@ -67,7 +67,9 @@
 	t.state = running
 	t.began = now
 	t.slowdown = g.slow()
-	t.rate = 1 / (t.slowdown * max(leastRun, g.run(q)).Seconds())
+	t.expected = max(leastRun, g.run(q))
+	t.flow.Start(t.expected)
+	t.rate = 1 / (t.slowdown * t.expected.Seconds())
 	g.freeing += t.rate
 	close(t.ready)
 }
--- a/admit/gate.go
+++ b/admit/gate.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"sassafrasfront.example/cold"
+	"sassafrasfront.example/fair"
 	"sassafrasfront.example/verdict"
 )
 
@@ -41,6 +42,9 @@
 type Gate struct {
 	// Pace bounds the requests that start while the upstream is cold.
 	Pace cold.Limit
+	// Weight, if not nil, returns the weight of an organisation beside others. It is set
+	// before the first call.
+	Weight func(organisation string) float64
 
 	mu       sync.Mutex
 	woken    *time.Timer // dispatches again when Pace lets a request start
@@ -203,6 +207,12 @@
 // after the deadline. A zero deadline means none. The ticket that it returns
 // runs, waits, or is refused.
 func (g *Gate) Enter(class string, deadline time.Time) *Ticket {
+	return g.EnterFor("", class, deadline)
+}
+
+// EnterFor does what Enter does for a request of the given organisation. The empty
+// name stands for none.
+func (g *Gate) EnterFor(organisation, class string, deadline time.Time) *Ticket {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
@@ -218,6 +228,7 @@
 		t.refuse(err)
 		return t
 	}
+	t.flow = t.queue.flows.Flow(organisation, now)
 	t.queue.tag(t, g.virtual, g.run(t.queue))
 	t.queue.push(t)
 	g.waiting++
@@ -290,6 +301,7 @@
 	g.observeQueues(now)
 	t.state = released
 	t.queue.running--
+	t.flow.End(t.expected, time.Duration(float64(now.Sub(t.began))/t.slowdown), now)
 	g.running--
 	g.startSum -= t.began.Sub(g.epoch)
 	g.freeing = max(0, g.freeing-t.rate)
@@ -308,6 +320,7 @@
 func (g *Gate) observeQueues(now time.Time) {
 	for _, q := range g.classes {
 		q.standing.observe(len(q.waiting) > 0, now)
+		q.within.observe(q.inPart > 0, now)
 	}
 }
 
@@ -335,7 +348,9 @@
 	for _, c := range classes {
 		q := known[c.Name]
 		if q == nil {
-			q = &classQueue{}
+			q = &classQueue{
+				flows: fair.Flows{Weight: g.Weight},
+			}
 		}
 		q.class = c
 		g.classes = append(g.classes, q)
@@ -352,8 +367,10 @@
 func (g *Gate) refuseWaiting(err *verdict.Error) {
 	for _, q := range g.classes {
 		for len(q.waiting) > 0 {
-			q.pop().refuse(err)
+			t := q.waiting[0]
+			q.remove(t)
 			g.waiting--
+			t.refuse(err)
 		}
 	}
 }
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -4,7 +4,11 @@
 
 package admit
 
-import "time"
+import (
+	"time"
+
+	"sassafrasfront.example/fair"
+)
 
 // classQueue holds the waiting requests of one class and the class's state in
 // start-time fair queueing.
@@ -17,13 +21,21 @@
 // request counts the same (TestLongRequestsOfALowClass). The waiting request with
 // the least start tag runs next, and V becomes its start tag. See P. Goyal, H. Vin and H. Cheng, Start-time fair
 // queueing, 1996. doi:10.1145/248157.248171.
+//
+// The tags say when the class has its turns. Which of its requests gets one is up to
+// the organisations that share the class.
 type classQueue struct {
 	class    Class
 	standing standing
-	finish   float64
-	running  int
-	waiting  []*Ticket
-	run      float64 // mean run time at the usual speed, in seconds, 0 until one has ended
+	// within is that of the requests that came while their organisations kept to their
+	// parts, and inPart counts those that wait.
+	within  standing
+	inPart  int
+	flows   fair.Flows
+	finish  float64
+	running int
+	waiting []*Ticket // in the order in which they came
+	run     float64   // mean run time at the usual speed, in seconds, 0 until one has ended
 }
 
 const (
@@ -55,23 +67,83 @@
 // push adds t at the end.
 func (q *classQueue) push(t *Ticket) {
 	q.waiting = append(q.waiting, t)
+	t.flow.Wait()
+	t.within = t.flow.Alone() || t.flow.Within()
+	if t.within {
+		q.inPart++
+	}
 }
 
-// pop removes and returns the first waiting request.
+// pop removes and returns the waiting request that has the next turn, with the tag of
+// the first one: the tags of those before it stay where they are.
 func (q *classQueue) pop() *Ticket {
-	t := q.waiting[0]
+	i := q.next()
+	t := q.waiting[i]
+	tag := t.start
+	for ; i > 0; i-- {
+		moved := q.waiting[i-1]
+		moved.start, tag = tag, moved.start
+		q.waiting[i] = moved
+	}
+	t.start = tag
 	q.waiting[0] = nil
 	q.waiting = q.waiting[1:]
+	q.left(t)
 	return t
 }
 
+// next returns the place of the waiting request that has the next turn.
+func (q *classQueue) next() int {
+	if q.flows.Oldest() {
+		return 0
+	}
+	best := 0
+	for i, t := range q.waiting {
+		if t.flow.Before(q.waiting[best].flow) {
+			best = i
+		}
+	}
+	return best
+}
+
 // remove takes t out, wherever it stands. It returns whether it was there.
 func (q *classQueue) remove(t *Ticket) bool {
 	for i, w := range q.waiting {
 		if w == t {
 			q.waiting = append(q.waiting[:i:i], q.waiting[i+1:]...)
+			q.left(t)
+			t.flow.Leave()
 			return true
 		}
 	}
 	return false
 }
+
+// left takes in that t is not among the waiting ones any more.
+func (q *classQueue) left(t *Ticket) {
+	if t.within {
+		q.inPart--
+	}
+}
+
+// newest returns the request that came last of the flow with the most waiting ones,
+// or nil.
+func (q *classQueue) newest() *Ticket {
+	var most *Ticket
+	for _, t := range q.waiting {
+		if most == nil || t.flow.Waiting() >= most.flow.Waiting() {
+			most = t
+		}
+	}
+	return most
+}
+
+// bound returns the longest expected wait with which a request of the flow may enter
+// the queue, given the longest that is configured. Where an organisation that holds
+// more than its part makes the queue stand, the others still wait for their turns.
+func (q *classQueue) bound(t *Ticket, most time.Duration) time.Duration {
+	if t.within && !t.flow.Alone() {
+		return q.within.bound(most)
+	}
+	return q.standing.bound(most)
+}
--- a/admit/ticket.go
+++ b/admit/ticket.go
@@ -8,6 +8,7 @@
 	"context"
 	"time"
 
+	"sassafrasfront.example/fair"
 	"sassafrasfront.example/verdict"
 )
 
@@ -25,7 +26,8 @@
 type Ticket struct {
 	gate    *Gate
 	queue   *classQueue
-	start   float64 // start tag
+	flow    *fair.Flow // the organisation's
+	start   float64    // start tag
 	ready   chan struct{}
 	entered time.Time
 	// deadline is when an answer is of no use any more, or zero.
@@ -34,6 +36,10 @@
 	// The gate's mutex guards what follows.
 	state state
 	began time.Time
+	// within is whether its organisation kept to its part when it came.
+	within bool
+	// expected is for how long it was expected to run, at the usual speed.
+	expected time.Duration
 	// slowdown is that of the upstream when the request began.
 	slowdown float64
 	// rate is the inverse of the time that it was expected to run, in 1/s.
--- a/admit/wait.go
+++ b/admit/wait.go
@@ -28,9 +28,9 @@
 // queueable returns why the request, which stands in its queue, may not wait,
 // or nil if it may.
 func (g *Gate) queueable(t *Ticket, now, deadline time.Time) *verdict.Error {
-	wait := g.expectedWait(t.queue, now)
+	wait := g.expectedWait(t, now)
 	full := verdict.New(verdict.Refused, nil).WithRetryAfter(wait)
-	if wait > t.queue.standing.bound(g.longestWait(t.queue)) {
+	if wait > t.queue.bound(t, g.longestWait(t.queue)) {
 		return full
 	}
 	if !deadline.IsZero() && now.Add(wait+g.run(t.queue)).After(deadline) {
@@ -42,9 +42,10 @@
 	return nil
 }
 
-// expectedWait returns the time after which the last request of q starts. Before
-// it start the n requests of q that wait and, of each other class o, as many as
-// fair queueing lets pass,
+// expectedWait returns the time after which the last request of the organisation and
+// class of t starts. Before it start n requests of its class, those of other
+// organisations among them, and, of each other class o, as many as fair queueing lets
+// pass,
 //
 //	min(n_o, n (s w_o) / (s_o w))
 //
@@ -52,8 +53,9 @@
 // sum of 1/(s k) over the running requests, which began with a slowdown of k. What
 // is held back by a slow spell waits for its expected end besides, and what a cold upstream
 // does not bear yet for the second that has room for it.
-func (g *Gate) expectedWait(q *classQueue, now time.Time) time.Duration {
-	n := float64(len(q.waiting))
+func (g *Gate) expectedWait(t *Ticket, now time.Time) time.Duration {
+	q := t.queue
+	n := float64(t.flow.Ahead(max(leastRun, g.run(q))))
 	ahead := n
 	own := n * g.run(q).Seconds() / q.class.Weight
 	for _, o := range g.classes {
@@ -85,9 +87,31 @@
 	return time.Duration(g.limiter.fast * float64(time.Second))
 }
 
-// shed refuses the newest waiting request of the lowest priority, if that is
-// lower than t's, and returns whether there was one.
+// shed refuses a waiting request in place of t, and returns whether there was one: the
+// newest of the organisation that has most of them in the class of the lowest priority,
+// if that is lower than t's, or else in a class of the same priority, if it is another
+// organisation that has more there than that of t.
 func (g *Gate) shed(t *Ticket, err *verdict.Error) bool {
+	victim := g.lower(t)
+	if victim == nil {
+		victim = g.greedier(t)
+	}
+	if victim == nil {
+		return false
+	}
+	q := victim.queue
+	last := victim == q.waiting[len(q.waiting)-1]
+	q.remove(victim)
+	if last {
+		q.finish = victim.start
+	}
+	g.waiting--
+	victim.refuse(err)
+	return true
+}
+
+// lower returns the request that gives way to t by its priority, or nil.
+func (g *Gate) lower(t *Ticket) *Ticket {
 	var lowest *classQueue
 	for _, q := range g.classes {
 		if len(q.waiting) == 0 || q.class.Priority >= t.queue.class.Priority {
@@ -98,20 +122,32 @@
 		}
 	}
 	if lowest == nil {
-		return false
+		return nil
 	}
-	victim := lowest.waiting[len(lowest.waiting)-1]
-	lowest.remove(victim)
-	lowest.finish = victim.start
-	g.waiting--
-	victim.refuse(err)
-	return true
+	return lowest.newest()
+}
+
+// greedier returns the request that gives way to t because its organisation has more
+// of them waiting, or nil.
+func (g *Gate) greedier(t *Ticket) *Ticket {
+	var victim *Ticket
+	most := t.flow.Waiting()
+	for _, q := range g.classes {
+		if q.class.Priority != t.queue.class.Priority {
+			continue
+		}
+		if v := q.newest(); v != nil && v.flow.Waiting() > most && v.flow.Name() != t.flow.Name() {
+			victim = v
+			most = v.flow.Waiting()
+		}
+	}
+	return victim
 }
 
 // expire refuses t if it still waits after the longest allowed time.
 func (g *Gate) expire(t *Ticket) {
 	g.mu.Lock()
-	after := g.expectedWait(t.queue, time.Now())
+	after := g.expectedWait(t, time.Now())
 	g.mu.Unlock()
 	g.revoke(t, verdict.New(verdict.Refused, nil).WithRetryAfter(after))
 }
--- /dev/null
+++ b/fair/flows.go
@@ -0,0 +1,211 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package fair
+
+import "time"
+
+const (
+	// oldestEvery is how many turns there are to each one that goes to the request that
+	// has waited longest. Where the slots run short, an organisation is so served about a
+	// quarter as often as all at least, whatever its weight.
+	oldestEvery = 4
+	// keep is how long an organisation is remembered after its last request. One that
+	// comes back later owes nothing.
+	keep = 5 * time.Second
+)
+
+// Flows are the organisations whose requests share slots. The zero value is ready for
+// use. It is not safe for use by several goroutines at once.
+type Flows struct {
+	// Weight, if not nil, returns the weight of an organisation, which is positive.
+	// Without it all have the same.
+	Weight func(organisation string) float64
+
+	list    map[string]*Flow
+	active  []*Flow // those with requests that wait or run
+	virtual float64 // start tag of the flow that had the last turn
+	turns   int
+	weights float64 // sum of the weights of all flows but that without a name
+	swept   time.Time
+}
+
+// Flow is one organisation, or all requests that have none.
+type Flow struct {
+	flows    *Flows
+	name     string
+	weight   float64
+	start    float64 // start tag of its first waiting request
+	finish   float64 // finish tag of the request that started last
+	waiting  int
+	running  int
+	index    int // among the active ones
+	lastUsed time.Time
+}
+
+// Flow returns the flow of an organisation. The empty name stands for requests that
+// have none.
+func (f *Flows) Flow(organisation string, now time.Time) *Flow {
+	f.sweep(now)
+	l := f.list[organisation]
+	if l == nil {
+		l = &Flow{
+			flows:  f,
+			name:   organisation,
+			weight: 1,
+		}
+		if f.Weight != nil && organisation != "" {
+			l.weight = f.Weight(organisation)
+		}
+		if organisation != "" {
+			f.weights += l.weight
+		}
+		if f.list == nil {
+			f.list = make(map[string]*Flow)
+		}
+		f.list[organisation] = l
+	}
+	l.lastUsed = now
+	return l
+}
+
+// sweep forgets the flows that have not been used for long, now and then.
+func (f *Flows) sweep(now time.Time) {
+	if now.Sub(f.swept) < keep {
+		return
+	}
+	f.swept = now
+	for name, l := range f.list {
+		if l.waiting+l.running > 0 || now.Sub(l.lastUsed) < keep {
+			continue
+		}
+		delete(f.list, name)
+		if name != "" {
+			f.weights -= l.weight
+		}
+	}
+	if len(f.list) == 0 {
+		f.weights = 0 // without what rounding left
+	}
+}
+
+// Len returns the number of flows that are remembered.
+func (f *Flows) Len() int { return len(f.list) }
+
+// Waiting returns the number of organisations with waiting requests.
+func (f *Flows) Waiting() int {
+	var n int
+	for _, l := range f.active {
+		if l.waiting > 0 && l.name != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// Alone returns whether no other flow is remembered.
+func (l *Flow) Alone() bool { return len(l.flows.list) == 1 }
+
+// Oldest returns whether the next turn goes to the request that has waited longest.
+func (f *Flows) Oldest() bool { return f.turns%oldestEvery == oldestEvery-1 }
+
+// Name returns the name of the organisation, or nothing.
+func (l *Flow) Name() string { return l.name }
+
+// Waiting returns the number of its requests that wait.
+func (l *Flow) Waiting() int { return l.waiting }
+
+// Before returns whether its turn comes before that of o.
+func (l *Flow) Before(o *Flow) bool { return l.start < o.start }
+
+// Wait takes in that a request waits.
+func (l *Flow) Wait() {
+	if l.waiting == 0 {
+		l.start = max(l.flows.virtual, l.finish)
+	}
+	if l.waiting+l.running == 0 {
+		l.index = len(l.flows.active)
+		l.flows.active = append(l.flows.active, l)
+	}
+	l.waiting++
+}
+
+// Leave takes in that a request waits no more and has not run.
+func (l *Flow) Leave() {
+	l.waiting--
+	l.rest()
+}
+
+// rest takes the flow off the active ones if none of its requests waits or runs.
+func (l *Flow) rest() {
+	if l.waiting+l.running > 0 {
+		return
+	}
+	f := l.flows
+	last := len(f.active) - 1
+	f.active[l.index] = f.active[last]
+	f.active[l.index].index = l.index
+	f.active[last] = nil
+	f.active = f.active[:last]
+}
+
+// Start takes in that a waiting request starts, which is expected to hold a slot for
+// the given time.
+func (l *Flow) Start(expected time.Duration) {
+	f := l.flows
+	f.turns++
+	f.virtual = max(f.virtual, l.start)
+	l.finish = l.start + expected.Seconds()/l.share()
+	l.start = l.finish
+	l.waiting--
+	l.running++
+}
+
+// End takes in that a request that was expected to hold its slot for some time has
+// held it for another.
+func (l *Flow) End(expected, held time.Duration, now time.Time) {
+	l.running--
+	l.lastUsed = now
+	more := (held - expected).Seconds() / l.share()
+	l.finish += more
+	l.start += more
+	l.rest()
+}
+
+// share returns the weight of the flow. Requests without an organisation may belong to
+// any number of them: together they weigh as much as all organisations.
+func (l *Flow) share() float64 {
+	if l.name != "" || l.flows.weights <= 0 {
+		return l.weight
+	}
+	return l.flows.weights
+}
+
+// Ahead returns the number of waiting requests that start up to and with its last one,
+// given that a request holds a slot for the given time.
+func (l *Flow) Ahead(each time.Duration) int {
+	all, n := 0, l.waiting
+	last := l.start + float64(l.waiting-1)*each.Seconds()/l.share()
+	for _, o := range l.flows.active {
+		all += o.waiting
+		if o != l && o.waiting > 0 && o.start <= last {
+			n += min(o.waiting, 1+int((last-o.start)*o.share()/each.Seconds()))
+		}
+	}
+	// Of the turns that go to the oldest, none may be its own.
+	return min(all, n+n/(oldestEvery-1))
+}
+
+// Within returns whether it holds no more slots, with those that its waiting requests
+// ask for, than its weight's part of those that are held or about to be. It may always
+// hold one.
+func (l *Flow) Within() bool {
+	var weights float64
+	held := 1
+	for _, o := range l.flows.active {
+		weights += o.share()
+		held += o.running
+	}
+	return float64(l.waiting+l.running) <= max(1, l.share()/weights*float64(held))
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -336,7 +336,7 @@
 	if b == nil || b.announcement.Service != in.Call.Service {
 		return nil, nil, verdict.New(verdict.Misrouted, nil)
 	}
-	t := g.admit.Enter(in.Call.Class, in.Deadline())
+	t := g.admit.EnterFor(in.Call.Organisation, in.Call.Class, in.Deadline())
 	in.OnRevoke(t.Revoke)
 	err := t.Wait(ctx)
 	switch {
