Organisations have ranks: who is owed, who keeps to its part, who is beyond it

Cause: turns to the oldest request gave long requests of one organisation ten times the slots of others' short ones (TestTurns), and parts by weight alone put small organisations with two requests beyond them: 0.93 were served beside a rush of the largest (TestSizesOfOrganisations). Ruled out: a part of at least a few requests in place of a few more than the weight's part: organisations in the middle were then refused 0.2 of the time.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"sassafrasfront.example/cold"
-	"sassafrasfront.example/fair"
 	"sassafrasfront.example/verdict"
 )
 
@@ -42,9 +41,6 @@
 type Gate struct {
 	// Pace bounds the requests that start while the upstream is cold.
 	Pace cold.Limit
-	// Weight, if not nil, returns the weight of an organisation beside others. It is set
-	// before the first call.
-	Weight func(organisation string) float64
 
 	mu       sync.Mutex
 	woken    *time.Timer // dispatches again when Pace lets a request start
@@ -349,10 +345,9 @@
 	for _, c := range classes {
 		q := known[c.Name]
 		if q == nil {
-			q = &classQueue{
-				flows: fair.Flows{Weight: g.Weight},
-			}
+			q = &classQueue{}
 		}
+		q.flows.Weight = g.limits.Weight
 		q.class = c
 		g.classes = append(g.classes, q)
 		g.byName[c.Name] = q
--- a/admit/limits.go
+++ b/admit/limits.go
@@ -47,6 +47,9 @@
 	// Classes are the known classes. A request of an unknown class counts as
 	// one of the first class. No classes means one class for all requests.
 	Classes []Class
+	// Weight, if not nil, returns the part of the slots that an organisation gets, relative
+	// to the others, when requests of several wait. It is positive.
+	Weight func(organisation string) float64
 }
 
 // WithSlots returns a copy of l with the given number of slots.
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -85,9 +85,6 @@
 
 // next returns the place of the waiting request that has the next turn.
 func (q *classQueue) next() int {
-	if q.flows.Oldest() {
-		return 0
-	}
 	best := 0
 	for i, t := range q.waiting {
 		if t.flow.Before(q.waiting[best].flow) {
--- a/admit/room_test.go
+++ b/admit/room_test.go
@@ -7,7 +7,9 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -26,11 +28,9 @@
 	repeats             int           // how often it repeats a request that is refused, at once
 }
 
-// room is an upstream that organisations share. What they send comes at drawn times,
-// as many of each second's requests within its first tenth as clumped says.
+// room is an upstream that organisations share. What they send comes at drawn times.
 type room struct {
 	limits  admit.Limits
-	weight  func(organisation string) float64
 	senders []sender
 	length  time.Duration
 }
@@ -59,7 +59,7 @@
 // play sends all to a gate, with the organisations' names or without, and returns what
 // became of each organisation's requests.
 func (r room) play(named bool) map[string]fate {
-	g := &admit.Gate{Weight: r.weight}
+	var g admit.Gate
 	g.Set(r.limits)
 	objective := make(map[string]time.Duration)
 	for _, c := range r.limits.Classes {
@@ -110,10 +110,9 @@
 }
 
 // total returns what became of the requests of all but the named organisations.
-func total(fates map[string]fate, but ...string) fate {
-	var sum fate
+func total(fates map[string]fate, but ...string) (sum fate) {
 	for name, f := range fates {
-		if len(but) == 0 || name != but[0] {
+		if !slices.Contains(but, name) {
 			sum = sum.add(f)
 		}
 	}
@@ -258,12 +257,12 @@
 	r := room{
 		limits:  desk(ms(600)),
 		senders: append(small(40, 80, ms(220)), sender{"big", "check", 40, ms(220), 0}),
-		weight: func(organisation string) float64 {
-			if organisation == "big" {
-				return 10
-			}
-			return 1
-		},
+	}
+	r.limits.Weight = func(organisation string) float64 {
+		if organisation == "big" {
+			return 10
+		}
+		return 1
 	}
 	named := play(t, r, true)
 	t.Logf("others %v, big %v", total(named, "big"), named["big"])
@@ -272,6 +271,53 @@
 	qt.Check(t, named["big"].served() > total(named).served()/2, qt.IsTrue)
 }
 
+// TestSizesOfOrganisations has 77 organisations whose usual rates fall with their rank, as
+// 1/rank^1.2, and whose rate limits are their weights, ask for four fifths of an upstream. One
+// of them rushes, for so many times its usual rate that the upstream is asked for half as
+// much again. The others are served as usual, the smallest ones too.
+func TestSizesOfOrganisations(t *testing.T) {
+	const all, usual = 77, 50.0
+	var sum float64
+	for rank := 1; rank <= all; rank++ {
+		sum += math.Pow(float64(rank), -1.2)
+	}
+	rate := make(map[string]float64)
+	for rank := 1; rank <= all; rank++ {
+		rate[fmt.Sprint(rank)] = usual * math.Pow(float64(rank), -1.2) / sum
+	}
+	for name, test := range map[string]struct {
+		rushes string
+		times  float64
+	}{
+		"largest": {rushes: "1", times: 4},
+		"middle":  {rushes: "4", times: 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := room{limits: desk(ms(600))}
+			r.limits.Weight = func(organisation string) float64 { return 1.6 * rate[organisation] }
+			for rank := 1; rank <= all; rank++ {
+				name := fmt.Sprint(rank)
+				perSecond := rate[name]
+				if name == test.rushes {
+					perSecond *= test.times
+				}
+				r.senders = append(r.senders, sender{name, "check", perSecond, ms(220), 0})
+			}
+			fates, unnamed := play(t, r, true), play(t, r, false)
+			var small fate
+			for rank := all / 2; rank <= all; rank++ {
+				small = small.add(fates[fmt.Sprint(rank)])
+			}
+			n, worst := least(fates)
+			t.Logf("others %v, small %v, rushes %v, least %s %v; without names %v", total(fates, test.rushes), small, fates[test.rushes], n, worst, total(unnamed, test.rushes))
+			qt.Check(t, total(fates, test.rushes).inTime() > 0.95, qt.IsTrue)
+			qt.Check(t, small.inTime() > 0.95, qt.IsTrue)
+			qt.Check(t, worst.served() > total(fates).served()/4, qt.IsTrue)
+			qt.Check(t, total(unnamed, test.rushes).inTime() < 0.85, qt.IsTrue)
+		})
+	}
+}
+
 // office is an upstream of 14 slots with urgent requests of 180 ms, to end within 500 ms,
 // calls inside runs elsewhere, of 55 ms within 150 ms, and long requests of 550 ms that
 // can wait, each a priority below.
--- a/fair/doc.go
+++ b/fair/doc.go
@@ -8,9 +8,8 @@
 // Flows are the organisations of one kind of request. Each has a weight. Of those with
 // waiting requests the one runs next that has used least for its weight, in the order
 // of start-time fair queueing; see P. Goyal, H. Vin and H. Cheng, Start-time fair
-// queueing, 1996. doi:10.1145/248157.248171. One turn in a few goes to the request
-// that has waited longest, so that an organisation which asks for far more than its
-// weight still gets a part of what it asks for.
+// queueing, 1996. doi:10.1145/248157.248171. One that asks for far more than its part
+// comes first while it is served much less often than all.
 //
 // The package keeps no requests: its user does, and says what becomes of them. It
 // reads no clock and starts no goroutine.
--- a/fair/flows.go
+++ b/fair/flows.go
@@ -7,10 +7,6 @@
 import "time"
 
 const (
-	// oldestEvery is how many turns there are to each one that goes to the request that
-	// has waited longest. Where the slots run short, an organisation is so served about a
-	// quarter as often as all at least, whatever its weight.
-	oldestEvery = 2
 	// heldGain is the weight of one request in the mean time for which those of its
 	// organisation hold a slot.
 	heldGain = 0.1
@@ -27,11 +23,11 @@
 	Weight func(organisation string) float64
 
 	list    map[string]*Flow
-	active  []*Flow // those with requests that wait or run
-	virtual float64 // start tag of the flow that had the last turn
-	turns   int
-	level   float64   // slots for each unit of weight
-	filled  time.Time // when level was found out
+	active  []*Flow   // those with requests that wait or run
+	virtual float64   // start tag of the flow that had the last turn
+	crowded bool      // whether some organisations crowd out others
+	level   float64   // slots for each unit of weight then
+	filled  time.Time // when the level was found out
 	demand  float64   // sum over all flows, when filled
 	got     float64
 	weights float64 // sum of the weights of all flows but that without a name
@@ -51,6 +47,7 @@
 	held     float64   // mean time for which its requests hold a slot in seconds, 0 if not known
 	demand   float64   // slots that its requests would hold, mean of the last seconds
 	got      float64   // slots that those of them hold which started
+	each     float64   // slots that one request adds to demand
 	faded    time.Time // when demand was found out
 	lastUsed time.Time
 }
@@ -118,9 +115,6 @@
 // Alone returns whether no other flow is remembered.
 func (l *Flow) Alone() bool { return len(l.flows.list) == 1 }
 
-// Oldest returns whether the next turn goes to the request that has waited longest.
-func (f *Flows) Oldest() bool { return f.turns%oldestEvery == oldestEvery-1 }
-
 // Name returns the name of the organisation, or nothing.
 func (l *Flow) Name() string { return l.name }
 
@@ -128,7 +122,12 @@
 func (l *Flow) Waiting() int { return l.waiting }
 
 // Before returns whether its turn comes before that of o.
-func (l *Flow) Before(o *Flow) bool { return l.start < o.start }
+func (l *Flow) Before(o *Flow) bool {
+	if a, b := l.rank(), o.rank(); a != b {
+		return a < b
+	}
+	return l.start < o.start
+}
 
 // Wait takes in that a request waits.
 func (l *Flow) Wait() {
@@ -165,7 +164,6 @@
 // the given time.
 func (l *Flow) Start(expected time.Duration) {
 	f := l.flows
-	f.turns++
 	f.virtual = max(f.virtual, l.start)
 	l.finish = l.start + expected.Seconds()/l.share()
 	l.start = l.finish
@@ -210,14 +208,17 @@
 // Ahead returns the number of waiting requests that start up to and with its last one,
 // given that a request holds a slot for the given time.
 func (l *Flow) Ahead(each time.Duration) int {
-	all, n := 0, l.waiting
+	n := l.waiting
+	rank := l.rank()
 	last := l.start + float64(l.waiting-1)*each.Seconds()/l.share()
 	for _, o := range l.flows.active {
-		all += o.waiting
-		if o != l && o.waiting > 0 && o.start <= last {
+		switch r := o.rank(); {
+		case o == l || o.waiting == 0 || r > rank:
+		case r < rank:
+			n += o.waiting
+		case o.start <= last:
 			n += min(o.waiting, 1+int((last-o.start)*o.share()/each.Seconds()))
 		}
 	}
-	// Of the turns that go to the oldest, none may be its own.
-	return min(all, n+n/(oldestEvery-1))
+	return n
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -36,6 +36,9 @@
 	Started time.Time
 	// Names are the header fields that the upstream uses.
 	Names upstream.Names
+	// Weight, if not nil, returns the part of the slots that an organisation gets beside
+	// others.
+	Weight func(organisation string) float64
 	// Failed, if not nil, is called when a call shows that the announced upstream
 	// is not there: it can't be reached, or another has its address.
 	Failed func(a *upstream.Announcement, failure *verdict.Error)
@@ -225,6 +228,7 @@
 	limits := admit.Limits{}
 	if b != nil && g.service != nil {
 		limits = limitsOf(*g.service).WithSlots(g.usableSlots(b.announcement))
+		limits.Weight = g.Weight
 		g.admit.Pace.Set(g.service.Cold.Pace)
 		g.sending.Set(g.service.Cold.Most)
 		g.firstStart()
--- a/node/node.go
+++ b/node/node.go
@@ -185,6 +185,7 @@
 		Gone:     n.upstreamGone,
 		Cleared:  func(p quarantine.Fingerprint) { n.control.Report(quarantine.Ran(p)) },
 		Refused:  n.callRefused,
+		Weight:   n.weightOf,
 		Panicked: n.callPanicked,
 	}
 	n.lines.LeftOut = n.linesLeftOut
--- /dev/null
+++ b/node/room.go
@@ -0,0 +1,15 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package node
+
+// weightOf returns the part of an upstream's slots that an organisation gets beside
+// others, by the configuration in force.
+func (n *Node) weightOf(organisation string) float64 {
+	t := n.control.Snapshot().Table
+	if t == nil || t.OrganisationSet() == nil {
+		return 1
+	}
+	return t.OrganisationSet().Weight(organisation)
+}
--- a/organisation/organisation.go
+++ b/organisation/organisation.go
@@ -75,6 +75,8 @@
 	list  []Organisation
 	named map[string]int
 	keyed map[Digest]int
+
+	meanRate float64 // of those with a rate limit
 }
 
 // NewSet returns the Set of the given organisations, or the first fault: a name or a key
@@ -84,6 +86,8 @@
 		list:  list,
 		named: make(map[string]int, len(list)),
 		keyed: make(map[Digest]int, len(list)),
+
+		meanRate: meanRate(list),
 	}
 	for i := range list {
 		o := &list[i]
--- /dev/null
+++ b/organisation/weight.go
@@ -0,0 +1,31 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package organisation
+
+// Weight returns the part of what is scarce that an organisation gets beside others: its
+// rate limit, as operators set limits by what organisations usually ask for. One that has
+// no limit, or isn't known, counts as the mean of those with one.
+func (s *Set) Weight(name string) float64 {
+	if o := s.Named(name); o != nil && o.Rate > 0 {
+		return o.Rate
+	}
+	return s.meanRate
+}
+
+// meanRate returns the mean of the rate limits of those that have one, or 1.
+func meanRate(list []Organisation) float64 {
+	var sum float64
+	var n int
+	for i := range list {
+		if list[i].Rate > 0 {
+			sum += list[i].Rate
+			n++
+		}
+	}
+	if n == 0 {
+		return 1
+	}
+	return sum / float64(n)
+}
