What waits for an upstream to be warm does not come in the last millisecond of its cold

Cause of the lone break of the cold bound: an upstream tells in whole milliseconds how much longer it is cold, rounded down. The gate took the end for the end; the requests that waited for it then came at once, up to a millisecond before it, on top of the 28 of the last second. TestColdBetweenMilliseconds fails before (30 of 30 sent where 5 are allowed).

--- a/gate/permit.go
+++ b/gate/permit.go
@@ -85,15 +85,33 @@
 	}
 }
 
+const (
+	// coldUnit is the unit in which an upstream tells how much longer it is cold.
+	coldUnit = time.Millisecond
+	// coldTold is how much longer than it tells an upstream may be cold, by the unit and by
+	// what its clock and this one's differ in a second. What has waited for the end would
+	// come all at once in that time.
+	coldTold = 2 * coldUnit
+)
+
 // ColdAtLeast takes in that the upstream stays cold for the given time, or longer, by word
 // that may be late.
 func (g *Gate) ColdAtLeast(remaining time.Duration) {
-	g.admit.Pace.AtLeast(remaining)
-	g.sending.AtLeast(remaining)
+	if remaining <= 0 {
+		return
+	}
+	g.sending.AtLeast(remaining + coldTold)
+	g.admit.Pace.AtLeast(remaining + coldTold)
 }
 
 // Cold takes in how much longer the upstream is cold, as it tells at this moment.
 func (g *Gate) Cold(remaining time.Duration) {
-	g.admit.Pace.Turn(remaining)
+	switch {
+	case remaining > 0:
+		remaining += coldTold
+	case g.sending.Remaining() <= coldTold+coldUnit:
+		return // less than a unit is told as nothing, or it is warm already
+	}
 	g.sending.Turn(remaining)
+	g.admit.Pace.Turn(remaining)
 }
--- /dev/null
+++ b/gate/permit_test.go
@@ -0,0 +1,54 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package gate
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestColdBetweenMilliseconds has many requests wait for an upstream to be warm, which tells
+// in whole milliseconds how much longer it is cold: until it is warm, no second has more of
+// them than it bears.
+func TestColdBetweenMilliseconds(t *testing.T) {
+	const most, calls = 5, 30
+	tell := map[string]func(g *Gate, remaining time.Duration){
+		"health check": (*Gate).Cold,
+		"announcement": (*Gate).ColdAtLeast,
+	}
+	for name, tell := range tell {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				synctest.Test(t, func(t *testing.T) {
+					random := rand.New(rand.NewPCG(1, seed))
+					var g Gate
+					g.sending.Set(most)
+					g.unsent()
+					end := time.Now().Add(800*time.Millisecond + time.Duration(random.IntN(1000))*time.Microsecond)
+					sent := 0
+					for range calls {
+						tell(&g, time.Until(end).Truncate(time.Millisecond))
+						written, refused := g.permit()
+						for refused != nil {
+							time.Sleep(min(refused.RetryAfter, 300*time.Microsecond))
+							tell(&g, time.Until(end).Truncate(time.Millisecond))
+							written, refused = g.permit()
+						}
+						written()
+						if time.Now().Before(end) {
+							sent++
+						}
+						time.Sleep(10 * time.Microsecond)
+					}
+					qt.Assert(t, sent <= most, qt.IsTrue, qt.Commentf("%d", sent))
+				})
+			}
+		})
+	}
+}
