Budgets for repeats are shared among organisations; gauges and a log field say who waits

An organisation that has spent what its own requests earned may go on up to half of the budget. Ruled out: a budget for each (a small one earns a fifth of a repeat at a time); parts by weight. Requests without an organisation draw as before.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -34,6 +34,11 @@
 	Rest time.Duration
 	// Failing is the share of the latest requests that the upstream failed.
 	Failing float64
+	// Organisations is the number of them with waiting requests, in each class.
+	Organisations int
+	// Displaced is the number of requests so far that were refused while they waited, as
+	// the queue was full and their organisation had most in it.
+	Displaced uint64
 }
 
 // Gate admits requests to one upstream. The zero value refuses everything
@@ -42,25 +47,26 @@
 	// Pace bounds the requests that start while the upstream is cold.
 	Pace cold.Limit
 
-	mu       sync.Mutex
-	woken    *time.Timer // dispatches again when Pace lets a request start
-	limits   Limits
-	limiter  limiter
-	classes  []*classQueue
-	byName   map[string]*classQueue
-	virtual  float64
-	running  int
-	waiting  int
-	startSum time.Duration // sum of the start times of running requests, since epoch
-	epoch    time.Time
-	draining bool
-	idle     chan struct{}
-	slowdown float64   // as last told by the upstream, 0 if never
-	observed time.Time // when it was told last
-	pace     pace      // the slowdown beside the spells
-	spells   spells    // of a slowdown by slowRatio times the pace or more
-	freeing  float64   // expected rate at which running requests end, per second
-	failing  Share     // of the requests that ran
+	mu        sync.Mutex
+	woken     *time.Timer // dispatches again when Pace lets a request start
+	limits    Limits
+	limiter   limiter
+	classes   []*classQueue
+	byName    map[string]*classQueue
+	virtual   float64
+	running   int
+	waiting   int
+	startSum  time.Duration // sum of the start times of running requests, since epoch
+	epoch     time.Time
+	draining  bool
+	idle      chan struct{}
+	slowdown  float64   // as last told by the upstream, 0 if never
+	observed  time.Time // when it was told last
+	pace      pace      // the slowdown beside the spells
+	spells    spells    // of a slowdown by slowRatio times the pace or more
+	freeing   float64   // expected rate at which running requests end, per second
+	failing   Share     // of the requests that ran
+	displaced uint64
 }
 
 // Set replaces the limits. Requests that run or wait keep their places, also
@@ -147,7 +153,18 @@
 		Pace:     g.pace.value(now),
 		Rest:     g.spells.rest(now, maxRest),
 		Failing:  g.failing.Value(now),
+
+		Organisations: g.organisations(),
+		Displaced:     g.displaced,
+	}
+}
+
+// organisations returns the number of organisations with waiting requests, in each class.
+func (g *Gate) organisations() (sum int) {
+	for _, q := range g.classes {
+		sum += q.flows.Waiting()
 	}
+	return sum
 }
 
 // Ran takes in whether the upstream failed a request that it was sent.
--- /dev/null
+++ b/admit/organisation_test.go
@@ -0,0 +1,215 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package admit_test
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/admit"
+	"sassafrasfront.example/verdict"
+)
+
+// line is an upstream of one slot with its queue, in which all requests run for 10 ms.
+type line struct {
+	gate    admit.Gate
+	tickets []*admit.Ticket
+	names   []string
+	running int
+}
+
+// newLine returns a line whose slot is held by the given organisation.
+func newLine(organisation string, limits admit.Limits) *line {
+	l := new(line)
+	l.gate.Set(limits)
+	warm(&l.gate, 1, 10*time.Millisecond)
+	l.enter(organisation, "")
+	return l
+}
+
+// enter has an organisation send a request, which waits without end if it may.
+func (l *line) enter(organisation, class string) *admit.Ticket {
+	t := l.gate.EnterFor(organisation, class, time.Time{})
+	l.tickets = append(l.tickets, t)
+	l.names = append(l.names, organisation)
+	return t
+}
+
+// enterAll does that for each organisation in the list.
+func (l *line) enterAll(organisations string) {
+	for _, o := range strings.Fields(organisations) {
+		l.enter(o, "")
+	}
+}
+
+// refused returns the organisations whose requests have been refused, in the order of their
+// coming.
+func (l *line) refused() string {
+	var list []string
+	for i, t := range l.tickets {
+		if t.Err() != nil {
+			list = append(list, l.names[i])
+		}
+	}
+	return strings.Join(list, " ")
+}
+
+// drain has all requests run, and returns their organisations in that order.
+func (l *line) drain() string {
+	var list []string
+	done := make(map[*admit.Ticket]bool)
+	for more := true; more; {
+		more = false
+		for i, t := range l.tickets {
+			if !done[t] && isReady(t) && t.Err() == nil {
+				done[t] = true
+				more = true
+				list = append(list, l.names[i])
+				time.Sleep(10 * time.Millisecond)
+				t.Release(true)
+			}
+		}
+	}
+	return strings.Join(list, " ")
+}
+
+var single = admit.Limits{
+	Slots:       1,
+	QueueLength: 4,
+	QueueWait:   time.Hour,
+}
+
+// TestOrganisationsTakeTurns has requests wait in one order and start in another.
+func TestOrganisationsTakeTurns(t *testing.T) {
+	tests := map[string]struct {
+		come, want string
+		weight     func(string) float64
+	}{
+		"one":        {come: "a a a", want: "a a a a"},
+		"a late one": {come: "a a a b", want: "a b a a a"},
+		"two":        {come: "b b a a", want: "a b b a a"},
+		"none":       {come: "", want: "a"},
+		"by weight": {
+			come:   "b b b a",
+			want:   "a b b b a",
+			weight: func(o string) float64 { return map[string]float64{"a": 1, "b": 4}[o] },
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				limits := single
+				limits.Weight = test.weight
+				l := newLine("a", limits)
+				l.enterAll(test.come)
+				qt.Check(t, l.refused(), qt.Equals, "")
+				qt.Check(t, l.drain(), qt.Equals, test.want)
+			})
+		})
+	}
+}
+
+// TestQueueFullOfOneOrganisation has organisations come to a full queue: room is made by
+// the one that has most waiting, if that is more than the one that comes would have.
+func TestQueueFullOfOneOrganisation(t *testing.T) {
+	tests := map[string]struct {
+		come, refused string
+	}{
+		"its own":        {come: "a a a a a", refused: "a"},
+		"another":        {come: "a a a a b", refused: "a"},
+		"several others": {come: "a a a a b c d", refused: "a a a"},
+		"all have one":   {come: "a a a a b c d e", refused: "a a a e"},
+		"alike":          {come: "a a b b a", refused: "a"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newLine("a", single)
+				l.enterAll(test.come)
+				qt.Check(t, l.refused(), qt.Equals, test.refused)
+				for _, k := range l.tickets {
+					if err := k.Err(); err != nil {
+						qt.Check(t, err.Cause, qt.Equals, verdict.Refused)
+						qt.Check(t, err.Verdict(), qt.Equals, verdict.NotRun)
+						qt.Check(t, err.RetryAfter > 0, qt.IsTrue)
+					}
+				}
+				qt.Check(t, l.gate.Report().Waiting, qt.Equals, 4)
+			})
+		})
+	}
+}
+
+// TestQueueFullOfClasses has a request come to a queue that another organisation fills
+// with requests of a class of the same priority, or of a lower one.
+func TestQueueFullOfClasses(t *testing.T) {
+	limits := single.WithClasses(
+		admit.Class{Name: "low", Weight: 1, Share: 1},
+		admit.Class{Name: "slow", Weight: 4, Share: 1, Priority: 1},
+		admit.Class{Name: "fast", Weight: 4, Share: 1, Priority: 1},
+	)
+	tests := map[string]struct {
+		organisation, class string
+		full                []string
+		refused             string
+	}{
+		"a lower priority goes first":         {organisation: "b", class: "fast", full: []string{"slow", "slow", "slow", "low"}, refused: "a"},
+		"its own lower priority":              {organisation: "a", class: "fast", full: []string{"slow", "slow", "slow", "low"}, refused: "a"},
+		"another class of the same":           {organisation: "b", class: "fast", full: []string{"slow", "slow", "slow", "slow"}, refused: "a"},
+		"another class, itself":               {organisation: "a", class: "fast", full: []string{"slow", "slow", "slow", "slow"}, refused: "a"},
+		"no organisation, another class":      {organisation: "", class: "fast", full: []string{"slow", "slow", "slow", "slow"}, refused: "a"},
+		"a higher priority does not give way": {organisation: "b", class: "low", full: []string{"slow", "slow", "slow", "slow"}, refused: "b"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newLine("a", limits)
+				for _, class := range test.full {
+					l.enter("a", class)
+				}
+				k := l.enter(test.organisation, test.class)
+				qt.Check(t, l.refused(), qt.Equals, test.refused)
+				waits := test.refused != test.organisation || test.class == "fast" && test.full[3] == "low"
+				qt.Check(t, k.Err() == nil, qt.Equals, waits)
+			})
+		})
+	}
+}
+
+// TestWaitOfSmallOrganisation has one organisation fill the queue: another is expected to
+// wait for its own turn, not for the whole queue, so that it gets in with little time.
+func TestWaitOfSmallOrganisation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limits := single
+		limits.QueueLength = 16
+		l := newLine("a", limits)
+		l.enterAll("a a a a a a a a")
+		enter := func(organisation string, left time.Duration) *verdict.Error {
+			k := l.gate.EnterFor(organisation, "", time.Now().Add(left))
+			defer k.Revoke()
+			return k.Err()
+		}
+		qt.Check(t, enter("b", 30*time.Millisecond) == nil, qt.IsTrue)
+		qt.Check(t, enter("a", 30*time.Millisecond) != nil, qt.IsTrue)
+		qt.Check(t, enter("", 30*time.Millisecond) == nil, qt.IsTrue)
+		qt.Check(t, enter("b", 11*time.Millisecond).RetryAfter < enter("a", 11*time.Millisecond).RetryAfter, qt.IsTrue)
+	})
+}
+
+// TestReportOfOrganisations counts the organisations that wait, and the requests that gave
+// way to others'.
+func TestReportOfOrganisations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLine("a", single)
+		l.enterAll("a a a a b c")
+		r := l.gate.Report()
+		qt.Check(t, r.Organisations, qt.Equals, 3)
+		qt.Check(t, r.Displaced, qt.Equals, uint64(2))
+	})
+}
--- a/admit/wait.go
+++ b/admit/wait.go
@@ -101,10 +101,10 @@
 func (g *Gate) shed(t *Ticket, err *verdict.Error) bool {
 	victim := g.lower(t)
 	if victim == nil {
-		victim = g.greedier(t)
-	}
-	if victim == nil {
-		return false
+		if victim = g.greedier(t); victim == nil {
+			return false
+		}
+		g.displaced++
 	}
 	q := victim.queue
 	last := victim == q.waiting[len(q.waiting)-1]
--- a/entry/do.go
+++ b/entry/do.go
@@ -28,7 +28,7 @@
 	if blocked := d.Quarantine.Judge(r.Print).Failure(); blocked != nil {
 		return nil, final(blocked)
 	}
-	s.budget.Earn()
+	s.budget.EarnFor(r.Organisation)
 	s.hedges.Earn()
 	f := &flight{
 		dispatcher: d,
@@ -71,7 +71,9 @@
 		MaxTries: f.service.Config.Retry.MaxTries,
 		Budget:   f.service.budget,
 		Part:     f.service.parts[f.request.Class],
-		Least:    least,
+
+		Organisation: f.request.Organisation,
+		Least:        least,
 	}
 	for {
 		failure := f.launch()
--- a/node/events.go
+++ b/node/events.go
@@ -87,8 +87,8 @@
 			id = f.Value
 		}
 	}
-	n.Log.Info().Str("requestId", id).Str("from", from).Str("class", c.Class).Str("target", c.Target).Stringer("print", c.Print).Int("try", c.Try).Str("cause", string(failure.Cause)).Str("verdict", failure.Verdict().String()).
-		Int("running", load.Running).Int("waiting", load.Waiting).Int("allowed", load.Allowed).Float64("slowdown", load.Slowdown).Float64("pace", load.Pace).Dur("restMs", load.Rest).Float64("failing", load.Failing).Bool("draining", load.Draining).AnErr("reason", failure.Err).Msg("call not answered")
+	n.Log.Info().Str("requestId", id).Str("from", from).Str("class", c.Class).Str("organisation", c.Organisation).Str("target", c.Target).Stringer("print", c.Print).Int("try", c.Try).Str("cause", string(failure.Cause)).Str("verdict", failure.Verdict().String()).
+		Int("running", load.Running).Int("waiting", load.Waiting).Int("organisations", load.Organisations).Int("allowed", load.Allowed).Float64("slowdown", load.Slowdown).Float64("pace", load.Pace).Dur("restMs", load.Rest).Float64("failing", load.Failing).Bool("draining", load.Draining).AnErr("reason", failure.Err).Msg("call not answered")
 }
 
 // callPanicked logs that the handling of a call panicked, and counts it.
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -35,6 +35,8 @@
 	gauge := func(name string, f func() float64) { m.set.NewGauge(name, f) }
 	gauge(`sassafras_upstream_running`, func() float64 { return float64(n.gate.Load().Running) })
 	gauge(`sassafras_upstream_waiting`, func() float64 { return float64(n.gate.Load().Waiting) })
+	gauge(`sassafras_upstream_organisations_waiting`, func() float64 { return float64(n.gate.Load().Organisations) })
+	gauge(`sassafras_upstream_displaced_total`, func() float64 { return float64(n.gate.Load().Displaced) })
 	gauge(`sassafras_upstream_allowed`, func() float64 { return float64(n.gate.Load().Allowed) })
 	gauge(`sassafras_upstream_slowdown`, func() float64 { return n.gate.Load().Slowdown })
 	gauge(`sassafras_upstream_pace`, func() float64 { return n.gate.Load().Pace })
--- /dev/null
+++ b/retry/account_test.go
@@ -0,0 +1,85 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package retry_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/retry"
+	"sassafrasfront.example/verdict"
+)
+
+// answered plays a node for a minute whose callers belong to twenty organisations with two
+// requests a second each, of which one in ten fails at the first upstream, and to another one
+// with the given number, which all fail at each: an abuser's repeats, or a fault of its own.
+// It returns the part of the others' requests that are answered by the first or the second.
+func answered(t *testing.T, perSecond int, named bool) (share float64) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		random := rand.New(rand.NewPCG(1, 1))
+		budget := &retry.Budget{Share: 0.12, Burst: 2}
+		failure := verdict.New(verdict.UpstreamRefused, nil)
+		nameOf := func(organisation string) string {
+			if !named {
+				return ""
+			}
+			return organisation
+		}
+		again := func(organisation string) bool {
+			plan := retry.Plan{MaxTries: 2, Budget: budget, Organisation: organisation}
+			return plan.Again(failure, true, 1, time.Second)
+		}
+		var good, all float64
+		for range 60 * 40 {
+			time.Sleep(25 * time.Millisecond)
+			for range perSecond / 40 {
+				budget.EarnFor(nameOf("big"))
+				again(nameOf("big"))
+			}
+			small := nameOf(fmt.Sprintf("small%d", random.IntN(20)))
+			budget.EarnFor(small)
+			all++
+			if random.Float64() >= 0.1 || again(small) {
+				good++
+			}
+		}
+		share = good / all
+	})
+	return share
+}
+
+// TestBudgetOfOneOrganisation has an organisation whose requests all fail leave the budget
+// for repeats to the others, whose failures are then made good.
+func TestBudgetOfOneOrganisation(t *testing.T) {
+	for _, perSecond := range []int{40, 120, 400} {
+		named, unnamed := answered(t, perSecond, true), answered(t, perSecond, false)
+		t.Logf("%d a second: others answered %.3f, without names %.3f", perSecond, named, unnamed)
+		qt.Check(t, named > 0.99, qt.IsTrue)
+		qt.Check(t, unnamed < 0.95, qt.IsTrue)
+	}
+}
+
+// TestBudgetAlone has an organisation that nobody else shares a budget with spend half of
+// it at once, and its requests earn the rest.
+func TestBudgetAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		budget := &retry.Budget{Share: 0.1, Burst: 20}
+		taken := func(organisation string) (n int) {
+			for budget.TakeFor(organisation, 1) {
+				n++
+			}
+			return n
+		}
+		qt.Check(t, taken("a") <= 10, qt.IsTrue)
+		qt.Check(t, taken("b") >= 1, qt.IsTrue)
+		qt.Check(t, taken("") >= 8, qt.IsTrue)
+	})
+}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -41,6 +41,7 @@
 	current   int       // the part that is counted in
 	began     time.Time // of the current part
 	threshold float64   // in [0, 1), drawn anew with each taking
+	accounts  accounts
 }
 
 // part counts the requests in one part of the window.
@@ -57,11 +58,15 @@
 }
 
 // Earn records one ordinary request.
-func (b *Budget) Earn() {
+func (b *Budget) Earn() { b.EarnFor("") }
+
+// EarnFor records one ordinary request of an organisation. The empty name stands for none.
+func (b *Budget) EarnFor(organisation string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(time.Now())
 	b.parts[b.current].ordinary++
+	b.accounts.of(organisation).parts[b.current].ordinary++
 }
 
 // Take takes one extra request out of the budget, and returns whether there
@@ -71,19 +76,24 @@
 // TakePart takes one extra request as Take does, if no more than the given part of
 // the budget is spent, in (0, 1]. The rest is left to those who may spend a larger
 // part.
-func (b *Budget) TakePart(share float64) bool {
+func (b *Budget) TakePart(share float64) bool { return b.TakeFor("", share) }
+
+// TakeFor takes one extra request of an organisation as TakePart does. One that has spent
+// what its own requests have earned leaves a part of the rest to the others.
+func (b *Budget) TakeFor(organisation string, share float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(time.Now())
-	var ordinary, extra int
-	for _, p := range b.parts {
-		ordinary += p.ordinary
-		extra += p.extra
+	account := b.accounts.of(organisation)
+	if organisation != "" && account.overdrawn(b.Share) {
+		share *= commonPart
 	}
-	if float64(extra)+b.threshold >= share*(b.Share*float64(ordinary)+b.Burst) {
+	all := sumOf(&b.parts)
+	if float64(all.extra)+b.threshold >= share*(b.Share*float64(all.ordinary)+b.Burst) {
 		return false
 	}
 	b.parts[b.current].extra++
+	account.parts[b.current].extra++
 	b.threshold = rand.Float64()
 	return true
 }
@@ -106,6 +116,7 @@
 		b.began = b.began.Add(length)
 		b.current = (b.current + 1) % windowParts
 		b.parts[b.current] = part{}
+		b.accounts.forget(b.current)
 	}
 	b.began = now // the whole window is over
 }
--- a/retry/plan.go
+++ b/retry/plan.go
@@ -21,6 +21,8 @@
 	Budget *Budget
 	// Part is the part of the budget that may be spent, in (0, 1]. Zero means all.
 	Part float64
+	// Organisation is the one on whose behalf the request is sent, or empty.
+	Organisation string
 	// Least is the remaining time below which a try is of no use.
 	Least time.Duration
 }
@@ -43,7 +45,7 @@
 
 // Take takes one try out of the plan's part of the budget, and returns whether there
 // was one.
-func (p Plan) Take() bool { return p.Budget.TakePart(cmp.Or(p.Part, 1)) }
+func (p Plan) Take() bool { return p.Budget.TakeFor(p.Organisation, cmp.Or(p.Part, 1)) }
 
 // PartOf returns the part of the budget that a class may spend, given the rank of its
 // priority among the different ones, from 0 for the least urgent, and the part that is
