--- a/admit/gate.go
+++ b/admit/gate.go
@@ -34,7 +34,7 @@
 	Rest time.Duration
 	// Failing is the share of the latest requests that the upstream failed.
 	Failing float64
-	// Organisations is the number of them with waiting requests, in each class.
+	// Organisations is the number of them with waiting requests, summed over the classes.
 	Organisations int
 	// Displaced is the number of requests so far that were refused while they waited, as
 	// the queue was full and their organisation had most in it.
@@ -47,26 +47,27 @@
 	// Pace bounds the requests that start while the upstream is cold.
 	Pace cold.Limit
 
-	mu        sync.Mutex
-	woken     *time.Timer // dispatches again when Pace lets a request start
-	limits    Limits
-	limiter   limiter
-	classes   []*classQueue
-	byName    map[string]*classQueue
-	virtual   float64
-	running   int
-	waiting   int
-	startSum  time.Duration // sum of the start times of running requests, since epoch
-	epoch     time.Time
-	draining  bool
-	idle      chan struct{}
-	slowdown  float64   // as last told by the upstream, 0 if never
-	observed  time.Time // when it was told last
-	pace      pace      // the slowdown beside the spells
-	spells    spells    // of a slowdown by slowRatio times the pace or more
-	freeing   float64   // expected rate at which running requests end, per second
-	failing   Share     // of the requests that ran
-	displaced uint64
+	mu       sync.Mutex
+	woken    *time.Timer // dispatches again when Pace lets a request start
+	limits   Limits
+	limiter  limiter
+	classes  []*classQueue
+	byName   map[string]*classQueue
+	virtual  float64
+	running  int
+	waiting  int
+	startSum time.Duration // sum of the start times of running requests, since epoch
+	epoch    time.Time
+	draining bool
+	idle     chan struct{}
+	slowdown float64   // as last told by the upstream, 0 if never
+	observed time.Time // when it was told last
+	pace     pace      // the slowdown beside the spells
+	spells   spells    // of a slowdown by slowRatio times the pace or more
+	freeing  float64   // expected rate at which running requests end, per second
+	failing  Share     // of the requests that ran
+
+	displaced uint64 // requests that gave way to another organisation's
 }
 
 // Set replaces the limits. Requests that run or wait keep their places, also
@@ -104,6 +105,7 @@
 	g.failing = Share{}
 	for _, q := range g.classes {
 		q.run = 0
+		q.flows.Restart()
 	}
 	g.dispatch(now)
 }
@@ -159,7 +161,7 @@
 	}
 }
 
-// organisations returns the number of organisations with waiting requests, in each class.
+// organisations returns what Report says of them.
 func (g *Gate) organisations() (sum int) {
 	for _, q := range g.classes {
 		sum += q.flows.Waiting()
--- a/fair/flows.go
+++ b/fair/flows.go
@@ -112,8 +112,12 @@
 	return n
 }
 
-// Alone returns whether no other flow is remembered.
-func (l *Flow) Alone() bool { return len(l.flows.list) == 1 }
+// Restart forgets for how long requests have held slots.
+func (f *Flows) Restart() {
+	for _, l := range f.list {
+		l.held = 0
+	}
+}
 
 // Name returns the name of the organisation, or nothing.
 func (l *Flow) Name() string { return l.name }
