--- a/fair/flows_test.go
+++ b/fair/flows_test.go
@@ -215,3 +215,19 @@
 		})
 	}
 }
+
+// BenchmarkNewFlow is what an organisation costs that comes anew.
+func BenchmarkNewFlow(b *testing.B) {
+	names := make([]string, 10000)
+	for i := range names {
+		names[i] = fmt.Sprint(i)
+	}
+	b.ReportAllocs()
+	var f fair.Flows
+	for i := 0; b.Loop(); i++ {
+		if i%len(names) == 0 {
+			f = fair.Flows{}
+		}
+		f.Flow(names[i%len(names)], began)
+	}
+}
