--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -30,11 +30,11 @@
 	return t.C, func() { t.Stop() }
 }
 
-// takeHedge takes one second sending out of its budget, and returns whether there was
-// one.
-func (s *service) takeHedge() bool {
+// takeHedge takes one second sending of an organisation out of its budget, and returns
+// whether there was one.
+func (s *service) takeHedge(organisation string) bool {
 	if part := s.Config.Hedge.Part; part > 0 {
-		return s.budget.TakePart(part)
+		return s.budget.TakeFor(organisation, part)
 	}
 	return s.hedges.Take()
 }
@@ -49,7 +49,7 @@
 		f.did(EventRevoke)
 		return
 	}
-	if f.dispatcher.Quarantine.Judge(f.request.Print).Standing >= quarantine.Isolated || !f.attemptsLeft() || len(f.tried) >= f.service.Config.Retry.MaxTries || !f.service.takeHedge() {
+	if f.dispatcher.Quarantine.Judge(f.request.Print).Standing >= quarantine.Isolated || !f.attemptsLeft() || len(f.tried) >= f.service.Config.Retry.MaxTries || !f.service.takeHedge(f.request.Organisation) {
 		return
 	}
 	if f.launch() == nil {
