--- a/admit/room_test.go
+++ b/admit/room_test.go
@@ -318,6 +318,21 @@
 	}
 }
 
+// TestRequestsWithoutOrganisation has requests without an organisation, as calls inside runs
+// are, share a class with organisations of which one rushes. They ask for a quarter of the
+// upstream, which is less than the half that is theirs beside any number of organisations.
+func TestRequestsWithoutOrganisation(t *testing.T) {
+	r := room{
+		limits:  desk(ms(600)),
+		senders: append(small(20, 25, ms(220)), sender{"", "check", 15, ms(220), 0}, sender{"big", "check", 80, ms(220), 0}),
+	}
+	named := play(t, r, true)
+	t.Logf("without %v, others %v, big %v", named[""], total(named, "big", ""), named["big"])
+	qt.Check(t, named[""].inTime() > 0.95, qt.IsTrue)
+	qt.Check(t, total(named, "big", "").inTime() > 0.95, qt.IsTrue)
+	qt.Check(t, named["big"].served() > total(named).served()/4, qt.IsTrue)
+}
+
 // office is an upstream of 14 slots with urgent requests of 180 ms, to end within 500 ms,
 // calls inside runs elsewhere, of 55 ms within 150 ms, and long requests of 550 ms that
 // can wait, each a priority below.
