--- a/admit/wait.go
+++ b/admit/wait.go
@@ -28,7 +28,7 @@
 // queueable returns why the request, which stands in its queue, may not wait,
 // or nil if it may.
 func (g *Gate) queueable(t *Ticket, now, deadline time.Time) *verdict.Error {
-	wait := g.expectedWait(t, now)
+	wait := g.expectedWait(t.queue, g.ahead(t), now)
 	full := verdict.New(verdict.Refused, nil).WithRetryAfter(wait)
 	if wait > t.queue.bound(t, g.longestWait(t.queue)) {
 		return full
@@ -42,10 +42,13 @@
 	return nil
 }
 
-// expectedWait returns the time after which the last request of the organisation and
-// class of t starts. Before it start n requests of its class, those of other
-// organisations among them, and, of each other class o, as many as fair queueing lets
-// pass,
+// ahead returns the number of requests of t's class that start up to and with the last one
+// of its organisation.
+func (g *Gate) ahead(t *Ticket) int { return t.flow.Ahead(max(leastRun, g.run(t.queue))) }
+
+// expectedWait returns the time after which the given number of requests of q, of all that
+// wait, have started. Before the last of these n start as many of each other class o as fair
+// queueing lets pass,
 //
 //	min(n_o, n (s w_o) / (s_o w))
 //
@@ -53,9 +56,8 @@
 // sum of 1/(s k) over the running requests, which began with a slowdown of k. What
 // is held back by a slow spell waits for its expected end besides, and what a cold upstream
 // does not bear yet for the second that has room for it.
-func (g *Gate) expectedWait(t *Ticket, now time.Time) time.Duration {
-	q := t.queue
-	n := float64(t.flow.Ahead(max(leastRun, g.run(q))))
+func (g *Gate) expectedWait(q *classQueue, starting int, now time.Time) time.Duration {
+	n := float64(starting)
 	ahead := n
 	own := n * g.run(q).Seconds() / q.class.Weight
 	for _, o := range g.classes {
@@ -154,7 +156,7 @@
 // expire refuses t if it still waits after the longest allowed time.
 func (g *Gate) expire(t *Ticket) {
 	g.mu.Lock()
-	after := g.expectedWait(t, time.Now())
+	after := g.expectedWait(t.queue, g.ahead(t), time.Now())
 	g.mu.Unlock()
 	g.revoke(t, verdict.New(verdict.Refused, nil).WithRetryAfter(after))
 }
