--- a/admit/dispatch.go
+++ b/admit/dispatch.go
@@ -68,6 +68,7 @@
 	t.began = now
 	t.slowdown = g.slow()
 	t.rate = 1 / (t.slowdown * max(leastRun, g.run(q)).Seconds())
+	t.flow.Start(t.expected)
 	g.freeing += t.rate
 	close(t.ready)
 }
--- a/admit/gate.go
+++ b/admit/gate.go
@@ -34,6 +34,11 @@
 	Rest time.Duration
 	// Failing is the share of the latest requests that the upstream failed.
 	Failing float64
+	// Organisations is the number of them with waiting requests, summed over the classes.
+	Organisations int
+	// Displaced is the number of requests so far that were refused while they waited, as
+	// the queue was full and their organisation had most in it.
+	Displaced uint64
 }
 
 // Gate admits requests to one upstream. The zero value refuses everything
@@ -61,6 +66,8 @@
 	spells   spells    // of a slowdown by slowRatio times the pace or more
 	freeing  float64   // expected rate at which running requests end, per second
 	failing  Share     // of the requests that ran
+
+	displaced uint64 // requests that gave way to another organisation's
 }
 
 // Set replaces the limits. Requests that run or wait keep their places, also
@@ -98,6 +105,7 @@
 	g.failing = Share{}
 	for _, q := range g.classes {
 		q.run = 0
+		q.flows.Restart()
 	}
 	g.dispatch(now)
 }
@@ -147,7 +155,18 @@
 		Pace:     g.pace.value(now),
 		Rest:     g.spells.rest(now, maxRest),
 		Failing:  g.failing.Value(now),
+
+		Organisations: g.organisations(),
+		Displaced:     g.displaced,
+	}
+}
+
+// organisations returns what Report says of them.
+func (g *Gate) organisations() (sum int) {
+	for _, q := range g.classes {
+		sum += q.flows.Waiting()
 	}
+	return sum
 }
 
 // Ran takes in whether the upstream failed a request that it was sent.
@@ -203,6 +222,12 @@
 // after the deadline. A zero deadline means none. The ticket that it returns
 // runs, waits, or is refused.
 func (g *Gate) Enter(class string, deadline time.Time) *Ticket {
+	return g.EnterFor("", class, deadline)
+}
+
+// EnterFor does what Enter does for a request of the given organisation. The empty
+// name stands for none.
+func (g *Gate) EnterFor(organisation, class string, deadline time.Time) *Ticket {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
@@ -218,6 +243,9 @@
 		t.refuse(err)
 		return t
 	}
+	t.flow = t.queue.flows.Flow(organisation, now)
+	t.expected = max(leastRun, t.flow.Expected(g.run(t.queue)))
+	t.within = t.flow.Ask(t.expected, g.room(t.queue, now), now)
 	t.queue.tag(t, g.virtual, g.run(t.queue))
 	t.queue.push(t)
 	g.waiting++
@@ -290,6 +318,7 @@
 	g.observeQueues(now)
 	t.state = released
 	t.queue.running--
+	t.flow.End(t.expected, time.Duration(float64(now.Sub(t.began))/t.slowdown), now)
 	g.running--
 	g.startSum -= t.began.Sub(g.epoch)
 	g.freeing = max(0, g.freeing-t.rate)
@@ -337,6 +366,7 @@
 		if q == nil {
 			q = &classQueue{}
 		}
+		q.flows.Weight = g.limits.Weight
 		q.class = c
 		g.classes = append(g.classes, q)
 		g.byName[c.Name] = q
@@ -352,8 +382,10 @@
 func (g *Gate) refuseWaiting(err *verdict.Error) {
 	for _, q := range g.classes {
 		for len(q.waiting) > 0 {
-			q.pop().refuse(err)
+			t := q.waiting[0]
+			q.remove(t)
 			g.waiting--
+			t.refuse(err)
 		}
 	}
 }
