Keys of organisations are asked for, and judged only as long as the table is known to be fresh

Ruled out: the age that news tells as proof of freshness: a message may lie in a buffer for seconds.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -62,6 +62,9 @@
 	if e.GivenUp {
 		h.Set(upstream.GivenUpHeader, "true")
 	}
+	if status == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", challengeOf(x.r.Header))
+	}
 	if status == http.StatusServiceUnavailable {
 		h.Set("Retry-After", retryAfter(e.RetryAfter, names.FractionalRetryAfter))
 	}
--- a/caller/body.go
+++ b/caller/body.go
@@ -37,6 +37,8 @@
 	reader  io.Reader
 	request *http.Request
 	broken  *atomic.Bool
+	// withheld are the fields that its trailer can't bear.
+	withheld []string
 
 	mu       sync.Mutex // held while the body is read
 	ahead    []byte     // read by peek, and not by others yet
@@ -93,7 +95,13 @@
 }
 
 // Trailer implements peer.Trailered.
-func (b *streamedBody) Trailer() []peer.Field { return httpfield.From(b.request.Trailer) }
+func (b *streamedBody) Trailer() []peer.Field {
+	trailer := b.request.Trailer.Clone()
+	for _, name := range b.withheld {
+		trailer.Del(name)
+	}
+	return httpfield.From(trailer)
+}
 
 // ended returns whether the body is known to have ended.
 func (b *streamedBody) ended() bool {
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -266,7 +266,7 @@
 		return nil, failure
 	}
 	h := x.handler.forward(r)
-	x.name(h, names)
+	x.name(h, names, t)
 	tracing.Inject(ctx, propagation.HeaderCarrier(h))
 	q.Header = httpfield.From(h)
 	if len(q.Header) > peer.MaxFields {
@@ -303,8 +303,9 @@
 	return read()
 }
 
-// name sets the fields by which the upstream knows the request.
-func (x *exchange) name(h http.Header, names upstream.Names) {
+// name sets the fields by which the upstream knows the request, and removes the caller's
+// key.
+func (x *exchange) name(h http.Header, names upstream.Names, t *Target) {
 	h.Del(names.Timeout)
 	if names.MakesIDs() {
 		h.Set(names.RequestID, x.outcome.ID)
@@ -315,6 +316,10 @@
 	if names.Expected != "" {
 		h.Del(names.Expected)
 	}
+	if t.Keyed {
+		stripKeys(h, t.Organisation == "")
+		nameOrganisation(h, names.Organisation, t.Organisation)
+	}
 }
 
 // timeoutOf returns the time that the request has: what the caller asks for, but
@@ -355,9 +360,10 @@
 		// An answer may begin before the body has ended.
 		_ = http.NewResponseController(x.w).EnableFullDuplex()
 		x.streamed = &streamedBody{
-			reader:  http.MaxBytesReader(x.w, r.Body, most),
-			request: r,
-			broken:  &x.broken,
+			reader:   http.MaxBytesReader(x.w, r.Body, most),
+			request:  r,
+			broken:   &x.broken,
+			withheld: withheld(x.handler.Names.OrDefault()),
 		}
 		q.Stream = entry.Once(x.streamed)
 		return nil
--- /dev/null
+++ b/caller/keys.go
@@ -0,0 +1,107 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package caller
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"sassafrasfront.example/freshness"
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/organisation"
+	"sassafrasfront.example/routes"
+	"sassafrasfront.example/verdict"
+)
+
+// Keys says how the keys of organisations are judged. The zero value goes by the table of
+// routes alone.
+type Keys struct {
+	// Bounds are how fresh a table has to be.
+	Bounds freshness.Bounds
+	// Age returns for how long a table with the version may have been out of date. Nil
+	// means that this is not known, and not asked for.
+	Age func(version uint64) freshness.Age
+	// Judged, if not nil, is told whether a request is admitted whose key the table has.
+	Judged func(admitted bool, version uint64, age freshness.Age)
+	// RetryAfter is when the caller of a node that has not heard for too long may come
+	// back.
+	RetryAfter time.Duration
+}
+
+// admit returns the target of a request that needs a key, for the organisation that has it.
+func (k *Keys) admit(target *Target, t *routes.Table, route *routes.Route, h http.Header) (*Target, *verdict.Error) {
+	key, err := bearerKey(h)
+	if err != nil {
+		return nil, verdict.New(verdict.Unauthorized, err)
+	}
+	o := t.OrganisationSet().ByKey(key)
+	if failure := k.judge(t.Version, o != nil); failure != nil {
+		return nil, failure
+	}
+	target.Organisation = o.Name
+	if target.Regions, err = regionsOf(route.Regions, o.Regions); err != nil {
+		return nil, verdict.New(verdict.NoUpstream, err)
+	}
+	target.Class = classFor(&target.Service.Config, route, o)
+	return target, nil
+}
+
+// judge returns why a request with a key, which the table has or has not, can't be taken.
+func (k *Keys) judge(version uint64, held bool) *verdict.Error {
+	var age freshness.Age
+	if k.Age != nil {
+		age = k.Age(version)
+	}
+	j := k.Bounds.Judge(age, held)
+	if k.Judged != nil && held {
+		k.Judged(j != freshness.Stale, version, age)
+	}
+	switch j {
+	case freshness.Stale:
+		return verdict.New(verdict.NotFresh, eris.Errorf("version %d was known to be the latest %v ago", version, age)).WithRetryAfter(k.RetryAfter)
+	case freshness.Unknown:
+		return verdict.New(verdict.Unauthorized, eris.Errorf("no organisation of version %d has the key", version))
+	default:
+		return nil
+	}
+}
+
+// regionsOf returns the regions that both a route and an organisation allow. None means
+// all for either, so that it is a failure if they have none in common.
+func regionsOf(route, organisation []string) ([]string, error) {
+	if len(organisation) == 0 {
+		return route, nil
+	}
+	if len(route) == 0 {
+		return organisation, nil
+	}
+	var both []string
+	for _, r := range route {
+		if slices.Contains(organisation, r) {
+			both = append(both, r)
+		}
+	}
+	if len(both) == 0 {
+		return nil, eris.New("no region is allowed both to the route and to the organisation")
+	}
+	return both, nil
+}
+
+// classFor returns the class of an organisation's requests on a route: its priority goes
+// before the route's, where the service has a class for it.
+func classFor(s *operator.Service, route *routes.Route, o *organisation.Organisation) string {
+	own := ClassOf(route.Priority, route.Objective)
+	if o.Priority == nil {
+		return own
+	}
+	name := ClassOf(*o.Priority, route.Objective)
+	if !slices.ContainsFunc(s.Classes, func(c operator.Class) bool { return c.Name == name }) {
+		return own
+	}
+	return name
+}
--- a/caller/target.go
+++ b/caller/target.go
@@ -28,6 +28,8 @@
 	Class string
 	// Organisation is the name of the organisation whose key the caller shows, or empty.
 	Organisation string
+	// Keyed is whether callers show keys of organisations, which are not passed on.
+	Keyed bool
 	// Idempotent is whether running it twice does no harm.
 	Idempotent bool
 	// Timeout is the longest time that the caller is kept waiting.
@@ -87,6 +89,8 @@
 	Table func() *routes.Table
 	// Service returns a service in force, or nil.
 	Service func(name string) *entry.Service
+	// Keys is what holds for the keys of organisations.
+	Keys Keys
 
 	splitter routes.Splitter
 }
@@ -110,10 +114,11 @@
 	if t.Limits.BodyBytes > 0 {
 		maxBody = t.Limits.BodyBytes
 	}
-	return &Target{
+	target := &Target{
 		Service:    s,
 		Route:      route.Name,
 		Class:      ClassOf(route.Priority, route.Objective),
+		Keyed:      t.Keyed,
 		Idempotent: route.Idempotent,
 		Timeout:    route.Timeout,
 		Objective:  route.Objective,
@@ -121,7 +126,11 @@
 		Regions:    route.Regions,
 		MaxBody:    maxBody,
 		MaxHead:    t.Limits.HeaderBytes,
-	}, nil
+	}
+	if !t.Keyed || route.Public {
+		return target, nil
+	}
+	return b.Keys.admit(target, t, route, r.Header)
 }
 
 // ClassOf returns the name of the class of the requests with a priority and a
--- a/control/control.go
+++ b/control/control.go
@@ -17,6 +17,8 @@
 	"sassafrasfront.example/entry"
 	"sassafrasfront.example/evacuation"
 	"sassafrasfront.example/follow"
+	"sassafrasfront.example/freshness"
+	"sassafrasfront.example/internal/boottime"
 	"sassafrasfront.example/member"
 	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/operator"
@@ -93,6 +95,11 @@
 	// Within is the time within which a change of that table has to be in force
 	// everywhere. Zero means 2 s.
 	Within time.Duration
+	// Clock, if not nil, is a clock that goes on while the instance is suspended. Nodes tell
+	// each other then how fresh that table is, so that each knows of a change of it that is
+	// FreshWithin old.
+	Clock       boottime.Clock
+	FreshWithin time.Duration
 	// Quarantine, if not nil, takes in what nodes report of requests that end upstreams.
 	Quarantine *quarantine.Index
 	// Timing are the periods of the work.
@@ -114,6 +121,7 @@
 	done     chan struct{}
 	snapshot atomic.Pointer[Snapshot]
 	steward  atomic.Bool
+	proofs   atomic.Pointer[freshness.Proofs]
 
 	// The goroutine of Run owns what follows.
 	self       member.Record
@@ -130,6 +138,7 @@
 	clients    map[string]*peer.Client
 	reads      *follow.State // of the table, if there is a Template
 	heard      chan struct{}
+	fresh      *fresh    // of the table, if there is a Clock
 	placed     time.Time // when lastPlace was found
 	lastPlace  follow.Place
 	fetching   bool // whether a table is being fetched
@@ -172,6 +181,7 @@
 		c.heard = make(chan struct{}, 1)
 		if c.Template != nil {
 			c.reads = follow.New(cmp.Or(c.Within, defaultWithin), time.Now(), c.random)
+			c.initFresh()
 		}
 		c.self = c.Self.Reborn(member.Record{}, time.Now())
 		c.members.put(c.self)
--- /dev/null
+++ b/control/freshness.go
@@ -0,0 +1,177 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package control
+
+import (
+	"context"
+	"time"
+
+	"sassafrasfront.example/follow"
+	"sassafrasfront.example/freshness"
+	"sassafrasfront.example/routes"
+)
+
+// told is the news of a read with the teller's proof of how fresh its table is. The proof
+// stands by itself: it may be that of another read.
+type told struct {
+	follow.News
+	Proof freshness.Told `msgpack:"proof"`
+}
+
+// The ages of a node's proof from which it does something about that, as parts of the time
+// within which a change has to be known.
+const (
+	// freshAskPart is from when it asks others, and freshReadPart from when it reads the
+	// platform though it has heard of a read: it hears others, but they don't hear it.
+	freshAskPart  = 0.45
+	freshReadPart = 0.6
+	// freshRetryPart is the least time between two questions or reads for that.
+	freshRetryPart = 0.1
+)
+
+// fresh is what a node knows of how fresh its table is. The goroutine that owns the state
+// owns it.
+type fresh struct {
+	*freshness.State
+	started time.Duration
+	tried   time.Duration   // when something was done about an old proof last
+	asking  map[string]bool // the nodes that are being asked for their clock
+}
+
+// initFresh makes the state if there is a clock.
+func (c *Control) initFresh() {
+	c.proofs.Store(new(freshness.Proofs))
+	if c.Clock == nil {
+		return
+	}
+	now := c.Clock()
+	c.fresh = &fresh{
+		State:   freshness.New(),
+		started: now,
+		tried:   now,
+		asking:  make(map[string]bool),
+	}
+}
+
+// reading returns what the clock shows, or 0 if there is none.
+func (c *Control) reading() time.Duration {
+	if c.Clock == nil {
+		return 0
+	}
+	return c.Clock()
+}
+
+// TableAge returns for how long a table with the version may have been out of date.
+func (c *Control) TableAge(version uint64) freshness.Age {
+	c.init()
+	return c.proofs.Load().Age(version, c.reading())
+}
+
+// Confirm takes in that the platform answered a read of the table which was sent at the
+// given reading of the clock. What it found has been given to Configure.
+func (c *Control) Confirm(sent time.Duration) {
+	c.init()
+	c.do(func() {
+		if c.fresh == nil {
+			return
+		}
+		c.fresh.Read(sent)
+		c.publishProofs()
+	})
+}
+
+// publishProofs lets traffic see the proofs.
+func (c *Control) publishProofs() {
+	p := c.fresh.Proofs()
+	c.proofs.Store(&p)
+}
+
+// tableInForce takes in the table that traffic sees.
+func (c *Control) tableInForce(t *routes.Table) {
+	if c.fresh == nil || t == nil {
+		return
+	}
+	c.fresh.InForce(t.Version)
+	c.publishProofs()
+}
+
+// tell returns news together with this node's proof.
+func (c *Control) tell(news follow.News) told {
+	if c.fresh == nil {
+		return told{News: news}
+	}
+	return told{
+		News:  news,
+		Proof: c.fresh.Tell(c.Clock()),
+	}
+}
+
+// hearProof takes in another node's proof, and asks that node if its clock is not known.
+func (c *Control) hearProof(from string, p freshness.Told) {
+	if c.fresh == nil {
+		return
+	}
+	known := c.fresh.Hear(p, c.Clock())
+	c.publishProofs()
+	r, ok := c.members.set.Get(from)
+	if known || !ok || c.fresh.asking[from] {
+		return
+	}
+	client := c.client(r.Addr)
+	c.fresh.asking[from] = true
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), newsTimeout)
+		defer cancel()
+		asked := c.Clock()
+		reply, err := ask[struct{}, told](ctx, client, topicAskNews, struct{}{})
+		if err != nil {
+			c.Log.Debug().Err(err).Str("peer", from).Msg("clock not told")
+		}
+		c.do(func() {
+			delete(c.fresh.asking, from)
+			c.proofReplied(asked, reply.Proof)
+		})
+	}()
+}
+
+// proofReplied takes in a proof from the reply to a question that was asked at the given
+// reading of the clock.
+func (c *Control) proofReplied(asked time.Duration, p freshness.Told) {
+	if c.fresh == nil {
+		return
+	}
+	c.fresh.Answered(asked, p, c.Clock())
+	c.publishProofs()
+}
+
+// freshen returns what to do in place of waiting if the proof gets old. A node that has not
+// heard of a read reads when it is its turn, as where the proof is young.
+func (c *Control) freshen(action follow.Action, now time.Time) follow.Action {
+	if c.fresh == nil || action != follow.Wait {
+		return action
+	}
+	reading := c.Clock()
+	age := c.fresh.Proofs().Age(c.snapshotVersion(), reading)
+	if !age.Known {
+		age.Time = reading - c.fresh.started
+	}
+	part := func(p float64) time.Duration { return time.Duration(p * float64(c.FreshWithin)) }
+	if age.Known && age.Time < part(freshAskPart) || reading-c.fresh.tried < part(freshRetryPart) {
+		return action
+	}
+	c.fresh.tried = reading
+	if age.Time > part(freshReadPart) && c.reads.Heard(now) {
+		return follow.Read
+	}
+	return follow.Ask
+}
+
+// snapshotVersion returns the version of the table that traffic sees, or 0.
+func (c *Control) snapshotVersion() uint64 {
+	if t := c.snapshot.Load().Table; t != nil {
+		return t.Version
+	}
+	return 0
+}
--- a/control/reads.go
+++ b/control/reads.go
@@ -45,6 +45,7 @@
 		now := time.Now()
 		var at time.Time
 		action, at = c.reads.Next(c.place(now), now)
+		action = c.freshen(action, now)
 		after, watchFor = at.Sub(now), c.reads.WatchFor()
 	})
 	return action, after, watchFor
@@ -74,12 +75,16 @@
 			go func() {
 				ctx, cancel := context.WithTimeout(ctx, newsTimeout)
 				defer cancel()
-				news, err := ask[struct{}, follow.News](ctx, t.Client, topicAskNews, struct{}{})
+				asked := c.reading()
+				news, err := ask[struct{}, told](ctx, t.Client, topicAskNews, struct{}{})
 				if err != nil {
 					c.Log.Debug().Err(err).Str("peer", t.ID).Msg("news not told")
 					return
 				}
-				c.do(func() { c.hearNews(t.ID, news) })
+				c.do(func() {
+					c.proofReplied(asked, news.Proof)
+					c.hearNews(t.ID, news)
+				})
 			}()
 		}
 	})
@@ -120,10 +125,11 @@
 }
 
 // hearNews takes in news from another node.
-func (c *Control) hearNews(from string, news follow.News) {
-	if c.reads.Hear(news, time.Now()) {
+func (c *Control) hearNews(from string, news told) {
+	if c.reads.Hear(news.News, time.Now()) {
 		c.fetchTable(from)
 	}
+	c.hearProof(from, news.Proof)
 	c.passNews()
 	c.wake()
 }
@@ -142,7 +148,7 @@
 	if !ok {
 		return
 	}
-	payload, err := msgpack.Marshal(news)
+	payload, err := msgpack.Marshal(c.tell(news))
 	if err != nil {
 		c.Log.Error().Err(err).Msg("news not encoded")
 		return
@@ -191,14 +197,14 @@
 	}
 	switch topic {
 	case topicNews:
-		news, err := unpack[follow.News](payload)
+		news, err := unpack[told](payload)
 		if err != nil {
 			return nil, true, err
 		}
 		c.hearNews(from.Node, news)
 		return nil, true, nil
 	case topicAskNews:
-		return c.reads.Tell(time.Now()), true, nil
+		return c.tell(c.reads.Tell(time.Now())), true, nil
 	case topicTable:
 		return records[rollout.Config]{Records: c.configs.get([]string{rollout.Whole, rollout.Evacuated})}, true, nil
 	}
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -75,6 +75,7 @@
 	}
 	next.Ready = len(next.Sequences) > 0 || c.table != nil
 	c.snapshot.Store(next)
+	c.tableInForce(next.Table)
 	c.Published(next)
 }
 
--- /dev/null
+++ b/follow/heard.go
@@ -0,0 +1,11 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package follow
+
+import "time"
+
+// Heard returns whether a read was answered, here or elsewhere, that is too young for the
+// node to read by itself.
+func (s *State) Heard(now time.Time) bool { return now.Sub(s.fresh) < s.part(leastPart) }
--- a/node/follow.go
+++ b/node/follow.go
@@ -10,6 +10,7 @@
 
 	"sassafrasfront.example/evacuation"
 	"sassafrasfront.example/follow"
+	"sassafrasfront.example/internal/boottime"
 	"sassafrasfront.example/objectapi"
 )
 
@@ -17,6 +18,10 @@
 type configReader struct {
 	table *objectapi.Reader
 	zones *evacuation.Reader // nil where zones are not evacuated
+	// clock, if not nil, is read before each read of the table, and answered called with
+	// that if the platform answers it.
+	clock    boottime.Clock
+	answered func(sent time.Duration)
 }
 
 // reader reads the table of routes and the evacuated zones.
@@ -27,6 +32,8 @@
 			Kind:  n.Platform.Kind,
 			Found: n.tableFound,
 		},
+		clock:    n.control.Clock,
+		answered: n.control.Confirm,
 	}
 	if n.Settings.EvacuateWithin > 0 {
 		r.zones = &evacuation.Reader{
@@ -46,25 +53,48 @@
 			return err
 		}
 	}
-	return r.table.First(ctx)
+	if err := r.table.First(ctx); err != nil || r.clock == nil {
+		return err
+	}
+	return r.readTable(ctx, 0) // the first read does not tell how old the table is
+}
+
+// readTable finds what has changed in the table.
+func (r *configReader) readTable(ctx context.Context, wait time.Duration) error {
+	if r.clock == nil {
+		return r.table.Read(ctx, wait)
+	}
+	sent := r.clock()
+	err := r.table.Read(ctx, wait)
+	if err == nil {
+		r.answered(sent)
+	}
+	return err
 }
 
 // Read finds what has changed in the table, as soon as something does or after the given
 // time, and then the zones as they are.
 func (r *configReader) Read(ctx context.Context, wait time.Duration) error {
-	err := r.table.Read(ctx, wait)
+	err := r.readTable(ctx, wait)
 	if err != nil || r.zones == nil {
 		return err
 	}
 	return r.zones.Read(ctx)
 }
 
+// readsInRevoke is how many times a change must be able to come within RevokeWithin: a node
+// that has just missed one still knows of the next in time.
+const readsInRevoke = 2
+
 // configWithin returns the time within which a change of either part has to be in force.
 func (n *Node) configWithin() time.Duration {
 	within := n.Settings.ConfigWithin
 	if e := n.Settings.EvacuateWithin; e > 0 {
 		within = min(within, e)
 	}
+	if r := n.Settings.RevokeWithin; r > 0 {
+		within = min(within, r/readsInRevoke)
+	}
 	return within
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -86,6 +86,7 @@
 	lines      keyvalue.Limit
 	successes  atomic.Uint64
 	configured atomic.Bool // whether the gate knows its service
+	keysStale  atomic.Bool // whether keys can't be judged, as the last request with one found
 	loadAsked  chan chan struct{}
 	asks       *rate.Limiter
 
@@ -261,6 +262,7 @@
 	n.gate.Ask = n.askLoad
 	n.control.Template = n.template
 	n.control.Within = n.configWithin()
+	n.keepFresh()
 	store := n.storeClient()
 	n.metrics.platformCalls = store.Calls
 	n.api = n.Platform.API(store)
@@ -439,6 +441,7 @@
 		h.Resolver = &caller.ByRoute{
 			Table:   func() *routes.Table { return n.control.Snapshot().Table },
 			Service: func(name string) *entry.Service { return n.control.Snapshot().Services[name] },
+			Keys:    n.keys(),
 		}
 	}
 	return h
--- a/node/template.go
+++ b/node/template.go
@@ -123,26 +123,65 @@
 	objective time.Duration
 }
 
-// kinds returns the kinds of the routes that lead to a service, the least urgent
-// first: of those with the same priority, the one with the longest objective.
+// kinds returns the kinds of the routes that lead to a service, with their own priorities
+// and those of organisations, the least urgent first: of those with the same priority, the
+// one with the longest objective. Those that an operator's service may not have any more
+// are left out; such requests have their routes' priority.
 func kinds(t *routes.Table, service string) []kind {
 	var list []kind
-	for _, r := range t.Routes {
+	add := func(priority int, objective time.Duration) {
 		k := kind{
-			priority:  r.Priority,
-			objective: r.Objective,
+			priority:  priority,
+			objective: objective,
 		}
-		leads := slices.ContainsFunc(r.Parts, func(p routes.Part) bool { return p.Service == service })
-		if leads && !slices.Contains(list, k) {
+		if !slices.Contains(list, k) {
 			list = append(list, k)
 		}
 	}
+	keyed := keyedObjectives(t, service, add)
+	for _, p := range organisationPriorities(t) {
+		for _, objective := range keyed {
+			if len(list) < operator.MaxClasses {
+				add(p, objective)
+			}
+		}
+	}
 	slices.SortFunc(list, func(a, b kind) int {
 		return cmp.Or(-cmp.Compare(a.priority, b.priority), -cmp.Compare(a.objective, b.objective))
 	})
 	return list
 }
 
+// keyedObjectives adds the kinds of the routes that lead to a service, and returns the
+// objectives of those whose requests may take an organisation's priority, in order.
+func keyedObjectives(t *routes.Table, service string, add func(priority int, objective time.Duration)) []time.Duration {
+	var keyed []time.Duration
+	for _, r := range t.Routes {
+		if !slices.ContainsFunc(r.Parts, func(p routes.Part) bool { return p.Service == service }) {
+			continue
+		}
+		add(r.Priority, r.Objective)
+		if t.Keyed && !r.Public {
+			keyed = append(keyed, r.Objective)
+		}
+	}
+	slices.Sort(keyed)
+	return slices.Compact(keyed)
+}
+
+// organisationPriorities returns the priorities that organisations have in place of their
+// routes', in order.
+func organisationPriorities(t *routes.Table) []int {
+	var list []int
+	for _, o := range t.Organisations {
+		if o.Priority != nil {
+			list = append(list, *o.Priority)
+		}
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
 // classes returns a class for each kind of the routes that lead to the service.
 func classes(t *routes.Table, service string) []operator.Class {
 	weight := 1.0
--- a/operator/check.go
+++ b/operator/check.go
@@ -60,8 +60,9 @@
 
 // The bounds of a Service's fields.
 const (
-	maxHosts   = 64
-	maxClasses = 16
+	maxHosts = 64
+	// MaxClasses is the most classes.
+	MaxClasses = 16
 	maxTimeout = Duration(time.Hour)
 	// maxCrossing bounds what another zone may cost, in service times.
 	maxCrossing = 100.0
@@ -122,7 +123,7 @@
 }
 
 func (s Service) checkClasses(f *Faults) {
-	f.add(len(s.Classes) <= maxClasses, "classes", "%d classes are over %d", len(s.Classes), maxClasses)
+	f.add(len(s.Classes) <= MaxClasses, "classes", "%d classes are over %d", len(s.Classes), MaxClasses)
 	seen := make(map[string]bool)
 	for i, c := range s.Classes {
 		field := fmt.Sprintf("classes[%d]", i)
--- a/upstream/names.go
+++ b/upstream/names.go
@@ -14,6 +14,8 @@
 	Timeout string
 	// CallerService bears the service that a request comes from.
 	CallerService string
+	// Organisation bears the name of the organisation on whose behalf a request is sent.
+	Organisation string
 	// Expected bears the start of the upstream that a request is meant for. An
 	// upstream of another start does not run it and answers 421.
 	Expected string
--- a/verdict/cause.go
+++ b/verdict/cause.go
@@ -24,6 +24,10 @@
 	HeadTooLarge Cause = "headTooLarge"
 	// NotReady: the node holds no accepted configuration yet.
 	NotReady Cause = "notReady"
+	// Unauthorized: the request shows no key of an organisation where one is needed.
+	Unauthorized Cause = "unauthorized"
+	// NotFresh: the node has not heard for too long which keys are valid.
+	NotFresh Cause = "notFresh"
 	// NoUpstream: the service has no upstream that takes requests.
 	NoUpstream Cause = "noUpstream"
 	// DeadlinePassed: the deadline passed before the request was sent on.
@@ -106,6 +110,8 @@
 	TooLarge:           {Verdict: NotRun, Status: http.StatusRequestEntityTooLarge},
 	HeadTooLarge:       {Verdict: NotRun, Status: http.StatusRequestHeaderFieldsTooLarge},
 	NotReady:           {Verdict: NotRun, Status: http.StatusServiceUnavailable},
+	Unauthorized:       {Verdict: NotRun, Status: http.StatusUnauthorized},
+	NotFresh:           {Verdict: NotRun, Status: http.StatusServiceUnavailable},
 	NoUpstream:         {Verdict: NotRun, Status: http.StatusServiceUnavailable},
 	DeadlinePassed:     {Verdict: NotRun, Status: http.StatusServiceUnavailable},
 	DialFailed:         {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
