--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 fuzz:
 	go test ./peer -run XXX -fuzz FuzzFrames -fuzztime 20000x
 	go test ./caller -run XXX -fuzz FuzzHeader -fuzztime 5000x
+	go test ./caller -run XXX -fuzz FuzzAuthorization -fuzztime 5000x
 	go test ./platform -run XXX -fuzz FuzzHeartbeat -fuzztime 5000x
 	go test ./platform -run XXX -fuzz FuzzStoreAnswer -fuzztime 3000x
 	go test ./platform -run XXX -fuzz FuzzTable -fuzztime 5000x
--- /dev/null
+++ b/caller/keys_test.go
@@ -0,0 +1,282 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package caller_test
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"sassafrasfront.example/caller"
+	"sassafrasfront.example/entry"
+	"sassafrasfront.example/freshness"
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/organisation"
+	"sassafrasfront.example/routes"
+	"sassafrasfront.example/upstream"
+	"sassafrasfront.example/verdict"
+)
+
+// key is the key of the organisation "right", whose name the field organisationField bears.
+const (
+	key               = "2thhkmgjqnirth5mgjy5"
+	organisationField = "X-Organisation"
+)
+
+// taken is a Dispatcher that keeps the requests that it gets.
+type taken struct {
+	requests []*entry.Request
+}
+
+func (d *taken) Do(_ context.Context, r *entry.Request) (*entry.Result, *verdict.Error) {
+	d.requests = append(d.requests, r)
+	return nil, verdict.New(verdict.Refused, nil)
+}
+
+// values returns the values of a field of the one request that was taken.
+func (d *taken) values(name string) (list []string) {
+	for _, f := range d.requests[0].Header {
+		if f.Name == name {
+			list = append(list, f.Value)
+		}
+	}
+	return list
+}
+
+// keyed returns a handler for a table with organisations, with the routes /keyed/ and
+// /public/, and what it dispatches to.
+func keyed(t testing.TB, keys caller.Keys) (*caller.Handler, *taken) {
+	urgent, unknown := 0, 7
+	table, err := routes.New(routes.Table{
+		Version: 8,
+		Keyed:   true,
+		Organisations: []organisation.Organisation{
+			{Name: "right", Keys: []organisation.Digest{organisation.DigestOf(key)}},
+			{Name: "urgent", Keys: []organisation.Digest{organisation.DigestOf("urgent")}, Priority: &urgent},
+			{Name: "odd", Keys: []organisation.Digest{organisation.DigestOf("odd")}, Priority: &unknown},
+			{Name: "near", Keys: []organisation.Digest{organisation.DigestOf("near")}, Regions: []string{"r1", "r3"}},
+			{Name: "far", Keys: []organisation.Digest{organisation.DigestOf("far")}, Regions: []string{"r9"}},
+		},
+		Routes: []routes.Route{
+			{Name: "keyed", Host: "h", Prefix: "/keyed/", Timeout: time.Second, Priority: 1, Parts: []routes.Part{{Service: "s", Weight: 1}}},
+			{Name: "bound", Host: "h", Prefix: "/bound/", Timeout: time.Second, Priority: 1, Regions: []string{"r1", "r2"}, Parts: []routes.Part{{Service: "s", Weight: 1}}},
+			{Name: "public", Host: "h", Prefix: "/public/", Timeout: time.Second, Priority: 1, Public: true, Parts: []routes.Part{{Service: "s", Weight: 1}}},
+		},
+	})
+	qt.Assert(t, err, qt.IsNil)
+	service := &entry.Service{Name: "s", Config: operator.Service{
+		Classes: []operator.Class{{Name: "priority1-0ms"}, {Name: "priority0-0ms"}},
+	}.WithDefaults()}
+	d := new(taken)
+	return &caller.Handler{
+		Beside: true,
+		Names:  upstream.Names{RequestID: "X-Request-Id", Timeout: "X-Timeout", Organisation: organisationField, FractionalRetryAfter: true},
+		Resolver: &caller.ByRoute{
+			Table:   func() *routes.Table { return table },
+			Service: func(string) *entry.Service { return service },
+			Keys:    keys,
+		},
+		Dispatcher: d,
+		Tracer:     noop.NewTracerProvider().Tracer(""),
+	}, d
+}
+
+// ask has a handler take a request with the given head lines.
+func ask(t testing.TB, h http.Handler, path string, lines ...string) *httptest.ResponseRecorder {
+	raw := "POST " + path + " HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n" + strings.Join(append(lines, ""), "\r\n") + "\r\nhi"
+	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(raw)))
+	qt.Assert(t, err, qt.IsNil)
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w
+}
+
+// TestAuthorization has one row for each way in which a caller shows a key, or none.
+func TestAuthorization(t *testing.T) {
+	const admitted = http.StatusServiceUnavailable // by the dispatcher that refuses all
+	long := strings.Repeat("k", 8<<10)
+	for name, row := range map[string]struct {
+		lines  []string
+		status int
+		says   string // WWW-Authenticate
+	}{
+		"a key":                         {[]string{"Authorization: Bearer " + key}, admitted, ""},
+		"the scheme in other case":      {[]string{"AUTHORIZATION: bEARER " + key}, admitted, ""},
+		"spaces after it":               {[]string{"Authorization: Bearer " + key + "  \t"}, admitted, ""},
+		"spaces before it":              {[]string{"Authorization:    Bearer   " + key}, admitted, ""},
+		"named in Connection":           {[]string{"Connection: authorization", "Authorization: Bearer " + key}, admitted, ""},
+		"none":                          {nil, 401, "Bearer"},
+		"empty":                         {[]string{"Authorization:"}, 401, `Bearer error="invalid_token"`},
+		"no key":                        {[]string{"Authorization: Bearer"}, 401, `Bearer error="invalid_token"`},
+		"another key":                   {[]string{"Authorization: Bearer nobody"}, 401, `Bearer error="invalid_token"`},
+		"the key in other case":         {[]string{"Authorization: Bearer " + strings.ToUpper(key)}, 401, `Bearer error="invalid_token"`},
+		"the start of a key":            {[]string{"Authorization: Bearer " + key[:10]}, 401, `Bearer error="invalid_token"`},
+		"more than a key":               {[]string{"Authorization: Bearer " + key + "x"}, 401, `Bearer error="invalid_token"`},
+		"two words":                     {[]string{"Authorization: Bearer " + key + " " + key}, 401, `Bearer error="invalid_token"`},
+		"two keys":                      {[]string{"Authorization: Bearer " + key + "," + key}, 401, `Bearer error="invalid_token"`},
+		"twice the same":                {[]string{"Authorization: Bearer " + key, "Authorization: Bearer " + key}, 401, `Bearer error="invalid_token"`},
+		"a good and a bad one":          {[]string{"Authorization: Bearer " + key, "authorization: Bearer another-key"}, 401, `Bearer error="invalid_token"`},
+		"another scheme":                {[]string{"Authorization: Basic " + key}, 401, `Bearer error="invalid_token"`},
+		"no scheme":                     {[]string{"Authorization: " + key}, 401, `Bearer error="invalid_token"`},
+		"a tab":                         {[]string{"Authorization: Bearer\t" + key}, 401, `Bearer error="invalid_token"`},
+		"8 kB":                          {[]string{"Authorization: Bearer " + long}, 401, `Bearer error="invalid_token"`},
+		"not ASCII":                     {[]string{"Authorization: Bearer k\xc3\xa9y"}, 401, `Bearer error="invalid_token"`},
+		"as a proxy's":                  {[]string{"Proxy-Authorization: Bearer " + key}, 401, "Bearer"},
+		"by the name":                   {[]string{organisationField + ": right"}, 401, "Bearer"},
+		"by the name, as a call inside": {[]string{organisationField + ": right", "X-Request-Id: a.b"}, 401, "Bearer"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, d := keyed(t, caller.Keys{})
+			w := ask(t, h, "/keyed/x", row.lines...)
+			qt.Check(t, w.Code, qt.Equals, row.status, qt.Commentf("%s", w.Body))
+			qt.Check(t, w.Header().Get("WWW-Authenticate"), qt.Equals, row.says)
+			qt.Check(t, len(d.requests), qt.Equals, map[bool]int{true: 1}[row.status == admitted])
+			for _, line := range row.lines {
+				_, sent, _ := strings.Cut(line, "Bearer ")
+				if sent != "" {
+					qt.Check(t, strings.Contains(w.Body.String(), strings.TrimSpace(sent)), qt.IsFalse, qt.Commentf("%s", w.Body))
+				}
+			}
+			if row.status == admitted {
+				qt.Check(t, d.requests[0].Organisation, qt.Equals, "right")
+				qt.Check(t, d.values(organisationField), qt.DeepEquals, []string{"right"})
+				qt.Check(t, d.values("Authorization"), qt.IsNil)
+			}
+		})
+	}
+}
+
+// TestOrganisationIsNamed has callers that try to name an organisation themselves, or to
+// have the name or the key treated as another field.
+func TestOrganisationIsNamed(t *testing.T) {
+	auth := "Authorization: Bearer " + key
+	for name, row := range map[string]struct {
+		path          string
+		lines         []string
+		organisation  []string
+		authorization []string
+	}{
+		"forged":              {"/keyed/x", []string{auth, organisationField + ": other"}, []string{"right"}, nil},
+		"forged twice":        {"/keyed/x", []string{auth, "x-ORGANISATION: other", organisationField + ": third"}, []string{"right"}, nil},
+		"named as hop-by-hop": {"/keyed/x", []string{auth, "Connection: x-organisation, close"}, []string{"right"}, nil},
+		"public":              {"/public/x", nil, nil, nil},
+		"public, forged":      {"/public/x", []string{organisationField + ": other", organisationField + ": right"}, nil, nil},
+		"public, a key":       {"/public/x", []string{auth}, nil, nil},
+		"public, two":         {"/public/x", []string{"Authorization: Basic dTpw", "Authorization: bearer x"}, nil, nil},
+		"public, of another":  {"/public/x", []string{"Authorization: Basic dTpw"}, nil, []string{"Basic dTpw"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, d := keyed(t, caller.Keys{})
+			w := ask(t, h, row.path, row.lines...)
+			qt.Assert(t, len(d.requests), qt.Equals, 1, qt.Commentf("%s", w.Body))
+			qt.Check(t, d.values(organisationField), qt.DeepEquals, row.organisation)
+			qt.Check(t, d.values("Authorization"), qt.DeepEquals, row.authorization)
+			qt.Check(t, d.values("Connection"), qt.IsNil)
+		})
+	}
+}
+
+// TestOrganisationBinds has what an organisation sets besides the route.
+func TestOrganisationBinds(t *testing.T) {
+	for name, row := range map[string]struct {
+		path, key string
+		class     string
+		regions   []string
+		status    int
+	}{
+		"nothing":                     {"/keyed/x", key, "priority1-0ms", nil, 503},
+		"a priority":                  {"/keyed/x", "urgent", "priority0-0ms", nil, 503},
+		"one without a class":         {"/keyed/x", "odd", "priority1-0ms", nil, 503},
+		"regions":                     {"/keyed/x", "near", "priority1-0ms", []string{"r1", "r3"}, 503},
+		"the route's regions":         {"/bound/x", key, "priority1-0ms", []string{"r1", "r2"}, 503},
+		"both have regions":           {"/bound/x", "near", "priority1-0ms", []string{"r1"}, 503},
+		"both, and none in common":    {"/bound/x", "far", "", nil, 503},
+		"a public route, with an own": {"/public/x", "urgent", "priority1-0ms", nil, 503},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, d := keyed(t, caller.Keys{})
+			w := ask(t, h, row.path, "Authorization: Bearer "+row.key)
+			qt.Check(t, w.Code, qt.Equals, row.status)
+			if row.class == "" {
+				qt.Check(t, len(d.requests), qt.Equals, 0)
+				return
+			}
+			qt.Assert(t, len(d.requests), qt.Equals, 1)
+			qt.Check(t, d.requests[0].Class, qt.Equals, row.class)
+			qt.Check(t, d.requests[0].Regions, qt.DeepEquals, row.regions)
+		})
+	}
+}
+
+// TestStaleTable has a node that does not know how fresh its table is: what needs a key is
+// refused as not run, and what does not is served.
+func TestStaleTable(t *testing.T) {
+	var told []bool
+	h, d := keyed(t, caller.Keys{
+		Bounds:     freshness.Bounds{Revoke: 5 * time.Second, Apply: 2 * time.Second},
+		Age:        func(uint64) freshness.Age { return freshness.Age{Known: true, Time: 6 * time.Second} },
+		Judged:     func(admitted bool, _ uint64, _ freshness.Age) { told = append(told, admitted) },
+		RetryAfter: 500 * time.Millisecond,
+	})
+	for _, lines := range [][]string{{"Authorization: Bearer " + key}, {"Authorization: Bearer added-just-now"}} {
+		w := ask(t, h, "/keyed/x", lines...)
+		qt.Check(t, w.Code, qt.Equals, 503)
+		qt.Check(t, w.Header().Get("Retry-After"), qt.Equals, "0.500")
+		qt.Check(t, w.Header().Get(upstream.VerdictHeader), qt.Equals, "notRun")
+		qt.Check(t, strings.Contains(w.Body.String(), `"notFresh"`), qt.IsTrue, qt.Commentf("%s", w.Body))
+	}
+	qt.Check(t, ask(t, h, "/keyed/x").Code, qt.Equals, 401, qt.Commentf("no table admits it"))
+	qt.Check(t, ask(t, h, "/nowhere/").Code, qt.Equals, 404)
+	qt.Check(t, len(d.requests), qt.Equals, 0)
+	qt.Check(t, told, qt.DeepEquals, []bool{false}, qt.Commentf("of the key that the table has"))
+	ask(t, h, "/public/x", "Authorization: Bearer "+key)
+	qt.Check(t, len(d.requests), qt.Equals, 1)
+}
+
+// FuzzAuthorization has fields of any form: whoever gets in has sent the one key in one
+// field, and nobody's key or name is passed on.
+func FuzzAuthorization(f *testing.F) {
+	f.Add("Authorization", "Bearer "+key, "X-A", "b")
+	f.Add("authorization", "bearer  "+key+" ", "Connection", "X-Organisation")
+	f.Add("Authorization", "Bearer "+key, "Authorization", "Bearer "+key)
+	f.Add("X-Organisation", "right", "X-organisation", "right")
+	f.Add("Authorization", "Bearer "+strings.Repeat("k", 9000), "Transfer-Encoding", "chunked")
+	f.Fuzz(func(t *testing.T, name, value, other, second string) {
+		raw := "GET /keyed/ HTTP/1.1\r\nHost: h\r\n" + name + ": " + value + "\r\n" + other + ": " + second + "\r\n\r\n"
+		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(raw)))
+		if err != nil {
+			return
+		}
+		sent := slices.Clone(r.Header["Authorization"])
+		h, d := keyed(t, caller.Keys{})
+		h.ServeHTTP(httptest.NewRecorder(), r)
+		if len(d.requests) == 0 {
+			return
+		}
+		if len(sent) != 1 || !strings.HasSuffix(sent[0], " "+key) && !isOther(sent[0]) {
+			t.Fatalf("admitted with %q", sent)
+		}
+		if got := d.values(organisationField); len(got) != 1 || got[0] != d.requests[0].Organisation {
+			t.Fatalf("named %q", got)
+		}
+		if got := d.values("Authorization"); got != nil {
+			t.Fatalf("passed on %q", got)
+		}
+	})
+}
+
+// isOther returns whether a field bears one of the other keys of the table.
+func isOther(value string) bool {
+	_, sent, _ := strings.Cut(value, " ")
+	return slices.Contains([]string{"urgent", "odd", "near", "far"}, strings.TrimSpace(sent))
+}
--- /dev/null
+++ b/caller/trailer_test.go
@@ -0,0 +1,30 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package caller
+
+import (
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/upstream"
+)
+
+// TestTrailer has a trailer with fields that are the node's to set, or that bear a key: an
+// upstream may merge it into the header.
+func TestTrailer(t *testing.T) {
+	b := &streamedBody{
+		request: &http.Request{Trailer: http.Header{
+			"Authorization":  {"Bearer key"},
+			"X-Organisation": {"other"},
+			"X-Request-Id":   {"other"},
+			"X-Sum":          {"1"},
+		}},
+		withheld: withheld(upstream.Names{RequestID: "X-Request-Id", Organisation: "X-Organisation"}),
+	}
+	qt.Check(t, b.Trailer(), qt.DeepEquals, []peer.Field{{Name: "X-Sum", Value: "1"}})
+}
--- a/freshness/bounds.go
+++ b/freshness/bounds.go
@@ -50,7 +50,7 @@
 // Judge returns what is to be done with a request whose key the table has, or has not.
 func (b Bounds) Judge(a Age, held bool) Judgement {
 	switch {
-	case held && b.Revoke > 0 && !a.within(b.Revoke):
+	case b.Revoke > 0 && !a.within(b.Revoke):
 		return Stale
 	case held:
 		return Valid
--- /dev/null
+++ b/freshness/state_test.go
@@ -0,0 +1,309 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package freshness_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"sassafrasfront.example/freshness"
+)
+
+// teller is another node, whose clock shows ahead more than the tested node's.
+type teller struct {
+	*freshness.State
+	ahead time.Duration
+}
+
+// tell returns what it tells at a moment by the tested node's clock.
+func (t *teller) tell(now time.Duration) freshness.Told { return t.Tell(now + t.ahead) }
+
+// newTeller returns a node that has a version, read at a moment by the tested node's clock.
+func newTeller(ahead time.Duration, version uint64, read time.Duration) *teller {
+	t := &teller{State: freshness.New(), ahead: ahead}
+	t.InForce(version)
+	t.Read(read + ahead)
+	return t
+}
+
+const ms = time.Millisecond
+
+// TestAge has what makes a proof older, and what a node must not take for one.
+func TestAge(t *testing.T) {
+	const ahead = time.Hour
+	for name, row := range map[string]struct {
+		do   func(s *freshness.State)
+		want time.Duration // the age of version 5 at 10 s, or 0 if it is not known
+	}{
+		"nothing": {func(*freshness.State) {}, 0},
+		"own read": {func(s *freshness.State) {
+			s.Read(9 * time.Second)
+		}, time.Second},
+		"an earlier read answered later": {func(s *freshness.State) {
+			s.Read(9 * time.Second)
+			s.Read(8 * time.Second)
+		}, time.Second},
+		"told by a clock that is not known": {func(s *freshness.State) {
+			o := newTeller(ahead, 5, 9*time.Second)
+			qt.Check(t, s.Hear(o.tell(9500*ms), 9600*ms), qt.IsFalse)
+		}, 0},
+		"told in a reply": {func(s *freshness.State) {
+			o := newTeller(ahead, 5, 9*time.Second)
+			s.Answered(9400*ms, o.tell(9500*ms), 9600*ms)
+		}, 1100 * ms},
+		"the reply was delayed": {func(s *freshness.State) {
+			o := newTeller(ahead, 5, 1*time.Second)
+			s.Answered(1400*ms, o.tell(1500*ms), 9600*ms)
+		}, 9100 * ms},
+		"the question was delayed": {func(s *freshness.State) {
+			o := newTeller(ahead, 5, 9*time.Second)
+			s.Answered(2*time.Second, o.tell(9500*ms), 9600*ms)
+		}, 8500 * ms},
+		"a known clock, the news was delayed": {func(s *freshness.State) {
+			o := newTeller(ahead, 5, 1*time.Second)
+			s.Answered(1990*ms, o.tell(2*time.Second), 2010*ms)
+			o.Read(3*time.Second + ahead)
+			late := o.tell(3100 * ms)
+			qt.Check(t, s.Hear(late, 9900*ms), qt.IsTrue)
+		}, 7010 * ms},
+		"the teller froze before it sent": {func(s *freshness.State) {
+			o := newTeller(ahead, 5, 1*time.Second)
+			s.Answered(1990*ms, o.tell(2*time.Second), 2010*ms)
+			qt.Check(t, s.Hear(o.tell(9*time.Second), 9900*ms), qt.IsTrue)
+		}, 9010 * ms},
+		"a later proof of a later version": {func(s *freshness.State) {
+			s.Read(2 * time.Second)
+			o := newTeller(ahead, 6, 9*time.Second)
+			s.Answered(9400*ms, o.tell(9500*ms), 9600*ms)
+		}, 8 * time.Second},
+		"an earlier version read elsewhere": {func(s *freshness.State) {
+			o := newTeller(ahead, 4, 9*time.Second)
+			s.Answered(9500*ms, o.tell(9500*ms), 9600*ms)
+		}, time.Second},
+		"a moment that the teller has not seen": {func(s *freshness.State) {
+			o := newTeller(ahead, 5, 9*time.Second)
+			told := o.tell(9 * time.Second)
+			told.At += time.Minute
+			s.Answered(9*time.Second, told, 9100*ms)
+		}, 0},
+		"another start of the teller": {func(s *freshness.State) {
+			o := newTeller(ahead, 5, 1*time.Second)
+			s.Answered(1990*ms, o.tell(2*time.Second), 2010*ms)
+			again := newTeller(-ahead, 5, 9*time.Second)
+			qt.Check(t, s.Hear(again.tell(9*time.Second), 9*time.Second), qt.IsFalse)
+		}, 9010 * ms},
+		"a node that tells of no proof": {func(s *freshness.State) {
+			qt.Check(t, s.Hear(freshness.Told{}, 9*time.Second), qt.IsTrue)
+			s.Answered(9*time.Second, freshness.Told{}, 9*time.Second)
+			s.Answered(9*time.Second, freshness.New().Tell(9*time.Second), 9*time.Second)
+		}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := freshness.New()
+			s.InForce(5)
+			row.do(s)
+			age := s.Proofs().Age(5, 10*time.Second)
+			qt.Assert(t, age.Known, qt.Equals, row.want > 0, qt.Commentf("%v", age))
+			if row.want > 0 {
+				const rounding = 20 * ms // what clocks may drift apart over these times
+				qt.Check(t, age.Time >= row.want, qt.IsTrue, qt.Commentf("%v", age))
+				qt.Check(t, age.Time <= row.want+rounding, qt.IsTrue, qt.Commentf("%v", age))
+			}
+		})
+	}
+}
+
+// TestAhead has a node hear of a version that it gets later: the proof counts from then on,
+// and that of the version before until then.
+func TestAhead(t *testing.T) {
+	s := freshness.New()
+	s.InForce(5)
+	s.Read(time.Second)
+	o := newTeller(0, 6, 3*time.Second)
+	s.Answered(4*time.Second, o.tell(4*time.Second), 4*time.Second)
+	qt.Check(t, s.Proofs().Age(5, 5*time.Second).Time, qt.Equals, 4*time.Second)
+	qt.Check(t, s.Proofs().Age(6, 5*time.Second).Time < 2100*ms, qt.IsTrue)
+	qt.Check(t, s.Proofs().Age(4, 5*time.Second).Known, qt.IsFalse)
+	s.InForce(6)
+	qt.Check(t, s.Proofs().Age(6, 5*time.Second).Time < 2100*ms, qt.IsTrue)
+	qt.Check(t, s.Proofs().Age(5, 5*time.Second).Known, qt.IsFalse, qt.Commentf("traffic sees 6 by then"))
+}
+
+// TestManyClocks hears more clocks than are kept.
+func TestManyClocks(t *testing.T) {
+	s := freshness.New()
+	s.InForce(1)
+	var first *teller
+	for i := range 1000 {
+		now := time.Duration(i) * ms
+		o := newTeller(time.Duration(i)*time.Second, 1, now)
+		if first == nil {
+			first = o
+		}
+		s.Answered(now, o.tell(now), now)
+		qt.Assert(t, s.Hear(o.tell(now), now), qt.IsTrue)
+	}
+	qt.Check(t, s.Hear(first.tell(time.Second), time.Second), qt.IsFalse)
+}
+
+// TestRenewal asks again for a clock that has been known for long.
+func TestRenewal(t *testing.T) {
+	s := freshness.New()
+	s.InForce(1)
+	o := newTeller(time.Minute, 1, 0)
+	s.Answered(time.Second, o.tell(time.Second), time.Second)
+	qt.Check(t, s.Hear(o.tell(10*time.Second), 10*time.Second), qt.IsTrue)
+	qt.Check(t, s.Hear(o.tell(40*time.Second), 40*time.Second), qt.IsFalse)
+	s.Answered(40*time.Second, o.tell(40*time.Second), 40*time.Second)
+	qt.Check(t, s.Hear(o.tell(50*time.Second), 50*time.Second), qt.IsTrue)
+}
+
+// TestJudge has the bounds.
+func TestJudge(t *testing.T) {
+	age := func(d time.Duration) freshness.Age { return freshness.Age{Known: true, Time: d} }
+	strict := freshness.Bounds{Revoke: 5 * time.Second, Apply: 2 * time.Second}
+	for name, row := range map[string]struct {
+		bounds freshness.Bounds
+		age    freshness.Age
+		held   bool
+		want   freshness.Judgement
+	}{
+		"fresh, held":                  {strict, age(time.Second), true, freshness.Valid},
+		"fresh, not held":              {strict, age(time.Second), false, freshness.Unknown},
+		"old, held":                    {strict, age(3 * time.Second), true, freshness.Valid},
+		"old, not held, may be added":  {strict, age(3 * time.Second), false, freshness.Stale},
+		"just below the bound":         {strict, age(4980 * ms), true, freshness.Valid},
+		"at the bound by a fast clock": {strict, age(4995 * ms), true, freshness.Stale},
+		"beyond the bound":             {strict, age(6 * time.Second), true, freshness.Stale},
+		"never confirmed, held":        {strict, freshness.Age{}, true, freshness.Stale},
+		"never confirmed, not held":    {strict, freshness.Age{}, false, freshness.Stale},
+		"not strict, held":             {freshness.Bounds{}, freshness.Age{}, true, freshness.Valid},
+		"not strict, not held":         {freshness.Bounds{}, freshness.Age{}, false, freshness.Unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			qt.Check(t, row.bounds.Judge(row.age, row.held), qt.Equals, row.want)
+		})
+	}
+	qt.Check(t, age(1234567*time.Microsecond).String(), qt.Equals, "1234 ms")
+	qt.Check(t, freshness.Age{}.String(), qt.Equals, "an unknown time")
+}
+
+// drawn is a system that TestNeverYounger draws: nodes whose clocks differ in what they
+// show and in rate, messages that are delayed or lost, and a key that is revoked by a later
+// version.
+type drawn struct {
+	t      *rapid.T
+	now    float64 // true time, s
+	nodes  []*drawnNode
+	acks   []float64 // when version i+1 was acknowledged
+	flying []func()
+}
+
+type drawnNode struct {
+	*freshness.State
+	shows, rate float64
+	version     uint64
+}
+
+func (n *drawnNode) clock(now float64) time.Duration {
+	return time.Duration((n.shows + n.rate*now) * float64(time.Second))
+}
+
+// TestNeverYounger draws reads, news, replies, delays of any length, restarts and
+// suspensions (a node that does nothing while its clock goes on), and checks at each step
+// that no node takes its table for younger than it is: what a proof of a version vouches for
+// was acknowledged by then.
+func TestNeverYounger(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := &drawn{t: t, acks: []float64{0}}
+		for range rapid.IntRange(2, 5).Draw(t, "nodes") {
+			d.nodes = append(d.nodes, d.start())
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"wait":    func(t *rapid.T) { d.now += rapid.Float64Range(0, 4).Draw(t, "s") },
+			"change":  func(*rapid.T) { d.acks = append(d.acks, d.now) },
+			"read":    d.read,
+			"tell":    d.tell,
+			"ask":     d.ask,
+			"restart": func(t *rapid.T) { d.nodes[d.index(t)] = d.start() },
+			"arrive": func(t *rapid.T) {
+				if len(d.flying) == 0 {
+					t.Skip("nothing is under way")
+				}
+				i := rapid.IntRange(0, len(d.flying)-1).Draw(t, "message")
+				arrive := d.flying[i]
+				d.flying = append(d.flying[:i], d.flying[i+1:]...)
+				arrive()
+			},
+			"": d.check,
+		})
+	})
+}
+
+// start returns a node that starts: 500 ppm at most from true time, as the kernel allows.
+func (d *drawn) start() *drawnNode {
+	return &drawnNode{
+		State: freshness.New(),
+		shows: rapid.Float64Range(0, 1e6).Draw(d.t, "shows"),
+		rate:  rapid.Float64Range(1-5e-4, 1+5e-4).Draw(d.t, "rate"),
+	}
+}
+
+func (d *drawn) index(t *rapid.T) int { return rapid.IntRange(0, len(d.nodes)-1).Draw(t, "node") }
+
+// read has a node read the platform, which looks at any moment before the answer arrives.
+func (d *drawn) read(t *rapid.T) {
+	n := d.nodes[d.index(t)]
+	sent := n.clock(d.now)
+	d.flying = append(d.flying, func() {
+		found := uint64(len(d.acks))
+		d.flying = append(d.flying, func() {
+			n.version = max(n.version, found)
+			n.InForce(n.version)
+			n.Read(sent)
+		})
+	})
+}
+
+// tell has a node tell another, which may fetch the table later or never.
+func (d *drawn) tell(t *rapid.T) {
+	n, to := d.nodes[d.index(t)], d.nodes[d.index(t)]
+	told, version := n.Tell(n.clock(d.now)), n.version
+	d.flying = append(d.flying, func() { to.Hear(told, to.clock(d.now)) })
+	d.flying = append(d.flying, func() {
+		to.version = max(to.version, version)
+		to.InForce(to.version)
+	})
+}
+
+// ask has a node ask another.
+func (d *drawn) ask(t *rapid.T) {
+	n, other := d.nodes[d.index(t)], d.nodes[d.index(t)]
+	asked := n.clock(d.now)
+	d.flying = append(d.flying, func() {
+		told := other.Tell(other.clock(d.now))
+		d.flying = append(d.flying, func() { n.Answered(asked, told, n.clock(d.now)) })
+	})
+}
+
+// check checks all nodes: a version that was followed by another at a moment can't be known
+// as the latest after that.
+func (d *drawn) check(t *rapid.T) {
+	for i, n := range d.nodes {
+		age := n.Proofs().Age(n.version, n.clock(d.now))
+		if !age.Known || int(n.version) >= len(d.acks) {
+			continue
+		}
+		since := d.now - d.acks[n.version] // when the next version was acknowledged
+		const slowest = 1 - 5e-4
+		if least := time.Duration(since * slowest * float64(time.Second)); age.Time < least-time.Microsecond {
+			t.Fatal(fmt.Sprintf("node %d: version %d was replaced %.4f s ago, and is taken for the latest %v ago", i, n.version, since, age.Time))
+		}
+	}
+}
--- a/node/managed_test.go
+++ b/node/managed_test.go
@@ -35,6 +35,8 @@
 	store *standin.Store
 	url   string
 	nodes []*managed
+	// strict is the nodes' RevokeWithin.
+	strict time.Duration
 }
 
 // managed is a node with its upstream.
@@ -116,8 +118,8 @@
 		Node: "n" + id, Region: "r", Zone: zone, Dialect: settings.DialectManaged,
 		CallerAddress: freeAddr(w.t), PeerAddress: freeAddr(w.t), AnnounceAddress: freeAddr(w.t), OperatorAddress: freeAddr(w.t),
 		PlatformURL: w.url, Service: service, UpstreamAddress: addr, Peers: strings.Join(seeds, ","),
-		EvacuateWithin: 2 * time.Second,
-		RetryRatio:     0.2, RetrySlack: 60, ReportBytes: 20000, ControlBytes: 100000, PlatformCalls: 100,
+		EvacuateWithin: 2 * time.Second, ConfigWithin: 2 * time.Second, RevokeWithin: w.strict,
+		RetryRatio: 0.2, RetrySlack: 60, ReportBytes: 20000, ControlBytes: 100000, PlatformCalls: 100,
 		LeaveDelay: 50 * time.Millisecond, DrainTimeout: 2 * time.Second, MaxHeaderBytes: 1 << 16,
 	}
 	w.nodes = append(w.nodes, m)
