Bearer keys are read by a package of their own; operators see keys and freshness

Tests of the proofs between nodes and of the classes of organisations; explain says what stands behind a 401 and a refusal for want of freshness.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"sassafrasfront.example/bearer"
 	"sassafrasfront.example/entry"
 	"sassafrasfront.example/peer"
 	"sassafrasfront.example/upstream"
@@ -63,7 +64,7 @@
 		h.Set(upstream.GivenUpHeader, "true")
 	}
 	if status == http.StatusUnauthorized {
-		h.Set("WWW-Authenticate", challengeOf(x.r.Header))
+		h.Set("WWW-Authenticate", bearer.Challenge(x.r.Header))
 	}
 	if status == http.StatusServiceUnavailable {
 		h.Set("Retry-After", retryAfter(e.RetryAfter, names.FractionalRetryAfter))
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -19,6 +19,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
+	"sassafrasfront.example/bearer"
 	"sassafrasfront.example/claim"
 	"sassafrasfront.example/entry"
 	"sassafrasfront.example/internal/httpfield"
@@ -317,7 +318,7 @@
 		h.Del(names.Expected)
 	}
 	if t.Keyed {
-		stripKeys(h, t.Organisation == "")
+		bearer.Strip(h, t.Organisation == "")
 		nameOrganisation(h, names.Organisation, t.Organisation)
 	}
 }
--- a/caller/keys.go
+++ b/caller/keys.go
@@ -11,10 +11,12 @@
 
 	"github.com/rotisserie/eris"
 
+	"sassafrasfront.example/bearer"
 	"sassafrasfront.example/freshness"
 	"sassafrasfront.example/operator"
 	"sassafrasfront.example/organisation"
 	"sassafrasfront.example/routes"
+	"sassafrasfront.example/upstream"
 	"sassafrasfront.example/verdict"
 )
 
@@ -35,7 +37,7 @@
 
 // admit returns the target of a request that needs a key, for the organisation that has it.
 func (k *Keys) admit(target *Target, t *routes.Table, route *routes.Route, h http.Header) (*Target, *verdict.Error) {
-	key, err := bearerKey(h)
+	key, err := bearer.Key(h)
 	if err != nil {
 		return nil, verdict.New(verdict.Unauthorized, err)
 	}
@@ -105,3 +107,21 @@
 	}
 	return name
 }
+
+// nameOrganisation sets the field by which the upstream knows the organisation, whatever
+// the caller has sent in it.
+func nameOrganisation(h http.Header, field, name string) {
+	if field == "" {
+		return
+	}
+	h.Del(field)
+	if name != "" {
+		h.Set(field, name)
+	}
+}
+
+// withheld returns the fields that a trailer can't bear: an upstream that merges it into
+// the header would take them for the node's (RFC 9110, section 6.5.1).
+func withheld(names upstream.Names) []string {
+	return []string{bearer.Field, names.RequestID, names.Timeout, names.CallerService, names.Expected, names.Organisation}
+}
--- a/cmd/sassafrasctl/explain.go
+++ b/cmd/sassafrasctl/explain.go
@@ -127,5 +127,14 @@
 	if len(causes) > 0 {
 		text += "; " + strings.Join(causes, "; ")
 	}
+	if hint := hints[end.field("cause")]; hint != "" {
+		text += "; " + end.field("reason") + ": " + hint
+	}
 	return text
 }
+
+// hints say what stands behind causes for which nothing was sent.
+var hints = map[string]string{
+	"unauthorized": "the caller has to show a key that this version holds; a version that has just added one is named by 'configuration in force'",
+	"notFresh":     "the node had not heard for too long which keys are valid; look for 'keys can't be judged' and 'configuration not read' there",
+}
--- a/cmd/sassafrasctl/explain_test.go
+++ b/cmd/sassafrasctl/explain_test.go
@@ -9,6 +9,7 @@
 	"context"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -55,3 +56,21 @@
 		})
 	}
 }
+
+// TestExplainKeys has requests that were refused before anything was sent: the summary gives
+// the reason and where to look.
+func TestExplainKeys(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "n1")
+	log := `time=2026-12-02T10:00:01.103Z level=info event="request ended" cause=unauthorized node=n1 reason="no organisation of version 7 has the key" requestId=r1 status=401 tookMs=0 tries=0 verdict=notRun version=7
+time=2026-12-02T10:00:01.103Z level=info event="request ended" cause=notFresh node=n1 reason="version 7 was known to be the latest 5100 ms ago" requestId=r2 status=503 tookMs=0 tries=0 verdict=notRun version=7
+`
+	qt.Assert(t, os.WriteFile(file, []byte(log), 0o600), qt.IsNil)
+	for id, want := range map[string]string{
+		"r1": "; no organisation of version 7 has the key: the caller has to show a key that this version holds",
+		"r2": "; version 7 was known to be the latest 5100 ms ago: the node had not heard for too long which keys are valid",
+	} {
+		var out, errOut bytes.Buffer
+		qt.Assert(t, execute(context.Background(), []string{"explain", id, file}, &out, &errOut), qt.Equals, 0)
+		qt.Check(t, strings.Contains(out.String(), want), qt.IsTrue, qt.Commentf("%s", out.String()))
+	}
+}
--- /dev/null
+++ b/control/freshness_test.go
@@ -0,0 +1,102 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package control
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"sassafrasfront.example/follow"
+	"sassafrasfront.example/freshness"
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/routes"
+)
+
+// freshWithin is the bound that the nodes of these tests have.
+const freshWithin = 1500 * time.Millisecond
+
+// freshNodes starts nodes whose clocks show different times.
+func (c *cluster) freshNodes(count int) (list []*testNode) {
+	start := time.Now()
+	for i := range count {
+		var contacts []string
+		if i > 0 {
+			contacts = []string{list[0].Self.Addr}
+		}
+		n := c.addAtWith(c.listener(), string(rune('a'+i)), "z", func(k *Control) {
+			k.API = nil
+			k.Contacts = contacts
+			k.Within = 500 * time.Millisecond
+			k.Template = func(*routes.Table, string, int) operator.Service { return operator.Service{}.WithDefaults() }
+			k.Clock = func() time.Duration { return time.Since(start) + time.Duration(i)*time.Hour }
+			k.FreshWithin = freshWithin
+		})
+		list = append(list, n)
+	}
+	for _, n := range list {
+		c.eventually("all have met", func() bool { return n.liveNodes() == len(list) })
+	}
+	return list
+}
+
+// TestProofsReachAll has a platform that answers one of six nodes: all know how fresh their
+// table is by that one's reads. It then answers none: nobody takes the table for younger than
+// the last read that was answered, and all know that it is too old.
+func TestProofsReachAll(t *testing.T) {
+	c := newCluster(t)
+	list := c.freshNodes(6)
+	p := &fakePlatform{version: 1, away: make(map[string]bool)}
+	for _, n := range list[1:] {
+		p.away[n.Self.ID] = true
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for _, n := range list {
+		go p.follow(ctx, n)
+	}
+	const youngEnough = freshWithin / 2
+	check := func(n *testNode) freshness.Age {
+		asked := time.Now()
+		age := n.TableAge(1)
+		if age.Known {
+			least := asked.Sub(p.lastAnswered())
+			qt.Check(t, age.Time >= least, qt.IsTrue, qt.Commentf("%s takes it for %v old, it is %v at least", n.Self.ID, age, least))
+		}
+		return age
+	}
+	for range 5 {
+		for _, n := range list {
+			c.eventually("all know how fresh it is", func() bool {
+				age := check(n)
+				return age.Known && age.Time < youngEnough
+			})
+		}
+	}
+	p.turnAway(list[0].Self.ID)
+	for _, n := range list {
+		c.eventually("all know that it is old", func() bool { return check(n).Time > freshWithin })
+	}
+}
+
+// TestToldIsNews has news with and without a proof: nodes of a version that has none read
+// the news in it, and the other way round.
+func TestToldIsNews(t *testing.T) {
+	news := follow.News{Round: 3, Version: 5, Age: time.Second}
+	payload := mustPack(told{News: news, Proof: freshness.Told{Clock: 1, Now: 4, Version: 5, At: 2}})
+	var plain follow.News
+	qt.Assert(t, msgpack.Unmarshal(payload, &plain), qt.IsNil)
+	qt.Check(t, plain, qt.Equals, news)
+	back, err := unpack[told](payload)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, back.News, qt.Equals, news)
+	qt.Check(t, back.Proof.At, qt.Equals, time.Duration(2))
+	back, err = unpack[told](mustPack(news))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, back, qt.Equals, told{News: news})
+}
--- a/control/table_test.go
+++ b/control/table_test.go
@@ -182,6 +182,7 @@
 	version uint64
 	away    map[string]bool // by node
 	reads   int
+	last    time.Time // when it answered last
 }
 
 // read returns the version, or false.
@@ -189,9 +190,26 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.reads++
+	if !p.away[node] {
+		p.last = time.Now()
+	}
 	return p.version, !p.away[node]
 }
 
+// lastAnswered returns when a read was answered last.
+func (p *fakePlatform) lastAnswered() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.last
+}
+
+// turnAway has it refuse a node.
+func (p *fakePlatform) turnAway(node string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.away[node] = true
+}
+
 // change changes the table.
 func (p *fakePlatform) change() uint64 {
 	p.mu.Lock()
@@ -218,6 +236,7 @@
 		case follow.Watch:
 			sleep.For(ctx, watchFor)
 		}
+		sent := n.reading()
 		version, ok := p.read(n.Self.ID)
 		if ok {
 			t, err := routes.New(routes.Table{Version: version, Services: []routes.Service{{Name: "s"}}})
@@ -225,6 +244,7 @@
 				panic(err)
 			}
 			n.Configure(t)
+			n.Confirm(sent)
 		}
 		n.Read(ok, 0)
 	}
--- a/node/template_test.go
+++ b/node/template_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"sassafrasfront.example/operator"
+	"sassafrasfront.example/organisation"
 	"sassafrasfront.example/routes"
 	"sassafrasfront.example/settings"
 )
@@ -44,3 +45,51 @@
 		})
 	}
 }
+
+// TestClassesOfOrganisations has classes for the priorities that organisations have, on the
+// routes that need a key only, and no more than a service may have.
+func TestClassesOfOrganisations(t *testing.T) {
+	priority := func(p int) *int { return &p }
+	organisations := []organisation.Organisation{
+		{Name: "a", Priority: priority(0)},
+		{Name: "b"},
+		{Name: "c", Priority: priority(2)},
+		{Name: "d", Priority: priority(0)},
+	}
+	route := func(name string, priority int, objective time.Duration, public bool) routes.Route {
+		return routes.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Timeout: time.Second, Priority: priority, Objective: objective, Public: public,
+			Parts: []routes.Part{{Service: "s", Weight: 1}},
+		}
+	}
+	table := func(keyed bool, list ...routes.Route) *routes.Table {
+		t := routes.Table{Keyed: keyed, Routes: list}
+		if keyed {
+			t.Organisations = organisations
+		}
+		made, err := routes.New(t)
+		if err != nil {
+			panic(err)
+		}
+		return made
+	}
+	short, long := route("short", 1, 100*time.Millisecond, false), route("long", 1, time.Second, false)
+	inner := route("inner", 1, 50*time.Millisecond, true)
+	names := func(t *routes.Table) (list []string) {
+		for _, c := range classes(t, "s") {
+			list = append(list, c.Name)
+		}
+		return list
+	}
+	qt.Check(t, names(table(false, short, inner)), qt.DeepEquals, []string{"priority1-100ms", "priority1-50ms"})
+	qt.Check(t, names(table(true, inner)), qt.DeepEquals, []string{"priority1-50ms"})
+	qt.Check(t, names(table(true, short, inner)), qt.DeepEquals, []string{"priority2-100ms", "priority1-100ms", "priority1-50ms", "priority0-100ms"})
+	all := names(table(true, short, long, inner))
+	qt.Check(t, len(all), qt.Equals, 7)
+	qt.Check(t, names(table(true, inner, long, short)), qt.DeepEquals, all, qt.Commentf("the order of routes changes nothing"))
+	var many []routes.Route
+	for i := range 10 {
+		many = append(many, route(string(rune('a'+i)), 1, time.Duration(i+1)*time.Second, false))
+	}
+	qt.Check(t, len(names(table(true, many...))), qt.Equals, operator.MaxClasses)
+}
