TestFreshen: what a node does as its proof gets old

Cause: the asking of others and the reading out of turn had no test of their own. Ruled out: a test over connections that break one way: the decision needs none. Shown: asks from 0.45 of the bound, reads from 0.6 if it hears of reads, each 0.1 of it at most.

--- a/control/freshness_test.go
+++ b/control/freshness_test.go
@@ -100,3 +100,45 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, back, qt.Equals, told{News: news})
 }
+
+// TestFreshen has a node hear of reads all the while, but of no proof that it can use: as the
+// one that it has gets old, it asks others, and then the platform, each now and then.
+func TestFreshen(t *testing.T) {
+	var now time.Duration
+	c := &Control{
+		Template:    func(*routes.Table, string, int) operator.Service { return operator.Service{} },
+		Within:      time.Hour,
+		Clock:       func() time.Duration { return now },
+		FreshWithin: time.Second,
+	}
+	c.init()
+	steps := []struct {
+		at      time.Duration
+		confirm bool
+		want    follow.Action
+	}{
+		{at: 50 * time.Millisecond, want: follow.Wait},
+		{at: 200 * time.Millisecond, want: follow.Ask},
+		{at: 250 * time.Millisecond, want: follow.Wait},
+		{at: 700 * time.Millisecond, want: follow.Read},
+		{at: 800 * time.Millisecond, confirm: true, want: follow.Wait},
+		{at: 1200 * time.Millisecond, want: follow.Wait},
+		{at: 1300 * time.Millisecond, want: follow.Ask},
+		{at: 1350 * time.Millisecond, want: follow.Wait},
+		{at: 1450 * time.Millisecond, want: follow.Read},
+		{at: 1500 * time.Millisecond, want: follow.Wait},
+	}
+	c.snapshot.Store(&Snapshot{Table: &routes.Table{Version: 1}})
+	c.fresh.InForce(1)
+	for _, step := range steps {
+		now = step.at
+		if step.confirm {
+			c.fresh.Read(now)
+		}
+		qt.Check(t, c.freshen(follow.Wait, time.Now()), qt.Equals, step.want, qt.Commentf("at %v", step.at))
+		qt.Check(t, c.freshen(follow.Watch, time.Now()), qt.Equals, follow.Watch)
+	}
+	now = time.Minute
+	later := time.Now().Add(2 * time.Hour)
+	qt.Check(t, c.freshen(follow.Wait, later), qt.Equals, follow.Ask, qt.Commentf("it hears of no read: that is not its turn"))
+}
