The soak replaces the keys of an organisation where it is asked to

Cause: revocation without contact had not been shown with real processes that are paused and links that fall silent.

--- a/cmd/sassafrassoak/check.go
+++ b/cmd/sassafrassoak/check.go
@@ -23,6 +23,9 @@
 		}
 	}
 	broken := checkOutcomes(list, runs)
+	if w.keys != nil {
+		broken = append(broken, w.checkKeys(list, runs)...)
+	}
 	if !safety {
 		broken = append(broken, w.checkDrains()...)
 		broken = append(broken, w.checkRoutes()...)
@@ -105,7 +108,7 @@
 	var broken []string
 	for _, n := range w.nodes {
 		for _, route := range w.routes {
-			if o := ask(client, n, route, "check-"+n.name+route); o.status == http.StatusNotFound || o.status == 0 {
+			if o := ask(client, n, route, "", "check-"+n.name+route); o.status == http.StatusNotFound || o.status == 0 {
 				broken = append(broken, fmt.Sprintf("configuration %d is not in force at %s: route %s got %d", w.version, n.name, route, o.status))
 			}
 		}
@@ -117,7 +120,7 @@
 func checkRecovery(list []outcome, whole time.Time) []string {
 	var asked, served int
 	for _, o := range list {
-		if o.sent.After(whole) {
+		if o.sent.After(whole) && o.key == "" {
 			asked++
 			if o.status == http.StatusOK {
 				served++
--- a/cmd/sassafrassoak/faults.go
+++ b/cmd/sassafrassoak/faults.go
@@ -152,8 +152,7 @@
 		w.store.Forget()
 		w.store.SetFaults(standin.Faults{})
 	case "configure":
-		w.routes = append(w.routes, fmt.Sprintf("c%d", len(w.routes)))
-		w.configure()
+		w.configure(func() { w.routes = append(w.routes, fmt.Sprintf("c%d", len(w.routes))) })
 	case "drain":
 		n.upstream.Load().Drain()
 	}
--- /dev/null
+++ b/cmd/sassafrassoak/keys.go
@@ -0,0 +1,102 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"sassafrasfront.example/platform/standin"
+)
+
+const (
+	// keyedRoute is the one route that needs a key.
+	keyedRoute = "k"
+	// keyHolder is the organisation whose keys are replaced all the while.
+	keyHolder = "org"
+	// replaceEvery is the time between two replacements of a key, validKeys the number of
+	// keys that are valid at once, and triedKeys that of the latest keys, valid or not, which
+	// callers show.
+	replaceEvery = 400 * time.Millisecond
+	validKeys    = 2
+	triedKeys    = 8
+	// revokeWithin is the nodes' bound. Processes are paused and links silenced for longer.
+	revokeWithin = time.Second
+)
+
+// keyring is the keys of an organisation, the latest last.
+type keyring struct {
+	mu      sync.Mutex
+	keys    []string
+	revoked map[string]time.Time // when the version without it was acknowledged
+}
+
+// add adds a key and returns those that are valid from now on.
+func (k *keyring) add() []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.keys = append(k.keys, fmt.Sprintf("key-%d", len(k.keys)))
+	return k.keys[max(0, len(k.keys)-validKeys):]
+}
+
+// acknowledged takes in that the version with the valid keys has been acknowledged.
+func (k *keyring) acknowledged(at time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if i := len(k.keys) - validKeys - 1; i >= 0 {
+		k.revoked[k.keys[i]] = at
+	}
+}
+
+// any returns one of the latest keys.
+func (k *keyring) any() string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.keys[len(k.keys)-1-rand.IntN(min(triedKeys, len(k.keys)))]
+}
+
+// replaceKeys replaces a key now and then.
+func (w *world) replaceKeys(stop chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(replaceEvery):
+			w.configure(func() { w.valid = w.keys.add() })
+			w.keys.acknowledged(time.Now())
+		}
+	}
+}
+
+// checkKeys returns which requests ran with a key that had been revoked for longer than the
+// bound when they were sent, and which upstreams were told of a key, or of an organisation
+// that is not the key's.
+func (w *world) checkKeys(list []outcome, runs map[string][]standin.Run) []string {
+	var broken []string
+	var served int
+	for _, o := range list {
+		if o.status == http.StatusOK && o.route == keyedRoute {
+			served++
+		}
+		revoked, gone := w.keys.revoked[o.key]
+		for _, r := range runs[o.id] {
+			switch {
+			case gone && o.sent.After(revoked.Add(revokeWithin)):
+				broken = append(broken, fmt.Sprintf("ran with a revoked key: request %s sent %v after the bound", o.id, o.sent.Sub(revoked.Add(revokeWithin))))
+			case r.Authorization != "":
+				broken = append(broken, fmt.Sprintf("key passed on: request %s", o.id))
+			case (o.route == keyedRoute) != (r.Organisation == keyHolder) || o.route != keyedRoute && r.Organisation != "":
+				broken = append(broken, fmt.Sprintf("ran on behalf of %q: request %s", r.Organisation, o.id))
+			}
+		}
+	}
+	if served == 0 {
+		broken = append(broken, "no request with a key was served")
+	}
+	return broken
+}
--- a/cmd/sassafrassoak/play.go
+++ b/cmd/sassafrassoak/play.go
@@ -40,6 +40,7 @@
 // outcome is what a caller saw of a request.
 type outcome struct {
 	id, route  string
+	key        string // that it showed, or empty
 	sent       time.Time
 	status     int // 0 if there was no answer
 	cut        bool
@@ -61,7 +62,7 @@
 
 // play runs one seed. It returns the report, and whether every promise was kept.
 func play(o *options, seed uint64) (string, bool) {
-	w, err := newWorld(o.program, seed)
+	w, err := newWorld(o.program, seed, o.keys)
 	if err != nil {
 		return fmt.Sprintf("seed %d could not start: %v\n", seed, err), false
 	}
@@ -88,6 +89,12 @@
 			callers.Go(func() { w.call(n, seen, stop, fmt.Sprintf("s%d-%d-%d", seed, i, j)) })
 		}
 	}
+	if w.keys != nil {
+		for i, n := range w.nodes {
+			callers.Go(func() { w.callWithKeys(n, seen, stop, fmt.Sprintf("s%d-%d-k", seed, i)) })
+		}
+		callers.Go(func() { w.replaceKeys(stop) })
+	}
 	began := time.Now()
 	w.inject(faults)
 	time.Sleep(max(0, o.duration-time.Since(began)))
@@ -133,18 +140,37 @@
 		case <-time.After(callerPause):
 		}
 		route := []string{"a", "b"}[i%2]
-		seen.add(ask(client, n, route, fmt.Sprintf("%s-%d", name, i)))
+		seen.add(ask(client, n, route, "", fmt.Sprintf("%s-%d", name, i)))
+	}
+}
+
+// callWithKeys does what call does, for the route that needs a key. Each request has a
+// connection of its own: none waits behind another at a node that is paused.
+func (w *world) callWithKeys(n *node, seen *records, stop chan struct{}, name string) {
+	client := &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+	var all sync.WaitGroup
+	defer all.Wait()
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(callerPause):
+		}
+		all.Go(func() { seen.add(ask(client, n, keyedRoute, w.keys.any(), fmt.Sprintf("%s-%d", name, i))) })
 	}
 }
 
 // ask sends one request.
-func ask(client *http.Client, n *node, route, id string) outcome {
-	o := outcome{id: id, route: route, sent: time.Now()}
+func ask(client *http.Client, n *node, route, key, id string) outcome {
+	o := outcome{id: id, route: route, key: key, sent: time.Now()}
 	r, _ := http.NewRequest(http.MethodPost, "http://"+n.caller+"/"+route+"/x", strings.NewReader("body of "+id))
 	r.GetBody = nil // the library must not send it again
 	r.Host = "h.example"
 	r.Header.Set(standin.RequestID, id)
 	r.Header.Set(standin.Timeout, "900")
+	if key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
 	response, err := client.Do(r)
 	if err != nil {
 		o.connection = !strings.Contains(err.Error(), "connection refused")
--- a/cmd/sassafrassoak/world.go
+++ b/cmd/sassafrassoak/world.go
@@ -40,9 +40,12 @@
 	server  *httptest.Server
 	front   *proxy // of the store
 	nodes   []*node
-	port    int // the last one given to a node
+	port    int        // the last one given to a node
+	mu      sync.Mutex // of version, routes and valid
 	version int
 	routes  []string
+	keys    *keyring // nil if no request needs a key
+	valid   []string // keys
 	done    chan struct{}
 }
 
@@ -64,7 +67,7 @@
 }
 
 // newWorld starts the system.
-func newWorld(program string, seed uint64) (*world, error) {
+func newWorld(program string, seed uint64, keys bool) (*world, error) {
 	dir, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		return nil, err
@@ -75,7 +78,12 @@
 	if w.front, err = newProxy(w.server.Listener.Addr().String()); err != nil {
 		return nil, err
 	}
-	w.configure()
+	if keys {
+		w.keys = &keyring{revoked: make(map[string]time.Time)}
+		w.valid = w.keys.add()
+		w.routes = append(w.routes, keyedRoute)
+	}
+	w.configure(func() {})
 	for i := range 2 * pairs {
 		service := []string{"a", "b"}[i%2]
 		n := &node{name: fmt.Sprintf("n%d", i), service: service}
@@ -106,6 +114,9 @@
 	n.config = filepath.Join(w.dir, n.name+".yaml")
 	text := fmt.Sprintf("dialect: managed\nnode: %s\nregion: r\nzone: z%s\ncallerAddress: %s\npeerAddress: %s\nadvertisedPeerAddress: %s\nannounceAddress: %s\noperatorAddress: %s\nplatformURL: http://%s\nservice: %s\nupstreamAddress: %s\nretryRatio: 0.2\nretrySlack: 60\nreportBytes: 20000\ncontrolBytes: 100000\nplatformCalls: 100\nleaveDelay: 500ms\ndrainTimeout: 4s\nprocessors: 1\n",
 		n.name, n.service, n.caller, n.peer, n.link.addr(), n.control, n.ready, w.front.addr(), n.service, n.upstreamAt)
+	if w.keys != nil {
+		text += fmt.Sprintf("revokeWithin: %v\n", revokeWithin)
+	}
 	if err := os.WriteFile(n.config, []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -207,8 +218,12 @@
 	}
 }
 
-// configure writes the manifest with all routes.
-func (w *world) configure() {
+// configure makes a change and writes the manifest with all routes. All but one are public
+// where keys are asked for.
+func (w *world) configure(change func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change()
 	w.version++
 	var list []json.RawMessage
 	for _, name := range w.routes {
@@ -216,13 +231,17 @@
 		if name == "a" {
 			kind, service = "non_idempotent", "a"
 		}
-		list = append(list, json.RawMessage(fmt.Sprintf(`{"name":%q,"pathPrefix":"/%s/","kind":%q,"timeoutS":1,"targetLatencyS":0.3,"priority":1,"service":%q,"maxAttempts":2}`, name, name, kind, service)))
+		list = append(list, json.RawMessage(fmt.Sprintf(`{"name":%q,"pathPrefix":"/%s/","kind":%q,"timeoutS":1,"targetLatencyS":0.3,"priority":1,"service":%q,"maxAttempts":2,"public":%v}`, name, name, kind, service, name != keyedRoute)))
 	}
-	w.store.Put("config", "main", map[string]any{
+	manifest := map[string]any{
 		"version":      fmt.Sprintf("r%d", w.version),
 		"services":     []map[string]any{{"name": "a", "healthPath": "/healthz"}, {"name": "b", "healthPath": "/healthz"}},
 		"virtualHosts": []map[string]any{{"host": "h.example", "paths": list}},
-	})
+	}
+	if w.keys != nil {
+		manifest["tenants"] = []map[string]any{{"name": keyHolder, "apiKeys": w.valid}}
+	}
+	w.store.Put("config", "main", manifest)
 }
 
 // readyNodes returns how many nodes call themselves ready.
