--- a/control/freshness.go
+++ b/control/freshness.go
@@ -168,6 +168,20 @@
 	return follow.Ask
 }
 
+// freshWatchPart is the longest watch of the platform, as a part of the time within which a
+// change has to be known. A watch that ends without a change proves no more than that there
+// was none when it began, so that a node that hears nobody would know of nothing younger
+// than two of its watches.
+const freshWatchPart = 0.2
+
+// freshWatch returns how long a watch is to stay open that would last for d.
+func (c *Control) freshWatch(d time.Duration) time.Duration {
+	if c.fresh == nil {
+		return d
+	}
+	return min(d, time.Duration(freshWatchPart*float64(c.FreshWithin)))
+}
+
 // snapshotVersion returns the version of the table that traffic sees, or 0.
 func (c *Control) snapshotVersion() uint64 {
 	if t := c.snapshot.Load().Table; t != nil {
--- a/control/freshness_test.go
+++ b/control/freshness_test.go
@@ -6,7 +6,9 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -14,8 +16,11 @@
 
 	"sassafrasfront.example/follow"
 	"sassafrasfront.example/freshness"
+	"sassafrasfront.example/internal/boottime"
+	"sassafrasfront.example/member"
 	"sassafrasfront.example/operator"
 	"sassafrasfront.example/routes"
+	"sassafrasfront.example/watch"
 )
 
 // freshWithin is the bound that the nodes of these tests have.
@@ -142,3 +147,31 @@
 	later := time.Now().Add(2 * time.Hour)
 	qt.Check(t, c.freshen(follow.Wait, later), qt.Equals, follow.Ask, qt.Commentf("it hears of no read: that is not its turn"))
 }
+
+// TestAloneStaysFresh has a node that hears nobody and is answered by the platform all the
+// while: its watches, which grow, never let the proof come near the bound.
+func TestAloneStaysFresh(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &Control{
+			Self:        member.Record{ID: "a", Zone: "z", State: member.Idle},
+			Template:    func(*routes.Table, string, int) operator.Service { return operator.Service{}.WithDefaults() },
+			Within:      freshWithin / 2,
+			Clock:       boottime.Steady(),
+			FreshWithin: freshWithin,
+			Budget:      watch.NewBudget(1e6, 1),
+			Published:   func(*Snapshot) {},
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var all sync.WaitGroup
+		defer all.Wait()
+		defer cancel()
+		all.Go(func() { c.Run(ctx) })
+		all.Go(func() { (&fakePlatform{version: 1}).follow(ctx, &testNode{Control: c}) })
+		time.Sleep(freshWithin)
+		for range 1000 {
+			time.Sleep(freshWithin / 50)
+			age := c.TableAge(1)
+			qt.Assert(t, age.Known && age.Time < 6*freshWithin/10, qt.IsTrue, qt.Commentf("%v", age))
+		}
+	})
+}
--- a/control/reads.go
+++ b/control/reads.go
@@ -46,7 +46,7 @@
 		var at time.Time
 		action, at = c.reads.Next(c.place(now), now)
 		action = c.freshen(action, now)
-		after, watchFor = at.Sub(now), c.reads.WatchFor()
+		after, watchFor = at.Sub(now), c.freshWatch(c.reads.WatchFor())
 	})
 	return action, after, watchFor
 }
--- a/control/table_test.go
+++ b/control/table_test.go
@@ -222,6 +222,7 @@
 func (p *fakePlatform) follow(ctx context.Context, n *testNode) {
 	for ctx.Err() == nil {
 		action, after, watchFor := n.Next()
+		sent := n.reading()
 		switch action {
 		case follow.Wait:
 			select {
@@ -236,7 +237,6 @@
 		case follow.Watch:
 			sleep.For(ctx, watchFor)
 		}
-		sent := n.reading()
 		version, ok := p.read(n.Self.ID)
 		if ok {
 			t, err := routes.New(routes.Table{Version: version, Services: []routes.Service{{Name: "s"}}})
