--- a/caller/answer.go
+++ b/caller/answer.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"sassafrasfront.example/bearer"
 	"sassafrasfront.example/entry"
 	"sassafrasfront.example/peer"
 	"sassafrasfront.example/upstream"
@@ -62,6 +63,9 @@
 	if e.GivenUp {
 		h.Set(upstream.GivenUpHeader, "true")
 	}
+	if status == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", bearer.Challenge(x.r.Header))
+	}
 	if status == http.StatusServiceUnavailable {
 		h.Set("Retry-After", retryAfter(e.RetryAfter, names.FractionalRetryAfter))
 	}
