--- /dev/null
+++ b/objectapi/era.go
@@ -0,0 +1,112 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package objectapi
+
+import (
+	"net/http"
+	"sync"
+
+	"github.com/rotisserie/eris"
+)
+
+// EraChange says that the platform has named another era than before.
+type EraChange struct {
+	// Old and New are the eras.
+	Old, New uint64
+	// Restored is whether the platform had answered before, so that what was known of
+	// it is of an earlier era. Otherwise this is the first era that is known.
+	Restored bool
+}
+
+// eras is what a Caller knows of the eras of its API.
+type eras struct {
+	mu       sync.Mutex
+	highest  uint64
+	named    bool // whether an era was ever named
+	answered bool // whether there was an answer that could be used
+}
+
+// Era returns the highest era that is known, or 0 if there is none.
+func (c *Caller) Era() uint64 {
+	c.eras.mu.Lock()
+	defer c.eras.mu.Unlock()
+	return c.eras.highest
+}
+
+// Raise takes in that there is an era, as others have seen. Answers of earlier ones are
+// not used from now on.
+func (c *Caller) Raise(era uint64) {
+	c.eras.mu.Lock()
+	change, risen := c.eras.raise(era)
+	c.eras.mu.Unlock()
+	if risen && c.EraChanged != nil {
+		c.EraChanged(change)
+	}
+}
+
+// raise takes in an era, and returns what has changed if it is a later one.
+func (e *eras) raise(era uint64) (change EraChange, risen bool) {
+	if e.named && era <= e.highest || era < e.highest {
+		return EraChange{}, false
+	}
+	change = EraChange{
+		Old:      e.highest,
+		New:      era,
+		Restored: e.answered && era > e.highest,
+	}
+	e.named = true
+	e.highest = era
+	return change, true
+}
+
+// check takes in the era of an answer, or returns why the answer can't be used: it was
+// sent before the platform came back from a copy, or tells no era.
+func (c *Caller) check(r *http.Response) error {
+	if c.EraOf == nil {
+		return nil
+	}
+	c.eras.mu.Lock()
+	change, risen, err := c.eras.take(c.EraOf(r.Header))
+	c.eras.mu.Unlock()
+	if risen && c.EraChanged != nil {
+		c.EraChanged(change)
+	}
+	if err != nil && c.Refused != nil {
+		c.Refused(err)
+	}
+	return err
+}
+
+// take takes in the era of an answer.
+func (e *eras) take(era uint64, ok bool, err error) (change EraChange, risen bool, refused error) {
+	switch {
+	case err != nil:
+		return change, false, eris.Wrap(err, "answer not used")
+	case !ok && e.named:
+		return change, false, eris.Errorf("answer not used: it names no era, after the era %d", e.highest)
+	case ok && era < e.highest:
+		return change, false, eris.Errorf("answer not used: it is of the era %d, after the era %d", era, e.highest)
+	}
+	if ok {
+		change, risen = e.raise(era)
+	}
+	e.answered = true
+	return change, risen, nil
+}
+
+// eraIn returns the era of an answer that was checked.
+func (c *Caller) eraIn(r *http.Response) uint64 {
+	if c.EraOf == nil {
+		return 0
+	}
+	era, _, _ := c.EraOf(r.Header)
+	return era
+}
+
+// saysNothing returns whether an answer with a status says nothing of what the platform
+// holds, so that its era does not matter.
+func saysNothing(status int) bool {
+	return status == http.StatusTooManyRequests || status >= http.StatusInternalServerError
+}
