Points of the platform's time order what is read over eras

Revisions go back when the store comes back from a copy, so a node that had seen 900 took 870 of the next era for old. Versions, sets of zones, news and ranks of configurations are Points now, compared by era first.

--- a/cmd/sassafrasnode/main.go
+++ b/cmd/sassafrasnode/main.go
@@ -182,6 +182,7 @@
 	return &node.Platform{
 		Names:    platform.Names(),
 		API:      func(c *objectapi.Caller) objectapi.Polled { return &platform.Store{Caller: c} },
+		Era:      platform.Era,
 		Kind:     platform.ManifestKind,
 		Name:     platform.ManifestName,
 		Table:    platform.Table,
--- a/contact/book.go
+++ b/contact/book.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"sassafrasfront.example/internal/sleep"
 	"sassafrasfront.example/objectapi"
 )
 
@@ -173,6 +174,43 @@
 	b.wrote = time.Now()
 }
 
+const (
+	// rewriteTries is how often the writing again of an entry is tried, with rewritePause
+	// between: a platform that comes back turns some calls away.
+	rewriteTries = 8
+	rewritePause = 200 * time.Millisecond
+)
+
+// WriteAgain takes in that the platform may have lost what was written: this node's entry is
+// looked for if it stood there, and written again if it does not. What was read before is
+// forgotten.
+func (b *Book) WriteAgain(ctx context.Context) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	stood := b.stands(b.present) || !b.wrote.IsZero()
+	b.present = nil
+	b.listed = nil
+	for try := 0; stood && ctx.Err() == nil; try++ {
+		now, err := b.API.Get(ctx, Kind, b.Node)
+		switch {
+		case objectapi.IsNotFound(err):
+			err = b.write(ctx, nil)
+		case err == nil && !b.stands(now):
+			err = b.write(ctx, now)
+		}
+		if err == nil {
+			b.wrote = time.Now()
+			return
+		}
+		b.Log.Warn().Err(err).Int("try", try+1).Msg("contact not written again")
+		if try+1 == rewriteTries {
+			b.wrote = time.Time{} // the next look into the book decides
+			return
+		}
+		sleep.For(ctx, rewritePause/2+rand.N(rewritePause))
+	}
+}
+
 // stands returns whether an object is this node's entry. One that can't be read is
 // not.
 func (b *Book) stands(o *objectapi.Object) bool {
--- a/control/control.go
+++ b/control/control.go
@@ -93,6 +93,9 @@
 	// Within is the time within which a change of that table has to be in force
 	// everywhere. Zero means 2 s.
 	Within time.Duration
+	// EraHeard, if not nil, is called when another node tells of a later era of the
+	// platform, by a goroutine of its own.
+	EraHeard func(era uint64)
 	// Quarantine, if not nil, takes in what nodes report of requests that end upstreams.
 	Quarantine *quarantine.Index
 	// Timing are the periods of the work.
@@ -121,10 +124,11 @@
 	configs    exchanger[rollout.Config]
 	reports    exchanger[quarantine.Report]
 	byService  map[string]map[string]member.Record
-	table      *routes.Table // in force, or nil
-	evacuated  evacuation.Set
-	live       int // live nodes, this one included
-	near       int // those in the node's own zone, without this one
+	table      *routes.Table    // in force, or nil
+	evacuated  evacuation.Set   // in force
+	zonesKnown evacuation.State // what they follow from
+	live       int              // live nodes, this one included
+	near       int              // those in the node's own zone, without this one
 	dirty      map[string]bool
 	neighbours []member.Record
 	clients    map[string]*peer.Client
@@ -244,8 +248,9 @@
 
 // publish makes a new snapshot if something has changed.
 func (c *Control) publish() {
-	zones := c.evacuated.Revision != c.snapshot.Load().Evacuated.Revision
-	if len(c.dirty) > 0 || zones {
+	c.enforceZones(time.Now()) // some are held for a time only
+	last := c.snapshot.Load().Evacuated
+	if len(c.dirty) > 0 || c.evacuated.At != last.At || !c.evacuated.Same(last) {
 		c.rebuild()
 	}
 }
@@ -311,6 +316,9 @@
 	case rollout.Evacuated:
 		c.zonesChanged(r)
 		return
+	case rollout.Held:
+		c.heldChanged(r)
+		return
 	}
 	c.dirty[r.Name] = true
 	c.Log.Info().Str("service", r.Name).Uint64("sequence", r.Sequence).Bool("deleted", r.Deleted).Msg("configuration in force")
--- /dev/null
+++ b/control/era.go
@@ -0,0 +1,22 @@
+package control
+
+import "time"
+
+// EraSeen takes in that the platform names an era to this node. Restored is whether it had
+// answered it before.
+func (c *Control) EraSeen(era uint64, restored bool) {
+	c.init()
+	c.do(func() {
+		if c.reads != nil {
+			c.reads.EraSeen(era, restored, time.Now())
+		}
+	})
+}
+
+// eraRose returns when the platform's present era was first seen, by the time of day.
+func (c *Control) eraRose(now time.Time) time.Time {
+	if c.reads == nil || c.reads.EraRose().IsZero() {
+		return now
+	}
+	return c.reads.EraRose()
+}
--- a/control/evacuation.go
+++ b/control/evacuation.go
@@ -1,20 +1,21 @@
-// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
-// Use of this source code is governed by a BSD-style
-// license that can be found in the LICENSE file.
-
 package control
 
 import (
+	"slices"
+	"time"
+
 	"sassafrasfront.example/evacuation"
+	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/rollout"
 )
 
 // Evacuate takes in the evacuated zones as they were read from the platform, unless they
-// are the same as before or from an earlier revision than those in force.
+// are the same as before in this era, or from an earlier Point than those known.
 func (c *Control) Evacuate(s evacuation.Set) {
 	c.init()
 	c.do(func() {
-		if s.Same(c.evacuated) {
+		last := c.zonesKnown.Listed()
+		if s.Same(last) && s.At.Era == last.At.Era {
 			return // a later revision of the same is no news to anybody
 		}
 		c.configs.put(rollout.FromZones(s))
@@ -22,23 +23,50 @@
 	})
 }
 
-// zonesChanged takes in evacuated zones. Like a table of routes they are fetched by those
-// who hear of them, and not pushed.
+// zonesChanged takes in evacuated zones as a node has read them. Like a table of routes they
+// are fetched by those who hear of them, and not pushed.
 func (c *Control) zonesChanged(r rollout.Config) {
 	delete(c.configs.outbox, rollout.Evacuated)
 	s, err := r.Zones()
 	if err != nil {
-		c.Log.Error().Err(err).Uint64("revision", r.Sequence).Msg("evacuated zones can't be read, the old ones stay")
+		c.Log.Error().Err(err).Uint64("era", r.Era).Uint64("revision", r.Sequence).Msg("evacuated zones can't be read, the old ones stay")
 		return
 	}
-	c.evacuated = s
+	now := time.Now()
+	if before, restored := c.zonesKnown.Take(s, now); restored {
+		c.configs.put(rollout.FromHeld(before, c.eraRose(now)))
+	}
 	if c.reads != nil {
-		c.reads.ZonesInForce(s.Revision)
+		c.reads.ZonesInForce(s.At)
 	}
+	c.enforceZones(now)
+}
+
+// heldChanged takes in the zones that were in force when an era of the platform ended.
+func (c *Control) heldChanged(r rollout.Config) {
+	delete(c.configs.outbox, rollout.Held)
+	s, err := r.Zones()
+	if err != nil {
+		c.Log.Error().Err(err).Uint64("era", r.Era).Uint64("revision", r.Sequence).Msg("zones of an earlier era can't be read")
+		return
+	}
+	now := time.Now()
+	c.zonesKnown.Hold(s, r.At, now)
+	c.enforceZones(now)
+}
+
+// enforceZones puts the evacuated zones in force as they now are.
+func (c *Control) enforceZones(now time.Time) {
+	s := c.zonesKnown.InForce(now)
+	if s.At == c.evacuated.At && s.Same(c.evacuated) {
+		return
+	}
+	c.evacuated = s
 	for name := range c.byService {
 		c.dirty[name] = true
 	}
-	c.Log.Info().Uint64("revision", s.Revision).Strs("zones", s.Zones).Int("upstreams", c.upstreamsIn(s)).Msg("evacuated zones in force")
+	held := slices.DeleteFunc(slices.Clone(s.Zones), c.zonesKnown.Listed().Has)
+	c.Log.Info().Uint64("era", s.At.Era).Uint64("revision", s.At.Revision).Strs("zones", s.Zones).Strs("held", held).Int("upstreams", c.upstreamsIn(s)).Msg("evacuated zones in force")
 }
 
 // upstreamsIn returns the number of upstreams that would take requests in evacuated zones.
@@ -59,7 +87,7 @@
 	left := make(map[string]int)
 	c.do(func() {
 		for _, zone := range c.evacuated.Zones {
-			left[zone] = c.upstreamsIn(evacuation.New(0, zone))
+			left[zone] = c.upstreamsIn(evacuation.New(objectapi.Point{}, zone))
 		}
 	})
 	return left
--- a/control/evacuation_test.go
+++ b/control/evacuation_test.go
@@ -13,6 +13,7 @@
 
 	"sassafrasfront.example/evacuation"
 	"sassafrasfront.example/follow"
+	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/routes"
 )
 
@@ -37,7 +38,7 @@
 	all := func(count int, zones ...string) func() bool {
 		return func() bool {
 			for _, n := range list {
-				if members(n) != count || !n.Snapshot().Evacuated.Same(evacuation.New(0, zones...)) {
+				if members(n) != count || !n.Snapshot().Evacuated.Same(evacuation.New(objectapi.Point{Revision: 0}, zones...)) {
 					return false
 				}
 			}
@@ -49,7 +50,7 @@
 		n.Evacuate(s)
 		n.Read(true, 0)
 	}
-	read(list[2], evacuation.New(50, "z"))
+	read(list[2], evacuation.New(objectapi.Point{Revision: 50}, "z"))
 	c.eventually("none is", all(0, "z"))
 	qt.Check(t, list[0].Left(), qt.DeepEquals, map[string]int{"z": 6})
 
@@ -59,12 +60,12 @@
 	list = append(list, late)
 	c.eventually("its own zone is not evacuated", all(1, "z"))
 
-	read(list[0], evacuation.New(40))
+	read(list[0], evacuation.New(objectapi.Point{Revision: 40}))
 	time.Sleep(100 * time.Millisecond)
 	qt.Check(t, all(1, "z")(), qt.IsTrue, qt.Commentf("read from an earlier revision"))
-	read(list[0], evacuation.New(60, "y", "z"))
+	read(list[0], evacuation.New(objectapi.Point{Revision: 60}, "y", "z"))
 	c.eventually("both", all(0, "y", "z"))
-	read(list[4], evacuation.New(70))
+	read(list[4], evacuation.New(objectapi.Point{Revision: 70}))
 	c.eventually("taken back", all(7))
 }
 
@@ -88,7 +89,7 @@
 				time.Sleep(min(after, 20*time.Millisecond))
 				continue
 			}
-			list[5].Evacuate(evacuation.New(9, "z"))
+			list[5].Evacuate(evacuation.New(objectapi.Point{Revision: 9}, "z"))
 			list[5].Read(true, 0)
 		}
 	}()
--- a/control/reads.go
+++ b/control/reads.go
@@ -121,9 +121,13 @@
 
 // hearNews takes in news from another node.
 func (c *Control) hearNews(from string, news follow.News) {
+	era := c.reads.Era()
 	if c.reads.Hear(news, time.Now()) {
 		c.fetchTable(from)
 	}
+	if later := c.reads.Era(); later > era && c.EraHeard != nil {
+		go c.EraHeard(later)
+	}
 	c.passNews()
 	c.wake()
 }
@@ -200,7 +204,7 @@
 	case topicAskNews:
 		return c.reads.Tell(time.Now()), true, nil
 	case topicTable:
-		return records[rollout.Config]{Records: c.configs.get([]string{rollout.Whole, rollout.Evacuated})}, true, nil
+		return records[rollout.Config]{Records: c.configs.get([]string{rollout.Whole, rollout.Held, rollout.Evacuated})}, true, nil
 	}
 	return nil, false, nil
 }
--- a/evacuation/evacuation_test.go
+++ b/evacuation/evacuation_test.go
@@ -54,9 +54,9 @@
 		want  evacuation.Set
 		fails bool
 	}{
-		"none":           {store: &fakeStore{version: "7"}, want: evacuation.New(7)},
-		"one":            {store: &fakeStore{version: "8", names: []string{"z"}}, want: evacuation.New(8, "z")},
-		"two":            {store: &fakeStore{version: "9", names: []string{"z", "a"}}, want: evacuation.New(9, "a", "z")},
+		"none":           {store: &fakeStore{version: "7"}, want: evacuation.New(objectapi.Point{Revision: 7})},
+		"one":            {store: &fakeStore{version: "8", names: []string{"z"}}, want: evacuation.New(objectapi.Point{Revision: 8}, "z")},
+		"two":            {store: &fakeStore{version: "9", names: []string{"z", "a"}}, want: evacuation.New(objectapi.Point{Revision: 9}, "a", "z")},
 		"away":           {store: &fakeStore{failure: errors.New("away")}, fails: true},
 		"not a revision": {store: &fakeStore{version: "x", names: []string{"z"}}, fails: true},
 	}
@@ -81,12 +81,12 @@
 
 // TestEncode has a Set come back as it was, and other bytes refused.
 func TestEncode(t *testing.T) {
-	s := evacuation.New(9, "b", "a", "b")
+	s := evacuation.New(objectapi.Point{Revision: 9}, "b", "a", "b")
 	got, err := evacuation.Decode(s.Encode())
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, got, qt.DeepEquals, s)
 	qt.Check(t, got.Has("a") && got.Has("b") && !got.Has("c"), qt.IsTrue)
-	qt.Check(t, got.Same(evacuation.New(1, "a", "b")), qt.IsTrue)
+	qt.Check(t, got.Same(evacuation.New(objectapi.Point{Revision: 1}, "a", "b")), qt.IsTrue)
 	_, err = evacuation.Decode([]byte(`{"zones":7}`))
 	qt.Check(t, err, qt.IsNotNil)
 }
--- a/evacuation/reader.go
+++ b/evacuation/reader.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"strconv"
 
 	"github.com/rotisserie/eris"
 
@@ -42,14 +41,14 @@
 	if err != nil {
 		return eris.Wrap(err, "evacuated zones")
 	}
-	revision, err := strconv.ParseUint(list.Metadata.ResourceVersion, 10, 64)
+	at, err := objectapi.ParsePoint(list.Metadata.ResourceVersion)
 	if err != nil {
-		return eris.Wrapf(err, "evacuated zones: revision %q", list.Metadata.ResourceVersion)
+		return eris.Wrap(err, "evacuated zones")
 	}
 	zones := make([]string, len(list.Items))
 	for i, o := range list.Items {
 		zones[i] = o.Metadata.Name
 	}
-	r.Found(New(revision, zones...))
+	r.Found(New(at, zones...))
 	return nil
 }
--- a/evacuation/set.go
+++ b/evacuation/set.go
@@ -9,32 +9,33 @@
 	"slices"
 
 	"github.com/rotisserie/eris"
+
+	"sassafrasfront.example/objectapi"
 )
 
-// Set is the evacuated zones as they were at one revision of the platform. It is an
+// Set is the evacuated zones as they were at one Point of the platform. It is an
 // immutable value; the zero value says that no zone has ever been.
 type Set struct {
-	// Revision is the platform's revision at which the zones were first found so. The
-	// higher one is in force.
-	Revision uint64 `json:"revision"`
+	// At is the Point at which the zones were first found so.
+	At objectapi.Point `json:"at"`
 	// Zones are the evacuated availability zones, sorted.
 	Zones []string `json:"zones"`
 }
 
-// New returns the Set of the given zones at a revision.
-func New(revision uint64, zones ...string) Set {
+// New returns the Set of the given zones at a Point.
+func New(at objectapi.Point, zones ...string) Set {
 	zones = append([]string(nil), zones...)
 	slices.Sort(zones)
 	return Set{
-		Revision: revision,
-		Zones:    slices.Compact(zones),
+		At:    at,
+		Zones: slices.Compact(zones),
 	}
 }
 
 // Has returns whether a zone is evacuated.
 func (s Set) Has(zone string) bool { return slices.Contains(s.Zones, zone) }
 
-// Same returns whether both have the same zones.
+// Same returns whether both have the same zones, whenever that was.
 func (s Set) Same(o Set) bool { return slices.Equal(s.Zones, o.Zones) }
 
 // Encode returns s as JSON.
@@ -52,5 +53,5 @@
 	if err := json.Unmarshal(data, &s); err != nil {
 		return Set{}, eris.Wrap(err, "evacuated zones")
 	}
-	return New(s.Revision, s.Zones...), nil
+	return New(s.At, s.Zones...), nil
 }
--- a/follow/doc.go
+++ b/follow/doc.go
@@ -15,7 +15,8 @@
 // the waits below bound the age of what a node has in force.
 //
 // The configuration is in two parts that each read finds together: a table of routes, by
-// its version, and the evacuated zones, by the platform's revision.
+// its version, and the evacuated zones, by the platform's Point. The platform's era goes with
+// the news, so that a node that the platform does not answer hears that it has risen.
 //
 // A State is one node's part of this. It does no input or output, starts no goroutine
 // and reads no clock.
--- /dev/null
+++ b/follow/era.go
@@ -0,0 +1,68 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package follow
+
+import "time"
+
+// rewriteFor is the time that operators are given to write again what the platform has lost
+// by coming back from a copy. A longer one keeps up what needs a confirmation for as long.
+const rewriteFor = 10 * time.Second
+
+// era is what a node knows of the platform's present era. Its zero value knows of none.
+type era struct {
+	number uint64
+	rose   time.Time // when it was first seen, by any node; zero if it was not seen to rise
+}
+
+// EraSeen takes in that the platform names an era. Restored is whether it had named an
+// earlier one to this node.
+func (s *State) EraSeen(number uint64, restored bool, now time.Time) {
+	if number <= s.era.number {
+		return
+	}
+	s.era = era{number: number}
+	if restored {
+		s.era.rose = now
+	}
+}
+
+// hear takes in the era that another node knows.
+func (e *era) hear(n News, now time.Time) {
+	rose := now.Add(-n.EraAge)
+	switch {
+	case n.Era < e.number:
+	case n.Era > e.number && n.EraAge <= 0:
+		*e = era{number: n.Era}
+	case n.Era > e.number:
+		*e = era{
+			number: n.Era,
+			rose:   rose,
+		}
+	case n.EraAge > 0 && (e.rose.IsZero() || rose.Before(e.rose)):
+		e.rose = rose
+	}
+}
+
+// age returns the time since the era was seen to rise, or 0 if it was not.
+func (e *era) age(now time.Time) time.Duration {
+	if e.rose.IsZero() {
+		return 0
+	}
+	return max(1, now.Sub(e.rose))
+}
+
+// Era returns the platform's latest era that is known.
+func (s *State) Era() uint64 { return s.era.number }
+
+// EraRose returns when the present era was first seen by any node, or the zero time if none
+// has seen it rise.
+func (s *State) EraRose() time.Time { return s.era.rose }
+
+// Rewritten returns whether operators have had the time to write again what the platform may
+// have lost. Before that, a read that does not find something does not confirm that it was
+// not written.
+func (s *State) Rewritten(now time.Time) bool {
+	return s.era.rose.IsZero() || now.Sub(s.era.rose) >= rewriteFor
+}
--- a/follow/state.go
+++ b/follow/state.go
@@ -8,6 +8,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"sassafrasfront.example/objectapi"
 )
 
 // News is what nodes tell each other of the latest reads of the configuration.
@@ -17,14 +19,18 @@
 	Round uint64 `msgpack:"round"`
 	// Version is that of the configuration in force at the reader after that read.
 	Version uint64 `msgpack:"version"`
-	// Zones is the revision of the evacuated zones in force at the reader after that read.
-	Zones uint64 `msgpack:"zones,omitempty"`
+	// Zones is the Point of the evacuated zones that the reader had after that read.
+	Zones objectapi.Point `msgpack:"zones"`
 	// Age is the time since that read.
 	Age time.Duration `msgpack:"age"`
 	// Failure numbers the reads that the platform did not answer in the same way, and
 	// FailureAge is the time since the latest of them.
 	Failure    uint64        `msgpack:"failure"`
 	FailureAge time.Duration `msgpack:"failureAge"`
+	// Era is the platform's latest that is known, and EraAge the time since it was seen to
+	// rise, or 0 if it was not.
+	Era    uint64        `msgpack:"era,omitempty"`
+	EraAge time.Duration `msgpack:"eraAge,omitempty"`
 }
 
 // The waits, as parts of the time within which a change has to be in force. The
@@ -101,24 +107,25 @@
 	within  time.Duration
 	started time.Time
 	random  *rand.Rand
-	version uint64    // in force here
-	zones   uint64    // the revision of the evacuated zones in force here
-	round   uint64    // of the latest answered read
-	found   uint64    // the version that it found
-	zonesAt uint64    // the revision of the evacuated zones that it found
-	at      time.Time // of that read
-	failure uint64    // the number of the latest failed read
-	failed  time.Time // of that read
-	borne   uint64    // failure, at the latest answered read
-	early   uint64    // failure, before nodes read by themselves after that
-	fresh   time.Time // of the latest answered read that found nothing later than what is in force
-	passed  bool      // whether the latest was passed on
-	tried   time.Time // of the node's own last read
-	failing bool      // whether that failed
-	alone   int       // own reads since anything was heard
-	asked   time.Time // the value of since for which others were asked
-	drawn   time.Time // the value of since for which draw was drawn
-	draw    float64   // in (0, 1]
+	version uint64          // in force here
+	zones   objectapi.Point // of the evacuated zones that were read last, as far as they are known here
+	round   uint64          // of the latest answered read
+	found   uint64          // the version that it found
+	zonesAt objectapi.Point // of the evacuated zones that it found
+	at      time.Time       // of that read
+	failure uint64          // the number of the latest failed read
+	failed  time.Time       // of that read
+	borne   uint64          // failure, at the latest answered read
+	early   uint64          // failure, before nodes read by themselves after that
+	fresh   time.Time       // of the latest answered read that found nothing later than what is in force
+	passed  bool            // whether the latest was passed on
+	tried   time.Time       // of the node's own last read
+	failing bool            // whether that failed
+	alone   int             // own reads since anything was heard
+	asked   time.Time       // the value of since for which others were asked
+	drawn   time.Time       // the value of since for which draw was drawn
+	draw    float64         // in (0, 1]
+	era     era
 }
 
 // New returns the State of a node that starts now, where a change has to be in force
@@ -151,9 +158,11 @@
 	s.refresh()
 }
 
-// ZonesInForce takes in the revision of the evacuated zones that are in force now.
-func (s *State) ZonesInForce(revision uint64) {
-	s.zones = max(s.zones, revision)
+// ZonesInForce takes in the Point of the evacuated zones that are in force now.
+func (s *State) ZonesInForce(at objectapi.Point) {
+	if s.zones.Less(at) {
+		s.zones = at
+	}
 	s.refresh()
 }
 
@@ -166,23 +175,24 @@
 }
 
 // hasFound returns whether what the latest read found is in force here.
-func (s *State) hasFound() bool { return s.found <= s.version && s.zonesAt <= s.zones }
+func (s *State) hasFound() bool { return s.found <= s.version && !s.zones.Less(s.zonesAt) }
 
 // Hear takes in what another node told, and returns whether that node has a later
 // configuration, which is then to be fetched from it.
 func (s *State) Hear(n News, now time.Time) (behind bool) {
 	s.alone = 0
+	s.era.hear(n, now)
 	if n.Failure > s.failure {
 		s.failedAt(n.Failure, now.Add(-max(0, n.FailureAge)))
 	}
 	if n.Round > s.round {
 		s.answered(n.Round, n.Version, n.Zones, now.Add(-max(0, n.Age)))
 	}
-	return n.Version > s.version || n.Zones > s.zones
+	return n.Version > s.version || s.zones.Less(n.Zones)
 }
 
 // answered takes in a read that is later than the latest.
-func (s *State) answered(round, version, zones uint64, at time.Time) {
+func (s *State) answered(round, version uint64, zones objectapi.Point, at time.Time) {
 	s.round = round
 	s.found = version
 	s.zonesAt = zones
@@ -225,6 +235,8 @@
 		Age:        now.Sub(s.at),
 		Failure:    s.failure,
 		FailureAge: now.Sub(s.failed),
+		Era:        s.era.number,
+		EraAge:     s.era.age(now),
 	}
 }
 
--- a/node/managed_test.go
+++ b/node/managed_test.go
@@ -134,6 +134,7 @@
 		Platform: &node.Platform{
 			Names: platform.Names(),
 			API:   func(c *objectapi.Caller) objectapi.Polled { return &platform.Store{Caller: c} },
+			Era:   platform.Era,
 			Kind:  platform.ManifestKind, Name: platform.ManifestName, Table: platform.Table, ZoneKind: platform.EvacuationKind, Announce: platform.Instances,
 		},
 	}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -46,6 +46,7 @@
 		}
 		return 0
 	})
+	gauge(`sassafras_platform_era`, func() float64 { return float64(n.era()) })
 	gauge(`sassafras_evacuated_zones`, func() float64 { return float64(len(n.control.Snapshot().Evacuated.Zones)) })
 	for _, s := range []quarantine.Standing{quarantine.Seen, quarantine.Isolated, quarantine.Blocked} {
 		gauge(fmt.Sprintf(`sassafras_suspected_requests{standing=%q}`, s), func() float64 { return float64(n.suspects.Count(s)) })
--- a/node/node.go
+++ b/node/node.go
@@ -23,6 +23,7 @@
 	"sassafrasfront.example/blocklist"
 	"sassafrasfront.example/caller"
 	"sassafrasfront.example/claim"
+	"sassafrasfront.example/contact"
 	"sassafrasfront.example/control"
 	"sassafrasfront.example/entry"
 	"sassafrasfront.example/gate"
@@ -82,6 +83,9 @@
 	suspects   quarantine.Index                  // the requests that upstreams have ended under
 	blocked    *blocklist.Ledger                 // of them, on the platform, or nil
 	api        objectapi.Polled                  // of Platform
+	store      *objectapi.Caller                 // which makes its calls, or nil
+	contacts   *contact.Book                     // which is kept there
+	restored   chan struct{}                     // has a value when the platform may have lost what was written
 	reloaded   atomic.Pointer[settings.Settings] // nil until the settings change
 	lines      keyvalue.Limit
 	successes  atomic.Uint64
@@ -261,13 +265,16 @@
 	n.gate.Ask = n.askLoad
 	n.control.Template = n.template
 	n.control.Within = n.configWithin()
-	store := n.storeClient()
-	n.metrics.platformCalls = store.Calls
-	n.api = n.Platform.API(store)
-	book := n.book(n.api)
-	n.control.Book = book.Addresses
-	n.control.Register = book.Register
-	n.control.Met = book.Met
+	n.store = n.storeClient()
+	n.store.EraChanged = n.eraChanged
+	n.control.EraHeard = n.store.Raise
+	n.restored = make(chan struct{}, 1)
+	n.metrics.platformCalls = n.store.Calls
+	n.api = n.Platform.API(n.store)
+	n.contacts = n.book(n.api)
+	n.control.Book = n.contacts.Addresses
+	n.control.Register = n.contacts.Register
+	n.control.Met = n.contacts.Met
 	n.blocked = n.blocklistOn(n.api)
 }
 
@@ -374,6 +381,7 @@
 	controlling.Go(func() { n.control.Run(controlCtx) })
 	if n.Platform != nil {
 		controlling.Go(func() { n.follow(controlCtx, n.reader(n.api)) })
+		controlling.Go(func() { n.keepWritten(controlCtx) })
 		all.Go(func() { n.findUpstream(inner) })
 		all.Go(func() { n.pollLoad(inner) })
 	}
--- a/node/platform.go
+++ b/node/platform.go
@@ -25,6 +25,8 @@
 	Names upstream.Names
 	// API returns the object API, given what makes its calls.
 	API func(c *objectapi.Caller) objectapi.Polled
+	// Era reads the era that an answer of the platform names, if it names one.
+	Era func(h http.Header) (era uint64, named bool, err error)
 	// Kind and Name are those of the object that holds the table.
 	Kind, Name string
 	// Table decodes that object.
@@ -69,6 +71,8 @@
 		URL:     n.Settings.PlatformURL,
 		Timeout: storeTimeout,
 		Skipped: n.objectSkipped,
+		EraOf:   n.Platform.Era,
+		Refused: n.answerRefused,
 		Budget:  rate.NewLimiter(rate.Limit(n.Settings.PlatformCalls), int(n.Settings.PlatformCalls)),
 		HTTP: &http.Client{
 			Transport: &http.Transport{
@@ -83,6 +87,9 @@
 // objectSkipped logs why an object of the platform is left out.
 func (n *Node) objectSkipped(reason error) { n.warnOfOther("object left out", reason) }
 
+// answerRefused logs why an answer of the platform is not used.
+func (n *Node) answerRefused(reason error) { n.warnOfOther("platform not believed", reason) }
+
 // tableFound takes in an object of the table's kind.
 func (n *Node) tableFound(o *objectapi.Object) {
 	if o.Metadata.Name != n.Platform.Name {
@@ -93,6 +100,9 @@
 		n.Log.Error().Err(err).Str("revision", o.Metadata.ResourceVersion).Msg("configuration refused")
 		return
 	}
+	if v := n.version(); t.Version < v && n.lines.Allow("older", otherLines, 1) {
+		n.Log.Warn().Uint64("version", t.Version).Uint64("inForce", v).Str("revision", o.Metadata.ResourceVersion).Msg("configuration is older than the one in force, which stays")
+	}
 	n.control.Configure(t)
 }
 
--- /dev/null
+++ b/node/restore.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"sassafrasfront.example/internal/sleep"
+	"sassafrasfront.example/objectapi"
+	"sassafrasfront.example/quarantine"
+)
+
+// rewriteSpread is the time over which the nodes spread the writing again of what the
+// platform has lost. All hear of it at about the same time.
+const rewriteSpread = 500 * time.Millisecond
+
+// era returns the platform's latest era that is known, or 0 if it has none.
+func (n *Node) era() uint64 {
+	if n.store == nil {
+		return 0
+	}
+	return n.store.Era()
+}
+
+// eraChanged takes in that the platform has named a later era, here or to another node. If
+// it has come back from a copy, this node's entries are written again.
+func (n *Node) eraChanged(e objectapi.EraChange) {
+	n.control.EraSeen(e.New, e.Restored)
+	if !e.Restored {
+		n.Log.Info().Uint64("era", e.New).Msg("era of the platform")
+		return
+	}
+	n.Log.Warn().Uint64("oldEra", e.Old).Uint64("era", e.New).Uint64("version", n.version()).Msg("platform has come back from a copy")
+	select {
+	case n.restored <- struct{}{}:
+	default:
+	}
+}
+
+// keepWritten writes what this node keeps on the platform again whenever that may have been
+// lost, until ctx ends.
+func (n *Node) keepWritten(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.restored:
+		}
+		sleep.For(ctx, rand.N(rewriteSpread))
+		n.contacts.WriteAgain(ctx)
+		if n.control.Scout() {
+			n.saveBlocks(ctx)
+		}
+	}
+}
+
+// saveBlocks writes the requests that are blocked as far as this node knows.
+func (n *Node) saveBlocks(ctx context.Context) {
+	for _, j := range n.suspects.All() {
+		if j.Standing == quarantine.Blocked {
+			n.blocked.Save(ctx, j)
+		}
+	}
+}
--- a/node/zones.go
+++ b/node/zones.go
@@ -50,7 +50,8 @@
 	for _, name := range set.Zones {
 		z := operator.Zone{
 			Zone:      name,
-			Revision:  set.Revision,
+			Era:       set.At.Era,
+			Revision:  set.At.Revision,
 			Since:     n.evacuated.of(name).UTC(),
 			Upstreams: left[name],
 		}
--- a/objectapi/caller.go
+++ b/objectapi/caller.go
@@ -47,17 +47,26 @@
 	// Skipped, if not nil, is called with why an object of an answer can't be read
 	// and is left out.
 	Skipped func(reason error)
+	// EraOf, if not nil, reads the era that an answer names, if it names one. Nil means
+	// that the API has no eras.
+	EraOf func(h http.Header) (era uint64, named bool, err error)
+	// EraChanged, if not nil, is called when a later era is known, before the answer that
+	// names it is returned.
+	EraChanged func(EraChange)
+	// Refused, if not nil, is called with why an answer is not used.
+	Refused func(reason error)
 
 	calls atomic.Uint64
+	eras  eras
 }
 
 // Calls returns the number of calls made so far, a watch counting as one.
 func (c *Caller) Calls() uint64 { return c.calls.Load() }
 
-// Do makes one call and decodes its answer, within the timeout. Body is encoded
-// as JSON unless it is nil; a nil answer is not decoded. Every failure is an
-// *Error.
-func (c *Caller) Do(ctx context.Context, method, path string, body, answer any) error {
+// Do makes one call and decodes its answer, within the timeout, and returns the era of
+// the answer. Body is encoded as JSON unless it is nil; a nil answer is not decoded. Every
+// failure is an *Error.
+func (c *Caller) Do(ctx context.Context, method, path string, body, answer any) (era uint64, err error) {
 	timeout := c.Timeout
 	if timeout == 0 {
 		timeout = defaultTimeout
@@ -66,20 +75,21 @@
 	defer cancel()
 	r, err := c.Call(ctx, method, path, body)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer r.Body.Close()
+	era = c.EraIn(r)
 	data, err := io.ReadAll(io.LimitReader(r.Body, maxList))
 	if err != nil {
-		return readError(err)
+		return era, readError(err)
 	}
 	if answer == nil {
-		return nil
+		return era, nil
 	}
 	if err := json.Unmarshal(data, answer); err != nil {
-		return readError(eris.Wrap(err, "answer"))
+		return era, readError(eris.Wrap(err, "answer"))
 	}
-	return nil
+	return era, nil
 }
 
 // readError is the failure of a call whose answer could not be read: a write
@@ -91,8 +101,8 @@
 	}
 }
 
-// Call makes one call and returns its answer if the status is a good one. The
-// caller closes its body.
+// Call makes one call and returns its answer if the status is a good one, and the era
+// one that can be. The caller closes its body.
 func (c *Caller) Call(ctx context.Context, method, path string, body any) (*http.Response, error) {
 	data, err := encode(body)
 	if err != nil {
@@ -126,6 +136,10 @@
 		}
 		return nil, readError(err)
 	}
+	if err := c.check(r); err != nil {
+		_ = r.Body.Close()
+		return nil, readError(err)
+	}
 	if r.StatusCode/100 == 2 {
 		return r, nil
 	}
--- a/objectapi/client.go
+++ b/objectapi/client.go
@@ -37,8 +37,7 @@
 
 // Get implements API.
 func (c *Client) Get(ctx context.Context, kind, name string) (*Object, error) {
-	var o Object
-	return &o, c.Do(ctx, http.MethodGet, Path(c.Namespace, kind, name), nil, &o)
+	return c.object(ctx, http.MethodGet, Path(c.Namespace, kind, name), nil)
 }
 
 // List implements API.
@@ -57,7 +56,7 @@
 		Metadata Metadata          `json:"metadata"`
 		Items    []json.RawMessage `json:"items"`
 	}
-	if err := c.Do(ctx, http.MethodGet, path, nil, &answer); err != nil {
+	if _, err := c.Do(ctx, http.MethodGet, path, nil, &answer); err != nil {
 		return nil, err
 	}
 	return &List{
@@ -68,20 +67,26 @@
 
 // Create implements API.
 func (c *Client) Create(ctx context.Context, o *Object) (*Object, error) {
-	var answer Object
-	return &answer, c.Do(ctx, http.MethodPost, Path(c.Namespace, o.Kind, ""), o, &answer)
+	return c.object(ctx, http.MethodPost, Path(c.Namespace, o.Kind, ""), o)
 }
 
 // Update implements API.
 func (c *Client) Update(ctx context.Context, o *Object) (*Object, error) {
-	var answer Object
-	return &answer, c.Do(ctx, http.MethodPut, Path(c.Namespace, o.Kind, o.Metadata.Name), o, &answer)
+	return c.object(ctx, http.MethodPut, Path(c.Namespace, o.Kind, o.Metadata.Name), o)
 }
 
 // Delete implements API.
 func (c *Client) Delete(ctx context.Context, kind, name, version string) error {
 	p := Path(c.Namespace, kind, name) + "?resourceVersion=" + url.QueryEscape(version)
-	return c.Do(ctx, http.MethodDelete, p, nil, nil)
+	_, err := c.Do(ctx, http.MethodDelete, p, nil, nil)
+	return err
+}
+
+// object makes a call that is answered with an object.
+func (c *Client) object(ctx context.Context, method, path string, body any) (*Object, error) {
+	var o Object
+	_, err := c.Do(ctx, method, path, body, &o)
+	return &o, err
 }
 
 // Watch implements API.
--- a/objectapi/era.go
+++ b/objectapi/era.go
@@ -25,7 +25,7 @@
 	mu       sync.Mutex
 	highest  uint64
 	named    bool // whether an era was ever named
-	answered bool // whether there was an answer that could be used
+	answered bool // whether an answer has told of what the platform holds
 }
 
 // Era returns the highest era that is known, or 0 if there is none.
@@ -68,14 +68,22 @@
 		return nil
 	}
 	c.eras.mu.Lock()
-	change, risen, err := c.eras.take(c.EraOf(r.Header))
+	era, ok, err := c.EraOf(r.Header)
+	change, risen, err := c.eras.take(era, ok, err)
+	c.eras.answered = c.eras.answered || err == nil && !saysNothing(r.StatusCode)
 	c.eras.mu.Unlock()
 	if risen && c.EraChanged != nil {
 		c.EraChanged(change)
 	}
-	if err != nil && c.Refused != nil {
+	if err == nil {
+		return nil
+	}
+	if c.Refused != nil {
 		c.Refused(err)
 	}
+	if saysNothing(r.StatusCode) {
+		return nil
+	}
 	return err
 }
 
@@ -92,12 +100,11 @@
 	if ok {
 		change, risen = e.raise(era)
 	}
-	e.answered = true
 	return change, risen, nil
 }
 
-// eraIn returns the era of an answer that was checked.
-func (c *Caller) eraIn(r *http.Response) uint64 {
+// EraIn returns the era of an answer that was checked.
+func (c *Caller) EraIn(r *http.Response) uint64 {
 	if c.EraOf == nil {
 		return 0
 	}
--- a/objectapi/object.go
+++ b/objectapi/object.go
@@ -6,7 +6,6 @@
 
 import (
 	"encoding/json"
-	"strconv"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -72,13 +71,20 @@
 	return &c
 }
 
-// Version returns the resource version as a number, or 0 if it is none.
+// Version returns the revision of the resource version, or 0 if it is none. It tells
+// versions of one era apart only.
 func (o *Object) Version() uint64 { return ParseVersion(o.Metadata.ResourceVersion) }
 
-// ParseVersion returns a resource version as a number, or 0 if it is none.
-func ParseVersion(v string) uint64 {
-	n, _ := strconv.ParseUint(v, 10, 64)
-	return n
+// ParseVersion returns the revision of a resource version, or 0 if it is none.
+func ParseVersion(v string) uint64 { return pointOf(v).Revision }
+
+// pointOf returns the Point of a resource version, or the zero Point if it is none.
+func pointOf(version string) Point {
+	p, err := ParsePoint(version)
+	if err != nil {
+		return Point{}
+	}
+	return p
 }
 
 // SpecOf decodes the spec of o.
--- a/operator/zone.go
+++ b/operator/zone.go
@@ -10,7 +10,9 @@
 type Zone struct {
 	// Zone is its name.
 	Zone string `json:"zone"`
-	// Revision is the platform's, at which the evacuated zones were found as they are now.
+	// Era and Revision are the platform's, at which the evacuated zones were found as they
+	// are now.
+	Era      uint64 `json:"era,omitempty"`
 	Revision uint64 `json:"revision"`
 	// Since is when the node that answers learnt of the evacuation.
 	Since time.Time `json:"since"`
--- a/rollout/config.go
+++ b/rollout/config.go
@@ -19,6 +19,8 @@
 type Config struct {
 	// Name is the name of the service.
 	Name string `msgpack:"name"`
+	// Era is the platform's for what is numbered by its revisions, and 0 for all else.
+	Era uint64 `msgpack:"era,omitempty"`
 	// Sequence is that of the Accepted object.
 	Sequence uint64 `msgpack:"sequence"`
 	// At is when it was accepted.
@@ -33,7 +35,12 @@
 func (c Config) Key() string { return c.Name }
 
 // Rank implements gossip.Record.
-func (c Config) Rank() gossip.Version { return gossip.Version{Major: c.Sequence} }
+func (c Config) Rank() gossip.Version {
+	return gossip.Version{
+		Major: c.Era,
+		Minor: c.Sequence,
+	}
+}
 
 // Service returns the configuration as a value.
 func (c Config) Service() (operator.Service, error) {
--- a/rollout/evacuated.go
+++ b/rollout/evacuated.go
@@ -4,21 +4,38 @@
 
 package rollout
 
-import "sassafrasfront.example/evacuation"
+import (
+	"time"
 
-// Evacuated is the name of the Config that holds the evacuated zones rather than a
-// service. No service can have it.
-const Evacuated = "*evacuated"
+	"sassafrasfront.example/evacuation"
+)
 
-// FromZones returns evacuated zones as nodes pass them on. The sequence is the revision at
-// which they were found.
-func FromZones(s evacuation.Set) Config {
+// The names of the Configs that hold evacuated zones rather than a service. No service can
+// have them.
+const (
+	// Evacuated holds the zones as they were read from the platform.
+	Evacuated = "*evacuated"
+	// Held holds those that were in force when an era of the platform ended.
+	Held = "*held"
+)
+
+// FromZones returns evacuated zones as nodes pass them on. Its rank is the Point at which
+// they were found.
+func FromZones(s evacuation.Set) Config { return fromSet(Evacuated, s, time.Time{}) }
+
+// FromHeld returns the zones that were in force when an era ended, as nodes pass them on,
+// with when its successor was first seen.
+func FromHeld(s evacuation.Set, seen time.Time) Config { return fromSet(Held, s, seen.UTC()) }
+
+func fromSet(name string, s evacuation.Set, at time.Time) Config {
 	return Config{
-		Name:     Evacuated,
-		Sequence: s.Revision,
+		Name:     name,
+		Era:      s.At.Era,
+		Sequence: s.At.Revision,
+		At:       at,
 		Spec:     s.Encode(),
 	}
 }
 
-// Zones returns the evacuated zones that the Config named Evacuated holds.
+// Zones returns the evacuated zones that the Config named Evacuated or Held holds.
 func (c Config) Zones() (evacuation.Set, error) { return evacuation.Decode(c.Spec) }
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -14,6 +14,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"sassafrasfront.example/gossip"
 	"sassafrasfront.example/internal/objectstore"
 	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/operator"
@@ -170,5 +171,5 @@
 	s, err := c.Service()
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, s.Policy, qt.Equals, "random")
-	qt.Check(t, c.Rank().Major, qt.Equals, uint64(1))
+	qt.Check(t, c.Rank(), qt.Equals, gossip.Version{Minor: 1})
 }
