--- /dev/null
+++ b/evacuation/state_test.go
@@ -0,0 +1,88 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package evacuation_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/evacuation"
+	"sassafrasfront.example/objectapi"
+)
+
+// set returns the zones as they were at a point.
+func set(era, revision uint64, zones ...string) evacuation.Set {
+	return evacuation.New(objectapi.Point{Era: era, Revision: revision}, zones...)
+}
+
+// TestState reads sets one after the other, a second from each other, over eras. What was in
+// force when one ended is held as a node does that made it.
+func TestState(t *testing.T) {
+	tests := map[string]struct {
+		sets  []evacuation.Set
+		after time.Duration // from the last read to the look
+		want  []string
+	}{
+		"one era":                            {sets: []evacuation.Set{set(1, 5, "z"), set(1, 9)}},
+		"lost":                               {sets: []evacuation.Set{set(1, 900, "z"), set(2, 870)}, want: []string{"z"}},
+		"lost, and not written again":        {sets: []evacuation.Set{set(1, 900, "z"), set(2, 870)}, after: evacuation.HoldFor},
+		"just before it ends":                {sets: []evacuation.Set{set(1, 900, "z"), set(2, 870)}, after: evacuation.HoldFor - 1, want: []string{"z"}},
+		"lost, and written again":            {sets: []evacuation.Set{set(1, 900, "z"), set(2, 870), set(2, 871, "z")}, after: time.Hour, want: []string{"z"}},
+		"written again and removed":          {sets: []evacuation.Set{set(1, 900, "z"), set(2, 870), set(2, 871, "z"), set(2, 872)}},
+		"in the copy, and removed":           {sets: []evacuation.Set{set(1, 900, "z"), set(2, 870, "z"), set(2, 871)}},
+		"another one in the new era":         {sets: []evacuation.Set{set(1, 900, "z"), set(2, 870, "y")}, want: []string{"y", "z"}},
+		"another one, and the lost one ends": {sets: []evacuation.Set{set(1, 900, "z"), set(2, 870, "y")}, after: time.Hour, want: []string{"y"}},
+		"lost twice in a row":                {sets: []evacuation.Set{set(1, 900, "z"), set(2, 870), set(3, 860)}, want: []string{"z"}},
+		"lost twice, each time another":      {sets: []evacuation.Set{set(1, 900, "z"), set(2, 870, "y"), set(3, 860)}, want: []string{"y", "z"}},
+		"none before":                        {sets: []evacuation.Set{set(1, 900), set(2, 870, "z"), set(2, 871)}},
+		"nothing known of before":            {sets: []evacuation.Set{set(2, 870)}},
+		"the first era that is named":        {sets: []evacuation.Set{set(0, 900, "z"), set(1, 870)}, want: []string{"z"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1e9, 0)
+			var s evacuation.State
+			for _, n := range test.sets {
+				now = now.Add(time.Second)
+				if before, restored := s.Take(n, now); restored {
+					s.Hold(before, now, now)
+				}
+			}
+			got := s.InForce(now.Add(test.after))
+			qt.Check(t, got.Same(evacuation.New(objectapi.Point{}, test.want...)), qt.IsTrue, qt.Commentf("%v", got.Zones))
+			qt.Check(t, got.At, qt.Equals, test.sets[len(test.sets)-1].At)
+		})
+	}
+}
+
+// TestHoldOfOthers has a node that has started since hear from others what was in force, with
+// when the era began by another clock.
+func TestHoldOfOthers(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	tests := map[string]struct {
+		seen time.Time
+		want time.Duration // for how long from now it is held
+	}{
+		"just now":         {seen: now, want: evacuation.HoldFor},
+		"a while ago":      {seen: now.Add(-10 * time.Second), want: evacuation.HoldFor - 10*time.Second},
+		"long ago":         {seen: now.Add(-time.Hour)},
+		"by a clock ahead": {seen: now.Add(time.Hour), want: evacuation.HoldFor},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var s evacuation.State
+			s.Hold(set(1, 900, "z"), test.seen, now)
+			qt.Check(t, s.InForce(now).Zones, qt.HasLen, 0, qt.Commentf("before the era is known"))
+			_, restored := s.Take(set(2, 870), now)
+			qt.Check(t, restored, qt.IsFalse)
+			qt.Check(t, s.InForce(now.Add(test.want)).Has("z"), qt.IsFalse)
+			if test.want > 0 {
+				qt.Check(t, s.InForce(now.Add(test.want-1)).Has("z"), qt.IsTrue)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/follow/era_test.go
@@ -0,0 +1,66 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package follow
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/objectapi"
+)
+
+func newState(now time.Time) *State { return New(within, now, rand.New(rand.NewPCG(1, 1))) }
+
+// TestZonesOverEras has a node that has seen a high revision hear of a lower one of the next
+// era: it is later, and the one it has is no news to a node that has it.
+func TestZonesOverEras(t *testing.T) {
+	now := origin
+	old, later := newState(now), newState(now)
+	old.ZonesInForce(objectapi.Point{Era: 1, Revision: 900})
+	old.Done(true, 0, now)
+	later.ZonesInForce(objectapi.Point{Era: 2, Revision: 870})
+	later.Done(true, 0, now)
+	qt.Check(t, old.Hear(later.Tell(now), now), qt.IsTrue, qt.Commentf("870 of the next era is later"))
+	qt.Check(t, later.Hear(old.Tell(now), now), qt.IsFalse)
+	later.ZonesInForce(objectapi.Point{Era: 1, Revision: 901})
+	qt.Check(t, later.zones, qt.Equals, objectapi.Point{Era: 2, Revision: 870})
+}
+
+// TestEraByNews has an era that one node has seen rise become known to others, with its age,
+// and all of them wait until operators have written again what was lost.
+func TestEraByNews(t *testing.T) {
+	now := origin
+	first, second, late := newState(now), newState(now), newState(now)
+	first.EraSeen(4, false, now)
+	second.EraSeen(4, false, now)
+	qt.Check(t, first.Rewritten(now), qt.IsTrue, qt.Commentf("an era that was there at the start is none that rose"))
+	first.EraSeen(5, true, now)
+	qt.Check(t, first.Rewritten(now), qt.IsFalse)
+	qt.Check(t, first.EraRose(), qt.Equals, now)
+
+	now = now.Add(rewriteFor / 2)
+	second.Hear(first.Tell(now), now)
+	qt.Check(t, second.Era(), qt.Equals, uint64(5))
+	qt.Check(t, second.Rewritten(now), qt.IsFalse)
+	second.EraSeen(5, true, now)
+	qt.Check(t, second.EraRose(), qt.Equals, origin, qt.Commentf("the first to see it counts"))
+
+	late.EraSeen(5, false, now)
+	qt.Check(t, late.Rewritten(now), qt.IsTrue, qt.Commentf("it can't know better"))
+	late.Hear(second.Tell(now), now)
+	qt.Check(t, late.Rewritten(now), qt.IsFalse)
+	second.Hear(News{Era: 4}, now)
+	qt.Check(t, second.Era(), qt.Equals, uint64(5))
+
+	now = now.Add(rewriteFor/2 - 1)
+	qt.Check(t, late.Rewritten(now), qt.IsFalse)
+	now = now.Add(1)
+	for _, s := range []*State{first, second, late} {
+		qt.Check(t, s.Rewritten(now), qt.IsTrue)
+	}
+}
--- /dev/null
+++ b/objectapi/era_test.go
@@ -0,0 +1,125 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package objectapi_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/objectapi"
+	"sassafrasfront.example/verdict"
+)
+
+// TestPoint has points in their order, each with its resource version.
+func TestPoint(t *testing.T) {
+	points := []string{"0", "7", "900", "1/1", "1/870", "1/900", "2/0", "2/870", "10/3"}
+	for i, a := range points {
+		p, err := objectapi.ParsePoint(a)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, p.String(), qt.Equals, a)
+		for k, b := range points {
+			q, err := objectapi.ParsePoint(b)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, p.Less(q), qt.Equals, i < k, qt.Commentf("%s and %s", a, b))
+		}
+	}
+	for _, bad := range []string{"", "x", "/", "1/", "/1", "1/2/3", "-1", "1/x", "x/1"} {
+		_, err := objectapi.ParsePoint(bad)
+		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", bad))
+	}
+}
+
+// answered is what a platform answers to one call.
+type answered struct {
+	era    string // none if empty
+	status int
+}
+
+// TestEras has a platform answer with eras in some order: those that can't be right are
+// refused with a reason, and the era that was known stays.
+func TestEras(t *testing.T) {
+	ok := func(era string) answered { return answered{era: era, status: 200} }
+	tests := map[string]struct {
+		answers []answered
+		raised  uint64 // by others, before the last answer
+		refused bool   // the last answer
+		failed  bool   // it, or it is an error of its own
+		era     uint64 // at the end
+		changes []objectapi.EraChange
+	}{
+		"none":                         {answers: []answered{ok(""), ok("")}},
+		"the first":                    {answers: []answered{ok("5")}, era: 5, changes: []objectapi.EraChange{{New: 5}}},
+		"the first is zero":            {answers: []answered{ok("0"), ok("0")}, changes: []objectapi.EraChange{{}}},
+		"the same":                     {answers: []answered{ok("5"), ok("5")}, era: 5, changes: []objectapi.EraChange{{New: 5}}},
+		"rises":                        {answers: []answered{ok("5"), ok("6")}, era: 6, changes: []objectapi.EraChange{{New: 5}, {Old: 5, New: 6, Restored: true}}},
+		"rises from none":              {answers: []answered{ok(""), ok("1")}, era: 1, changes: []objectapi.EraChange{{New: 1, Restored: true}}},
+		"rises twice":                  {answers: []answered{ok("0"), ok("2")}, era: 2, changes: []objectapi.EraChange{{}, {New: 2, Restored: true}}},
+		"the first after turned away":  {answers: []answered{{status: 503}, ok("5")}, era: 5, changes: []objectapi.EraChange{{New: 5}}},
+		"rises with a failure":         {answers: []answered{ok("5"), {era: "6", status: 404}}, failed: true, era: 6, changes: []objectapi.EraChange{{New: 5}, {Old: 5, New: 6, Restored: true}}},
+		"late":                         {answers: []answered{ok("5"), ok("6"), ok("5")}, refused: true, failed: true, era: 6, changes: []objectapi.EraChange{{New: 5}, {Old: 5, New: 6, Restored: true}}},
+		"missing after one":            {answers: []answered{ok("5"), ok("")}, refused: true, failed: true, era: 5, changes: []objectapi.EraChange{{New: 5}}},
+		"no number":                    {answers: []answered{ok("5"), ok("six")}, refused: true, failed: true, era: 5, changes: []objectapi.EraChange{{New: 5}}},
+		"negative":                     {answers: []answered{ok("-1")}, refused: true, failed: true},
+		"others have seen a later one": {answers: []answered{ok("5"), ok("5")}, raised: 6, refused: true, failed: true, era: 6, changes: []objectapi.EraChange{{New: 5}, {Old: 5, New: 6, Restored: true}}},
+		"others have seen this one":    {answers: []answered{ok("5"), ok("6")}, raised: 6, era: 6, changes: []objectapi.EraChange{{New: 5}, {Old: 5, New: 6, Restored: true}}},
+		"missing where turned away":    {answers: []answered{ok("5"), {status: 503}}, refused: true, failed: true, era: 5, changes: []objectapi.EraChange{{New: 5}}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var next answered
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if next.era != "" {
+					w.Header().Set("Era", next.era)
+				}
+				w.Header().Set("Retry-After", "3")
+				w.WriteHeader(next.status)
+				_, _ = w.Write([]byte("{}"))
+			}))
+			defer server.Close()
+			var changes []objectapi.EraChange
+			var refused error
+			c := &objectapi.Caller{
+				URL: server.URL,
+				EraOf: func(h http.Header) (uint64, bool, error) {
+					if h.Get("Era") == "" {
+						return 0, false, nil
+					}
+					era, err := strconv.ParseUint(h.Get("Era"), 10, 64)
+					return era, true, err
+				},
+				EraChanged: func(e objectapi.EraChange) { changes = append(changes, e) },
+				Refused:    func(reason error) { refused = reason },
+			}
+			var err error
+			for i, a := range test.answers {
+				if i == len(test.answers)-1 && test.raised > 0 {
+					c.Raise(test.raised)
+				}
+				next, refused = a, nil
+				_, err = c.Do(context.Background(), http.MethodGet, "/", nil, nil)
+			}
+			qt.Check(t, refused != nil, qt.Equals, test.refused, qt.Commentf("%v", refused))
+			qt.Check(t, err != nil, qt.Equals, test.failed, qt.Commentf("%v", err))
+			qt.Check(t, c.Era(), qt.Equals, test.era)
+			qt.Check(t, changes, qt.DeepEquals, test.changes)
+			if next.status == 503 {
+				e, ok := err.(*objectapi.Error)
+				qt.Assert(t, ok, qt.IsTrue)
+				qt.Check(t, e.Status, qt.Equals, 503, qt.Commentf("it stays what it is"))
+				qt.Check(t, e.RetryAfter, qt.Equals, 3*time.Second)
+			} else if test.refused {
+				e, ok := err.(*objectapi.Error)
+				qt.Assert(t, ok, qt.IsTrue)
+				qt.Check(t, e.Verdict, qt.Equals, verdict.MayHaveRun, qt.Commentf("a write may have taken effect"))
+			}
+		})
+	}
+}
