Nodes write their entries again when the platform may have lost them

What was listed before is forgotten, as its revisions may name other entries now. Tests in control cover held zones over two eras, a late node and one of an earlier era.

--- a/contact/book.go
+++ b/contact/book.go
@@ -174,43 +174,54 @@
 	b.wrote = time.Now()
 }
 
-const (
-	// rewriteTries is how often the writing again of an entry is tried, with rewritePause
-	// between: a platform that comes back turns some calls away.
-	rewriteTries = 8
-	rewritePause = 200 * time.Millisecond
-)
+// rewriteTries is how often the writing again of an entry is tried, with pauses that grow to
+// some seconds.
+const rewriteTries = 8
 
 // WriteAgain takes in that the platform may have lost what was written: this node's entry is
 // looked for if it stood there, and written again if it does not. What was read before is
-// forgotten.
+// forgotten. It returns when the entry is there, or was given up after some tries: the next
+// look into the book then decides.
 func (b *Book) WriteAgain(ctx context.Context) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	stood := b.stands(b.present) || !b.wrote.IsZero()
-	b.present = nil
-	b.listed = nil
-	for try := 0; stood && ctx.Err() == nil; try++ {
-		now, err := b.API.Get(ctx, Kind, b.Node)
-		switch {
-		case objectapi.IsNotFound(err):
-			err = b.write(ctx, nil)
-		case err == nil && !b.stands(now):
-			err = b.write(ctx, now)
-		}
+	stood := b.forget()
+	for try := 0; stood && try < rewriteTries && ctx.Err() == nil; try++ {
+		err := b.restore(ctx)
 		if err == nil {
-			b.wrote = time.Now()
 			return
 		}
 		b.Log.Warn().Err(err).Int("try", try+1).Msg("contact not written again")
-		if try+1 == rewriteTries {
-			b.wrote = time.Time{} // the next look into the book decides
-			return
-		}
-		sleep.For(ctx, rewritePause/2+rand.N(rewritePause))
+		sleep.For(ctx, objectapi.Backoff(try, err))
 	}
 }
 
+// forget forgets what was read and written, and returns whether this node's entry stood there.
+func (b *Book) forget() (stood bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	stood = b.stands(b.present) || !b.wrote.IsZero()
+	b.present = nil
+	b.listed = nil
+	b.wrote = time.Time{}
+	return stood
+}
+
+// restore writes this node's entry if it does not stand there.
+func (b *Book) restore(ctx context.Context) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now, err := b.API.Get(ctx, Kind, b.Node)
+	switch {
+	case objectapi.IsNotFound(err):
+		err = b.write(ctx, nil)
+	case err == nil && !b.stands(now):
+		err = b.write(ctx, now)
+	}
+	if err == nil {
+		b.wrote = time.Now()
+	}
+	return err
+}
+
 // stands returns whether an object is this node's entry. One that can't be read is
 // not.
 func (b *Book) stands(o *objectapi.Object) bool {
--- /dev/null
+++ b/contact/restore_test.go
@@ -0,0 +1,106 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package contact_test
+
+import (
+	"context"
+	"maps"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"sassafrasfront.example/contact"
+	"sassafrasfront.example/objectapi"
+)
+
+// turningAway is a memory that turns the first calls away.
+type turningAway struct {
+	*memory
+	calls int
+}
+
+func (m *turningAway) Get(ctx context.Context, kind, name string) (*objectapi.Object, error) {
+	if m.calls--; m.calls >= 0 {
+		return nil, &objectapi.Error{Status: 503}
+	}
+	return m.memory.Get(ctx, kind, name)
+}
+
+// TestWriteAgain has a platform come back from a copy. The entry that stood there is there
+// again within two seconds, as it was, and nothing else is written.
+func TestWriteAgain(t *testing.T) {
+	own := contact.Entry{Address: "10.0.0.1:1", Zone: "z"}
+	earlier := contact.Entry{Address: "10.0.0.9:1", Zone: "z"}
+	tests := map[string]struct {
+		copied    any  // what the copy has, or nil
+		never     bool // whether the node never stood there
+		turned    int  // the calls that are turned away
+		revisions int  // that are given out when it is written again
+		want      any
+	}{
+		"lost":                      {revisions: 1, want: own},
+		"in the copy":               {copied: own, want: own},
+		"the copy is of before":     {copied: earlier, revisions: 1, want: own},
+		"another wrote it":          {copied: 7, revisions: 1, want: own},
+		"never stood there":         {never: true},
+		"lost, and turned away":     {turned: 3, revisions: 1, want: own},
+		"in the copy, turned away":  {copied: own, turned: 3, want: own},
+		"never stood, turned away":  {never: true, turned: 3},
+		"turned away for very long": {turned: 1000},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx := context.Background()
+				m := &turningAway{memory: newMemory()}
+				b := &contact.Book{API: m, Node: "a", Entry: own, Log: zerolog.Nop()}
+				b.Addresses(ctx)
+				if !test.never {
+					b.Register(ctx)
+				}
+				m.objects = make(map[string]*objectapi.Object)
+				if test.copied != nil {
+					m.store(objectapi.NewObject(contact.Kind, "a", test.copied))
+				}
+				m.calls = test.turned
+				before, began := m.revision, time.Now()
+				b.WriteAgain(ctx)
+				if test.turned <= 3 {
+					qt.Check(t, time.Since(began) <= 2*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+				}
+				qt.Check(t, m.revision-before, qt.Equals, test.revisions)
+				if test.want == nil {
+					qt.Check(t, m.objects["a"], qt.IsNil)
+					return
+				}
+				e, err := objectapi.SpecOf[contact.Entry](m.objects["a"])
+				qt.Assert(t, err, qt.IsNil)
+				qt.Check(t, e, qt.Equals, test.want)
+			})
+		})
+	}
+}
+
+// TestForgetAfterRestore has nodes list an entry that nobody answers at, before the platform
+// comes back from a copy. The entry that has the same revision after that is another one, and
+// stays.
+func TestForgetAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		m := newMemory()
+		m.store(objectapi.NewObject(contact.Kind, "gone", contact.Entry{Address: "10.0.0.1:1", Zone: "z"}))
+		b := &contact.Book{API: m, Node: "a", Entry: contact.Entry{Address: "10.0.0.2:1", Zone: "z"}, Log: zerolog.Nop()}
+		b.Addresses(ctx)
+		b.Met(ctx, "10.0.0.1:1", false)
+		time.Sleep(contact.Forget)
+		b.WriteAgain(ctx)
+		there := maps.Clone(m.objects)
+		b.Met(ctx, "10.0.0.1:1", false)
+		qt.Check(t, len(m.objects), qt.Equals, len(there))
+	})
+}
--- /dev/null
+++ b/control/era_test.go
@@ -0,0 +1,169 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package control
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/evacuation"
+	"sassafrasfront.example/objectapi"
+	"sassafrasfront.example/rollout"
+	"sassafrasfront.example/routes"
+)
+
+// zonesAt returns the zones that were read at a point.
+func zonesAt(era, revision uint64, zones ...string) evacuation.Set {
+	return evacuation.New(objectapi.Point{Era: era, Revision: revision}, zones...)
+}
+
+// readZones has a node read the platform.
+func (n *testNode) readZones(s evacuation.Set) {
+	n.EraSeen(s.At.Era, true)
+	n.Evacuate(s)
+	n.Read(true, 0)
+}
+
+// waitZones waits until some zones are in force at all nodes, as they were read at a point.
+func (c *cluster) waitZones(nodes []*testNode, want evacuation.Set) {
+	c.t.Helper()
+	for _, n := range nodes {
+		c.eventually(fmt.Sprintf("%s has %v", n.Self.ID, want), func() bool {
+			got := n.Snapshot().Evacuated
+			return got.At == want.At && got.Same(want)
+		})
+	}
+}
+
+// TestEvacuationOverEras has the platform come back from a copy that is older than an
+// evacuation, one node see that, and the others hear of it: the zone stays evacuated at all
+// nodes, one that starts then as well, until it has been written again and removed.
+func TestEvacuationOverEras(t *testing.T) {
+	c := newCluster(t)
+	list := c.tableNodes(6)
+	first := list[0].Self.Addr
+	var heard atomic.Uint64
+	list[5].do(func() { list[5].EraHeard = func(era uint64) { heard.Store(era) } })
+	list[2].readZones(zonesAt(1, 900, "z"))
+	c.waitZones(list, zonesAt(1, 900, "z"))
+
+	list[3].readZones(zonesAt(2, 870))
+	c.waitZones(list, zonesAt(2, 870, "z"))
+	c.eventually("the node is told of the era", func() bool { return heard.Load() == 2 })
+	late := c.tableNode("late", "y", func() []string { return []string{first} })
+	list = append(list, late)
+	c.waitZones(list, zonesAt(2, 870, "z"))
+	late.Evacuate(zonesAt(2, 872))
+	late.Read(true, 0)
+	list[0].readZones(zonesAt(1, 901))
+	time.Sleep(100 * time.Millisecond)
+	c.waitZones(list, zonesAt(2, 870, "z"))
+
+	list[1].readZones(zonesAt(3, 865)) // a second time, before it has been written again
+	c.waitZones(list, zonesAt(3, 865, "z"))
+	list[4].readZones(zonesAt(3, 866, "y"))
+	c.waitZones(list, zonesAt(3, 866, "y", "z"))
+	list[1].readZones(zonesAt(3, 870, "y", "z"))
+	c.waitZones(list, zonesAt(3, 870, "y", "z"))
+	list[2].readZones(zonesAt(3, 871))
+	c.waitZones(list, zonesAt(3, 871))
+}
+
+// TestHeldZoneIsGivenUp has a zone that was lost, and not written again, come back after its
+// time.
+func TestHeldZoneIsGivenUp(t *testing.T) {
+	c := newCluster(t)
+	list := c.tableNodes(3)
+	const left = 600 * time.Millisecond
+	list[0].readZones(zonesAt(2, 870))
+	c.waitZones(list, zonesAt(2, 870))
+	began := time.Now()
+	list[1].do(func() {
+		list[1].configs.put(rollout.FromHeld(zonesAt(1, 900, "z"), began.Add(left-evacuation.HoldFor)))
+	})
+	c.waitZones(list[1:2], zonesAt(2, 870, "z"))
+	c.waitZones(list, zonesAt(2, 870))
+	qt.Check(t, time.Since(began) >= left, qt.IsTrue)
+}
+
+// TestNodeFromEarlierEra has a node that was apart since before the platform came back join the
+// others: what it tells of the earlier era reverts nothing, and of what was in force then it is
+// believed as far as it knew more.
+func TestNodeFromEarlierEra(t *testing.T) {
+	tests := map[string]struct {
+		knew evacuation.Set
+		want evacuation.Set
+	}{
+		"it knew less":    {knew: zonesAt(1, 890, "x"), want: zonesAt(2, 870, "z")},
+		"it knew more":    {knew: zonesAt(1, 905, "x", "z"), want: zonesAt(2, 870, "x", "z")},
+		"it knew nothing": {want: zonesAt(2, 870, "z")},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t)
+			list := c.tableNodes(3)
+			first := list[0].Self.Addr
+			list[0].readZones(zonesAt(1, 900, "z"))
+			c.waitZones(list, zonesAt(1, 900, "z"))
+			list[1].readZones(zonesAt(2, 870))
+			c.waitZones(list, zonesAt(2, 870, "z"))
+			var joins atomic.Bool
+			apart := c.tableNode("apart", "y", func() []string {
+				if joins.Load() {
+					return []string{first}
+				}
+				return nil
+			})
+			if test.knew.At.Era > 0 {
+				apart.EraSeen(test.knew.At.Era, false)
+				apart.Evacuate(test.knew)
+				qt.Assert(t, apart.Snapshot().Evacuated.Same(test.knew), qt.IsTrue)
+			}
+			joins.Store(true)
+			c.eventually("it has met the others", func() bool { return apart.liveNodes() == 4 })
+			time.Sleep(200 * time.Millisecond)
+			c.waitZones(append(list, apart), test.want)
+		})
+	}
+}
+
+// TestTableOverEras has a lower version of a table come from the copy: it changes nothing, also
+// for a node that heard of nothing else before, and a higher one binds though its revision is
+// lower than those before.
+func TestTableOverEras(t *testing.T) {
+	c := newCluster(t)
+	list := c.tableNodes(4)
+	first := list[0].Self.Addr
+	table := func(version uint64) *routes.Table {
+		r, err := routes.New(routes.Table{Version: version, Services: []routes.Service{{Name: "s"}}})
+		qt.Assert(t, err, qt.IsNil)
+		return r
+	}
+	all := func(version uint64) {
+		t.Helper()
+		for _, n := range list {
+			c.eventually(fmt.Sprint("in force: ", version), func() bool { s := n.Snapshot(); return s.Table != nil && s.Table.Version == version })
+		}
+	}
+	list[0].Configure(table(7))
+	list[0].Read(true, 0)
+	all(7)
+	for i, n := range list {
+		n.EraSeen(uint64(i), true)
+		n.Configure(table(6))
+		n.Read(true, 0)
+	}
+	late := c.tableNode("late", "y", func() []string { return []string{first} })
+	late.Configure(table(6))
+	list = append(list, late)
+	all(7)
+	list[2].Configure(table(8))
+	list[2].Read(true, 0)
+	all(8)
+}
--- a/node/evacuation_test.go
+++ b/node/evacuation_test.go
@@ -25,8 +25,11 @@
 	sent      int
 }
 
-func newZoned(t *testing.T) *zoned {
-	z := &zoned{world: newWorld(t)}
+func newZoned(t *testing.T) *zoned { return newZonedIn(newWorld(t)) }
+
+// newZonedIn makes the system in an empty one.
+func newZonedIn(w *world) *zoned {
+	z := &zoned{world: w}
 	z.configure(1, "")
 	for range 2 {
 		z.near = append(z.near, z.addIn("y", "b"))
--- a/node/fatal_test.go
+++ b/node/fatal_test.go
@@ -169,9 +169,13 @@
 
 // fatalWorld is a small system that knows of a fatal request.
 func fatalWorld(t *testing.T, fatal func(r standin.Run) bool, upstreams int) (*mortals, []*managed) {
-	w := newWorld(t)
+	return fatalWorldIn(newWorld(t), fatal, upstreams)
+}
+
+// fatalWorldIn does what fatalWorld does, in an empty system.
+func fatalWorldIn(w *world, fatal func(r standin.Run) bool, upstreams int) (*mortals, []*managed) {
 	m := &mortals{w: w, fatal: fatal}
-	t.Cleanup(m.close)
+	w.t.Cleanup(m.close)
 	w.configure(1, "")
 	var nodes []*managed
 	for range upstreams {
