Real nodes over restores of the stand-in store

Twice in a row, with nodes that the store turns away, restarts in between, and answers of wrong eras.

--- /dev/null
+++ b/node/restore_test.go
@@ -0,0 +1,274 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package node_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/blocklist"
+	"sassafrasfront.example/contact"
+	"sassafrasfront.example/platform/standin"
+)
+
+// newEraWorld is a system whose store names eras.
+func newEraWorld(t *testing.T) *world {
+	w := newWorld(t)
+	w.store.Era = 3
+	return w
+}
+
+// turned is a way to the store that can be closed.
+type turned struct {
+	store http.Handler
+	away  atomic.Bool
+}
+
+func (x *turned) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if x.away.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	x.store.ServeHTTP(w, r)
+}
+
+// era returns the era that a node knows, as its metrics have it.
+func (m *managed) era() string {
+	r, err := http.Get("http://" + m.settings.OperatorAddress + "/metrics")
+	if err != nil {
+		return ""
+	}
+	defer r.Body.Close()
+	text, _ := io.ReadAll(r.Body)
+	_, rest, _ := strings.Cut(string(text), "sassafras_platform_era ")
+	era, _, _ := strings.Cut(rest, "\n")
+	return era
+}
+
+// allInEra waits until all nodes know an era.
+func (z *zoned) allInEra(era string) {
+	z.t.Helper()
+	for _, n := range z.all() {
+		z.eventually("each knows the era "+era, func() bool { return n.era() == era })
+	}
+}
+
+// newRoute waits until all nodes have a route, or checks that they do.
+func (z *zoned) newRoute(name string) {
+	z.t.Helper()
+	for _, n := range z.all() {
+		z.sent++
+		z.eventually("each has the route "+name, func() bool { return n.ask("GET", "/"+name+"/x", fmt.Sprint("r-", z.sent), "").status == 200 })
+	}
+}
+
+// newCutZoned is a system of two zones, one node of each of which reaches the store by a way
+// that can be closed.
+func newCutZoned(t *testing.T) (*zoned, *turned) {
+	w := newEraWorld(t)
+	way := &turned{store: w.store}
+	server := httptest.NewServer(way)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	open := w.url
+	z := &zoned{world: w}
+	z.configure(1, "")
+	for _, url := range []string{open, server.URL} {
+		w.url = url
+		z.near = append(z.near, z.addIn("y", "b"))
+		z.far = append(z.far, z.addIn("z", "b"))
+	}
+	w.url = open
+	z.serving()
+	return z, way
+}
+
+// TestRestoredPlatform has the store be away for a moment and come back from a copy that is
+// older than a table of routes and an evacuation, twice in a row, while it turns one node of
+// each zone away. Callers see the table and the zones as they were; what the operator writes
+// then binds at once, though its revisions were given out before.
+func TestRestoredPlatform(t *testing.T) {
+	z, way := newCutZoned(t)
+	z.eventually("both zones are used", func() bool {
+		for _, n := range z.all() {
+			z.ask(n)
+		}
+		return z.runs(z.near) > 0 && z.runs(z.far) > 0
+	})
+	copied := z.store.Copy()
+	z.configure(2, "c")
+	z.evacuate("z", true)
+	for i := range 50 { // revisions that the next eras don't reach
+		z.store.Put("other", fmt.Sprint(i), i)
+	}
+	z.known(1)
+	z.newRoute("c")
+	z.untouched(z.far)
+	reached := z.runs(z.far)
+
+	way.away.Store(true)
+	for _, era := range []string{"4", "5"} {
+		z.store.SetFaults(standin.Faults{Status: 503})
+		z.untouched(z.far)
+		z.store.Restore(copied)
+		z.store.SetFaults(standin.Faults{})
+		z.allInEra(era)
+		z.untouched(z.far)
+		for _, n := range z.all() {
+			qt.Check(t, n.ask("GET", "/c/x", "kept-"+era, "").status, qt.Equals, 200, qt.Commentf("the table does not revert"))
+			qt.Check(t, z.zones(n), qt.HasLen, 1, qt.Commentf("nor does the evacuation"))
+		}
+	}
+	z.evacuate("y", true) // before the other one is written again
+	z.known(2)
+	z.evacuate("y", false)
+	z.known(1)
+	z.evacuate("z", true)
+	z.configure(2, "c")
+	z.untouched(z.far)
+	z.configure(3, "d")
+	z.newRoute("d")
+	qt.Check(t, z.runs(z.far), qt.Equals, reached, qt.Commentf("nothing reached the zone, over all of that"))
+
+	way.away.Store(false)
+	z.evacuate("z", false)
+	z.known(0)
+	z.eventually("the zone serves again", func() bool {
+		z.ask(z.far[0])
+		return z.runs(z.far) > reached
+	})
+}
+
+// TestRestartAfterRestore restarts nodes of an evacuated zone while the store has lost the
+// evacuation and the table: they hear of both from the others.
+func TestRestartAfterRestore(t *testing.T) {
+	z, way := newCutZoned(t)
+	copied := z.store.Copy()
+	z.configure(2, "c")
+	z.evacuate("z", true)
+	z.known(1)
+	z.newRoute("c")
+
+	z.store.Restore(copied)
+	z.allInEra("4")
+	z.far[0].stop()
+	z.run(z.far[0])
+	way.away.Store(true)
+	z.far[1].stop()
+	z.run(z.far[1])
+	z.known(1)
+	z.newRoute("c")
+	z.serving()
+	z.untouched(z.far)
+	lost := z.zones(z.near[0])[0].Revision
+	z.evacuate("z", true)
+	for _, n := range z.all() {
+		z.eventually("each knows that it is written again", func() bool { return z.zones(n)[0].Revision > lost })
+	}
+	z.evacuate("z", false)
+	z.known(0)
+}
+
+// TestContactsAfterRestore has the store lose the addresses of the nodes: they are there again
+// within two seconds, twice in a row.
+func TestContactsAfterRestore(t *testing.T) {
+	w := newEraWorld(t)
+	w.configure(1, "")
+	empty := w.store.Copy()
+	var nodes []*managed
+	for range 6 {
+		nodes = append(nodes, w.add("b"))
+	}
+	for _, n := range nodes {
+		w.eventually("each node serves", func() bool { return n.ask("GET", "/b/x", "warm", "").status == 200 })
+	}
+	w.eventually("some stand there", func() bool { return len(w.store.Names(contact.Kind)) > 0 })
+	time.Sleep(time.Second) // for others that write themselves in at the start
+	for range 2 {
+		stood := w.store.Names(contact.Kind)
+		w.store.Restore(empty)
+		began := time.Now()
+		w.eventually("they are there again", func() bool {
+			for _, name := range stood {
+				if !w.store.Has(contact.Kind, name) {
+					return false
+				}
+			}
+			return true
+		})
+		t.Logf("%d entries were back after %v", len(stood), time.Since(began))
+	}
+}
+
+// TestBlocksAfterRestore has the store lose the block of a fatal request: the nodes go on
+// refusing it, and the block is written again, so that it outlives a restart of all.
+func TestBlocksAfterRestore(t *testing.T) {
+	w := newEraWorld(t)
+	m, nodes := fatalWorldIn(w, func(r standin.Run) bool { return r.Body == "fatal" }, 3)
+	copied := w.store.Copy()
+	for i := range 6 {
+		nodes[0].ask("PUT", "/b/report", fmt.Sprint("fatal-", i), "fatal")
+		time.Sleep(settle)
+	}
+	w.eventually("the block is kept", func() bool { return len(w.store.Names(blocklist.Kind)) == 1 })
+	ended := m.ended()
+	w.store.Restore(copied)
+	w.eventually("the block is written again", func() bool { return len(w.store.Names(blocklist.Kind)) == 1 })
+	for i, n := range nodes {
+		n.ask("PUT", "/b/report", fmt.Sprint("again-", i), "fatal")
+	}
+	qt.Check(t, m.ended(), qt.Equals, ended)
+}
+
+// TestDisbelievedPlatform has the store's answers name an earlier era, none, or no number, for
+// some time: the nodes serve on as they were, and believe it again afterwards.
+func TestDisbelievedPlatform(t *testing.T) {
+	for name, header := range map[string]string{"earlier": "2", "none": "", "no number": "x"} {
+		t.Run(name, func(t *testing.T) {
+			w := newEraWorld(t)
+			var wrong atomic.Bool
+			server := httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
+				if !wrong.Load() {
+					w.store.ServeHTTP(out, r)
+					return
+				}
+				recorded := httptest.NewRecorder()
+				w.store.ServeHTTP(recorded, r)
+				out.Header().Set("Content-Type", "application/json")
+				if header != "" {
+					out.Header().Set(standin.EraHeader, header)
+				}
+				out.WriteHeader(recorded.Code)
+				_, _ = out.Write(recorded.Body.Bytes())
+			}))
+			defer server.Close()
+			defer server.CloseClientConnections()
+			w.url = server.URL
+			w.configure(1, "c")
+			n := w.add("b")
+			w.eventually("it serves", func() bool { return n.ask("GET", "/c/x", "warm", "").status == 200 })
+			wrong.Store(true)
+			server.CloseClientConnections()
+			w.configure(2, "d")
+			time.Sleep(1500 * time.Millisecond) // a node that reads by itself has read by then
+			qt.Check(t, n.ask("GET", "/c/x", "kept", "").status, qt.Equals, 200)
+			qt.Check(t, n.ask("GET", "/d/x", "not yet", "").status, qt.Equals, 404)
+			qt.Check(t, n.era(), qt.Equals, "3")
+			wrong.Store(false)
+			w.eventually("it is believed again", func() bool { return n.ask("GET", "/d/x", "new", "").status == 200 })
+			n.stop() // before its way to the store is closed
+		})
+	}
+}
