The soak has the store come back from a copy, twice in a row

With -restore, beside a seed's other faults, which stay what they were: the restore is drawn apart. The operator's last word is lost and written again a moment later.

--- a/cmd/sassafrasctl/zones.go
+++ b/cmd/sassafrasctl/zones.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/operator"
 )
 
@@ -24,6 +25,10 @@
 		if z.Running != nil {
 			running = strconv.Itoa(*z.Running)
 		}
-		return fmt.Sprintf("%s\t%d\t%s\t%d\t%s", z.Zone, z.Revision, z.Since.Format(time.RFC3339), z.Upstreams, running)
+		at := objectapi.Point{
+			Era:      z.Era,
+			Revision: z.Revision,
+		}
+		return fmt.Sprintf("%s\t%v\t%s\t%d\t%s", z.Zone, at, z.Since.Format(time.RFC3339), z.Upstreams, running)
 	})
 }
--- a/cmd/sassafrassoak/faults.go
+++ b/cmd/sassafrassoak/faults.go
@@ -41,8 +41,12 @@
 	"storeForgets": false,
 	"configure":    true,
 	"drain":        true,
+	restored:       false, // only where it is asked for
 }
 
+// restored has the store come back from a copy, twice in a row.
+const restored = "storeRestored"
+
 // names lists the kinds in a fixed order, so that a seed always draws the same.
 var names = []string{"stop", "kill", "pause", "hangup", "linkDelayed", "linkSilent", "linkOneWay", "linkReset", "storeDown", "storeSilent", "storeLost", "storeForgets", "configure", "drain"}
 
@@ -75,6 +79,17 @@
 	return list
 }
 
+// drawRestore returns the restore of a seed, which is drawn apart: the seed's other faults
+// stay what they are without it.
+func drawRestore(seed uint64, duration time.Duration) fault {
+	random := rand.New(rand.NewPCG(seed, 1))
+	return fault{
+		name: restored,
+		at:   time.Duration(random.Int64N(int64(duration * 3 / 10))),
+		last: 300*time.Millisecond + time.Duration(random.Int64N(int64(time.Second))),
+	}
+}
+
 func (f fault) String() string {
 	return fmt.Sprintf("%s node %d at %v for %v", f.name, f.node, f.at.Round(time.Millisecond), f.last.Round(time.Millisecond))
 }
@@ -82,7 +97,7 @@
 // inject does the faults, each at its time, and returns when all are undone.
 func (w *world) inject(list []fault) {
 	var all sync.WaitGroup
-	var configuring, storing sync.Mutex
+	var storing sync.Mutex
 	perNode := make([]sync.Mutex, len(w.nodes))
 	for _, f := range list {
 		all.Go(func() {
@@ -93,9 +108,9 @@
 				perNode[f.node].Lock() // one process has one signal at a time
 				defer perNode[f.node].Unlock()
 			case "configure":
-				configuring.Lock()
-				defer configuring.Unlock()
-			case "storeDown", "storeSilent", "storeLost", "storeForgets":
+				w.configuring.Lock()
+				defer w.configuring.Unlock()
+			case "storeDown", "storeSilent", "storeLost", "storeForgets", restored:
 				storing.Lock()
 				defer storing.Unlock()
 			}
@@ -152,9 +167,35 @@
 		w.store.Forget()
 		w.store.SetFaults(standin.Faults{})
 	case "configure":
-		w.routes = append(w.routes, fmt.Sprintf("c%d", len(w.routes)))
-		w.configure()
+		w.addRoute()
+	case restored:
+		w.restore(f.last)
+		w.restore(f.last)
 	case "drain":
 		n.upstream.Load().Drain()
 	}
 }
+
+// addRoute has the operator add a route. The lock is held.
+func (w *world) addRoute() {
+	w.routes = append(w.routes, fmt.Sprintf("c%d", len(w.routes)))
+	w.configure()
+}
+
+// restore has the store be away for a moment and come back from a copy that is older than the
+// operator's last word, which the operator writes again a moment later.
+func (w *world) restore(last time.Duration) {
+	copied := w.store.Copy()
+	w.configuring.Lock()
+	w.addRoute()
+	w.configuring.Unlock()
+	time.Sleep(last)
+	w.store.SetFaults(standin.Faults{Status: http.StatusServiceUnavailable})
+	time.Sleep(last / 4)
+	w.store.Restore(copied)
+	w.store.SetFaults(standin.Faults{})
+	time.Sleep(last / 2)
+	w.configuring.Lock()
+	defer w.configuring.Unlock()
+	w.writeConfiguration()
+}
--- a/cmd/sassafrassoak/main.go
+++ b/cmd/sassafrassoak/main.go
@@ -37,6 +37,7 @@
 	duration time.Duration
 	logs     string
 	safety   bool
+	restore  bool
 }
 
 func main() {
@@ -62,6 +63,7 @@
 	fs.DurationVar(&o.duration, "duration", 8*time.Second, "time under load")
 	fs.StringVar(&o.logs, "logs", "", "folder that gets the nodes' logs of a seed that failed; empty for none")
 	fs.BoolVar(&o.safety, "safety", false, "leave out the promises that have a bound on time, for a busy machine")
+	fs.BoolVar(&o.restore, "restore", false, "have the store come back from an older copy as well, twice in a row")
 	if err := fs.Parse(args[1:]); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
 			return 0
--- a/cmd/sassafrassoak/play.go
+++ b/cmd/sassafrassoak/play.go
@@ -80,6 +80,9 @@
 	}
 	time.Sleep(time.Second) // they meet
 	faults := draw(seed, o.duration)
+	if o.restore {
+		faults = append(faults, drawRestore(seed, o.duration))
+	}
 	seen := new(records)
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
--- a/cmd/sassafrassoak/world.go
+++ b/cmd/sassafrassoak/world.go
@@ -41,9 +41,11 @@
 	front   *proxy // of the store
 	nodes   []*node
 	port    int // the last one given to a node
-	version int
-	routes  []string
-	done    chan struct{}
+	// configuring is held while the configuration is written. It guards what follows.
+	configuring sync.Mutex
+	version     int
+	routes      []string
+	done        chan struct{}
 }
 
 // node is a node with its upstream.
@@ -69,7 +71,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{program: program, dir: dir, store: new(standin.Store), done: make(chan struct{}), routes: []string{"a", "b"}}
+	w := &world{program: program, dir: dir, store: &standin.Store{Era: 1}, done: make(chan struct{}), routes: []string{"a", "b"}}
 	w.port = firstPort + int(seed%portBlocks)*portsPerSeed
 	w.server = httptest.NewServer(w.store)
 	if w.front, err = newProxy(w.server.Listener.Addr().String()); err != nil {
@@ -207,9 +209,14 @@
 	}
 }
 
-// configure writes the manifest with all routes.
+// configure writes the manifest with all routes, under a new version.
 func (w *world) configure() {
 	w.version++
+	w.writeConfiguration()
+}
+
+// writeConfiguration writes the manifest with all routes.
+func (w *world) writeConfiguration() {
 	var list []json.RawMessage
 	for _, name := range w.routes {
 		kind, service := "idempotent", "b"
