Docs of a platform that comes back from a copy; retained, not held

The glossary has held for requests that wait for the end of a slow spell, so zones that the platform has lost are retained.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 SKIPPED = $${SKIP:+-skip "$$SKIP"}
 
 # All checks: format, vet, linter, tests, the race detector, a short fuzz run, a
-# short soak of two seeds without the promises that have a bound on time.
+# short soak of three seeds without the promises that have a bound on time.
 test: lint
 	go test -timeout 300s $(SKIPPED) work
 	go test -race -timeout 300s $(SKIPPED) ./admit ./blocklist ./caller ./cold ./control ./entry ./gate ./node ./peer ./platform ./objectapi ./quarantine ./rollout ./upstream
@@ -36,3 +36,4 @@
 soak: build
 	bin/sassafrassoak run -seed 4 -duration 4s -safety
 	bin/sassafrassoak run -seed 7 -duration 4s -safety
+	bin/sassafrassoak run -seed 2 -duration 4s -safety -restore
--- a/control/control.go
+++ b/control/control.go
@@ -248,7 +248,7 @@
 
 // publish makes a new snapshot if something has changed.
 func (c *Control) publish() {
-	c.enforceZones(time.Now()) // some are held for a time only
+	c.enforceZones(time.Now()) // some are retained for a time only
 	last := c.snapshot.Load().Evacuated
 	if len(c.dirty) > 0 || c.evacuated.At != last.At || !c.evacuated.Same(last) {
 		c.rebuild()
@@ -316,8 +316,8 @@
 	case rollout.Evacuated:
 		c.zonesChanged(r)
 		return
-	case rollout.Held:
-		c.heldChanged(r)
+	case rollout.Retained:
+		c.retainedChanged(r)
 		return
 	}
 	c.dirty[r.Name] = true
--- a/control/era_test.go
+++ b/control/era_test.go
@@ -75,9 +75,9 @@
 	c.waitZones(list, zonesAt(3, 871))
 }
 
-// TestHeldZoneIsGivenUp has a zone that was lost, and not written again, come back after its
+// TestRetainedZoneIsGivenUp has a zone that was lost, and not written again, come back after its
 // time.
-func TestHeldZoneIsGivenUp(t *testing.T) {
+func TestRetainedZoneIsGivenUp(t *testing.T) {
 	c := newCluster(t)
 	list := c.tableNodes(3)
 	const left = 600 * time.Millisecond
@@ -85,7 +85,7 @@
 	c.waitZones(list, zonesAt(2, 870))
 	began := time.Now()
 	list[1].do(func() {
-		list[1].configs.put(rollout.FromHeld(zonesAt(1, 900, "z"), began.Add(left-evacuation.HoldFor)))
+		list[1].configs.put(rollout.FromRetained(zonesAt(1, 900, "z"), began.Add(left-evacuation.RetainFor)))
 	})
 	c.waitZones(list[1:2], zonesAt(2, 870, "z"))
 	c.waitZones(list, zonesAt(2, 870))
--- a/control/evacuation.go
+++ b/control/evacuation.go
@@ -38,7 +38,7 @@
 	}
 	now := time.Now()
 	if before, restored := c.zonesKnown.Take(s, now); restored {
-		c.configs.put(rollout.FromHeld(before, c.eraRose(now)))
+		c.configs.put(rollout.FromRetained(before, c.eraRose(now)))
 	}
 	if c.reads != nil {
 		c.reads.ZonesInForce(s.At)
@@ -46,16 +46,16 @@
 	c.enforceZones(now)
 }
 
-// heldChanged takes in the zones that were in force when an era of the platform ended.
-func (c *Control) heldChanged(r rollout.Config) {
-	delete(c.configs.outbox, rollout.Held)
+// retainedChanged takes in the zones that were in force when an era of the platform ended.
+func (c *Control) retainedChanged(r rollout.Config) {
+	delete(c.configs.outbox, rollout.Retained)
 	s, err := r.Zones()
 	if err != nil {
 		c.Log.Error().Err(err).Uint64("era", r.Era).Uint64("revision", r.Sequence).Msg("zones of an earlier era can't be read")
 		return
 	}
 	now := time.Now()
-	c.zonesKnown.Hold(s, r.At, now)
+	c.zonesKnown.Retain(s, r.At, now)
 	c.enforceZones(now)
 }
 
@@ -69,8 +69,8 @@
 	for name := range c.byService {
 		c.dirty[name] = true
 	}
-	held := slices.DeleteFunc(slices.Clone(s.Zones), c.zonesKnown.Listed().Has)
-	c.Log.Info().Uint64("era", s.At.Era).Uint64("revision", s.At.Revision).Strs("zones", s.Zones).Strs("held", held).Int("upstreams", c.upstreamsIn(s)).Msg("evacuated zones in force")
+	retained := slices.DeleteFunc(slices.Clone(s.Zones), c.zonesKnown.Listed().Has)
+	c.Log.Info().Uint64("era", s.At.Era).Uint64("revision", s.At.Revision).Strs("zones", s.Zones).Strs("retained", retained).Int("upstreams", c.upstreamsIn(s)).Msg("evacuated zones in force")
 }
 
 // upstreamsIn returns the number of upstreams that would take requests in evacuated zones.
--- a/control/reads.go
+++ b/control/reads.go
@@ -204,7 +204,7 @@
 	case topicAskNews:
 		return c.reads.Tell(time.Now()), true, nil
 	case topicTable:
-		return records[rollout.Config]{Records: c.configs.get([]string{rollout.Whole, rollout.Held, rollout.Evacuated})}, true, nil
+		return records[rollout.Config]{Records: c.configs.get([]string{rollout.Whole, rollout.Retained, rollout.Evacuated})}, true, nil
 	}
 	return nil, false, nil
 }
--- a/evacuation/state.go
+++ b/evacuation/state.go
@@ -9,11 +9,11 @@
 	"time"
 )
 
-// HoldFor is how long zones stay evacuated that the platform has lost by coming back from a
+// RetainFor is how long zones stay evacuated that the platform has lost by coming back from a
 // copy, unless their operator writes them again, or removes them. Without it requests would
 // go to zones that are out of service for as long as the operator takes; what is not written
 // again by then was dropped.
-const HoldFor = 30 * time.Second
+const RetainFor = 30 * time.Second
 
 // State is what one node knows of evacuated zones. The zero value knows of none. It is not
 // safe for use by several goroutines at once.
@@ -28,7 +28,7 @@
 func (s *State) Listed() Set { return s.listed }
 
 // Take takes in a Set that is later than the one read before. If it is the first one of its
-// era, Take returns what was in force until now, which is to be held.
+// era, Take returns what was in force until now, which is to be retained.
 func (s *State) Take(n Set, now time.Time) (before Set, restored bool) {
 	if s.listed.At.Era < n.At.Era {
 		before, restored = s.InForce(now), s.listed.At.Revision > 0
@@ -41,23 +41,23 @@
 	return before, restored
 }
 
-// Hold takes in what was in force when an era ended, and when its successor was first seen.
-func (s *State) Hold(before Set, seen, now time.Time) {
+// Retain takes in what was in force when an era ended, and when its successor was first seen.
+func (s *State) Retain(before Set, seen, now time.Time) {
 	s.before = before
 	if seen.After(now) {
 		seen = now // the clock of another instance may be ahead
 	}
-	s.until = now.Add(HoldFor - now.Sub(seen))
+	s.until = now.Add(RetainFor - now.Sub(seen))
 }
 
 // InForce returns the zones that are evacuated: those read last, and of those that were
 // before the platform came back from a copy the ones that have not stood there since.
 func (s *State) InForce(now time.Time) Set {
-	return New(s.listed.At, append(s.held(now), s.listed.Zones...)...)
+	return New(s.listed.At, append(s.retained(now), s.listed.Zones...)...)
 }
 
-// held returns the zones that the platform has lost and that stay evacuated.
-func (s *State) held(now time.Time) (zones []string) {
+// retained returns the zones that the platform has lost and that stay evacuated.
+func (s *State) retained(now time.Time) (zones []string) {
 	if s.before.At.Era >= s.listed.At.Era || !now.Before(s.until) {
 		return nil
 	}
--- a/evacuation/state_test.go
+++ b/evacuation/state_test.go
@@ -20,7 +20,7 @@
 }
 
 // TestState reads sets one after the other, a second from each other, over eras. What was in
-// force when one ended is held as a node does that made it.
+// force when one ended is retained as a node does that made it.
 func TestState(t *testing.T) {
 	tests := map[string]struct {
 		sets  []evacuation.Set
@@ -29,8 +29,8 @@
 	}{
 		"one era":                            {sets: []evacuation.Set{set(1, 5, "z"), set(1, 9)}},
 		"lost":                               {sets: []evacuation.Set{set(1, 900, "z"), set(2, 870)}, want: []string{"z"}},
-		"lost, and not written again":        {sets: []evacuation.Set{set(1, 900, "z"), set(2, 870)}, after: evacuation.HoldFor},
-		"just before it ends":                {sets: []evacuation.Set{set(1, 900, "z"), set(2, 870)}, after: evacuation.HoldFor - 1, want: []string{"z"}},
+		"lost, and not written again":        {sets: []evacuation.Set{set(1, 900, "z"), set(2, 870)}, after: evacuation.RetainFor},
+		"just before it ends":                {sets: []evacuation.Set{set(1, 900, "z"), set(2, 870)}, after: evacuation.RetainFor - 1, want: []string{"z"}},
 		"lost, and written again":            {sets: []evacuation.Set{set(1, 900, "z"), set(2, 870), set(2, 871, "z")}, after: time.Hour, want: []string{"z"}},
 		"written again and removed":          {sets: []evacuation.Set{set(1, 900, "z"), set(2, 870), set(2, 871, "z"), set(2, 872)}},
 		"in the copy, and removed":           {sets: []evacuation.Set{set(1, 900, "z"), set(2, 870, "z"), set(2, 871)}},
@@ -49,7 +49,7 @@
 			for _, n := range test.sets {
 				now = now.Add(time.Second)
 				if before, restored := s.Take(n, now); restored {
-					s.Hold(before, now, now)
+					s.Retain(before, now, now)
 				}
 			}
 			got := s.InForce(now.Add(test.after))
@@ -59,23 +59,23 @@
 	}
 }
 
-// TestHoldOfOthers has a node that has started since hear from others what was in force, with
+// TestRetainedByOthers has a node that has started since hear from others what was in force, with
 // when the era began by another clock.
-func TestHoldOfOthers(t *testing.T) {
+func TestRetainedByOthers(t *testing.T) {
 	now := time.Unix(1e9, 0)
 	tests := map[string]struct {
 		seen time.Time
-		want time.Duration // for how long from now it is held
+		want time.Duration // for how long from now it is retained
 	}{
-		"just now":         {seen: now, want: evacuation.HoldFor},
-		"a while ago":      {seen: now.Add(-10 * time.Second), want: evacuation.HoldFor - 10*time.Second},
+		"just now":         {seen: now, want: evacuation.RetainFor},
+		"a while ago":      {seen: now.Add(-10 * time.Second), want: evacuation.RetainFor - 10*time.Second},
 		"long ago":         {seen: now.Add(-time.Hour)},
-		"by a clock ahead": {seen: now.Add(time.Hour), want: evacuation.HoldFor},
+		"by a clock ahead": {seen: now.Add(time.Hour), want: evacuation.RetainFor},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			var s evacuation.State
-			s.Hold(set(1, 900, "z"), test.seen, now)
+			s.Retain(set(1, 900, "z"), test.seen, now)
 			qt.Check(t, s.InForce(now).Zones, qt.HasLen, 0, qt.Commentf("before the era is known"))
 			_, restored := s.Take(set(2, 870), now)
 			qt.Check(t, restored, qt.IsFalse)
--- a/rollout/evacuated.go
+++ b/rollout/evacuated.go
@@ -15,17 +15,17 @@
 const (
 	// Evacuated holds the zones as they were read from the platform.
 	Evacuated = "*evacuated"
-	// Held holds those that were in force when an era of the platform ended.
-	Held = "*held"
+	// Retained holds those that were in force when an era of the platform ended.
+	Retained = "*retained"
 )
 
 // FromZones returns evacuated zones as nodes pass them on. Its rank is the Point at which
 // they were found.
 func FromZones(s evacuation.Set) Config { return fromSet(Evacuated, s, time.Time{}) }
 
-// FromHeld returns the zones that were in force when an era ended, as nodes pass them on,
+// FromRetained returns the zones that were in force when an era ended, as nodes pass them on,
 // with when its successor was first seen.
-func FromHeld(s evacuation.Set, seen time.Time) Config { return fromSet(Held, s, seen.UTC()) }
+func FromRetained(s evacuation.Set, seen time.Time) Config { return fromSet(Retained, s, seen.UTC()) }
 
 func fromSet(name string, s evacuation.Set, at time.Time) Config {
 	return Config{
@@ -37,5 +37,5 @@
 	}
 }
 
-// Zones returns the evacuated zones that the Config named Evacuated or Held holds.
+// Zones returns the evacuated zones that the Config named Evacuated or Retained holds.
 func (c Config) Zones() (evacuation.Set, error) { return evacuation.Decode(c.Spec) }
