TestReleaseAfterRestore: a release that the store lost holds

The block is in the store again; reports that it was released win at nodes that run, and at one that has started since and read the block.

--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -5,6 +5,7 @@
 package node_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -18,6 +19,7 @@
 
 	"sassafrasfront.example/blocklist"
 	"sassafrasfront.example/contact"
+	"sassafrasfront.example/operator"
 	"sassafrasfront.example/platform/standin"
 )
 
@@ -232,6 +234,56 @@
 	qt.Check(t, m.ended(), qt.Equals, ended)
 }
 
+// TestReleaseAfterRestore has the store lose the release of a fatal request: its block is there
+// again, and counts at no node, nor at one that has started since and read it.
+func TestReleaseAfterRestore(t *testing.T) {
+	w := newEraWorld(t)
+	_, nodes := fatalWorldIn(w, func(r standin.Run) bool { return r.Body == "fatal" }, 3)
+	suspects := func(n *managed) (list []operator.Suspect) {
+		r, err := http.Get("http://" + n.settings.OperatorAddress + "/v1/suspects")
+		if err != nil {
+			return nil
+		}
+		defer r.Body.Close()
+		_ = json.NewDecoder(r.Body).Decode(&list)
+		return list
+	}
+	for i := range 6 {
+		nodes[0].ask("PUT", "/b/report", fmt.Sprint("fatal-", i), "fatal")
+		time.Sleep(settle)
+	}
+	w.eventually("the block is kept", func() bool { return len(w.store.Names(blocklist.Kind)) == 1 })
+	copied := w.store.Copy()
+	print := suspects(nodes[0])[0].Print
+	r, err := http.NewRequest(http.MethodDelete, "http://"+nodes[0].settings.OperatorAddress+"/v1/suspects/"+print, nil)
+	qt.Assert(t, err, qt.IsNil)
+	response, err := http.DefaultClient.Do(r)
+	qt.Assert(t, err, qt.IsNil)
+	_ = response.Body.Close()
+	qt.Assert(t, response.StatusCode, qt.Equals, http.StatusNoContent)
+	none := func() bool {
+		for _, n := range nodes {
+			if len(suspects(n)) > 0 {
+				return false
+			}
+		}
+		return true
+	}
+	w.eventually("all nodes know of the release", none)
+	qt.Check(t, w.store.Names(blocklist.Kind), qt.HasLen, 0)
+
+	w.store.Restore(copied)
+	qt.Check(t, w.store.Names(blocklist.Kind), qt.HasLen, 1)
+	for _, n := range nodes {
+		w.eventually("each knows the era", func() bool { return n.era() == "4" })
+	}
+	nodes[1].stop()
+	w.run(nodes[1])
+	w.eventually("it serves again", func() bool { return nodes[1].ask("PUT", "/b/x", "warm", "").status == 200 })
+	time.Sleep(settle)
+	w.eventually("none suspects it", none)
+}
+
 // TestDisbelievedPlatform has the store's answers name an earlier era, none, or no number, for
 // some time: the nodes serve on as they were, and believe it again afterwards.
 func TestDisbelievedPlatform(t *testing.T) {
