A second restore has the writing again begin anew

A writing that is still being turned away, for up to some fifteen seconds, kept the next one waiting. What was lost is remembered until it stands there again. Tests of contact, evacuation, objectapi and the restores of node passed with the race detector.

--- a/contact/book.go
+++ b/contact/book.go
@@ -53,6 +53,7 @@
 	mu      sync.Mutex
 	present *objectapi.Object            // this node's own, as read last, or nil
 	wrote   time.Time                    // when this node's own was written
+	lost    bool                         // whether it stood there, and may have been lost
 	listed  map[string]*objectapi.Object // by address, as read last
 	silent  map[string]time.Time         // since when nobody answers, by address
 }
@@ -198,11 +199,11 @@
 func (b *Book) forget() (stood bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	stood = b.stands(b.present) || !b.wrote.IsZero()
+	b.lost = b.lost || b.stands(b.present) || !b.wrote.IsZero()
 	b.present = nil
 	b.listed = nil
 	b.wrote = time.Time{}
-	return stood
+	return b.lost
 }
 
 // restore writes this node's entry if it does not stand there.
@@ -218,6 +219,7 @@
 	}
 	if err == nil {
 		b.wrote = time.Now()
+		b.lost = false
 	}
 	return err
 }
--- a/contact/restore_test.go
+++ b/contact/restore_test.go
@@ -86,6 +86,26 @@
 	}
 }
 
+// TestWriteAgainBegunAnew has the platform come back a second time while the first writing is
+// still being turned away: the entry is there again.
+func TestWriteAgainBegunAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &turningAway{memory: newMemory()}
+		b := &contact.Book{API: m, Node: "a", Entry: contact.Entry{Address: "10.0.0.1:1", Zone: "z"}, Log: zerolog.Nop()}
+		b.Addresses(context.Background())
+		b.Register(context.Background())
+		m.objects = make(map[string]*objectapi.Object)
+		m.calls = 1000
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		b.WriteAgain(ctx)
+		qt.Check(t, m.objects["a"], qt.IsNil)
+		m.calls = 0
+		b.WriteAgain(context.Background())
+		qt.Check(t, m.objects["a"], qt.IsNotNil)
+	})
+}
+
 // TestForgetAfterRestore has nodes list an entry that nobody answers at, before the platform
 // comes back from a copy. The entry that has the same revision after that is another one, and
 // stays.
--- a/node/restore.go
+++ b/node/restore.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"sassafrasfront.example/internal/sleep"
@@ -44,17 +45,29 @@
 // keepWritten writes what this node keeps on the platform again whenever that may have been
 // lost, until ctx ends.
 func (n *Node) keepWritten(ctx context.Context) {
+	var writing sync.WaitGroup
+	defer writing.Wait()
+	stop := func() {}
 	for {
 		select {
 		case <-ctx.Done():
+			stop()
 			return
 		case <-n.restored:
 		}
-		sleep.For(ctx, rand.N(rewriteSpread))
-		n.contacts.WriteAgain(ctx)
-		if n.control.Scout() {
-			n.saveBlocks(ctx)
-		}
+		stop() // what is still being tried begins anew
+		var again context.Context
+		again, stop = context.WithCancel(ctx)
+		writing.Go(func() { n.writeAgain(again) })
+	}
+}
+
+// writeAgain writes what this node keeps on the platform.
+func (n *Node) writeAgain(ctx context.Context) {
+	sleep.For(ctx, rand.N(rewriteSpread))
+	n.contacts.WriteAgain(ctx)
+	if n.control.Scout() {
+		n.saveBlocks(ctx)
 	}
 }
 
--- a/objectapi/caller.go
+++ b/objectapi/caller.go
@@ -101,8 +101,8 @@
 	}
 }
 
-// Call makes one call and returns its answer if the status is a good one, and the era
-// one that can be. The caller closes its body.
+// Call makes one call and returns its answer if the status is a good one and the era can
+// be right. The caller closes its body.
 func (c *Caller) Call(ctx context.Context, method, path string, body any) (*http.Response, error) {
 	data, err := encode(body)
 	if err != nil {
