--- a/cmd/sassafrassoak/main.go
+++ b/cmd/sassafrassoak/main.go
@@ -7,6 +7,7 @@
 //
 //	sassafrassoak run -seed 7 -node bin/sassafrasnode
 //	sassafrassoak hunt -seeds 50 -node bin/sassafrasnode
+//	sassafrassoak hunt -seeds 50 -restore -node bin/sassafrasnode
 //
 // The store and the upstreams are stand-ins in this process; the nodes are
 // processes of their own, reached by their peers through proxies here. It ends
