--- a/control/control.go
+++ b/control/control.go
@@ -124,11 +124,11 @@
 	configs    exchanger[rollout.Config]
 	reports    exchanger[quarantine.Report]
 	byService  map[string]map[string]member.Record
-	table      *routes.Table    // in force, or nil
-	evacuated  evacuation.Set   // in force
-	zonesKnown evacuation.State // what they follow from
-	live       int              // live nodes, this one included
-	near       int              // those in the node's own zone, without this one
+	table      *routes.Table // in force, or nil
+	evacuated  evacuation.Set
+	zonesKnown evacuation.State
+	live       int // live nodes, this one included
+	near       int // those in the node's own zone, without this one
 	dirty      map[string]bool
 	neighbours []member.Record
 	clients    map[string]*peer.Client
--- a/follow/state.go
+++ b/follow/state.go
@@ -107,25 +107,26 @@
 	within  time.Duration
 	started time.Time
 	random  *rand.Rand
-	version uint64          // in force here
-	zones   objectapi.Point // of the evacuated zones that were read last, as far as they are known here
-	round   uint64          // of the latest answered read
-	found   uint64          // the version that it found
-	zonesAt objectapi.Point // of the evacuated zones that it found
-	at      time.Time       // of that read
-	failure uint64          // the number of the latest failed read
-	failed  time.Time       // of that read
-	borne   uint64          // failure, at the latest answered read
-	early   uint64          // failure, before nodes read by themselves after that
-	fresh   time.Time       // of the latest answered read that found nothing later than what is in force
-	passed  bool            // whether the latest was passed on
-	tried   time.Time       // of the node's own last read
-	failing bool            // whether that failed
-	alone   int             // own reads since anything was heard
-	asked   time.Time       // the value of since for which others were asked
-	drawn   time.Time       // the value of since for which draw was drawn
-	draw    float64         // in (0, 1]
-	era     era
+	version uint64    // in force here
+	round   uint64    // of the latest answered read
+	found   uint64    // the version that it found
+	at      time.Time // of that read
+	failure uint64    // the number of the latest failed read
+	failed  time.Time // of that read
+	borne   uint64    // failure, at the latest answered read
+	early   uint64    // failure, before nodes read by themselves after that
+	fresh   time.Time // of the latest answered read that found nothing later than what is in force
+	passed  bool      // whether the latest was passed on
+	tried   time.Time // of the node's own last read
+	failing bool      // whether that failed
+	alone   int       // own reads since anything was heard
+	asked   time.Time // the value of since for which others were asked
+	drawn   time.Time // the value of since for which draw was drawn
+	draw    float64   // in (0, 1]
+
+	era     era             // of the platform
+	zones   objectapi.Point // of the evacuated zones that are known here
+	zonesAt objectapi.Point // of those that the latest answered read found
 }
 
 // New returns the State of a node that starts now, where a change has to be in force
