--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,4 @@
 	bin/sassafrassoak run -seed 4 -duration 4s -safety
 	bin/sassafrassoak run -seed 7 -duration 4s -safety
 	bin/sassafrassoak run -seed 15 -duration 4s -safety -keys
+	bin/sassafrassoak run -seed 2 -duration 4s -safety -restore
--- a/cmd/sassafrassoak/main.go
+++ b/cmd/sassafrassoak/main.go
@@ -7,6 +7,7 @@
 //
 //	sassafrassoak run -seed 7 -node bin/sassafrasnode
 //	sassafrassoak hunt -seeds 50 -node bin/sassafrasnode
+//	sassafrassoak hunt -seeds 50 -restore -node bin/sassafrasnode
 //
 // The store and the upstreams are stand-ins in this process; the nodes are
 // processes of their own, reached by their peers through proxies here. It ends
@@ -38,6 +39,7 @@
 	logs     string
 	safety   bool
 	keys     bool
+	restore  bool
 }
 
 func main() {
@@ -64,6 +66,7 @@
 	fs.StringVar(&o.logs, "logs", "", "folder that gets the nodes' logs of a seed that failed; empty for none")
 	fs.BoolVar(&o.safety, "safety", false, "leave out the promises that have a bound on time, for a busy machine")
 	fs.BoolVar(&o.keys, "keys", false, "replace the keys of an organisation all the while, and check that revoked ones let nobody in")
+	fs.BoolVar(&o.restore, "restore", false, "have the store come back from an older copy as well, twice in a row")
 	if err := fs.Parse(args[1:]); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
 			return 0
--- a/cmd/sassafrassoak/world.go
+++ b/cmd/sassafrassoak/world.go
@@ -40,13 +40,14 @@
 	server  *httptest.Server
 	front   *proxy // of the store
 	nodes   []*node
-	port    int        // the last one given to a node
-	mu      sync.Mutex // of version, routes and valid
-	version int
-	routes  []string
-	keys    *keyring // nil if no request needs a key
-	valid   []string // keys
-	done    chan struct{}
+	port    int // the last one given to a node
+	// configuring is held while the configuration is written. It guards what follows.
+	configuring sync.Mutex
+	version     int
+	routes      []string
+	keys        *keyring // nil if no request needs a key
+	valid       []string // keys
+	done        chan struct{}
 }
 
 // node is a node with its upstream.
@@ -72,7 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{program: program, dir: dir, store: new(standin.Store), done: make(chan struct{}), routes: []string{"a", "b"}}
+	w := &world{program: program, dir: dir, store: &standin.Store{Era: 1}, done: make(chan struct{}), routes: []string{"a", "b"}}
 	w.port = firstPort + int(seed%portBlocks)*portsPerSeed
 	w.server = httptest.NewServer(w.store)
 	if w.front, err = newProxy(w.server.Listener.Addr().String()); err != nil {
@@ -218,13 +219,18 @@
 	}
 }
 
-// configure makes a change and writes the manifest with all routes. All but one are public
-// where keys are asked for.
+// configure makes a change and writes the manifest with all routes, under a new version. All
+// but one are public where keys are asked for.
 func (w *world) configure(change func()) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	w.configuring.Lock()
+	defer w.configuring.Unlock()
 	change()
 	w.version++
+	w.writeConfiguration()
+}
+
+// writeConfiguration writes the manifest with all routes. The lock is held.
+func (w *world) writeConfiguration() {
 	var list []json.RawMessage
 	for _, name := range w.routes {
 		kind, service := "idempotent", "b"
--- a/contact/book.go
+++ b/contact/book.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"sassafrasfront.example/internal/sleep"
 	"sassafrasfront.example/objectapi"
 )
 
@@ -52,6 +53,7 @@
 	mu      sync.Mutex
 	present *objectapi.Object            // this node's own, as read last, or nil
 	wrote   time.Time                    // when this node's own was written
+	lost    bool                         // whether it stood there, and may have been lost
 	listed  map[string]*objectapi.Object // by address, as read last
 	silent  map[string]time.Time         // since when nobody answers, by address
 }
@@ -173,6 +175,55 @@
 	b.wrote = time.Now()
 }
 
+// rewriteTries is how often the writing again of an entry is tried, with pauses that grow to
+// some seconds.
+const rewriteTries = 8
+
+// WriteAgain takes in that the platform may have lost what was written: this node's entry is
+// looked for if it stood there, and written again if it does not. What was read before is
+// forgotten. It returns when the entry is there, or was given up after some tries: the next
+// look into the book then decides.
+func (b *Book) WriteAgain(ctx context.Context) {
+	stood := b.forget()
+	for try := 0; stood && try < rewriteTries && ctx.Err() == nil; try++ {
+		err := b.restore(ctx)
+		if err == nil {
+			return
+		}
+		b.Log.Warn().Err(err).Int("try", try+1).Msg("contact not written again")
+		sleep.For(ctx, objectapi.Backoff(try, err))
+	}
+}
+
+// forget forgets what was read and written, and returns whether this node's entry stood there.
+func (b *Book) forget() (stood bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lost = b.lost || b.stands(b.present) || !b.wrote.IsZero()
+	b.present = nil
+	b.listed = nil
+	b.wrote = time.Time{}
+	return b.lost
+}
+
+// restore writes this node's entry if it does not stand there.
+func (b *Book) restore(ctx context.Context) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now, err := b.API.Get(ctx, Kind, b.Node)
+	switch {
+	case objectapi.IsNotFound(err):
+		err = b.write(ctx, nil)
+	case err == nil && !b.stands(now):
+		err = b.write(ctx, now)
+	}
+	if err == nil {
+		b.wrote = time.Now()
+		b.lost = false
+	}
+	return err
+}
+
 // stands returns whether an object is this node's entry. One that can't be read is
 // not.
 func (b *Book) stands(o *objectapi.Object) bool {
--- a/control/control.go
+++ b/control/control.go
@@ -100,6 +100,9 @@
 	// FreshWithin old.
 	Clock       boottime.Clock
 	FreshWithin time.Duration
+	// EraHeard, if not nil, is called when another node tells of a later era of the
+	// platform, by a goroutine of its own.
+	EraHeard func(era uint64)
 	// Quarantine, if not nil, takes in what nodes report of requests that end upstreams.
 	Quarantine *quarantine.Index
 	// Timing are the periods of the work.
@@ -131,6 +134,7 @@
 	byService  map[string]map[string]member.Record
 	table      *routes.Table // in force, or nil
 	evacuated  evacuation.Set
+	zonesKnown evacuation.State
 	live       int // live nodes, this one included
 	near       int // those in the node's own zone, without this one
 	dirty      map[string]bool
@@ -254,8 +258,9 @@
 
 // publish makes a new snapshot if something has changed.
 func (c *Control) publish() {
-	zones := c.evacuated.Revision != c.snapshot.Load().Evacuated.Revision
-	if len(c.dirty) > 0 || zones {
+	c.enforceZones(time.Now()) // some are retained for a time only
+	last := c.snapshot.Load().Evacuated
+	if len(c.dirty) > 0 || c.evacuated.At != last.At || !c.evacuated.Same(last) {
 		c.rebuild()
 	}
 }
@@ -321,6 +326,9 @@
 	case rollout.Evacuated:
 		c.zonesChanged(r)
 		return
+	case rollout.Retained:
+		c.retainedChanged(r)
+		return
 	}
 	c.dirty[r.Name] = true
 	c.Log.Info().Str("service", r.Name).Uint64("sequence", r.Sequence).Bool("deleted", r.Deleted).Msg("configuration in force")
--- /dev/null
+++ b/control/era.go
@@ -0,0 +1,26 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package control
+
+import "time"
+
+// EraSeen takes in that the platform names an era to this node. Restored is whether it had
+// answered it before.
+func (c *Control) EraSeen(era uint64, restored bool) {
+	c.init()
+	c.do(func() {
+		if c.reads != nil {
+			c.reads.EraSeen(era, restored, time.Now())
+		}
+	})
+}
+
+// eraRose returns when the platform's present era was first seen, by the time of day.
+func (c *Control) eraRose(now time.Time) time.Time {
+	if c.reads == nil || c.reads.EraRose().IsZero() {
+		return now
+	}
+	return c.reads.EraRose()
+}
--- a/control/freshness.go
+++ b/control/freshness.go
@@ -70,11 +70,12 @@
 }
 
 // Confirm takes in that the platform answered a read of the table which was sent at the
-// given reading of the clock. What it found has been given to Configure.
+// given reading of the clock. What it found has been given to Configure. It confirms nothing
+// where the platform has come back from a copy that may lack the latest table.
 func (c *Control) Confirm(sent time.Duration) {
 	c.init()
 	c.do(func() {
-		if c.fresh == nil {
+		if c.fresh == nil || !c.reads.Rewritten(time.Now()) {
 			return
 		}
 		c.fresh.Read(sent)
--- a/control/freshness_test.go
+++ b/control/freshness_test.go
@@ -175,3 +175,40 @@
 		}
 	})
 }
+
+// TestConfirmAfterRestore has the platform come back from a copy that may lack the latest
+// table: reads confirm nothing until operators have had the time to write it again, and what
+// was confirmed before gets older meanwhile.
+func TestConfirmAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		clock := func() time.Duration { return time.Since(start) }
+		c := &Control{
+			Self:        member.Record{ID: "a", Zone: "z", State: member.Idle},
+			Template:    func(*routes.Table, string, int) operator.Service { return operator.Service{}.WithDefaults() },
+			Within:      freshWithin / 2,
+			Clock:       clock,
+			FreshWithin: freshWithin,
+			Budget:      watch.NewBudget(1e6, 1),
+			Published:   func(*Snapshot) {},
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var all sync.WaitGroup
+		defer all.Wait()
+		defer cancel()
+		all.Go(func() { c.Run(ctx) })
+		c.Configure(&routes.Table{Version: 7})
+		c.EraSeen(1, false)
+		c.Confirm(clock())
+		qt.Check(t, c.TableAge(7).Time, qt.Equals, time.Duration(0))
+		c.EraSeen(2, true)
+		for range 2 {
+			time.Sleep(time.Second)
+			c.Confirm(clock())
+		}
+		qt.Check(t, c.TableAge(7).Time, qt.Equals, 2*time.Second)
+		time.Sleep(time.Second)
+		c.Confirm(clock())
+		qt.Check(t, c.TableAge(7).Time, qt.Equals, time.Duration(0))
+	})
+}
--- a/control/reads.go
+++ b/control/reads.go
@@ -126,9 +126,13 @@
 
 // hearNews takes in news from another node.
 func (c *Control) hearNews(from string, news told) {
+	era := c.reads.Era()
 	if c.reads.Hear(news.News, time.Now()) {
 		c.fetchTable(from)
 	}
+	if later := c.reads.Era(); later > era && c.EraHeard != nil {
+		go c.EraHeard(later)
+	}
 	c.hearProof(from, news.Proof)
 	c.passNews()
 	c.wake()
@@ -206,7 +210,7 @@
 	case topicAskNews:
 		return c.tell(c.reads.Tell(time.Now())), true, nil
 	case topicTable:
-		return records[rollout.Config]{Records: c.configs.get([]string{rollout.Whole, rollout.Evacuated})}, true, nil
+		return records[rollout.Config]{Records: c.configs.get([]string{rollout.Whole, rollout.Retained, rollout.Evacuated})}, true, nil
 	}
 	return nil, false, nil
 }
