--- a/control/freshness_test.go
+++ b/control/freshness_test.go
@@ -197,18 +197,18 @@
 		defer all.Wait()
 		defer cancel()
 		all.Go(func() { c.Run(ctx) })
-		c.Configure(&routes.Table{Version: 7})
+		c.Configure(&routes.Table{Version: 7, Services: []routes.Service{{Name: "s"}}})
 		c.EraSeen(1, false)
 		c.Confirm(clock())
-		qt.Check(t, c.TableAge(7).Time, qt.Equals, time.Duration(0))
+		qt.Check(t, c.TableAge(7), qt.Equals, freshness.Age{Known: true})
 		c.EraSeen(2, true)
 		for range 2 {
 			time.Sleep(time.Second)
 			c.Confirm(clock())
 		}
-		qt.Check(t, c.TableAge(7).Time, qt.Equals, 2*time.Second)
+		qt.Check(t, c.TableAge(7), qt.Equals, freshness.Age{Known: true, Time: 2 * time.Second})
 		time.Sleep(time.Second)
 		c.Confirm(clock())
-		qt.Check(t, c.TableAge(7).Time, qt.Equals, time.Duration(0))
+		qt.Check(t, c.TableAge(7), qt.Equals, freshness.Age{Known: true})
 	})
 }
