--- /dev/null
+++ b/admit/expect.go
@@ -0,0 +1,67 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package admit
+
+import (
+	"time"
+
+	"sassafrasfront.example/verdict"
+)
+
+// Expect is Enter for a request whose body has yet to come in: it is refused at once if it
+// would be refused now with its body there, and otherwise takes no slot until Arrive is
+// called on its ticket. A slot that is held while a body crosses a slow link serves nobody.
+func (g *Gate) Expect(class string, deadline time.Time) *Ticket {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.observeQueues(now)
+	t := g.ticket(class, deadline, now)
+	t.state = expected
+	err := g.admissible(t, now, deadline)
+	if err == nil {
+		err = g.expectable(t, now)
+	}
+	if err != nil {
+		t.refuse(err)
+		return t
+	}
+	g.expected++
+	return t
+}
+
+// expectable returns why there is no room for one more request that is expected, or nil.
+// Those that are expected already count as if they waited. The lock is held.
+func (g *Gate) expectable(t *Ticket, now time.Time) *verdict.Error {
+	free := min(g.allowed(now), t.queue.cap(g.limits.Slots)) - g.running - g.waiting
+	if g.expected < free {
+		return nil
+	}
+	wait := g.expectedWait(t.queue, now, 1+g.expected)
+	full := verdict.New(verdict.Refused, nil).WithRetryAfter(wait)
+	switch {
+	case wait > t.queue.standing.bound(g.longestWait(t.queue)):
+		return full
+	case !t.deadline.IsZero() && now.Add(wait+g.run(t.queue)).After(t.deadline):
+		return full
+	case g.waiting+g.expected >= g.limits.QueueLength+max(0, free):
+		return full
+	}
+	return nil
+}
+
+// arrive has t, which was expected, wait for a slot.
+func (g *Gate) arrive(t *Ticket) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t.state != expected {
+		return
+	}
+	now := time.Now()
+	g.observeQueues(now)
+	g.expected--
+	t.entered = now
+	g.enter(t, now)
+}
--- a/admit/gate.go
+++ b/admit/gate.go
@@ -51,6 +51,7 @@
 	virtual  float64
 	running  int
 	waiting  int
+	expected int           // requests that wait for their bodies, and not for a slot yet
 	startSum time.Duration // sum of the start times of running requests, since epoch
 	epoch    time.Time
 	draining bool
@@ -139,7 +140,7 @@
 	}
 	return Report{
 		Running:  g.running,
-		Waiting:  g.waiting,
+		Waiting:  g.waiting + g.expected,
 		Allowed:  g.allowed(now),
 		Service:  service,
 		Draining: g.draining,
@@ -207,31 +208,42 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	g.observeQueues(now)
-	t := &Ticket{
+	t := g.ticket(class, deadline, now)
+	g.enter(t, now)
+	return t
+}
+
+// ticket returns the ticket of a request that comes now.
+func (g *Gate) ticket(class string, deadline, now time.Time) *Ticket {
+	return &Ticket{
 		gate:     g,
 		queue:    g.class(class),
 		ready:    make(chan struct{}),
 		entered:  now,
 		deadline: deadline,
 	}
-	if err := g.admissible(t, now, deadline); err != nil {
+}
+
+// enter lets t run, has it wait, or refuses it. The lock is held.
+func (g *Gate) enter(t *Ticket, now time.Time) {
+	if err := g.admissible(t, now, t.deadline); err != nil {
 		t.refuse(err)
-		return t
+		return
 	}
+	t.state = waiting
 	t.queue.tag(t, g.virtual, g.run(t.queue))
 	t.queue.push(t)
 	g.waiting++
 	g.dispatch(now)
 	if t.state != waiting {
-		return t
+		return
 	}
-	if err := g.queueable(t, now, deadline); err != nil {
+	if err := g.queueable(t, now, t.deadline); err != nil {
 		t.queue.remove(t)
 		t.queue.finish = t.start
 		g.waiting--
 		t.refuse(err)
 	}
-	return t
 }
 
 // admissible returns why the request can't even be considered, or nil.
@@ -270,11 +282,15 @@
 func (g *Gate) revoke(t *Ticket, err *verdict.Error) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if t.state != waiting {
+	switch t.state {
+	case waiting:
+		t.queue.remove(t)
+		g.waiting--
+	case expected:
+		g.expected--
+	default:
 		return false
 	}
-	t.queue.remove(t)
-	g.waiting--
 	t.refuse(err)
 	return true
 }
--- a/admit/ticket.go
+++ b/admit/ticket.go
@@ -19,6 +19,7 @@
 	running
 	refused
 	released
+	expected
 )
 
 // Ticket is one request's place at a Gate.
@@ -27,7 +28,7 @@
 	queue   *classQueue
 	start   float64 // start tag
 	ready   chan struct{}
-	entered time.Time
+	entered time.Time // into the queue
 	// deadline is when an answer is of no use any more, or zero.
 	deadline time.Time
 
@@ -57,7 +58,10 @@
 func (t *Ticket) Waited() time.Duration {
 	t.gate.mu.Lock()
 	defer t.gate.mu.Unlock()
-	if t.state == waiting {
+	switch t.state {
+	case expected:
+		return 0
+	case waiting:
 		return time.Since(t.entered)
 	}
 	return t.began.Sub(t.entered)
@@ -77,6 +81,12 @@
 	t.gate.release(t, healthy)
 }
 
+// Arrive has a request that was expected wait for a slot from now on. It does nothing if
+// the request has been refused meanwhile.
+func (t *Ticket) Arrive() {
+	t.gate.arrive(t)
+}
+
 // Wait blocks until the request runs or has been refused. The request is
 // revoked when ctx ends, and refused when it has waited for as long as the
 // gate allows. A nil result means that the request runs and the caller owes a
--- a/admit/wait.go
+++ b/admit/wait.go
@@ -28,7 +28,7 @@
 // queueable returns why the request, which stands in its queue, may not wait,
 // or nil if it may.
 func (g *Gate) queueable(t *Ticket, now, deadline time.Time) *verdict.Error {
-	wait := g.expectedWait(t.queue, now)
+	wait := g.expectedWait(t.queue, now, 0)
 	full := verdict.New(verdict.Refused, nil).WithRetryAfter(wait)
 	if wait > t.queue.standing.bound(g.longestWait(t.queue)) {
 		return full
@@ -51,9 +51,10 @@
 // for waiting requests n, run times s and weights w. Slots become free at the rate
 // sum of 1/(s k) over the running requests, which began with a slowdown of k. What
 // is held back by a slow spell waits for its expected end besides, and what a cold upstream
-// does not bear yet for the second that has room for it.
-func (g *Gate) expectedWait(q *classQueue, now time.Time) time.Duration {
-	n := float64(len(q.waiting))
+// does not bear yet for the second that has room for it. More requests of q, which don't
+// wait yet, count as if they did.
+func (g *Gate) expectedWait(q *classQueue, now time.Time, more int) time.Duration {
+	n := float64(len(q.waiting) + more)
 	ahead := n
 	own := n * g.run(q).Seconds() / q.class.Weight
 	for _, o := range g.classes {
@@ -111,7 +112,7 @@
 // expire refuses t if it still waits after the longest allowed time.
 func (g *Gate) expire(t *Ticket) {
 	g.mu.Lock()
-	after := g.expectedWait(t.queue, time.Now())
+	after := g.expectedWait(t.queue, time.Now(), 0)
 	g.mu.Unlock()
 	g.revoke(t, verdict.New(verdict.Refused, nil).WithRetryAfter(after))
 }
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -26,13 +26,19 @@
 	"sassafrasfront.example/operator"
 	"sassafrasfront.example/peer"
 	"sassafrasfront.example/quarantine"
+	"sassafrasfront.example/spool"
 	"sassafrasfront.example/upstream"
 	"sassafrasfront.example/verdict"
 )
 
-// gatherLimit is the largest body that is read before the request is sent on,
-// so that it can be sent elsewhere if it is refused.
-const gatherLimit = 64 << 10
+const (
+	// gatherLimit is the largest body that is read before the request is sent on. It
+	// fits in one or two segments of a connection's first flight, so that nothing is
+	// gained by sending it on as it comes in.
+	gatherLimit = 8 << 10
+	// claimLimit is the same for a request that is claimed by its whole body.
+	claimLimit = 64 << 10
+)
 
 // Dispatcher sends requests to upstreams.
 type Dispatcher interface {
@@ -62,6 +68,13 @@
 	Steps []entry.Step
 	// Took is the time from the head of the request to the end of the answer.
 	Took time.Duration
+	// Body is the length of a body that was kept as it came in, in bytes, and BodyTook how
+	// long it took to come in from the caller; 0 if it has not.
+	Body     int64
+	BodyTook time.Duration
+	// Arrived and Waited are how long that body took to the upstream's node, and the
+	// request then waited there for a slot, if it was answered.
+	Arrived, Waited time.Duration
 }
 
 // Handler is an http.Handler. The exported fields are set before the first
@@ -107,6 +120,8 @@
 	broken atomic.Bool
 	// streamed is the body if it is read while the request is under way, or nil.
 	streamed *streamedBody
+	// kept is the body if it is kept besides, or nil.
+	kept *spool.Body
 	// closes is whether the answer is the last one of its connection.
 	closes bool
 }
@@ -128,6 +143,7 @@
 	ctx, span := h.Tracer.Start(ctx, "entry", trace.WithSpanKind(trace.SpanKindServer))
 	cut := x.serve(ctx)
 	x.outcome.Took = time.Since(began)
+	x.noteBody()
 	cut = !x.finishBody() || cut
 	if span.IsRecording() {
 		span.SetAttributes(attribute.String("http.request.method", r.Method), attribute.String("sassafras.service", x.outcome.Service), attribute.Int("sassafras.tries", x.outcome.Tries))
@@ -141,6 +157,17 @@
 	}
 }
 
+// noteBody notes how long the body took to come in.
+func (x *exchange) noteBody() {
+	if x.kept == nil {
+		return
+	}
+	x.outcome.Body = x.kept.Length
+	if took, whole := x.kept.Took(); whole {
+		x.outcome.BodyTook = took
+	}
+}
+
 // requestID returns the caller's request id if it is a plain one, or a new one.
 func requestID(r *http.Request, name string) string {
 	const most = 128
@@ -197,6 +224,7 @@
 		return false
 	}
 	defer result.Close()
+	x.outcome.Arrived, x.outcome.Waited = result.Arrived, result.Waited
 	cut = x.answer(result)
 	keep.end(cut)
 	return cut
@@ -281,7 +309,7 @@
 func (x *exchange) print(q *entry.Request) *verdict.Error {
 	q.Print = quarantine.Head(x.handler.Service, q.Method, q.Host, q.Target)
 	switch {
-	case q.Stream == nil:
+	case q.Kept == nil && q.Stream == nil:
 		q.Print = q.Print.WithBody(q.Body)
 	case x.handler.Suspects != nil && x.handler.Suspects(q.Print):
 		body, err := x.readUntil(q.Deadline, func() ([]byte, error) { return x.streamed.peek(quarantine.MaxBody) })
@@ -341,7 +369,28 @@
 	return false
 }
 
-// body reads a small body, or has a large one streamed. A caller that expects
+// gatherLimit returns the largest body that is read before the request is sent on.
+func (x *exchange) gatherLimit() int64 {
+	if x.r.Header.Get(IdempotencyKey) != "" {
+		return claimLimit
+	}
+	return gatherLimit
+}
+
+// stream has the body read while the request is under way: an answer may begin before it
+// has ended.
+func (x *exchange) stream(most int64) *streamedBody {
+	_ = http.NewResponseController(x.w).EnableFullDuplex()
+	x.streamed = &streamedBody{
+		reader:  http.MaxBytesReader(x.w, x.r.Body, most),
+		request: x.r,
+		broken:  &x.broken,
+	}
+	return x.streamed
+}
+
+// body reads a small body, has a larger one sent on as it comes in and kept, so that it can
+// be sent again, and a very large one sent on without being kept. A caller that expects
 // 100-continue is asked for its body only once an upstream has admitted the
 // request.
 func (x *exchange) body(q *entry.Request, most int64) *verdict.Error {
@@ -351,15 +400,15 @@
 		return verdict.New(verdict.TooLarge, eris.Errorf("a body of %d bytes is over %d", r.ContentLength, most))
 	case r.ContentLength == 0:
 		return nil
-	case r.ContentLength < 0 || r.ContentLength > gatherLimit || r.Header.Get("Expect") != "":
-		// An answer may begin before the body has ended.
-		_ = http.NewResponseController(x.w).EnableFullDuplex()
-		x.streamed = &streamedBody{
-			reader:  http.MaxBytesReader(x.w, r.Body, most),
-			request: r,
-			broken:  &x.broken,
+	case r.ContentLength < 0 || r.ContentLength > peer.MaxAhead || r.Header.Get("Expect") != "":
+		q.Stream = entry.Once(x.stream(most))
+		return nil
+	case r.ContentLength > x.gatherLimit():
+		x.kept = &spool.Body{
+			Reader: x.stream(most),
+			Length: r.ContentLength,
 		}
-		q.Stream = entry.Once(x.streamed)
+		q.Kept = x.kept
 		return nil
 	}
 	data, err := x.readUntil(q.Deadline, func() ([]byte, error) { return io.ReadAll(r.Body) })
--- a/entry/request.go
+++ b/entry/request.go
@@ -11,6 +11,7 @@
 
 	"sassafrasfront.example/peer"
 	"sassafrasfront.example/quarantine"
+	"sassafrasfront.example/spool"
 	"sassafrasfront.example/verdict"
 )
 
@@ -26,9 +27,12 @@
 	Method, Target, Host string
 	// Header are the header fields to send.
 	Header []peer.Field
-	// Body is the whole body, unless Stream is set.
+	// Body is the whole body, unless Kept or Stream is set.
 	Body []byte
-	// Stream yields the body if it is large. It is read at most once.
+	// Kept is the body if it is sent on as it comes in, and kept so that it can be sent
+	// again.
+	Kept *spool.Body
+	// Stream yields the body if it is very large. It is read at most once.
 	Stream io.Reader
 	// Length is the length of the body, or -1 if it is not known.
 	Length int64
@@ -64,7 +68,8 @@
 		Host:         r.Host,
 		Header:       r.Header,
 		Remaining:    time.Until(r.Deadline),
-		Streams:      r.Stream != nil || len(r.Body) > inlineBody,
+		Streams:      r.Kept != nil || r.Stream != nil || len(r.Body) > inlineBody,
+		Ahead:        r.ahead(),
 		Length:       r.Length,
 		Try:          try,
 		Print:        r.Print,
@@ -76,17 +81,26 @@
 }
 
 // inlineBody is the largest body, in bytes, that goes with the call. A larger one
-// follows once the gate has admitted the call, which costs an exchange between
+// follows once the gate asks for it, which costs an exchange between
 // nodes, so that a call that is refused does not carry it in vain: a request of 60
 // KB that three gates refuse takes 150 ms of a link of 10 Mbit/s otherwise.
 const inlineBody = 8 << 10
 
+// ahead returns whether the body may be sent before the call is admitted: if it can be sent
+// again from its start where the call is refused after all.
+func (r *Request) ahead() bool {
+	return r.Length > inlineBody && r.Length <= peer.MaxAhead && r.Stream == nil
+}
+
 // stream returns the body of a sending that follows the call.
 func (r *Request) stream() io.Reader {
-	if r.Stream == nil {
-		return bytes.NewReader(r.Body)
+	switch {
+	case r.Kept != nil:
+		return r.Kept.Open()
+	case r.Stream != nil:
+		return streamOf(r.Stream)
 	}
-	return streamOf(r.Stream)
+	return bytes.NewReader(r.Body)
 }
 
 // Result is the answer to a request.
--- /dev/null
+++ b/gate/ahead.go
@@ -0,0 +1,47 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package gate
+
+import (
+	"context"
+
+	"sassafrasfront.example/admit"
+	"sassafrasfront.example/verdict"
+)
+
+// enter gets a slot for the call. The body of one that is sent ahead is received first, if
+// the call is likely to be admitted then, so that no slot is held while it comes in.
+func (c *call) enter(ctx context.Context) (*admit.Ticket, *verdict.Error) {
+	m := c.in.Call
+	if !m.Ahead {
+		t := c.gate.admit.Enter(m.Class, c.in.Deadline())
+		c.in.OnRevoke(t.Revoke)
+		return t, t.Wait(ctx)
+	}
+	t := c.gate.admit.Expect(m.Class, c.in.Deadline())
+	receiving, stop := context.WithCancel(ctx)
+	defer stop()
+	c.in.OnRevoke(func() bool {
+		revoked := t.Revoke()
+		if revoked {
+			stop()
+		}
+		return revoked
+	})
+	if err := t.Err(); err != nil {
+		return t, err
+	}
+	took, err := c.in.Receive(receiving)
+	if err != nil {
+		t.Revoke()
+		return t, verdict.New(verdict.Revoked, err)
+	}
+	c.arrived = took
+	if c.gate.Received != nil {
+		c.gate.Received(m.Service, m.Class, m.Length, took)
+	}
+	t.Arrive()
+	return t, t.Wait(ctx)
+}
--- a/gate/call.go
+++ b/gate/call.go
@@ -34,7 +34,9 @@
 	in     *peer.Inbound
 	status int
 	waited time.Duration
-	body   *quarantine.Body // that passes through, if the entry has not gathered it
+	// arrived is how long the body took to arrive, if it was sent ahead.
+	arrived time.Duration
+	body    *quarantine.Body // that passes through, if the entry has not gathered it
 }
 
 // guarded does what run does, and has the call fail if that panics: a fault that one request
@@ -60,7 +62,7 @@
 	if failure := c.gate.Quarantine.Judge(c.in.Call.Print).Failure(); failure != nil {
 		return failure
 	}
-	ticket, b, failure := c.gate.admitCall(ctx, c.in)
+	ticket, b, failure := c.admit(ctx)
 	if failure != nil {
 		return failure
 	}
@@ -232,6 +234,9 @@
 		Header: httpfield.From(r.Header),
 		Length: r.ContentLength,
 		Report: c.gate.reportFor(c.in.From.Node),
+
+		Arrived: c.arrived,
+		Waited:  c.waited,
 	}
 	if len(a.Header) > peer.MaxFields {
 		return verdict.New(verdict.AnswerInvalid, eris.Errorf("%d header fields", len(a.Header)))
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -61,6 +61,9 @@
 	// the time, and the one of them that was isolated and never answered, or zero. It is
 	// not called where no request was at hand.
 	Gone func(a *upstream.Announcement, prints []quarantine.Fingerprint, alone quarantine.Fingerprint)
+	// Received, if not nil, is called when the body of a call that was sent ahead of its
+	// admission is there.
+	Received func(service, class string, bytes int64, took time.Duration)
 	// Ended, if not nil, is called at the end of each call.
 	Ended func(service, class string, failure *verdict.Error, waited, took time.Duration)
 
@@ -330,15 +333,13 @@
 	}
 }
 
-// admitCall gets a slot for the call, waiting for it if need be.
-func (g *Gate) admitCall(ctx context.Context, in *peer.Inbound) (*admit.Ticket, *binding, *verdict.Error) {
-	b := g.current.Load()
-	if b == nil || b.announcement.Service != in.Call.Service {
+// admit gets a slot for the call, waiting for it if need be.
+func (c *call) admit(ctx context.Context) (*admit.Ticket, *binding, *verdict.Error) {
+	b := c.gate.current.Load()
+	if b == nil || b.announcement.Service != c.in.Call.Service {
 		return nil, nil, verdict.New(verdict.Misrouted, nil)
 	}
-	t := g.admit.Enter(in.Call.Class, in.Deadline())
-	in.OnRevoke(t.Revoke)
-	err := t.Wait(ctx)
+	t, err := c.enter(ctx)
 	switch {
 	case err == nil:
 		return t, b, nil
--- a/node/events.go
+++ b/node/events.go
@@ -57,6 +57,9 @@
 	if o.Failure != nil && o.Failure.Err != nil {
 		e = e.AnErr("reason", o.Failure.Err)
 	}
+	if o.Body > 0 {
+		e = e.Int64("bodyBytes", o.Body).Dur("bodyInMs", o.BodyTook).Dur("bodyArrivedMs", o.Arrived).Dur("waitedMs", o.Waited)
+	}
 	e.Msg("request ended")
 }
 
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -73,6 +73,9 @@
 	if o.Service != "" {
 		m.set.GetOrCreateHistogram(fmt.Sprintf(`sassafras_request_seconds{service=%q,class=%q}`, o.Service, o.Class)).Update(o.Took.Seconds())
 	}
+	if o.BodyTook > 0 {
+		m.set.GetOrCreateHistogram(fmt.Sprintf(`sassafras_body_seconds{service=%q,class=%q}`, o.Service, o.Class)).Update(o.BodyTook.Seconds())
+	}
 }
 
 // gateEnded counts a call at the gate.
@@ -88,6 +91,12 @@
 	}
 }
 
+// bodyIn takes in that the body of a call has arrived at the gate.
+func (m *metricSet) bodyIn(service, class string, bytes int64, took time.Duration) {
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`sassafras_gate_body_seconds{service=%q,class=%q}`, service, class)).Update(took.Seconds())
+	m.set.GetOrCreateCounter(fmt.Sprintf(`sassafras_gate_body_bytes_total{service=%q,class=%q}`, service, class)).Add(int(bytes))
+}
+
 // dispatcherEvent counts what the entry does beyond the first sending.
 func (m *metricSet) dispatcherEvent(service string, e entry.Event) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`sassafras_resends_total{service=%q,kind=%q}`, service, string(e))).Inc()
--- a/node/node.go
+++ b/node/node.go
@@ -182,6 +182,7 @@
 			Size:   reportSize,
 		},
 		Ended:    n.metrics.gateEnded,
+		Received: n.metrics.bodyIn,
 		Gone:     n.upstreamGone,
 		Cleared:  func(p quarantine.Fingerprint) { n.control.Report(quarantine.Ran(p)) },
 		Refused:  n.callRefused,
--- a/peer/doc.go
+++ b/peer/doc.go
@@ -18,7 +18,8 @@
 //
 // The verdict of a call that fails follows from how far its frames came. Until
 // the frame that lets the receiver start it is wholly written, it has not run.
-// A streamed call may start as soon as the receiver grants credit for its body.
+// A streamed call may start as soon as the receiver grants credit for its body, or, if
+// its body is sent ahead of its admission, once that has ended.
 //
 // A peer that breaks the protocol or its bounds costs its own connection only.
 package peer
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -11,6 +11,7 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -28,6 +29,8 @@
 	Body io.Reader
 	// Trailer returns the trailer fields once Body has returned io.EOF.
 	Trailer func() []Field
+	// Arrived and Waited are as in Answer.
+	Arrived, Waited time.Duration
 }
 
 // informBuffer is the number of informational answers kept for a slow caller.
@@ -44,6 +47,7 @@
 	informs chan *Inform
 	credit  *outgoing
 	body    *incoming
+	ahead   bool // whether the body may be sent before the call is admitted
 	// written is set once the peer may start the call.
 	written atomic.Bool
 
@@ -126,6 +130,9 @@
 		Status: m.Status,
 		Header: m.Header,
 		Length: m.Length,
+
+		Arrived: m.Arrived,
+		Waited:  m.Waited,
 	}
 	if m.Streams {
 		if err := x.body.put(m.Body); err != nil {
@@ -190,7 +197,7 @@
 		return
 	}
 	err := x.credit.copyBody(x.ctx, body, func(data []byte) error {
-		x.written.Store(true)
+		x.written.Store(!x.ahead)
 		return x.link.send(KindBody, &Body{
 			ID:   x.id,
 			Data: data,
--- a/peer/inbound.go
+++ b/peer/inbound.go
@@ -47,7 +47,11 @@
 		arrived: time.Now(),
 		credit:  newOutgoing(n.limits.Window),
 	}
-	in.body = newIncoming(n.limits.Window, in.grant)
+	window := n.limits.Window
+	if m.Ahead {
+		window = max(window, MaxAhead)
+	}
+	in.body = newIncoming(window, in.grant)
 	in.demand.give = in.allow
 	in.ctx, in.cancel = context.WithCancelCause(ctx)
 	in.late = time.AfterFunc(m.Remaining, func() {
@@ -108,13 +112,21 @@
 // its first chunk or its end: until then the call must not be started. For
 // other calls it does nothing.
 func (in *Inbound) Admit() error {
-	if !in.Call.Streams {
+	if !in.Call.Streams || in.Call.Ahead {
 		return nil
 	}
 	in.grant(in.session.limits.Window)
 	return in.body.first(in.ctx)
 }
 
+// Receive asks for the body of a call that is sent Ahead, and waits until all of it is
+// there or ctx ends. It returns how long that took from the arrival of the call.
+func (in *Inbound) Receive(ctx context.Context) (time.Duration, error) {
+	in.grant(MaxAhead)
+	err := in.body.whole(ctx)
+	return time.Since(in.arrived), err
+}
+
 // grant asks for up to n more bytes of the body.
 func (in *Inbound) grant(n int) {
 	if in.Call.Length > 0 {
--- a/peer/limits.go
+++ b/peer/limits.go
@@ -41,6 +41,10 @@
 // with it what others have under way there.
 const MaxFields = 256
 
+// MaxAhead is the largest body, in bytes, that may be sent ahead of the admission of its
+// call, and so be held for a call that waits.
+const MaxAhead = 256 << 10
+
 // chunk is the largest number of body bytes in one frame: a small frame that comes
 // behind one waits for no more than a quantum.
 const chunk = quantum
--- a/peer/link.go
+++ b/peer/link.go
@@ -54,6 +54,7 @@
 		return nil, err
 	}
 	call.ID = x.id
+	x.ahead = call.Ahead
 	x.written.Store(!call.Streams)
 	if err := l.send(KindCall, call); err != nil {
 		l.remove(x.id)
--- a/peer/message.go
+++ b/peer/message.go
@@ -72,6 +72,10 @@
 	Body []byte `msgpack:"body,omitempty"`
 	// Streams is whether the body follows in Body messages up to an End.
 	Streams bool `msgpack:"streams,omitempty"`
+	// Ahead is whether the body may be asked for before the call is admitted, as its
+	// sender keeps it. Such a call streams, has a Length of at most MaxAhead, and is not
+	// started before its End.
+	Ahead bool `msgpack:"ahead,omitempty"`
 	// Length is the length of the body in bytes, or -1 if it is not known.
 	Length int64 `msgpack:"length"`
 	// Try counts the sendings of the same request, from 1.
@@ -130,6 +134,11 @@
 	Length  int64   `msgpack:"length"`
 	Trailer []Field `msgpack:"trailer,omitempty"`
 	Report  *Report `msgpack:"report,omitempty"`
+	// Arrived is how long the body of a call that was sent Ahead took to arrive, from the
+	// arrival of the call.
+	Arrived time.Duration `msgpack:"arrived,omitempty"`
+	// Waited is how long the call waited for a slot, with its body there.
+	Waited time.Duration `msgpack:"waited,omitempty"`
 }
 
 // Inform carries an informational (1xx) answer ahead of the final one.
@@ -158,7 +167,7 @@
 }
 
 // Credit allows the receiver to send more bytes of a body. The first credit
-// for a streamed call also says that it has been admitted.
+// for a streamed call also says that it has been admitted, unless its body is sent ahead.
 type Credit struct {
 	ID    uint64 `msgpack:"id"`
 	Bytes int    `msgpack:"bytes"`
--- a/peer/session.go
+++ b/peer/session.go
@@ -97,6 +97,9 @@
 	if err := n.checkFields(m.Header); err != nil {
 		return err
 	}
+	if m.Ahead && (!m.Streams || m.Length < 0 || m.Length > MaxAhead) {
+		return eris.Wrapf(ErrProtocol, "a body of %d bytes ahead", m.Length)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if m.ID <= n.lastID {
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -209,9 +209,20 @@
 // first waits until the first chunk or the clean end is there. It returns the
 // error of a body that ended before either.
 func (s *incoming) first(ctx context.Context) error {
+	return s.await(ctx, func() bool { return len(s.chunks) > 0 || s.err == io.EOF })
+}
+
+// whole waits until the body has ended well. It returns the error of one that did not.
+func (s *incoming) whole(ctx context.Context) error {
+	return s.await(ctx, func() bool { return s.err == io.EOF })
+}
+
+// await waits until what is waited for is there, which is found out with the lock held,
+// or the body has ended otherwise.
+func (s *incoming) await(ctx context.Context, found func() bool) error {
 	for {
 		s.mu.Lock()
-		there := len(s.chunks) > 0 || s.err == io.EOF
+		there := found()
 		err := s.err
 		s.mu.Unlock()
 		if there {
--- /dev/null
+++ b/spool/body.go
@@ -0,0 +1,105 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package spool
+
+import (
+	"io"
+	"sync"
+	"time"
+
+	"sassafrasfront.example/peer"
+)
+
+// Body is a body that is read once and kept. The exported fields are set before the
+// first call. Its methods may be called from any goroutine.
+type Body struct {
+	// Reader yields the body. It is read by one goroutine at a time.
+	Reader io.Reader
+	// Length is the length of the body in bytes.
+	Length int64
+
+	mu      sync.Mutex
+	data    []byte
+	err     error         // that ended the body, or nil
+	read    chan struct{} // closed when the reading in progress has ended, nil if there is none
+	began   time.Time     // when the first Read was called
+	reached time.Time     // when the last byte was there
+}
+
+// Open returns a reader of the body from its start. It implements peer.Trailered.
+func (b *Body) Open() io.Reader { return &view{body: b} }
+
+// Took returns how long the body took to come in, from the first Read to its end. The
+// second result is false if it has not ended well yet.
+func (b *Body) Took() (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.reached.Sub(b.began), b.err == io.EOF
+}
+
+// view is the body as one sending reads it.
+type view struct {
+	body *Body
+	at   int
+}
+
+// Read implements io.Reader.
+func (v *view) Read(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	n, err := v.body.readAt(p, v.at)
+	v.at += n
+	return n, err
+}
+
+// Trailer implements peer.Trailered.
+func (v *view) Trailer() []peer.Field {
+	if t, ok := v.body.Reader.(peer.Trailered); ok {
+		return t.Trailer()
+	}
+	return nil
+}
+
+// readAt reads the body from the given offset, and waits for more if there is none yet.
+func (b *Body) readAt(p []byte, at int) (int, error) {
+	for {
+		b.mu.Lock()
+		switch {
+		case at < len(b.data):
+			n := copy(p, b.data[at:])
+			b.mu.Unlock()
+			return n, nil
+		case b.err != nil:
+			defer b.mu.Unlock()
+			return 0, b.err
+		case b.read != nil:
+			wait := b.read
+			b.mu.Unlock()
+			<-wait
+			continue
+		}
+		b.read = make(chan struct{})
+		if b.data == nil {
+			b.data = make([]byte, 0, b.Length)
+			b.began = time.Now()
+		}
+		b.mu.Unlock()
+		b.fetch(len(p))
+	}
+}
+
+// fetch reads up to n bytes more. Another goroutine may read what is there meanwhile.
+func (b *Body) fetch(n int) {
+	buffer := make([]byte, n)
+	n, err := b.Reader.Read(buffer)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.data = append(b.data, buffer[:n]...)
+	b.err = err
+	b.reached = time.Now()
+	close(b.read)
+	b.read = nil
+}
--- /dev/null
+++ b/spool/body_test.go
@@ -0,0 +1,85 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package spool_test
+
+import (
+	"bytes"
+	"io"
+	"sync"
+	"testing"
+	"testing/iotest"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rotisserie/eris"
+
+	"sassafrasfront.example/spool"
+)
+
+// slowReader yields a body in pieces, each after some time, and then err.
+type slowReader struct {
+	pieces [][]byte
+	pause  time.Duration
+	err    error
+}
+
+// Read implements io.Reader.
+func (s *slowReader) Read(p []byte) (int, error) {
+	if len(s.pieces) == 0 {
+		return 0, s.err
+	}
+	time.Sleep(s.pause)
+	n := copy(p, s.pieces[0])
+	s.pieces = s.pieces[1:]
+	return n, nil
+}
+
+// TestReadersShareABody has a body read by one sending from its start and by others that
+// begin while it comes in or once it has: all get all of it, or how it broke off.
+func TestReadersShareABody(t *testing.T) {
+	broken := eris.New("broken")
+	for name, end := range map[string]error{"whole": io.EOF, "broken": broken} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := &spool.Body{
+					Reader: &slowReader{
+						pieces: [][]byte{[]byte("one "), []byte("two "), []byte("three")},
+						pause:  time.Second,
+						err:    end,
+					},
+					Length: 13,
+				}
+				var all sync.WaitGroup
+				for _, after := range []time.Duration{0, 1500 * time.Millisecond, 10 * time.Second} {
+					all.Go(func() {
+						time.Sleep(after)
+						began := time.Now()
+						data, err := io.ReadAll(b.Open())
+						qt.Check(t, string(data), qt.Equals, "one two three")
+						qt.Check(t, err == nil, qt.Equals, end == io.EOF)
+						qt.Check(t, time.Since(began), qt.Equals, max(0, 3*time.Second-after))
+					})
+				}
+				all.Wait()
+				took, whole := b.Took()
+				qt.Check(t, took, qt.Equals, 3*time.Second)
+				qt.Check(t, whole, qt.Equals, end == io.EOF)
+			})
+		})
+	}
+}
+
+// TestReader holds the reader of a body to the rules of io.Reader.
+func TestReader(t *testing.T) {
+	data := bytes.Repeat([]byte("abc"), 1000)
+	b := &spool.Body{
+		Reader: iotest.DataErrReader(iotest.HalfReader(bytes.NewReader(data))),
+		Length: int64(len(data)),
+	}
+	for range 2 {
+		qt.Check(t, iotest.TestReader(b.Open(), data), qt.IsNil)
+	}
+}
