--- a/admit/expect.go
+++ b/admit/expect.go
@@ -10,10 +10,11 @@
 	"sassafrasfront.example/verdict"
 )
 
-// Expect is Enter for a request whose body has yet to come in: it is refused at once if it
-// would be refused now with its body there, and otherwise takes no slot until Arrive is
-// called on its ticket. A slot that is held while a body crosses a slow link serves nobody.
-func (g *Gate) Expect(class string, deadline time.Time) *Ticket {
+// Expect is Enter for a request whose body has yet to come in, which is likely to take the
+// given time: it is refused at once if it would be refused now with its body there, or if
+// that comes too late, and otherwise takes no slot until Arrive is called on its ticket. A
+// slot that is held while a body crosses a slow link serves nobody.
+func (g *Gate) Expect(class string, deadline time.Time, coming time.Duration) *Ticket {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
@@ -22,7 +23,7 @@
 	t.state = expected
 	err := g.admissible(t, now, deadline)
 	if err == nil {
-		err = g.expectable(t, now)
+		err = g.expectable(t, now, coming)
 	}
 	if err != nil {
 		t.refuse(err)
@@ -32,19 +33,20 @@
 	return t
 }
 
-// expectable returns why there is no room for one more request that is expected, or nil.
-// Those that are expected already count as if they waited. The lock is held.
-func (g *Gate) expectable(t *Ticket, now time.Time) *verdict.Error {
+// expectable returns why a request whose body is there after the given time is better
+// refused, or nil. Those that are expected already count as if they waited. The lock is held.
+func (g *Gate) expectable(t *Ticket, now time.Time, coming time.Duration) *verdict.Error {
 	free := min(g.allowed(now), t.queue.cap(g.limits.Slots)) - g.running - g.waiting
-	if g.expected < free {
-		return nil
+	var wait time.Duration
+	if g.expected >= free {
+		wait = g.expectedWait(t.queue, now, 1+g.expected)
 	}
-	wait := g.expectedWait(t.queue, now, 1+g.expected)
-	full := verdict.New(verdict.Refused, nil).WithRetryAfter(wait)
+	longest := g.longestWait(t.queue)
+	full := verdict.New(verdict.Refused, nil).WithRetryAfter(max(wait, coming))
 	switch {
-	case wait > t.queue.standing.bound(g.longestWait(t.queue)):
+	case coming > longest || wait > t.queue.standing.bound(longest):
 		return full
-	case !t.deadline.IsZero() && now.Add(wait+g.run(t.queue)).After(t.deadline):
+	case !t.deadline.IsZero() && now.Add(max(wait, coming)+g.run(t.queue)).After(t.deadline):
 		return full
 	case g.waiting+g.expected >= g.limits.QueueLength+max(0, free):
 		return full
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -87,12 +87,12 @@
 	// What answers is found out first: Pick holds the pool's lock, and Set takes
 	// that while it holds the Dispatcher's.
 	answering := d.answering(s)
-	use, ok := s.pool.Pick(func(id string) bool { return barred(id) || !answering[id] })
+	use, ok := s.pool.PickFor(r.crosses(), func(id string) bool { return barred(id) || !answering[id] })
 	if !ok {
-		use, ok = s.pool.Pick(barred)
+		use, ok = s.pool.PickFor(r.crosses(), barred)
 	}
 	if !ok && len(tried) > 0 {
-		use, ok = s.pool.Pick(func(id string) bool { return slices.Contains(refused, id) || !s.within(id, r.Regions) })
+		use, ok = s.pool.PickFor(r.crosses(), func(id string) bool { return slices.Contains(refused, id) || !s.within(id, r.Regions) })
 	}
 	return use, ok
 }
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -57,6 +57,8 @@
 	Quarantine *quarantine.Index
 	// Policy, if not empty, overrides the routing policy of all services.
 	Policy string
+	// Rate is how many bytes a second this node's link carries, or 0 if that is not known.
+	Rate float64
 	// Event, if not nil, is called with each event of the kinds below.
 	Event func(service string, e Event)
 
@@ -153,6 +155,7 @@
 		n.pool = &route.Pool[string]{
 			Policy:   policy,
 			Expected: s.Config.ServiceTime.Std(),
+			Rate:     d.Rate,
 		}
 	}
 	chosen := subset(d.Hello.Node, d.Hello.Zone, s.Members)
@@ -278,6 +281,8 @@
 		Draining: r.Draining,
 		Slowdown: r.Slowdown,
 		Failing:  r.Failing,
+		Rate:     r.BodyRate,
+		Backlog:  r.BodyBacklog,
 	}
 }
 
--- a/entry/request.go
+++ b/entry/request.go
@@ -92,6 +92,15 @@
 	return r.Length > inlineBody && r.Length <= peer.MaxAhead && r.Stream == nil
 }
 
+// crosses returns how many bytes of the body cross the link in their own frames, as far as
+// is known.
+func (r *Request) crosses() int64 {
+	if r.Length <= inlineBody {
+		return 0
+	}
+	return r.Length
+}
+
 // stream returns the body of a sending that follows the call.
 func (r *Request) stream() io.Reader {
 	switch {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -45,6 +45,8 @@
 	// Tell, if not nil, sends a report to all nodes that send calls here. It is
 	// called when the upstream's speed has changed.
 	Tell func(*peer.Report)
+	// Inflow, if not nil, returns how fast bodies come in to this node, as in peer.Server.
+	Inflow func() (rate float64, backlog int)
 	// Reports says when a load report goes to which node. Nil means never.
 	Reports *watch.Pacer[string]
 	// Refused, if not nil, is called with each call that ends without an answer,
@@ -289,7 +291,15 @@
 // Report returns the load as it is told to peers.
 func (g *Gate) Report() *peer.Report {
 	r := g.admit.Report()
+	var rate float64
+	var backlog int
+	if g.Inflow != nil {
+		rate, backlog = g.Inflow()
+	}
 	return &peer.Report{
+		BodyRate:    rate,
+		BodyBacklog: backlog,
+
 		Running:  r.Running,
 		Waiting:  r.Waiting,
 		Allowed:  r.Allowed,
--- a/node/events.go
+++ b/node/events.go
@@ -70,6 +70,9 @@
 	case entry.EventSent:
 		e = e.Str("to", s.Node).Str("load", fmt.Sprintf("%.1f/%d", s.Picture.Load, s.Picture.Allowed)).
 			Float64("slowdown", s.Picture.Slowdown).Float64("failing", s.Picture.Failing).Dur("serviceMs", s.Picture.Service).Dur("reportAgeMs", s.Age)
+		if s.Picture.Transfer > 0 {
+			e = e.Dur("transferMs", s.Picture.Transfer)
+		}
 	case entry.EventAside:
 		e = e.Str("from", s.Node).Int("status", http.StatusInternalServerError)
 	case entry.EventFailed:
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -39,6 +39,14 @@
 	gauge(`sassafras_upstream_slowdown`, func() float64 { return n.gate.Load().Slowdown })
 	gauge(`sassafras_upstream_pace`, func() float64 { return n.gate.Load().Pace })
 	gauge(`sassafras_upstream_service_seconds`, func() float64 { return n.gate.Load().Service.Seconds() })
+	gauge(`sassafras_body_rate_bytes`, func() float64 {
+		rate, _ := n.peers.Inflow()
+		return rate
+	})
+	gauge(`sassafras_body_backlog_bytes`, func() float64 {
+		_, backlog := n.peers.Inflow()
+		return float64(backlog)
+	})
 	gauge(`sassafras_members`, func() float64 { return float64(n.control.Snapshot().Members) })
 	gauge(`sassafras_steward`, func() float64 {
 		if n.control.Steward() {
--- a/node/node.go
+++ b/node/node.go
@@ -43,7 +43,7 @@
 	// reportEvery is the least time between two load reports to one node.
 	reportEvery = 10 * time.Millisecond
 	// reportSize is what a load report adds to an answer, in bytes.
-	reportSize = 60
+	reportSize = 90
 	// controlSavings is for how many seconds the budget of the control state is
 	// saved up, so that many changes at once, such as the start of a zone, are
 	// passed on quickly.
@@ -183,6 +183,7 @@
 		},
 		Ended:    n.metrics.gateEnded,
 		Received: n.metrics.bodyIn,
+		Inflow:   func() (rate float64, backlog int) { return n.peers.Inflow() },
 		Gone:     n.upstreamGone,
 		Cleared:  func(p quarantine.Fingerprint) { n.control.Report(quarantine.Ran(p)) },
 		Refused:  n.callRefused,
@@ -198,6 +199,7 @@
 		Region:     s.Region,
 		Counters:   &n.metrics.traffic,
 		Policy:     s.Policy,
+		Rate:       linkRate(s.LinkMbps),
 		Quarantine: &n.suspects,
 		Event:      n.metrics.dispatcherEvent,
 	}
@@ -233,8 +235,11 @@
 		n.blocked = n.blocklistOn(n.control.API)
 	}
 	n.peers = &peer.Server{
-		Hello:   hello,
-		Limits:  peer.Limits{UnderWay: underWay(s.LinkMbps)},
+		Hello: hello,
+		Limits: peer.Limits{
+			UnderWay: underWay(s.LinkMbps),
+			Rate:     linkRate(s.LinkMbps),
+		},
 		Call:    n.gate.Serve,
 		Control: n.control.Handle,
 		Closed:  n.peerClosed,
@@ -285,9 +290,12 @@
 // underWay returns how many bytes of bodies peers may have under way to a node whose
 // link carries the given Mbit/s.
 func underWay(mbps float64) int {
-	return int(mbps * 1e6 / 8 * bodyQueue.Seconds())
+	return int(linkRate(mbps) * bodyQueue.Seconds())
 }
 
+// linkRate returns how many bytes a second a link of the given Mbit/s carries.
+func linkRate(mbps float64) float64 { return mbps * 1e6 / 8 }
+
 // platform returns the client of the object API.
 func (n *Node) platform() *objectapi.Client {
 	c := &objectapi.Client{
--- a/peer/limits.go
+++ b/peer/limits.go
@@ -23,6 +23,9 @@
 	// UnderWay is the largest number of body bytes of calls that all peers together
 	// may have under way to a Server. Zero means that Window alone bounds them.
 	UnderWay int
+	// Rate is how many bytes a second the link to a Server is said to carry, or 0 if that
+	// is not known. It is measured where UnderWay is set.
+	Rate float64
 	// Handshake bounds dialling and the exchange of Hellos. The default is 1 s.
 	Handshake time.Duration
 	// Write bounds the writing of one frame. The default is 5 s.
--- a/peer/message.go
+++ b/peer/message.go
@@ -109,6 +109,10 @@
 	Slowdown float64 `msgpack:"slowdown,omitempty"`
 	// Failing is the share of the latest requests that the upstream failed.
 	Failing float64 `msgpack:"failing,omitempty"`
+	// BodyRate is how many body bytes a second the link to the node carries, or 0 if that is
+	// not known, and BodyBacklog how many are under way to it or wait for their turn.
+	BodyRate    float64 `msgpack:"bodyRate,omitempty"`
+	BodyBacklog int     `msgpack:"bodyBacklog,omitempty"`
 }
 
 // Failure ends a call that got no answer, or cuts an answer that has begun.
--- a/peer/quota.go
+++ b/peer/quota.go
@@ -17,7 +17,7 @@
 // mostUnderWay is the most body bytes that one call has under way while it is under a
 // quota: enough to keep a link busy over the delay between zones, and no more, as a sender
 // may have credit and wait for its caller.
-const mostUnderWay = 2 * quantum
+const mostUnderWay = 3 * quantum
 
 // overdue is how long bytes may be under way before they count as not sent: their sender
 // waits for its caller, and the link is idle. It is several times what a link takes for all
@@ -42,6 +42,7 @@
 	demands []*demand // that want bytes, the one that asked first comes first
 	sent    []*demand // that have bytes under way
 	again   *time.Timer
+	speed   speed
 }
 
 // demand is the part of a quota that one call has and wants.
@@ -56,8 +57,9 @@
 	left           bool
 }
 
-// newQuota returns a quota of the given number of bytes, or nil if that is 0.
-func newQuota(bytes int) *quota {
+// newQuota returns a quota of the given number of bytes on a link that is said to carry so
+// many a second, or nil if the number is 0.
+func newQuota(bytes int, rate float64) *quota {
 	if bytes == 0 {
 		return nil
 	}
@@ -65,6 +67,9 @@
 	return &quota{
 		most: most,
 		free: most,
+		speed: speed{
+			rate: rate,
+		},
 	}
 }
 
@@ -92,6 +97,7 @@
 	q.mu.Lock()
 	d.heard = time.Now()
 	d.late = false
+	q.speed.arrived(n, q.free < quantum, d.heard)
 	q.settle(d, n)
 	q.deal()
 }
@@ -204,16 +210,17 @@
 	return best
 }
 
-// backlog returns how many bytes are under way or wanted.
-func (q *quota) backlog() (n int) {
+// inflow returns how many bytes a second arrive while the link has enough to carry, 0 if
+// that is not known, and how many are under way or wanted.
+func (q *quota) inflow() (rate float64, backlog int) {
 	if q == nil {
-		return 0
+		return 0, 0
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	n = q.most - q.free
+	backlog = q.most - q.free
 	for _, d := range q.demands {
-		n += d.want
+		backlog += d.want
 	}
-	return n
+	return q.speed.rate, backlog
 }
--- a/peer/quota_test.go
+++ b/peer/quota_test.go
@@ -5,6 +5,7 @@
 package peer
 
 import (
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -33,7 +34,7 @@
 // bodies are there sooner on average than if they shared the link.
 func TestRushOfBodies(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		q := newQuota(testQuota)
+		q := newQuota(testQuota, 0)
 		link := make(chan *sender, 100)
 		var senders []*sender
 		left := make(map[*sender]int)
@@ -72,7 +73,9 @@
 			mean += s.took / time.Duration(len(senders))
 		}
 		qt.Check(t, mean < all/2, qt.IsTrue, qt.Commentf("%v of %v", mean, all))
-		qt.Check(t, q.backlog(), qt.Equals, 0)
+		rate, backlog := q.inflow()
+		qt.Check(t, backlog, qt.Equals, 0)
+		qt.Check(t, math.Abs(rate/testRate-1) < 0.1, qt.IsTrue, qt.Commentf("measured %v bytes/s", rate))
 		if q.again != nil {
 			q.again.Stop()
 		}
@@ -83,7 +86,7 @@
 // their turn soon, and go on when the slow ones send after all.
 func TestSlowCallersHoldUpNobody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		q := newQuota(testQuota)
+		q := newQuota(testQuota, 0)
 		give := func(s *sender) *sender {
 			s.credit = make(chan int, 100)
 			s.give = func(n int) { s.credit <- n }
--- a/peer/server.go
+++ b/peer/server.go
@@ -44,7 +44,9 @@
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
 	defer s.shutAll()
-	s.bodies = newQuota(s.Limits.UnderWay)
+	s.mu.Lock()
+	s.bodies = newQuota(s.Limits.UnderWay, s.Limits.Rate)
+	s.mu.Unlock()
 	for {
 		c, err := listener.Accept()
 		if ctx.Err() != nil {
@@ -68,6 +70,15 @@
 // open files.
 const acceptPause = 10 * time.Millisecond
 
+// Inflow returns how many body bytes a second the link to this node carries, 0 if that is not
+// known, and how many are under way or wait for their turn. Both are 0 before Run.
+func (s *Server) Inflow() (rate float64, backlog int) {
+	s.mu.Lock()
+	q := s.bodies
+	s.mu.Unlock()
+	return q.inflow()
+}
+
 // Quiesce waits until no call is open, or until ctx ends.
 func (s *Server) Quiesce(ctx context.Context) error {
 	done := make(chan struct{})
--- a/route/fastest.go
+++ b/route/fastest.go
@@ -10,7 +10,7 @@
 // likely to end first. It suits upstreams whose speed changes from one moment to
 // the next and that tell it, by the cost
 //
-//	slowdown * (1 + crowding(u)) * service + 6 failing * service + crossing * usual + distance
+//	slowdown * (1 + crowding(u)) * service + 6 failing * service + crossing * usual + distance + transfer
 //
 // for the share of failures there and the load u = (load + 1)/allowed, with
 //
@@ -66,14 +66,17 @@
 // the others in place of none (TestSpareByNeed).
 const enough = 2.4
 
-// Enough implements Demanding.
-func (Fastest) Enough(c Candidate) bool { return fastestCost(c) <= enough*c.Usual.Seconds() }
+// Enough implements Demanding. It judges the upstream, and not the body's way there, which
+// other upstreams have as well.
+func (Fastest) Enough(c Candidate) bool {
+	return fastestCost(c)-c.Transfer.Seconds() <= enough*c.Usual.Seconds()
+}
 
 // fastestCost is the expected time until a request sent to c ends, in seconds.
 func fastestCost(c Candidate) float64 {
 	u := (c.Load + 1) / float64(c.Allowed)
 	times := c.Slowdown*(1+crowding(u)) + failureCost*c.Failing
-	return times*c.Service.Seconds() + c.Crossing*c.Usual.Seconds() + c.Distance.Seconds()
+	return times*c.Service.Seconds() + c.Crossing*c.Usual.Seconds() + (c.Distance + c.Transfer).Seconds()
 }
 
 // crowding is the part by which the load u prolongs a request.
--- a/route/policy.go
+++ b/route/policy.go
@@ -30,6 +30,8 @@
 	Slowdown float64
 	// Failing is the share of the latest requests there that failed.
 	Failing float64
+	// Transfer is how long the body of the request takes there, if it is a large one.
+	Transfer time.Duration
 	// Local is whether it is the upstream beside this process, whose load is
 	// known exactly.
 	Local bool
@@ -116,7 +118,7 @@
 // TwoChoice draws two candidates at random and takes the one with the lower
 // score
 //
-//	(load + 1) / allowed * service + distance.
+//	(load + 1) / allowed * service + distance + transfer.
 //
 // The local upstream goes first if it has a free slot and is not slower than
 // LocalSlack times the alternative. See M. Mitzenmacher, The power of two
@@ -174,7 +176,7 @@
 
 // score is the expected cost of sending a request to c, in seconds.
 func score(c Candidate) float64 {
-	return (c.Load+1)/float64(c.Allowed)*c.Service.Seconds() + c.Distance.Seconds()
+	return (c.Load+1)/float64(c.Allowed)*c.Service.Seconds() + (c.Distance + c.Transfer).Seconds()
 }
 
 // argmin returns the index of the candidate with the least value, and any of
--- a/route/pool.go
+++ b/route/pool.go
@@ -53,6 +53,10 @@
 	Slowdown float64
 	// Failing is the share of the latest requests that it failed.
 	Failing float64
+	// Rate is how many body bytes a second the link to its node carries, or 0 if that is
+	// not known, and Backlog how many are on their way there or wait for their turn.
+	Rate    float64
+	Backlog int
 }
 
 // Target describes an upstream of the service.
@@ -84,6 +88,9 @@
 	// Expected is the service time to assume until one is reported. Zero means
 	// 10 ms.
 	Expected time.Duration
+	// Rate is how many bytes a second the link of this node carries, or 0 if that is not
+	// known.
+	Rate float64
 
 	mu      sync.Mutex
 	random  *rand.Rand
@@ -159,7 +166,10 @@
 // Pick chooses an upstream for one request, passing over those for which
 // exclude returns true. A nil exclude passes over none. The second result is
 // false if there is none left. The caller owes the Use a Done.
-func (p *Pool[K]) Pick(exclude func(K) bool) (*Use[K], bool) {
+func (p *Pool[K]) Pick(exclude func(K) bool) (*Use[K], bool) { return p.PickFor(0, exclude) }
+
+// PickFor is Pick for a request with a large body, of the given number of bytes.
+func (p *Pool[K]) PickFor(body int64, exclude func(K) bool) (*Use[K], bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
@@ -177,6 +187,7 @@
 	v := view[K]{
 		pool: p,
 		now:  now,
+		body: body,
 	}
 	chosen := policy.Choose(v, p.random)
 	picture := v.At(chosen)
@@ -276,6 +287,7 @@
 type view[K comparable] struct {
 	pool *Pool[K]
 	now  time.Time
+	body int64 // that is to be sent, in bytes
 }
 
 // Len implements View.
@@ -311,6 +323,9 @@
 		}
 		c.Failing = e.failing(v.now)
 	}
+	if v.body > 0 && !e.target.Local {
+		c.Transfer = p.transfer(e, v.body, v.now)
+	}
 	if e.own > 0 {
 		age := v.now.Sub(base) - e.startSum/time.Duration(e.own)
 		if e.reported.Slowdown > 0 {
@@ -321,6 +336,20 @@
 	return c
 }
 
+// transfer returns how long a body takes to a node: over the slower one of the two links,
+// and behind what waits at the other's already.
+func (p *Pool[K]) transfer(e *entry[K], body int64, now time.Time) time.Duration {
+	var seconds float64
+	if p.Rate > 0 {
+		seconds = float64(body) / p.Rate
+	}
+	if rate := e.reported.Rate; rate > 0 {
+		backlog := fade(now.Sub(e.at), loadFade) * float64(e.reported.Backlog)
+		seconds = max(seconds, (backlog+float64(body))/rate)
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
 // failing returns what is left of the share of failures that was reported last.
 func (e *entry[K]) failing(now time.Time) float64 {
 	if e.at.IsZero() {
--- a/spool/body.go
+++ b/spool/body.go
@@ -91,10 +91,20 @@
 	}
 }
 
-// fetch reads up to n bytes more. Another goroutine may read what is there meanwhile.
-func (b *Body) fetch(n int) {
-	buffer := make([]byte, n)
-	n, err := b.Reader.Read(buffer)
+// piece is how many bytes are waited for, if as many are asked for. A body comes in by
+// packets, and each one that is sent on by itself costs a frame.
+const piece = 8 << 10
+
+// fetch reads up to most bytes more. Another goroutine may read what is there meanwhile.
+func (b *Body) fetch(most int) {
+	buffer := make([]byte, most)
+	var n int
+	var err error
+	for n < min(most, piece) && err == nil {
+		var m int
+		m, err = b.Reader.Read(buffer[n:])
+		n += m
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.data = append(b.data, buffer[:n]...)
