--- a/peer/quota.go
+++ b/peer/quota.go
@@ -15,8 +15,8 @@
 const quantum = 16 << 10
 
 // mostUnderWay is the most body bytes that one call has under way while it is under a
-// quota: enough to keep a link busy over the delay between zones, and no more, as a sender
-// may have credit and wait for its caller.
+// quota, once some have arrived: enough to keep a link busy over the delay between zones.
+// Until then it is a quantum, as a sender may have credit and wait for its caller.
 const mostUnderWay = 3 * quantum
 
 // overdue is how long bytes may be under way before they count as not sent: their sender
@@ -53,6 +53,7 @@
 	// The quota's mutex guards what follows.
 	want, underWay int
 	heard          time.Time // when it was last given bytes, or some arrived
+	begun          bool      // whether any bytes have arrived
 	late           bool      // whether what it was given is overdue
 	left           bool
 }
@@ -97,6 +98,7 @@
 	q.mu.Lock()
 	d.heard = time.Now()
 	d.late = false
+	d.begun = true
 	q.speed.arrived(n, q.free < quantum, d.heard)
 	q.settle(d, n)
 	q.deal()
@@ -200,7 +202,7 @@
 func (q *quota) next() *demand {
 	var best *demand
 	for _, d := range q.demands {
-		if d.underWay+min(d.want, quantum) > mostUnderWay {
+		if d.underWay > 0 && (!d.begun || d.underWay+min(d.want, quantum) > mostUnderWay) {
 			continue
 		}
 		if best == nil || best.late && !d.late || best.late == d.late && d.want < best.want {
