--- /dev/null
+++ b/admit/expect_test.go
@@ -0,0 +1,224 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package admit_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/admit"
+	"sassafrasfront.example/verdict"
+)
+
+// bodyTime is what the link of the upstream's instance takes for one body: 60 KB at
+// 10 Mbit/s.
+const bodyTime = 48 * time.Millisecond
+
+// uploads is an upstream of 14 slots on a slow link: uploads whose bodies cross the link one
+// after the other, and short calls without a body.
+type uploads struct {
+	// perSecond is the number of uploads, runs of 280 ms with an objective of 1.2 s, and
+	// calls that of calls, runs of 70 ms with an objective of 250 ms.
+	perSecond, calls float64
+	// slotFirst is whether an upload gets its slot before its body is asked for.
+	slotFirst bool
+	// blind is whether nothing is known of the link.
+	blind bool
+
+	gate admit.Gate
+	link chan struct{} // has room while no body crosses
+
+	mu      sync.Mutex
+	queued  int // bodies that cross or wait to
+	offered map[string]int
+	inTime  map[string]int
+	refused int
+	latest  time.Duration // refusal, after its coming
+	late    int           // uploads that were accepted and ended late
+}
+
+// cross has a body cross the link.
+func (u *uploads) cross() {
+	u.mu.Lock()
+	u.queued++
+	u.mu.Unlock()
+	u.link <- struct{}{}
+	time.Sleep(bodyTime)
+	<-u.link
+	u.mu.Lock()
+	u.queued--
+	u.mu.Unlock()
+}
+
+// coming returns how long a body takes that comes now.
+func (u *uploads) coming() time.Duration {
+	if u.blind {
+		return 0
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return time.Duration(u.queued+1) * bodyTime
+}
+
+// admit gets a slot for an upload whose body is there.
+func (u *uploads) admit() (*admit.Ticket, *verdict.Error) {
+	ctx := context.Background()
+	if u.slotFirst {
+		k := u.gate.Enter("upload", time.Time{})
+		err := k.Wait(ctx)
+		if err == nil {
+			u.cross()
+		}
+		return k, err
+	}
+	k := u.gate.Expect("upload", time.Time{}, u.coming())
+	if err := k.Err(); err != nil {
+		return k, err
+	}
+	u.cross()
+	k.Arrive()
+	return k, k.Wait(ctx)
+}
+
+// one has one request come.
+func (u *uploads) one(class string, work, objective time.Duration) {
+	came := time.Now()
+	var k *admit.Ticket
+	var err *verdict.Error
+	if class == "upload" {
+		k, err = u.admit()
+	} else {
+		k = u.gate.Enter(class, time.Time{})
+		err = k.Wait(context.Background())
+	}
+	told := time.Since(came)
+	if err == nil {
+		time.Sleep(work)
+		k.Release(true)
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.offered[class]++
+	switch took := time.Since(came); {
+	case err != nil && class == "upload":
+		u.refused++
+		u.latest = max(u.latest, told)
+	case err != nil:
+	case took <= objective:
+		u.inTime[class]++
+	case class == "upload":
+		u.late++
+	}
+}
+
+// play has the load come for 30 s and returns the share of each class that ended within its
+// objective.
+func (u *uploads) play() map[string]float64 {
+	u.link = make(chan struct{}, 1)
+	u.offered = make(map[string]int)
+	u.inTime = make(map[string]int)
+	u.gate.Set(admit.Limits{
+		Slots:       14,
+		QueueLength: 16,
+	}.WithClasses(
+		admit.Class{Name: "upload", Weight: 1, Share: 1, Objective: ms(1200)},
+		admit.Class{Name: "call", Weight: 1, Share: 1, Objective: ms(250)},
+	))
+	var all sync.WaitGroup
+	come := func(class string, perSecond float64, work, objective time.Duration) {
+		random := rand.New(rand.NewPCG(3, uint64(work)))
+		all.Go(func() {
+			for began := time.Now(); time.Since(began) < 30*time.Second; {
+				time.Sleep(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
+				varied := time.Duration((2 + 2*random.Float64()) / 3 * float64(work))
+				all.Go(func() { u.one(class, varied, objective) })
+			}
+		})
+	}
+	come("upload", u.perSecond, ms(280), ms(1200))
+	come("call", u.calls, ms(70), ms(250))
+	all.Wait()
+	share := make(map[string]float64)
+	for class, n := range u.offered {
+		share[class] = float64(u.inTime[class]) / float64(n)
+	}
+	return share
+}
+
+// TestNoSlotIsHeldForABody has uploads take nine tenths of a slow link, and uploads and calls
+// together nine tenths of the slots. A body then waits for the link longer than it takes to
+// cross it; if its request holds a slot meanwhile, the slots are full of requests that wait.
+func TestNoSlotIsHeldForABody(t *testing.T) {
+	play := func(slotFirst bool) (share map[string]float64) {
+		synctest.Test(t, func(*testing.T) {
+			u := &uploads{perSecond: 18.5, calls: 105, slotFirst: slotFirst}
+			share = u.play()
+		})
+		return share
+	}
+	slot, body := play(true), play(false)
+	t.Logf("in time: %v with the slot first, %v with the body first", slot, body)
+	qt.Check(t, body["call"] > 0.9, qt.IsTrue)
+	qt.Check(t, body["upload"] > 0.9, qt.IsTrue)
+	qt.Check(t, slot["call"] < body["call"]-0.1, qt.IsTrue)
+}
+
+// TestRushOnASlowLink has uploads come at one and a half times what the link carries. Those
+// whose body would come too late are refused at once, and the others end in time; where
+// nothing is known of the link, nearly all are accepted and late.
+func TestRushOnASlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &uploads{perSecond: 31, calls: 20}
+		share := u.play()
+		blind := &uploads{perSecond: 31, calls: 20, blind: true}
+		blindShare := blind.play()
+		t.Logf("in time: %v, and %v with nothing known of the link", share, blindShare)
+		qt.Check(t, share["upload"] > 0.6, qt.IsTrue) // of 0.67 that the link carries
+		qt.Check(t, share["call"] > 0.95, qt.IsTrue)
+		qt.Check(t, u.latest < ms(50), qt.IsTrue, qt.Commentf("told after %v", u.latest))
+		qt.Check(t, u.late < u.offered["upload"]/50, qt.IsTrue, qt.Commentf("%d late", u.late))
+		qt.Check(t, blindShare["upload"] < 0.3, qt.IsTrue)
+	})
+}
+
+// TestExpect has one row for what may become of a request between its coming and the arrival
+// of its body.
+func TestExpect(t *testing.T) {
+	tests := map[string]struct {
+		meanwhile func(g *admit.Gate, k *admit.Ticket)
+		want      verdict.Cause
+	}{
+		"nothing":   {meanwhile: func(*admit.Gate, *admit.Ticket) {}},
+		"revoked":   {meanwhile: func(_ *admit.Gate, k *admit.Ticket) { k.Revoke() }, want: verdict.Revoked},
+		"drained":   {meanwhile: func(g *admit.Gate, _ *admit.Ticket) { g.Drain() }, want: verdict.Draining},
+		"no limits": {meanwhile: func(g *admit.Gate, _ *admit.Ticket) { g.Set(admit.Limits{}) }, want: verdict.NoUpstream},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var g admit.Gate
+			g.Set(admit.Limits{Slots: 1, QueueLength: 1})
+			k := g.Expect("", time.Time{}, 0)
+			qt.Check(t, g.Report().Waiting, qt.Equals, 1)
+			qt.Check(t, g.Report().Running, qt.Equals, 0)
+			test.meanwhile(&g, k)
+			k.Arrive()
+			err := k.Wait(context.Background())
+			qt.Check(t, g.Report().Waiting, qt.Equals, 0)
+			if test.want != "" {
+				qt.Assert(t, err != nil, qt.IsTrue)
+				qt.Check(t, err.Cause, qt.Equals, test.want)
+				return
+			}
+			qt.Assert(t, err == nil, qt.IsTrue)
+			k.Release(true)
+		})
+	}
+}
--- a/caller/body_test.go
+++ b/caller/body_test.go
@@ -37,12 +37,16 @@
 
 // Do implements caller.Dispatcher.
 func (h *hasty) Do(_ context.Context, r *entry.Request) (*entry.Result, *verdict.Error) {
-	if r.Stream != nil {
+	body := r.Stream
+	if r.Kept != nil {
+		body = r.Kept.Open()
+	}
+	if body != nil {
 		first := make(chan struct{})
 		h.reading.Go(func() {
-			_, _ = r.Stream.Read(make([]byte, 1))
+			_, _ = body.Read(make([]byte, 1))
 			close(first)
-			_, _ = io.Copy(io.Discard, r.Stream)
+			_, _ = io.Copy(io.Discard, body)
 		})
 		<-first
 	}
@@ -64,19 +68,23 @@
 	}, nil
 }
 
-// TestAnswerBeforeBody has a caller send a large body that is answered before it
-// has come in. The caller gets the answer whole, and its next request on the same
+// TestAnswerBeforeBody has a caller send a large body, which is kept or not, that is
+// answered before it has come in. The caller gets the answer whole, and its next request on the same
 // connection is answered too, unless the first answer said that none may follow.
 func TestAnswerBeforeBody(t *testing.T) {
-	const size = 200 << 10
+	const kept, once = 200 << 10, 300 << 10
 	tests := map[string]struct {
 		dispatcher *hasty
+		size       int
 		status     int
 		closes     bool
 	}{
-		"refused":                 {&hasty{refuses: true}, 503, false},
-		"answered":                {&hasty{length: 4}, 200, false},
-		"answered without length": {&hasty{length: -1}, 200, true},
+		"kept, refused":                 {&hasty{refuses: true}, kept, 503, false},
+		"kept, answered":                {&hasty{length: 4}, kept, 200, false},
+		"kept, answered without length": {&hasty{length: -1}, kept, 200, true},
+		"refused":                       {&hasty{refuses: true}, once, 503, false},
+		"answered":                      {&hasty{length: 4}, once, 200, false},
+		"answered without length":       {&hasty{length: -1}, once, 200, true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -94,8 +102,8 @@
 			defer c.Close()
 			r := bufio.NewReader(c)
 			for range 2 {
-				fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: service.example\r\nContent-Length: %d\r\n\r\n", size)
-				_, err = c.Write(make([]byte, size/2))
+				fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: service.example\r\nContent-Length: %d\r\n\r\n", test.size)
+				_, err = c.Write(make([]byte, test.size/2))
 				qt.Assert(t, err, qt.IsNil)
 				a, err := http.ReadResponse(r, nil)
 				qt.Assert(t, err, qt.IsNil)
@@ -103,7 +111,7 @@
 				_, err = io.Copy(io.Discard, a.Body)
 				qt.Check(t, err, qt.IsNil)
 				qt.Check(t, a.Close, qt.Equals, test.closes)
-				_, _ = c.Write(make([]byte, size-size/2)) // the rest; the connection may be closed
+				_, _ = c.Write(make([]byte, test.size-test.size/2)) // the rest; the connection may be closed
 				if test.closes {
 					break
 				}
@@ -115,3 +123,49 @@
 		})
 	}
 }
+
+// TestBodyIsSentOnAsItComesIn has a caller send half of a body and wait: the request is sent
+// on, and its first half can be read, by each sending from the start.
+func TestBodyIsSentOnAsItComesIn(t *testing.T) {
+	const size = 60_000
+	service := &entry.Service{Name: "service", Config: operator.Service{}.WithDefaults()}
+	requests := make(chan *entry.Request)
+	front := httptest.NewServer(&caller.Handler{
+		Lookup:     func(string) (*entry.Service, bool) { return service, true },
+		Dispatcher: handOver(requests),
+		Tracer:     noop.NewTracerProvider().Tracer(""),
+	})
+	defer front.Close()
+	c, err := net.Dial("tcp", front.Listener.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer c.Close()
+	fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: service.example\r\nContent-Length: %d\r\n\r\n", size)
+	_, err = c.Write(bytes.Repeat([]byte("a"), size/2))
+	qt.Assert(t, err, qt.IsNil)
+	r := <-requests
+	qt.Assert(t, r.Kept, qt.IsNotNil)
+	for range 2 {
+		_, err = io.ReadFull(r.Kept.Open(), make([]byte, size/2))
+		qt.Check(t, err, qt.IsNil)
+	}
+	_, err = c.Write(bytes.Repeat([]byte("b"), size/2))
+	qt.Assert(t, err, qt.IsNil)
+	whole, err := io.ReadAll(r.Kept.Open())
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, string(whole), qt.Equals, string(bytes.Repeat([]byte("a"), size/2))+string(bytes.Repeat([]byte("b"), size/2)))
+	requests <- nil
+	a, err := http.ReadResponse(bufio.NewReader(c), nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, a.StatusCode, qt.Equals, 503)
+}
+
+// handOver is a Dispatcher that hands each request to a test, and refuses it when it is told
+// to go on.
+type handOver chan *entry.Request
+
+// Do implements caller.Dispatcher.
+func (h handOver) Do(_ context.Context, r *entry.Request) (*entry.Result, *verdict.Error) {
+	h <- r
+	<-h
+	return nil, verdict.New(verdict.Refused, nil)
+}
--- /dev/null
+++ b/entry/kept_test.go
@@ -0,0 +1,95 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/entry"
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/spool"
+	"sassafrasfront.example/verdict"
+)
+
+// receiving plays a gate that receives the body, and then does what play does.
+func receiving(p play) play {
+	return func(in *peer.Inbound) {
+		if _, err := in.Receive(in.Context()); err != nil {
+			in.Fail(verdict.New(verdict.Revoked, err), nil)
+			return
+		}
+		p(in)
+	}
+}
+
+// echo answers with the body.
+func echo(in *peer.Inbound) {
+	data, _ := io.ReadAll(in.Body())
+	_ = in.Begin(&peer.Answer{Status: 200, Length: int64(len(data))})
+	_ = in.CopyBody(bytes.NewReader(data))
+	_ = in.Finish(nil)
+}
+
+// TestKeptBody sends a body that comes in bit by bit to gates that refuse it before its end
+// or with all of it there. It is sent elsewhere from its start, whole, and only as long as
+// it is certain that it has not run.
+func TestKeptBody(t *testing.T) {
+	tests := map[string]struct {
+		plays []play
+		want  verdict.Cause
+		calls int
+	}{
+		"answered":                      {plays: []play{receiving(echo)}, calls: 1},
+		"refused at once":               {plays: []play{fail(verdict.Refused), receiving(echo)}, calls: 2},
+		"refused with the body there":   {plays: []play{receiving(fail(verdict.Refused)), receiving(echo)}, calls: 2},
+		"refused while the body comes":  {plays: []play{func(in *peer.Inbound) { time.Sleep(5 * time.Millisecond); fail(verdict.Refused)(in) }, receiving(echo)}, calls: 2},
+		"lost with the body there":      {plays: []play{receiving(fail(verdict.UpstreamLost)), receiving(echo)}, want: verdict.UpstreamLost, calls: 1},
+		"drained with the body there":   {plays: []play{receiving(fail(verdict.Draining)), receiving(fail(verdict.Refused)), receiving(echo)}, calls: 3},
+		"all refuse with it half there": {plays: []play{fail(verdict.Refused)}, want: verdict.Refused, calls: 3},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d, g := dispatcher(t, operator.Service{Retry: operator.Retry{MaxTries: 3, Share: 0.1, Burst: 5}}, 3, test.plays...)
+			data := bytes.Repeat([]byte("0123456789abcdef"), 5000)
+			reader, writer := io.Pipe()
+			go func() {
+				for part := range 10 {
+					time.Sleep(time.Millisecond)
+					_, _ = writer.Write(data[part*8000 : (part+1)*8000])
+				}
+				writer.Close()
+			}()
+			r := &entry.Request{
+				Service:  "service",
+				Method:   "X",
+				Target:   "/",
+				Length:   int64(len(data)),
+				Kept:     &spool.Body{Reader: reader, Length: int64(len(data))},
+				Deadline: time.Now().Add(10 * time.Second),
+			}
+			result, failed := d.Do(context.Background(), r)
+			calls, _, _ := g.count()
+			qt.Check(t, calls, qt.Equals, test.calls)
+			reader.Close()
+			if test.want != "" {
+				qt.Assert(t, failed != nil, qt.IsTrue)
+				qt.Check(t, failed.Cause, qt.Equals, test.want)
+				return
+			}
+			qt.Assert(t, failed == nil, qt.IsTrue, qt.Commentf("%v", failed))
+			defer result.Close()
+			got, err := io.ReadAll(result.Body)
+			qt.Check(t, err, qt.IsNil)
+			qt.Check(t, bytes.Equal(got, data), qt.IsTrue)
+		})
+	}
+}
