--- a/peer/quota.go
+++ b/peer/quota.go
@@ -16,7 +16,8 @@
 
 // mostUnderWay is the most body bytes that one call has under way while it is under a
 // quota, once some have arrived: enough to keep a link busy over the delay between zones.
-// Until then it is a quantum, as a sender may have credit and wait for its caller.
+// Until then it is less, as a sender may have credit and wait for its caller: a quantum, or
+// two if no other call wants or has any.
 const mostUnderWay = 3 * quantum
 
 // overdue is how long bytes may be under way before they count as not sent: their sender
@@ -202,7 +203,7 @@
 func (q *quota) next() *demand {
 	var best *demand
 	for _, d := range q.demands {
-		if d.underWay > 0 && (!d.begun || d.underWay+min(d.want, quantum) > mostUnderWay) {
+		if d.underWay+min(d.want, quantum) > q.bound(d) {
 			continue
 		}
 		if best == nil || best.late && !d.late || best.late == d.late && d.want < best.want {
@@ -212,6 +213,18 @@
 	return best
 }
 
+// bound returns how many bytes a call may have under way. The lock is held.
+func (q *quota) bound(d *demand) int {
+	others := len(q.demands) > 1 || slices.ContainsFunc(q.sent, func(o *demand) bool { return o != d })
+	switch {
+	case d.begun:
+		return mostUnderWay
+	case others:
+		return quantum
+	}
+	return 2 * quantum
+}
+
 // inflow returns how many bytes a second arrive while the link has enough to carry, 0 if
 // that is not known, and how many are under way or wanted.
 func (q *quota) inflow() (rate float64, backlog int) {
--- a/route/pool.go
+++ b/route/pool.go
@@ -111,6 +111,7 @@
 	at       time.Time // of the report; zero if there is none
 	sent     int       // own requests sent since the report
 	ended    int       // own requests ended since the report
+	bodies   int64     // own body bytes sent since the report
 	health   health
 }
 
@@ -161,6 +162,7 @@
 	e.at = time.Now()
 	e.sent = 0
 	e.ended = 0
+	e.bodies = 0
 }
 
 // Pick chooses an upstream for one request, passing over those for which
@@ -198,6 +200,7 @@
 	e := p.usable[chosen]
 	e.own++
 	e.sent++
+	e.bodies += body
 	e.startSum += now.Sub(base)
 	e.health.begin(now)
 	return &Use[K]{
@@ -344,7 +347,7 @@
 		seconds = float64(body) / p.Rate
 	}
 	if rate := e.reported.Rate; rate > 0 {
-		backlog := fade(now.Sub(e.at), loadFade) * float64(e.reported.Backlog)
+		backlog := fade(now.Sub(e.at), loadFade) * float64(int64(e.reported.Backlog)+e.bodies)
 		seconds = max(seconds, (backlog+float64(body))/rate)
 	}
 	return time.Duration(seconds * float64(time.Second))
--- /dev/null
+++ b/route/transfer_test.go
@@ -0,0 +1,184 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package route_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/route"
+)
+
+const (
+	// uploadSize is the length of a large body, which a link of 10 Mbit/s carries in 48 ms.
+	uploadSize = 60_000
+	// slowLink and quickLink are what the links of instances carry, in bytes per second.
+	slowLink  = 10e6 / 8
+	quickLink = 100e6 / 8
+)
+
+// linked is an upstream on a link, which carries one body at a time.
+type linked struct {
+	rate float64
+	link chan struct{} // has room while no body crosses
+
+	mu      sync.Mutex
+	backlog int
+	running int
+}
+
+// take has a body cross the link and its request run.
+func (l *linked) take(work time.Duration) (arrived time.Duration) {
+	came := time.Now()
+	l.add(uploadSize, 0)
+	l.link <- struct{}{}
+	time.Sleep(time.Duration(uploadSize / l.rate * float64(time.Second)))
+	<-l.link
+	arrived = time.Since(came)
+	l.add(-uploadSize, 1)
+	time.Sleep(work)
+	l.add(0, -1)
+	return arrived
+}
+
+func (l *linked) add(backlog, running int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.backlog += backlog
+	l.running += running
+}
+
+// load returns what the node of the upstream reports. Of one that is blind nothing is told of
+// its link.
+func (l *linked) load(blind bool) route.Load {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := route.Load{
+		Running: l.running,
+		Allowed: 14,
+		Service: 280 * time.Millisecond,
+	}
+	if !blind {
+		r.Rate = l.rate
+		r.Backlog = l.backlog
+	}
+	return r
+}
+
+// upload has three entries send uploads to seven upstreams, of which one has a quick link, for
+// 20 s, with reports that are up to 50 ms old. It returns the times that the bodies took.
+func upload(perSecond float64, blind bool) (took []time.Duration) {
+	upstreams := make([]*linked, 7)
+	targets := make(map[int]route.Target)
+	for i := range upstreams {
+		upstreams[i] = &linked{rate: slowLink, link: make(chan struct{}, 1)}
+		targets[i] = route.Target{Slots: 14}
+	}
+	upstreams[0].rate = quickLink
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	began := time.Now()
+	for entry := range 3 {
+		p := &route.Pool[int]{Policy: route.Fastest{}, Expected: 280 * time.Millisecond}
+		p.Set(targets)
+		all.Go(func() {
+			for time.Since(began) < 20*time.Second {
+				for i, u := range upstreams {
+					p.Observe(i, u.load(blind))
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+		random := rand.New(rand.NewPCG(5, uint64(entry)))
+		all.Go(func() {
+			for time.Since(began) < 20*time.Second {
+				time.Sleep(time.Duration(3 * random.ExpFloat64() / perSecond * float64(time.Second)))
+				use, ok := p.PickFor(uploadSize, nil)
+				if !ok {
+					panic("no upstream")
+				}
+				all.Go(func() {
+					arrived := upstreams[use.Key()].take(280 * time.Millisecond)
+					use.Done(route.Succeeded)
+					mu.Lock()
+					defer mu.Unlock()
+					took = append(took, arrived)
+				})
+			}
+		})
+	}
+	all.Wait()
+	slices.Sort(took)
+	return took
+}
+
+// TestLargeBodiesGoWhereLinksHaveRoom has uploads take six tenths of what the links of seven
+// upstreams carry, one of which is ten times as quick as the others. Where that is known,
+// hardly a body waits for others on a slow link; where it is not, the slow links fill up.
+func TestLargeBodiesGoWhereLinksHaveRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const perSecond = 120
+		known, blind := upload(perSecond, false), upload(perSecond, true)
+		p90 := func(took []time.Duration) time.Duration { return took[len(took)*9/10] }
+		t.Logf("nine in ten bodies within %v, and %v with nothing known of the links", p90(known), p90(blind))
+		qt.Check(t, p90(known) < 150*time.Millisecond, qt.IsTrue)
+		qt.Check(t, p90(blind) > 2*p90(known), qt.IsTrue)
+	})
+}
+
+// TestTransfer has one row for what decides where a large body goes.
+func TestTransfer(t *testing.T) {
+	slow := route.Load{Allowed: 14, Service: 280 * time.Millisecond, Rate: slowLink}
+	busy, quick, unknown, loaded := slow, slow, slow, slow
+	busy.Backlog = 100_000
+	quick.Rate = quickLink
+	unknown.Rate = 0
+	loaded.Rate = quickLink
+	loaded.Running = 14
+	tests := map[string]struct {
+		first, second route.Load
+		local         bool // whether the first is beside the entry
+		own           float64
+		body          int64
+		want          int // -1 for either
+	}{
+		"to the quick link":               {first: quick, second: slow, body: uploadSize, want: 0},
+		"past what waits":                 {first: busy, second: slow, body: uploadSize, want: 1},
+		"beside the entry":                {first: slow, second: slow, local: true, body: uploadSize, want: 0},
+		"not to a full upstream":          {first: loaded, second: slow, body: uploadSize, want: 1},
+		"a small one anywhere":            {first: quick, second: busy, want: -1},
+		"over an own link that is slow":   {first: quick, second: slow, own: slowLink / 10, body: uploadSize, want: -1},
+		"nothing known of any link":       {first: unknown, second: unknown, body: uploadSize, want: -1},
+		"a local one with a busy link":    {first: busy, second: slow, local: true, body: uploadSize, want: 0},
+		"a link of which nothing is told": {first: unknown, second: busy, body: uploadSize, want: 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := &route.Pool[int]{Policy: route.Fastest{}, Expected: 280 * time.Millisecond, Rate: test.own}
+			p.Set(map[int]route.Target{0: {Slots: 14, Local: test.local}, 1: {Slots: 14}})
+			got := make(map[int]int)
+			for range 100 {
+				p.Observe(0, test.first)
+				p.Observe(1, test.second)
+				use, ok := p.PickFor(test.body, nil)
+				qt.Assert(t, ok, qt.IsTrue)
+				got[use.Key()]++
+				use.Done(route.Unknown)
+			}
+			switch test.want {
+			case -1:
+				qt.Check(t, got[0] > 20 && got[1] > 20, qt.IsTrue, qt.Commentf("%v", got))
+			default:
+				qt.Check(t, got[test.want], qt.Equals, 100)
+			}
+		})
+	}
+}
