--- /dev/null
+++ b/peer/ahead_test.go
@@ -0,0 +1,115 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package peer_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/verdict"
+)
+
+// newCallAhead returns a call whose body of the given length is sent ahead.
+func newCallAhead(length int) *peer.Call {
+	m := newCall()
+	m.Streams = true
+	m.Ahead = true
+	m.Length = int64(length)
+	return m
+}
+
+// TestAhead has bodies of several lengths received before a call is admitted.
+func TestAhead(t *testing.T) {
+	for name, length := range map[string]int{"one byte": 1, "some frames": 100_000, "as large as may be": peer.MaxAhead} {
+		t.Run(name, func(t *testing.T) {
+			_, c := serve(t, peer.Limits{Window: 64 << 10, UnderWay: 50_000}, func(in *peer.Inbound) {
+				if _, err := in.Receive(in.Context()); err != nil {
+					return
+				}
+				if err := in.Admit(); err != nil {
+					return
+				}
+				data, _ := io.ReadAll(in.Body())
+				_ = in.Reply(&peer.Answer{Status: 200, Body: data, Arrived: time.Second})
+			})
+			data := bytes.Repeat([]byte("x"), length)
+			x, failed := c.Start(context.Background(), newCallAhead(length), bytes.NewReader(data))
+			qt.Assert(t, failed == nil, qt.IsTrue)
+			defer x.Close()
+			r, failed := x.Wait()
+			qt.Assert(t, failed == nil, qt.IsTrue, qt.Commentf("%v", failed))
+			got, err := io.ReadAll(r.Body)
+			qt.Check(t, err, qt.IsNil)
+			qt.Check(t, bytes.Equal(got, data), qt.IsTrue)
+			qt.Check(t, r.Arrived, qt.Equals, time.Second)
+		})
+	}
+}
+
+// TestAheadLost has the connection lost before the end of a body that is sent ahead, after
+// which the call has not run, and after it, when it may have.
+func TestAheadLost(t *testing.T) {
+	tests := map[string]struct {
+		whole bool
+		want  verdict.Cause
+	}{
+		"before the end": {want: verdict.NotWritten},
+		"after the end":  {whole: true, want: verdict.PeerLost},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			asked := make(chan struct{})
+			_, c := serve(t, peer.Limits{}, func(in *peer.Inbound) {
+				close(asked)
+				_, _ = in.Receive(in.Context())
+				<-in.Context().Done()
+			})
+			reader, writer := io.Pipe()
+			x, failed := c.Start(context.Background(), newCallAhead(100), reader)
+			qt.Assert(t, failed == nil, qt.IsTrue)
+			defer x.Close()
+			<-asked
+			_, _ = writer.Write(make([]byte, 50))
+			if test.whole {
+				_, _ = writer.Write(make([]byte, 50))
+				writer.Close()
+			}
+			time.Sleep(20 * time.Millisecond)
+			c.Close()
+			_, failed = x.Wait()
+			qt.Assert(t, failed != nil, qt.IsTrue)
+			qt.Check(t, failed.Cause, qt.Equals, test.want)
+		})
+	}
+}
+
+// TestAheadTooLarge has a peer send calls ahead that it may not: each costs its connection.
+func TestAheadTooLarge(t *testing.T) {
+	tests := map[string]func(m *peer.Call){
+		"length not known": func(m *peer.Call) { m.Length = -1 },
+		"too large":        func(m *peer.Call) { m.Length = peer.MaxAhead + 1 },
+		"not streamed":     func(m *peer.Call) { m.Streams = false },
+	}
+	for name, spoil := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, c := serve(t, peer.Limits{}, func(*peer.Inbound) { t.Error("called") })
+			m := newCallAhead(1)
+			spoil(m)
+			x, failed := c.Start(context.Background(), m, strings.NewReader("x"))
+			if failed == nil {
+				_, failed = x.Wait()
+				x.Close()
+			}
+			qt.Check(t, failed != nil, qt.IsTrue)
+		})
+	}
+}
