--- a/caller/handler.go
+++ b/caller/handler.go
@@ -31,14 +31,9 @@
 	"sassafrasfront.example/verdict"
 )
 
-const (
-	// gatherLimit is the largest body that is read before the request is sent on. It
-	// fits in one or two segments of a connection's first flight, so that nothing is
-	// gained by sending it on as it comes in.
-	gatherLimit = 8 << 10
-	// claimLimit is the same for a request that is claimed by its whole body.
-	claimLimit = 64 << 10
-)
+// claimLimit is the largest body that is read before a request with a key is sent on: it is
+// claimed by its whole body. Others are gathered as far as they go with the call.
+const claimLimit = 64 << 10
 
 // Dispatcher sends requests to upstreams.
 type Dispatcher interface {
@@ -374,7 +369,7 @@
 	if x.r.Header.Get(IdempotencyKey) != "" {
 		return claimLimit
 	}
-	return gatherLimit
+	return entry.InlineBody
 }
 
 // stream has the body read while the request is under way: an answer may begin before it
--- a/entry/request.go
+++ b/entry/request.go
@@ -68,7 +68,7 @@
 		Host:         r.Host,
 		Header:       r.Header,
 		Remaining:    time.Until(r.Deadline),
-		Streams:      r.Kept != nil || r.Stream != nil || len(r.Body) > inlineBody,
+		Streams:      r.Kept != nil || r.Stream != nil || len(r.Body) > InlineBody,
 		Ahead:        r.ahead(),
 		Length:       r.Length,
 		Try:          try,
@@ -80,22 +80,22 @@
 	return c
 }
 
-// inlineBody is the largest body, in bytes, that goes with the call. A larger one
+// InlineBody is the largest body, in bytes, that goes with the call. A larger one
 // follows once the gate asks for it, which costs an exchange between
 // nodes, so that a call that is refused does not carry it in vain: a request of 60
 // KB that three gates refuse takes 150 ms of a link of 10 Mbit/s otherwise.
-const inlineBody = 8 << 10
+const InlineBody = 8 << 10
 
 // ahead returns whether the body may be sent before the call is admitted: if it can be sent
 // again from its start where the call is refused after all.
 func (r *Request) ahead() bool {
-	return r.Length > inlineBody && r.Length <= peer.MaxAhead && r.Stream == nil
+	return r.Length > InlineBody && r.Length <= peer.MaxAhead && r.Stream == nil
 }
 
 // crosses returns how many bytes of the body cross the link in their own frames, as far as
 // is known.
 func (r *Request) crosses() int64 {
-	if r.Length <= inlineBody {
+	if r.Length <= InlineBody {
 		return 0
 	}
 	return r.Length
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -31,8 +31,8 @@
 	Body uint64 `msgpack:"b"`
 }
 
-// MaxBody is how much of a body is part of a fingerprint, in bytes: as much as a node
-// gathers before it sends a request on.
+// MaxBody is how much of a body is part of a fingerprint, in bytes: as much as is waited for
+// where a request with the same head is suspected.
 const MaxBody = 64 << 10
 
 // Head returns the fingerprint of a request without its body, given the service that it
