--- /dev/null
+++ b/route/antiphase_test.go
@@ -0,0 +1,210 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package route_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/route"
+)
+
+// The load of TestZonesInAntiphase: upstreams with 14 slots each for runs of 240 ms, and five
+// entries in each zone.
+const (
+	phaseEntries = 5
+	phaseSlots   = 14
+	phaseRun     = 240 * time.Millisecond
+	phaseDelay   = 4400 * time.Microsecond // between zones, one way
+	phaseLasts   = 30 * time.Second
+)
+
+// phased is an upstream whose requests beyond its slots wait.
+type phased struct {
+	zone  int
+	slots chan struct{}
+
+	mu   sync.Mutex
+	here int // that run or wait
+}
+
+// run runs a request.
+func (p *phased) run(work time.Duration) {
+	p.add(1)
+	p.slots <- struct{}{}
+	time.Sleep(work)
+	<-p.slots
+	p.add(-1)
+}
+
+func (p *phased) add(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.here += n
+}
+
+func (p *phased) load() route.Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return route.Load{
+		Running: min(p.here, phaseSlots),
+		Waiting: max(0, p.here-phaseSlots),
+		Allowed: phaseSlots,
+		Service: phaseRun,
+	}
+}
+
+// phasePlay is what came of a load.
+type phasePlay struct {
+	crossed  float64       // share of the requests that crossed zones
+	late     float64       // share that took over a second
+	unevenly time.Duration // the longest that one was over its slots with another half empty
+}
+
+// playZones has the callers of each zone rise and fall by 0.55 every 15 s, each zone at another
+// moment, around the given share of all slots, for so many upstreams in each zone. Reports
+// reach an entry 5 to 100 ms after they were made.
+func playZones(used float64, zones []int) phasePlay {
+	var upstreams []*phased
+	for zone, n := range zones {
+		for range n {
+			upstreams = append(upstreams, &phased{
+				zone:  zone,
+				slots: make(chan struct{}, phaseSlots),
+			})
+		}
+	}
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	var sent, crossed, late float64
+	began := time.Now()
+	going := func() bool { return time.Since(began) < phaseLasts }
+	perEntry := used * float64(len(upstreams)*phaseSlots) / phaseRun.Seconds() / float64(len(zones)*phaseEntries)
+	for entry := range len(zones) * phaseEntries {
+		zone := entry / phaseEntries
+		random := rand.New(rand.NewPCG(7, uint64(entry)))
+		p := &route.Pool[int]{Policy: route.Fastest{}, Expected: phaseRun}
+		p.Set(phaseTargets(zone, random, upstreams))
+		reports := rand.New(rand.NewPCG(8, uint64(entry)))
+		all.Go(func() {
+			for going() {
+				for i, u := range upstreams {
+					l := u.load()
+					age := 5*time.Millisecond + time.Duration(reports.Int64N(int64(95*time.Millisecond)))
+					time.AfterFunc(age, func() { p.Observe(i, l) })
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+		all.Go(func() {
+			for going() {
+				angle := 2 * math.Pi * (time.Since(began).Seconds()/15 + float64(zone)/float64(len(zones)))
+				rate := perEntry * (1 + 0.55*math.Sin(angle))
+				time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+				work := time.Duration((2 + 2*random.Float64()) / 3 * float64(phaseRun))
+				use, ok := p.Pick(nil)
+				if !ok {
+					panic("no upstream")
+				}
+				u := upstreams[use.Key()]
+				all.Go(func() {
+					came := time.Now()
+					if u.zone != zone {
+						time.Sleep(2 * phaseDelay)
+					}
+					u.run(work)
+					use.Done(route.Succeeded)
+					mu.Lock()
+					defer mu.Unlock()
+					sent++
+					if u.zone != zone {
+						crossed++
+					}
+					if time.Since(came) > time.Second {
+						late++
+					}
+				})
+			}
+		})
+	}
+	var longest time.Duration
+	all.Go(func() {
+		since := make([]time.Time, len(upstreams)) // when each was not over its slots last
+		for going() {
+			time.Sleep(10 * time.Millisecond)
+			least := math.MaxInt
+			for _, u := range upstreams {
+				least = min(least, u.load().Running)
+			}
+			for i, u := range upstreams {
+				if u.load().Waiting == 0 || 2*least > phaseSlots || since[i].IsZero() {
+					since[i] = time.Now()
+				}
+				longest = max(longest, time.Since(since[i]))
+			}
+		}
+	})
+	all.Wait()
+	time.Sleep(time.Second) // reports on their way
+	return phasePlay{
+		crossed:  crossed / sent,
+		late:     late / sent,
+		unevenly: longest,
+	}
+}
+
+// phaseTargets returns the upstreams as an entry of a zone sees them: six near and two far
+// ones are its regular ones.
+func phaseTargets(zone int, random *rand.Rand, upstreams []*phased) map[int]route.Target {
+	targets := make(map[int]route.Target)
+	near, far := 6, 2
+	for _, i := range random.Perm(len(upstreams)) {
+		t := route.Target{Slots: phaseSlots}
+		left := &near
+		if upstreams[i].zone != zone {
+			t.Distance = 12 * time.Millisecond
+			t.Crossing = 0.5
+			left = &far
+		}
+		t.Spare = *left == 0
+		*left = max(0, *left-1)
+		targets[i] = t
+	}
+	return targets
+}
+
+// TestZonesInAntiphase has the callers of three zones rise and fall at different moments, so
+// that a zone's peak is over what its upstreams run, and the others have room for it. No
+// upstream is over its slots for longer than a second while another is half empty, and hardly
+// a request crosses where there is room in each zone at any moment.
+func TestZonesInAntiphase(t *testing.T) {
+	tests := map[string]struct {
+		zones   []int
+		used    float64
+		crosses float64 // the most that may
+	}{
+		"thirty upstreams, room in each zone": {zones: []int{10, 10, 10}, used: 0.5, crosses: 0.05},
+		"thirty upstreams, peaks over a zone": {zones: []int{10, 10, 10}, used: 0.75, crosses: 0.5},
+		"thirty upstreams, nearly full":       {zones: []int{10, 10, 10}, used: 0.85, crosses: 0.5},
+		"seven upstreams, peaks over a zone":  {zones: []int{3, 2, 2}, used: 0.75, crosses: 0.5},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := playZones(test.used, test.zones)
+				t.Logf("%+v", p)
+				qt.Check(t, p.unevenly < time.Second, qt.IsTrue)
+				qt.Check(t, p.late < 0.01, qt.IsTrue)
+				qt.Check(t, p.crossed < test.crosses, qt.IsTrue)
+			})
+		})
+	}
+}
