--- a/gate/ahead.go
+++ b/gate/ahead.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"time"
 
 	"sassafrasfront.example/admit"
 	"sassafrasfront.example/verdict"
@@ -21,7 +20,7 @@
 		c.in.OnRevoke(t.Revoke)
 		return t, t.Wait(ctx)
 	}
-	t := c.gate.admit.Expect(m.Class, c.in.Deadline(), c.gate.coming(m.Length))
+	t := c.gate.admit.Expect(m.Class, c.in.Deadline(), c.in.Coming())
 	receiving, stop := context.WithCancel(ctx)
 	defer stop()
 	c.in.OnRevoke(func() bool {
@@ -46,16 +45,3 @@
 	t.Arrive()
 	return t, t.Wait(ctx)
 }
-
-// coming returns how long a body is likely to take to this node, behind those that are on
-// their way already, or 0 if the speed of the link is not known.
-func (g *Gate) coming(length int64) time.Duration {
-	if g.Inflow == nil {
-		return 0
-	}
-	rate, backlog := g.Inflow()
-	if rate <= 0 {
-		return 0
-	}
-	return time.Duration((float64(backlog) + float64(length)) / rate * float64(time.Second))
-}
--- a/peer/inbound.go
+++ b/peer/inbound.go
@@ -66,7 +66,7 @@
 // serve runs the handler, and ends the call if the handler has not.
 func (in *Inbound) serve() {
 	defer in.session.server.calls.Done()
-	defer in.session.server.bodies.leave(&in.demand)
+	defer in.session.bodies().leave(&in.demand)
 	in.session.server.Call(in)
 	in.Fail(verdict.New(verdict.PeerLost, eris.New("the handler gave no answer")), nil)
 	in.late.Stop()
@@ -119,6 +119,10 @@
 	return in.body.first(in.ctx)
 }
 
+// Coming returns how long the body of a call that is sent Ahead is likely to take, or 0 if that
+// is not known.
+func (in *Inbound) Coming() time.Duration { return in.session.bodies().coming(in.Call.Length) }
+
 // Receive asks for the body of a call that is sent Ahead, and waits until all of it is
 // there or ctx ends. It returns how long that took from the arrival of the call.
 func (in *Inbound) Receive(ctx context.Context) (time.Duration, error) {
@@ -136,7 +140,7 @@
 		return
 	}
 	in.asked += int64(n)
-	in.session.server.bodies.ask(&in.demand, n)
+	in.session.bodies().ask(&in.demand, n)
 }
 
 // allow lets the sender send n more bytes of the body.
--- a/peer/quota.go
+++ b/peer/quota.go
@@ -130,15 +130,18 @@
 	}
 }
 
-// writeOff takes bytes that are overdue for not sent. The lock is held.
-func (q *quota) writeOff() {
+// writeOff takes bytes that are overdue for not sent, and returns whether there were any.
+// The lock is held.
+func (q *quota) writeOff() (any bool) {
 	now := time.Now()
 	for _, d := range slices.Clone(q.sent) {
 		if now.Sub(d.heard) >= overdue {
 			d.late = true
 			q.settle(d, d.underWay)
+			any = true
 		}
 	}
+	return any
 }
 
 // dealAgain has what is free given again later, for the case that nothing arrives until
@@ -150,7 +153,6 @@
 	}
 	q.again = time.AfterFunc(overdue, func() {
 		q.mu.Lock()
-		q.writeOff()
 		q.deal()
 	})
 }
@@ -177,6 +179,9 @@
 		}
 		n := min(d.want, quantum)
 		if n > q.free {
+			if q.writeOff() {
+				continue
+			}
 			q.dealAgain()
 			break
 		}
@@ -225,6 +230,16 @@
 	return 2 * quantum
 }
 
+// coming returns how long n more bytes take to arrive behind all that are under way or
+// wanted, or 0 if that is not known.
+func (q *quota) coming(n int64) time.Duration {
+	rate, backlog := q.inflow()
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration((float64(backlog) + float64(n)) / rate * float64(time.Second))
+}
+
 // inflow returns how many bytes a second arrive while the link has enough to carry, 0 if
 // that is not known, and how many are under way or wanted.
 func (q *quota) inflow() (rate float64, backlog int) {
--- a/peer/quota_test.go
+++ b/peer/quota_test.go
@@ -120,3 +120,32 @@
 		}
 	})
 }
+
+// TestSlowCallersAmongQuickOnes has slow callers hold credit while others come all the time, so
+// that the quota is never left alone: what is overdue is given to others all the same.
+func TestSlowCallersAmongQuickOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQuota(testQuota, 0)
+		for range 2 {
+			s := &sender{}
+			s.give = func(int) {}
+			q.ask(&s.demand, 60_000)
+		}
+		began := time.Now()
+		var sent int
+		for time.Since(began) < time.Second {
+			quick := &sender{credit: make(chan int, 100)}
+			quick.give = func(n int) { quick.credit <- n }
+			q.ask(&quick.demand, quantum)
+			n := <-quick.credit
+			time.Sleep(time.Duration(float64(n) / testRate * float64(time.Second)))
+			q.arrived(&quick.demand, n)
+			q.leave(&quick.demand)
+			sent += n
+		}
+		qt.Check(t, float64(sent) > 0.7*testRate, qt.IsTrue, qt.Commentf("%d bytes", sent))
+		if q.again != nil {
+			q.again.Stop()
+		}
+	})
+}
--- a/peer/session.go
+++ b/peer/session.go
@@ -116,6 +116,15 @@
 	return nil
 }
 
+// bodies returns the quota of the link that bodies cross to this node, or nil if the peer is
+// this node itself.
+func (n *session) bodies() *quota {
+	if n.from.Node == n.server.Hello.Node && n.from.Node != "" {
+		return nil
+	}
+	return n.server.bodies
+}
+
 func (n *session) find(id uint64) *Inbound {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -130,7 +139,7 @@
 
 func (n *session) handleBody(m *Body) error {
 	if in := n.find(m.ID); in != nil {
-		n.server.bodies.arrived(&in.demand, len(m.Data))
+		n.bodies().arrived(&in.demand, len(m.Data))
 		return in.body.put(m.Data)
 	}
 	return nil
@@ -141,7 +150,7 @@
 		return err
 	}
 	if in := n.find(m.ID); in != nil {
-		n.server.bodies.leave(&in.demand)
+		n.bodies().leave(&in.demand)
 		in.body.end(io.EOF, m.Trailer)
 	}
 	return nil
