--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -196,14 +196,21 @@
 	if x.credit.wait(x.ctx) != nil {
 		return
 	}
+	var unsent error
 	err := x.credit.copyBody(x.ctx, body, func(data []byte) error {
 		x.written.Store(!x.ahead)
-		return x.link.send(KindBody, &Body{
+		unsent = x.link.send(KindBody, &Body{
 			ID:   x.id,
 			Data: data,
 		})
+		return unsent
 	})
-	if err != nil {
+	switch {
+	case unsent != nil:
+		x.link.remove(x.id)
+		x.lose(unsent) // the caller's body is not to blame
+		return
+	case err != nil:
 		x.bodyFailed(err)
 		return
 	}
