--- a/admit/expect.go
+++ b/admit/expect.go
@@ -33,6 +33,10 @@
 	return t
 }
 
+// bodyShare is the part of the longest wait that a body may take. The rest is left for the
+// wait for a slot, and for what a transfer takes beside the bytes ahead of it.
+const bodyShare = 0.5
+
 // expectable returns why a request whose body is there after the given time is better
 // refused, or nil. Those that are expected already count as if they waited. The lock is held.
 func (g *Gate) expectable(t *Ticket, now time.Time, coming time.Duration) *verdict.Error {
@@ -44,7 +48,7 @@
 	longest := g.longestWait(t.queue)
 	full := verdict.New(verdict.Refused, nil).WithRetryAfter(max(wait, coming))
 	switch {
-	case coming > longest || wait > t.queue.standing.bound(longest):
+	case coming > time.Duration(bodyShare*float64(longest)) || wait > t.queue.standing.bound(longest):
 		return full
 	case !t.deadline.IsZero() && now.Add(max(wait, coming)+g.run(t.queue)).After(t.deadline):
 		return full
--- a/peer/quota.go
+++ b/peer/quota.go
@@ -211,7 +211,7 @@
 		if d.underWay+min(d.want, quantum) > q.bound(d) {
 			continue
 		}
-		if best == nil || best.late && !d.late || best.late == d.late && d.want < best.want {
+		if best == nil || best.late && !d.late {
 			best = d
 		}
 	}
