--- a/peer/quota.go
+++ b/peer/quota.go
@@ -30,11 +30,13 @@
 // looks silent that has a small message behind them: on links of 10 Mbit/s, with
 // requests of 60 KB on average, hundreds of calls a minute were lost to that.
 //
-// The call that wants the fewest bytes goes first, as most bodies are then soonest there:
-// of ten that come at once and take 50 ms each, all are there after 500 ms if they share
-// the link, and after 275 ms on average one by one. It is receiver-driven flow control as
-// in B. Montazeri et al., Homa: a receiver-driven low-latency transport protocol,
-// 2018. doi:10.1145/3230543.3230564. A nil quota bounds nothing.
+// The call that asked first goes first, so that it is known when a body will be there, and
+// bodies are there sooner than if they shared the link: of ten that come at once and take
+// 50 ms each, all are there after 500 ms if they share it, and after 275 ms on average one
+// by one. It is receiver-driven flow control as in B. Montazeri et al., Homa: a
+// receiver-driven low-latency transport protocol, 2018. doi:10.1145/3230543.3230564. Unlike
+// there, the shortest doesn't go first: long bodies that were accepted would be overtaken
+// until they are late. A nil quota bounds nothing.
 type quota struct {
 	most int // that may be under way
 
@@ -203,8 +205,8 @@
 	}
 }
 
-// next returns the call that gets bytes next, or nil: one whose sender is not known to wait
-// for its caller, if there is any. The lock is held.
+// next returns the call that gets bytes next, or nil: the first one whose sender is not known
+// to wait for its caller, if there is any. The lock is held.
 func (q *quota) next() *demand {
 	var best *demand
 	for _, d := range q.demands {
