--- a/node/node.go
+++ b/node/node.go
@@ -43,7 +43,7 @@
 	// reportEvery is the least time between two load reports to one node.
 	reportEvery = 10 * time.Millisecond
 	// reportSize is what a load report adds to an answer, in bytes.
-	reportSize = 90
+	reportSize = 60
 	// controlSavings is for how many seconds the budget of the control state is
 	// saved up, so that many changes at once, such as the start of a zone, are
 	// passed on quickly.
