--- a/gate/ahead_test.go
+++ b/gate/ahead_test.go
@@ -17,6 +17,7 @@
 
 	"sassafrasfront.example/operator"
 	"sassafrasfront.example/peer"
+	"sassafrasfront.example/upstream"
 	"sassafrasfront.example/verdict"
 )
 
@@ -41,7 +42,10 @@
 		meanwhile func(r *rig, x *peer.Exchange, body *io.PipeWriter)
 		want      verdict.Cause
 	}{
-		"comes":                  {meanwhile: func(_ *rig, _ *peer.Exchange, _ *io.PipeWriter) {}},
+		"comes": {meanwhile: func(_ *rig, _ *peer.Exchange, _ *io.PipeWriter) {}},
+		"upstream starts again": {meanwhile: func(r *rig, _ *peer.Exchange, _ *io.PipeWriter) {
+			r.gate.Announce(&upstream.Announcement{Service: "service", Address: r.address, Slots: 1, Connections: 1, Start: "two"})
+		}},
 		"breaks":                 {meanwhile: func(_ *rig, _ *peer.Exchange, w *io.PipeWriter) { w.CloseWithError(io.ErrUnexpectedEOF) }, want: verdict.BadRequest},
 		"call revoked":           {meanwhile: func(_ *rig, x *peer.Exchange, _ *io.PipeWriter) { x.Revoke(); <-x.Ready() }, want: verdict.Revoked},
 		"zone evacuated":         {meanwhile: func(r *rig, _ *peer.Exchange, _ *io.PipeWriter) { r.gate.Evacuate(true) }, want: verdict.Draining},
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -343,15 +343,29 @@
 	}
 }
 
-// admit gets a slot for the call, waiting for it if need be.
-func (c *call) admit(ctx context.Context) (*admit.Ticket, *binding, *verdict.Error) {
+// binding returns the upstream that the call goes to, or nil if there is none of its service
+// beside this node.
+func (c *call) binding() *binding {
 	b := c.gate.current.Load()
 	if b == nil || b.announcement.Service != c.in.Call.Service {
+		return nil
+	}
+	return b
+}
+
+// admit gets a slot for the call, waiting for it if need be.
+func (c *call) admit(ctx context.Context) (*admit.Ticket, *binding, *verdict.Error) {
+	if c.binding() == nil {
 		return nil, nil, verdict.New(verdict.Misrouted, nil)
 	}
 	t, err := c.enter(ctx)
 	switch {
 	case err == nil:
+		b := c.binding() // the upstream may have started again meanwhile
+		if b == nil {
+			t.Release(false)
+			return nil, nil, verdict.New(verdict.Misrouted, nil)
+		}
 		return t, b, nil
 	case err.Cause == verdict.NoUpstream:
 		// This gate does not know its service yet; another may.
