--- a/peer/ahead_test.go
+++ b/peer/ahead_test.go
@@ -9,7 +9,9 @@
 	"context"
 	"io"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -113,3 +115,36 @@
 		})
 	}
 }
+
+// TestAheadSilence has an entry lose its power while it sends a body: the gate gives the call
+// up when it has heard nothing for long, and not at the deadline.
+func TestAheadSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const silence = 600 * time.Millisecond
+		link := newSlowLink()
+		var took time.Duration
+		s := &peer.Server{
+			Limits: peer.Limits{UnderWay: 50_000, Silence: silence},
+			Call: func(in *peer.Inbound) {
+				var err error
+				took, err = in.Receive(in.Context())
+				qt.Check(t, err != nil, qt.IsTrue)
+				in.Fail(verdict.New(verdict.Revoked, err), nil)
+			},
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var all sync.WaitGroup
+		all.Go(func() { _ = s.Run(ctx, link) })
+		c := &peer.Client{Limits: peer.Limits{Silence: silence}, Dial: link.dial}
+		x, failed := c.Start(ctx, newCallAhead(200_000), bytes.NewReader(make([]byte, 200_000)))
+		qt.Assert(t, failed == nil, qt.IsTrue)
+		time.Sleep(50 * time.Millisecond)
+		link.sever()
+		_ = s.Quiesce(ctx)
+		qt.Check(t, took > silence && took < 3*silence, qt.IsTrue, qt.Commentf("%v", took))
+		x.Close()
+		c.Close()
+		cancel()
+		all.Wait()
+	})
+}
--- a/peer/inbound.go
+++ b/peer/inbound.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"sync"
 	"time"
@@ -124,11 +125,23 @@
 func (in *Inbound) Coming() time.Duration { return in.session.bodies().coming(in.Call.Length) }
 
 // Receive asks for the body of a call that is sent Ahead, and waits until all of it is
-// there or ctx ends. It returns how long that took from the arrival of the call.
+// there, ctx ends, or the peer has been silent for long: one that has lost its power says no
+// more. It returns how long that took from the arrival of the call.
 func (in *Inbound) Receive(ctx context.Context) (time.Duration, error) {
 	in.grant(MaxAhead)
-	err := in.body.whole(ctx)
-	return time.Since(in.arrived), err
+	silence := in.session.limits.Silence
+	for {
+		waiting, cancel := context.WithTimeout(ctx, silence)
+		err := in.body.whole(waiting)
+		cancel()
+		stalled := errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil
+		switch {
+		case !stalled:
+			return time.Since(in.arrived), err
+		case in.session.silence() >= silence:
+			return time.Since(in.arrived), eris.Errorf("nothing heard for %v", silence)
+		}
+	}
 }
 
 // grant asks for up to n more bytes of the body.
