--- /dev/null
+++ b/admit/expect.go
@@ -0,0 +1,73 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package admit
+
+import (
+	"time"
+
+	"sassafrasfront.example/verdict"
+)
+
+// Expect is EnterFor for a request whose body has yet to come in, which is likely to take the
+// given time: it is refused at once if it would be refused now with its body there, or if
+// that comes too late, and otherwise takes no slot until Arrive is called on its ticket. A
+// slot that is held while a body crosses a slow link serves nobody.
+func (g *Gate) Expect(organisation, class string, deadline time.Time, coming time.Duration) *Ticket {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.observeQueues(now)
+	t := g.ticket(organisation, class, deadline, now)
+	t.state = expected
+	err := g.admissible(t, now, deadline)
+	if err == nil {
+		err = g.expectable(t, now, coming)
+	}
+	if err != nil {
+		t.refuse(err)
+		return t
+	}
+	g.expected++
+	return t
+}
+
+// bodyShare is the part of the longest wait that a body may take. The rest is left for the
+// wait for a slot, and for what a transfer takes beside the bytes ahead of it.
+const bodyShare = 0.5
+
+// expectable returns why a request whose body is there after the given time is better
+// refused, or nil. Those that are expected already count as if they waited. The lock is held.
+func (g *Gate) expectable(t *Ticket, now time.Time, coming time.Duration) *verdict.Error {
+	free := min(g.allowed(now), t.queue.cap(g.limits.Slots)) - g.running - g.waiting
+	var wait time.Duration
+	if g.expected >= free {
+		wait = g.expectedWait(t.queue, len(t.queue.waiting)+1+g.expected, now)
+	}
+	longest := g.longestWait(t.queue)
+	full := verdict.New(verdict.Refused, nil).WithRetryAfter(max(wait, coming))
+	switch {
+	case coming > time.Duration(bodyShare*float64(longest)) || wait > t.queue.standing.bound(longest):
+		return full
+	case !t.deadline.IsZero() && now.Add(max(wait, coming)+g.run(t.queue)).After(t.deadline):
+		return full
+	case g.waiting+g.expected >= g.limits.QueueLength+max(0, free):
+		return full
+	}
+	return nil
+}
+
+// arrive has t, which was expected, wait for a slot.
+func (g *Gate) arrive(t *Ticket) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t.state != expected {
+		return
+	}
+	now := time.Now()
+	g.observeQueues(now)
+	g.expected--
+	t.entered = now
+	g.enter(t, now)
+}
--- a/admit/gate.go
+++ b/admit/gate.go
@@ -56,6 +56,7 @@
 	virtual  float64
 	running  int
 	waiting  int
+	expected int           // requests that wait for their bodies, and not for a slot yet
 	startSum time.Duration // sum of the start times of running requests, since epoch
 	epoch    time.Time
 	draining bool
@@ -147,7 +148,7 @@
 	}
 	return Report{
 		Running:  g.running,
-		Waiting:  g.waiting,
+		Waiting:  g.waiting + g.expected,
 		Allowed:  g.allowed(now),
 		Service:  service,
 		Draining: g.draining,
@@ -232,34 +233,46 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	g.observeQueues(now)
-	t := &Ticket{
-		gate:     g,
-		queue:    g.class(class),
-		ready:    make(chan struct{}),
-		entered:  now,
-		deadline: deadline,
+	t := g.ticket(organisation, class, deadline, now)
+	g.enter(t, now)
+	return t
+}
+
+// ticket returns the ticket of a request that comes now.
+func (g *Gate) ticket(organisation, class string, deadline, now time.Time) *Ticket {
+	return &Ticket{
+		gate:         g,
+		queue:        g.class(class),
+		organisation: organisation,
+		ready:        make(chan struct{}),
+		entered:      now,
+		deadline:     deadline,
 	}
-	if err := g.admissible(t, now, deadline); err != nil {
+}
+
+// enter lets t run, has it wait, or refuses it. The lock is held.
+func (g *Gate) enter(t *Ticket, now time.Time) {
+	if err := g.admissible(t, now, t.deadline); err != nil {
 		t.refuse(err)
-		return t
+		return
 	}
-	t.flow = t.queue.flows.Flow(organisation, now)
-	t.expected = max(leastRun, t.flow.Expected(g.run(t.queue)))
-	t.within = t.flow.Ask(t.expected, g.room(t.queue, now), now)
+	t.state = waiting
+	t.flow = t.queue.flows.Flow(t.organisation, now)
+	t.runTime = max(leastRun, t.flow.Expected(g.run(t.queue)))
+	t.within = t.flow.Ask(t.runTime, g.room(t.queue, now), now)
 	t.queue.tag(t, g.virtual, g.run(t.queue))
 	t.queue.push(t)
 	g.waiting++
 	g.dispatch(now)
 	if t.state != waiting {
-		return t
+		return
 	}
-	if err := g.queueable(t, now, deadline); err != nil {
+	if err := g.queueable(t, now, t.deadline); err != nil {
 		t.queue.remove(t)
 		t.queue.finish = t.start
 		g.waiting--
 		t.refuse(err)
 	}
-	return t
 }
 
 // admissible returns why the request can't even be considered, or nil.
@@ -298,11 +311,15 @@
 func (g *Gate) revoke(t *Ticket, err *verdict.Error) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if t.state != waiting {
+	switch t.state {
+	case waiting:
+		t.queue.remove(t)
+		g.waiting--
+	case expected:
+		g.expected--
+	default:
 		return false
 	}
-	t.queue.remove(t)
-	g.waiting--
 	t.refuse(err)
 	return true
 }
@@ -318,7 +335,7 @@
 	g.observeQueues(now)
 	t.state = released
 	t.queue.running--
-	t.flow.End(t.expected, time.Duration(float64(now.Sub(t.began))/t.slowdown), now)
+	t.flow.End(t.runTime, time.Duration(float64(now.Sub(t.began))/t.slowdown), now)
 	g.running--
 	g.startSum -= t.began.Sub(g.epoch)
 	g.freeing = max(0, g.freeing-t.rate)
--- a/admit/ticket.go
+++ b/admit/ticket.go
@@ -20,16 +20,18 @@
 	running
 	refused
 	released
+	expected
 )
 
 // Ticket is one request's place at a Gate.
 type Ticket struct {
-	gate    *Gate
-	queue   *classQueue
-	flow    *fair.Flow // the organisation's
-	start   float64    // start tag
-	ready   chan struct{}
-	entered time.Time
+	gate         *Gate
+	queue        *classQueue
+	organisation string
+	flow         *fair.Flow // the organisation's, once the request waits or runs
+	start        float64    // start tag
+	ready        chan struct{}
+	entered      time.Time // into the queue
 	// deadline is when an answer is of no use any more, or zero.
 	deadline time.Time
 
@@ -38,8 +40,8 @@
 	began time.Time
 	// within is whether its organisation kept to its part when it came.
 	within bool
-	// expected is for how long it was expected to run, at the usual speed.
-	expected time.Duration
+	// runTime is for how long it was expected to run, at the usual speed.
+	runTime time.Duration
 	// slowdown is that of the upstream when the request began.
 	slowdown float64
 	// rate is the inverse of the time that it was expected to run, in 1/s.
@@ -63,7 +65,10 @@
 func (t *Ticket) Waited() time.Duration {
 	t.gate.mu.Lock()
 	defer t.gate.mu.Unlock()
-	if t.state == waiting {
+	switch t.state {
+	case expected:
+		return 0
+	case waiting:
 		return time.Since(t.entered)
 	}
 	return t.began.Sub(t.entered)
@@ -83,6 +88,12 @@
 	t.gate.release(t, healthy)
 }
 
+// Arrive has a request that was expected wait for a slot from now on. It does nothing if
+// the request has been refused meanwhile.
+func (t *Ticket) Arrive() {
+	t.gate.arrive(t)
+}
+
 // Wait blocks until the request runs or has been refused. The request is
 // revoked when ctx ends, and refused when it has waited for as long as the
 // gate allows. A nil result means that the request runs and the caller owes a
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -48,6 +48,8 @@
 	// Tell, if not nil, sends a report to all nodes that send calls here. It is
 	// called when the upstream's speed has changed.
 	Tell func(*peer.Report)
+	// Inflow, if not nil, returns how fast bodies come in to this node, as in peer.Server.
+	Inflow func() (rate float64, backlog int)
 	// Reports says when a load report goes to which node. Nil means never.
 	Reports *watch.Pacer[string]
 	// Refused, if not nil, is called with each call that ends without an answer,
@@ -64,6 +66,9 @@
 	// the time, and the one of them that was isolated and never answered, or zero. It is
 	// not called where no request was at hand.
 	Gone func(a *upstream.Announcement, prints []quarantine.Fingerprint, alone quarantine.Fingerprint)
+	// Received, if not nil, is called when the body of a call that was sent ahead of its
+	// admission is there.
+	Received func(service, class string, bytes int64, took time.Duration)
 	// Ended, if not nil, is called at the end of each call.
 	Ended func(service, class string, failure *verdict.Error, waited, took time.Duration)
 
@@ -290,7 +295,15 @@
 // Report returns the load as it is told to peers.
 func (g *Gate) Report() *peer.Report {
 	r := g.admit.Report()
+	var rate float64
+	var backlog int
+	if g.Inflow != nil {
+		rate, backlog = g.Inflow()
+	}
 	return &peer.Report{
+		BodyRate:    rate,
+		BodyBacklog: backlog,
+
 		Running:  r.Running,
 		Waiting:  r.Waiting,
 		Allowed:  r.Allowed,
@@ -334,17 +347,29 @@
 	}
 }
 
-// admitCall gets a slot for the call, waiting for it if need be.
-func (g *Gate) admitCall(ctx context.Context, in *peer.Inbound) (*admit.Ticket, *binding, *verdict.Error) {
-	b := g.current.Load()
-	if b == nil || b.announcement.Service != in.Call.Service {
+// binding returns the upstream that the call goes to, or nil if there is none of its service
+// beside this node.
+func (c *call) binding() *binding {
+	b := c.gate.current.Load()
+	if b == nil || b.announcement.Service != c.in.Call.Service {
+		return nil
+	}
+	return b
+}
+
+// admit gets a slot for the call, waiting for it if need be.
+func (c *call) admit(ctx context.Context) (*admit.Ticket, *binding, *verdict.Error) {
+	if c.binding() == nil {
 		return nil, nil, verdict.New(verdict.Misrouted, nil)
 	}
-	t := g.admit.EnterFor(in.Call.Organisation, in.Call.Class, in.Deadline())
-	in.OnRevoke(t.Revoke)
-	err := t.Wait(ctx)
+	t, err := c.enter(ctx)
 	switch {
 	case err == nil:
+		b := c.binding() // the upstream may have started again meanwhile
+		if b == nil {
+			t.Release(false)
+			return nil, nil, verdict.New(verdict.Misrouted, nil)
+		}
 		return t, b, nil
 	case err.Cause == verdict.NoUpstream:
 		// This gate does not know its service yet; another may.
--- a/peer/inbound.go
+++ b/peer/inbound.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"sync"
 	"time"
@@ -47,7 +48,11 @@
 		arrived: time.Now(),
 		credit:  newOutgoing(n.limits.Window),
 	}
-	in.body = newIncoming(n.limits.Window, in.grant)
+	window := n.limits.Window
+	if m.Ahead {
+		window = max(window, MaxAhead)
+	}
+	in.body = newIncoming(window, in.grant)
 	in.demand.give = in.allow
 	in.ctx, in.cancel = context.WithCancelCause(ctx)
 	in.late = time.AfterFunc(m.Remaining, func() {
@@ -62,7 +67,7 @@
 // serve runs the handler, and ends the call if the handler has not.
 func (in *Inbound) serve() {
 	defer in.session.server.calls.Done()
-	defer in.session.server.bodies.leave(&in.demand)
+	defer in.session.bodies().leave(&in.demand)
 	in.session.server.Call(in)
 	in.Fail(verdict.New(verdict.PeerLost, eris.New("the handler gave no answer")), nil)
 	in.late.Stop()
@@ -108,13 +113,37 @@
 // its first chunk or its end: until then the call must not be started. For
 // other calls it does nothing.
 func (in *Inbound) Admit() error {
-	if !in.Call.Streams {
+	if !in.Call.Streams || in.Call.Ahead {
 		return nil
 	}
 	in.grant(in.session.limits.Window)
 	return in.body.first(in.ctx)
 }
 
+// Coming returns how long the body of a call that is sent Ahead is likely to take, or 0 if that
+// is not known.
+func (in *Inbound) Coming() time.Duration { return in.session.bodies().coming(in.Call.Length) }
+
+// Receive asks for the body of a call that is sent Ahead, and waits until all of it is
+// there, ctx ends, or the peer has been silent for long: one that has lost its power says no
+// more. It returns how long that took from the arrival of the call.
+func (in *Inbound) Receive(ctx context.Context) (time.Duration, error) {
+	in.grant(MaxAhead)
+	silence := in.session.limits.Silence
+	for {
+		waiting, cancel := context.WithTimeout(ctx, silence)
+		err := in.body.whole(waiting)
+		cancel()
+		stalled := errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil
+		switch {
+		case !stalled:
+			return time.Since(in.arrived), err
+		case in.session.silence() >= silence:
+			return time.Since(in.arrived), eris.Errorf("nothing heard for %v", silence)
+		}
+	}
+}
+
 // grant asks for up to n more bytes of the body.
 func (in *Inbound) grant(n int) {
 	if in.Call.Length > 0 {
@@ -124,7 +153,7 @@
 		return
 	}
 	in.asked += int64(n)
-	in.session.server.bodies.ask(&in.demand, n)
+	in.session.bodies().ask(&in.demand, n)
 }
 
 // allow lets the sender send n more bytes of the body.
--- a/peer/limits.go
+++ b/peer/limits.go
@@ -23,6 +23,9 @@
 	// UnderWay is the largest number of body bytes of calls that all peers together
 	// may have under way to a Server. Zero means that Window alone bounds them.
 	UnderWay int
+	// Rate is how many bytes a second the link to a Server is said to carry, or 0 if that
+	// is not known. It is measured where UnderWay is set.
+	Rate float64
 	// Handshake bounds dialling and the exchange of Hellos. The default is 1 s.
 	Handshake time.Duration
 	// Write bounds the writing of one frame. The default is 5 s.
@@ -41,6 +44,10 @@
 // with it what others have under way there.
 const MaxFields = 256
 
+// MaxAhead is the largest body, in bytes, that may be sent ahead of the admission of its
+// call, and so be held for a call that waits.
+const MaxAhead = 256 << 10
+
 // chunk is the largest number of body bytes in one frame: a small frame that comes
 // behind one waits for no more than a quantum.
 const chunk = quantum
--- a/peer/message.go
+++ b/peer/message.go
@@ -11,7 +11,7 @@
 )
 
 // Version is the version of the protocol that this package speaks.
-const Version = 2
+const Version = 3
 
 // Kind tells the messages apart on the wire.
 type Kind uint8
@@ -72,6 +72,10 @@
 	Body []byte `msgpack:"body,omitempty"`
 	// Streams is whether the body follows in Body messages up to an End.
 	Streams bool `msgpack:"streams,omitempty"`
+	// Ahead is whether the body may be asked for before the call is admitted, as its
+	// sender keeps it. Such a call streams, has a Length of at most MaxAhead, and is not
+	// started before its End.
+	Ahead bool `msgpack:"ahead,omitempty"`
 	// Length is the length of the body in bytes, or -1 if it is not known.
 	Length int64 `msgpack:"length"`
 	// Try counts the sendings of the same request, from 1.
@@ -105,6 +109,10 @@
 	Slowdown float64 `msgpack:"slowdown,omitempty"`
 	// Failing is the share of the latest requests that the upstream failed.
 	Failing float64 `msgpack:"failing,omitempty"`
+	// BodyRate is how many body bytes a second the link to the node carries, or 0 if that is
+	// not known, and BodyBacklog how many are under way to it or wait for their turn.
+	BodyRate    float64 `msgpack:"bodyRate,omitempty"`
+	BodyBacklog int     `msgpack:"bodyBacklog,omitempty"`
 }
 
 // Failure ends a call that got no answer, or cuts an answer that has begun.
@@ -130,6 +138,11 @@
 	Length  int64   `msgpack:"length"`
 	Trailer []Field `msgpack:"trailer,omitempty"`
 	Report  *Report `msgpack:"report,omitempty"`
+	// Arrived is how long the body of a call that was sent Ahead took to arrive, from the
+	// arrival of the call.
+	Arrived time.Duration `msgpack:"arrived,omitempty"`
+	// Waited is how long the call waited for a slot, with its body there.
+	Waited time.Duration `msgpack:"waited,omitempty"`
 }
 
 // Inform carries an informational (1xx) answer ahead of the final one.
@@ -158,7 +171,7 @@
 }
 
 // Credit allows the receiver to send more bytes of a body. The first credit
-// for a streamed call also says that it has been admitted.
+// for a streamed call also says that it has been admitted, unless its body is sent ahead.
 type Credit struct {
 	ID    uint64 `msgpack:"id"`
 	Bytes int    `msgpack:"bytes"`
