Refused callers come back within their objective, and soon where waiting gains nothing

An upstream that refuses a part of all that it gets, with room for it, had its callers come back after a second: late for an objective of one. Where all gates are full, callers came back after 100 ms, all of them alike, and had used up their returns within a rush. They now wait a quarter of the objective, drawn 0.25 around it, or what a gate expects; and a twentieth of it where an upstream refused that had room.

--- /dev/null
+++ b/comeback/load_test.go
@@ -0,0 +1,242 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package comeback_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/admit"
+	"sassafrasfront.example/comeback"
+	"sassafrasfront.example/retry"
+)
+
+const (
+	nodes     = 40
+	gateCount = 8
+	slots     = 14
+	work      = 240 * time.Millisecond // mean; a third of it more or less
+	objective = time.Second
+	deadline  = 6 * time.Second
+	returns   = 2 // a caller comes back that often, and then gives up
+	length    = 20 * time.Second
+)
+
+// shortage is a service of which some of the room is missing, or more is asked, for a time.
+type shortage struct {
+	usual, rush float64       // requests a second, as a part of what the gates can run
+	from, until time.Duration // of the rush
+	away        int           // gates that are away meanwhile
+	shed        float64       // share of the requests that an upstream refuses in the rush, with room for them
+	slow        float64       // share of the time in which a gate is slowed down fourfold, 300 ms at a time
+}
+
+// outcome is what became of all requests, as parts of them.
+type outcome struct{ inTime, served, refusals float64 }
+
+// advice says when callers come back, given what the gate with the least wait expects if
+// all were full, and given nothing if an upstream refused that had room.
+type advice struct {
+	full func(least time.Duration) time.Duration
+	shed func() time.Duration
+}
+
+// fixed has all that are refused wait for the same time.
+func fixed(full, shed time.Duration) advice {
+	return advice{
+		full: func(time.Duration) time.Duration { return full },
+		shed: func() time.Duration { return shed },
+	}
+}
+
+// advised is what the package says.
+var advised = advice{
+	full: func(least time.Duration) time.Duration { return comeback.Full(objective, least) },
+	shed: func() time.Duration { return comeback.Shed(objective, 0) },
+}
+
+// play returns what becomes of the requests if callers come back as advised.
+func (s shortage) play(t *testing.T, advise advice) (o outcome) {
+	synctest.Test(t, func(*testing.T) {
+		gates := make([]*admit.Gate, gateCount)
+		for i := range gates {
+			gates[i] = new(admit.Gate)
+			gates[i].Set(admit.Limits{Slots: slots, QueueLength: 16, Hold: true}.WithClasses(admit.Class{Name: "check", Weight: 1, Share: 1, Objective: objective}))
+		}
+		speeds := make([]float64, gateCount)
+		budgets := make([]retry.Budget, nodes)
+		for i := range budgets {
+			budgets[i].Adjust(0.12, 114/float64(nodes))
+		}
+		var mu sync.Mutex
+		var all sync.WaitGroup
+		began := time.Now()
+		for i := range gates {
+			speeds[i] = 1
+			random := rand.New(rand.NewPCG(1, uint64(i)))
+			all.Go(func() {
+				for s.slow > 0 && time.Since(began) < length+deadline {
+					k := 1.0
+					if random.Float64() < s.slow {
+						k = 4
+					}
+					mu.Lock()
+					speeds[i] = k
+					mu.Unlock()
+					gates[i].Observe(k)
+					time.Sleep(300 * time.Millisecond)
+				}
+			})
+		}
+		rushing := func() bool { return time.Since(began) >= s.from && time.Since(began) < s.until }
+		// attempt sends a request to some gates in turn until one has it run. It returns
+		// when the caller may come back otherwise.
+		attempt := func(random *rand.Rand, budget *retry.Budget, until time.Time, work time.Duration) (ran bool, after time.Duration) {
+			there := gateCount
+			if rushing() {
+				there -= s.away
+			}
+			budget.Earn()
+			var least time.Duration
+			for _, g := range random.Perm(there)[:min(3, there)] {
+				k := gates[g].Enter("check", until)
+				if err := k.Wait(context.Background()); err != nil {
+					if least == 0 || err.RetryAfter < least {
+						least = err.RetryAfter
+					}
+					continue
+				}
+				if rushing() && random.Float64() < s.shed {
+					k.Release(false)
+					if !budget.Take() {
+						return false, advise.shed()
+					}
+					continue
+				}
+				mu.Lock()
+				speed := speeds[g]
+				mu.Unlock()
+				time.Sleep(time.Duration(speed * float64(work)))
+				k.Release(true)
+				return true, 0
+			}
+			return false, advise.full(least)
+		}
+		var offered float64
+		request := func(random *rand.Rand) {
+			came := time.Now()
+			work := time.Duration((2 + 2*random.Float64()) / 3 * float64(work))
+			budget := &budgets[random.IntN(nodes)]
+			var refusals float64
+			var served, inTime bool
+			for range returns + 1 {
+				ran, after := attempt(random, budget, came.Add(deadline), work)
+				if ran {
+					served = true
+					inTime = time.Since(came) <= objective
+					break
+				}
+				refusals++
+				left := deadline - time.Since(came)
+				time.Sleep(min(left/3, after))
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			offered++
+			o.refusals += refusals
+			if served {
+				o.served++
+			}
+			if inTime {
+				o.inTime++
+			}
+		}
+		all.Go(func() {
+			random := rand.New(rand.NewPCG(2, 3))
+			full := float64(gateCount*slots) / work.Seconds()
+			for time.Since(began) < length {
+				rate := s.usual * full
+				if rushing() {
+					rate = s.rush * full
+				}
+				time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+				own := rand.New(rand.NewPCG(random.Uint64(), 1))
+				all.Go(func() { request(own) })
+			}
+		})
+		all.Wait()
+		o.inTime /= offered
+		o.served /= offered
+		o.refusals /= offered
+	})
+	return o
+}
+
+// seconds returns d seconds.
+func seconds(d float64) time.Duration { return time.Duration(d * float64(time.Second)) }
+
+// TestShortages has callers come back as advised, and in place of that after 100 ms where all
+// are full and after a second where one refused that had room.
+func TestShortages(t *testing.T) {
+	tests := map[string]struct {
+		shortage
+		more, loss float64 // least gain of requests in time, and the most that may be served less
+	}{
+		"a rush of five seconds":          {shortage: shortage{usual: 0.7, rush: 1.5, from: seconds(5), until: seconds(10)}},
+		"a rush of two seconds":           {shortage: shortage{usual: 0.7, rush: 1.6, from: seconds(5), until: seconds(7)}},
+		"half are away for a second":      {shortage: shortage{usual: 0.7, rush: 0.7, from: seconds(5), until: seconds(6), away: 4}},
+		"half are away for three":         {shortage: shortage{usual: 0.7, rush: 0.7, from: seconds(5), until: seconds(8), away: 4}},
+		"slow spells and a rush":          {shortage: shortage{usual: 0.45, rush: 0.9, from: seconds(5), until: seconds(9), slow: 0.25}},
+		"too much all the time":           {shortage: shortage{usual: 1.3}},
+		"half are refused at random":      {shortage: shortage{usual: 0.7, rush: 0.7, from: seconds(5), until: seconds(13.5), shed: 0.55}, more: 0.1, loss: 0.01},
+		"half are refused, and a rush":    {shortage: shortage{usual: 0.7, rush: 1.1, from: seconds(5), until: seconds(13.5), shed: 0.55}, more: 0.1, loss: 0.01},
+		"slow spells":                     {shortage: shortage{usual: 0.5, slow: 0.25}},
+		"half are refused near the brink": {shortage: shortage{usual: 0.95, rush: 0.95, from: seconds(5), until: seconds(13.5), shed: 0.55}, more: 0.1, loss: 0.01},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			before := test.play(t, fixed(100*time.Millisecond, time.Second))
+			after := test.play(t, advised)
+			t.Logf("fixed %+.3v, advised %+.3v", before, after)
+			qt.Check(t, after.inTime >= before.inTime+test.more-0.005, qt.IsTrue)
+			qt.Check(t, after.served >= before.served-test.loss-0.005, qt.IsTrue)
+			qt.Check(t, after.refusals <= before.refusals+0.02, qt.IsTrue)
+		})
+	}
+}
+
+// TestWaits has waits follow the objective, differ from one caller to the next, and not be
+// shorter than what a gate expects or an upstream asks for.
+func TestWaits(t *testing.T) {
+	ms := time.Millisecond
+	tests := map[string]struct {
+		wait        func() time.Duration
+		least, most time.Duration
+	}{
+		"full":                    {wait: func() time.Duration { return comeback.Full(time.Second, 0) }, least: 187 * ms, most: 313 * ms},
+		"full, no objective":      {wait: func() time.Duration { return comeback.Full(0, 0) }, least: 75 * ms, most: 125 * ms},
+		"full for long":           {wait: func() time.Duration { return comeback.Full(time.Second, 800*ms) }, least: 800 * ms, most: 800 * ms},
+		"shed":                    {wait: func() time.Duration { return comeback.Shed(time.Second, 0) }, least: 37 * ms, most: 63 * ms},
+		"shed, with a time":       {wait: func() time.Duration { return comeback.Shed(time.Second, 2*time.Second) }, least: 2 * time.Second, most: 2 * time.Second},
+		"shed, without objective": {wait: func() time.Duration { return comeback.Shed(0, 0) }, least: 75 * ms, most: 125 * ms},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			seen := make(map[time.Duration]bool)
+			for range 100 {
+				d := test.wait()
+				qt.Check(t, d >= test.least && d <= test.most, qt.IsTrue, qt.Commentf("%v", d))
+				seen[d] = true
+			}
+			qt.Check(t, len(seen) > 50, qt.Equals, test.least != test.most)
+		})
+	}
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -55,7 +55,7 @@
 	}
 	use, ok := d.pick(s, r, tried, refused)
 	if !ok && len(refused) > 0 {
-		return nil, verdict.New(verdict.Refused, nil).WithRetryAfter(comeBackSoon).WithGivenUp() // all are full
+		return nil, verdict.New(verdict.Refused, nil).WithGivenUp() // all are full
 	}
 	if !ok {
 		return nil, d.noUpstream()
--- /dev/null
+++ b/entry/comeback.go
@@ -0,0 +1,42 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package entry
+
+import (
+	"time"
+
+	"sassafrasfront.example/comeback"
+	"sassafrasfront.example/verdict"
+)
+
+// comeBack is what a caller is told to wait for where there is no estimate.
+const comeBack = time.Second
+
+// final returns the failure as it goes to the caller: given up, and with a
+// time to come back.
+func final(e *verdict.Error) *verdict.Error {
+	if e.RetryAfter == 0 && e.Status() == 503 {
+		e = e.WithRetryAfter(comeBack)
+	}
+	return e.WithGivenUp()
+}
+
+// final returns the failure of the request as it goes to the caller.
+func (f *flight) final(e *verdict.Error) *verdict.Error {
+	switch e.Cause {
+	case verdict.Refused, verdict.Slowed, verdict.Draining:
+		e = e.WithRetryAfter(comeback.Full(f.request.Objective, f.expected))
+	case verdict.UpstreamRefused:
+		e = e.WithRetryAfter(comeback.Shed(f.request.Objective, e.RetryAfter))
+	}
+	return final(e)
+}
+
+// expect takes in the wait that a gate expects which refused the request.
+func (f *flight) expect(e *verdict.Error) {
+	if e.Cause == verdict.Refused && e.RetryAfter > 0 && (f.expected == 0 || e.RetryAfter < f.expected) {
+		f.expected = e.RetryAfter
+	}
+}
--- a/entry/do.go
+++ b/entry/do.go
@@ -41,7 +41,7 @@
 	defer f.deadline.Stop()
 	result, failure := f.fly()
 	if failure != nil {
-		return nil, final(failure)
+		return nil, f.final(failure)
 	}
 	return result, nil
 }
@@ -55,13 +55,14 @@
 	deadline   *time.Timer
 	began      time.Time
 
-	tried   []string
-	refused []string       // the nodes whose gates have refused the request
-	open    []*attempt     // the one sent first comes first
-	reached int            // failed sendings that may have reached an upstream
-	mayRun  *verdict.Error // the first failure after which the request may have run
-	revoked bool
-	aside   *attempt // answered with an error, while another upstream is asked
+	tried    []string
+	expected time.Duration  // the least wait that a gate which refused it expects, or 0
+	refused  []string       // the nodes whose gates have refused the request
+	open     []*attempt     // the one sent first comes first
+	reached  int            // failed sendings that may have reached an upstream
+	mayRun   *verdict.Error // the first failure after which the request may have run
+	revoked  bool
+	aside    *attempt // answered with an error, while another upstream is asked
 }
 
 // fly sends the request as often as it may, and returns the first answer.
@@ -222,6 +223,7 @@
 	}
 	a.end(failure)
 	f.note(Step{Event: EventFailed, Node: a.member.ID, Cause: failure.Cause})
+	f.expect(failure)
 	if failure.Cause == verdict.Refused || failure.Cause == verdict.Draining {
 		f.refused = append(f.refused, a.member.ID)
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -11,7 +11,6 @@
 
 	"sassafrasfront.example/peer"
 	"sassafrasfront.example/quarantine"
-	"sassafrasfront.example/verdict"
 )
 
 // Request is a caller's request.
@@ -109,19 +108,3 @@
 		r.attempt.end(nil)
 	}
 }
-
-// comeBack is what a caller is told to wait for where there is no estimate.
-const comeBack = time.Second
-
-// comeBackSoon is what a caller is told to wait for when all upstreams are full.
-// Upstreams slow down for some hundred milliseconds at a time.
-const comeBackSoon = 100 * time.Millisecond
-
-// final returns the failure as it goes to the caller: given up, and with a
-// time to come back.
-func final(e *verdict.Error) *verdict.Error {
-	if e.RetryAfter == 0 && e.Status() == 503 {
-		e = e.WithRetryAfter(comeBack)
-	}
-	return e.WithGivenUp()
-}
--- a/node/events.go
+++ b/node/events.go
@@ -54,6 +54,9 @@
 	}
 	e := n.Log.Info().Str("requestId", o.ID).Str("route", o.Route).Str("service", o.Service).Str("class", o.Class).Str("method", o.Method).Str("path", o.Path).
 		Int("status", o.Status).Str("verdict", v).Str("cause", cause).Int("tries", o.Tries).Dur("tookMs", o.Took).Uint64("version", n.version()).Stringer("print", o.Print)
+	if o.Failure != nil && o.Failure.RetryAfter > 0 {
+		e = e.Dur("retryAfterMs", o.Failure.RetryAfter)
+	}
 	if o.Failure != nil && o.Failure.Err != nil {
 		e = e.AnErr("reason", o.Failure.Err)
 	}
@@ -88,7 +91,7 @@
 		}
 	}
 	n.Log.Info().Str("requestId", id).Str("from", from).Str("class", c.Class).Str("organisation", c.Organisation).Str("target", c.Target).Stringer("print", c.Print).Int("try", c.Try).Str("cause", string(failure.Cause)).Str("verdict", failure.Verdict().String()).
-		Int("running", load.Running).Int("waiting", load.Waiting).Int("organisations", load.Organisations).Int("allowed", load.Allowed).Float64("slowdown", load.Slowdown).Float64("pace", load.Pace).Dur("restMs", load.Rest).Float64("failing", load.Failing).Bool("draining", load.Draining).AnErr("reason", failure.Err).Msg("call not answered")
+		Int("running", load.Running).Int("waiting", load.Waiting).Int("organisations", load.Organisations).Int("allowed", load.Allowed).Float64("slowdown", load.Slowdown).Float64("pace", load.Pace).Dur("restMs", load.Rest).Float64("failing", load.Failing).Bool("draining", load.Draining).Dur("retryAfterMs", failure.RetryAfter).AnErr("reason", failure.Err).Msg("call not answered")
 }
 
 // callPanicked logs that the handling of a call panicked, and counts it.
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -72,6 +72,9 @@
 		v, cause = o.Failure.Verdict(), o.Failure.Cause
 	}
 	m.set.GetOrCreateCounter(fmt.Sprintf(`sassafras_requests_total{service=%q,class=%q,verdict=%q,cause=%q}`, o.Service, o.Class, v, string(cause))).Inc()
+	if o.Failure != nil && o.Failure.RetryAfter > 0 {
+		m.set.GetOrCreateHistogram(fmt.Sprintf(`sassafras_retry_after_seconds{service=%q,class=%q,cause=%q}`, o.Service, o.Class, string(cause))).Update(o.Failure.RetryAfter.Seconds())
+	}
 	if o.Service != "" {
 		m.set.GetOrCreateHistogram(fmt.Sprintf(`sassafras_request_seconds{service=%q,class=%q}`, o.Service, o.Class)).Update(o.Took.Seconds())
 	}
