--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -8,7 +8,6 @@
 	"cmp"
 	"context"
 	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -91,22 +90,6 @@
 	policy  string             // the name of the pool's
 }
 
-// retryParts returns the part of the budget for retries that each class may spend, by
-// the rank of its priority among the others'.
-func retryParts(config operator.Service) map[string]float64 {
-	var ranks []int
-	for _, c := range config.Classes {
-		ranks = append(ranks, c.Priority)
-	}
-	slices.Sort(ranks)
-	ranks = slices.Compact(ranks)
-	parts := make(map[string]float64, len(config.Classes))
-	for _, c := range config.Classes {
-		parts[c.Name] = retry.PartOf(slices.Index(ranks, c.Priority), len(ranks), config.Retry.Reserve)
-	}
-	return parts
-}
-
 // Set replaces the services. What is known of those that stay is kept. A service
 // that has not changed is best given as the same pointer: nothing is done for it
 // then.
--- /dev/null
+++ b/retry/calls_test.go
@@ -0,0 +1,83 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package retry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/retry"
+	"sassafrasfront.example/verdict"
+)
+
+// refusedCalls plays a service each of whose upstreams refuses 0.55 of what it gets,
+// without running it, for ten seconds, as in TestRefusalsOfHalf. Six in ten requests to it
+// are calls that another service's requests make, two each, both of which have to be
+// answered; nobody repeats them. The others' callers come back twice. Each may be sent five
+// times. It returns which part is answered of the requests that call and of the others, given
+// the part of the budget that each may spend.
+func refusedCalls(callPart, otherPart float64) (calling, others float64) {
+	const (
+		nodes   = 50
+		refused = 0.55
+		seconds = 10
+		tries   = 5
+	)
+	random := rand.New(rand.NewPCG(4, 4))
+	failure := verdict.New(verdict.UpstreamRefused, nil)
+	var all, good [2]float64
+	for range nodes {
+		budget := &retry.Budget{Share: 0.12, Burst: 60.0 / nodes}
+		// answered sends a request of which the given part of the budget may be spent.
+		answered := func(part float64) bool {
+			plan := retry.Plan{MaxTries: tries, Budget: budget, Part: part}
+			budget.Earn()
+			for n := 1; ; n++ {
+				if random.Float64() >= refused {
+					return true
+				}
+				if !plan.Again(failure, false, n, time.Second) {
+					return false
+				}
+			}
+		}
+		for range 5 * seconds {
+			time.Sleep(200 * time.Millisecond)
+			if random.Float64() < 0.3/(0.3+0.4) {
+				all[0]++
+				if answered(callPart) && answered(callPart) {
+					good[0]++
+				}
+				continue
+			}
+			all[1]++
+			for range 3 {
+				if answered(otherPart) {
+					good[1]++
+					break
+				}
+			}
+		}
+	}
+	return good[0] / all[0], good[1] / all[1]
+}
+
+// TestRefusedCalls keeps half of the budget for the calls: more is answered of all requests
+// together, and fewer of those that call have run in vain.
+func TestRefusedCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const callingShare = 0.3 / (0.3 + 0.4)
+		evenCalling, evenOthers := refusedCalls(1, 1)
+		calling, others := refusedCalls(1, retry.PartOf(0, 2, 0.5))
+		t.Logf("calling %.3f, others %.3f; of an even budget %.3f, %.3f", calling, others, evenCalling, evenOthers)
+		all := callingShare*calling + (1-callingShare)*others
+		qt.Check(t, all > callingShare*evenCalling+(1-callingShare)*evenOthers, qt.IsTrue)
+		qt.Check(t, calling > evenCalling+0.05, qt.IsTrue)
+	})
+}
