--- /dev/null
+++ b/entry/comeback_test.go
@@ -0,0 +1,57 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package entry_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/entry"
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/verdict"
+)
+
+// refuse fails a call with the given cause and time to come back.
+func refuse(c verdict.Cause, after time.Duration) play {
+	return func(in *peer.Inbound) { in.Fail(verdict.New(c, nil).WithRetryAfter(after), nil) }
+}
+
+// TestComeBack has callers told to come back within their objective, unless a gate or an
+// upstream says that it takes longer.
+func TestComeBack(t *testing.T) {
+	ms := time.Millisecond
+	tests := map[string]struct {
+		plays       []play
+		tries       int
+		least, most time.Duration
+	}{
+		"all are full":              {plays: []play{fail(verdict.Refused)}, tries: 3, least: 180 * ms, most: 320 * ms},
+		"all are full, few tries":   {plays: []play{fail(verdict.Refused)}, tries: 2, least: 180 * ms, most: 320 * ms},
+		"all are full for long":     {plays: []play{refuse(verdict.Refused, 900*ms), refuse(verdict.Refused, 700*ms), refuse(verdict.Refused, 800*ms)}, tries: 3, least: 700 * ms, most: 700 * ms},
+		"all have just slowed down": {plays: []play{fail(verdict.Slowed)}, tries: 2, least: 180 * ms, most: 320 * ms},
+		"upstreams refuse":          {plays: []play{fail(verdict.UpstreamRefused)}, tries: 2, least: 30 * ms, most: 70 * ms},
+		"upstreams ask for more":    {plays: []play{refuse(verdict.UpstreamRefused, 2*time.Second)}, tries: 2, least: 2 * time.Second, most: 2 * time.Second},
+		"no connection":             {plays: []play{fail(verdict.UpstreamDialFailed)}, tries: 2, least: time.Second, most: time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d, _ := dispatcher(t, operator.Service{Retry: operator.Retry{MaxTries: test.tries, Share: 0.1, Burst: 5}}, 3, test.plays...)
+			_, failure := d.Do(t.Context(), &entry.Request{
+				Service:   "service",
+				Class:     "default",
+				Method:    "GET",
+				Target:    "/",
+				Objective: time.Second,
+				Deadline:  time.Now().Add(10 * time.Second),
+			})
+			qt.Assert(t, failure, qt.IsNotNil)
+			qt.Check(t, failure.GivenUp, qt.IsTrue)
+			qt.Check(t, failure.RetryAfter >= test.least && failure.RetryAfter <= test.most, qt.IsTrue, qt.Commentf("%v after %v", failure.RetryAfter, failure))
+		})
+	}
+}
