entry: a caller whose last upstream can't be reached hears that the others were full

Four gates had refused an upload as full and the fifth member had lost power: the last failure decided, and the caller was told to come back after a second, past its objective. Tried and left out: gates that count the wait at gates before.

--- a/entry/comeback.go
+++ b/entry/comeback.go
@@ -25,15 +25,26 @@
 
 // final returns the failure of the request as it goes to the caller.
 func (f *flight) final(e *verdict.Error) *verdict.Error {
-	switch e.Cause {
-	case verdict.Refused, verdict.Slowed, verdict.Draining:
-		e = e.WithRetryAfter(comeback.Full(f.request.Objective, f.expected))
-	case verdict.UpstreamRefused:
+	switch {
+	case e.Cause == verdict.UpstreamRefused:
 		e = e.WithRetryAfter(comeback.Shed(f.request.Objective, e.RetryAfter))
+	case f.full(e):
+		e = e.WithRetryAfter(comeback.Full(f.request.Objective, f.expected))
 	}
 	return final(e)
 }
 
+// full returns whether the request failed as there was no room for it: the last gate said
+// so, or one before it did and the last upstream could not be reached.
+func (f *flight) full(e *verdict.Error) bool {
+	switch e.Cause {
+	case verdict.Refused, verdict.Slowed, verdict.Draining:
+		return true
+	}
+	entry := verdict.Lookup(e.Cause)
+	return len(f.refused) > 0 && entry.Verdict == verdict.NotRun && entry.Elsewhere
+}
+
 // expect takes in the wait that a gate expects which refused the request.
 func (f *flight) expect(e *verdict.Error) {
 	if e.Cause == verdict.Refused && e.RetryAfter > 0 && (f.expected == 0 || e.RetryAfter < f.expected) {
--- a/entry/comeback_test.go
+++ b/entry/comeback_test.go
@@ -36,6 +36,7 @@
 		"all have just slowed down": {plays: []play{fail(verdict.Slowed)}, tries: 2, least: 112 * ms, most: 188 * ms},
 		"upstreams refuse":          {plays: []play{fail(verdict.UpstreamRefused)}, tries: 2, least: 30 * ms, most: 70 * ms},
 		"upstreams ask for more":    {plays: []play{refuse(verdict.UpstreamRefused, 2*time.Second)}, tries: 2, least: 2 * time.Second, most: 2 * time.Second},
+		"all but one that is gone":  {plays: []play{fail(verdict.Refused), fail(verdict.Refused), fail(verdict.UpstreamDialFailed)}, tries: 3, least: 112 * ms, most: 188 * ms},
 		"no connection":             {plays: []play{fail(verdict.UpstreamDialFailed)}, tries: 2, least: time.Second, most: time.Second},
 	}
 	for name, test := range tests {
