--- a/caller/answer.go
+++ b/caller/answer.go
@@ -62,7 +62,7 @@
 	if e.GivenUp {
 		h.Set(upstream.GivenUpHeader, "true")
 	}
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		h.Set("Retry-After", retryAfter(e.RetryAfter, names.FractionalRetryAfter))
 	}
 	body, err := json.Marshal(p)
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -26,6 +26,7 @@
 	"sassafrasfront.example/operator"
 	"sassafrasfront.example/peer"
 	"sassafrasfront.example/quarantine"
+	"sassafrasfront.example/ratelimit"
 	"sassafrasfront.example/upstream"
 	"sassafrasfront.example/verdict"
 )
@@ -48,6 +49,8 @@
 	Service, Class string
 	// Route is the name of its route, or empty.
 	Route string
+	// Organisation is the name of the organisation on whose behalf it was sent, or empty.
+	Organisation string
 	// Method and Path are the request's.
 	Method, Path string
 	// Print tells the request from others. It is zero if the request was not taken up.
@@ -85,6 +88,9 @@
 	// Suspects, if not nil, returns whether a request with the head of p may be one that
 	// ends upstreams.
 	Suspects func(p quarantine.Fingerprint) bool
+	// Admit, if not nil, lets a request in as far as its organisation's rate limit allows,
+	// or returns why it must not run.
+	Admit func(ctx context.Context, organisation string) (*ratelimit.Pass, *verdict.Error)
 	// Claims keeps resent requests from running twice, for the services that ask
 	// for it. Nil refuses their requests that have a key.
 	Claims *claim.Ledger
@@ -101,6 +107,7 @@
 	handler *Handler
 	w       http.ResponseWriter
 	r       *http.Request
+	began   time.Time
 	outcome Outcome
 	// broken is whether reading the body failed, after which nobody knows where
 	// the next request begins.
@@ -109,6 +116,8 @@
 	streamed *streamedBody
 	// closes is whether the answer is the last one of its connection.
 	closes bool
+	// pass is what its organisation's rate limit lets it in by, or nil.
+	pass *ratelimit.Pass
 }
 
 // ServeHTTP implements http.Handler.
@@ -118,6 +127,7 @@
 		handler: h,
 		w:       w,
 		r:       r,
+		began:   began,
 		outcome: Outcome{
 			ID:     requestID(r, h.Names.OrDefault().RequestID),
 			Method: r.Method,
@@ -127,6 +137,9 @@
 	ctx := tracing.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := h.Tracer.Start(ctx, "entry", trace.WithSpanKind(trace.SpanKindServer))
 	cut := x.serve(ctx)
+	if f := x.outcome.Failure; f != nil && f.Verdict() == verdict.NotRun {
+		x.pass.NotRun()
+	}
 	x.outcome.Took = time.Since(began)
 	cut = !x.finishBody() || cut
 	if span.IsRecording() {
@@ -166,6 +179,11 @@
 	x.outcome.Service = s.Name
 	x.outcome.Class = target.Class
 	x.outcome.Route = target.Route
+	x.outcome.Organisation = target.Organisation
+	if failure := x.admit(ctx, target.Organisation); failure != nil {
+		x.fail(failure)
+		return false
+	}
 	q, failure := x.request(ctx, target)
 	if failure != nil {
 		x.fail(failure)
@@ -177,6 +195,16 @@
 	return x.dispatch(ctx, q, nil)
 }
 
+// admit lets the request in as far as its organisation's rate limit allows. What is sent
+// again on its behalf is the same request.
+func (x *exchange) admit(ctx context.Context, organisation string) (failure *verdict.Error) {
+	if organisation == "" || x.handler.Admit == nil {
+		return nil
+	}
+	x.pass, failure = x.handler.Admit(ctx, organisation)
+	return failure
+}
+
 // resolver returns what finds the target of a request.
 func (x *exchange) resolver() Resolver {
 	if x.handler.Resolver != nil {
@@ -256,7 +284,7 @@
 		Attempts:     t.Attempts,
 		Regions:      t.Regions,
 		Objective:    t.Objective,
-		Deadline:     time.Now().Add(timeout),
+		Deadline:     x.began.Add(timeout),
 		Inform:       x.inform,
 	}
 	if failure := x.body(q, t.MaxBody); failure != nil {
--- a/cmd/sassafrasctl/explain.go
+++ b/cmd/sassafrasctl/explain.go
@@ -14,6 +14,8 @@
 	"sort"
 	"strconv"
 	"strings"
+
+	"sassafrasfront.example/verdict"
 )
 
 // maxLine bounds a log line, in bytes.
@@ -127,5 +129,8 @@
 	if len(causes) > 0 {
 		text += "; " + strings.Join(causes, "; ")
 	}
+	if cause := end.field("cause"); cause == string(verdict.RateLimited) || cause == string(verdict.LimitUnknown) {
+		text += "; " + end.field("reason")
+	}
 	return text
 }
--- a/cmd/sassafrasctl/node_test.go
+++ b/cmd/sassafrasctl/node_test.go
@@ -18,23 +18,26 @@
 func TestSuspects(t *testing.T) {
 	const blocked = `[{"print":"00.01","standing":"blocked","ends":3,"upstreams":["n1/i-1/0"],"since":"2026-01-02T03:04:05Z","until":"2026-01-02T03:14:05Z"}]`
 	const evacuated = `[{"zone":"z1","revision":412,"since":"2026-01-02T03:04:05Z","upstreams":24,"running":3},{"zone":"z2","revision":412,"since":"2026-01-02T03:04:05Z","upstreams":0}]`
+	const organisations = `[{"organisation":"o1","rate":272,"burst":136,"here":12.25,"all":49,"limited":7,"unknown":2},{"organisation":"o2","rate":1.5,"burst":0,"here":0,"all":0,"limited":0,"unknown":0}]`
 	tests := map[string]struct {
 		args []string
 		code int
 		out  string
 		call string
 	}{
-		"zones":           {args: []string{"zones", "-node", "NODE"}, out: "z1    412       2026-01-02T03:04:05Z  24         3\nz2", call: "GET /v1/zones"},
-		"zones as JSON":   {args: []string{"-o", "json", "zones", "-node", "NODE"}, out: `"running":3`, call: "GET /v1/zones"},
-		"zones, no node":  {args: []string{"zones"}, code: exitUsage, out: "-node"},
-		"zones of what":   {args: []string{"zones", "-node", "NODE", "z1"}, code: exitUsage, out: "usage"},
-		"list":            {args: []string{"suspects", "-node", "NODE"}, out: "2026-01-02T03:14:05Z", call: "GET /v1/suspects"},
-		"list as JSON":    {args: []string{"-o", "json", "suspects", "-node", "NODE"}, out: `"standing":"blocked"`, call: "GET /v1/suspects"},
-		"no node":         {args: []string{"suspects"}, code: exitUsage, out: "-node"},
-		"a bad node":      {args: []string{"suspects", "-node", "%%"}, code: exitUsage, out: "-node"},
-		"release":         {args: []string{"release", "-node", "NODE", "00.01"}, out: "00.01 released", call: "DELETE /v1/suspects/00.01"},
-		"release nothing": {args: []string{"release", "-node", "NODE"}, code: exitUsage, out: "PRINT"},
-		"release unknown": {args: []string{"release", "-node", "NODE", "00.02"}, code: exitFailed, out: "not suspected", call: "DELETE /v1/suspects/00.02"},
+		"zones":            {args: []string{"zones", "-node", "NODE"}, out: "z1    412       2026-01-02T03:04:05Z  24         3\nz2", call: "GET /v1/zones"},
+		"zones as JSON":    {args: []string{"-o", "json", "zones", "-node", "NODE"}, out: `"running":3`, call: "GET /v1/zones"},
+		"zones, no node":   {args: []string{"zones"}, code: exitUsage, out: "-node"},
+		"zones of what":    {args: []string{"zones", "-node", "NODE", "z1"}, code: exitUsage, out: "usage"},
+		"organisations":    {args: []string{"organisations", "-node", "NODE"}, out: "o1            272   136    49.0  12.2  25%    7               2\no2            1.5   0      -     0.0   -      0               0", call: "GET /v1/organisations"},
+		"organisations of": {args: []string{"organisations", "-node", "NODE", "o1"}, code: exitUsage, out: "usage"},
+		"list":             {args: []string{"suspects", "-node", "NODE"}, out: "2026-01-02T03:14:05Z", call: "GET /v1/suspects"},
+		"list as JSON":     {args: []string{"-o", "json", "suspects", "-node", "NODE"}, out: `"standing":"blocked"`, call: "GET /v1/suspects"},
+		"no node":          {args: []string{"suspects"}, code: exitUsage, out: "-node"},
+		"a bad node":       {args: []string{"suspects", "-node", "%%"}, code: exitUsage, out: "-node"},
+		"release":          {args: []string{"release", "-node", "NODE", "00.01"}, out: "00.01 released", call: "DELETE /v1/suspects/00.01"},
+		"release nothing":  {args: []string{"release", "-node", "NODE"}, code: exitUsage, out: "PRINT"},
+		"release unknown":  {args: []string{"release", "-node", "NODE", "00.02"}, code: exitFailed, out: "not suspected", call: "DELETE /v1/suspects/00.02"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -44,6 +47,8 @@
 				switch call {
 				case "GET /v1/suspects":
 					_, _ = w.Write([]byte(blocked))
+				case "GET /v1/organisations":
+					_, _ = w.Write([]byte(organisations))
 				case "GET /v1/zones":
 					_, _ = w.Write([]byte(evacuated))
 				case "DELETE /v1/suspects/00.01":
--- a/contact/book.go
+++ b/contact/book.go
@@ -26,6 +26,8 @@
 	Address string `json:"address"`
 	// Zone is the node's availability zone.
 	Zone string `json:"zone"`
+	// Nodes is the number of nodes that there were when it was written, or 0.
+	Nodes int `json:"nodes,omitempty"`
 }
 
 // check returns why nobody can be reached by an entry, or nil. Another program may
@@ -46,12 +48,17 @@
 	// Node and Entry are what this node registers.
 	Node  string
 	Entry Entry
+	// Nodes, if not nil, returns the number of nodes to put into the entry, and Counted is
+	// called with the largest one that other entries have.
+	Nodes   func() int
+	Counted func(nodes int)
 	// Log takes the failures.
 	Log zerolog.Logger
 
 	mu      sync.Mutex
 	present *objectapi.Object            // this node's own, as read last, or nil
 	wrote   time.Time                    // when this node's own was written
+	written Entry                        // what was
 	listed  map[string]*objectapi.Object // by address, as read last
 	silent  map[string]time.Time         // since when nobody answers, by address
 }
@@ -76,13 +83,17 @@
 	}
 	var near, far []string
 	var present *objectapi.Object
+	var nodes int
 	listed := make(map[string]*objectapi.Object, len(list.Items))
 	for _, o := range list.Items {
+		e, err := objectapi.SpecOf[Entry](o)
+		if err == nil {
+			nodes = max(nodes, e.Nodes)
+		}
 		if o.Metadata.Name == b.Node {
 			present = o
 			continue
 		}
-		e, err := objectapi.SpecOf[Entry](o)
 		if err == nil {
 			err = e.check()
 		}
@@ -98,6 +109,9 @@
 		}
 	}
 	b.took(listed, present)
+	if b.Counted != nil && nodes > 0 {
+		b.Counted(nodes)
+	}
 	shuffle(near)
 	shuffle(far)
 	return append(near, far...)
@@ -155,7 +169,8 @@
 func (b *Book) Register(ctx context.Context) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.stands(b.present) || time.Since(b.wrote) < staleness {
+	b.count()
+	if b.stands(b.present) || time.Since(b.wrote) < staleness && b.written.covers(b.Entry) {
 		return
 	}
 	err := b.write(ctx, b.present)
@@ -171,6 +186,22 @@
 		return
 	}
 	b.wrote = time.Now()
+	b.written = b.Entry
+}
+
+// count puts the number of nodes into the entry. While it isn't known, what the platform has
+// stays.
+func (b *Book) count() {
+	if b.Nodes == nil {
+		return
+	}
+	b.Entry.Nodes = b.Nodes()
+	if b.Entry.Nodes > 0 || b.present == nil {
+		return
+	}
+	if e, err := objectapi.SpecOf[Entry](b.present); err == nil {
+		b.Entry.Nodes = e.Nodes
+	}
 }
 
 // stands returns whether an object is this node's entry. One that can't be read is
@@ -180,9 +211,19 @@
 		return false
 	}
 	e, err := objectapi.SpecOf[Entry](o)
-	return err == nil && e == b.Entry
+	return err == nil && e.covers(b.Entry)
 }
 
+// covers returns whether e says what o does. Its number of nodes may be larger, as they may
+// come back, but not many times.
+func (e Entry) covers(o Entry) bool {
+	same := e.Address == o.Address && e.Zone == o.Zone
+	return same && (o.Nodes == 0 || e.Nodes >= o.Nodes && e.Nodes <= max(2*o.Nodes, manyNodes))
+}
+
+// manyNodes is a number of nodes that is left standing though there are fewer.
+const manyNodes = 100
+
 // write creates this node's object, or replaces the one that is there.
 func (b *Book) write(ctx context.Context, present *objectapi.Object) error {
 	o := objectapi.NewObject(Kind, b.Node, b.Entry)
--- a/control/candidates.go
+++ b/control/candidates.go
@@ -103,3 +103,24 @@
 	_, err := ask[suspicions, struct{}](ctx, p, topicCandidates, suspicions{Nodes: silent})
 	return err
 }
+
+// First returns the first n nodes in the order of rendezvous hashing for a subject, of those
+// that are live, stay and answer, as far as this node knows. It may be among them.
+func (c *Control) First(subject string, n int) []member.Record {
+	c.init()
+	var list []member.Record
+	c.do(func() {
+		now := time.Now()
+		var ids []string
+		for r := range c.members.set.All {
+			if r.Live() && r.State != member.Draining && (r.ID == c.self.ID || !now.Before(c.suspects[r.ID])) {
+				ids = append(ids, r.ID)
+			}
+		}
+		for _, id := range member.First(subject, ids, n) {
+			r, _ := c.members.set.Get(id)
+			list = append(list, r)
+		}
+	})
+	return list
+}
--- a/control/control.go
+++ b/control/control.go
@@ -93,6 +93,9 @@
 	// Within is the time within which a change of that table has to be in force
 	// everywhere. Zero means 2 s.
 	Within time.Duration
+	// Topics, if not nil, answer the control requests of other parts of the node, by topic.
+	// They are called by many goroutines, and must not wait.
+	Topics map[string]func(from peer.Hello, payload []byte) ([]byte, error)
 	// Quarantine, if not nil, takes in what nodes report of requests that end upstreams.
 	Quarantine *quarantine.Index
 	// Timing are the periods of the work.
--- a/control/spread.go
+++ b/control/spread.go
@@ -58,6 +58,9 @@
 // Handle answers a control request of a peer.
 func (c *Control) Handle(_ context.Context, from peer.Hello, r *peer.Request) ([]byte, error) {
 	c.init()
+	if f := c.Topics[r.Topic]; f != nil {
+		return f(from, r.Payload)
+	}
 	var reply any
 	var err error
 	if !c.do(func() { reply, err = c.handle(from, r.Topic, r.Payload) }) {
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -74,6 +74,9 @@
 	for i, id := range order {
 		qt.Check(t, member.RankOf("zone", id, ids), qt.Equals, i)
 	}
+	for n := range len(ids) + 2 {
+		qt.Check(t, member.First("zone", ids, n), qt.DeepEquals, order[:min(n, len(ids))])
+	}
 	less := member.Order("zone", []string{"d", "a", "b"})
 	var want []string
 	for _, id := range order {
--- a/member/order.go
+++ b/member/order.go
@@ -5,6 +5,7 @@
 package member
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -41,3 +42,27 @@
 	}
 	return rank
 }
+
+// First returns the first n ids of the order for a subject, without sorting.
+func First(subject string, ids []string, n int) []string {
+	type weighed struct {
+		id     string
+		weight uint64
+	}
+	var first []weighed
+	for _, id := range ids {
+		w := weighed{id: id, weight: xxhash.Sum64String(subject + "\x00" + id)}
+		place := sort.Search(len(first), func(i int) bool {
+			return first[i].weight < w.weight || first[i].weight == w.weight && first[i].id > w.id
+		})
+		if place < n {
+			first = slices.Insert(first, place, w)
+			first = first[:min(len(first), n)]
+		}
+	}
+	list := make([]string, 0, len(first))
+	for _, w := range first {
+		list = append(list, w.id)
+	}
+	return list
+}
--- a/node/events.go
+++ b/node/events.go
@@ -52,7 +52,7 @@
 	if o.Failure != nil {
 		v, cause = o.Failure.Verdict().String(), string(o.Failure.Cause)
 	}
-	e := n.Log.Info().Str("requestId", o.ID).Str("route", o.Route).Str("service", o.Service).Str("class", o.Class).Str("method", o.Method).Str("path", o.Path).
+	e := n.Log.Info().Str("requestId", o.ID).Str("route", o.Route).Str("service", o.Service).Str("class", o.Class).Str("organisation", o.Organisation).Str("method", o.Method).Str("path", o.Path).
 		Int("status", o.Status).Str("verdict", v).Str("cause", cause).Int("tries", o.Tries).Dur("tookMs", o.Took).Uint64("version", n.version()).Stringer("print", o.Print)
 	if o.Failure != nil && o.Failure.Err != nil {
 		e = e.AnErr("reason", o.Failure.Err)
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -14,6 +14,7 @@
 	"sassafrasfront.example/entry"
 	"sassafrasfront.example/peer"
 	"sassafrasfront.example/quarantine"
+	"sassafrasfront.example/ratelimit"
 	"sassafrasfront.example/verdict"
 	"sassafrasfront.example/watch"
 )
@@ -47,6 +48,22 @@
 		return 0
 	})
 	gauge(`sassafras_evacuated_zones`, func() float64 { return float64(len(n.control.Snapshot().Evacuated.Zones)) })
+	limits := func() ratelimit.State {
+		if n.limits == nil {
+			return ratelimit.State{}
+		}
+		return n.limits.State()
+	}
+	gauge(`sassafras_quota_nodes`, func() float64 { return float64(limits().Nodes) })
+	gauge(`sassafras_quota_share_held`, func() float64 { return limits().Share })
+	gauge(`sassafras_quota_waiting`, func() float64 { return float64(limits().Waiting) })
+	for name, f := range map[string]func(ratelimit.State) uint64{
+		"answered":   func(s ratelimit.State) uint64 { return s.Answered },
+		"unanswered": func(s ratelimit.State) uint64 { return s.Unanswered },
+		"taken":      func(s ratelimit.State) uint64 { return s.Taken },
+	} {
+		gauge(fmt.Sprintf(`sassafras_quota_exchanges_total{result=%q}`, name), func() float64 { return float64(f(limits())) })
+	}
 	for _, s := range []quarantine.Standing{quarantine.Seen, quarantine.Isolated, quarantine.Blocked} {
 		gauge(fmt.Sprintf(`sassafras_suspected_requests{standing=%q}`, s), func() float64 { return float64(n.suspects.Count(s)) })
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -33,6 +33,7 @@
 	"sassafrasfront.example/operator"
 	"sassafrasfront.example/peer"
 	"sassafrasfront.example/quarantine"
+	"sassafrasfront.example/ratelimit"
 	"sassafrasfront.example/routes"
 	"sassafrasfront.example/settings"
 	"sassafrasfront.example/upstream"
@@ -79,6 +80,7 @@
 	announced  *upstream.Announcements
 	claims     *claim.Ledger
 	evacuated  zoneLog
+	limits     *ratelimit.Limiter                // of organisations, or nil
 	suspects   quarantine.Index                  // the requests that upstreams have ended under
 	blocked    *blocklist.Ledger                 // of them, on the platform, or nil
 	api        objectapi.Polled                  // of Platform
@@ -259,6 +261,8 @@
 	n.loadAsked = make(chan chan struct{})
 	n.asks = rate.NewLimiter(askRate, askBurst)
 	n.gate.Ask = n.askLoad
+	n.limits = n.rateLimits()
+	n.control.Topics = n.limits.Topics()
 	n.control.Template = n.template
 	n.control.Within = n.configWithin()
 	store := n.storeClient()
@@ -268,6 +272,8 @@
 	n.control.Book = book.Addresses
 	n.control.Register = book.Register
 	n.control.Met = book.Met
+	book.Nodes = n.limits.Nodes
+	book.Counted = n.limits.Told
 	n.blocked = n.blocklistOn(n.api)
 }
 
@@ -319,6 +325,9 @@
 func (n *Node) published(s *control.Snapshot) {
 	n.dispatcher.Set(s.Services)
 	n.evacuated.set(s.Evacuated)
+	if n.limits != nil && s.Table != nil {
+		n.limits.Set(s.Table.OrganisationSet())
+	}
 	n.gate.Evacuate(s.Evacuated.Has(n.Settings.Zone))
 	if n.configureGate() {
 		go n.announce() // which waits for the goroutine that calls this
@@ -376,6 +385,7 @@
 		controlling.Go(func() { n.follow(controlCtx, n.reader(n.api)) })
 		all.Go(func() { n.findUpstream(inner) })
 		all.Go(func() { n.pollLoad(inner) })
+		all.Go(func() { n.limits.Run(inner) })
 	}
 	if n.blocked != nil {
 		controlling.Go(func() { n.blocked.Run(controlCtx) })
@@ -436,6 +446,7 @@
 		h.Names = n.Platform.Names
 		h.Service = n.Settings.Service
 		h.Beside = true
+		h.Admit = n.limits.Admit
 		h.Resolver = &caller.ByRoute{
 			Table:   func() *routes.Table { return n.control.Snapshot().Table },
 			Service: func(name string) *entry.Service { return n.control.Snapshot().Services[name] },
@@ -472,6 +483,7 @@
 	mux.HandleFunc("GET /readyz", n.ready)
 	mux.HandleFunc("GET /v1/picture", n.picture)
 	mux.HandleFunc("GET /v1/zones", n.listZones)
+	mux.HandleFunc("GET /v1/organisations", n.listOrganisations)
 	mux.HandleFunc("GET /v1/suspects", n.listSuspects)
 	mux.HandleFunc("DELETE /v1/suspects/{print}", n.releaseSuspect)
 	if n.Settings.Pprof {
--- /dev/null
+++ b/node/organisations.go
@@ -0,0 +1,92 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package node
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/quota"
+	"sassafrasfront.example/ratelimit"
+)
+
+const (
+	// homes is the number of nodes that are chosen from to be home of the rate limits: the
+	// first, and one to take its place.
+	homes = 2
+	// listedOrganisations bounds what is listed where nobody asks for more.
+	listedOrganisations = 50
+)
+
+// rateLimits returns what bounds the requests of organisations.
+func (n *Node) rateLimits() *ratelimit.Limiter {
+	s := &n.Settings
+	return &ratelimit.Limiter{
+		Bounds: quota.Bounds{
+			Window:  s.QuotaWindow,
+			Overage: s.QuotaOverage,
+			Slack:   s.QuotaSlack,
+		},
+		Hello: peer.Hello{
+			Node:        s.Node,
+			Zone:        s.Zone,
+			Incarnation: uint64(time.Now().UnixNano()),
+			Control:     true,
+		},
+		Limits: peer.Limits{
+			Silence:   peerSilence,
+			Handshake: peerHandshake,
+		},
+		Counters: &n.metrics.control,
+		Homes:    n.homes,
+		Members:  func() int { return n.control.Snapshot().Members },
+		Log:      n.Log,
+	}
+}
+
+// homes returns the nodes that are to be home of the rate limits, in order.
+func (n *Node) homes() []ratelimit.Peer {
+	list := []ratelimit.Peer{}
+	for _, r := range n.control.First("quota", homes) {
+		list = append(list, ratelimit.Peer{
+			ID:   r.ID,
+			Addr: r.Addr,
+		})
+	}
+	return list
+}
+
+// listOrganisations answers with the organisations that have a rate limit: those first of
+// whose requests most were refused here.
+func (n *Node) listOrganisations(w http.ResponseWriter, r *http.Request) {
+	most := listedOrganisations
+	if v := r.URL.Query().Get("limit"); v != "" {
+		var err error
+		if most, err = strconv.Atoi(v); err != nil || most < 0 {
+			http.Error(w, "limit: not a number", http.StatusBadRequest)
+			return
+		}
+	}
+	list := []operator.Organisation{}
+	if n.limits != nil {
+		for _, u := range n.limits.Usages(r.Context(), most) {
+			list = append(list, operator.Organisation{
+				Organisation: u.Organisation,
+				Rate:         u.Limit.Rate,
+				Burst:        u.Limit.Burst,
+				Here:         u.Here,
+				All:          u.All,
+				Limited:      u.Limited,
+				Unknown:      u.Unknown,
+			})
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list)
+}
--- /dev/null
+++ b/quota/home.go
@@ -0,0 +1,150 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package quota
+
+import "time"
+
+const (
+	// maxNodes and maxCount bound what is believed of an Ask, and maxWants the
+	// organisations in one.
+	maxNodes = 1 << 20
+	maxCount = 1 << 16
+	maxWants = 1 << 12
+	// forget is how long a node is remembered that does not ask: far longer than an Ask
+	// that is overtaken by another may be on its way and count.
+	forget = 20 * Lease
+)
+
+// Home holds the rights that nodes deposit, and grants tokens. It is not safe for use by
+// several goroutines at once.
+type Home struct {
+	id      uint32
+	pool    pool
+	nodes   int // the most that one of the askers counts
+	askers  map[string]asker
+	forgets time.Duration // when askers are looked through next
+}
+
+// asker is a node as it asked last.
+type asker struct {
+	start, number uint64
+	at            time.Duration
+	nodes         int // as it counts them, or 0
+}
+
+// NewHome returns a Home without rights. The id, which is not 0, tells it from those of
+// other starts of the process.
+func NewHome(id uint32, bounds Bounds, now time.Duration) *Home {
+	return &Home{
+		id: id,
+		pool: pool{
+			bounds: bounds,
+			at:     now,
+			rights: make(map[string]right),
+		},
+		askers: make(map[string]asker),
+	}
+}
+
+// SetLimits takes in the rate limits in force, by organisation.
+func (h *Home) SetLimits(limits map[string]Limit, now time.Duration) { h.pool.setLimits(limits, now) }
+
+// Rights returns the number of rights that the Home holds, and their part of all.
+func (h *Home) Rights(now time.Duration) (count int, share float64) {
+	h.pool.advance(now)
+	return len(h.pool.rights), h.pool.share
+}
+
+// Rate returns the tokens of an organisation that were granted a second lately.
+func (h *Home) Rate(organisation string, now time.Duration) float64 {
+	b := h.pool.buckets[organisation]
+	if b == nil {
+		return 0
+	}
+	return b.granted.Rate(now)
+}
+
+// Answer takes in what a node asks. It returns nil for an Ask that another has overtaken.
+func (h *Home) Answer(node string, a *Ask, now time.Duration) *Answer {
+	if h.overtaken(node, a, now) {
+		return nil
+	}
+	sent, known := h.sent(a)
+	if known && now-sent <= Life/2 {
+		for _, c := range a.Returns[:min(len(a.Returns), maxWants)] {
+			h.pool.put(c.Organisation, max(0, min(c.Tokens, maxCount)), now)
+		}
+	}
+	switch {
+	case a.Nodes < 0:
+	case a.Nodes > 0 && known && h.nodes > 0:
+		h.pool.deposit(node, 1/float64(h.nodes), sent+Lease-drift, now)
+	default:
+		h.pool.withdraw(node, now)
+	}
+	answer := &Answer{
+		Home:  h.id,
+		Nodes: h.nodes,
+	}
+	for _, c := range a.Wants[:min(len(a.Wants), maxWants)] {
+		answer.Grants = append(answer.Grants, h.grant(c, now))
+	}
+	answer.Clock = now
+	return answer
+}
+
+// overtaken returns whether a later Ask of the node has come before this one, and otherwise
+// takes in who asks.
+func (h *Home) overtaken(node string, a *Ask, now time.Duration) bool {
+	if now >= h.forgets {
+		var nodes int
+		for name, k := range h.askers {
+			if now-k.at > forget {
+				delete(h.askers, name)
+			} else {
+				nodes = max(nodes, k.nodes)
+			}
+		}
+		h.nodes = nodes
+		h.forgets = now + forget
+	}
+	k := h.askers[node]
+	if a.Start < k.start || a.Start == k.start && a.Number <= k.number {
+		return true
+	}
+	nodes := min(max(0, a.Nodes), maxNodes)
+	h.askers[node] = asker{
+		start:  a.Start,
+		number: a.Number,
+		at:     now,
+		nodes:  nodes,
+	}
+	h.nodes = max(h.nodes, nodes)
+	return false
+}
+
+// sent returns when an Ask was sent at the latest to be sure, by this Home's clock: the
+// answer that it names can't have arrived before it was written.
+func (h *Home) sent(a *Ask) (at time.Duration, known bool) {
+	if a.Home != h.id || a.Clock < 0 || a.Since < 0 || a.Since > forget {
+		return 0, false
+	}
+	return a.Clock + a.Since, true
+}
+
+// grant grants what it can of what is asked for.
+func (h *Home) grant(c Count, now time.Duration) Grant {
+	n := max(0, min(c.Tokens, maxCount))
+	taken, ok := h.pool.take(c.Organisation, n, now)
+	g := Grant{
+		Organisation: c.Organisation,
+		Tokens:       taken,
+		Unknown:      !ok,
+	}
+	if ok && taken < n {
+		g.Wait, g.Step = h.pool.wait(c.Organisation, n-taken, now)
+	}
+	return g
+}
--- /dev/null
+++ b/quota/lease_test.go
@@ -0,0 +1,271 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package quota_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/quota"
+)
+
+// pair is a node and two homes, all with the same clock, which time passes on.
+type pair struct {
+	t      *testing.T
+	now    time.Duration
+	client *quota.Client
+	homes  map[string]*quota.Home
+}
+
+func newPair(t *testing.T) *pair {
+	p := &pair{
+		t:      t,
+		client: quota.NewClient(1, 0),
+		homes:  make(map[string]*quota.Home),
+	}
+	p.client.SetNodes(2)
+	for i, name := range []string{"a", "b"} {
+		h := quota.NewHome(uint32(i+1), sharp, 0)
+		h.SetLimits(limited(100, 50), 0)
+		p.homes[name] = h
+	}
+	p.pass(quota.Lease)
+	return p
+}
+
+func (p *pair) pass(d time.Duration) { p.now += d }
+
+// ask makes an exchange that takes a time each way.
+func (p *pair) ask(home string, wants int, there, back time.Duration) *quota.Answer {
+	p.client.Next([]string{home}, p.now)
+	var list []quota.Count
+	if wants > 0 {
+		list = append(list, quota.Count{Organisation: "o", Tokens: wants})
+	}
+	a := p.client.Ask(home, list, p.now)
+	return p.exchange(home, a, there, back)
+}
+
+func (p *pair) exchange(home string, a *quota.Ask, there, back time.Duration) *quota.Answer {
+	sent := p.now
+	p.pass(there)
+	answer := p.homes[home].Answer("n", a, p.now)
+	p.pass(back)
+	if answer != nil {
+		p.client.Answered(home, a, answer, sent, p.now)
+	}
+	return answer
+}
+
+func (p *pair) share(home string) float64 {
+	_, share := p.homes[home].Rights(p.now)
+	return share
+}
+
+// TestOneHolder has a node change its home. The right is at one of the two at any time.
+func TestOneHolder(t *testing.T) {
+	tests := map[string]struct {
+		withdraw bool          // whether the old home is asked for the right
+		after    time.Duration // until the new one is asked
+		old, new float64       // the shares then
+	}{
+		"at once":             {old: 0.5},
+		"withdrawn":           {withdraw: true, new: 0.5},
+		"late in the lease":   {after: quota.Lease - 30*time.Millisecond, old: 0.5},
+		"when it has ended":   {after: quota.Lease, new: 0.5},
+		"long after it ended": {after: 3 * quota.Lease, new: 0.5},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newPair(t)
+			p.ask("a", 0, 0, 0)
+			qt.Check(t, p.share("a"), qt.Equals, 0.0, qt.Commentf("its clock is not known yet"))
+			p.ask("b", 0, 0, 0)
+			p.ask("a", 0, 0, 0)
+			qt.Check(t, p.share("a"), qt.Equals, 0.5)
+			if test.withdraw {
+				p.exchange("a", p.client.Probe("a", p.now), 0, 0)
+			}
+			p.pass(test.after)
+			p.ask("b", 0, 0, 0)
+			qt.Check(t, p.share("a"), qt.Equals, test.old)
+			qt.Check(t, p.share("b"), qt.Equals, test.new)
+		})
+	}
+}
+
+// TestLateAsk has an Ask come late. The home holds the right for no longer than the node
+// takes it to be there.
+func TestLateAsk(t *testing.T) {
+	p := newPair(t)
+	p.ask("a", 0, 0, 0)
+	p.ask("b", 0, 0, 0)
+	sent := p.now
+	p.ask("a", 0, quota.Lease/2, 0)
+	qt.Check(t, p.share("a"), qt.Equals, 0.5)
+	p.now = sent + quota.Lease
+	qt.Check(t, p.share("a"), qt.Equals, 0.0)
+	p.ask("b", 0, 0, 0)
+	qt.Check(t, p.share("b"), qt.Equals, 0.5)
+
+	late := p.client.Ask("a", nil, p.now)
+	p.pass(2 * quota.Lease)
+	p.homes["a"].Answer("n", late, p.now)
+	qt.Check(t, p.share("a"), qt.Equals, 0.0)
+}
+
+// TestOvertaken has an Ask come after the one that took the right back.
+func TestOvertaken(t *testing.T) {
+	p := newPair(t)
+	p.ask("a", 0, 0, 0)
+	slow := p.client.Ask("a", nil, p.now)
+	p.exchange("a", p.client.Probe("a", p.now), 0, 0)
+	qt.Check(t, p.homes["a"].Answer("n", slow, p.now), qt.IsNil)
+	qt.Check(t, p.share("a"), qt.Equals, 0.0)
+}
+
+// TestStartsAnew has a node start anew: its right may still be where it was, and what the
+// process before has sent does not count any more.
+func TestStartsAnew(t *testing.T) {
+	p := newPair(t)
+	p.ask("a", 0, 0, 0)
+	old := p.client.Ask("a", nil, p.now)
+	p.ask("a", 0, 0, 0)
+	qt.Check(t, p.share("a"), qt.Equals, 0.5)
+	p.client = quota.NewClient(2, p.now)
+	p.client.SetNodes(2)
+	p.ask("b", 0, 0, 0)
+	p.ask("b", 0, 0, 0)
+	qt.Check(t, p.share("b"), qt.Equals, 0.0)
+	p.pass(quota.Lease)
+	qt.Check(t, p.share("a"), qt.Equals, 0.0)
+	p.ask("b", 0, 0, 0)
+	qt.Check(t, p.share("b"), qt.Equals, 0.5)
+	p.ask("a", 0, 0, 0)
+	qt.Check(t, p.homes["a"].Answer("n", old, p.now), qt.IsNil)
+}
+
+// TestHomeStartsAnew has a home start anew, which knows nothing of the rights that it held
+// nor of its buckets.
+func TestHomeStartsAnew(t *testing.T) {
+	p := newPair(t)
+	p.ask("a", 0, 0, 0)
+	p.ask("a", 0, 0, 0)
+	p.pass(quota.Renew)
+	qt.Check(t, p.ask("a", 1, 0, 0).Grants[0].Tokens, qt.Equals, 1)
+	p.homes["a"] = quota.NewHome(9, sharp, p.now)
+	p.homes["a"].SetLimits(limited(100, 50), p.now)
+	answer := p.ask("a", 1, 0, 0)
+	qt.Check(t, answer.Grants[0].Tokens, qt.Equals, 0)
+	qt.Check(t, answer.Grants[0].Unknown, qt.IsTrue)
+	qt.Check(t, p.share("a"), qt.Equals, 0.0)
+	answer = p.ask("a", 1, 0, 0)
+	qt.Check(t, p.share("a"), qt.Equals, 0.5)
+	qt.Check(t, answer.Grants[0].Tokens, qt.Equals, 0)
+	qt.Check(t, answer.Grants[0].Unknown, qt.IsFalse)
+	qt.Check(t, answer.Grants[0].Wait > 0, qt.IsTrue)
+}
+
+// TestTokens has tokens that are left over, given back, or too old.
+func TestTokens(t *testing.T) {
+	p := newPair(t)
+	p.ask("a", 0, 0, 0)
+	p.ask("a", 0, 0, 0)
+	p.pass(100 * time.Millisecond)
+	p.ask("a", 3, 10*time.Millisecond, 0)
+	token, ok := p.client.Take("o", p.now)
+	qt.Assert(t, ok, qt.IsTrue)
+	_, ok = p.client.Take("o", p.now)
+	qt.Assert(t, ok, qt.IsTrue)
+	p.client.GiveBack(token, p.now)
+	_, ok = p.client.Take("o", p.now)
+	qt.Check(t, ok, qt.IsTrue, qt.Commentf("one was left over"))
+	p.pass(quota.Life - 11*time.Millisecond)
+	_, ok = p.client.Take("o", p.now)
+	qt.Check(t, ok, qt.IsTrue, qt.Commentf("one was given back"))
+	_, ok = p.client.Take("o", p.now)
+	qt.Check(t, ok, qt.IsFalse)
+
+	p.ask("a", 0, 0, 0)
+	p.pass(quota.Renew)
+	p.ask("a", 1, 0, 0)
+	token, ok = p.client.Take("o", p.now)
+	qt.Assert(t, ok, qt.IsTrue)
+	p.pass(quota.Life)
+	p.client.GiveBack(token, p.now)
+	_, ok = p.client.Take("o", p.now)
+	qt.Check(t, ok, qt.IsFalse, qt.Commentf("too late"))
+}
+
+// TestReturns has tokens returned to their home, which grants them again.
+func TestReturns(t *testing.T) {
+	p := newPair(t)
+	p.ask("a", 0, 0, 0)
+	p.ask("a", 0, 0, 0)
+	p.pass(100 * time.Millisecond)
+	granted := p.ask("a", 50, 0, 0).Grants[0].Tokens
+	qt.Assert(t, granted > 1, qt.IsTrue)
+	back := p.client.Ask("a", []quota.Count{{Organisation: "o", Tokens: 50}}, p.now)
+	qt.Check(t, back.Returns, qt.DeepEquals, []quota.Count{{Organisation: "o", Tokens: granted}})
+	qt.Check(t, p.exchange("a", back, 0, 0).Grants[0].Tokens, qt.Equals, granted)
+	late := p.client.Ask("a", []quota.Count{{Organisation: "o", Tokens: 50}}, p.now)
+	qt.Check(t, late.Returns, qt.HasLen, 1)
+	p.pass(quota.Life/2 + time.Millisecond)
+	grown := p.homes["a"].Answer("n", late, p.now).Grants[0].Tokens
+	qt.Check(t, grown < granted+8, qt.IsTrue, qt.Commentf("%d: what comes back late is not taken", grown))
+}
+
+// TestCensus is about the number among which the rights are divided.
+func TestCensus(t *testing.T) {
+	c := quota.NewCensus(0)
+	c.Count(3, 0)
+	qt.Check(t, c.Nodes(time.Second), qt.Equals, 0, qt.Commentf("the others may not be known yet"))
+	c.Heard(70)
+	qt.Check(t, c.Nodes(time.Second), qt.Equals, 70)
+	c.Told(60, 0)
+	qt.Check(t, c.Nodes(time.Second), qt.Equals, 60)
+	c.Count(80, time.Second)
+	c.Count(20, time.Minute)
+	qt.Check(t, c.Nodes(time.Minute), qt.Equals, 80)
+	c.Count(20, 10*time.Minute)
+	qt.Check(t, c.Nodes(10*time.Minute), qt.Equals, 80)
+	c.Count(20, 20*time.Minute)
+	qt.Check(t, c.Nodes(20*time.Minute), qt.Equals, 20)
+	alone := quota.NewCensus(0)
+	alone.Count(1, 0)
+	qt.Check(t, alone.Nodes(10*time.Second), qt.Equals, 1)
+}
+
+// TestLimits has limits change. A bucket keeps no more than its new depth, and one that comes
+// back is empty.
+func TestLimits(t *testing.T) {
+	tests := map[string]struct {
+		limits []map[string]quota.Limit
+		want   int
+	}{
+		"same":      {limits: []map[string]quota.Limit{limited(100, 50)}, want: 25},
+		"higher":    {limits: []map[string]quota.Limit{limited(1000, 500)}, want: 25},
+		"lower":     {limits: []map[string]quota.Limit{limited(10, 10)}, want: 5},
+		"none":      {limits: []map[string]quota.Limit{nil}},
+		"come back": {limits: []map[string]quota.Limit{nil, limited(100, 50)}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newPair(t)
+			p.ask("a", 0, 0, 0)
+			for range 10 {
+				p.ask("a", 0, 0, 0)
+				p.pass(quota.Renew)
+			}
+			p.ask("a", 0, 0, 0)
+			for _, l := range test.limits {
+				p.homes["a"].SetLimits(l, p.now)
+			}
+			qt.Check(t, p.ask("a", 100, 0, 0).Grants[0].Tokens, qt.Equals, test.want)
+		})
+	}
+}
--- /dev/null
+++ b/quota/limiter.go
@@ -0,0 +1,228 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package quota
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// maxWaiting bounds the requests of one organisation that wait for tokens at a node,
+	// and maxWaitingAll those of all.
+	maxWaiting    = 1 << 10
+	maxWaitingAll = 1 << 12
+	// refuseFor is how long at most a node refuses without asking once the home has
+	// refused. An organisation's rush costs each node few messages then.
+	refuseFor = 100 * time.Millisecond
+	// unknownWait is when a caller may come back that was refused as no home has answered.
+	unknownWait = Lease / 2
+)
+
+// Decision is what is decided on a request.
+type Decision struct {
+	// Granted is whether it may run, with Token.
+	Granted bool
+	Token   Token
+	// Unknown is whether it may not as nobody knows if the limit is reached; otherwise it is.
+	Unknown bool
+	// Wait is when the caller may come back.
+	Wait time.Duration
+}
+
+// Pending is a request that waits.
+type Pending struct {
+	organisation string
+	decide       func(Decision)
+	cancelled    bool
+}
+
+// refusal is what is told to the callers of an organisation that has none of its limit left.
+type refusal struct {
+	until time.Duration // when the home is asked again
+	next  time.Duration // when the next caller may come back
+	step  time.Duration
+}
+
+// Limiter decides on a node's requests: it gathers what to ask a home for, and hands out
+// what it grants in the order of arrival. It is not safe for use by several goroutines at
+// once, and calls the functions that it is given without waiting for anything.
+type Limiter struct {
+	*Client
+	waiting  map[string][]*Pending
+	asked    map[string][]*Pending // of them, in the Ask that is under way
+	count    int
+	refusals map[string]refusal
+}
+
+// NewLimiter returns a Limiter that asks by the given Client.
+func NewLimiter(c *Client) *Limiter {
+	return &Limiter{
+		Client:   c,
+		waiting:  make(map[string][]*Pending),
+		asked:    make(map[string][]*Pending),
+		refusals: make(map[string]refusal),
+	}
+}
+
+// Admit decides on a request, or has it wait: decide is called then by Answered, GiveUp or a
+// later call. It returns nil if it has decided.
+func (l *Limiter) Admit(organisation string, now time.Duration, decide func(Decision)) *Pending {
+	if t, ok := l.Take(organisation, now); ok {
+		decide(Decision{
+			Granted: true,
+			Token:   t,
+		})
+		return nil
+	}
+	if r, ok := l.refusals[organisation]; ok && now < r.until {
+		decide(Decision{Wait: max(r.next-now, r.step)})
+		r.next += r.step
+		l.refusals[organisation] = r
+		return nil
+	}
+	delete(l.refusals, organisation)
+	if l.count >= maxWaitingAll || len(l.waiting[organisation]) >= maxWaiting {
+		decide(unknown)
+		return nil
+	}
+	p := &Pending{
+		organisation: organisation,
+		decide:       decide,
+	}
+	l.waiting[organisation] = append(l.waiting[organisation], p)
+	l.count++
+	return p
+}
+
+var unknown = Decision{
+	Unknown: true,
+	Wait:    unknownWait,
+}
+
+// Cancel has a request not wait any longer. It returns false if it is decided on already.
+func (l *Limiter) Cancel(p *Pending) bool {
+	if p.cancelled {
+		return false
+	}
+	p.cancelled = true
+	l.count--
+	return true
+}
+
+// Waiting returns the number of requests that wait.
+func (l *Limiter) Waiting() int { return l.count }
+
+// Ask returns the next Ask to a home, for the requests that wait.
+func (l *Limiter) Ask(home string, now time.Duration) *Ask {
+	var wants []Count
+	for _, name := range slices.Sorted(maps.Keys(l.waiting)) {
+		list := uncancelled(l.waiting[name])
+		delete(l.waiting, name)
+		if len(list) == 0 {
+			continue
+		}
+		l.asked[name] = list
+		wants = append(wants, Count{
+			Organisation: name,
+			Tokens:       len(list),
+		})
+	}
+	return l.Client.Ask(home, wants, now)
+}
+
+func uncancelled(list []*Pending) []*Pending {
+	var kept []*Pending
+	for _, p := range list {
+		if !p.cancelled {
+			kept = append(kept, p)
+		}
+	}
+	return kept
+}
+
+// Answered takes in the answer to an Ask or a probe that was sent at a time.
+func (l *Limiter) Answered(home string, a *Ask, answer *Answer, sent, now time.Duration) {
+	l.Client.Answered(home, a, answer, sent, now)
+	if len(a.Wants) == 0 {
+		return
+	}
+	for _, g := range answer.Grants {
+		l.decide(g, now)
+	}
+	l.requeue()
+}
+
+// Unanswered takes in that an Ask or a probe was not answered. Who waits goes on.
+func (l *Limiter) Unanswered(home string, a *Ask, now time.Duration) {
+	l.Failed(home, now)
+	if len(a.Wants) > 0 {
+		l.requeue()
+	}
+}
+
+// requeue has those wait again that the last Ask has not decided on.
+func (l *Limiter) requeue() {
+	for name, list := range l.asked {
+		delete(l.asked, name)
+		if list = uncancelled(list); len(list) > 0 {
+			l.waiting[name] = append(list, l.waiting[name]...)
+		}
+	}
+}
+
+// decide decides on the requests for which a home was asked.
+func (l *Limiter) decide(g Grant, now time.Duration) {
+	list := uncancelled(l.asked[g.Organisation])
+	delete(l.asked, g.Organisation)
+	for len(list) > 0 {
+		t, ok := l.Take(g.Organisation, now)
+		if !ok {
+			break
+		}
+		l.settle(list[0], Decision{
+			Granted: true,
+			Token:   t,
+		})
+		list = list[1:]
+	}
+	switch {
+	case len(list) == 0:
+	case g.Unknown || g.Wait <= 0: // or the tokens came too late
+		l.waiting[g.Organisation] = append(list, l.waiting[g.Organisation]...)
+	default:
+		l.refuse(list, g, now)
+	}
+}
+
+// refuse refuses requests, and those that come in the next moment.
+func (l *Limiter) refuse(list []*Pending, g Grant, now time.Duration) {
+	next := now + g.Wait
+	for _, p := range list {
+		l.settle(p, Decision{Wait: next - now})
+		next += g.Step
+	}
+	l.refusals[g.Organisation] = refusal{
+		until: now + min(g.Wait, refuseFor),
+		next:  next,
+		step:  g.Step,
+	}
+}
+
+func (l *Limiter) settle(p *Pending, d Decision) {
+	p.cancelled = true
+	l.count--
+	p.decide(d)
+}
+
+// Limits takes in which organisations have a limit now: what is kept of others goes.
+func (l *Limiter) Limits(limits map[string]Limit) {
+	for name := range l.refusals {
+		if _, ok := limits[name]; !ok {
+			delete(l.refusals, name)
+		}
+	}
+}
--- /dev/null
+++ b/quota/pool.go
@@ -0,0 +1,202 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package quota
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// pool is a token bucket for each organisation that is filled in proportion to the rights
+// that are held. All buckets are empty at first.
+type pool struct {
+	bounds  Bounds
+	at      time.Duration // up to when grown counts
+	share   float64       // of all rights, that is held at that time
+	grown   float64       // the integral of share over time, in seconds
+	rights  map[string]right
+	soonest time.Duration // no right ends before
+	buckets map[string]*bucket
+}
+
+// right is the right of one node.
+type right struct {
+	part  float64
+	until time.Duration
+}
+
+// bucket is the token bucket of one organisation.
+type bucket struct {
+	rate, depth float64 // of all rights together
+	level       float64
+	seen        float64       // what the pool's grown was for that level
+	promised    time.Duration // when the last caller that was refused may come back
+	granted     Recent
+}
+
+// setLimits takes in the limits in force. A bucket keeps its level as far as its new depth
+// allows, and a new one is empty.
+func (p *pool) setLimits(limits map[string]Limit, now time.Duration) {
+	p.advance(now)
+	buckets := make(map[string]*bucket, len(limits))
+	for name, l := range limits {
+		b := p.buckets[name]
+		if b == nil {
+			b = &bucket{seen: p.grown}
+		}
+		p.settle(b)
+		b.rate = l.Rate * p.bounds.pace()
+		b.depth = p.bounds.depth(l)
+		p.settle(b)
+		buckets[name] = b
+	}
+	p.buckets = buckets
+}
+
+// settle brings the level of a bucket up to date.
+func (p *pool) settle(b *bucket) {
+	b.level = min(b.level+(p.grown-b.seen)*b.rate, b.depth*p.share)
+	b.seen = p.grown
+}
+
+// advance lets time pass. Rights end at their time, however late that is noticed.
+func (p *pool) advance(now time.Duration) {
+	if now <= p.at {
+		return
+	}
+	if p.soonest <= now && len(p.rights) > 0 {
+		p.expire(now)
+	}
+	p.grow(now)
+}
+
+// grow fills the buckets up to a time, with the rights that are held now.
+func (p *pool) grow(to time.Duration) {
+	if to > p.at {
+		p.grown += p.share * (to - p.at).Seconds()
+		p.at = to
+	}
+}
+
+// expire ends the rights whose time is over.
+func (p *pool) expire(now time.Duration) {
+	var over []string
+	p.soonest = never
+	for name, r := range p.rights {
+		if r.until <= now {
+			over = append(over, name)
+		} else {
+			p.soonest = min(p.soonest, r.until)
+		}
+	}
+	slices.SortFunc(over, func(a, b string) int { return cmp.Compare(p.rights[a].until, p.rights[b].until) })
+	for _, name := range over {
+		p.grow(p.rights[name].until)
+		p.change(func() { delete(p.rights, name) })
+	}
+}
+
+// never is later than any reading of the clock.
+const never = time.Duration(1<<63 - 1)
+
+// change changes the rights. Each bucket has first the depth before and then the one after,
+// as a share that goes up must not bring back what was over its edge before.
+func (p *pool) change(f func()) {
+	before := p.share
+	f()
+	var sum float64
+	for _, name := range slices.Sorted(maps.Keys(p.rights)) { // in one order, so that the same rights give the same sum
+		sum += p.rights[name].part
+	}
+	after := min(1, sum)
+	if after == before {
+		return
+	}
+	for _, b := range p.buckets {
+		p.settle(b)
+	}
+	p.share = after
+	for _, b := range p.buckets {
+		p.settle(b)
+	}
+}
+
+// deposit holds a node's right until the given time, in place of what was held of it.
+func (p *pool) deposit(node string, part float64, until, now time.Duration) {
+	p.advance(now)
+	if until <= now {
+		p.withdraw(node, now)
+		return
+	}
+	next := right{
+		part:  part,
+		until: until,
+	}
+	if len(p.rights) == 0 {
+		p.soonest = until
+	}
+	p.soonest = min(p.soonest, until)
+	if p.rights[node].part == part {
+		p.rights[node] = next
+		return
+	}
+	p.change(func() { p.rights[node] = next })
+}
+
+// withdraw gives a node's right back.
+func (p *pool) withdraw(node string, now time.Duration) {
+	p.advance(now)
+	if _, ok := p.rights[node]; ok {
+		p.change(func() { delete(p.rights, node) })
+	}
+}
+
+// take takes up to n tokens, and returns how many. It returns false if there is no bucket.
+func (p *pool) take(organisation string, n int, now time.Duration) (taken int, ok bool) {
+	p.advance(now)
+	b := p.buckets[organisation]
+	if b == nil || p.share == 0 {
+		return 0, false
+	}
+	p.settle(b)
+	taken = min(n, int(b.level+tolerance))
+	b.level = max(0, b.level-float64(taken))
+	b.granted.Add(taken, now)
+	return taken, true
+}
+
+// tolerance keeps a bucket that is full but for a rounding from lacking its last token.
+const tolerance = 1e-9
+
+// put puts tokens back that were taken, as far as there is room.
+func (p *pool) put(organisation string, n int, now time.Duration) {
+	p.advance(now)
+	if b := p.buckets[organisation]; b != nil {
+		p.settle(b)
+		b.level += float64(n)
+		p.settle(b)
+		b.granted.Add(-n, now)
+	}
+}
+
+// wait returns when the first of n callers that are refused may come back, and the time
+// from each to the next. Callers that are refused later come after them.
+func (p *pool) wait(organisation string, n int, now time.Duration) (first, step time.Duration) {
+	b := p.buckets[organisation]
+	rate := b.rate * p.share
+	if rate <= 0 {
+		return p.bounds.Window, 0
+	}
+	seconds := func(tokens float64) time.Duration {
+		return time.Duration(min(tokens/rate, p.bounds.Window.Seconds()) * float64(time.Second))
+	}
+	step = seconds(1)
+	at := max(now+seconds(max(0, 1-b.level)), b.promised+step)
+	at = min(at, now+p.bounds.Window)
+	b.promised = min(at+step*time.Duration(min(n-1, maxCount)), now+p.bounds.Window)
+	return at - now, step
+}
--- /dev/null
+++ b/ratelimit/limiter.go
@@ -0,0 +1,243 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package ratelimit
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"sassafrasfront.example/organisation"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/quota"
+	"sassafrasfront.example/verdict"
+)
+
+const (
+	// longestWait is how long a request waits for a home: as long as it takes to find out
+	// that one is gone. Its caller may then come back.
+	longestWait = 400 * time.Millisecond
+	// askGap is the time between an answer and the next question. What arrives meanwhile
+	// goes with it.
+	askGap = 20 * time.Millisecond
+	// unknownGap is that after an answer that decided nothing.
+	unknownGap = 50 * time.Millisecond
+	// homesFor is how long the choice of homes is kept: it takes a look at all nodes.
+	homesFor = 500 * time.Millisecond
+)
+
+// Peer is another node.
+type Peer struct {
+	ID, Addr string
+}
+
+// Limiter lets requests in as far as the rate limits of their organisations allow. The
+// exported fields are set before Run.
+type Limiter struct {
+	// Bounds says how far limits may be exceeded.
+	Bounds quota.Bounds
+	// Hello introduces this process to the homes.
+	Hello peer.Hello
+	// Limits bounds the connections to the homes.
+	Limits peer.Limits
+	// Counters, if not nil, counts their traffic.
+	Counters *peer.Counters
+	// Homes returns the nodes that are to be home, in order: the same at all nodes that
+	// know the same others. This node may be among them.
+	Homes func() []Peer
+	// Members returns the number of live nodes that are known.
+	Members func() int
+	// Log takes the events.
+	Log zerolog.Logger
+
+	starting sync.Once
+	began    time.Time
+	wake     chan struct{}
+	active   atomic.Bool // whether any organisation has a limit
+
+	mu      sync.Mutex
+	set     *organisation.Set
+	limits  map[string]quota.Limit
+	home    *quota.Home
+	limiter *quota.Limiter
+	census  *quota.Census
+	tallies map[string]*tally
+	asked   string // the home that was asked last
+	probing bool
+	unsure  bool // whether the last answer left requests undecided
+	// answered, unanswered and answers count exchanges.
+	answered, unanswered, answers uint64
+
+	// The goroutine of Run owns what follows, but for the clients, under clientsMu.
+	homes     []Peer
+	homesAt   time.Duration
+	clientsMu sync.Mutex
+	clients   map[string]*peer.Client
+}
+
+func (l *Limiter) init() {
+	l.starting.Do(func() {
+		l.began = time.Now()
+		l.wake = make(chan struct{}, 1)
+		l.home = quota.NewHome(rand.Uint32()|1, l.Bounds, 0)
+		l.limiter = quota.NewLimiter(quota.NewClient(uint64(l.began.UnixMilli()), 0))
+		l.census = quota.NewCensus(0)
+		l.tallies = make(map[string]*tally)
+		l.clients = make(map[string]*peer.Client)
+	})
+}
+
+// now reads the clock.
+func (l *Limiter) now() time.Duration { return time.Since(l.began) }
+
+// Set takes in the organisations in force.
+func (l *Limiter) Set(s *organisation.Set) {
+	l.init()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s == l.set {
+		return
+	}
+	l.set = s
+	limits := make(map[string]quota.Limit)
+	if s != nil {
+		for _, o := range s.List() {
+			if o.Rate > 0 {
+				limits[o.Name] = quota.Limit{
+					Rate:  o.Rate,
+					Burst: o.Burst,
+				}
+			}
+		}
+	}
+	l.limits = limits
+	l.home.SetLimits(limits, l.now())
+	l.limiter.Limits(limits)
+	for name := range l.tallies {
+		if _, ok := limits[name]; !ok {
+			delete(l.tallies, name)
+		}
+	}
+	if was := l.active.Swap(len(limits) > 0); was != (len(limits) > 0) {
+		l.Log.Info().Int("organisations", len(limits)).Msg("rate limits in force")
+		l.rouse()
+	}
+}
+
+// rouse has Run look what there is to ask.
+func (l *Limiter) rouse() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Told takes in the number of nodes that others have left on the platform.
+func (l *Limiter) Told(nodes int) {
+	l.init()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.census.Told(nodes, l.now())
+}
+
+// Nodes returns the number of nodes among which the rights are divided, or 0 if it isn't
+// known or nothing is limited.
+func (l *Limiter) Nodes() int {
+	l.init()
+	if !l.active.Load() {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.census.Nodes(l.now())
+}
+
+// Pass is the right of one request to run. A nil Pass is one that needs none.
+type Pass struct {
+	limiter *Limiter
+	token   quota.Token
+}
+
+// NotRun takes in that the request is known not to have run: another one may.
+func (p *Pass) NotRun() {
+	if p == nil {
+		return
+	}
+	p.limiter.mu.Lock()
+	defer p.limiter.mu.Unlock()
+	p.limiter.limiter.GiveBack(p.token, p.limiter.now())
+}
+
+// Admit lets a request of an organisation in, or returns why it must not run. It may wait
+// for a short time.
+func (l *Limiter) Admit(ctx context.Context, name string) (*Pass, *verdict.Error) {
+	l.init()
+	if !l.active.Load() {
+		return nil, nil
+	}
+	decided := make(chan quota.Decision, 1)
+	l.mu.Lock()
+	limit, ok := l.limits[name]
+	if !ok {
+		l.mu.Unlock()
+		return nil, nil
+	}
+	p := l.limiter.Admit(name, l.now(), func(d quota.Decision) { decided <- d })
+	l.mu.Unlock()
+	if p != nil {
+		l.rouse()
+	}
+	return l.taken(name, limit, l.await(ctx, p, decided))
+}
+
+// await waits for the decision on a request.
+func (l *Limiter) await(ctx context.Context, p *quota.Pending, decided chan quota.Decision) quota.Decision {
+	if p == nil {
+		return <-decided
+	}
+	t := time.NewTimer(longestWait)
+	defer t.Stop()
+	select {
+	case d := <-decided:
+		return d
+	case <-ctx.Done():
+	case <-t.C:
+	}
+	l.mu.Lock()
+	cancelled := l.limiter.Cancel(p)
+	l.mu.Unlock()
+	if cancelled {
+		return quota.Decision{
+			Unknown: true,
+			Wait:    quota.Lease / 2,
+		}
+	}
+	return <-decided
+}
+
+// taken counts a decision and says what becomes of the request.
+func (l *Limiter) taken(name string, limit quota.Limit, d quota.Decision) (*Pass, *verdict.Error) {
+	l.mu.Lock()
+	t := l.tally(name)
+	t.count(d, l.now())
+	asked := l.asked
+	l.mu.Unlock()
+	switch {
+	case d.Granted:
+		return &Pass{
+			limiter: l,
+			token:   d.Token,
+		}, nil
+	case d.Unknown:
+		return nil, verdict.New(verdict.LimitUnknown, eris.Errorf("home %s has not said how much of the limit of organisation %q is left", asked, name)).WithRetryAfter(d.Wait)
+	default:
+		return nil, verdict.New(verdict.RateLimited, eris.Errorf("organisation %q is beyond %v requests a second and a burst of %v, as home %s says", name, limit.Rate, limit.Burst, asked)).WithRetryAfter(max(d.Wait, time.Millisecond))
+	}
+}
--- a/verdict/cause.go
+++ b/verdict/cause.go
@@ -24,6 +24,11 @@
 	HeadTooLarge Cause = "headTooLarge"
 	// NotReady: the node holds no accepted configuration yet.
 	NotReady Cause = "notReady"
+	// RateLimited: the organisation is beyond its rate limit.
+	RateLimited Cause = "rateLimited"
+	// LimitUnknown: no node has said in time whether the organisation is beyond its rate
+	// limit.
+	LimitUnknown Cause = "limitUnknown"
 	// NoUpstream: the service has no upstream that takes requests.
 	NoUpstream Cause = "noUpstream"
 	// DeadlinePassed: the deadline passed before the request was sent on.
@@ -106,6 +111,8 @@
 	TooLarge:           {Verdict: NotRun, Status: http.StatusRequestEntityTooLarge},
 	HeadTooLarge:       {Verdict: NotRun, Status: http.StatusRequestHeaderFieldsTooLarge},
 	NotReady:           {Verdict: NotRun, Status: http.StatusServiceUnavailable},
+	RateLimited:        {Verdict: NotRun, Status: http.StatusTooManyRequests},
+	LimitUnknown:       {Verdict: NotRun, Status: http.StatusServiceUnavailable},
 	NoUpstream:         {Verdict: NotRun, Status: http.StatusServiceUnavailable},
 	DeadlinePassed:     {Verdict: NotRun, Status: http.StatusServiceUnavailable},
 	DialFailed:         {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
