--- a/caller/target.go
+++ b/caller/target.go
@@ -110,17 +110,26 @@
 	if t.Limits.BodyBytes > 0 {
 		maxBody = t.Limits.BodyBytes
 	}
+	var organisation string
+	if key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer "); ok && t.Keyed && !route.Public {
+		o := t.OrganisationSet().ByKey(key)
+		if o == nil {
+			return nil, verdict.New(verdict.UnknownHost, eris.New("unknown key"))
+		}
+		organisation = o.Name
+	}
 	return &Target{
-		Service:    s,
-		Route:      route.Name,
-		Class:      ClassOf(route.Priority, route.Objective),
-		Idempotent: route.Idempotent,
-		Timeout:    route.Timeout,
-		Objective:  route.Objective,
-		Attempts:   route.Attempts,
-		Regions:    route.Regions,
-		MaxBody:    maxBody,
-		MaxHead:    t.Limits.HeaderBytes,
+		Organisation: organisation,
+		Service:      s,
+		Route:        route.Name,
+		Class:        ClassOf(route.Priority, route.Objective),
+		Idempotent:   route.Idempotent,
+		Timeout:      route.Timeout,
+		Objective:    route.Objective,
+		Attempts:     route.Attempts,
+		Regions:      route.Regions,
+		MaxBody:      maxBody,
+		MaxHead:      t.Limits.HeaderBytes,
 	}, nil
 }
 
