A home that can't be sure that a limit is reached says so: 503 rather than 429

Ruled out: buckets that are not empty at a start, which restarts would multiply. Measured: in TestHomeDies 79 refusals as beyond the limit before, none now; the bound is as before.

--- a/node/ratelimit_test.go
+++ b/node/ratelimit_test.go
@@ -96,6 +96,10 @@
 func TestRateLimit(t *testing.T) {
 	const rate, burst = 20, 10
 	l := newLimited(t, rate, burst)
+	l.eventually("the home has all rights for long enough to say that the limit is reached", func() bool {
+		status, _ := l.as("k-small", l.nodes[1])
+		return status == 429
+	})
 	before := l.organisations(l.nodes[0])
 	began := time.Now()
 	var granted, refused int
--- a/quota/home.go
+++ b/quota/home.go
@@ -145,6 +145,7 @@
 	}
 	if ok && taken < n {
 		g.Wait, g.Step = h.pool.wait(c.Organisation, n-taken, now)
+		g.Unknown = !h.pool.settled(now)
 	}
 	return g
 }
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -43,11 +43,13 @@
 	cancelled    bool
 }
 
-// refusal is what is told to the callers of an organisation that has none of its limit left.
+// refusal is what is told to the callers of an organisation for which there is no token.
 type refusal struct {
 	until time.Duration // when the home is asked again
 	next  time.Duration // when the next caller may come back
 	step  time.Duration
+	// unknown is whether that isn't certain.
+	unknown bool
 }
 
 // Limiter decides on a node's requests: it gathers what to ask a home for, and hands out
@@ -82,7 +84,10 @@
 		return nil
 	}
 	if r, ok := l.refusals[organisation]; ok && now < r.until {
-		decide(Decision{Wait: max(r.next-now, r.step)})
+		decide(Decision{
+			Unknown: r.unknown,
+			Wait:    max(r.next-now, r.step),
+		})
 		r.next += r.step
 		l.refusals[organisation] = r
 		return nil
@@ -194,7 +199,7 @@
 	}
 	switch {
 	case len(list) == 0:
-	case g.Unknown || g.Wait <= 0: // or the tokens came too late
+	case g.Wait <= 0: // nothing is known, or the tokens came too late
 		l.waiting[g.Organisation] = append(list, l.waiting[g.Organisation]...)
 	default:
 		soon := min(len(list), 1+int((nearly-g.Wait)/max(g.Step, 1)))
@@ -213,13 +218,17 @@
 func (l *Limiter) refuse(list []*Pending, g Grant, now time.Duration) {
 	next := now + g.Wait
 	for _, p := range list {
-		l.settle(p, Decision{Wait: next - now})
+		l.settle(p, Decision{
+			Unknown: g.Unknown,
+			Wait:    next - now,
+		})
 		next += g.Step
 	}
 	l.refusals[g.Organisation] = refusal{
-		until: now + min(g.Wait, refuseFor),
-		next:  next,
-		step:  g.Step,
+		until:   now + min(g.Wait, refuseFor),
+		next:    next,
+		step:    g.Step,
+		unknown: g.Unknown,
 	}
 }
 
--- a/quota/message.go
+++ b/quota/message.go
@@ -45,7 +45,8 @@
 	// granted, and Step that from each to the next.
 	Wait time.Duration `msgpack:"w,omitempty"`
 	Step time.Duration `msgpack:"i,omitempty"`
-	// Unknown is whether the home knows no limit of the organisation, or holds no rights.
+	// Unknown is whether the home can't say if the limit is reached. Without a Wait it knows
+	// no limit of the organisation, or holds no rights.
 	Unknown bool `msgpack:"u,omitempty"`
 }
 
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -17,6 +17,7 @@
 	bounds  Bounds
 	at      time.Duration // up to when grown counts
 	share   float64       // of all rights, that is held at that time
+	whole   time.Duration // since when it is mostShare or more, or never
 	grown   float64       // the integral of share over time, in seconds
 	rights  map[string]right
 	soonest time.Duration // no right ends before
@@ -120,11 +121,28 @@
 		p.settle(b)
 	}
 	p.share = after
+	if before < mostShare && after >= mostShare {
+		p.whole = p.at
+	}
 	for _, b := range p.buckets {
 		p.settle(b)
 	}
 }
 
+const (
+	// mostShare is the share of all rights with which a home can say that a limit is
+	// reached. With less it doesn't know what is granted elsewhere; the rest may be those
+	// of nodes that are gone.
+	mostShare = 0.8
+	// fill is how long it has to have them: its buckets were empty at first.
+	fill = time.Second
+)
+
+// settled returns whether an empty bucket means that the limit is reached.
+func (p *pool) settled(now time.Duration) bool {
+	return p.share >= mostShare && now-p.whole >= fill
+}
+
 // deposit holds a node's right until the given time, in place of what was held of it.
 func (p *pool) deposit(node string, part float64, until, now time.Duration) {
 	p.advance(now)
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -236,7 +236,7 @@
 			token:   d.Token,
 		}, nil
 	case d.Unknown:
-		return nil, verdict.New(verdict.LimitUnknown, eris.Errorf("home %s has not said how much of the limit of organisation %q is left", asked, name)).WithRetryAfter(d.Wait)
+		return nil, verdict.New(verdict.LimitUnknown, eris.Errorf("home %s can't say yet how much of the limit of organisation %q is left", asked, name)).WithRetryAfter(d.Wait)
 	default:
 		return nil, verdict.New(verdict.RateLimited, eris.Errorf("organisation %q is beyond %v requests a second and a burst of %v, as home %s says", name, limit.Rate, limit.Burst, asked)).WithRetryAfter(max(d.Wait, time.Millisecond))
 	}
