--- /dev/null
+++ b/quota/size_test.go
@@ -0,0 +1,118 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package quota_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"sassafrasfront.example/quota"
+)
+
+// organisations returns n limits.
+func organisations(n int) map[string]quota.Limit {
+	limits := make(map[string]quota.Limit, n)
+	for i := range n {
+		limits[fmt.Sprintf("organisation-%05d", i)] = quota.Limit{Rate: 100, Burst: 100}
+	}
+	return limits
+}
+
+// TestMessageSize tells what an exchange weighs: it is no matter of the number of
+// organisations or of nodes, but of the tokens that are asked for.
+func TestMessageSize(t *testing.T) {
+	for _, wants := range []int{0, 1, 10} {
+		a := quota.Ask{
+			Start:  1796255000000,
+			Number: 123456,
+			Home:   1 << 31,
+			Clock:  time.Hour,
+			Since:  150 * time.Millisecond,
+			Nodes:  18000,
+		}
+		answer := quota.Answer{
+			Home:  1 << 31,
+			Clock: time.Hour,
+			Nodes: 18000,
+		}
+		for i := range wants {
+			name := fmt.Sprintf("org%05d", i)
+			a.Wants = append(a.Wants, quota.Count{Organisation: name, Tokens: 1})
+			answer.Grants = append(answer.Grants, quota.Grant{Organisation: name, Tokens: 1})
+		}
+		there, err := msgpack.Marshal(a)
+		qt.Assert(t, err, qt.IsNil)
+		back, err := msgpack.Marshal(answer)
+		qt.Assert(t, err, qt.IsNil)
+		t.Logf("%d organisations: %d B there, %d B back", wants, len(there), len(back))
+		qt.Check(t, len(there) <= 80+wants*20, qt.IsTrue)
+		qt.Check(t, len(back) <= 60+wants*20, qt.IsTrue)
+	}
+}
+
+// TestHomeSize bounds what a home keeps: under a megabyte for each thousand organisations,
+// and as much for each thousand nodes.
+func TestHomeSize(t *testing.T) {
+	for _, size := range []struct{ organisations, nodes int }{{1000, 70}, {10000, 70}, {10000, 1000}, {10000, 18000}} {
+		limits := organisations(size.organisations)
+		before := heapInUse()
+		h := quota.NewHome(1, sharp, 0)
+		h.SetLimits(limits, 0)
+		for i := range size.nodes {
+			node := fmt.Sprint("node-", i)
+			for number := range uint64(2) {
+				h.Answer(node, &quota.Ask{Start: 1, Number: number + 1, Home: 1, Nodes: size.nodes}, 0)
+			}
+		}
+		after := heapInUse()
+		t.Logf("%d organisations, %d nodes: %.2f MB", size.organisations, size.nodes, float64(after-before)/1e6)
+		qt.Check(t, after-before < int64(size.organisations+size.nodes)*1000, qt.IsTrue)
+		runtime.KeepAlive(h)
+	}
+}
+
+func heapInUse() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// BenchmarkAnswer takes in an Ask with one want.
+func BenchmarkAnswer(b *testing.B) {
+	for _, nodes := range []int{70, 1000, 18000} {
+		b.Run(fmt.Sprint("nodes ", nodes), func(b *testing.B) {
+			h := quota.NewHome(1, sharp, 0)
+			h.SetLimits(organisations(10000), 0)
+			names := make([]string, nodes)
+			for i := range names {
+				names[i] = fmt.Sprint("node-", i)
+			}
+			wants := []quota.Count{{Organisation: "organisation-00007", Tokens: 1}}
+			for i := range uint64(b.N) {
+				h.Answer(names[i%uint64(nodes)], &quota.Ask{Start: 1, Number: i + 1, Home: 1, Clock: time.Duration(i) * time.Microsecond, Nodes: nodes, Wants: wants}, time.Duration(i)*time.Microsecond)
+			}
+		})
+	}
+}
+
+// BenchmarkJoin takes in the right of one more node, which looks through all buckets.
+func BenchmarkJoin(b *testing.B) {
+	for _, n := range []int{100, 10000} {
+		b.Run(fmt.Sprint("organisations ", n), func(b *testing.B) {
+			h := quota.NewHome(1, sharp, 0)
+			h.SetLimits(organisations(n), 0)
+			for i := range uint64(b.N) {
+				nodes := int(i%2) * 70 // deposited and withdrawn
+				h.Answer("n", &quota.Ask{Start: 1, Number: i + 1, Home: 1, Nodes: nodes}, 0)
+			}
+		})
+	}
+}
