--- a/cmd/sassafrasctl/explain_test.go
+++ b/cmd/sassafrasctl/explain_test.go
@@ -25,6 +25,31 @@
 time=2026-12-02T10:00:01.101Z level=info event="call not answered" allowed=8 cause=refused node=n2 requestId=r1 running=8 slowdown=4 waiting=16
 `
 
+// TestSummary has requests that were refused by a rate limit. The summary gives the reason.
+func TestSummary(t *testing.T) {
+	tests := map[string]struct {
+		line, want string
+	}{
+		"limited": {
+			line: `event="request ended" cause=rateLimited organisation=o1 reason="organisation \"o1\" is beyond 10 requests a second and a burst of 5, as home n7 says" status=429 verdict=notRun`,
+			want: `cause rateLimited, .*; organisation "o1" is beyond 10 requests a second and a burst of 5, as home n7 says`,
+		},
+		"unknown": {
+			line: `event="request ended" cause=limitUnknown reason="home n7 can't say yet" status=503 verdict=notRun`,
+			want: `status 503, .*; home n7 can't say yet`,
+		},
+		"other": {
+			line: `event="request ended" cause=noUpstream reason=none status=503 verdict=notRun version=3`,
+			want: `version 3 in force`,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			qt.Check(t, summary([]logLine{parseLine(test.line)}), qt.Matches, ".*"+test.want)
+		})
+	}
+}
+
 func TestExplain(t *testing.T) {
 	dir := t.TempDir()
 	one, two := filepath.Join(dir, "n1"), filepath.Join(dir, "n2")
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -6,7 +6,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
@@ -20,6 +19,7 @@
 	whole   time.Duration // since when it is mostShare or more, or never
 	grown   float64       // the integral of share over time, in seconds
 	rights  map[string]right
+	sum     float64       // of their parts
 	soonest time.Duration // no right ends before
 	buckets map[string]*bucket
 }
@@ -97,23 +97,27 @@
 	slices.SortFunc(over, func(a, b string) int { return cmp.Compare(p.rights[a].until, p.rights[b].until) })
 	for _, name := range over {
 		p.grow(p.rights[name].until)
-		p.change(func() { delete(p.rights, name) })
+		p.hold(name, right{})
 	}
 }
 
 // never is later than any reading of the clock.
 const never = time.Duration(1<<63 - 1)
 
-// change changes the rights. Each bucket has first the depth before and then the one after,
-// as a share that goes up must not bring back what was over its edge before.
-func (p *pool) change(f func()) {
-	before := p.share
-	f()
-	var sum float64
-	for _, name := range slices.Sorted(maps.Keys(p.rights)) { // in one order, so that the same rights give the same sum
-		sum += p.rights[name].part
+// hold sets the right of a node, or takes it away if its part is 0. Each bucket has first the
+// depth before and then the one after, as a share that goes up must not bring back what was
+// over its edge before.
+func (p *pool) hold(node string, r right) {
+	p.sum += r.part - p.rights[node].part
+	if r.part > 0 {
+		p.rights[node] = r
+	} else {
+		delete(p.rights, node)
 	}
-	after := min(1, sum)
+	if len(p.rights) == 0 {
+		p.sum = 0 // what roundings have left
+	}
+	before, after := p.share, max(0, min(1, p.sum))
 	if after == before {
 		return
 	}
@@ -162,14 +166,14 @@
 		p.rights[node] = next
 		return
 	}
-	p.change(func() { p.rights[node] = next })
+	p.hold(node, next)
 }
 
 // withdraw gives a node's right back.
 func (p *pool) withdraw(node string, now time.Duration) {
 	p.advance(now)
 	if _, ok := p.rights[node]; ok {
-		p.change(func() { delete(p.rights, node) })
+		p.hold(node, right{})
 	}
 }
 
--- a/quota/size_test.go
+++ b/quota/size_test.go
@@ -75,6 +75,7 @@
 		t.Logf("%d organisations, %d nodes: %.2f MB", size.organisations, size.nodes, float64(after-before)/1e6)
 		qt.Check(t, after-before < int64(size.organisations+size.nodes)*1000, qt.IsTrue)
 		runtime.KeepAlive(h)
+		runtime.KeepAlive(limits)
 	}
 }
 
