--- a/caller/handler.go
+++ b/caller/handler.go
@@ -8,6 +8,7 @@
 	"context"
 	"crypto/rand"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -90,7 +91,7 @@
 	Suspects func(p quarantine.Fingerprint) bool
 	// Admit, if not nil, lets a request in as far as its organisation's rate limit allows,
 	// or returns why it must not run.
-	Admit func(ctx context.Context, organisation string) (*ratelimit.Pass, *verdict.Error)
+	Admit func(ctx context.Context, r ratelimit.Request) (*ratelimit.Pass, *verdict.Error)
 	// Claims keeps resent requests from running twice, for the services that ask
 	// for it. Nil refuses their requests that have a key.
 	Claims *claim.Ledger
@@ -180,7 +181,7 @@
 	x.outcome.Class = target.Class
 	x.outcome.Route = target.Route
 	x.outcome.Organisation = target.Organisation
-	if failure := x.admit(ctx, target.Organisation); failure != nil {
+	if failure := x.admit(ctx, target); failure != nil {
 		x.fail(failure)
 		return false
 	}
@@ -197,11 +198,20 @@
 
 // admit lets the request in as far as its organisation's rate limit allows. What is sent
 // again on its behalf is the same request.
-func (x *exchange) admit(ctx context.Context, organisation string) (failure *verdict.Error) {
-	if organisation == "" || x.handler.Admit == nil {
+func (x *exchange) admit(ctx context.Context, t *Target) (failure *verdict.Error) {
+	if t.Organisation == "" || x.handler.Admit == nil {
 		return nil
 	}
-	x.pass, failure = x.handler.Admit(ctx, organisation)
+	left, err := timeoutOf(x.r, x.handler.Names.OrDefault().Timeout, math.MaxInt64)
+	if err != nil {
+		return verdict.New(verdict.BadRequest, err)
+	}
+	x.pass, failure = x.handler.Admit(ctx, ratelimit.Request{
+		Organisation: t.Organisation,
+		Class:        t.Class,
+		Left:         left,
+		Objective:    t.Objective,
+	})
 	return failure
 }
 
--- a/quota/lease_test.go
+++ b/quota/lease_test.go
@@ -298,3 +298,68 @@
 		})
 	}
 }
+
+// TestLate has requests in a rush that their callers send for the second time, with little of
+// their time left. They get no token while others are refused.
+func TestLate(t *testing.T) {
+	var l quota.Lateness
+	const objective = 600 * time.Millisecond
+	tests := []struct {
+		left, at time.Duration
+		class    string
+		late     bool
+	}{
+		{left: 2 * time.Second},
+		{left: 4 * time.Second},
+		{left: 3500 * time.Millisecond},
+		{left: 3300 * time.Millisecond, late: true},
+		{left: 3300 * time.Millisecond, class: "other"},
+		{left: 3300 * time.Millisecond, at: 12 * time.Second, late: true},
+		{left: 3300 * time.Millisecond, at: 40 * time.Second},
+	}
+	for i, test := range tests {
+		qt.Check(t, l.Late(test.class, test.left, objective, test.at), qt.Equals, test.late, qt.Commentf("%d", i))
+	}
+	qt.Check(t, l.Late("", time.Second, 0, 40*time.Second), qt.IsFalse)
+
+	p := newPair(t)
+	limiter := quota.NewLimiter(p.client)
+	limiter.Next([]string{"a"}, p.now)
+	for range 3 {
+		p.exchange("a", limiter.Ask("a", p.now), 0, 0)
+		p.pass(quota.Renew)
+	}
+	var granted, refused int
+	count := func(d quota.Decision) {
+		if d.Granted {
+			granted++
+		} else {
+			refused++
+		}
+	}
+	ask := func() {
+		a := limiter.Ask("a", p.now)
+		limiter.Answered("a", a, p.homes["a"].Answer("n", a, p.now), p.now, p.now)
+	}
+	for range 100 {
+		limiter.Admit("o", false, p.now, count)
+	}
+	ask()
+	ask()
+	qt.Check(t, granted > 0 && refused > 50, qt.IsTrue, qt.Commentf("%d, %d", granted, refused))
+	p.pass(200 * time.Millisecond)
+	before := refused
+	limiter.Admit("o", true, p.now, count)
+	qt.Check(t, refused, qt.Equals, before+1, qt.Commentf("late"))
+	before = granted
+	limiter.Admit("o", false, p.now, count)
+	ask()
+	qt.Check(t, granted, qt.Equals, before+1, qt.Commentf("there was a token"))
+	for range 5 {
+		p.pass(quota.Renew)
+		ask()
+	}
+	limiter.Admit("o", true, p.now, count)
+	ask()
+	qt.Check(t, granted, qt.Equals, before+2, qt.Commentf("nobody is refused any more"))
+}
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -18,6 +18,8 @@
 	// refuseFor is how long at most a node refuses without asking once the home has
 	// refused. An organisation's rush costs each node few messages then.
 	refuseFor = 100 * time.Millisecond
+	// lateAfter is how long late requests are refused after the last refusal of others.
+	lateAfter = 300 * time.Millisecond
 	// nearly is the time for which a request waits rather than being refused: the home is
 	// asked again about then.
 	nearly = 20 * time.Millisecond
@@ -73,9 +75,18 @@
 	}
 }
 
-// Admit decides on a request, or has it wait: decide is called then by Answered, GiveUp or a
-// later call. It returns nil if it has decided.
-func (l *Limiter) Admit(organisation string, now time.Duration, decide func(Decision)) *Pending {
+// Admit decides on a request, or has it wait: decide is called then by Answered. It returns
+// nil if it has decided. A late request, which is of less worth to its caller than others,
+// gets no token while others of its organisation are refused.
+func (l *Limiter) Admit(organisation string, late bool, now time.Duration, decide func(Decision)) *Pending {
+	r, refused := l.refusals[organisation]
+	if refused && late && now < r.until+lateAfter {
+		decide(Decision{
+			Unknown: r.unknown,
+			Wait:    max(r.next-now, r.step),
+		})
+		return nil
+	}
 	if t, ok := l.Take(organisation, now); ok {
 		decide(Decision{
 			Granted: true,
@@ -83,7 +94,7 @@
 		})
 		return nil
 	}
-	if r, ok := l.refusals[organisation]; ok && now < r.until {
+	if refused && now < r.until {
 		decide(Decision{
 			Unknown: r.unknown,
 			Wait:    max(r.next-now, r.step),
@@ -92,7 +103,9 @@
 		l.refusals[organisation] = r
 		return nil
 	}
-	delete(l.refusals, organisation)
+	if refused && now >= r.until+lateAfter {
+		delete(l.refusals, organisation)
+	}
 	if l.count >= maxWaitingAll || len(l.waiting[organisation]) >= maxWaiting {
 		decide(unknown)
 		return nil
--- a/quota/world_test.go
+++ b/quota/world_test.go
@@ -308,7 +308,7 @@
 	}
 	start := n.start
 	decided := false
-	p := n.limiter.Admit(organisation, n.clock(), func(d quota.Decision) {
+	p := n.limiter.Admit(organisation, false, n.clock(), func(d quota.Decision) {
 		decided = true
 		n.decided(organisation, d, unrun)
 	})
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -62,16 +62,17 @@
 	wake     chan struct{}
 	active   atomic.Bool // whether any organisation has a limit
 
-	mu      sync.Mutex
-	set     *organisation.Set
-	limits  map[string]quota.Limit
-	home    *quota.Home
-	limiter *quota.Limiter
-	census  *quota.Census
-	tallies map[string]*tally
-	asked   string // the home that was asked last
-	probing bool
-	unsure  bool // whether the last answer left requests undecided
+	mu       sync.Mutex
+	set      *organisation.Set
+	limits   map[string]quota.Limit
+	home     *quota.Home
+	limiter  *quota.Limiter
+	census   *quota.Census
+	tallies  map[string]*tally
+	lateness quota.Lateness
+	asked    string // the home that was asked last
+	probing  bool
+	unsure   bool // whether the last answer left requests undecided
 	// answered, unanswered and answers count exchanges.
 	answered, unanswered, answers uint64
 
@@ -175,9 +176,18 @@
 	p.limiter.limiter.GiveBack(p.token, p.limiter.now())
 }
 
-// Admit lets a request of an organisation in, or returns why it must not run. It may wait
-// for a short time.
-func (l *Limiter) Admit(ctx context.Context, name string) (*Pass, *verdict.Error) {
+// Request is what is known of a request that is to be let in.
+type Request struct {
+	// Organisation is the name of its organisation, and Class its class.
+	Organisation, Class string
+	// Left is how long its caller waits, and Objective the latency within which the answer
+	// is of full value, or 0.
+	Left, Objective time.Duration
+}
+
+// Admit lets a request in, or returns why it must not run. It may wait for a short time.
+func (l *Limiter) Admit(ctx context.Context, r Request) (*Pass, *verdict.Error) {
+	name := r.Organisation
 	l.init()
 	if !l.active.Load() {
 		return nil, nil
@@ -189,7 +199,8 @@
 		l.mu.Unlock()
 		return nil, nil
 	}
-	p := l.limiter.Admit(name, l.now(), func(d quota.Decision) { decided <- d })
+	now := l.now()
+	p := l.limiter.Admit(name, l.lateness.Late(r.Class, r.Left, r.Objective, now), now, func(d quota.Decision) { decided <- d })
 	l.mu.Unlock()
 	if p != nil {
 		l.rouse()
