--- a/quota/size_test.go
+++ b/quota/size_test.go
@@ -57,6 +57,24 @@
 	}
 }
 
+// TestExchanges has 70 nodes with nothing to do, and with eleven requests a second each. A node
+// asks as often as it has to for its right, or for its requests, but not for both.
+func TestExchanges(t *testing.T) {
+	for name, rate := range map[string]float64{"idle": 0, "eleven a second": 11} {
+		const nodes = 70
+		w := newWorld(8, nodes, limited(2000, 2000))
+		if rate > 0 {
+			w.load("o", rate*nodes, 0, 20*time.Second, func() *simNode { return w.nodes[w.random.IntN(nodes)] })
+		}
+		w.run(5 * time.Second)
+		before := w.exchanges
+		w.run(15 * time.Second)
+		each := float64(w.exchanges-before) / 10 / nodes
+		t.Logf("%s: %.1f exchanges a second and node", name, each)
+		qt.Check(t, each <= 5+rate, qt.IsTrue)
+	}
+}
+
 // TestHomeSize bounds what a home keeps: under a megabyte for each thousand organisations,
 // and as much for each thousand nodes.
 func TestHomeSize(t *testing.T) {
@@ -86,7 +104,7 @@
 	return int64(m.HeapAlloc)
 }
 
-// BenchmarkAnswer takes in an Ask with one want.
+// BenchmarkAnswer takes in an Ask with one want of a node whose right is held.
 func BenchmarkAnswer(b *testing.B) {
 	for _, nodes := range []int{70, 1000, 18000} {
 		b.Run(fmt.Sprint("nodes ", nodes), func(b *testing.B) {
@@ -97,8 +115,12 @@
 				names[i] = fmt.Sprint("node-", i)
 			}
 			wants := []quota.Count{{Organisation: "organisation-00007", Tokens: 1}}
+			for _, name := range names {
+				h.Answer(name, &quota.Ask{Start: 1, Number: 1, Home: 1, Nodes: nodes}, 0)
+			}
+			b.ResetTimer()
 			for i := range uint64(b.N) {
-				h.Answer(names[i%uint64(nodes)], &quota.Ask{Start: 1, Number: i + 1, Home: 1, Clock: time.Duration(i) * time.Microsecond, Nodes: nodes, Wants: wants}, time.Duration(i)*time.Microsecond)
+				h.Answer(names[i%uint64(nodes)], &quota.Ask{Start: 1, Number: i + 2, Home: 1, Nodes: nodes, Wants: wants}, 0)
 			}
 		})
 	}
--- a/quota/world_test.go
+++ b/quota/world_test.go
@@ -51,6 +51,8 @@
 	// delay returns how long a message takes, or false if it is lost.
 	delay func() (time.Duration, bool)
 	runs  []run
+	// exchanges counts the messages that nodes have sent to homes.
+	exchanges int
 	// refused and unknown count the requests that were not let in, and waits are the times
 	// after which those beyond the limit may come back.
 	refused, unknown int
@@ -78,7 +80,7 @@
 	limiter *quota.Limiter
 	asking  bool
 	probing bool
-	wakes   bool
+	waker   int // the number of the last wake
 	unknown map[string]bool
 }
 
@@ -148,7 +150,6 @@
 	n.up = true
 	n.asking = false
 	n.probing = false
-	n.wakes = false
 	n.origin = n.w.now - time.Duration(n.w.random.Int64N(int64(time.Hour)))
 	n.home = quota.NewHome(n.w.random.Uint32()|1, n.w.bounds, n.clock())
 	n.home.SetLimits(n.limits, n.clock())
@@ -176,16 +177,12 @@
 	n.home.SetLimits(limits, n.clock())
 }
 
-// wake has the node ask soon.
+// wake has the node ask after a time, and not at the one that was set before.
 func (n *simNode) wake(after time.Duration) {
-	if n.wakes {
-		return
-	}
-	n.wakes = true
-	start := n.start
+	n.waker++
+	waker, start := n.waker, n.start
 	n.w.after(after, func() {
-		if n.start == start && n.up {
-			n.wakes = false
+		if n.start == start && n.up && n.waker == waker {
 			n.ask()
 		}
 	})
@@ -246,6 +243,7 @@
 // exchange sends an Ask and takes its answer in.
 func (n *simNode) exchange(home string, a *quota.Ask, ended func()) {
 	start, sent := n.start, n.clock()
+	n.w.exchanges++
 	done := false
 	end := func(answer *quota.Answer) {
 		if done || n.start != start || !n.up {
@@ -315,7 +313,6 @@
 	if p == nil {
 		return
 	}
-	n.wakes = false
 	n.wake(0)
 	n.w.after(longestWait, func() {
 		if n.start == start && !decided && n.limiter.Cancel(p) {
--- a/ratelimit/exchange.go
+++ b/ratelimit/exchange.go
@@ -116,7 +116,12 @@
 
 // chooseFrom returns the homes to choose from.
 func (l *Limiter) chooseFrom() []Peer {
-	if now := l.now(); l.homes == nil || now-l.homesAt >= homesFor {
+	now := l.now()
+	every := homesFor
+	if now < youngFor {
+		every = homesYoung
+	}
+	if l.homes == nil || now-l.homesAt >= every {
 		l.homes = l.Homes()
 		l.homesAt = now
 		l.connect(l.homes)
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -29,8 +29,11 @@
 	askGap = 20 * time.Millisecond
 	// unknownGap is that after an answer that decided nothing.
 	unknownGap = 50 * time.Millisecond
-	// homesFor is how long the choice of homes is kept: it takes a look at all nodes.
-	homesFor = 500 * time.Millisecond
+	// homesFor is how long the choice of homes is kept: it takes a look at all nodes. A node
+	// that has started within youngFor is still meeting the others and looks each homesYoung.
+	homesFor   = 500 * time.Millisecond
+	homesYoung = 50 * time.Millisecond
+	youngFor   = 5 * time.Second
 )
 
 // Peer is another node.
--- /dev/null
+++ b/ratelimit/limiter_test.go
@@ -0,0 +1,133 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package ratelimit_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"sassafrasfront.example/organisation"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/quota"
+	"sassafrasfront.example/ratelimit"
+	"sassafrasfront.example/verdict"
+)
+
+// alone runs a Limiter that is its own home, for f.
+func alone(t *testing.T, f func(t *testing.T, l *ratelimit.Limiter)) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &ratelimit.Limiter{
+			Bounds:  quota.Bounds{Window: 5 * time.Second},
+			Hello:   peer.Hello{Node: "n1", Control: true},
+			Homes:   func() []ratelimit.Peer { return []ratelimit.Peer{} },
+			Members: func() int { return 1 },
+			Log:     zerolog.Nop(),
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			l.Run(ctx)
+			close(done)
+		}()
+		f(t, l)
+		cancel()
+		<-done
+	})
+}
+
+// set returns organisations of which o has a limit of ten a second.
+func set(t *testing.T) *organisation.Set {
+	s, err := organisation.NewSet([]organisation.Organisation{{Name: "o", Rate: 10, Burst: 5}, {Name: "free"}})
+	qt.Assert(t, err, qt.IsNil)
+	return s
+}
+
+var (
+	request = ratelimit.Request{Organisation: "o", Left: time.Second}
+	free    = ratelimit.Request{Organisation: "free", Left: time.Second}
+)
+
+// TestAdmit lets in what the limit allows, and says why not.
+func TestAdmit(t *testing.T) {
+	alone(t, func(t *testing.T, l *ratelimit.Limiter) {
+		ctx := t.Context()
+		for range 100 {
+			_, failure := l.Admit(ctx, request)
+			qt.Assert(t, failure == nil, qt.IsTrue, qt.Commentf("nothing is limited yet"))
+		}
+		l.Told(1)
+		l.Set(set(t))
+		_, failure := l.Admit(ctx, request)
+		qt.Assert(t, failure, qt.IsNotNil)
+		qt.Check(t, failure.Cause, qt.Equals, verdict.LimitUnknown, qt.Commentf("its right may still be elsewhere"))
+		qt.Check(t, failure.RetryAfter > 0, qt.IsTrue)
+		_, failure = l.Admit(ctx, free)
+		qt.Check(t, failure == nil, qt.IsTrue)
+
+		time.Sleep(3 * time.Second)
+		var granted int
+		var passes []*ratelimit.Pass
+		for granted = 0; ; granted++ {
+			pass, refused := l.Admit(ctx, request)
+			if failure = refused; refused != nil {
+				break
+			}
+			passes = append(passes, pass)
+		}
+		qt.Check(t, granted >= 5 && granted < 30, qt.IsTrue, qt.Commentf("%d", granted))
+		qt.Check(t, failure.Cause, qt.Equals, verdict.RateLimited)
+		qt.Check(t, failure.Status(), qt.Equals, 429)
+		passes[len(passes)-1].NotRun()
+		time.Sleep(failure.RetryAfter)
+		_, failure = l.Admit(ctx, request)
+		qt.Check(t, failure == nil, qt.IsTrue, qt.Commentf("it comes back when it was told to"))
+
+		u := l.Usages(ctx, 10)
+		qt.Assert(t, u, qt.HasLen, 1)
+		qt.Check(t, u[0].Limited, qt.Equals, uint64(1))
+		qt.Check(t, u[0].Here > 0 && u[0].All > 0, qt.IsTrue)
+		l.Set(nil)
+		for range 100 {
+			_, failure := l.Admit(ctx, request)
+			qt.Assert(t, failure == nil, qt.IsTrue)
+		}
+	})
+}
+
+// TestCallerLeaves has a caller leave while its request waits for a home.
+func TestCallerLeaves(t *testing.T) {
+	alone(t, func(t *testing.T, l *ratelimit.Limiter) {
+		l.Set(set(t))
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		began := time.Now()
+		_, failure := l.Admit(ctx, request)
+		qt.Assert(t, failure, qt.IsNotNil)
+		qt.Check(t, failure.Verdict(), qt.Equals, verdict.NotRun)
+		qt.Check(t, time.Since(began), qt.Equals, 10*time.Millisecond)
+		qt.Check(t, l.State().Waiting, qt.Equals, 0)
+	})
+}
+
+// TestHandle has peers send what is no question.
+func TestHandle(t *testing.T) {
+	alone(t, func(t *testing.T, l *ratelimit.Limiter) {
+		for name, payload := range map[string][]byte{
+			"nothing":         nil,
+			"no map":          {0xc0 + 1},
+			"too long a list": {0xdd, 0xff, 0xff, 0xff, 0xff},
+		} {
+			_, err := l.Handle(peer.Hello{Node: "n2"}, payload)
+			qt.Check(t, err, qt.IsNotNil, qt.Commentf(name))
+			_, err = l.HandleRates(peer.Hello{Node: "n2"}, payload)
+			qt.Check(t, err, qt.IsNotNil, qt.Commentf(name))
+		}
+	})
+}
