contact: a test of the number of nodes that entries bear; unreadable entries don't count

Cause: the number among which rights are divided is read from entries, which another program may have written. Ruled out: an object of its own, which costs each node that starts one more read.

--- a/contact/book.go
+++ b/contact/book.go
@@ -87,6 +87,9 @@
 	listed := make(map[string]*objectapi.Object, len(list.Items))
 	for _, o := range list.Items {
 		e, err := objectapi.SpecOf[Entry](o)
+		if err == nil {
+			err = e.check()
+		}
 		if err == nil {
 			nodes = max(nodes, e.Nodes)
 		}
@@ -94,9 +97,6 @@
 			present = o
 			continue
 		}
-		if err == nil {
-			err = e.check()
-		}
 		if err != nil {
 			b.Log.Warn().Err(err).Str("node", o.Metadata.Name).Msg("contact can't be used")
 			continue
--- a/contact/book_test.go
+++ b/contact/book_test.go
@@ -45,6 +45,57 @@
 	qt.Check(t, open("a", "10.0.0.9:1", "far"), qt.DeepEquals, []string{"10.0.0.2:1", "10.0.0.3:1"}, qt.Commentf("the own zone first"))
 }
 
+// TestBookCountsNodes has nodes leave their number for those that start, and not write it anew
+// unless it has grown.
+func TestBookCountsNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		store := newMemory()
+		var known, told int
+		open := func() *contact.Book {
+			told = 0
+			return &contact.Book{
+				API:     store,
+				Node:    "a",
+				Entry:   contact.Entry{Address: "10.0.0.1:1", Zone: "z"},
+				Nodes:   func() int { return known },
+				Counted: func(n int) { told = n },
+				Log:     zerolog.Nop(),
+			}
+		}
+		steps := []struct {
+			name        string
+			restart     bool
+			known, told int
+			writes      bool
+		}{
+			{name: "not known yet", writes: true},
+			{name: "known", known: 60, writes: true},
+			{name: "the same", known: 60, told: 60},
+			{name: "more", known: 70, told: 60, writes: true},
+			{name: "a few fewer", known: 50, told: 70},
+			{name: "after a restart", restart: true, told: 70},
+			{name: "known again", known: 70, told: 70},
+			{name: "many more", known: 1000, told: 70, writes: true},
+			{name: "far fewer", known: 80, told: 1000, writes: true},
+			{name: "fewer", known: 80, told: 80},
+		}
+		b := open()
+		for _, s := range steps {
+			if s.restart {
+				b = open()
+			}
+			known = s.known
+			before := store.revision
+			b.Addresses(ctx)
+			qt.Check(t, told, qt.Equals, s.told, qt.Commentf(s.name))
+			b.Register(ctx)
+			qt.Check(t, store.revision > before, qt.Equals, s.writes, qt.Commentf(s.name))
+			time.Sleep(2 * time.Minute)
+		}
+	})
+}
+
 // TestBookWithoutPlatform returns nothing rather than failing.
 func TestBookWithoutPlatform(t *testing.T) {
 	api := &objectapi.Client{Caller: objectapi.Caller{URL: "http://127.0.0.1:1"}, Namespace: "test"}
