--- a/caller/answer.go
+++ b/caller/answer.go
@@ -66,7 +66,7 @@
 	if status == http.StatusUnauthorized {
 		h.Set("WWW-Authenticate", bearer.Challenge(x.r.Header))
 	}
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		h.Set("Retry-After", retryAfter(e.RetryAfter, names.FractionalRetryAfter))
 	}
 	body, err := json.Marshal(p)
--- a/control/control.go
+++ b/control/control.go
@@ -103,6 +103,9 @@
 	// EraHeard, if not nil, is called when another node tells of a later era of the
 	// platform, by a goroutine of its own.
 	EraHeard func(era uint64)
+	// Topics, if not nil, answer the control requests of other parts of the node, by topic.
+	// They are called by many goroutines, and must not wait.
+	Topics map[string]func(from peer.Hello, payload []byte) ([]byte, error)
 	// Quarantine, if not nil, takes in what nodes report of requests that end upstreams.
 	Quarantine *quarantine.Index
 	// Timing are the periods of the work.
--- a/verdict/cause.go
+++ b/verdict/cause.go
@@ -28,6 +28,11 @@
 	Unauthorized Cause = "unauthorized"
 	// NotFresh: the node has not heard for too long which keys are valid.
 	NotFresh Cause = "notFresh"
+	// RateLimited: the organisation is beyond its rate limit.
+	RateLimited Cause = "rateLimited"
+	// LimitUnknown: no node has said in time whether the organisation is beyond its rate
+	// limit.
+	LimitUnknown Cause = "limitUnknown"
 	// NoUpstream: the service has no upstream that takes requests.
 	NoUpstream Cause = "noUpstream"
 	// DeadlinePassed: the deadline passed before the request was sent on.
@@ -112,6 +117,8 @@
 	NotReady:           {Verdict: NotRun, Status: http.StatusServiceUnavailable},
 	Unauthorized:       {Verdict: NotRun, Status: http.StatusUnauthorized},
 	NotFresh:           {Verdict: NotRun, Status: http.StatusServiceUnavailable},
+	RateLimited:        {Verdict: NotRun, Status: http.StatusTooManyRequests},
+	LimitUnknown:       {Verdict: NotRun, Status: http.StatusServiceUnavailable},
 	NoUpstream:         {Verdict: NotRun, Status: http.StatusServiceUnavailable},
 	DeadlinePassed:     {Verdict: NotRun, Status: http.StatusServiceUnavailable},
 	DialFailed:         {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
