A watch that is not answered is followed by a read of the whole table, if that has become pressing

The platform answers plain reads meanwhile. Ruled out: a longer bound, which is the users'; reads of the whole table always, which cost its size each time.

--- a/control/freshness.go
+++ b/control/freshness.go
@@ -69,6 +69,17 @@
 	return c.proofs.Load().Age(version, c.reading())
 }
 
+// Overdue returns whether the proof is so old that something is to be done about it.
+func (c *Control) Overdue() bool {
+	age := c.TableAge(c.snapshotVersion())
+	return !age.Known || age.Time >= c.freshPart(freshAskPart)
+}
+
+// freshPart returns a part of the time within which a change has to be known.
+func (c *Control) freshPart(p float64) time.Duration {
+	return time.Duration(p * float64(c.FreshWithin))
+}
+
 // Confirm takes in that the platform answered a read of the table which was sent at the
 // given reading of the clock. What it found has been given to Configure.
 func (c *Control) Confirm(sent time.Duration) {
@@ -157,12 +168,11 @@
 	if !age.Known {
 		age.Time = reading - c.fresh.started
 	}
-	part := func(p float64) time.Duration { return time.Duration(p * float64(c.FreshWithin)) }
-	if age.Known && age.Time < part(freshAskPart) || reading-c.fresh.tried < part(freshRetryPart) {
+	if age.Known && age.Time < c.freshPart(freshAskPart) || reading-c.fresh.tried < c.freshPart(freshRetryPart) {
 		return action
 	}
 	c.fresh.tried = reading
-	if age.Time > part(freshReadPart) && c.reads.Heard(now) {
+	if age.Time > c.freshPart(freshReadPart) && c.reads.Heard(now) {
 		return follow.Read
 	}
 	return follow.Ask
@@ -179,7 +189,7 @@
 	if c.fresh == nil {
 		return d
 	}
-	return min(d, time.Duration(freshWatchPart*float64(c.FreshWithin)))
+	return min(d, c.freshPart(freshWatchPart))
 }
 
 // snapshotVersion returns the version of the table that traffic sees, or 0.
--- a/node/follow.go
+++ b/node/follow.go
@@ -22,6 +22,8 @@
 	// that if the platform answers it.
 	clock    boottime.Clock
 	answered func(sent time.Duration)
+	// overdue returns whether it has been long since the platform answered any node.
+	overdue func() bool
 }
 
 // reader reads the table of routes and the evacuated zones.
@@ -34,6 +36,7 @@
 		},
 		clock:    n.control.Clock,
 		answered: n.control.Confirm,
+		overdue:  n.control.Overdue,
 	}
 	if n.Settings.EvacuateWithin > 0 {
 		r.zones = &evacuation.Reader{
@@ -59,13 +62,19 @@
 	return r.readTable(ctx, 0) // the first read does not tell how old the table is
 }
 
-// readTable finds what has changed in the table.
+// readTable finds what has changed in the table. Where watches are not answered, and how
+// fresh the table is becomes pressing, it reads the whole table: the platform may still
+// answer that.
 func (r *configReader) readTable(ctx context.Context, wait time.Duration) error {
 	if r.clock == nil {
 		return r.table.Read(ctx, wait)
 	}
 	sent := r.clock()
 	err := r.table.Read(ctx, wait)
+	if objectapi.IsUnanswered(err) && ctx.Err() == nil && r.overdue() {
+		sent = r.clock()
+		err = r.table.ReadWhole(ctx)
+	}
 	if err == nil {
 		r.answered(sent)
 	}
