A node without a table of routes tells that its age is unknown

Cause: with revokeWithin set where services have configurations of their own, the gauge of the table's age would have failed on a pointer that only nodes with a table had. Shown: TestNoTable, which fails without the change. Ruled out: a check in each of its readers.

--- a/control/control.go
+++ b/control/control.go
@@ -181,8 +181,8 @@
 		c.heard = make(chan struct{}, 1)
 		if c.Template != nil {
 			c.reads = follow.New(cmp.Or(c.Within, defaultWithin), time.Now(), c.random)
-			c.initFresh()
 		}
+		c.initFresh()
 		c.self = c.Self.Reborn(member.Record{}, time.Now())
 		c.members.put(c.self)
 	})
--- a/control/freshness_test.go
+++ b/control/freshness_test.go
@@ -175,3 +175,8 @@
 		}
 	})
 }
+
+// TestNoTable asks a node that follows no table of routes how old that is.
+func TestNoTable(t *testing.T) {
+	qt.Check(t, new(Control).TableAge(1).Known, qt.IsFalse)
+}
