--- a/control/freshness_test.go
+++ b/control/freshness_test.go
@@ -212,3 +212,8 @@
 		qt.Check(t, c.TableAge(7), qt.Equals, freshness.Age{Known: true})
 	})
 }
+
+// TestNoTable asks a node that follows no table of routes how old that is.
+func TestNoTable(t *testing.T) {
+	qt.Check(t, new(Control).TableAge(1).Known, qt.IsFalse)
+}
