--- a/control/candidates.go
+++ b/control/candidates.go
@@ -105,15 +105,15 @@
 }
 
 // First returns the first n nodes in the order of rendezvous hashing for a subject, of those
-// that are live, stay and answer, as far as this node knows. It may be among them.
+// that are live and stay, as far as this node knows. It may be among them. Suspected nodes
+// are, too: each node suspects others, and all are to choose alike.
 func (c *Control) First(subject string, n int) []member.Record {
 	c.init()
 	var list []member.Record
 	c.do(func() {
-		now := time.Now()
 		var ids []string
 		for r := range c.members.set.All {
-			if r.Live() && r.State != member.Draining && (r.ID == c.self.ID || !now.Before(c.suspects[r.ID])) {
+			if r.Live() && r.State != member.Draining {
 				ids = append(ids, r.ID)
 			}
 		}
--- a/node/organisations.go
+++ b/node/organisations.go
@@ -18,8 +18,9 @@
 
 const (
 	// homes is the number of nodes that are chosen from to be home of the rate limits: the
-	// first, and one to take its place.
-	homes = 2
+	// first that answers. With a third of all nodes gone, one of them is there but for one
+	// time in 250.
+	homes = 5
 	// listedOrganisations bounds what is listed where nobody asks for more.
 	listedOrganisations = 50
 )
