--- a/comeback/load_test.go
+++ b/comeback/load_test.go
@@ -224,6 +224,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			before := test.mean(t, fixed(100*time.Millisecond, time.Second))
 			after := test.mean(t, advised)
 			t.Logf("fixed %+.3v, advised %+.3v", before, after)
--- a/retry/calls_test.go
+++ b/retry/calls_test.go
@@ -51,7 +51,11 @@
 			time.Sleep(200 * time.Millisecond)
 			if random.Float64() < 0.3/(0.3+0.4) {
 				all[0]++
-				if answered(callPart) && answered(callPart) {
+				both := true
+				for range 2 {
+					both = both && answered(callPart)
+				}
+				if both {
 					good[0]++
 				}
 				continue
