--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 # short soak of two seeds without the promises that have a bound on time.
 test: lint
 	go test -timeout 300s $(SKIPPED) work
-	go test -race -timeout 300s $(SKIPPED) ./admit ./blocklist ./caller ./cold ./control ./entry ./gate ./node ./peer ./platform ./objectapi ./quarantine ./rollout ./upstream
+	go test -race -timeout 300s $(SKIPPED) ./admit ./blocklist ./caller ./cold ./control ./entry ./gate ./node ./peer ./platform ./objectapi ./quarantine ./ratelimit ./rollout ./upstream
 	$(MAKE) fuzz
 	$(MAKE) soak
 
