Rate limits go by a clock that goes on while the instance is suspended

Cause: leases and tokens were reckoned by the runtime's clock, which stands still then, so that a node that wakes up would have taken its deposit for younger than its home does. Ruled out: a clock of its own; the one for the freshness of the table serves both. Behaviour is the same where nothing is suspended (tests of quota and ratelimit pass).

--- a/node/keys.go
+++ b/node/keys.go
@@ -24,12 +24,17 @@
 	if n.Settings.RevokeWithin == 0 {
 		return
 	}
+	n.control.Clock = n.clock()
+	n.control.FreshWithin = n.Settings.RevokeWithin
+}
+
+// clock returns a clock that goes on while the instance is suspended, if there is one.
+func (n *Node) clock() boottime.Clock {
 	clock, err := boottime.New()
 	if err != nil {
 		n.Log.Warn().Err(err).Msg("no clock that goes on while the instance is suspended")
 	}
-	n.control.Clock = clock
-	n.control.FreshWithin = n.Settings.RevokeWithin
+	return clock
 }
 
 // keys returns how keys are judged.
--- a/node/organisations.go
+++ b/node/organisations.go
@@ -44,6 +44,7 @@
 			Silence:   peerSilence,
 			Handshake: peerHandshake,
 		},
+		Clock:    n.clock(),
 		Counters: &n.metrics.control,
 		Homes:    n.homes,
 		Members:  func() int { return n.control.Snapshot().Members },
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"sassafrasfront.example/internal/boottime"
 	"sassafrasfront.example/organisation"
 	"sassafrasfront.example/peer"
 	"sassafrasfront.example/quota"
@@ -57,11 +58,14 @@
 	Homes func() []Peer
 	// Members returns the number of live nodes that are known.
 	Members func() int
+	// Clock goes on while the instance is suspended: a lease or a token ends then as well.
+	// Nil means the runtime's clock.
+	Clock boottime.Clock
 	// Log takes the events.
 	Log zerolog.Logger
 
 	starting sync.Once
-	began    time.Time
+	began    time.Duration // by Clock
 	wake     chan struct{}
 	active   atomic.Bool // whether any organisation has a limit
 
@@ -88,10 +92,13 @@
 
 func (l *Limiter) init() {
 	l.starting.Do(func() {
-		l.began = time.Now()
+		if l.Clock == nil {
+			l.Clock = boottime.Steady()
+		}
+		l.began = l.Clock()
 		l.wake = make(chan struct{}, 1)
 		l.home = quota.NewHome(rand.Uint32()|1, l.Bounds, 0)
-		l.limiter = quota.NewLimiter(quota.NewClient(uint64(l.began.UnixMilli()), 0))
+		l.limiter = quota.NewLimiter(quota.NewClient(uint64(time.Now().UnixMilli()), 0))
 		l.census = quota.NewCensus(0)
 		l.tallies = make(map[string]*tally)
 		l.clients = make(map[string]*peer.Client)
@@ -99,7 +106,7 @@
 }
 
 // now reads the clock.
-func (l *Limiter) now() time.Duration { return time.Since(l.began) }
+func (l *Limiter) now() time.Duration { return l.Clock() - l.began }
 
 // Set takes in the organisations in force.
 func (l *Limiter) Set(s *organisation.Set) {
