--- a/freshness/state.go
+++ b/freshness/state.go
@@ -29,7 +29,8 @@
 // before a moment by the clock of the node that holds it. The zero value is none.
 type Proof struct {
 	Version uint64
-	At      time.Duration
+	// At is the moment, by that clock.
+	At time.Duration
 }
 
 // known returns whether p is any.
@@ -94,13 +95,13 @@
 	return theirs + o.at(about)
 }
 
-// State is what one node knows; New makes it. Times are readings of its clock. It is not
+// State is what one node knows of proofs and of others' clocks; New makes it. Times are readings of its clock. It is not
 // safe for use by several goroutines at once.
 type State struct {
 	clock   uint64
 	proofs  Proofs
-	inForce uint64
-	offsets map[uint64]offset
+	inForce uint64            // the version
+	offsets map[uint64]offset // by clock
 }
 
 // New returns the State of a process that starts.
@@ -111,7 +112,7 @@
 	}
 }
 
-// Proofs returns what is known.
+// Proofs returns the latest proofs.
 func (s *State) Proofs() Proofs { return s.proofs }
 
 // InForce takes in the version that is in force now.
@@ -127,7 +128,10 @@
 // Read takes in a read that the platform answered, which was sent at the given time, after
 // what it found is in force.
 func (s *State) Read(sent time.Duration) {
-	s.take(Proof{Version: s.inForce, At: sent})
+	s.take(Proof{
+		Version: s.inForce,
+		At:      sent,
+	})
 }
 
 // take takes in a proof.
--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -2,10 +2,6 @@
 // Use of this source code is governed by a BSD-style
 // license that can be found in the LICENSE file.
 
-// Package boottime reads a clock that goes on while the machine is suspended.
-//
-// The runtime's monotonic clock may stand still then, so that a process that wakes up
-// would take what it knew for younger than it is.
 package boottime
 
 import (
--- a/member/order.go
+++ b/member/order.go
@@ -19,7 +19,7 @@
 func Order(subject string, ids []string) []string {
 	weight := make(map[string]uint64, len(ids))
 	for _, id := range ids {
-		weight[id] = xxhash.Sum64String(subject + "\x00" + id)
+		weight[id] = weightOf(subject, id)
 	}
 	list := append([]string(nil), ids...)
 	sort.Slice(list, func(i, j int) bool {
@@ -29,13 +29,17 @@
 	return list
 }
 
+// weightOf returns the weight of an id for a subject, by which the order goes: the heaviest
+// comes first.
+func weightOf(subject, id string) uint64 { return xxhash.Sum64String(subject + "\x00" + id) }
+
 // RankOf returns the place of id in the order for a subject, from 0, without
 // sorting. An id that is not among the ids gets the place it would have.
 func RankOf(subject, id string, ids []string) int {
-	own := xxhash.Sum64String(subject + "\x00" + id)
+	own := weightOf(subject, id)
 	var rank int
 	for _, other := range ids {
-		w := xxhash.Sum64String(subject + "\x00" + other)
+		w := weightOf(subject, other)
 		if w > own || w == own && other < id {
 			rank++
 		}
@@ -43,7 +47,7 @@
 	return rank
 }
 
-// First returns the first n ids of the order for a subject, without sorting.
+// First returns the first n ids in the order for a subject, without sorting.
 func First(subject string, ids []string, n int) []string {
 	type weighed struct {
 		id     string
@@ -51,7 +55,10 @@
 	}
 	var first []weighed
 	for _, id := range ids {
-		w := weighed{id: id, weight: xxhash.Sum64String(subject + "\x00" + id)}
+		w := weighed{
+			id:     id,
+			weight: weightOf(subject, id),
+		}
 		place := sort.Search(len(first), func(i int) bool {
 			return first[i].weight < w.weight || first[i].weight == w.weight && first[i].id > w.id
 		})
