peer: say what the fields of the quota count

Cause: fields without a unit, a local type named gift where the field says grant, a result that shadows the predeclared any, and a figure of a measurement as the reason for the quota, which the silence of connections explains by itself. Ruled out: another name for the type; the glossary has quota with this meaning. Behaviour is unchanged: the tests of peer pass.

--- a/peer/quota.go
+++ b/peer/quota.go
@@ -27,8 +27,7 @@
 
 // quota bounds the body bytes that all peers together may have under way to this
 // node, so that they don't stand in the queue of its link. There, each connection
-// looks silent that has a small message behind them: on links of 10 Mbit/s, with
-// requests of 60 KB on average, hundreds of calls a minute were lost to that.
+// looks silent that has a small message behind them, and its calls are lost.
 //
 // The call that asked first goes first, so that it is known when a body will be there, and
 // bodies are there sooner than if they shared the link: of ten that come at once and take
@@ -38,13 +37,13 @@
 // there, the shortest doesn't go first: long bodies that were accepted would be overtaken
 // until they are late. A nil quota bounds nothing.
 type quota struct {
-	most int // that may be under way
+	most int // bytes that may be under way
 
 	mu      sync.Mutex
-	free    int
-	demands []*demand // that want bytes, the one that asked first comes first
-	sent    []*demand // that have bytes under way
-	again   *time.Timer
+	free    int         // bytes that may be given now
+	demands []*demand   // that want bytes, the one that asked first comes first
+	sent    []*demand   // that have bytes under way
+	again   *time.Timer // has what is free given again, or nil before its first use
 	speed   speed
 }
 
@@ -54,7 +53,7 @@
 	give func(n int)
 
 	// The quota's mutex guards what follows.
-	want, underWay int
+	want, underWay int       // bytes
 	heard          time.Time // when it was last given bytes, or some arrived
 	begun          bool      // whether any bytes have arrived
 	late           bool      // whether what it was given is overdue
@@ -134,16 +133,16 @@
 
 // writeOff takes bytes that are overdue for not sent, and returns whether there were any.
 // The lock is held.
-func (q *quota) writeOff() (any bool) {
+func (q *quota) writeOff() (found bool) {
 	now := time.Now()
 	for _, d := range slices.Clone(q.sent) {
 		if now.Sub(d.heard) >= overdue {
 			d.late = true
 			q.settle(d, d.underWay)
-			any = true
+			found = true
 		}
 	}
-	return any
+	return found
 }
 
 // dealAgain has what is free given again later, for the case that nothing arrives until
@@ -169,11 +168,11 @@
 
 // deal gives what is free to the calls whose turn it is, and unlocks.
 func (q *quota) deal() {
-	type gift struct {
+	type grant struct {
 		to *demand
 		n  int
 	}
-	var gifts []gift
+	var grants []grant
 	for {
 		d := q.next()
 		if d == nil {
@@ -194,13 +193,16 @@
 		d.want -= n
 		d.underWay += n
 		q.free -= n
-		gifts = append(gifts, gift{d, n})
+		grants = append(grants, grant{
+			to: d,
+			n:  n,
+		})
 		if d.want == 0 {
 			q.drop(d)
 		}
 	}
 	q.mu.Unlock()
-	for _, g := range gifts {
+	for _, g := range grants {
 		g.to.give(g.n)
 	}
 }
