fair: name ranks and sums by what they hold

Cause: got, each, keep, few, fill and the ranks owing, keeping and beyond can be understood from their uses only; three fields had no comment, and of one that had it is now said that it holds as of the making of the flow. Ruled out: other names for Flow and Flows, which the glossary has. Behaviour is unchanged: the tests of fair and admit pass.

--- a/fair/flows.go
+++ b/fair/flows.go
@@ -10,9 +10,9 @@
 	// heldGain is the weight of one request in the mean time for which those of its
 	// organisation hold a slot.
 	heldGain = 0.1
-	// keep is how long an organisation is remembered after its last request. One that
-	// comes back later owes nothing.
-	keep = 5 * time.Second
+	// rememberFor is how long an organisation is remembered after its last request. What it
+	// has used before that does not count any more when it comes back.
+	rememberFor = 5 * time.Second
 )
 
 // Flows are the organisations whose requests share slots. The zero value is ready for
@@ -22,23 +22,23 @@
 	// Without it all have the same.
 	Weight func(organisation string) float64
 
-	list    map[string]*Flow
-	active  []*Flow   // those with requests that wait or run
-	virtual float64   // start tag of the flow that had the last turn
-	crowded bool      // whether some organisations crowd out others
-	level   float64   // slots for each unit of weight then
-	filled  time.Time // when the level was found out
-	demand  float64   // sum over all flows, when filled
-	got     float64
-	weights float64 // sum of the weights of all flows but that without a name
-	swept   time.Time
+	list    map[string]*Flow // by organisation
+	active  []*Flow          // those with requests that wait or run
+	virtual float64          // start tag of the flow that had the last turn
+	crowded bool             // whether some organisations crowd out others
+	level   float64          // slots for each unit of weight then
+	levelAt time.Time        // when the level was found out
+	demand  float64          // sum over all flows at levelAt
+	served  float64          // sum over all flows at levelAt
+	weights float64          // sum of the weights of all flows but that without a name
+	swept   time.Time        // when flows were last forgotten
 }
 
 // Flow is one organisation, or all requests that have none.
 type Flow struct {
 	flows    *Flows
 	name     string
-	weight   float64
+	weight   float64 // as of when it was made
 	start    float64 // start tag of its first waiting request
 	finish   float64 // finish tag of the request that started last
 	waiting  int
@@ -46,10 +46,10 @@
 	index    int       // among the active ones
 	held     float64   // mean time for which its requests hold a slot in seconds, 0 if not known
 	demand   float64   // slots that its requests would hold, mean of the last seconds
-	got      float64   // slots that those of them hold which started
+	served   float64   // the part of demand whose requests have started
 	each     float64   // slots that one request adds to demand
-	faded    time.Time // when demand was found out
-	lastUsed time.Time
+	fadedAt  time.Time // when demand and served were last brought up to date
+	lastUsed time.Time // when it last came, or one of its requests ended
 }
 
 // Flow returns the flow of an organisation. The empty name stands for requests that
@@ -80,12 +80,12 @@
 
 // sweep forgets the flows that have not been used for long, now and then.
 func (f *Flows) sweep(now time.Time) {
-	if now.Sub(f.swept) < keep {
+	if now.Sub(f.swept) < rememberFor {
 		return
 	}
 	f.swept = now
 	for name, l := range f.list {
-		if l.waiting+l.running > 0 || now.Sub(l.lastUsed) < keep {
+		if l.waiting+l.running > 0 || now.Sub(l.lastUsed) < rememberFor {
 			continue
 		}
 		delete(f.list, name)
@@ -112,7 +112,7 @@
 	return n
 }
 
-// Restart forgets for how long requests have held slots.
+// Restart forgets for how long requests have held slots, as the upstream has started anew.
 func (f *Flows) Restart() {
 	for _, l := range f.list {
 		l.held = 0
@@ -148,11 +148,11 @@
 // Leave takes in that a request waits no more and has not run.
 func (l *Flow) Leave() {
 	l.waiting--
-	l.rest()
+	l.deactivate()
 }
 
-// rest takes the flow off the active ones if none of its requests waits or runs.
-func (l *Flow) rest() {
+// deactivate takes the flow off the active ones if none of its requests waits or runs.
+func (l *Flow) deactivate() {
 	if l.waiting+l.running > 0 {
 		return
 	}
@@ -171,7 +171,7 @@
 	f.virtual = max(f.virtual, l.start)
 	l.finish = l.start + expected.Seconds()/l.share()
 	l.start = l.finish
-	l.got += expected.Seconds() / demandTime.Seconds()
+	l.served += expected.Seconds() / demandTime.Seconds()
 	l.waiting--
 	l.running++
 }
@@ -197,7 +197,7 @@
 	more := (held - expected).Seconds() / l.share()
 	l.finish += more
 	l.start += more
-	l.rest()
+	l.deactivate()
 }
 
 // share returns the weight of the flow. Requests without an organisation may belong to
--- a/fair/level.go
+++ b/fair/level.go
@@ -11,17 +11,17 @@
 
 const (
 	// demandTime is the time constant of the mean demand of an organisation: some requests
-	// of a small one, and short against a rush.
+	// of a small one come in it, and a rush lasts longer.
 	demandTime = 2 * time.Second
-	// few is the number of requests within that time which say nothing of an organisation:
-	// it is never beyond its part with as many.
-	few = 3
+	// spare is the number of requests within that time that an organisation may have beside
+	// its part: so few say nothing of what it asks for.
+	spare = 3
 	// levelEvery is how often the level is found out anew.
 	levelEvery = 100 * time.Millisecond
 	// levelSteps is the number of steps in which it is found, each to half of the error.
 	levelSteps = 24
 	// leastServed is how often an organisation is served at least, as a part of how often
-	// all are. A quarter is promised.
+	// all are. It leaves room above the quarter that is promised.
 	leastServed = 1.0 / 3
 )
 
@@ -31,33 +31,33 @@
 // would get if each had what it asks for, but at most the same as the others for its
 // weight. The parts P_i of the slots S by demands d_i and weights w_i are max-min fair,
 //
-//	P_i = min(d_i, w_i L + a few requests), with L such that the sum of all P_i is S,
+//	P_i = min(d_i, w_i L + spare requests), with L such that the sum of all P_i is S,
 //
-// so that what its organisation doesn't use of a part goes to the others. Where few
-// requests of each are too many, nobody is to blame. See D. Bertsekas and R. Gallager,
-// Data Networks, 1992, section 6.5.2.
+// so that what an organisation doesn't use of its part goes to the others. Where the slots
+// are too few for the spare requests alone, no organisation is the cause, and all are
+// treated alike. See D. Bertsekas and R. Gallager, Data Networks, 1992, section 6.5.2.
 func (l *Flow) Ask(expected time.Duration, slots float64, now time.Time) bool {
 	f := l.flows
 	l.fade(now)
 	l.each = expected.Seconds() / demandTime.Seconds()
 	l.demand += l.each
-	if len(f.list) > 1 && now.Sub(f.filled) >= levelEvery {
-		f.fill(slots, now)
+	if len(f.list) > 1 && now.Sub(f.levelAt) >= levelEvery {
+		f.findLevel(slots, now)
 	}
-	return l.rank() < beyond
+	return l.rank() < beyondPart
 }
 
 // rank orders organisations before their tags do.
 type rank int
 
 const (
-	// owing is to be served first: so few of its requests have been, beside those of all,
-	// that it has at least one to come.
-	owing rank = iota
-	// keeping is an organisation that keeps to its part while others crowd it out.
-	keeping
-	// beyond is one that asks for more, and any one where nobody crowds others out.
-	beyond
+	// underserved is an organisation of whose requests so few have been served, beside those
+	// of all, that at least one more is due.
+	underserved rank = iota
+	// withinPart is one that keeps to its part while others crowd it out.
+	withinPart
+	// beyondPart is one that asks for more, and any one where nobody crowds others out.
+	beyondPart
 )
 
 // rank returns that of the organisation now.
@@ -65,38 +65,38 @@
 	f := l.flows
 	switch {
 	case !f.crowded || len(f.list) == 1:
-		return beyond
-	case leastServed*f.got/f.demand*l.demand-l.got >= l.each:
-		return owing
+		return beyondPart
+	case leastServed*f.served/f.demand*l.demand-l.served >= l.each:
+		return underserved
 	case l.demand <= l.part(f.level):
-		return keeping
+		return withinPart
 	}
-	return beyond
+	return beyondPart
 }
 
-// fade brings the demand to the given time.
+// fade brings demand and served to the given time.
 func (l *Flow) fade(now time.Time) {
-	left := math.Exp(-float64(now.Sub(l.faded)) / float64(demandTime))
+	left := math.Exp(-float64(now.Sub(l.fadedAt)) / float64(demandTime))
 	l.demand *= left
-	l.got *= left
-	l.faded = now
+	l.served *= left
+	l.fadedAt = now
 }
 
 // part returns the most that the organisation gets at the given level.
 func (l *Flow) part(level float64) float64 {
-	return level*l.share() + few*l.each
+	return level*l.share() + spare*l.each
 }
 
-// fill finds out the level at which the slots are used up, if some organisations crowd
+// findLevel finds the level at which the slots are used up, if some organisations crowd
 // out others.
-func (f *Flows) fill(slots float64, now time.Time) {
-	f.filled = now
-	f.demand, f.got = 0, 0
+func (f *Flows) findLevel(slots float64, now time.Time) {
+	f.levelAt = now
+	f.demand, f.served = 0, 0
 	var most float64
 	for _, l := range f.list {
 		l.fade(now)
 		f.demand += l.demand
-		f.got += l.got
+		f.served += l.served
 		most = max(most, l.demand/l.share())
 	}
 	f.crowded = f.demand > slots && f.given(0) <= slots
