--- a/admit/expect.go
+++ b/admit/expect.go
@@ -13,7 +13,7 @@
 // Expect is EnterFor for a request whose body has yet to come in, which is likely to take the
 // given time: it is refused at once if it would be refused now with its body there, or if
 // that comes too late, and otherwise takes no slot until Arrive is called on its ticket. A
-// slot that is held while a body crosses a slow link serves nobody.
+// slot that is held while a body crosses a slow link is of no use to any request.
 func (g *Gate) Expect(organisation, class string, deadline time.Time, coming time.Duration) *Ticket {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/admit/gate.go
+++ b/admit/gate.go
@@ -12,35 +12,6 @@
 	"sassafrasfront.example/verdict"
 )
 
-// Report is a gate's load at one instant.
-type Report struct {
-	// Running and Waiting count the requests in the two states.
-	Running, Waiting int
-	// Allowed is the number of requests that may run now, at most the slots.
-	Allowed int
-	// Service is the expected service time at the usual speed. It is the larger of
-	// the mean over recent requests, each divided by the slowdown that it began
-	// with, and the mean age of the running ones, so that it grows at once when the
-	// upstream stops answering. It is zero before the first request has ended.
-	Service time.Duration
-	// Draining is whether the gate refuses all new requests.
-	Draining bool
-	// Slowdown is how many times longer than usual work takes now, as the
-	// upstream told last. It is 1 if it has not told.
-	Slowdown float64
-	// Pace is the least slowdown of the last second.
-	Pace float64
-	// Rest is the expected rest of the present slow spell, 0 if there is none.
-	Rest time.Duration
-	// Failing is the share of the latest requests that the upstream failed.
-	Failing float64
-	// Organisations is the number of them with waiting requests, summed over the classes.
-	Organisations int
-	// Displaced is the number of requests so far that were refused while they waited, as
-	// the queue was full and their organisation had most in it.
-	Displaced uint64
-}
-
 // Gate admits requests to one upstream. The zero value refuses everything
 // until Set is called. Its methods may be called from any goroutine.
 type Gate struct {
@@ -137,39 +108,6 @@
 	}
 }
 
-// Report returns the gate's present load.
-func (g *Gate) Report() Report {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := time.Now()
-	var service time.Duration
-	if g.limiter.fast > 0 {
-		service = g.service(now)
-	}
-	return Report{
-		Running:  g.running,
-		Waiting:  g.waiting + g.expected,
-		Allowed:  g.allowed(now),
-		Service:  service,
-		Draining: g.draining,
-		Slowdown: g.slow(),
-		Pace:     g.pace.value(now),
-		Rest:     g.spells.rest(now, maxRest),
-		Failing:  g.failing.Value(now),
-
-		Organisations: g.organisations(),
-		Displaced:     g.displaced,
-	}
-}
-
-// organisations returns what Report says of them.
-func (g *Gate) organisations() (sum int) {
-	for _, q := range g.classes {
-		sum += q.flows.Waiting()
-	}
-	return sum
-}
-
 // Ran takes in whether the upstream failed a request that it was sent.
 func (g *Gate) Ran(failed bool) {
 	g.mu.Lock()
@@ -288,25 +226,6 @@
 	return nil
 }
 
-// agePatience divides the age of running requests where the upstream tells its
-// speed: requests that began while it was slow stay slow, and only an age that
-// no slowdown explains says that it hangs. Slowdowns of four have been seen.
-const agePatience = 6
-
-// service returns the expected service time at the given time, for an upstream
-// that runs at its usual speed.
-func (g *Gate) service(now time.Time) time.Duration {
-	mean := time.Duration(g.limiter.fast * float64(time.Second))
-	if g.running == 0 {
-		return mean
-	}
-	age := now.Sub(g.epoch) - g.startSum/time.Duration(g.running)
-	if g.slowdown > 0 {
-		age /= agePatience
-	}
-	return max(mean, age)
-}
-
 // revoke refuses t with err if it waits, and returns whether it did.
 func (g *Gate) revoke(t *Ticket, err *verdict.Error) bool {
 	g.mu.Lock()
--- a/admit/ticket.go
+++ b/admit/ticket.go
@@ -20,7 +20,7 @@
 	running
 	refused
 	released
-	expected
+	expected // waits for its body, and for no slot yet
 )
 
 // Ticket is one request's place at a Gate.
--- a/admit/wait.go
+++ b/admit/wait.go
@@ -101,9 +101,9 @@
 // if that is lower than t's, or else in a class of the same priority, if it is another
 // organisation that has more there than that of t.
 func (g *Gate) shed(t *Ticket, err *verdict.Error) bool {
-	victim := g.lower(t)
+	victim := g.lowerPriority(t)
 	if victim == nil {
-		if victim = g.greedier(t); victim == nil {
+		if victim = g.largerFlow(t); victim == nil {
 			return false
 		}
 		g.displaced++
@@ -119,8 +119,8 @@
 	return true
 }
 
-// lower returns the request that gives way to t by its priority, or nil.
-func (g *Gate) lower(t *Ticket) *Ticket {
+// lowerPriority returns the request that gives way to t by its priority, or nil.
+func (g *Gate) lowerPriority(t *Ticket) *Ticket {
 	var lowest *classQueue
 	for _, q := range g.classes {
 		if len(q.waiting) == 0 || q.class.Priority >= t.queue.class.Priority {
@@ -136,9 +136,9 @@
 	return lowest.newest()
 }
 
-// greedier returns the request that gives way to t because its organisation has more
+// largerFlow returns the request that gives way to t because its organisation has more
 // of them waiting, or nil.
-func (g *Gate) greedier(t *Ticket) *Ticket {
+func (g *Gate) largerFlow(t *Ticket) *Ticket {
 	var victim *Ticket
 	most := t.flow.Waiting()
 	for _, q := range g.classes {
