--- /dev/null
+++ b/caller/request.go
@@ -0,0 +1,212 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package caller
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/propagation"
+
+	"sassafrasfront.example/bearer"
+	"sassafrasfront.example/entry"
+	"sassafrasfront.example/internal/httpfield"
+	"sassafrasfront.example/internal/tracing"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/quarantine"
+	"sassafrasfront.example/spool"
+	"sassafrasfront.example/upstream"
+	"sassafrasfront.example/verdict"
+)
+
+// claimLimit is the largest body, in bytes, that is read before a request with an
+// IdempotencyKey is sent on: it is claimed by its whole body. Others are gathered as far as
+// they go with the call.
+const claimLimit = 64 << 10
+
+// carriable returns why the request can't be carried, or nil if it can. A head
+// of more than maxHead bytes can't, unless maxHead is 0.
+func carriable(r *http.Request, maxHead int) *verdict.Error {
+	if n := headSize(r); maxHead > 0 && n > maxHead {
+		return verdict.New(verdict.HeadTooLarge, eris.Errorf("a head of %d bytes is over %d", n, maxHead))
+	}
+	if r.Method == http.MethodConnect {
+		return verdict.New(verdict.NotSupported, eris.New("CONNECT is not supported"))
+	}
+	if u := r.Header.Get("Upgrade"); u != "" && !strings.EqualFold(u, "h2c") {
+		return verdict.New(verdict.NotSupported, eris.Errorf("Upgrade to %q is not supported", u))
+	}
+	if u := r.URL.RequestURI(); u != "*" && !strings.HasPrefix(u, "/") {
+		return verdict.New(verdict.BadRequest, eris.New("the request target is not a path"))
+	}
+	return nil
+}
+
+// request returns the request as it is sent on.
+func (x *exchange) request(ctx context.Context, t *Target) (*entry.Request, *verdict.Error) {
+	r := x.r
+	names := x.handler.Names.OrDefault()
+	timeout, err := timeoutOf(r, names.Timeout, t.Timeout)
+	if err != nil {
+		return nil, verdict.New(verdict.BadRequest, err)
+	}
+	q := &entry.Request{
+		Service:      t.Service.Name,
+		Class:        t.Class,
+		Organisation: t.Organisation,
+		Method:       r.Method,
+		Target:       r.URL.RequestURI(),
+		Host:         r.Host,
+		Length:       r.ContentLength,
+		Idempotent:   t.Idempotent,
+		Attempts:     t.Attempts,
+		Regions:      t.Regions,
+		Objective:    t.Objective,
+		Deadline:     x.began.Add(timeout),
+		Inform:       x.inform,
+	}
+	if failure := x.body(q, t.MaxBody); failure != nil {
+		return nil, failure
+	}
+	if failure := x.print(q); failure != nil {
+		return nil, failure
+	}
+	h := x.handler.forward(r)
+	x.name(h, names, t)
+	tracing.Inject(ctx, propagation.HeaderCarrier(h))
+	q.Header = httpfield.From(h)
+	if len(q.Header) > peer.MaxFields {
+		return nil, verdict.New(verdict.TooLarge, eris.Errorf("%d header fields are over %d", len(q.Header), peer.MaxFields))
+	}
+	return q, nil
+}
+
+// print takes the fingerprint of the request. A body that is streamed is part of it only
+// if a request with this head is suspected of ending upstreams: its first bytes are then
+// waited for.
+func (x *exchange) print(q *entry.Request) *verdict.Error {
+	q.Print = quarantine.Head(x.handler.Service, q.Method, q.Host, q.Target)
+	switch {
+	case q.Kept == nil && q.Stream == nil:
+		q.Print = q.Print.WithBody(q.Body)
+	case x.handler.Suspects != nil && x.handler.Suspects(q.Print):
+		body, err := x.readUntil(q.Deadline, func() ([]byte, error) { return x.streamed.peek(quarantine.MaxBody) })
+		if err != nil {
+			return verdict.New(verdict.BadRequest, eris.Wrap(err, "body"))
+		}
+		q.Print = q.Print.WithBody(body)
+	}
+	x.outcome.Print = q.Print
+	return nil
+}
+
+// readUntil returns what read reads of the body, which fails if the caller has not sent
+// it by then.
+func (x *exchange) readUntil(until time.Time, read func() ([]byte, error)) ([]byte, error) {
+	control := http.NewResponseController(x.w)
+	_ = control.SetReadDeadline(until)
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	return read()
+}
+
+// name sets the fields by which the upstream knows the request, and removes the caller's
+// key.
+func (x *exchange) name(h http.Header, names upstream.Names, t *Target) {
+	h.Del(names.Timeout)
+	if names.MakesIDs() {
+		h.Set(names.RequestID, x.outcome.ID)
+	}
+	if names.CallerService != "" {
+		h.Set(names.CallerService, x.handler.Service)
+	}
+	if names.Expected != "" {
+		h.Del(names.Expected)
+	}
+	if t.Keyed {
+		bearer.Strip(h, t.Organisation == "")
+		nameOrganisation(h, names.Organisation, t.Organisation)
+	}
+}
+
+// timeoutOf returns the time that the request has: what the caller asks for, but
+// no more than most.
+func timeoutOf(r *http.Request, name string, most time.Duration) (time.Duration, error) {
+	v := r.Header.Get(name)
+	if v == "" {
+		return most, nil
+	}
+	ms, err := strconv.ParseInt(v, 10, 32)
+	if err != nil || ms < 0 {
+		return 0, eris.Errorf("%s: %q is not a number of milliseconds", name, v)
+	}
+	return min(most, time.Duration(ms)*time.Millisecond), nil
+}
+
+// idempotent returns whether running a request with the method twice does no
+// harm (RFC 9110, section 9.2.2).
+func idempotent(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace, http.MethodPut, http.MethodDelete:
+		return true
+	}
+	return false
+}
+
+// gatherLimit returns the largest body, in bytes, that is read before the request is sent on.
+func (x *exchange) gatherLimit() int64 {
+	if x.r.Header.Get(IdempotencyKey) != "" {
+		return claimLimit
+	}
+	return entry.InlineBody
+}
+
+// stream has the body read while the request is under way: an answer may begin before it
+// has ended.
+func (x *exchange) stream(most int64) *streamedBody {
+	_ = http.NewResponseController(x.w).EnableFullDuplex()
+	x.streamed = &streamedBody{
+		reader:   http.MaxBytesReader(x.w, x.r.Body, most),
+		request:  x.r,
+		broken:   &x.broken,
+		withheld: withheld(x.handler.Names.OrDefault()),
+	}
+	return x.streamed
+}
+
+// body reads a small body, has a larger one sent on as it comes in and kept, so that it can
+// be sent again, and a very large one sent on without being kept. A caller that expects
+// 100-continue is asked for its body only once an upstream has admitted the
+// request.
+func (x *exchange) body(q *entry.Request, most int64) *verdict.Error {
+	r := x.r
+	switch {
+	case r.ContentLength > most:
+		return verdict.New(verdict.TooLarge, eris.Errorf("a body of %d bytes is over %d", r.ContentLength, most))
+	case r.ContentLength == 0:
+		return nil
+	case r.ContentLength < 0 || r.ContentLength > peer.MaxAhead || r.Header.Get("Expect") != "":
+		q.Stream = entry.Once(x.stream(most))
+		return nil
+	case r.ContentLength > x.gatherLimit():
+		x.kept = &spool.Body{
+			Reader: x.stream(most),
+			Length: r.ContentLength,
+		}
+		q.Kept = x.kept
+		return nil
+	}
+	data, err := x.readUntil(q.Deadline, func() ([]byte, error) { return io.ReadAll(r.Body) })
+	if err != nil {
+		x.broken.Store(true)
+		return verdict.New(verdict.BadRequest, eris.Wrap(err, "body"))
+	}
+	q.Body = data
+	return nil
+}
--- /dev/null
+++ b/route/view.go
@@ -0,0 +1,82 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package route
+
+import "time"
+
+// view is the pool as a policy sees it.
+type view[K comparable] struct {
+	pool *Pool[K]
+	now  time.Time
+	body int64 // that is to be sent, in bytes
+}
+
+// Len implements View.
+func (v view[K]) Len() int { return len(v.pool.usable) }
+
+// At implements View.
+func (v view[K]) At(i int) Candidate {
+	p, e := v.pool, v.pool.usable[i]
+	c := Candidate{
+		Own:      e.own,
+		Load:     max(p.load, float64(e.own)),
+		Allowed:  max(1, e.target.Slots),
+		Service:  p.meanService(),
+		Distance: e.target.Distance,
+		Crossing: e.target.Crossing,
+		Usual:    p.meanService(),
+		Local:    e.target.Local,
+		Slowdown: 1,
+	}
+	if !e.at.IsZero() {
+		age := v.now.Sub(e.at)
+		fresh := fade(age, loadFade)
+		known := float64(e.reported.Running + e.reported.Waiting + e.sent - e.ended)
+		c.Load = max(float64(e.own), fresh*known+(1-fresh)*c.Load)
+		c.Allowed = e.reported.Allowed
+		if e.reported.Service > 0 {
+			fresh = fade(age, serviceFade)
+			c.Service = time.Duration(fresh*float64(e.reported.Service) + (1-fresh)*float64(c.Service))
+		}
+		if e.reported.Slowdown > 0 {
+			fresh = fade(age, slowdownFade)
+			c.Slowdown = fresh*e.reported.Slowdown + (1-fresh)*c.Slowdown
+		}
+		c.Failing = e.failing(v.now)
+	}
+	if v.body > 0 && !e.target.Local {
+		c.Transfer = p.transfer(e, v.body, v.now)
+	}
+	if e.own > 0 {
+		age := v.now.Sub(base) - e.startSum/time.Duration(e.own)
+		if e.reported.Slowdown > 0 {
+			age /= agePatience
+		}
+		c.Service = max(c.Service, age)
+	}
+	return c
+}
+
+// transfer returns how long a body takes to a node: over the slower one of the two links,
+// and behind what waits at the other's already.
+func (p *Pool[K]) transfer(e *entry[K], body int64, now time.Time) time.Duration {
+	var seconds float64
+	if p.Rate > 0 {
+		seconds = float64(body) / p.Rate
+	}
+	if rate := e.reported.Rate; rate > 0 {
+		backlog := fade(now.Sub(e.at), loadFade) * float64(int64(e.reported.Backlog)+e.bodies)
+		seconds = max(seconds, (backlog+float64(body))/rate)
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// failing returns what is left of the share of failures that was reported last.
+func (e *entry[K]) failing(now time.Time) float64 {
+	if e.at.IsZero() {
+		return 0
+	}
+	return fade(now.Sub(e.at), failingFade) * e.reported.Failing
+}
