gate: a file for the admission of calls

Ruled out: joining it with ahead.go, which is about bodies. Behaviour is unchanged: declarations moved as they were; the tests of gate pass.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -347,37 +347,6 @@
 	}
 }
 
-// binding returns the upstream that the call goes to, or nil if there is none of its service
-// beside this node.
-func (c *call) binding() *binding {
-	b := c.gate.current.Load()
-	if b == nil || b.announcement.Service != c.in.Call.Service {
-		return nil
-	}
-	return b
-}
-
-// admit gets a slot for the call, waiting for it if need be.
-func (c *call) admit(ctx context.Context) (*admit.Ticket, *binding, *verdict.Error) {
-	if c.binding() == nil {
-		return nil, nil, verdict.New(verdict.Misrouted, nil)
-	}
-	t, err := c.enter(ctx)
-	switch {
-	case err == nil:
-		b := c.binding() // the upstream may have started again meanwhile
-		if b == nil {
-			t.Release(false)
-			return nil, nil, verdict.New(verdict.Misrouted, nil)
-		}
-		return t, b, nil
-	case err.Cause == verdict.NoUpstream:
-		// This gate does not know its service yet; another may.
-		return nil, nil, verdict.New(verdict.Misrouted, err)
-	}
-	return nil, nil, err
-}
-
 const (
 	// freshSpeed is how old the upstream's last word on its speed may be when a
 	// request is sent to it. Its speed at the start of a request holds for all of
@@ -388,22 +357,6 @@
 	newsTime = 10 * time.Millisecond
 )
 
-// slowed returns why a call that has been admitted is sent elsewhere all the same:
-// the upstream has just slowed down, which its sender could not know. A call that
-// comes from elsewhere already is taken as it is.
-func (g *Gate) slowed(ctx context.Context, in *peer.Inbound) *verdict.Error {
-	if g.Ask == nil || in.Call.Try != 1 {
-		return nil
-	}
-	if g.admit.Observed() > freshSpeed {
-		g.Ask(ctx)
-	}
-	if !g.admit.JustSlowed(newsTime) {
-		return nil
-	}
-	return verdict.New(verdict.Slowed, nil)
-}
-
 // tellsOfAbsence returns whether a failure shows that the announced upstream is not there:
 // it could not be reached, and not for the reason that the call ended before.
 func tellsOfAbsence(failure *verdict.Error) bool {
