control: name news with a proof, and what is known of the freshness

Cause: told and fresh were types whose names are participles, one of them that of a package type with another meaning, and FreshWithin was told of in a sentence that could be read both ways. Ruled out: other wire names; the encoding stays as it was, as the test of it shows. Behaviour is unchanged: the tests of control pass; one was renamed with its type.

--- a/control/control.go
+++ b/control/control.go
@@ -95,9 +95,9 @@
 	// Within is the time within which a change of that table has to be in force
 	// everywhere. Zero means 2 s.
 	Within time.Duration
-	// Clock, if not nil, is a clock that goes on while the instance is suspended. Nodes tell
-	// each other then how fresh that table is, so that each knows of a change of it that is
-	// FreshWithin old.
+	// Clock, if not nil, is a clock that goes on while the instance is suspended. With it
+	// nodes tell each other how fresh that table is, so that each knows whether it has every
+	// change that is older than FreshWithin.
 	Clock       boottime.Clock
 	FreshWithin time.Duration
 	// EraHeard, if not nil, is called when another node tells of a later era of the
@@ -145,8 +145,8 @@
 	clients    map[string]*peer.Client
 	reads      *follow.State // of the table, if there is a Template
 	heard      chan struct{}
-	fresh      *fresh    // of the table, if there is a Clock
-	placed     time.Time // when lastPlace was found
+	fresh      *tableFreshness // of the table, if there is a Clock
+	placed     time.Time       // when lastPlace was found
 	lastPlace  follow.Place
 	fetching   bool // whether a table is being fetched
 	comparing  bool
--- a/control/freshness.go
+++ b/control/freshness.go
@@ -13,41 +13,41 @@
 	"sassafrasfront.example/routes"
 )
 
-// told is the news of a read with the teller's proof of how fresh its table is. The proof
+// newsAndProof is the news of a read with the teller's proof of how fresh its table is. The proof
 // stands by itself: it may be that of another read.
-type told struct {
+type newsAndProof struct {
 	follow.News
 	Proof freshness.Told `msgpack:"proof"`
 }
 
-// The ages of a node's proof from which it does something about that, as parts of the time
-// within which a change has to be known.
+// The ages of a node's proof from which it looks for a younger one, as parts of
+// FreshWithin.
 const (
 	// freshAskPart is from when it asks others, and freshReadPart from when it reads the
 	// platform though it has heard of a read: it hears others, but they don't hear it.
 	freshAskPart  = 0.45
 	freshReadPart = 0.6
-	// freshRetryPart is the least time between two questions or reads for that.
+	// freshRetryPart is the least time between two such questions or reads, as a part of it.
 	freshRetryPart = 0.1
 )
 
-// fresh is what a node knows of how fresh its table is. The goroutine that owns the state
-// owns it.
-type fresh struct {
+// tableFreshness is what a node knows of how fresh its table is. The goroutine that owns the
+// rest of the control state owns it. Times are readings of the clock.
+type tableFreshness struct {
 	*freshness.State
-	started time.Duration
-	tried   time.Duration   // when something was done about an old proof last
+	started time.Duration   // when the node started
+	tried   time.Duration   // when others were asked, or the platform, for an old proof last
 	asking  map[string]bool // the nodes that are being asked for their clock
 }
 
-// initFresh makes the state if there is a clock.
+// initFresh makes c.fresh if there is a clock.
 func (c *Control) initFresh() {
 	c.proofs.Store(new(freshness.Proofs))
 	if c.Clock == nil {
 		return
 	}
 	now := c.Clock()
-	c.fresh = &fresh{
+	c.fresh = &tableFreshness{
 		State:   freshness.New(),
 		started: now,
 		tried:   now,
@@ -99,11 +99,11 @@
 }
 
 // tell returns news together with this node's proof.
-func (c *Control) tell(news follow.News) told {
+func (c *Control) tell(news follow.News) newsAndProof {
 	if c.fresh == nil {
-		return told{News: news}
+		return newsAndProof{News: news}
 	}
-	return told{
+	return newsAndProof{
 		News:  news,
 		Proof: c.fresh.Tell(c.Clock()),
 	}
@@ -126,7 +126,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), newsTimeout)
 		defer cancel()
 		asked := c.Clock()
-		reply, err := ask[struct{}, told](ctx, client, topicAskNews, struct{}{})
+		reply, err := ask[struct{}, newsAndProof](ctx, client, topicAskNews, struct{}{})
 		if err != nil {
 			c.Log.Debug().Err(err).Str("peer", from).Msg("clock not told")
 		}
--- a/control/freshness_test.go
+++ b/control/freshness_test.go
@@ -89,21 +89,21 @@
 	}
 }
 
-// TestToldIsNews has news with and without a proof: nodes of a version that has none read
+// TestNewsAndProof has news with and without a proof: nodes of a version that has none read
 // the news in it, and the other way round.
-func TestToldIsNews(t *testing.T) {
+func TestNewsAndProof(t *testing.T) {
 	news := follow.News{Round: 3, Version: 5, Age: time.Second}
-	payload := mustPack(told{News: news, Proof: freshness.Told{Clock: 1, Now: 4, Version: 5, At: 2}})
+	payload := mustPack(newsAndProof{News: news, Proof: freshness.Told{Clock: 1, Now: 4, Version: 5, At: 2}})
 	var plain follow.News
 	qt.Assert(t, msgpack.Unmarshal(payload, &plain), qt.IsNil)
 	qt.Check(t, plain, qt.Equals, news)
-	back, err := unpack[told](payload)
+	back, err := unpack[newsAndProof](payload)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, back.News, qt.Equals, news)
 	qt.Check(t, back.Proof.At, qt.Equals, time.Duration(2))
-	back, err = unpack[told](mustPack(news))
+	back, err = unpack[newsAndProof](mustPack(news))
 	qt.Assert(t, err, qt.IsNil)
-	qt.Check(t, back, qt.Equals, told{News: news})
+	qt.Check(t, back, qt.Equals, newsAndProof{News: news})
 }
 
 // TestFreshen has a node hear of reads all the while, but of no proof that it can use: as the
--- a/control/reads.go
+++ b/control/reads.go
@@ -76,7 +76,7 @@
 				ctx, cancel := context.WithTimeout(ctx, newsTimeout)
 				defer cancel()
 				asked := c.reading()
-				news, err := ask[struct{}, told](ctx, t.Client, topicAskNews, struct{}{})
+				news, err := ask[struct{}, newsAndProof](ctx, t.Client, topicAskNews, struct{}{})
 				if err != nil {
 					c.Log.Debug().Err(err).Str("peer", t.ID).Msg("news not told")
 					return
@@ -125,7 +125,7 @@
 }
 
 // hearNews takes in news from another node.
-func (c *Control) hearNews(from string, news told) {
+func (c *Control) hearNews(from string, news newsAndProof) {
 	era := c.reads.Era()
 	if c.reads.Hear(news.News, time.Now()) {
 		c.fetchTable(from)
@@ -201,7 +201,7 @@
 	}
 	switch topic {
 	case topicNews:
-		news, err := unpack[told](payload)
+		news, err := unpack[newsAndProof](payload)
 		if err != nil {
 			return nil, true, err
 		}
