--- a/admit/dispatch.go
+++ b/admit/dispatch.go
@@ -78,10 +78,6 @@
 // run time s that begins with a slowdown of k ends after k s, and one that waits for
 // the rest r of the spell after r + p s, with the pace p. One that begins slow also
 // holds its slot for that much longer, and others wait for it.
-//
-// With work of 220 ms, and 150 ms at a time in which it takes five times as long, 0.90
-// of the requests end within 600 ms; 0.48 do if all start at once
-// (TestShortSlowSpells).
 func (g *Gate) held(q *classQueue, now time.Time) bool {
 	if !g.limits.Hold {
 		return false
--- a/admit/gate.go
+++ b/admit/gate.go
@@ -268,8 +268,8 @@
 }
 
 // observeQueues takes in which classes wait. Each class stands by itself: where
-// the queue of a low priority never empties, a higher one may still be worth
-// waiting in.
+// the queue of a low priority never empties, a wait in a higher one may still end in
+// time.
 func (g *Gate) observeQueues(now time.Time) {
 	for _, q := range g.classes {
 		q.standing.observe(len(q.waiting) > 0, now)
--- a/admit/pace.go
+++ b/admit/pace.go
@@ -17,9 +17,8 @@
 // pace is the least slowdown of an upstream over the last second: the one to which
 // it is likely to return soon. An upstream that has just started is slow for
 // seconds, and so is one whose instance is overcome; nothing is gained by waiting
-// for these to end. With a fixed bound in its place a cold upstream's spells are not
-// told from its cold, and 0.47 of the requests end within their objective in place
-// of 0.90 (TestSlowSpellsOfAColdUpstream).
+// for these to end. By a fixed bound in its place a cold upstream's spells could not be
+// told from its being cold.
 type pace struct {
 	least   [paceParts]float64 // of each part, 0 if nothing was observed in it
 	current int
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -16,11 +16,10 @@
 // A request that arrives gets the start tag S = max(V, F), where V is the
 // virtual time of the gate and F the finish tag of the class, and F becomes
 // S + s/weight for the expected run time s, so that the weights divide the time
-// of the slots whatever the run times: beside reads of 880 ms with a quarter of the
-// weight, 0.78 of the calls of 55 ms end within their objective, and 0.60 if each
-// request counts the same (TestLongRequestsOfALowClass). The waiting request with
-// the least start tag runs next, and V becomes its start tag. See P. Goyal, H. Vin and H. Cheng, Start-time fair
-// queueing, 1996. doi:10.1145/248157.248171.
+// of the slots whatever the run times. If each request counted the same, long requests
+// of a class with little weight would take most of that time. The waiting request with
+// the least start tag runs next, and V becomes its start tag. See P. Goyal, H. Vin and
+// H. Cheng, Start-time fair queueing, 1996. doi:10.1145/248157.248171.
 //
 // The tags say when the class has its turns. Which of its requests gets one is up to
 // the organisations that share the class.
--- a/admit/report.go
+++ b/admit/report.go
@@ -71,7 +71,8 @@
 
 // agePatience divides the age of running requests where the upstream tells its
 // speed: requests that began while it was slow stay slow, and only an age that
-// no slowdown explains says that it hangs. Slowdowns of four have been seen.
+// no slowdown explains says that it hangs. It is to be above any slowdown that
+// an upstream which still answers tells.
 const agePatience = 6
 
 // service returns the expected service time at the given time, for an upstream
--- a/admit/room_test.go
+++ b/admit/room_test.go
@@ -222,8 +222,8 @@
 }
 
 // TestThousandsOfOrganisations has five thousand organisations of which none sends more
-// than a request a minute ask for half as much again as the upstream runs. No queue is
-// worth waiting in then: as many are served as if they were one. With one among them that
+// than a request a minute ask for half as much again as the upstream runs. Nothing
+// is gained by waiting then: as many are served as if they were one. With one among them that
 // rushes, they are served before it, but it isn't starved.
 func TestThousandsOfOrganisations(t *testing.T) {
 	t.Run("alone", func(t *testing.T) {
--- a/admit/standing.go
+++ b/admit/standing.go
@@ -21,7 +21,7 @@
 )
 
 // standing tells a queue that takes up a burst from one that never empties. The
-// first is worth waiting in. In the second a long wait serves no more requests
+// first serves who waits in it. In the second a long wait serves no more requests
 // than a short one, so only a short one is allowed and the rest is refused at
 // once. See K. Nichols and V. Jacobson, Controlling queue delay, 2012.
 // doi:10.1145/2208917.2209336.
--- a/admit/wait.go
+++ b/admit/wait.go
@@ -164,7 +164,7 @@
 // queueWait returns the longest time that t waits: until what is left of its time is
 // its expected run. It is refused then, while its caller can still be told that it has
 // not run. One that waits on to its deadline is answered that it may have run, which
-// nobody repeats (TestWaitEndsBeforeTheDeadline).
+// nobody repeats.
 func (g *Gate) queueWait(t *Ticket) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -176,10 +176,8 @@
 }
 
 // longestWait returns the longest time that a request of q waits: what its
-// objective leaves beside its run. With 37 ms for uploads and calls and 150 ms for
-// reads in place of that, 0.53 of the uploads and 0.49 of the calls end within
-// their objectives, in place of 0.96 and 0.78 (TestLongRequestsOfALowClass). The
-// lock is held.
+// objective leaves beside its run. A wait that were the same for all requests would be too
+// short for those with a long objective to find a slot. The lock is held.
 func (g *Gate) longestWait(q *classQueue) time.Duration {
 	switch {
 	case q == nil:
--- a/control/era.go
+++ b/control/era.go
@@ -17,7 +17,7 @@
 	})
 }
 
-// eraRose returns when the platform's present era was first seen, by the time of day.
+// eraRose returns when the platform's present era was first seen, by the calendar clock.
 func (c *Control) eraRose(now time.Time) time.Time {
 	if c.reads == nil || c.reads.EraRose().IsZero() {
 		return now
--- a/internal/backend/doc.go
+++ b/internal/backend/doc.go
@@ -3,7 +3,7 @@
 // license that can be found in the LICENSE file.
 
 // Package backend is a stand-in for an upstream, for tests, the demonstration
-// and the bench. It takes a set time for each request, announces itself to its
+// and the experiments. It takes a set time for each request, announces itself to its
 // node, can be told to be slow or to fail, and keeps a record of the requests
 // that it ran, which is the proof of what callers were told.
 package backend
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -19,8 +19,8 @@
 	// Name tells reports apart.
 	Name string `msgpack:"n"`
 	// At is when it was written, in milliseconds since 1970. Clocks of nodes may differ
-	// by seconds, against the minutes that count here; the time of day goes on while an
-	// instance is suspended, and the steady clock does not.
+	// by seconds, against the minutes that count here; the calendar clock goes on while an
+	// instance is suspended, and the steady one does not.
 	At int64 `msgpack:"at"`
 	// Upstreams are the starts of upstreams that have ended. None means that the
 	// requests have run to their end.
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -76,7 +76,7 @@
 }
 
 // Admit decides on a request, or has it wait: decide is called then by Answered. It returns
-// nil if it has decided. A late request, which is of less worth to its caller than others,
+// nil if it has decided. A late request, whose answer would come after its objective,
 // gets no token while others of its organisation are refused.
 func (l *Limiter) Admit(organisation string, late bool, now time.Duration, decide func(Decision)) *Pending {
 	r, refused := l.refusals[organisation]
--- a/retry/doc.go
+++ b/retry/doc.go
@@ -6,8 +6,8 @@
 //
 // There are two reasons for a second sending. After a failure a Plan decides
 // by the verdict, the number of tries, the deadline and a Budget. While an
-// idempotent request is slow, a Latency says after which time a second copy is
-// worth sending, and another Budget bounds how many such copies there are.
+// idempotent request is slow, a Latency says after which time a second copy
+// should be sent, and another Budget bounds how many such copies there are.
 //
 // The package does no input or output and starts no goroutine.
 package retry
--- a/retry/latency.go
+++ b/retry/latency.go
@@ -54,8 +54,8 @@
 // counts as slow for the sake of its objective.
 const patience = 1.25
 
-// HedgeAfter returns the time after which a second copy of a request is worth
-// sending, given the quantile of the request times from which they count as slow,
+// HedgeAfter returns the time after which a second copy of a request should be
+// sent, given the quantile of the request times from which they count as slow,
 // the usual time, and the latency objective, or 0 if there is none. Where many
 // requests are slow, the quantile comes too late: a copy that is sent when no more
 // than the usual time is left may still meet the objective.
--- a/retry/load_test.go
+++ b/retry/load_test.go
@@ -21,9 +21,9 @@
 // most urgent, 0.15 between and 0.71 the calls of another service's requests, as a
 // service has them that is called by another. Each may be sent twice. Fifty nodes send
 // five requests a second each, and may together send 0.12 of the requests and 60 more
-// again in ten seconds. Where the most urgent are worth three and those between two, and
+// again in ten seconds. Where the most urgent count three and those between two, and
 // the calls come in pairs of which both have to be answered for one, a reserve of a half
-// to nine tenths is worth a tenth more than none.
+// to nine tenths gains a tenth over none.
 func TestRefusalsOfHalf(t *testing.T) {
 	const (
 		nodes   = 50
