quota, ratelimit, comeback: comments for fields and functions that had none

Cause: fields without a word on their unit or on what 0 means, functions without a comment, and a wait explained by how it was tuned. Ruled out: new names here, as work on these packages is under way. Behaviour is unchanged: only comments and their alignment; the tests pass.

--- a/comeback/after.go
+++ b/comeback/after.go
@@ -14,10 +14,10 @@
 	// slow down for some hundred milliseconds at a time.
 	soon = 100 * time.Millisecond
 	// fullPart is the mean wait of a caller where upstreams are full, as a part of its
-	// objective. Runs take up to half of that and more, and callers come back twice: with a
-	// quarter, fewer of the long ones end in time.
+	// objective. Two such waits leave the time of a run that takes most of the objective.
 	fullPart = 0.15
-	// shedPart is that where an upstream refused that had room. Waiting gains nothing there.
+	// shedPart is the same where an upstream refused that had room. A longer wait gains
+	// nothing there.
 	shedPart = 0.05
 	// width is how far a wait is drawn below and above its mean, as a part of it, so that
 	// those who are refused together don't come back together.
--- a/quota/census.go
+++ b/quota/census.go
@@ -19,10 +19,10 @@
 // known from lately. A count that is too small would give the nodes too much together.
 type Census struct {
 	began     time.Duration
-	turned    time.Duration
-	now, last int
-	told      bool
-	heard     int
+	turned    time.Duration // when the present span of remember began
+	now, last int           // the most nodes counted in this span and in the one before it
+	told      bool          // whether others have left a number on the platform
+	heard     int           // from a home, or 0
 }
 
 // NewCensus returns the Census of a node that starts.
--- a/quota/client.go
+++ b/quota/client.go
@@ -13,9 +13,9 @@
 // Client is a node's side: it knows where the node's right is, and the tokens that were
 // granted and not used. It is not safe for use by several goroutines at once.
 type Client struct {
-	start  uint64
-	number uint64
-	nodes  int
+	start  uint64 // that of the process, which grows
+	number uint64 // of the last Ask
+	nodes  int    // that have a right, or 0 if that isn't known
 	// holder is the home that may hold the node's right, until then by the node's clock.
 	// It is empty if it is known that none does, or if nobody knows which.
 	holder string
@@ -24,16 +24,16 @@
 	// with until when.
 	echoes   map[string]echo
 	avoided  map[string]time.Duration
-	failures map[string]int    // in a row
-	sent     map[string]uint64 // the Number of the last Ask to each
-	home     string            // that is asked now
-	tokens   map[string][]Token
+	failures map[string]int     // in a row
+	sent     map[string]uint64  // the Number of the last Ask to each
+	home     string             // that is asked now
+	tokens   map[string][]Token // by organisation, that were granted and not used
 }
 
 // echo is what was heard last of a home.
 type echo struct {
-	home     uint32
-	clock    time.Duration
+	home     uint32        // its id, which tells its starts apart
+	clock    time.Duration // by the home's clock, as it was sent
 	received time.Duration // by the node's clock
 }
 
@@ -106,6 +106,7 @@
 // the home holds it.
 func (c *Client) Probe(home string, now time.Duration) *Ask { return c.ask(home, now) }
 
+// ask returns an Ask that names the home's last Answer, if that is young enough to count.
 func (c *Client) ask(home string, now time.Duration) *Ask {
 	c.number++
 	c.sent[home] = c.number
@@ -177,7 +178,8 @@
 }
 
 const (
-	// avoid is how long a home is passed over that has not answered maxFailures times.
+	// avoid is how long a home is passed over that has not answered maxFailures questions in
+	// a row.
 	avoid       = 5 * time.Second
 	maxFailures = 2
 )
@@ -203,7 +205,7 @@
 	return c.home, ""
 }
 
-// avoids returns whether a home has failed to answer.
+// avoids returns whether a home is passed over now.
 func (c *Client) avoids(home string, now time.Duration) bool {
 	return now < c.avoided[home]
 }
@@ -233,6 +235,7 @@
 	maps.DeleteFunc(c.sent, func(home string, _ uint64) bool { return drop(home) })
 }
 
+// hold keeps a token until it is taken.
 func (c *Client) hold(t Token) { c.tokens[t.organisation] = append(c.tokens[t.organisation], t) }
 
 // Take takes a token, if there is one that may be used.
--- a/quota/home.go
+++ b/quota/home.go
@@ -20,7 +20,7 @@
 // Home holds the rights that nodes deposit, and grants tokens. It is not safe for use by
 // several goroutines at once.
 type Home struct {
-	id      uint32
+	id      uint32 // tells the starts of the process apart
 	pool    pool
 	nodes   int // the most that one of the askers counts
 	askers  map[string]asker
@@ -125,8 +125,8 @@
 	return false
 }
 
-// sent returns when an Ask was sent at the latest to be sure, by this Home's clock: the
-// answer that it names can't have arrived before it was written.
+// sent returns a time before which an Ask was not sent, by this Home's clock: the answer that
+// it names can't have arrived before it was written.
 func (h *Home) sent(a *Ask) (at time.Duration, known bool) {
 	if a.Home != h.id || a.Clock < 0 || a.Since < 0 || a.Since > forget {
 		return 0, false
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -16,7 +16,7 @@
 	maxWaiting    = 1 << 10
 	maxWaitingAll = 1 << 12
 	// refuseFor is how long at most a node refuses without asking once the home has
-	// refused. An organisation's rush costs each node few messages then.
+	// refused. It bounds the messages that an organisation's rush causes.
 	refuseFor = 100 * time.Millisecond
 	// lateAfter is how long late requests are refused after the last refusal of others.
 	lateAfter = 300 * time.Millisecond
@@ -119,6 +119,7 @@
 	return p
 }
 
+// unknown is the decision on a request for which there is no room to wait.
 var unknown = Decision{
 	Unknown: true,
 	Wait:    unknownWait,
@@ -155,6 +156,7 @@
 	return l.Client.Ask(home, wants, now)
 }
 
+// uncancelled returns those of the list that still wait.
 func uncancelled(list []*Pending) []*Pending {
 	var kept []*Pending
 	for _, p := range list {
@@ -245,6 +247,7 @@
 	}
 }
 
+// settle tells a request that waits what is decided.
 func (l *Limiter) settle(p *Pending, d Decision) {
 	p.cancelled = true
 	l.count--
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -16,7 +16,7 @@
 	bounds  Bounds
 	at      time.Duration // up to when grown counts
 	share   float64       // of all rights, that is held at that time
-	whole   time.Duration // since when it is mostShare or more, or never
+	whole   time.Duration // since when share is mostShare or more, where it is
 	grown   float64       // the integral of share over time, in seconds
 	rights  map[string]right
 	sum     float64       // of their parts
@@ -34,7 +34,7 @@
 type bucket struct {
 	rate, depth float64 // of all rights together
 	level       float64
-	seen        float64       // what the pool's grown was for that level
+	seen        float64       // what the pool's grown was at that level
 	promised    time.Duration // when the last caller that was refused may come back
 	granted     Recent
 }
@@ -191,7 +191,8 @@
 	return taken, true
 }
 
-// tolerance keeps a bucket that is full but for a rounding from lacking its last token.
+// tolerance, in tokens, keeps a bucket that is full but for a rounding from lacking its last
+// one.
 const tolerance = 1e-9
 
 // put puts tokens back that were taken, as far as there is room.
--- a/quota/recent.go
+++ b/quota/recent.go
@@ -9,7 +9,8 @@
 // recentSpan is the time over which tokens are counted for operators.
 const recentSpan = 5 * time.Second
 
-// Recent counts tokens in the present span of 5 s and the one before it. The zero value has counted none.
+// Recent counts tokens in the present span and the one before it. The zero value has counted
+// none.
 type Recent struct {
 	span      int64 // the number of the present one
 	now, last int
--- a/ratelimit/exchange.go
+++ b/ratelimit/exchange.go
@@ -18,8 +18,8 @@
 const (
 	// Topic is the topic of the control requests to a home.
 	Topic = "quota"
-	// exchangeTimeout bounds one. A node whose processor is allotted by the tenth of a
-	// second answers within that.
+	// exchangeTimeout bounds one exchange with a home. An instance whose share of the
+	// processor is dealt out every 100 ms answers within that.
 	exchangeTimeout = 250 * time.Millisecond
 	// clientsIdle is how long a connection to a home is kept that isn't used.
 	clientsIdle = 30 * time.Second
@@ -166,12 +166,14 @@
 	}
 }
 
+// client returns the client of a home, or nil if its address isn't known.
 func (l *Limiter) client(id string) *peer.Client {
 	l.clientsMu.Lock()
 	defer l.clientsMu.Unlock()
 	return l.clients[id]
 }
 
+// close closes the connections to homes.
 func (l *Limiter) close() {
 	l.clientsMu.Lock()
 	defer l.clientsMu.Unlock()
@@ -248,6 +250,7 @@
 	return msgpack.Marshal(answer)
 }
 
+// answer answers an Ask as a home.
 func (l *Limiter) answer(from string, a *quota.Ask) (*quota.Answer, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -27,7 +27,7 @@
 	// askGap is the time between an answer and the next question. What arrives meanwhile
 	// goes with it.
 	askGap = 20 * time.Millisecond
-	// unknownGap is that after an answer that decided nothing.
+	// unknownGap is askGap after an answer that left requests undecided.
 	unknownGap = 50 * time.Millisecond
 	// homesFor is how long the choice of homes is kept: it takes a look at all nodes. A node
 	// that has started within youngFor is still meeting the others and looks each homesYoung.
@@ -80,12 +80,13 @@
 	answered, unanswered, answers uint64
 
 	// The goroutine of Run owns what follows, but for the clients, under clientsMu.
-	homes     []Peer
-	homesAt   time.Duration
+	homes     []Peer        // to choose from, as of homesAt
+	homesAt   time.Duration // when they were chosen
 	clientsMu sync.Mutex
-	clients   map[string]*peer.Client
+	clients   map[string]*peer.Client // by the id of the home
 }
 
+// init makes what the first call needs, by whichever method it comes.
 func (l *Limiter) init() {
 	l.starting.Do(func() {
 		l.began = time.Now()
@@ -98,7 +99,7 @@
 	})
 }
 
-// now reads the clock.
+// now returns the time since the first call.
 func (l *Limiter) now() time.Duration { return time.Since(l.began) }
 
 // Set takes in the organisations in force.
