sassafrassoak: one field a line, and what the valid keys are

Cause: struct literals with several fields on a line outside tests, and two comments that did not say what the values are compared with. Ruled out: one loop for callers with and without keys; they differ in connections.

--- a/cmd/sassafrassoak/keys.go
+++ b/cmd/sassafrassoak/keys.go
@@ -17,7 +17,7 @@
 const (
 	// keyedRoute is the one route that needs a key.
 	keyedRoute = "k"
-	// keyHolder is the organisation whose keys are replaced all the while.
+	// keyHolder is the name of the organisation whose keys are replaced all the while.
 	keyHolder = "org"
 	// replaceEvery is the time between two replacements of a key, validKeys the number of
 	// keys that are valid at once, and triedKeys that of the latest keys, valid or not, which
@@ -25,7 +25,8 @@
 	replaceEvery = 400 * time.Millisecond
 	validKeys    = 2
 	triedKeys    = 8
-	// revokeWithin is the nodes' bound. Processes are paused and links silenced for longer.
+	// revokeWithin is the nodes' bound, below the times for which processes are paused and
+	// links silenced.
 	revokeWithin = time.Second
 )
 
--- a/cmd/sassafrassoak/play.go
+++ b/cmd/sassafrassoak/play.go
@@ -150,7 +150,10 @@
 // callWithKeys does what call does, for the route that needs a key. Each request has a
 // connection of its own: none waits behind another at a node that is paused.
 func (w *world) callWithKeys(n *node, seen *records, stop chan struct{}, name string) {
-	client := &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{
+		Timeout:   patience,
+		Transport: &http.Transport{DisableKeepAlives: true},
+	}
 	var all sync.WaitGroup
 	defer all.Wait()
 	for i := 0; ; i++ {
@@ -165,7 +168,12 @@
 
 // ask sends one request.
 func ask(client *http.Client, n *node, route, key, id string) outcome {
-	o := outcome{id: id, route: route, key: key, sent: time.Now()}
+	o := outcome{
+		id:    id,
+		route: route,
+		key:   key,
+		sent:  time.Now(),
+	}
 	r, _ := http.NewRequest(http.MethodPost, "http://"+n.caller+"/"+route+"/x", strings.NewReader("body of "+id))
 	r.GetBody = nil // the library must not send it again
 	r.Host = "h.example"
--- a/cmd/sassafrassoak/world.go
+++ b/cmd/sassafrassoak/world.go
@@ -46,7 +46,7 @@
 	version     int
 	routes      []string
 	keys        *keyring // nil if no request needs a key
-	valid       []string // keys
+	valid       []string // the keys that the configuration has now
 	done        chan struct{}
 }
 
@@ -73,7 +73,13 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{program: program, dir: dir, store: &standin.Store{Era: 1}, done: make(chan struct{}), routes: []string{"a", "b"}}
+	w := &world{
+		program: program,
+		dir:     dir,
+		store:   &standin.Store{Era: 1},
+		done:    make(chan struct{}),
+		routes:  []string{"a", "b"},
+	}
 	w.port = firstPort + int(seed%portBlocks)*portsPerSeed
 	w.server = httptest.NewServer(w.store)
 	if w.front, err = newProxy(w.server.Listener.Addr().String()); err != nil {
