--- a/admit/wait.go
+++ b/admit/wait.go
@@ -101,9 +101,9 @@
 // if that is lower than t's, or else in a class of the same priority, if it is another
 // organisation that has more there than that of t.
 func (g *Gate) shed(t *Ticket, err *verdict.Error) bool {
-	victim := g.lower(t)
+	victim := g.lowerPriority(t)
 	if victim == nil {
-		if victim = g.greedier(t); victim == nil {
+		if victim = g.largerFlow(t); victim == nil {
 			return false
 		}
 		g.displaced++
@@ -119,8 +119,8 @@
 	return true
 }
 
-// lower returns the request that gives way to t by its priority, or nil.
-func (g *Gate) lower(t *Ticket) *Ticket {
+// lowerPriority returns the request that gives way to t by its priority, or nil.
+func (g *Gate) lowerPriority(t *Ticket) *Ticket {
 	var lowest *classQueue
 	for _, q := range g.classes {
 		if len(q.waiting) == 0 || q.class.Priority >= t.queue.class.Priority {
@@ -136,9 +136,9 @@
 	return lowest.newest()
 }
 
-// greedier returns the request that gives way to t because its organisation has more
+// largerFlow returns the request that gives way to t because its organisation has more
 // of them waiting, or nil.
-func (g *Gate) greedier(t *Ticket) *Ticket {
+func (g *Gate) largerFlow(t *Ticket) *Ticket {
 	var victim *Ticket
 	most := t.flow.Waiting()
 	for _, q := range g.classes {
@@ -164,7 +164,7 @@
 // queueWait returns the longest time that t waits: until what is left of its time is
 // its expected run. It is refused then, while its caller can still be told that it has
 // not run. One that waits on to its deadline is answered that it may have run, which
-// nobody repeats (TestWaitEndsBeforeTheDeadline).
+// nobody repeats.
 func (g *Gate) queueWait(t *Ticket) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -176,10 +176,8 @@
 }
 
 // longestWait returns the longest time that a request of q waits: what its
-// objective leaves beside its run. With 37 ms for uploads and calls and 150 ms for
-// reads in place of that, 0.53 of the uploads and 0.49 of the calls end within
-// their objectives, in place of 0.96 and 0.78 (TestLongRequestsOfALowClass). The
-// lock is held.
+// objective leaves beside its run. A wait that were the same for all requests would be too
+// short for those with a long objective to find a slot. The lock is held.
 func (g *Gate) longestWait(q *classQueue) time.Duration {
 	switch {
 	case q == nil:
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -16,7 +16,7 @@
 	maxWaiting    = 1 << 10
 	maxWaitingAll = 1 << 12
 	// refuseFor is how long at most a node refuses without asking once the home has
-	// refused. An organisation's rush costs each node few messages then.
+	// refused. It bounds the messages that an organisation's rush causes.
 	refuseFor = 100 * time.Millisecond
 	// lateAfter is how long late requests are refused after the last refusal of others.
 	lateAfter = 300 * time.Millisecond
@@ -77,7 +77,7 @@
 }
 
 // Admit decides on a request, or has it wait: decide is called then by Answered. It returns
-// nil if it has decided. A late request, which is of less worth to its caller than others,
+// nil if it has decided. A late request, whose answer would come after its objective,
 // gets no token while others of its organisation are refused.
 func (l *Limiter) Admit(organisation string, late bool, now time.Duration, decide func(Decision)) *Pending {
 	r, refused := l.refusals[organisation]
@@ -121,6 +121,7 @@
 	return p
 }
 
+// unknown is the decision on a request for which there is no room to wait.
 var unknown = Decision{
 	Unknown: true,
 	Wait:    unknownWait,
@@ -179,6 +180,7 @@
 	return n
 }
 
+// uncancelled returns those of the list that still wait.
 func uncancelled(list []*Pending) []*Pending {
 	var kept []*Pending
 	for _, p := range list {
@@ -274,6 +276,7 @@
 	}
 }
 
+// settle tells a request that waits what is decided.
 func (l *Limiter) settle(p *Pending, d Decision) {
 	p.cancelled = true
 	l.count--
