contact, follow, objectapi, node: comments and test names that say what is shown

Cause: two tests of node promised more in their comments than they check (a time, and a restart of all nodes); covers, manyNodes and rewriteFor could not be understood without their uses; ok stood for whether an answer names an era. Ruled out: changing the tests; what they leave open is for those who know the aim.

--- a/contact/book.go
+++ b/contact/book.go
@@ -59,8 +59,8 @@
 	mu      sync.Mutex
 	present *objectapi.Object            // this node's own, as read last, or nil
 	wrote   time.Time                    // when this node's own was written
-	lost    bool                         // whether it stood there, and may have been lost
-	written Entry                        // what was
+	lost    bool                         // whether its own stood there, and may have been lost
+	written Entry                        // what was written then
 	listed  map[string]*objectapi.Object // by address, as read last
 	silent  map[string]time.Time         // since when nobody answers, by address
 }
@@ -270,14 +270,15 @@
 	return err == nil && e.covers(b.Entry)
 }
 
-// covers returns whether e says what o does. Its number of nodes may be larger, as they may
-// come back, but not many times.
+// covers returns whether e may stand where o is to be written: it has the same address, and
+// a number of nodes that is not smaller, as nodes may come back, nor far larger.
 func (e Entry) covers(o Entry) bool {
 	same := e.Address == o.Address && e.Zone == o.Zone
 	return same && (o.Nodes == 0 || e.Nodes >= o.Nodes && e.Nodes <= max(2*o.Nodes, manyNodes))
 }
 
-// manyNodes is a number of nodes that is left standing though there are fewer.
+// manyNodes is the number of nodes up to which an entry is left as it is, however few there
+// are now.
 const manyNodes = 100
 
 // write creates this node's object, or replaces the one that is there.
--- a/follow/era.go
+++ b/follow/era.go
@@ -8,8 +8,8 @@
 
 // rewriteFor is the time that operators are given to write again what the platform has lost
 // by coming back from a copy. What needs a confirmation, such as keys, is refused for as long
-// as it lasts beyond the bound on that: at a bound of 5 s and with the platform away for a
-// moment, callers don't notice.
+// as this and the platform's absence together last beyond the bound on that, so it is to be
+// below the bounds that operators set.
 const rewriteFor = 3 * time.Second
 
 // era is what a node knows of the platform's present era. Its zero value knows of none.
@@ -18,8 +18,8 @@
 	rose   time.Time // when it was first seen, by any node; zero if it was not seen to rise
 }
 
-// EraSeen takes in that the platform names an era. Restored is whether it had named an
-// earlier one to this node.
+// EraSeen takes in that the platform names an era. Restored is whether it had answered this
+// node before, in an earlier one.
 func (s *State) EraSeen(number uint64, restored bool, now time.Time) {
 	if number <= s.era.number {
 		return
--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -30,13 +30,13 @@
 	return w
 }
 
-// turned is a way to the store that can be closed.
-type turned struct {
+// closable is a way to the store that can be closed.
+type closable struct {
 	store http.Handler
 	away  atomic.Bool
 }
 
-func (x *turned) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (x *closable) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if x.away.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -65,7 +65,7 @@
 	}
 }
 
-// newRoute waits until all nodes have a route, or checks that they do.
+// newRoute waits until all nodes have a route.
 func (z *zoned) newRoute(name string) {
 	z.t.Helper()
 	for _, n := range z.all() {
@@ -76,9 +76,9 @@
 
 // newCutZoned is a system of two zones, one node of each of which reaches the store by a way
 // that can be closed.
-func newCutZoned(t *testing.T) (*zoned, *turned) {
+func newCutZoned(t *testing.T) (*zoned, *closable) {
 	w := newEraWorld(t)
-	way := &turned{store: w.store}
+	way := &closable{store: w.store}
 	server := httptest.NewServer(way)
 	t.Cleanup(func() {
 		server.CloseClientConnections()
@@ -183,8 +183,8 @@
 	z.known(0)
 }
 
-// TestContactsAfterRestore has the store lose the addresses of the nodes: they are there again
-// within two seconds, twice in a row.
+// TestContactsAfterRestore has the store lose the addresses of the nodes: they are written
+// again, twice in a row.
 func TestContactsAfterRestore(t *testing.T) {
 	w := newEraWorld(t)
 	w.configure(1, "")
@@ -214,8 +214,8 @@
 	}
 }
 
-// TestBlocksAfterRestore has the store lose the block of a fatal request: the nodes go on
-// refusing it, and the block is written again, so that it outlives a restart of all.
+// TestBlocksAfterRestore has the store lose the block of a fatal request: the block is written
+// again, and the request ends no more upstreams.
 func TestBlocksAfterRestore(t *testing.T) {
 	w := newEraWorld(t)
 	m, nodes := fatalWorldIn(w, func(r standin.Run) bool { return r.Body == "fatal" }, 3)
--- a/objectapi/era.go
+++ b/objectapi/era.go
@@ -68,8 +68,8 @@
 		return nil
 	}
 	c.eras.mu.Lock()
-	era, ok, err := c.EraOf(r.Header)
-	change, risen, err := c.eras.take(era, ok, err)
+	era, named, err := c.EraOf(r.Header)
+	change, risen, err := c.eras.take(era, named, err)
 	c.eras.answered = c.eras.answered || err == nil && !saysNothing(r.StatusCode)
 	c.eras.mu.Unlock()
 	if risen && c.EraChanged != nil {
@@ -87,17 +87,18 @@
 	return err
 }
 
-// take takes in the era of an answer.
-func (e *eras) take(era uint64, ok bool, err error) (change EraChange, risen bool, refused error) {
+// take takes in the era of an answer, if it names one, or why it can't be read. It returns
+// what has changed if the era has risen, or why the answer is not used.
+func (e *eras) take(era uint64, named bool, err error) (change EraChange, risen bool, refused error) {
 	switch {
 	case err != nil:
 		return change, false, eris.Wrap(err, "answer not used")
-	case !ok && e.named:
+	case !named && e.named:
 		return change, false, eris.Errorf("answer not used: it names no era, after the era %d", e.highest)
-	case ok && era < e.highest:
+	case named && era < e.highest:
 		return change, false, eris.Errorf("answer not used: it is of the era %d, after the era %d", era, e.highest)
 	}
-	if ok {
+	if named {
 		change, risen = e.raise(era)
 	}
 	return change, risen, nil
--- a/operator/check.go
+++ b/operator/check.go
@@ -61,7 +61,7 @@
 // The bounds of a Service's fields.
 const (
 	maxHosts = 64
-	// MaxClasses is the most classes.
+	// MaxClasses is the largest number of classes that a service may have.
 	MaxClasses = 16
 	maxTimeout = Duration(time.Hour)
 	// maxCrossing bounds what another zone may cost, in service times.
