--- a/admit/expect.go
+++ b/admit/expect.go
@@ -30,6 +30,7 @@
 		return t
 	}
 	g.expected++
+	t.queue.expected++
 	return t
 }
 
@@ -68,6 +69,7 @@
 	now := time.Now()
 	g.observeQueues(now)
 	g.expected--
+	t.queue.expected--
 	t.entered = now
 	g.enter(t, now)
 }
--- a/admit/expect_test.go
+++ b/admit/expect_test.go
@@ -222,3 +222,19 @@
 		})
 	}
 }
+
+// TestExpectedOfClassThatGoes has a request's class go while its body comes in. It then takes a
+// slot that is free, as one that waits would.
+func TestExpectedOfClassThatGoes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var g admit.Gate
+		limits := admit.Limits{Slots: 2, QueueLength: 4, QueueWait: time.Second}
+		g.Set(limits.WithClasses(admit.Class{Name: "goes", Weight: 1, Share: 1}, admit.Class{Name: "stays", Weight: 1, Share: 1}))
+		expected := g.Expect("", "goes", time.Time{}, 0)
+		g.Set(limits.WithClasses(admit.Class{Name: "stays", Weight: 1, Share: 1}))
+		expected.Arrive()
+		qt.Assert(t, expected.Wait(t.Context()) == nil, qt.IsTrue)
+		qt.Check(t, expected.Waited(), qt.Equals, time.Duration(0))
+		expected.Release(true)
+	})
+}
--- a/admit/gate.go
+++ b/admit/gate.go
@@ -236,6 +236,7 @@
 		g.waiting--
 	case expected:
 		g.expected--
+		t.queue.expected--
 	default:
 		return false
 	}
@@ -303,12 +304,13 @@
 			q = &classQueue{}
 		}
 		q.flows.Weight = g.limits.Weight
+		q.flows.Reweigh()
 		q.class = c
 		g.classes = append(g.classes, q)
 		g.byName[c.Name] = q
 	}
 	for _, q := range old {
-		if g.byName[q.class.Name] != q && len(q.waiting)+q.running > 0 {
+		if g.byName[q.class.Name] != q && len(q.waiting)+q.running+q.expected > 0 {
 			g.classes = append(g.classes, q)
 		}
 	}
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -29,6 +29,7 @@
 	flows    fair.Flows
 	finish   float64
 	running  int
+	expected int       // requests that wait for their bodies
 	waiting  []*Ticket // in the order in which they came
 	run      float64   // mean run time at the usual speed, in seconds, 0 until one has ended
 }
--- a/fair/flows.go
+++ b/fair/flows.go
@@ -38,7 +38,7 @@
 type Flow struct {
 	flows    *Flows
 	name     string
-	weight   float64 // as of when it was made
+	weight   float64
 	start    float64 // start tag of its first waiting request
 	finish   float64 // finish tag of the request that started last
 	waiting  int
@@ -61,10 +61,7 @@
 		l = &Flow{
 			flows:  f,
 			name:   organisation,
-			weight: 1,
-		}
-		if f.Weight != nil && organisation != "" {
-			l.weight = f.Weight(organisation)
+			weight: f.weightOf(organisation),
 		}
 		if organisation != "" {
 			f.weights += l.weight
@@ -78,6 +75,25 @@
 	return l
 }
 
+// Reweigh takes in that weights may have changed.
+func (f *Flows) Reweigh() {
+	f.weights = 0
+	for name, l := range f.list {
+		l.weight = f.weightOf(name)
+		if name != "" {
+			f.weights += l.weight
+		}
+	}
+}
+
+// weightOf returns the present weight of an organisation.
+func (f *Flows) weightOf(organisation string) float64 {
+	if f.Weight == nil || organisation == "" {
+		return 1
+	}
+	return f.Weight(organisation)
+}
+
 // sweep forgets the flows that have not been used for long, now and then.
 func (f *Flows) sweep(now time.Time) {
 	if now.Sub(f.swept) < rememberFor {
--- a/fair/flows_test.go
+++ b/fair/flows_test.go
@@ -231,3 +231,37 @@
 		f.Flow(names[i%len(names)], began)
 	}
 }
+
+// TestWeightChanges has an organisation that is always busy get another weight: its part of
+// the turns follows.
+func TestWeightChanges(t *testing.T) {
+	weights := map[string]float64{"a": 1, "b": 1}
+	f := &fair.Flows{Weight: func(organisation string) float64 { return weights[organisation] }}
+	now := time.Unix(0, 0)
+	const each = 100 * time.Millisecond
+	turns := func() map[string]int {
+		count := make(map[string]int)
+		for range 110 {
+			now = now.Add(each)
+			a, b := f.Flow("a", now), f.Flow("b", now)
+			for _, l := range []*fair.Flow{a, b} {
+				if l.Waiting() == 0 {
+					l.Wait()
+				}
+			}
+			next := a
+			if b.Before(a) {
+				next = b
+			}
+			next.Start(each)
+			next.End(each, each, now)
+			count[next.Name()]++
+		}
+		return count
+	}
+	turns()
+	weights["a"] = 10
+	f.Reweigh()
+	got := turns()
+	qt.Check(t, got["a"] >= 95, qt.IsTrue, qt.Commentf("%v", got))
+}
--- a/freshness/bounds.go
+++ b/freshness/bounds.go
@@ -54,7 +54,7 @@
 		return Stale
 	case held:
 		return Valid
-	case b.Revoke > 0 && !a.within(b.Apply):
+	case b.Revoke > 0 && b.Apply > 0 && !a.within(b.Apply):
 		return Stale
 	default:
 		return Unknown
--- a/freshness/state_test.go
+++ b/freshness/state_test.go
@@ -183,6 +183,7 @@
 		"beyond the bound":             {strict, age(6 * time.Second), true, freshness.Stale},
 		"never confirmed, held":        {strict, freshness.Age{}, true, freshness.Stale},
 		"never confirmed, not held":    {strict, freshness.Age{}, false, freshness.Stale},
+		"no bound on additions":        {freshness.Bounds{Revoke: 5 * time.Second}, age(time.Second), false, freshness.Unknown},
 		"not strict, held":             {freshness.Bounds{}, freshness.Age{}, true, freshness.Valid},
 		"not strict, not held":         {freshness.Bounds{}, freshness.Age{}, false, freshness.Unknown},
 	} {
