TestRateLimitOverRestarts offers a rush and checks each window

A reading found that it passed where each node had the whole limit for itself: one caller after the other offers too little, and its bounds ran over the whole time. The bounds of before stay.

--- a/node/ratelimit_test.go
+++ b/node/ratelimit_test.go
@@ -8,8 +8,11 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"sort"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,7 +26,7 @@
 // big have the keys k-small and k-big.
 type limited struct {
 	*world
-	sent int
+	sent atomic.Int64
 }
 
 func newLimited(t *testing.T, rate, burst float64) *limited {
@@ -46,11 +49,11 @@
 // as sends a request with a key to a node.
 func (l *limited) as(key string, n *managed) (status int, after time.Duration) {
 	l.t.Helper()
-	l.sent++
+	id := l.sent.Add(1)
 	r, err := http.NewRequest("PUT", "http://"+n.settings.CallerAddress+"/b/x", strings.NewReader(""))
 	qt.Assert(l.t, err, qt.IsNil)
 	r.Host = "h.example"
-	r.Header.Set(standin.RequestID, fmt.Sprint("l-", l.sent))
+	r.Header.Set(standin.RequestID, fmt.Sprint("l-", id))
 	r.Header.Set(standin.Timeout, "900")
 	r.Header.Set("Authorization", "Bearer "+key)
 	response, err := http.DefaultTransport.RoundTrip(r)
@@ -133,25 +136,43 @@
 }
 
 // TestRateLimitOverRestarts has all nodes start anew, one after the other and then all at
-// once, in a rush, and a lower limit come in its midst.
+// once, in a rush by all of them, and a lower limit come in its midst.
 func TestRateLimitOverRestarts(t *testing.T) {
 	l := newLimited(t, 40, 40)
+	const (
+		callers = 4 // at each node
+		window  = 5 * time.Second
+		// delay is how long at most an answer may take: callers allow 900 ms.
+		delay = 900 * time.Millisecond
+	)
+	var mu sync.Mutex
 	var granted []time.Time
 	var lowered time.Time
 	began := time.Now()
+	call := func(n *managed, until time.Time) {
+		for time.Now().Before(until) {
+			if status, _ := l.as("k-small", n); status == 200 {
+				mu.Lock()
+				granted = append(granted, time.Now())
+				mu.Unlock()
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
 	rush := func(d time.Duration) {
-		for until := time.Now().Add(d); time.Now().Before(until); {
-			for _, n := range l.nodes {
-				if status, _ := l.as("k-small", n); status == 200 {
-					granted = append(granted, time.Now())
-				}
+		until := time.Now().Add(d)
+		var all sync.WaitGroup
+		for _, n := range l.nodes {
+			for range callers {
+				all.Go(func() { call(n, until) })
 			}
 		}
+		all.Wait()
 	}
 	for _, n := range l.nodes {
 		n.stop()
 		l.run(n)
-		rush(400 * time.Millisecond)
+		rush(time.Second)
 	}
 	l.limit(2, 10, 10)
 	rush(2 * time.Second) // in which all learn of it
@@ -176,4 +197,9 @@
 	qt.Check(t, float64(len(granted)) <= (40*all+40)*1.1+20, qt.IsTrue)
 	qt.Check(t, float64(after) <= (10*later+10)*1.1+20, qt.IsTrue)
 	qt.Check(t, after > 0, qt.IsTrue)
+	most := (40*(window+delay).Seconds()+40)*1.1 + 20
+	for i, from := range granted {
+		n := sort.Search(len(granted)-i, func(k int) bool { return granted[i+k].Sub(from) > window })
+		qt.Assert(t, float64(n) <= most, qt.IsTrue, qt.Commentf("%d let in in a window, at most %.0f", n, most))
+	}
 }
