--- a/node/build.go
+++ b/node/build.go
@@ -16,8 +16,11 @@
 	"sassafrasfront.example/gate"
 	"sassafrasfront.example/member"
 	"sassafrasfront.example/objectapi"
+	"sassafrasfront.example/operator"
 	"sassafrasfront.example/peer"
+	"sassafrasfront.example/policy"
 	"sassafrasfront.example/quarantine"
+	"sassafrasfront.example/routes"
 	"sassafrasfront.example/upstream"
 	"sassafrasfront.example/watch"
 )
@@ -142,7 +145,9 @@
 	n.gate.Ask = n.askLoad
 	n.limits = n.rateLimits()
 	n.control.Topics = n.limits.Topics()
-	n.control.Template = n.template
+	n.control.Template = func(t *routes.Table, service string, nodes int) operator.Service {
+		return policy.Service(t, service, nodes, n.live())
+	}
 	n.control.Within = n.configWithin()
 	n.keepFresh()
 	n.store = n.storeClient()
