--- a/quarantine/index_test.go
+++ b/quarantine/index_test.go
@@ -177,3 +177,27 @@
 		})
 	}
 }
+
+// TestSameRequestOfOtherCallers has a request end upstreams that three services' callers send,
+// each in turn. Once it is blocked for the first of them, the same one from another runs alone at
+// most: of upstreams that end under it, there is one for each further service.
+func TestSameRequestOfOtherCallers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var x quarantine.Index
+		var ends int
+		for _, caller := range []string{"a", "b", "c"} {
+			p := quarantine.Head(caller, "GET", "h.example", "/b/fatal").WithBody(nil)
+			for x.Judge(p).Standing != quarantine.Blocked {
+				var alone quarantine.Fingerprint
+				if x.Judge(p).Standing == quarantine.Isolated {
+					alone = p
+				}
+				ends++
+				qt.Assert(t, ends <= 10, qt.IsTrue)
+				x.Add(quarantine.Ended(fmt.Sprint("n", ends), []quarantine.Fingerprint{p}, alone))
+				time.Sleep(time.Second)
+			}
+		}
+		qt.Check(t, ends <= 5, qt.IsTrue, qt.Commentf("%d upstreams ended: three for the first service, one for each other", ends))
+	})
+}
