A request that is blocked for one service's callers is isolated for those of others

Ruled out: a fingerprint without the caller, which would block what is harmless for others (TestFatalRequest); a third field, which logs, releases and the wire would have to carry. The head's last 16 bits are the caller's now.

--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -24,7 +24,7 @@
 // It is made with SHA-256, of which 64 bits of each part are kept: nobody can make a
 // request that is taken for a given other one.
 type Fingerprint struct {
-	// Head stands for all but the body.
+	// Head stands for all but the body, with its last callerBits for the caller alone.
 	Head uint64 `msgpack:"h"`
 	// Body stands for the first MaxBody bytes of the body, or is 0 if they are not
 	// known.
@@ -38,14 +38,36 @@
 // Head returns the fingerprint of a request without its body, given the service that it
 // comes from, its method, host and target.
 func Head(caller, method, host, target string) Fingerprint {
+	const ofCaller = 1<<callerBits - 1
+	return Fingerprint{
+		Head: max(1, sumOf(method, host, target)&^ofCaller|sumOf(caller)&ofCaller),
+	}
+}
+
+// callerBits is the number of bits of a Head that stand for the caller.
+const callerBits = 16
+
+// request is what an upstream is given to run, whoever the caller is.
+type request struct {
+	head, body uint64
+}
+
+// request returns what f says of the request but for its caller.
+func (f Fingerprint) request() request {
+	return request{
+		head: f.Head >> callerBits,
+		body: f.Body,
+	}
+}
+
+// sumOf returns the sum of some texts.
+func sumOf(parts ...string) uint64 {
 	h := sha256.New()
-	for _, part := range []string{caller, method, host, target} {
+	for _, part := range parts {
 		_, _ = h.Write(binary.BigEndian.AppendUint32(nil, uint32(len(part))))
 		_, _ = io.WriteString(h, part)
 	}
-	return Fingerprint{
-		Head: sum(h),
-	}
+	return sum(h)
 }
 
 // WithBody returns f with the given body, of which the first MaxBody bytes count.
--- a/quarantine/index.go
+++ b/quarantine/index.go
@@ -72,7 +72,8 @@
 	mu      sync.RWMutex
 	reports map[string]Report
 	prints  map[Fingerprint]*history
-	heads   map[uint64]int // prints by their heads
+	heads   map[uint64]int            // prints by their heads, without the caller
+	others  map[request][]Fingerprint // prints of the same request by different callers
 }
 
 // history is what is known of one request.
@@ -97,6 +98,7 @@
 		x.reports = make(map[string]Report)
 		x.prints = make(map[Fingerprint]*history)
 		x.heads = make(map[uint64]int)
+		x.others = make(map[request][]Fingerprint)
 	}
 	x.reports[r.Name] = r
 	for _, p := range r.Prints {
@@ -107,7 +109,8 @@
 				alone: make(map[string]int64),
 			}
 			x.prints[p] = h
-			x.heads[p.Head]++
+			x.heads[p.request().head]++
+			x.others[p.request()] = append(x.others[p.request()], p)
 		}
 		h.reports++
 		for _, u := range r.Upstreams {
@@ -149,12 +152,24 @@
 			continue
 		}
 		delete(x.prints, p)
-		if x.heads[p.Head]--; x.heads[p.Head] == 0 {
-			delete(x.heads, p.Head)
-		}
+		x.forget(p)
 	}
 }
 
+// forget takes a print without a history out of the lists. The lock is held.
+func (x *Index) forget(p Fingerprint) {
+	r := p.request()
+	if x.heads[r.head]--; x.heads[r.head] == 0 {
+		delete(x.heads, r.head)
+	}
+	rest := slices.DeleteFunc(x.others[r], func(o Fingerprint) bool { return o == p })
+	if len(rest) == 0 {
+		delete(x.others, r)
+		return
+	}
+	x.others[r] = rest
+}
+
 // Suspects returns whether a request with the head of p may be suspected, so that its
 // body has to be known.
 func (x *Index) Suspects(p Fingerprint) bool {
@@ -163,7 +178,7 @@
 	}
 	x.mu.RLock()
 	defer x.mu.RUnlock()
-	return x.heads[p.Head] > 0
+	return x.heads[p.request().head] > 0
 }
 
 // Judge returns the standing of a request. Of a request whose body is not known nothing
@@ -179,8 +194,32 @@
 	return x.judge(p, time.Now())
 }
 
-// judge returns the standing of a request. The lock is held.
+// judge returns the standing of a request. One that is blocked for another caller is
+// isolated at least, unless it has run to its end since. The lock is held.
 func (x *Index) judge(p Fingerprint, now time.Time) Judgment {
+	j := x.judgeAlone(p, now)
+	if j.Standing < Isolated && x.blockedForOthers(p, now) {
+		j.Standing = Isolated
+	}
+	return j
+}
+
+// blockedForOthers returns whether the same request is blocked for another caller and has
+// not run to its end for this one since. The lock is held.
+func (x *Index) blockedForOthers(p Fingerprint, now time.Time) bool {
+	var ran int64
+	if h := x.prints[p]; h != nil {
+		ran = h.ran
+	}
+	return slices.ContainsFunc(x.others[p.request()], func(o Fingerprint) bool {
+		j := x.judgeAlone(o, now)
+		return o != p && j.Standing == Blocked && j.Since.UnixMilli() > ran
+	})
+}
+
+// judgeAlone returns the standing of a request by what has been seen of it with its own
+// caller. The lock is held.
+func (x *Index) judgeAlone(p Fingerprint, now time.Time) Judgment {
 	j := Judgment{
 		Print: p,
 	}
--- a/quarantine/index_test.go
+++ b/quarantine/index_test.go
@@ -201,3 +201,29 @@
 		qt.Check(t, ends <= 5, qt.IsTrue, qt.Commentf("%d upstreams ended: three for the first service, one for each other", ends))
 	})
 }
+
+// TestHarmlessForOtherCaller has a request that is blocked for one service's callers run to its end
+// for another's. It runs freely for these from then on, until it ends an upstream again.
+func TestHarmlessForOtherCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var x quarantine.Index
+		one := quarantine.Head("a", "GET", "h.example", "/b/x").WithBody(nil)
+		other := quarantine.Head("b", "GET", "h.example", "/b/x").WithBody(nil)
+		different := quarantine.Head("b", "GET", "h.example", "/b/y").WithBody(nil)
+		for i, alone := range []quarantine.Fingerprint{{}, {}, one} {
+			x.Add(quarantine.Ended(fmt.Sprint("n", i), []quarantine.Fingerprint{one}, alone))
+			time.Sleep(time.Second)
+		}
+		qt.Check(t, x.Judge(one).Standing, qt.Equals, quarantine.Blocked)
+		qt.Check(t, x.Judge(other).Standing, qt.Equals, quarantine.Isolated)
+		qt.Check(t, x.Suspects(quarantine.Head("b", "GET", "h.example", "/b/x")), qt.IsTrue)
+		qt.Check(t, x.Judge(different).Standing < quarantine.Isolated, qt.IsTrue)
+
+		x.Add(quarantine.Ran(other))
+		qt.Check(t, x.Judge(other).Standing < quarantine.Isolated, qt.IsTrue)
+		qt.Check(t, x.Judge(one).Standing, qt.Equals, quarantine.Blocked)
+		time.Sleep(time.Second)
+		x.Add(quarantine.Ended("n3", []quarantine.Fingerprint{one}, one))
+		qt.Check(t, x.Judge(other).Standing, qt.Equals, quarantine.Isolated)
+	})
+}
