--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -21,8 +21,9 @@
 // next, such as the request id and the deadline, is no part of it. It is an immutable
 // value.
 //
-// It is made with SHA-256, of which 64 bits of each part are kept: nobody can make a
-// request that is taken for a given other one.
+// It is made with SHA-256, of which 64 bits are kept of the body, 48 of what else is to be
+// run and 16 of the caller: to make a request that is taken for a given other one takes
+// some 2^48 tries for the head alone.
 type Fingerprint struct {
 	// Head stands for all but the body, with its last callerBits for the caller alone.
 	Head uint64 `msgpack:"h"`
