rollout is named acceptance, for what it decides

The package decides which configuration is accepted; the name is needed for moving a service's traffic to another version of its upstreams.

--- a/rollout/rollout_test.go
+++ b/acceptance/acceptance_test.go
@@ -2,7 +2,7 @@
 // Use of this source code is governed by a BSD-style
 // license that can be found in the LICENSE file.
 
-package rollout_test
+package acceptance_test
 
 import (
 	"context"
@@ -14,11 +14,11 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"sassafrasfront.example/acceptance"
 	"sassafrasfront.example/gossip"
 	"sassafrasfront.example/internal/objectstore"
 	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/operator"
-	"sassafrasfront.example/rollout"
 )
 
 func accepted(sequence, source uint64, deleted bool) *objectapi.Object {
@@ -53,7 +53,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			d, err := rollout.Decide(rollout.Intent{Name: "pledgebook", Source: test.source, Spec: test.spec}, test.present, time.Now())
+			d, err := acceptance.Decide(acceptance.Intent{Name: "pledgebook", Source: test.source, Spec: test.spec}, test.present, time.Now())
 			qt.Assert(t, err, qt.IsNil)
 			qt.Check(t, len(d.Refused) > 0, qt.Equals, test.refused)
 			if test.sequence == 0 {
@@ -104,13 +104,13 @@
 func TestPausedStewardIsHarmless(t *testing.T) {
 	ctx := context.Background()
 	_, api := start(t)
-	old := rollout.Intent{Name: "a", Source: 5, Spec: []byte(`{"hosts":["old"]}`)}
-	next := rollout.Intent{Name: "a", Source: 6, Spec: []byte(`{"hosts":["next"]}`)}
+	old := acceptance.Intent{Name: "a", Source: 5, Spec: []byte(`{"hosts":["old"]}`)}
+	next := acceptance.Intent{Name: "a", Source: 6, Spec: []byte(`{"hosts":["next"]}`)}
 	slow := &paused{API: api, between: func() {
-		_, err := rollout.Accept(ctx, api, next)
+		_, err := acceptance.Accept(ctx, api, next)
 		qt.Assert(t, err, qt.IsNil)
 	}}
-	result, err := rollout.Accept(ctx, slow, old)
+	result, err := acceptance.Accept(ctx, slow, old)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, result.Wrote, qt.IsFalse)
 	a, err := objectapi.SpecOf[operator.Accepted](result.Object)
@@ -134,8 +134,8 @@
 		all.Go(func() {
 			var last uint64
 			for i := uint64(1); i <= intents; {
-				in := rollout.Intent{Name: "a", Source: i, Spec: fmt.Appendf(nil, `{"hosts":["h%d"]}`, i)}
-				result, err := rollout.Accept(ctx, api, in)
+				in := acceptance.Intent{Name: "a", Source: i, Spec: fmt.Appendf(nil, `{"hosts":["h%d"]}`, i)}
+				result, err := acceptance.Accept(ctx, api, in)
 				if err != nil {
 					continue
 				}
@@ -163,11 +163,11 @@
 }
 
 func TestConfigSurvivesTheObject(t *testing.T) {
-	d, err := rollout.Decide(rollout.Intent{Name: "a", Source: 1, Spec: []byte(`{"hosts":["x"],"policy":"random"}`)}, nil, time.Now())
+	d, err := acceptance.Decide(acceptance.Intent{Name: "a", Source: 1, Spec: []byte(`{"hosts":["x"],"policy":"random"}`)}, nil, time.Now())
 	qt.Assert(t, err, qt.IsNil)
 	a, err := objectapi.SpecOf[operator.Accepted](d.Write)
 	qt.Assert(t, err, qt.IsNil)
-	c := rollout.FromAccepted("a", a)
+	c := acceptance.FromAccepted("a", a)
 	s, err := c.Service()
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, s.Policy, qt.Equals, "random")
--- a/rollout/config.go
+++ b/acceptance/config.go
@@ -2,7 +2,7 @@
 // Use of this source code is governed by a BSD-style
 // license that can be found in the LICENSE file.
 
-package rollout
+package acceptance
 
 import (
 	"encoding/json"
@@ -56,7 +56,7 @@
 func FromAccepted(name string, a operator.Accepted) Config {
 	spec, err := json.Marshal(a.Service)
 	if err != nil {
-		panic("rollout: service can't be encoded: " + err.Error())
+		panic("acceptance: service can't be encoded: " + err.Error())
 	}
 	return Config{
 		Name:     name,
--- a/rollout/doc.go
+++ b/acceptance/doc.go
@@ -2,7 +2,7 @@
 // Use of this source code is governed by a BSD-style
 // license that can be found in the LICENSE file.
 
-// Package rollout holds the configuration in force and the rules by which an
+// Package acceptance holds the configuration in force and the rules by which an
 // operator's intent becomes it.
 //
 // The configuration of each service has a sequence that only grows. A node
@@ -10,4 +10,4 @@
 // so a configuration never reverts, whichever way and however late it arrives.
 // The sequence is kept in one Accepted object of the platform for each service,
 // changed by conditional updates only; deciding what to write is pure and here.
-package rollout
+package acceptance
--- a/rollout/whole.go
+++ b/acceptance/whole.go
@@ -2,7 +2,7 @@
 // Use of this source code is governed by a BSD-style
 // license that can be found in the LICENSE file.
 
-package rollout
+package acceptance
 
 import (
 	"time"
@@ -19,7 +19,7 @@
 func FromTable(t *routes.Table) Config {
 	spec, err := t.Encode()
 	if err != nil {
-		panic("rollout: table can't be encoded: " + err.Error())
+		panic("acceptance: table can't be encoded: " + err.Error())
 	}
 	return Config{
 		Name:     Whole,
--- a/control/acceptor.go
+++ b/control/acceptor.go
@@ -10,10 +10,10 @@
 	"sync"
 	"time"
 
+	"sassafrasfront.example/acceptance"
 	"sassafrasfront.example/member"
 	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/operator"
-	"sassafrasfront.example/rollout"
 )
 
 // acceptor makes operators' intents the configuration in force. All stewards
@@ -33,7 +33,7 @@
 
 // pendingIntent is an intent that is due at a time.
 type pendingIntent struct {
-	rollout.Intent
+	acceptance.Intent
 	due      time.Time
 	failures int
 }
@@ -53,11 +53,11 @@
 func (a *acceptor) listed(l *objectapi.List) {
 	gone := a.inForce()
 	for _, o := range l.Items {
-		a.consider(rollout.IntentOf(o))
+		a.consider(acceptance.IntentOf(o))
 		delete(gone, o.Metadata.Name)
 	}
 	for name := range gone {
-		a.consider(rollout.Intent{
+		a.consider(acceptance.Intent{
 			Name:   name,
 			Source: objectapi.ParseVersion(l.Metadata.ResourceVersion),
 		})
@@ -79,7 +79,7 @@
 
 // changed takes in a change of a Service object.
 func (a *acceptor) changed(e objectapi.Event) {
-	in := rollout.IntentOf(e.Object)
+	in := acceptance.IntentOf(e.Object)
 	if e.Type == objectapi.Deleted {
 		in.Spec = nil
 	}
@@ -95,14 +95,14 @@
 	}
 	name := o.Metadata.Name
 	a.done(name, spec.Source)
-	a.control.do(func() { a.control.configs.put(rollout.FromAccepted(name, spec)) })
+	a.control.do(func() { a.control.configs.put(acceptance.FromAccepted(name, spec)) })
 	a.reporter.accepted(name, &spec)
 	return nil
 }
 
 // consider has an intent accepted when it is this steward's turn, unless it is
 // known to be done.
-func (a *acceptor) consider(in rollout.Intent) {
+func (a *acceptor) consider(in acceptance.Intent) {
 	if a.settled(in) {
 		return
 	}
@@ -121,7 +121,7 @@
 
 // settled returns whether an intent, or a newer one for the same service, is
 // accepted or pending.
-func (a *acceptor) settled(in rollout.Intent) bool {
+func (a *acceptor) settled(in acceptance.Intent) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return in.Source <= a.sources[in.Name] || in.Source <= a.pending[in.Name].Source
@@ -221,7 +221,7 @@
 		a.reporter.refused(p.Intent, f)
 		return nil
 	}
-	result, err := rollout.Accept(ctx, a.control.API, p.Intent)
+	result, err := acceptance.Accept(ctx, a.control.API, p.Intent)
 	if err != nil {
 		return err
 	}
@@ -245,7 +245,7 @@
 
 // hostsTaken returns the faults of an intent whose hosts another service in
 // force has.
-func (a *acceptor) hostsTaken(in rollout.Intent) operator.Faults {
+func (a *acceptor) hostsTaken(in acceptance.Intent) operator.Faults {
 	s, err := operator.ParseService(in.Spec)
 	if in.Spec == nil || err != nil {
 		return nil
--- a/control/control.go
+++ b/control/control.go
@@ -14,6 +14,7 @@
 
 	"github.com/rs/zerolog"
 
+	"sassafrasfront.example/acceptance"
 	"sassafrasfront.example/entry"
 	"sassafrasfront.example/evacuation"
 	"sassafrasfront.example/follow"
@@ -24,7 +25,6 @@
 	"sassafrasfront.example/operator"
 	"sassafrasfront.example/peer"
 	"sassafrasfront.example/quarantine"
-	"sassafrasfront.example/rollout"
 	"sassafrasfront.example/routes"
 	"sassafrasfront.example/watch"
 )
@@ -132,7 +132,7 @@
 	// The goroutine of Run owns what follows.
 	self       member.Record
 	members    exchanger[member.Record]
-	configs    exchanger[rollout.Config]
+	configs    exchanger[acceptance.Config]
 	reports    exchanger[quarantine.Report]
 	byService  map[string]map[string]member.Record
 	table      *routes.Table // in force, or nil
@@ -172,9 +172,9 @@
 			},
 			changed: c.memberChanged,
 		}
-		c.configs = exchanger[rollout.Config]{
+		c.configs = exchanger[acceptance.Config]{
 			topic:   "configs",
-			accept:  func(rollout.Config) bool { return true },
+			accept:  func(acceptance.Config) bool { return true },
 			changed: c.configChanged,
 		}
 		if c.Quarantine == nil {
@@ -321,15 +321,15 @@
 func wasLive(old member.Record) bool { return old.ID != "" && old.Live() }
 
 // configChanged takes in a change of a configuration.
-func (c *Control) configChanged(_, r rollout.Config) {
+func (c *Control) configChanged(_, r acceptance.Config) {
 	switch r.Name {
-	case rollout.Whole:
+	case acceptance.Whole:
 		c.tableChanged(r)
 		return
-	case rollout.Evacuated:
+	case acceptance.Evacuated:
 		c.zonesChanged(r)
 		return
-	case rollout.Retained:
+	case acceptance.Retained:
 		c.retainedChanged(r)
 		return
 	}
--- a/control/era_test.go
+++ b/control/era_test.go
@@ -12,9 +12,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"sassafrasfront.example/acceptance"
 	"sassafrasfront.example/evacuation"
 	"sassafrasfront.example/objectapi"
-	"sassafrasfront.example/rollout"
 	"sassafrasfront.example/routes"
 )
 
@@ -85,7 +85,7 @@
 	c.waitZones(list, zonesAt(2, 870))
 	began := time.Now()
 	list[1].do(func() {
-		list[1].configs.put(rollout.FromRetained(zonesAt(1, 900, "z"), began.Add(left-evacuation.RetainFor)))
+		list[1].configs.put(acceptance.FromRetained(zonesAt(1, 900, "z"), began.Add(left-evacuation.RetainFor)))
 	})
 	c.waitZones(list[1:2], zonesAt(2, 870, "z"))
 	c.waitZones(list, zonesAt(2, 870))
--- a/control/evacuation.go
+++ b/control/evacuation.go
@@ -8,9 +8,9 @@
 	"slices"
 	"time"
 
+	"sassafrasfront.example/acceptance"
 	"sassafrasfront.example/evacuation"
 	"sassafrasfront.example/objectapi"
-	"sassafrasfront.example/rollout"
 )
 
 // Evacuate takes in the evacuated zones as they were read from the platform, unless they
@@ -22,15 +22,15 @@
 		if s.Same(last) && s.At.Era == last.At.Era {
 			return // a later revision of the same is no news to anybody
 		}
-		c.configs.put(rollout.FromZones(s))
+		c.configs.put(acceptance.FromZones(s))
 		c.publish()
 	})
 }
 
 // zonesChanged takes in evacuated zones as a node has read them. Like a table of routes they
 // are fetched by those who hear of them, and not pushed.
-func (c *Control) zonesChanged(r rollout.Config) {
-	delete(c.configs.outbox, rollout.Evacuated)
+func (c *Control) zonesChanged(r acceptance.Config) {
+	delete(c.configs.outbox, acceptance.Evacuated)
 	s, err := r.Zones()
 	if err != nil {
 		c.Log.Error().Err(err).Uint64("era", r.Era).Uint64("revision", r.Sequence).Msg("evacuated zones can't be read, the old ones stay")
@@ -38,7 +38,7 @@
 	}
 	now := time.Now()
 	if before, restored := c.zonesKnown.Take(s, now); restored {
-		c.configs.put(rollout.FromRetained(before, c.eraRose(now)))
+		c.configs.put(acceptance.FromRetained(before, c.eraRose(now)))
 	}
 	if c.reads != nil {
 		c.reads.ZonesInForce(s.At)
@@ -47,8 +47,8 @@
 }
 
 // retainedChanged takes in the zones that were in force when an era of the platform ended.
-func (c *Control) retainedChanged(r rollout.Config) {
-	delete(c.configs.outbox, rollout.Retained)
+func (c *Control) retainedChanged(r acceptance.Config) {
+	delete(c.configs.outbox, acceptance.Retained)
 	s, err := r.Zones()
 	if err != nil {
 		c.Log.Error().Err(err).Uint64("era", r.Era).Uint64("revision", r.Sequence).Msg("zones of an earlier era can't be read")
--- a/control/reads.go
+++ b/control/reads.go
@@ -10,10 +10,10 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"sassafrasfront.example/acceptance"
 	"sassafrasfront.example/follow"
 	"sassafrasfront.example/member"
 	"sassafrasfront.example/peer"
-	"sassafrasfront.example/rollout"
 )
 
 // The topics of the reads of the platform.
@@ -180,7 +180,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), newsTimeout)
 		defer cancel()
-		reply, err := ask[struct{}, records[rollout.Config]](ctx, p, topicTable, struct{}{})
+		reply, err := ask[struct{}, records[acceptance.Config]](ctx, p, topicTable, struct{}{})
 		if err != nil {
 			c.Log.Debug().Err(err).Str("peer", from).Msg("table not fetched")
 		}
@@ -210,7 +210,7 @@
 	case topicAskNews:
 		return c.tell(c.reads.Tell(time.Now())), true, nil
 	case topicTable:
-		return records[rollout.Config]{Records: c.configs.get([]string{rollout.Whole, rollout.Retained, rollout.Evacuated})}, true, nil
+		return records[acceptance.Config]{Records: c.configs.get([]string{acceptance.Whole, acceptance.Retained, acceptance.Evacuated})}, true, nil
 	}
 	return nil, false, nil
 }
--- a/control/reporter.go
+++ b/control/reporter.go
@@ -12,12 +12,12 @@
 	"sync"
 	"time"
 
+	"sassafrasfront.example/acceptance"
 	"sassafrasfront.example/internal/sleep"
 	"sassafrasfront.example/member"
 	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/operator"
 	"sassafrasfront.example/peer"
-	"sassafrasfront.example/rollout"
 )
 
 const (
@@ -90,7 +90,7 @@
 }
 
 // refused has the refusal of an intent reported.
-func (r *reporter) refused(in rollout.Intent, f operator.Faults) {
+func (r *reporter) refused(in acceptance.Intent, f operator.Faults) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	key := reportKey{
--- a/control/size_test.go
+++ b/control/size_test.go
@@ -13,9 +13,9 @@
 	"github.com/rs/zerolog"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"sassafrasfront.example/acceptance"
 	"sassafrasfront.example/member"
 	"sassafrasfront.example/operator"
-	"sassafrasfront.example/rollout"
 	"sassafrasfront.example/watch"
 )
 
@@ -57,9 +57,9 @@
 
 func serviceName(i int) string { return fmt.Sprintf("service-%04d", i) }
 
-func configOf(i int, sequence uint64) rollout.Config {
+func configOf(i int, sequence uint64) acceptance.Config {
 	s := operator.Service{Hosts: []string{serviceName(i) + ".example"}}.WithDefaults()
-	return rollout.FromAccepted(serviceName(i), operator.Accepted{Sequence: sequence, Service: s, At: time.Now()})
+	return acceptance.FromAccepted(serviceName(i), operator.Accepted{Sequence: sequence, Service: s, At: time.Now()})
 }
 
 // BenchmarkState reports the memory of a node's whole control state, the sizes
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -8,11 +8,11 @@
 	"maps"
 	"sort"
 
+	"sassafrasfront.example/acceptance"
 	"sassafrasfront.example/entry"
 	"sassafrasfront.example/evacuation"
 	"sassafrasfront.example/member"
 	"sassafrasfront.example/operator"
-	"sassafrasfront.example/rollout"
 	"sassafrasfront.example/routes"
 )
 
@@ -80,7 +80,7 @@
 }
 
 // service returns a service in force with its members, or nil if it is deleted.
-func (c *Control) service(config rollout.Config) *entry.Service {
+func (c *Control) service(config acceptance.Config) *entry.Service {
 	if config.Deleted {
 		return nil
 	}
--- a/control/table.go
+++ b/control/table.go
@@ -8,7 +8,7 @@
 	"context"
 	"time"
 
-	"sassafrasfront.example/rollout"
+	"sassafrasfront.example/acceptance"
 	"sassafrasfront.example/routes"
 )
 
@@ -43,7 +43,7 @@
 // Configure takes in a table of routes, unless a later one is in force.
 func (c *Control) Configure(t *routes.Table) {
 	c.init()
-	record := rollout.FromTable(t)
+	record := acceptance.FromTable(t)
 	c.do(func() {
 		c.configs.put(record)
 		c.publish()
@@ -53,8 +53,8 @@
 // tableChanged takes in a table of routes. It is not taken back: the exchanger
 // accepts higher sequences only. It is not pushed: others fetch it from one of those
 // that tell them of it, so that a table of thousands of routes comes to each but once.
-func (c *Control) tableChanged(r rollout.Config) {
-	delete(c.configs.outbox, rollout.Whole)
+func (c *Control) tableChanged(r acceptance.Config) {
+	delete(c.configs.outbox, acceptance.Whole)
 	t, err := r.Table()
 	if err != nil {
 		c.Log.Error().Err(err).Uint64("version", r.Sequence).Msg("configuration can't be read")
--- a/node/state_test.go
+++ b/node/state_test.go
@@ -15,9 +15,9 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"sassafrasfront.example/acceptance"
 	"sassafrasfront.example/operator"
 	"sassafrasfront.example/peer"
-	"sassafrasfront.example/rollout"
 	"sassafrasfront.example/settings"
 	"sassafrasfront.example/upstream"
 )
@@ -28,7 +28,7 @@
 func TestAnnouncementMeetsConfiguration(t *testing.T) {
 	spec, err := json.Marshal(operator.Service{Hosts: []string{"a.example"}}.WithDefaults())
 	qt.Assert(t, err, qt.IsNil)
-	records, err := msgpack.Marshal(map[string]any{"records": []rollout.Config{{Name: "a", Sequence: 1, Spec: spec}}})
+	records, err := msgpack.Marshal(map[string]any{"records": []acceptance.Config{{Name: "a", Sequence: 1, Spec: spec}}})
 	qt.Assert(t, err, qt.IsNil)
 	for i := range 150 {
 		n := &Node{
