--- /dev/null
+++ b/canary/judgement.go
@@ -0,0 +1,162 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package canary
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"sassafrasfront.example/objectapi"
+	"sassafrasfront.example/rollout"
+)
+
+const (
+	// judgesFor is how long after the last report a node is judge.
+	judgesFor = 2 * time.Second
+	// recordTimeout bounds the recording of an outcome, and recordAgain is the wait before the
+	// next try. A judge whose try failed declines for declineFor: the platform may answer
+	// another node.
+	recordTimeout = 2 * time.Second
+	recordAgain   = 500 * time.Millisecond
+	declineFor    = 3 * time.Second
+	// roomPart is the part of the former version's slots that the new one must have before
+	// all requests move there.
+	roomPart = 0.75
+)
+
+// judgement is this node's work as the judge of one order.
+type judgement struct {
+	judge     rollout.Judge
+	heard     time.Time // the last report
+	told      bool      // whether it stands on the platform that the order is carried out
+	recording bool
+	again     time.Time // when recording may be tried again
+}
+
+// judgementOf returns the work on an order. The lock is held.
+func (r *Runner) judgementOf(k rollout.Known) *judgement {
+	j := r.judges[k.Order.Service]
+	if j == nil || j.judge.Order.At != k.Order.At {
+		j = &judgement{judge: rollout.Judge{
+			Order: k.Order,
+			Began: k.Heard,
+		}}
+		r.judges[k.Order.Service] = j
+	}
+	return j
+}
+
+// drop forgets the work on a service's order.
+func (r *Runner) drop(service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.judges, service)
+}
+
+// judge does a judge's work on one order, if this node is one.
+func (r *Runner) judge(ctx context.Context, service string, k rollout.Known, now time.Time) {
+	first := r.isFirst(r.candidates(service, now))
+	room := r.room(k.Order)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Before(r.declines) {
+		return
+	}
+	j := r.judgementOf(k)
+	if first && !j.told && k.Phase < rollout.Stopped {
+		r.record(ctx, j, k.State, now)
+		return
+	}
+	over := now.Sub(k.Heard) > k.Order.Duration
+	if now.Sub(j.heard) > judgesFor && !(first && over) {
+		return // it may be cut off from the upstreams: it has nothing to judge by
+	}
+	next, reason := j.judge.Step(k.State, room, now)
+	decided := k.With(next, reason, r.Hello.Node, now)
+	switch {
+	case next == rollout.Stopped && k.Phase == rollout.Stopped:
+		r.record(ctx, j, k.With(rollout.RolledBack, k.Reason, r.Hello.Node, now), now)
+	case next == rollout.Completed:
+		r.record(ctx, j, decided, now)
+	case next != k.Phase:
+		go r.Decide(decided)
+	}
+}
+
+// room returns whether the upstreams of an order's version can take all requests.
+func (r *Runner) room(o rollout.Order) bool {
+	var former, next int
+	for version, s := range r.Sizes(o.Service) {
+		if version == o.Version {
+			next = s.Slots
+		} else {
+			former += s.Slots
+		}
+	}
+	return float64(next) >= roomPart*float64(former)
+}
+
+// record writes how far an order is to the platform. The lock is held.
+func (r *Runner) record(ctx context.Context, j *judgement, s rollout.State, now time.Time) {
+	if j.recording || now.Before(j.again) {
+		return
+	}
+	j.recording = true
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+		defer cancel()
+		recorded, err := r.write(ctx, s)
+		r.mu.Lock()
+		j.recording = false
+		j.again = time.Now().Add(recordAgain)
+		switch {
+		case err == nil:
+			j.told = true
+		case !objectapi.IsConflict(err):
+			r.declines = time.Now().Add(declineFor)
+		}
+		r.mu.Unlock()
+		if err != nil {
+			r.Log.Warn().Err(err).Str("service", s.Order.Service).Stringer("phase", s.Phase).Msg("roll-out not recorded")
+			return
+		}
+		if recorded.Phase.Settled() {
+			r.Decide(recorded)
+		}
+	}()
+}
+
+// write writes a state under the condition that nobody else has written since it was read, and
+// returns what stands there then: the outcome that was written first stays.
+func (r *Runner) write(ctx context.Context, s rollout.State) (rollout.State, error) {
+	o, err := r.API.Get(ctx, r.Kind, s.Order.Service)
+	if err != nil {
+		return s, err
+	}
+	found, err := r.Decode(o)
+	if err != nil {
+		return s, err
+	}
+	if !found.Order.Same(s.Order) {
+		return s, eris.Errorf("another order has replaced the one for version %s", s.Order.Version)
+	}
+	if found.Outcome.Settled() {
+		return s.With(found.Outcome, "recorded on the platform", s.Node, s.When).WithRecorded(found.Order.At), nil
+	}
+	if !s.Phase.Settled() && len(o.Status) > 0 && string(o.Status) != "null" {
+		return s, nil // that it is being carried out stands there already
+	}
+	written, err := r.API.UpdateStatus(ctx, o.WithStatus(r.Status(s.Order.Version, s.Phase)))
+	if err != nil {
+		return s, err
+	}
+	at, err := objectapi.ParsePoint(written.Metadata.ResourceVersion)
+	if err != nil {
+		return s, eris.Wrap(err, "answer to a status")
+	}
+	return s.WithRecorded(at), nil
+}
--- /dev/null
+++ b/canary/report.go
@@ -0,0 +1,187 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package canary
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/rollout"
+)
+
+const (
+	// Topic is the topic of the reports to a judge.
+	Topic = "rollout"
+	// reportTimeout bounds one report. An instance whose share of the processor is dealt out
+	// every 100 ms answers within that.
+	reportTimeout = 300 * time.Millisecond
+	// clientsIdle is how long a connection to a judge is kept that isn't used.
+	clientsIdle = 10 * time.Second
+	// choiceFor is how long the choice of judges is kept: it takes a look at all nodes.
+	choiceFor = time.Second
+)
+
+var (
+	errDeclines = eris.New("no judge: the platform does not answer this node")
+	errNoOrder  = eris.New("no judge: no order is known here")
+)
+
+// candidates returns the nodes that may be judge for a service, in order.
+func (r *Runner) candidates(service string, now time.Time) []Peer {
+	r.mu.Lock()
+	if now.Sub(r.choices) >= choiceFor {
+		r.chosen = make(map[string][]Peer)
+		r.choices = now
+	}
+	list, ok := r.chosen[service]
+	r.mu.Unlock()
+	if ok {
+		return list
+	}
+	list = r.Judges(service)
+	r.mu.Lock()
+	r.chosen[service] = list
+	r.mu.Unlock()
+	return list
+}
+
+// report tells a judge of the upstream, if that is due.
+func (r *Runner) report(ctx context.Context, u Upstream, k rollout.Known, now time.Time) {
+	if u.Version == "" {
+		return
+	}
+	every := r.reportEvery(u, k)
+	candidates := r.candidates(u.Service, now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.asking || now.Sub(r.reported) < every {
+		return
+	}
+	r.reported = now
+	r.asking = true
+	report := rollout.Report{
+		Service: u.Service,
+		Version: u.Version,
+		Start:   r.began,
+		Running: u.Running,
+		Classes: make(map[string]rollout.Tally, len(r.classes)),
+	}
+	for class, t := range r.classes {
+		report.Classes[class] = t
+	}
+	go r.send(ctx, candidates, report, now)
+}
+
+// reportEvery returns the time between two reports: as long as keeps the reports to a judge
+// within bounds. Upstreams on trial report often enough for their leases.
+func (r *Runner) reportEvery(u Upstream, k rollout.Known) time.Duration {
+	n := r.Sizes(u.Service)[u.Version].Upstreams
+	every := stepEvery * time.Duration(max(1, n/reportsPerStep))
+	if k.Standing(u.Version) == rollout.OnTrial {
+		every = min(every, r.Lease/leaseParts)
+	}
+	return every - stepEvery/2 // steps are never quite on time
+}
+
+// send sends a report to the first candidate that takes it.
+func (r *Runner) send(ctx context.Context, candidates []Peer, report rollout.Report, sent time.Time) {
+	taken := false
+	for _, p := range candidates {
+		err := r.sendTo(ctx, p, report)
+		if err == nil {
+			taken = true
+			break
+		}
+		r.Log.Debug().Err(err).Str("judge", p.ID).Str("service", report.Service).Msg("report of a roll-out not taken")
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.asking = false
+	if taken {
+		r.answered = sent
+	}
+}
+
+// sendTo sends a report to one candidate, which may be this node.
+func (r *Runner) sendTo(ctx context.Context, p Peer, report rollout.Report) error {
+	if p.ID == r.Hello.Node {
+		return r.take(p.ID, report)
+	}
+	payload, err := msgpack.Marshal(report)
+	if err != nil {
+		return eris.Wrap(err, "encode")
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	_, err = r.client(p).Request(ctx, Topic, payload, false)
+	return err
+}
+
+// client returns the client of a candidate.
+func (r *Runner) client(p Peer) *peer.Client {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.clients[p.ID]
+	if c != nil && c.Addr == p.Addr {
+		return c
+	}
+	if c != nil {
+		c.Close()
+	}
+	limits := r.Limits
+	limits.Idle = clientsIdle
+	c = &peer.Client{
+		Addr:     p.Addr,
+		Hello:    r.Hello,
+		Limits:   limits,
+		Counters: r.Counters,
+	}
+	r.clients[p.ID] = c
+	return c
+}
+
+// Handle takes in a report of another node.
+func (r *Runner) Handle(from peer.Hello, payload []byte) ([]byte, error) {
+	r.init()
+	if !peer.Plausible(payload) {
+		return nil, eris.Wrap(peer.ErrProtocol, "decode: a length is over what follows it")
+	}
+	var report rollout.Report
+	if err := msgpack.Unmarshal(payload, &report); err != nil {
+		return nil, eris.Wrap(err, "decode")
+	}
+	if err := r.take(from.Node, report); err != nil {
+		return nil, err
+	}
+	return msgpack.Marshal(struct{}{})
+}
+
+// take takes in a report as the judge.
+func (r *Runner) take(node string, report rollout.Report) error {
+	k, ok := r.Known()[report.Service]
+	if !ok || k.Phase.Settled() {
+		return errNoOrder
+	}
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Before(r.declines) {
+		return errDeclines
+	}
+	j := r.judgementOf(k)
+	j.judge.Hear(node, report, now)
+	j.heard = now
+	return nil
+}
+
+// isFirst returns whether this node is the first candidate for judge.
+func (r *Runner) isFirst(candidates []Peer) bool {
+	return slices.IndexFunc(candidates, func(p Peer) bool { return p.ID == r.Hello.Node }) == 0
+}
--- a/cmd/sassafrasctl/main.go
+++ b/cmd/sassafrasctl/main.go
@@ -89,7 +89,7 @@
 		if name == "validate" || name == "apply" || name == "diff" {
 			f.StringVar(&t.file, "f", "", "file with a Service in YAML or JSON")
 		}
-		if name == "suspects" || name == "release" || name == "zones" || name == "organisations" {
+		if name == "suspects" || name == "release" || name == "zones" || name == "rollouts" || name == "organisations" {
 			f.StringVar(&t.node, "node", "", "operator address of a node, such as 10.1.0.38:8141")
 		}
 		return &ffcli.Command{
@@ -118,10 +118,11 @@
 			command("suspects", "suspects -node ADDRESS", "show the requests under which upstreams have ended", t.suspects),
 			command("release", "release -node ADDRESS PRINT", "let such a request run again, at all nodes", t.release),
 			command("zones", "zones -node ADDRESS", "show the evacuated availability zones", t.zones),
+			command("rollouts", "rollouts -node ADDRESS", "show how far versions are rolled out", t.rollouts),
 			command("organisations", "organisations -node ADDRESS", "show the organisations' rate limits and what they use", t.organisations),
 		},
 		Exec: func(context.Context, []string) error {
-			return exitError{exitUsage, errors.New("usage: sassafrasctl [flags] <validate|apply|diff|get|status|watch|delete|explain|failures|suspects|release|zones|organisations>")}
+			return exitError{exitUsage, errors.New("usage: sassafrasctl [flags] <validate|apply|diff|get|status|watch|delete|explain|failures|suspects|release|zones|rollouts|organisations>")}
 		},
 	}
 }
--- a/cmd/sassafrasnode/main.go
+++ b/cmd/sassafrasnode/main.go
@@ -187,7 +187,11 @@
 		Name:     platform.ManifestName,
 		Table:    platform.Table,
 		ZoneKind: platform.EvacuationKind,
-		Announce: platform.Instances,
+
+		RolloutKind:   platform.RolloutKind,
+		Rollout:       platform.Rollout,
+		RolloutStatus: platform.RolloutStatus,
+		Announce:      platform.Instances,
 	}
 }
 
--- a/control/control.go
+++ b/control/control.go
@@ -25,6 +25,7 @@
 	"sassafrasfront.example/operator"
 	"sassafrasfront.example/peer"
 	"sassafrasfront.example/quarantine"
+	"sassafrasfront.example/rollout"
 	"sassafrasfront.example/routes"
 	"sassafrasfront.example/watch"
 )
@@ -103,6 +104,9 @@
 	// EraHeard, if not nil, is called when another node tells of a later era of the
 	// platform, by a goroutine of its own.
 	EraHeard func(era uint64)
+	// Exposure bounds what a version gets that an operator has ordered to be rolled out. Zero
+	// means that no orders are read.
+	Exposure rollout.Exposure
 	// Topics, if not nil, answer the control requests of other parts of the node, by topic.
 	// They are called by many goroutines, and must not wait.
 	Topics map[string]func(from peer.Hello, payload []byte) ([]byte, error)
@@ -135,7 +139,8 @@
 	configs    exchanger[acceptance.Config]
 	reports    exchanger[quarantine.Report]
 	byService  map[string]map[string]member.Record
-	table      *routes.Table // in force, or nil
+	table      *routes.Table            // in force, or nil
+	rollouts   map[string]rollout.Known // by service
 	evacuated  evacuation.Set
 	zonesKnown evacuation.State
 	live       int // live nodes, this one included
@@ -162,6 +167,7 @@
 		c.done = make(chan struct{})
 		c.byService = make(map[string]map[string]member.Record)
 		c.dirty = make(map[string]bool)
+		c.rollouts = make(map[string]rollout.Known)
 		c.suspects = make(map[string]time.Time)
 		c.clients = make(map[string]*peer.Client)
 		c.random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
@@ -262,6 +268,7 @@
 // publish makes a new snapshot if something has changed.
 func (c *Control) publish() {
 	c.enforceZones(time.Now()) // some are retained for a time only
+	c.endPreference(time.Now())
 	last := c.snapshot.Load().Evacuated
 	if len(c.dirty) > 0 || c.evacuated.At != last.At || !c.evacuated.Same(last) {
 		c.rebuild()
@@ -286,13 +293,13 @@
 }
 
 // Announce says what the node's upstream is now.
-func (c *Control) Announce(service string, slots int, s member.State) {
+func (c *Control) Announce(u member.Upstream) {
 	c.init()
 	c.do(func() {
-		if c.self.Service == service && c.self.Slots == slots && c.self.State == s {
+		if c.self.Upstream() == u {
 			return
 		}
-		c.setSelf(c.self.WithUpstream(service, slots, s))
+		c.setSelf(c.self.WithUpstream(u))
 		c.push(context.Background())
 	})
 }
@@ -333,6 +340,10 @@
 		c.retainedChanged(r)
 		return
 	}
+	if r.IsRollout() {
+		c.rolloutChanged(r)
+		return
+	}
 	c.dirty[r.Name] = true
 	c.Log.Info().Str("service", r.Name).Uint64("sequence", r.Sequence).Bool("deleted", r.Deleted).Msg("configuration in force")
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -277,7 +277,7 @@
 			c.apply("a", `{"hosts":["a.example"]}`)
 			c.allHave("a", 1)
 			c.store.SetFaults(faults)
-			c.nodes[1].Announce("a", 10, member.Up)
+			c.nodes[1].Announce(member.Upstream{Service: "a", Slots: 10, State: member.Up})
 			c.eventually("the announcement everywhere", func() bool {
 				for _, n := range c.nodes {
 					if s := n.Snapshot().Services["a"]; s == nil || len(s.Members) != 1 {
@@ -373,7 +373,7 @@
 	c.apply("a", `{"hosts":["a.example"]}`)
 	c.allHave("a", 1)
 	victim := c.nodes[3]
-	victim.Announce("a", 5, member.Up)
+	victim.Announce(member.Upstream{Service: "a", Slots: 5, State: member.Up})
 	knows := func() bool {
 		for _, n := range c.nodes {
 			if s := n.Snapshot().Services["a"]; s == nil || len(s.Members) != 1 {
@@ -404,7 +404,7 @@
 	c.apply("a", `{"hosts":["a.example"]}`)
 	c.allHave("a", 1)
 	for _, n := range c.nodes {
-		n.Announce("a", 1, member.Up)
+		n.Announce(member.Upstream{Service: "a", Slots: 1, State: member.Up})
 	}
 	members := func(want int) func() bool {
 		return func() bool { return len(c.nodes[0].Snapshot().Services["a"].Members) == want }
--- a/control/evacuation_test.go
+++ b/control/evacuation_test.go
@@ -13,6 +13,7 @@
 
 	"sassafrasfront.example/evacuation"
 	"sassafrasfront.example/follow"
+	"sassafrasfront.example/member"
 	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/routes"
 )
@@ -27,7 +28,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	for _, n := range list {
 		n.Configure(table)
-		n.Announce("s", 1, "up")
+		n.Announce(member.Upstream{Service: "s", Slots: 1, State: member.Up})
 	}
 	members := func(n *testNode) int {
 		if s := n.Snapshot().Services["s"]; s != nil {
@@ -56,7 +57,7 @@
 
 	late := c.tableNode("late", "y", func() []string { return []string{list[0].Self.Addr} })
 	c.eventually("one that starts late knows", func() bool { return late.Snapshot().Evacuated.Has("z") })
-	late.Announce("s", 1, "up")
+	late.Announce(member.Upstream{Service: "s", Slots: 1, State: member.Up})
 	list = append(list, late)
 	c.eventually("its own zone is not evacuated", all(1, "z"))
 
--- a/control/reads.go
+++ b/control/reads.go
@@ -22,7 +22,7 @@
 	topicNews = "news"
 	// topicAskNews asks for the latest read that the receiver knows.
 	topicAskNews = "askNews"
-	// topicTable asks for the table of routes and the evacuated zones in force.
+	// topicTable asks for the table of routes, the evacuated zones and the roll-outs in force.
 	topicTable = "table"
 )
 
@@ -210,7 +210,7 @@
 	case topicAskNews:
 		return c.tell(c.reads.Tell(time.Now())), true, nil
 	case topicTable:
-		return records[acceptance.Config]{Records: c.configs.get([]string{acceptance.Whole, acceptance.Retained, acceptance.Evacuated})}, true, nil
+		return records[acceptance.Config]{Records: c.configs.get(append(c.rolloutNames(), acceptance.Whole, acceptance.Retained, acceptance.Evacuated))}, true, nil
 	}
 	return nil, false, nil
 }
--- /dev/null
+++ b/control/rollouts.go
@@ -0,0 +1,175 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package control
+
+import (
+	"time"
+
+	"sassafrasfront.example/acceptance"
+	"sassafrasfront.example/member"
+	"sassafrasfront.example/objectapi"
+	"sassafrasfront.example/rollout"
+)
+
+// preferFor is how long after a roll-out is completed its version goes before others: the
+// former version's upstreams stop at once, and nodes hear of each only then.
+const preferFor = 30 * time.Second
+
+// Orders takes in the orders to roll versions out, as they were read from the platform at a
+// Point. Whole is whether those that are not among them have been withdrawn.
+func (c *Control) Orders(found []rollout.Found, at objectapi.Point, whole bool) {
+	c.init()
+	c.do(func() {
+		now := time.Now()
+		listed := make(map[string]bool)
+		for _, f := range found {
+			listed[f.Order.Service] = true
+			known, ok := c.rollouts[f.Order.Service]
+			if s, changed := rollout.Take(known.State, ok, f, now); changed {
+				c.configs.put(acceptance.FromRollout(s))
+			}
+		}
+		for name, known := range c.rollouts {
+			if whole && !listed[name] && known.Phase < rollout.Stopped && known.Order.At.Era == at.Era && known.Order.At.Less(at) {
+				c.configs.put(acceptance.FromRollout(known.With(rollout.Stopped, "the order was withdrawn", c.self.ID, now)))
+			}
+		}
+		c.publish()
+	})
+}
+
+// Decide takes in a decision of this node on a roll-out.
+func (c *Control) Decide(s rollout.State) {
+	c.init()
+	c.do(func() {
+		c.configs.put(acceptance.FromRollout(s))
+		c.publish()
+	})
+}
+
+// rolloutChanged takes in how far a roll-out is. It is pushed on at once.
+func (c *Control) rolloutChanged(r acceptance.Config) {
+	s, err := r.Rollout()
+	if err != nil {
+		c.Log.Error().Err(err).Str("record", r.Name).Msg("roll-out can't be read, what was known stays")
+		return
+	}
+	now := time.Now()
+	next := rollout.Known{
+		State:     s,
+		Heard:     now,
+		Changed:   now,
+		Preferred: s.Phase == rollout.Completed,
+	}
+	if before, ok := c.rollouts[s.Order.Service]; ok && before.Order.At == s.Order.At {
+		next.Heard = before.Heard
+	}
+	c.rollouts[s.Order.Service] = next
+	c.dirty[s.Order.Service] = true
+	c.Log.Info().Str("service", s.Order.Service).Str("version", s.Order.Version).Stringer("phase", s.Phase).Str("reason", s.Reason).Str("decidedBy", s.Node).Uint64("era", s.Order.At.Era).Uint64("revision", s.Order.At.Revision).Msg("roll-out")
+}
+
+// endPreference has completed versions no longer go before others once nothing is left of
+// the former ones.
+func (c *Control) endPreference(now time.Time) {
+	for name, r := range c.rollouts {
+		if r.Preferred && now.Sub(r.Changed) >= preferFor {
+			r.Preferred = false
+			c.rollouts[name] = r
+			c.dirty[name] = true
+		}
+	}
+}
+
+// rolloutNames returns the names of the records of roll-outs.
+func (c *Control) rolloutNames() []string {
+	var names []string
+	for _, r := range c.rollouts {
+		names = append(names, acceptance.FromRollout(r.State).Name)
+	}
+	return names
+}
+
+// Versions returns how many upstreams of a service take requests, by the version of their
+// software. Those whose version is not known have none.
+func (c *Control) Versions(service string) map[string]rollout.Size {
+	c.init()
+	sizes := make(map[string]rollout.Size)
+	c.do(func() {
+		for id, r := range c.byService[service] {
+			if id == c.self.ID {
+				continue
+			}
+			s := sizes[r.Software]
+			s.Upstreams++
+			s.Slots += r.Slots
+			if r.Trial {
+				s.Trial++
+			}
+			sizes[r.Software] = s
+		}
+	})
+	return sizes
+}
+
+// trial is what a service's version on trial gets.
+type trial struct {
+	known bool
+	state rollout.Known
+	share float64
+	inUse map[string]bool // upstreams of the version that get it
+}
+
+// unheard returns whether an upstream is on trial by an order that this node has not heard
+// of, as the node beside it says.
+func (t trial) unheard(r member.Record) bool {
+	return r.Trial && (!t.known || r.Software != t.state.Order.Version)
+}
+
+// standing returns what an upstream may get.
+func (t trial) standing(r member.Record) rollout.Standing {
+	s := rollout.Ordinary
+	switch {
+	case t.unheard(r):
+		s = rollout.OnTrial
+	case t.known:
+		s = t.state.Standing(r.Software)
+	}
+	if s == rollout.OnTrial && !t.inUse[r.ID] {
+		return rollout.Withheld
+	}
+	return s
+}
+
+// onTrial returns what a service's version on trial gets now: the upstreams that are in use
+// are the same at all nodes that know the same ones.
+func (c *Control) onTrial(service string) trial {
+	t := trial{inUse: make(map[string]bool)}
+	if c.Exposure == 0 {
+		return t
+	}
+	t.state, t.known = c.rollouts[service]
+	var ids, unheard []string
+	for id, r := range c.byService[service] {
+		switch {
+		case c.evacuated.Has(r.Zone):
+		case t.unheard(r):
+			unheard = append(unheard, id)
+		case t.known && (t.state.Standing(r.Software) == rollout.OnTrial || t.state.Preferred && r.Software == t.state.Order.Version):
+			ids = append(ids, id)
+		}
+	}
+	phase := t.state.Phase
+	if len(unheard) > 0 {
+		ids, phase = unheard, rollout.Trial
+	}
+	for _, id := range member.First(service, ids, c.Exposure.InUse(phase, len(ids))) {
+		t.inUse[id] = true
+	}
+	if len(t.inUse) > 0 {
+		t.share = c.Exposure.Share(phase)
+	}
+	return t
+}
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -13,6 +13,7 @@
 	"sassafrasfront.example/evacuation"
 	"sassafrasfront.example/member"
 	"sassafrasfront.example/operator"
+	"sassafrasfront.example/rollout"
 	"sassafrasfront.example/routes"
 )
 
@@ -31,6 +32,8 @@
 	Table *routes.Table
 	// Evacuated are the zones whose upstreams get no requests.
 	Evacuated evacuation.Set
+	// Rollouts are the latest orders to roll a version out, by service.
+	Rollouts map[string]rollout.Known
 	// Ready is whether any configuration is known.
 	Ready bool
 }
@@ -49,6 +52,7 @@
 	}
 	next.Table = c.table
 	next.Evacuated = c.evacuated
+	next.Rollouts = maps.Clone(c.rollouts)
 	hosts := false
 	for name := range c.dirty {
 		if c.Template != nil {
@@ -92,14 +96,17 @@
 	return c.withMembers(config.Name, parsed)
 }
 
-// withMembers returns a service with its members, without those in evacuated zones.
+// withMembers returns a service with its members, without those in evacuated zones and those
+// whose version is not to be used.
 func (c *Control) withMembers(name string, config operator.Service) *entry.Service {
 	s := &entry.Service{
 		Name:   name,
 		Config: config,
 	}
+	trial := c.onTrial(name)
+	s.TrialShare = trial.share
 	for _, r := range c.byService[name] {
-		if c.evacuated.Has(r.Zone) {
+		if c.evacuated.Has(r.Zone) || trial.standing(r) == rollout.Withheld {
 			continue
 		}
 		s.Members = append(s.Members, entry.Member{
@@ -108,6 +115,7 @@
 			Zone:   r.Zone,
 			Region: r.Region,
 			Slots:  r.Slots,
+			Trial:  trial.inUse[r.ID],
 		})
 	}
 	sort.Slice(s.Members, func(i, j int) bool { return s.Members[i].ID < s.Members[j].ID })
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -98,7 +98,18 @@
 
 // pick picks an upstream, as start says.
 func (d *Dispatcher) pick(s *service, r *Request, tried, refused []string) (*route.Use[string], bool) {
-	barred := func(id string) bool { return slices.Contains(tried, id) || !s.within(id, r.Regions) }
+	for _, kind := range s.kinds(len(tried) > 0) {
+		if use, ok := d.pickOf(s, r, tried, refused, kind); ok {
+			return use, true
+		}
+	}
+	return nil, false
+}
+
+// pickOf picks an upstream of those that other does not pass over, as start says.
+func (d *Dispatcher) pickOf(s *service, r *Request, tried, refused []string, other func(id string) bool) (*route.Use[string], bool) {
+	out := func(id string) bool { return other(id) || !s.within(id, r.Regions) }
+	barred := func(id string) bool { return slices.Contains(tried, id) || out(id) }
 	if d.Quarantine.Judge(r.Print).Standing == quarantine.Isolated {
 		return s.pickIsolated(r.Print, barred)
 	}
@@ -110,7 +121,7 @@
 		use, ok = s.pool.PickFor(r.crosses(), barred)
 	}
 	if !ok && len(tried) > 0 {
-		use, ok = s.pool.PickFor(r.crosses(), func(id string) bool { return slices.Contains(refused, id) || !s.within(id, r.Regions) })
+		use, ok = s.pool.PickFor(r.crosses(), func(id string) bool { return slices.Contains(refused, id) || out(id) })
 	}
 	return use, ok
 }
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -29,6 +29,8 @@
 	Zone, Region string
 	// Slots is the number of requests that its upstream runs at once.
 	Slots int
+	// Trial is whether it is of a version that gets a share of the requests of its own.
+	Trial bool
 }
 
 // Service is a service in force with its members. It is an immutable value.
@@ -39,6 +41,10 @@
 	Config operator.Service
 	// Members are the nodes whose upstreams take requests.
 	Members []Member
+	// TrialShare is the share of the requests, within 0 and 1, that is sent to the members
+	// on trial first. What they don't answer goes to the others, and nothing else goes to
+	// them, unless the share is 1.
+	TrialShare float64
 }
 
 // Dispatcher sends requests. The exported fields are set before the first
@@ -89,6 +95,7 @@
 	parts   map[string]float64 // of the budget, by class
 	regions map[string]string  // by member
 	spare   map[string]bool    // the members outside the node's subset
+	trial   map[string]bool    // the members on trial
 	policy  string             // the name of the pool's
 }
 
@@ -143,7 +150,13 @@
 			Rate:     d.Rate,
 		}
 	}
-	chosen := subset(d.Hello.Node, d.Hello.Zone, s.Members)
+	ordinary, onTrial := byTrial(s.Members)
+	chosen := subset(d.Hello.Node, d.Hello.Zone, ordinary)
+	maps.Copy(chosen, subset(d.Hello.Node, d.Hello.Zone, onTrial))
+	n.trial = make(map[string]bool, len(onTrial))
+	for _, m := range onTrial {
+		n.trial[m.ID] = true
+	}
 	n.spare = make(map[string]bool)
 	n.regions = make(map[string]string, len(s.Members))
 	targets := make(map[string]route.Target, len(s.Members))
--- a/gate/call.go
+++ b/gate/call.go
@@ -98,19 +98,20 @@
 	}
 	ctx, span := c.gate.Tracer.Start(ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient))
 	tracing.Inject(ctx, propagation.HeaderCarrier(r.Header))
+	began := time.Now()
 	response, failure := b.transport.Send(r, c.inform)
 	if failure != nil {
 		tracing.End(span, 0, failure)
 		if failure.Verdict() != verdict.NotRun {
 			run.Abandon()
 		}
-		c.judge(failure)
+		c.judge(failure, time.Since(began))
 		c.gate.sendFailed(b, failure)
 		return failure
 	}
 	defer response.Body.Close()
 	c.status = response.StatusCode
-	c.judge(nil) // before the answer, which tells of it
+	c.judge(nil, time.Since(began)) // before the answer, which tells of it
 	failure = c.answer(response, func() {
 		healthy = c.status < http.StatusInternalServerError // errors may come in no time
 		release()
@@ -118,7 +119,7 @@
 	tracing.End(span, c.status, failure)
 	if failure != nil {
 		run.Abandon()
-		c.judge(failure)
+		c.judge(failure, time.Since(began))
 		return failure
 	}
 	if c.status < http.StatusInternalServerError {
@@ -137,18 +138,27 @@
 
 // judge tells the gate whether the upstream failed the call. A deadline that
 // passed says nothing of the upstream, and neither does a caller that left; the end
-// of one start says nothing of the next.
-func (c *call) judge(failure *verdict.Error) {
-	if failure == nil {
-		c.gate.admit.Ran(c.status == http.StatusInternalServerError)
+// of one start says nothing of the next. A request that is given up on still tells how long it
+// has taken so far.
+func (c *call) judge(failure *verdict.Error, took time.Duration) {
+	if failure != nil && errors.Is(failure, errStartOver) {
 		return
 	}
-	if errors.Is(failure, errStartOver) {
-		return
+	failed := c.status == http.StatusInternalServerError
+	known := failure == nil
+	if failure != nil {
+		switch failure.Cause {
+		case verdict.UpstreamLost, verdict.UpstreamRefused, verdict.AnswerSpoilt, verdict.AnswerInvalid, verdict.AnswerCut:
+			failed, known = true, true
+		case verdict.UpstreamDialFailed, verdict.NotWritten, verdict.WrongUpstream, verdict.Draining, verdict.Refused:
+			return // nothing ran
+		}
+	}
+	if known {
+		c.gate.admit.Ran(failed)
 	}
-	switch failure.Cause {
-	case verdict.UpstreamLost, verdict.UpstreamRefused, verdict.AnswerSpoilt, verdict.AnswerInvalid, verdict.AnswerCut:
-		c.gate.admit.Ran(true)
+	if c.gate.Ran != nil {
+		c.gate.Ran(c.in.Call.Class, known && failed, took)
 	}
 }
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -69,6 +69,9 @@
 	// Received, if not nil, is called when the body of a call that was sent ahead of its
 	// admission is there.
 	Received func(service, class string, bytes int64, took time.Duration)
+	// Ran, if not nil, is called with each request that the upstream has answered or failed,
+	// with whether it failed it and how long that took.
+	Ran func(class string, failed bool, took time.Duration)
 	// Ended, if not nil, is called at the end of each call.
 	Ended func(service, class string, failure *verdict.Error, waited, took time.Duration)
 
@@ -81,9 +84,11 @@
 	mu      sync.Mutex
 	service *operator.Service // in force for the announced service
 	latest  *upstream.Announcement
-	leaving bool    // whether the node leaves
-	emptied bool    // whether the zone is evacuated
-	told    float64 // the slowdown told last
+	leaving bool // whether the node leaves
+	emptied bool // whether the zone is evacuated
+	// withheld is whether the upstream's version is not to be used.
+	withheld bool
+	told     float64 // the slowdown told last
 
 	startKnown bool // whether firstStart has found out what it is for
 }
@@ -239,7 +244,7 @@
 		g.firstStart()
 	}
 	g.admit.Set(limits)
-	if g.leaving || g.emptied || b != nil && b.announcement.Draining {
+	if g.leaving || g.emptied || g.withheld || b != nil && b.announcement.Draining {
 		g.admit.Drain()
 	} else {
 		g.admit.Resume()
--- a/gate/permit.go
+++ b/gate/permit.go
@@ -13,11 +13,17 @@
 
 // Evacuate takes in whether the zone is evacuated: the upstream then gets no requests, and
 // those that wait are refused. Peers are told at once.
-func (g *Gate) Evacuate(evacuated bool) {
+func (g *Gate) Evacuate(evacuated bool) { g.close(&g.emptied, evacuated) }
+
+// Withhold takes in whether the upstream's version is not to be used, with the same effect.
+func (g *Gate) Withhold(withheld bool) { g.close(&g.withheld, withheld) }
+
+// close sets a reason for which the upstream gets no requests.
+func (g *Gate) close(reason *bool, closed bool) {
 	g.mu.Lock()
-	changed := g.emptied != evacuated
+	changed := *reason != closed
 	if changed {
-		g.emptied = evacuated
+		*reason = closed
 		g.update()
 	}
 	g.mu.Unlock()
@@ -30,9 +36,9 @@
 // admitted, and may have waited since for its body or a connection.
 func (g *Gate) permit() (written func(), refused *verdict.Error) {
 	g.mu.Lock()
-	emptied := g.emptied
+	closed := g.emptied || g.withheld
 	g.mu.Unlock()
-	if emptied {
+	if closed {
 		return nil, verdict.New(verdict.Draining, nil)
 	}
 	sending, wait := g.sending.Take()
--- a/member/record.go
+++ b/member/record.go
@@ -46,6 +46,12 @@
 	Incarnation uint64 `msgpack:"incarnation" json:"incarnation"`
 	// Version grows with each change within an incarnation.
 	Version uint64 `msgpack:"version" json:"version"`
+	// Software is the version of the upstream's software, or empty where it is of no
+	// concern or not known yet.
+	Software string `msgpack:"software,omitempty" json:"software,omitempty"`
+	// Trial is whether an operator has ordered a roll-out of that version which is not
+	// completed, as the node itself has heard.
+	Trial bool `msgpack:"trial,omitempty" json:"trial,omitempty"`
 	// Blind is whether the node was to look after the platform for others and can't
 	// reach it.
 	Blind bool `msgpack:"blind,omitempty" json:"blind,omitempty"`
@@ -88,11 +94,33 @@
 	return r
 }
 
+// Upstream is what a node says of its upstream. Its fields are as in Record.
+type Upstream struct {
+	Service  string
+	Slots    int
+	State    State
+	Software string
+	Trial    bool
+}
+
+// Upstream returns what r says of the upstream.
+func (r Record) Upstream() Upstream {
+	return Upstream{
+		Service:  r.Service,
+		Slots:    r.Slots,
+		State:    r.State,
+		Software: r.Software,
+		Trial:    r.Trial,
+	}
+}
+
 // WithUpstream returns the next version of r, with the given upstream.
-func (r Record) WithUpstream(service string, slots int, s State) Record {
-	r.Service = service
-	r.Slots = slots
-	return r.WithState(s)
+func (r Record) WithUpstream(u Upstream) Record {
+	r.Service = u.Service
+	r.Slots = u.Slots
+	r.Software = u.Software
+	r.Trial = u.Trial
+	return r.WithState(u.State)
 }
 
 // WithBlind returns the next version of r, which can't reach the platform, or can
--- a/node/build.go
+++ b/node/build.go
@@ -163,6 +163,7 @@
 	n.contacts.Nodes = n.limits.Nodes
 	n.contacts.Counted = n.limits.Told
 	n.blocked = n.blocklistOn(n.api)
+	n.buildRollouts()
 }
 
 // blocklistOn returns the blocked requests that a platform keeps.
--- a/node/follow.go
+++ b/node/follow.go
@@ -8,16 +8,19 @@
 	"context"
 	"time"
 
+	"sassafrasfront.example/canary"
 	"sassafrasfront.example/evacuation"
 	"sassafrasfront.example/follow"
 	"sassafrasfront.example/internal/boottime"
 	"sassafrasfront.example/objectapi"
 )
 
-// configReader reads the two parts of the configuration.
+// configReader reads the parts of the configuration.
 type configReader struct {
 	table *objectapi.Reader
 	zones *evacuation.Reader // nil where zones are not evacuated
+	// orders, if not nil, reads the orders to roll versions out.
+	orders *canary.Reader
 	// clock, if not nil, is read before each read of the table, and answered called with
 	// that if the platform answers it.
 	clock    boottime.Clock
@@ -45,12 +48,18 @@
 			Found: n.control.Evacuate,
 		}
 	}
+	r.orders = n.orders
 	return r
 }
 
-// First makes the first read, which may find what was seconds ago. The zones come first,
-// so that a node that has a table knows of them.
+// First makes the first read, which may find what was seconds ago. The zones and the orders
+// come first, so that a node that has a table knows of them.
 func (r *configReader) First(ctx context.Context) error {
+	if r.orders != nil {
+		if err := r.orders.First(ctx); err != nil {
+			return err
+		}
+	}
 	if r.zones != nil {
 		if err := r.zones.First(ctx); err != nil {
 			return err
@@ -82,12 +91,19 @@
 }
 
 // Read finds what has changed in the table, as soon as something does or after the given
-// time, and then the zones as they are.
+// time, and then the orders and the zones as they are.
 func (r *configReader) Read(ctx context.Context, wait time.Duration) error {
-	err := r.readTable(ctx, wait)
-	if err != nil || r.zones == nil {
+	if err := r.readTable(ctx, wait); err != nil {
 		return err
 	}
+	if r.orders != nil {
+		if err := r.orders.Read(ctx); err != nil {
+			return err
+		}
+	}
+	if r.zones == nil {
+		return nil
+	}
 	return r.zones.Read(ctx)
 }
 
--- a/node/handlers.go
+++ b/node/handlers.go
@@ -74,6 +74,7 @@
 	mux.HandleFunc("GET /readyz", n.ready)
 	mux.HandleFunc("GET /v1/picture", n.picture)
 	mux.HandleFunc("GET /v1/zones", n.listZones)
+	mux.HandleFunc("GET /v1/rollouts", n.listRollouts)
 	mux.HandleFunc("GET /v1/organisations", n.listOrganisations)
 	mux.HandleFunc("GET /v1/suspects", n.listSuspects)
 	mux.HandleFunc("DELETE /v1/suspects/{print}", n.releaseSuspect)
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 
 	"sassafrasfront.example/blocklist"
 	"sassafrasfront.example/caller"
+	"sassafrasfront.example/canary"
 	"sassafrasfront.example/claim"
 	"sassafrasfront.example/contact"
 	"sassafrasfront.example/control"
@@ -76,6 +77,9 @@
 	claims     *claim.Ledger
 	evacuated  zoneLog
 	limits     *ratelimit.Limiter                // of organisations, or nil
+	rollouts   *canary.Runner                    // or nil, where none are ordered
+	orders     *canary.Reader                    // of the same
+	versions   versionCheck                      // of the upstream
 	suspects   quarantine.Index                  // the requests that upstreams have ended under
 	blocked    *blocklist.Ledger                 // of them, on the platform, or nil
 	api        objectapi.Polled                  // of Platform
@@ -190,6 +194,7 @@
 		n.limits.Set(s.Table.OrganisationSet())
 	}
 	n.gate.Evacuate(s.Evacuated.Has(n.Settings.Zone))
+	n.rolloutsKnown(s.Rollouts)
 	if n.configureGate() {
 		go n.announce() // which waits for the goroutine that calls this
 	}
@@ -249,6 +254,10 @@
 		all.Go(func() { n.pollLoad(inner) })
 		all.Go(func() { n.limits.Run(inner) })
 	}
+	if n.rollouts != nil {
+		controlling.Go(func() { n.rollouts.Run(controlCtx) })
+		controlling.Go(func() { n.confirmVersions(controlCtx) })
+	}
 	if n.blocked != nil {
 		controlling.Go(func() { n.blocked.Run(controlCtx) })
 	}
--- a/node/platform.go
+++ b/node/platform.go
@@ -14,6 +14,7 @@
 	"sassafrasfront.example/contact"
 	"sassafrasfront.example/internal/tcp"
 	"sassafrasfront.example/objectapi"
+	"sassafrasfront.example/rollout"
 	"sassafrasfront.example/routes"
 	"sassafrasfront.example/upstream"
 )
@@ -34,6 +35,12 @@
 	// ZoneKind is the kind of the objects by which operators evacuate zones; each is named
 	// for its zone.
 	ZoneKind string
+	// RolloutKind is the kind of the objects that order a version to be rolled out, each named
+	// for its service. Rollout decodes one, and RolloutStatus returns what is written to one
+	// whose version is in a phase.
+	RolloutKind   string
+	Rollout       func(o *objectapi.Object) (rollout.Found, error)
+	RolloutStatus func(version string, p rollout.Phase) any
 	// Announce returns the handler of the calls by which the upstream announces
 	// itself.
 	Announce func(to *upstream.Announcements) http.Handler
--- /dev/null
+++ b/node/rollouts.go
@@ -0,0 +1,221 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package node
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"sassafrasfront.example/canary"
+	"sassafrasfront.example/internal/sleep"
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/rollout"
+	"sassafrasfront.example/upstream"
+)
+
+const (
+	// judges is the number of nodes that may be judge of a roll-out.
+	judges = 3
+	// leasePart is the part of rollbackWithin for which an upstream on trial runs requests
+	// after a judge has answered. The rest is for the judge to find out and for the news.
+	leasePart = 0.4
+	// confirmAfter is the mean time that a node waits for others to tell it of an order for a
+	// version that nobody runs yet, before it asks the platform.
+	confirmAfter = 800 * time.Millisecond
+)
+
+// versionCheck is what a node knows of its upstream's version.
+type versionCheck struct {
+	wanted chan string // a version to confirm
+
+	mu        sync.Mutex
+	confirmed string        // the platform has no order for it, or the node knows of that
+	told      rollout.Known // the roll-out of the service as it was announced last
+}
+
+// buildRollouts sets up what carries out roll-outs, where they are ordered.
+func (n *Node) buildRollouts() {
+	s := &n.Settings
+	if s.RolloutShare == 0 {
+		return
+	}
+	n.versions.wanted = make(chan string, 1)
+	n.control.Exposure = rollout.Exposure(s.RolloutShare)
+	n.orders = &canary.Reader{
+		API:     n.api,
+		Kind:    n.Platform.RolloutKind,
+		Decode:  n.Platform.Rollout,
+		Found:   n.control.Orders,
+		Refused: func(reason error) { n.warnOfOther("order refused", reason) },
+	}
+	n.rollouts = &canary.Runner{
+		Hello: peer.Hello{
+			Node:    s.Node,
+			Zone:    s.Zone,
+			Control: true,
+		},
+		Counters: &n.metrics.control,
+		API:      n.api,
+		Kind:     n.Platform.RolloutKind,
+		Decode:   n.Platform.Rollout,
+		Status:   n.Platform.RolloutStatus,
+		Lease:    time.Duration(leasePart * float64(s.RollbackWithin)),
+		Known:    func() map[string]rollout.Known { return n.control.Snapshot().Rollouts },
+		Judges:   n.judgesOf,
+		Sizes:    n.control.Versions,
+		Upstream: n.judgedUpstream,
+		Withhold: n.gate.Withhold,
+		Decide:   n.control.Decide,
+		Log:      n.Log,
+	}
+	n.gate.Ran = n.rollouts.Ran
+	n.control.Topics = maps.Clone(n.control.Topics)
+	n.control.Topics[canary.Topic] = n.rollouts.Handle
+}
+
+// judgesOf returns the nodes that may be judge of a service's roll-out, in order.
+func (n *Node) judgesOf(service string) []canary.Peer {
+	var list []canary.Peer
+	for _, r := range n.control.First("rollout/"+service, judges) {
+		list = append(list, canary.Peer{
+			ID:   r.ID,
+			Addr: r.Addr,
+		})
+	}
+	return list
+}
+
+// judgedUpstream returns the upstream beside the node.
+func (n *Node) judgedUpstream() canary.Upstream {
+	a := n.announced.Current()
+	if a == nil {
+		return canary.Upstream{}
+	}
+	return canary.Upstream{
+		Service: a.Service,
+		Version: a.Version,
+		Start:   a.Start,
+		Running: n.gate.Load().Running,
+	}
+}
+
+// software returns the version of the upstream as other nodes are told, and whether it is on
+// trial. Nothing is told where no roll-outs are ordered.
+func (n *Node) software(a *upstream.Announcement) (version string, trial bool) {
+	if n.rollouts == nil {
+		return "", false
+	}
+	k, ok := n.control.Snapshot().Rollouts[a.Service]
+	return a.Version, ok && a.Version != "" && k.Standing(a.Version) == rollout.OnTrial
+}
+
+// versionAdmitted returns whether the upstream may take requests as far as its version goes. A
+// version that an order names may, within what the order says. One that no other upstream of
+// the service runs may be ordered without this node's having heard of it, so the platform is
+// asked first. While an order is carried out, an upstream waits until its version is known.
+func (n *Node) versionAdmitted(a *upstream.Announcement) bool {
+	if n.rollouts == nil {
+		return true
+	}
+	k, ordered := n.control.Snapshot().Rollouts[a.Service]
+	if a.Version == "" {
+		return !ordered || k.Phase.Settled()
+	}
+	if ordered && a.Version == k.Order.Version {
+		return k.Standing(a.Version) != rollout.Withheld
+	}
+	sizes := n.control.Versions(a.Service)
+	delete(sizes, "") // not known yet
+	if own := sizes[a.Version]; len(sizes) == 0 || own.Upstreams > own.Trial {
+		return true
+	}
+	n.versions.mu.Lock()
+	defer n.versions.mu.Unlock()
+	if n.versions.confirmed == a.Version {
+		return true
+	}
+	select {
+	case n.versions.wanted <- a.Version:
+	default:
+	}
+	return false
+}
+
+// confirmVersions asks the platform whether there is an order for a version, until ctx ends.
+func (n *Node) confirmVersions(ctx context.Context) {
+	for {
+		var version string
+		select {
+		case <-ctx.Done():
+			return
+		case version = <-n.versions.wanted:
+		}
+		for ctx.Err() == nil {
+			sleep.For(ctx, confirmAfter/2+rand.N(confirmAfter))
+			if a := n.announced.Current(); a == nil || a.Version != version {
+				break
+			}
+			if k, ok := n.control.Snapshot().Rollouts[n.Settings.Service]; ok && k.Order.Version == version {
+				break // heard meanwhile
+			}
+			if err := n.orders.Read(ctx); err != nil {
+				n.Log.Warn().Err(err).Str("version", version).Msg("not known whether the upstream's version is ordered; it takes no requests yet")
+				continue
+			}
+			n.versions.mu.Lock()
+			n.versions.confirmed = version
+			n.versions.mu.Unlock()
+			break
+		}
+		n.announce()
+	}
+}
+
+// rolloutsKnown takes in the roll-outs that the node knows of.
+func (n *Node) rolloutsKnown(known map[string]rollout.Known) {
+	if n.rollouts == nil {
+		return
+	}
+	n.rollouts.Wake()
+	a := n.announced.Current()
+	if a == nil {
+		return
+	}
+	k := known[a.Service]
+	n.versions.mu.Lock()
+	changed := n.versions.told.State != k.State
+	n.versions.told = k
+	n.versions.mu.Unlock()
+	if changed {
+		go n.announce() // which waits for the goroutine that calls this
+	}
+}
+
+// listRollouts answers with the roll-outs that the node knows of.
+func (n *Node) listRollouts(w http.ResponseWriter, _ *http.Request) {
+	known := n.control.Snapshot().Rollouts
+	list := []operator.Rollout{}
+	for _, service := range slices.Sorted(maps.Keys(known)) {
+		k := known[service]
+		list = append(list, operator.Rollout{
+			Service:  service,
+			Version:  k.Order.Version,
+			Phase:    k.Phase.String(),
+			Share:    n.control.Exposure.Share(k.Phase),
+			Reason:   k.Reason,
+			Node:     k.Node,
+			Changed:  k.Changed.UTC(),
+			Era:      k.Order.At.Era,
+			Revision: k.Order.At.Revision,
+		})
+	}
+	reply(w, list)
+}
--- a/node/state.go
+++ b/node/state.go
@@ -95,17 +95,19 @@
 	n.mu.Lock()
 	state := member.Up
 	switch {
-	case a == nil || n.down || !n.configured.Load():
+	case a == nil || n.down || !n.configured.Load() || !n.versionAdmitted(a):
 		state = member.Idle
 	case n.closing || a.Draining:
 		state = member.Draining
 	}
 	n.mu.Unlock()
-	if a == nil {
-		n.control.Announce("", 0, state)
-	} else {
-		n.control.Announce(a.Service, min(a.Slots, a.Connections), state)
+	u := member.Upstream{State: state}
+	if a != nil {
+		u.Service = a.Service
+		u.Slots = min(a.Slots, a.Connections)
+		u.Software, u.Trial = n.software(a)
 	}
+	n.control.Announce(u)
 }
 
 // leave stops the traffic without cutting a request: first callers are sent away,
--- a/objectapi/object.go
+++ b/objectapi/object.go
@@ -33,6 +33,8 @@
 	Kind       string          `json:"kind"`
 	Metadata   Metadata        `json:"metadata"`
 	Spec       json.RawMessage `json:"spec,omitempty"`
+	// Status is what the system has written of what became of the spec, if anything.
+	Status json.RawMessage `json:"status,omitempty"`
 }
 
 // NewObject returns an object with the given spec, which is encoded as JSON. It
@@ -59,6 +61,18 @@
 	return &c
 }
 
+// WithStatus returns a copy of o with the given status, which is encoded as JSON. It panics if
+// the status can't be encoded.
+func (o *Object) WithStatus(status any) *Object {
+	data, err := json.Marshal(status)
+	if err != nil {
+		panic("objectapi: status can't be encoded: " + err.Error())
+	}
+	c := *o
+	c.Status = data
+	return &c
+}
+
 // withAnnotation returns a copy of o with one more annotation.
 func (o *Object) withAnnotation(key, value string) *Object {
 	c := *o
--- a/objectapi/reader.go
+++ b/objectapi/reader.go
@@ -20,6 +20,9 @@
 // Polled is an API in which each look for changes is a call of its own.
 type Polled interface {
 	Objects
+	// UpdateStatus replaces the status of an object if it still has the resource version that
+	// o names, and returns it with its new one.
+	UpdateStatus(ctx context.Context, o *Object) (*Object, error)
 	// Changes returns the changes of a kind after the given resource version, as soon
 	// as there is one, or none after the given time. IsGone tells of a version that is
 	// too far in the past.
--- /dev/null
+++ b/rollout/evidence.go
@@ -0,0 +1,117 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package rollout
+
+import "math"
+
+const (
+	// reportsKept is the weight that counts of the former version keep with each step, so
+	// that some two seconds count, and latestKept that of the counts by which a spell is
+	// noticed that has just begun.
+	reportsKept = 0.9
+	latestKept  = 0.5
+	// leastReference is the number of requests of the former version from which it is a
+	// reference.
+	leastReference = 20
+	// slowRatio is how many times the former version's median run time a request takes
+	// that counts as slow. Versions that are several times slower are to be found, upstreams
+	// that are cold or share their processor are not.
+	slowRatio = 3.0
+	// alarm is the sum of the evidence from which a version is faulty, in the logarithm of
+	// a likelihood ratio: at a former version's share of failures, it is reached by chance
+	// once in more than exp(alarm), some 8,000, requests.
+	alarm = 9.0
+)
+
+// bounds are a share that is usual and one that shows a fault.
+type bounds struct {
+	usual, faulty float64
+}
+
+// failing and slow return the bounds, given the former version's share. The second result is
+// false if it is so large that nothing can be told.
+func failing(share float64) (bounds, bool) {
+	b := bounds{usual: max(share, 0.02)}
+	b.faulty = 2*b.usual + 0.15
+	return b, b.faulty < 0.9
+}
+
+func slow(share float64) (bounds, bool) {
+	b := bounds{
+		usual:  max(share, 0.1),
+		faulty: 0.6,
+	}
+	return b, b.usual < 0.4
+}
+
+// evidence is a cumulative sum of log-likelihood ratios that is never below 0, so that a fault
+// which begins late is found as soon as one that was there from the start. See E. S. Page,
+// Continuous inspection schemes, 1954. doi:10.1093/biomet/41.1-2.100.
+type evidence float64
+
+// after returns the evidence after n more requests, of which bad were so.
+func (e evidence) after(b bounds, n, bad uint64) evidence {
+	gain := math.Log(b.faulty / b.usual)
+	loss := math.Log((1 - b.faulty) / (1 - b.usual))
+	return max(0, e+evidence(float64(bad)*gain+float64(n-min(n, bad))*loss))
+}
+
+// reference is what the former version's requests of one class were like lately.
+type reference struct {
+	requests, failed             float64
+	latestRequests, latestFailed float64
+	took                         [buckets]float64
+}
+
+// add takes in one step's counts. A step without any changes nothing: once all requests have
+// moved, the last reference stays.
+func (r *reference) add(t Tally) {
+	if t.Requests == 0 {
+		return
+	}
+	r.requests = reportsKept*r.requests + float64(t.Requests)
+	r.failed = reportsKept*r.failed + float64(t.Failed)
+	r.latestRequests = latestKept*r.latestRequests + float64(t.Requests)
+	r.latestFailed = latestKept*r.latestFailed + float64(t.Failed)
+	for i := range r.took {
+		r.took[i] *= reportsKept
+		if i < len(t.Took) {
+			r.took[i] += float64(t.Took[i])
+		}
+	}
+}
+
+// known returns whether there is enough to compare with.
+func (r *reference) known() bool { return r.requests >= leastReference }
+
+// failedShare returns the share of the former version's requests that it failed, over some
+// time or just now, whichever is more.
+func (r *reference) failedShare() float64 {
+	share := r.failed / r.requests
+	if r.latestRequests >= leastReference/2 {
+		share = max(share, r.latestFailed/r.latestRequests)
+	}
+	return share
+}
+
+// slowFrom returns the range of run times from which a request is slow, and the share of such
+// requests at the former version.
+func (r *reference) slowFrom() (bucket int, share float64) {
+	var sum float64
+	median := 0
+	for i, n := range r.took {
+		sum += n
+		if sum >= r.requests/2 {
+			median = i
+			break
+		}
+	}
+	bucket = median + int(math.Ceil(math.Log(slowRatio)/math.Log(bucketRatio)))
+	var above float64
+	for i := bucket; i < buckets; i++ {
+		above += r.took[i]
+	}
+	return bucket, above / max(r.requests, 1)
+}
--- /dev/null
+++ b/rollout/exposure.go
@@ -0,0 +1,47 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package rollout
+
+import "math"
+
+const (
+	// trialPart and widenedPart are the share of the requests in a phase, as a ratio of the
+	// largest share that a faulty version may have of all requests up to its deadline. With
+	// trialUntil and widenedFor of the duration they make up four tenths of that; the rest
+	// is left to the time in which a fault is found that shows only once all has moved.
+	trialPart   = 0.3
+	widenedPart = 2.5
+	// leastInUse is the least number of upstreams that are tried: of fewer, the fault of a
+	// single instance looks like the version's.
+	leastInUse = 3
+)
+
+// Exposure bounds what a version gets that may be faulty.
+type Exposure float64
+
+// Share returns the share of the requests, within 0 and 1, that a version gets in a phase.
+// Each entry keeps to it by itself, so that all together do, whoever hears of what when.
+func (e Exposure) Share(p Phase) float64 {
+	switch p {
+	case Trial:
+		return min(1, trialPart*float64(e))
+	case Widened:
+		return min(1, widenedPart*float64(e))
+	case Moved, Completed:
+		return 1
+	}
+	return 0
+}
+
+// InUse returns how many of n upstreams of the version get requests in a phase: as many as
+// make each of them carry what one of the former version does. A fault that shows under load
+// only then shows in time.
+func (e Exposure) InUse(p Phase, n int) int {
+	share := e.Share(p)
+	if share == 0 {
+		return 0
+	}
+	return min(n, max(leastInUse, int(math.Ceil(share*float64(n)))))
+}
--- /dev/null
+++ b/rollout/judge.go
@@ -0,0 +1,238 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package rollout
+
+import (
+	"fmt"
+	"time"
+)
+
+const (
+	// trialUntil and widenedFor are the part of an order's duration up to which a version
+	// stays on trial, and for which its share is widened, and movedFor how long all requests
+	// go there before the outcome is recorded. A fault that begins late is to show before.
+	trialUntil = 0.45
+	widenedFor = 0.1
+	movedFor   = 0.15
+	// leastStep is the least time in one phase, so that all nodes have heard of it.
+	leastStep = 1500 * time.Millisecond
+	// lastStep is the part of the duration after which a version that has not moved is
+	// rolled back, and one that has moved is completed.
+	lastStep = 0.9
+	// leastRequests is the number of a version's requests without which it goes no further.
+	leastRequests = 30
+	// reportAge is how old a report may be that counts.
+	reportAge = 3 * time.Second
+)
+
+// Judge decides on one Order from what the nodes beside the upstreams report. It is not safe
+// for use by several goroutines at once. The exported fields are set before the first call.
+type Judge struct {
+	// Order is what is decided on.
+	Order Order
+	// Began is when this node heard of it.
+	Began time.Time
+
+	upstreams map[string]*upstream  // by node
+	former    map[string]*reference // by class
+	failed    sums                  // of the new version, by class
+	slow      sums
+	phase     Phase
+	since     time.Time // when the phase was first seen
+	requests  uint64    // of the version, since then
+}
+
+// upstream is what a node has reported.
+type upstream struct {
+	report Report
+	heard  time.Time
+	judged map[string]Tally // up to the last step, by class
+	failed sums
+	slow   sums
+}
+
+// sums are the evidence against a version by class.
+type sums map[string]evidence
+
+// Hear takes in a node's report.
+func (j *Judge) Hear(node string, r Report, now time.Time) {
+	if j.upstreams == nil {
+		j.upstreams = make(map[string]*upstream)
+		j.former = make(map[string]*reference)
+		j.failed = make(sums)
+		j.slow = make(sums)
+	}
+	u := j.upstreams[node]
+	if u == nil || u.report.Start != r.Start || u.report.Version != r.Version {
+		u = &upstream{
+			judged: make(map[string]Tally),
+			failed: make(sums),
+			slow:   make(sums),
+		}
+		j.upstreams[node] = u
+	}
+	u.report = r
+	u.heard = now
+}
+
+// Step judges what was reported since the last step, and returns the phase that the order is
+// to be in and why. Room is whether the version's upstreams can take all requests. It is
+// called some four times a second.
+func (j *Judge) Step(present State, room bool, now time.Time) (next Phase, reason string) {
+	if present.Phase != j.phase || j.since.IsZero() {
+		j.phase = present.Phase
+		j.since = now
+		j.requests = 0
+	}
+	j.learnFormer()
+	class, sum, what := j.judge()
+	if present.Phase >= Stopped {
+		return present.Phase, present.Reason
+	}
+	if sum >= alarm {
+		return Stopped, fmt.Sprintf("class %s: %s, evidence %.1f of %.1f", class, what, sum, alarm)
+	}
+	return j.advance(present, room, sum < alarm/2, now)
+}
+
+// advance returns the next phase of a version that is not found faulty.
+func (j *Judge) advance(present State, room, calm bool, now time.Time) (Phase, string) {
+	part := float64(now.Sub(j.Began)) / float64(j.Order.Duration)
+	inPhase := now.Sub(j.since)
+	step := func(share float64) time.Duration {
+		return max(leastStep, time.Duration(share*float64(j.Order.Duration)))
+	}
+	ready := calm && room && j.requests >= leastRequests
+	switch {
+	case present.Phase == Moved && (part >= lastStep || inPhase >= step(movedFor) && calm && j.formerRunning(now) == 0):
+		return Completed, fmt.Sprintf("%d requests since all have moved", j.requests)
+	case present.Phase == Moved:
+	case part >= lastStep:
+		return Stopped, fmt.Sprintf("not enough is known in time: %d requests, room for all: %v", j.requests, room)
+	case present.Phase == Trial && ready && part >= trialUntil:
+		return Widened, fmt.Sprintf("%d requests on trial", j.requests)
+	case present.Phase == Widened && ready && inPhase >= step(widenedFor):
+		return Moved, fmt.Sprintf("%d requests since the share was widened", j.requests)
+	}
+	return present.Phase, present.Reason
+}
+
+// learnFormer takes in what was reported of the former version.
+func (j *Judge) learnFormer() {
+	sums := make(map[string]Tally)
+	for _, u := range j.upstreams {
+		if u.report.Version == j.Order.Version {
+			continue
+		}
+		for class, t := range u.report.Classes {
+			sums[class] = sums[class].plus(t.since(u.judged[class]))
+			u.judged[class] = t
+		}
+	}
+	for class, t := range sums {
+		if j.former[class] == nil {
+			j.former[class] = new(reference)
+		}
+		j.former[class].add(t)
+	}
+}
+
+// judge takes in what was reported of the new version, and returns the class with the most
+// evidence against it, and what of.
+func (j *Judge) judge() (worst string, most float64, what string) {
+	classes := make(map[string]bool)
+	for _, u := range j.upstreams {
+		if u.report.Version != j.Order.Version {
+			continue
+		}
+		for class, t := range u.report.Classes {
+			d := t.since(u.judged[class])
+			u.judged[class] = t
+			if d.Requests > 0 {
+				j.requests += d.Requests
+				j.weigh(u, class, d)
+			}
+			classes[class] = true
+		}
+	}
+	for class := range classes {
+		if e := j.shared(class, j.failed, func(u *upstream) sums { return u.failed }); e > most {
+			worst, most, what = class, e, "fails more requests than the former version"
+		}
+		if e := j.shared(class, j.slow, func(u *upstream) sums { return u.slow }); e > most {
+			worst, most, what = class, e, "takes longer than the former version"
+		}
+	}
+	return worst, most, what
+}
+
+// weigh adds the evidence of some requests of a class at one upstream.
+func (j *Judge) weigh(u *upstream, class string, d Tally) {
+	share := 0.0
+	if r := j.former[class]; r != nil && r.known() {
+		share = r.failedShare()
+		from, usual := r.slowFrom()
+		if b, ok := slow(usual); ok {
+			u.slow.add(class, b, d.Requests, d.above(from))
+			j.slow.add(class, b, d.Requests, d.above(from))
+		}
+	}
+	if b, ok := failing(share); ok {
+		u.failed.add(class, b, d.Requests, d.Failed)
+		j.failed.add(class, b, d.Requests, d.Failed)
+	}
+}
+
+// add adds the evidence of n requests, of which bad were so.
+func (s sums) add(class string, b bounds, n, bad uint64) { s[class] = s[class].after(b, n, bad) }
+
+// shared returns the evidence in a class that more than one upstream has given: a single
+// faulty instance is not taken for a faulty version.
+func (j *Judge) shared(class string, all sums, of func(u *upstream) sums) float64 {
+	var most evidence
+	tried := 0
+	for _, u := range j.upstreams {
+		if u.report.Version == j.Order.Version && u.report.Classes[class].Requests > 0 {
+			tried++
+			most = max(most, of(u)[class])
+		}
+	}
+	if tried < 2 {
+		return float64(all[class])
+	}
+	return float64(all[class] - most)
+}
+
+// formerRunning returns the number of requests at reporting upstreams of the former version.
+func (j *Judge) formerRunning(now time.Time) (running int) {
+	for _, u := range j.upstreams {
+		if u.report.Version != j.Order.Version && now.Sub(u.heard) < reportAge {
+			running += u.report.Running
+		}
+	}
+	return running
+}
+
+// plus returns the sum of two tallies.
+func (t Tally) plus(o Tally) Tally {
+	sum := Tally{
+		Requests: t.Requests + o.Requests,
+		Failed:   t.Failed + o.Failed,
+		Took:     make([]uint64, max(len(t.Took), len(o.Took))),
+	}
+	copy(sum.Took, t.Took)
+	for i, n := range o.Took {
+		sum.Took[i] += n
+	}
+	return sum
+}
+
+// above returns the number of requests in a range of run times or a later one.
+func (t Tally) above(bucket int) (n uint64) {
+	for i := bucket; i < len(t.Took); i++ {
+		n += t.Took[i]
+	}
+	return n
+}
--- /dev/null
+++ b/rollout/judge_test.go
@@ -0,0 +1,231 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package rollout_test
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/rollout"
+)
+
+// load is a service's load under a roll-out, without a network: upstreams of two versions
+// with their own share of failures and run times by class of request, at each moment.
+type load struct {
+	former, next int // upstreams of each version
+	perSecond    float64
+	classes      map[string]float64 // share of the requests, by class
+	duration     time.Duration
+	// run returns how one request of a class ends at upstream i of a version, at a time after
+	// the order, and with the upstream's requests in the last second.
+	run func(next bool, i int, class string, at time.Duration, busy int) (failed bool, took time.Duration)
+}
+
+// outcome is what became of a roll-out.
+type outcome struct {
+	phase       rollout.Phase
+	sent, given int           // requests of the service, and those at the new version
+	bad         int           // answers of the new version that were failures
+	fiftieth    time.Duration // when the fiftieth of these came
+	last        time.Duration // when the last request was given to it
+}
+
+const usualRun = 300 * time.Millisecond
+
+// usual is a run at a good upstream: one in 200 fails, and a quarter share their processor.
+func usual(random *rand.Rand) (bool, time.Duration) {
+	took := time.Duration(float64(usualRun) * (0.7 + 0.6*random.Float64()))
+	if random.Float64() < 0.25 {
+		took *= 2
+	}
+	return random.Float64() < 0.005, took
+}
+
+// play plays the load over the duration of the order, in steps as a judge has them.
+func play(l load, exposure rollout.Exposure, seed uint64) outcome {
+	const step = 250 * time.Millisecond
+	random := rand.New(rand.NewPCG(seed, 1))
+	start := time.Unix(1e9, 0)
+	order := rollout.Order{Service: "s", Version: "v2", Duration: l.duration}
+	judge := rollout.Judge{Order: order, Began: start}
+	state := rollout.State{Order: order}
+	reports := make(map[int]*rollout.Report) // below 0: former
+	var o outcome
+	for at := time.Duration(0); at < l.duration && state.Phase < rollout.Stopped; at += step {
+		share, inUse := exposure.Share(state.Phase), exposure.InUse(state.Phase, l.next)
+		busy := make(map[int]int)
+		for range int(l.perSecond * step.Seconds()) {
+			o.sent++
+			class, draw := "", random.Float64()
+			for c, s := range l.classes {
+				class = c
+				if draw -= s; draw < 0 {
+					break
+				}
+			}
+			next := random.Float64() < share
+			i := -1 - random.IntN(l.former)
+			if next {
+				i = random.IntN(inUse)
+			}
+			busy[i]++
+			failed, took := l.run(next, i, class, at, int(float64(busy[i])/step.Seconds()))
+			if next {
+				o.given++
+				o.last = at
+				if failed {
+					if o.bad++; o.bad == 50 {
+						o.fiftieth = at
+					}
+				}
+			}
+			r := reports[i]
+			if r == nil {
+				r = &rollout.Report{Service: "s", Version: "v1", Start: 1, Classes: make(map[string]rollout.Tally)}
+				if next {
+					r.Version = "v2"
+				}
+				reports[i] = r
+			}
+			r.Classes[class] = r.Classes[class].With(failed, took)
+		}
+		now := start.Add(at + step)
+		for i, r := range reports {
+			copied := *r
+			copied.Classes = make(map[string]rollout.Tally)
+			for c, t := range r.Classes {
+				copied.Classes[c] = t
+			}
+			judge.Hear(strconv.Itoa(i), copied, now)
+		}
+		phase, reason := judge.Step(state, l.next >= l.former, now)
+		state = state.With(phase, reason, "n", now)
+	}
+	o.phase = state.Phase
+	return o
+}
+
+// TestRolloutLoads plays loads of the patterns that their names say, each with ten seeds. A
+// faulty version gets at most a tenth of the requests and 50 more, none is completed, and after
+// the fiftieth bad answer it gets nothing for longer than two seconds. A good one is completed.
+func TestRolloutLoads(t *testing.T) {
+	type run = func(next bool, i int, class string, at time.Duration, busy int) (bool, time.Duration)
+	tests := map[string]struct {
+		faulty bool
+		run    func(random *rand.Rand) run
+	}{
+		"good": {run: func(random *rand.Rand) run {
+			return func(bool, int, string, time.Duration, int) (bool, time.Duration) { return usual(random) }
+		}},
+		"good, cold at first": {run: func(random *rand.Rand) run {
+			return func(next bool, _ int, _ string, at time.Duration, _ int) (bool, time.Duration) {
+				failed, took := usual(random)
+				if next && at < 3*time.Second {
+					took *= 2
+				}
+				return failed, took
+			}
+		}},
+		"good, beside a spell in which half of all fail": {run: func(random *rand.Rand) run {
+			return func(_ bool, _ int, _ string, at time.Duration, _ int) (bool, time.Duration) {
+				failed, took := usual(random)
+				spell := at > 3*time.Second && at < 6*time.Second
+				return failed || spell && random.Float64() < 0.5, took
+			}
+		}},
+		"good, one upstream in use fails half": {run: func(random *rand.Rand) run {
+			return func(next bool, i int, _ string, _ time.Duration, _ int) (bool, time.Duration) {
+				failed, took := usual(random)
+				return failed || next && i == 0 && random.Float64() < 0.5, took
+			}
+		}},
+		"bad at once": {faulty: true, run: func(random *rand.Rand) run {
+			return func(next bool, _ int, _ string, _ time.Duration, _ int) (bool, time.Duration) {
+				failed, took := usual(random)
+				return failed || next && random.Float64() < 0.5, took
+			}
+		}},
+		"bad late": {faulty: true, run: func(random *rand.Rand) run {
+			return func(next bool, _ int, _ string, at time.Duration, _ int) (bool, time.Duration) {
+				failed, took := usual(random)
+				return failed || next && at > 5*time.Second && random.Float64() < 0.44, took
+			}
+		}},
+		"bad on one route": {faulty: true, run: func(random *rand.Rand) run {
+			return func(next bool, _ int, class string, _ time.Duration, _ int) (bool, time.Duration) {
+				failed, took := usual(random)
+				return failed || next && class == "orders" && random.Float64() < 0.5, took
+			}
+		}},
+		"eight times slower": {faulty: true, run: func(random *rand.Rand) run {
+			return func(next bool, _ int, _ string, _ time.Duration, _ int) (bool, time.Duration) {
+				failed, took := usual(random)
+				if next {
+					took = min(8*took, 1500*time.Millisecond) // callers wait no longer
+				}
+				return failed, took
+			}
+		}},
+		"slow under load only": {faulty: true, run: func(random *rand.Rand) run {
+			return func(next bool, _ int, _ string, _ time.Duration, busy int) (bool, time.Duration) {
+				failed, took := usual(random)
+				if next && busy > 5 {
+					took *= 8
+				}
+				return failed, took
+			}
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(10) {
+				random := rand.New(rand.NewPCG(seed, 2))
+				o := play(load{
+					former:    68,
+					next:      68,
+					perSecond: 700,
+					classes:   map[string]float64{"views": 0.8, "orders": 0.2},
+					duration:  14 * time.Second,
+					run:       test.run(random),
+				}, 0.1, seed)
+				said := qt.Commentf("seed %d: %+v", seed, o)
+				if !test.faulty {
+					qt.Check(t, o.phase, qt.Equals, rollout.Completed, said)
+					continue
+				}
+				qt.Check(t, o.phase, qt.Equals, rollout.Stopped, said)
+				total := 700 * 14
+				qt.Check(t, o.given <= total/10+50, qt.IsTrue, said)
+				qt.Check(t, o.bad < 50 || o.last-o.fiftieth <= 2*time.Second, qt.IsTrue, said)
+			}
+		})
+	}
+}
+
+// TestTooLittleKnown has a version that gets too few requests to be judged, and one whose
+// upstreams can't take all: neither is completed.
+func TestTooLittleKnown(t *testing.T) {
+	good := func(random *rand.Rand) func(bool, int, string, time.Duration, int) (bool, time.Duration) {
+		return func(bool, int, string, time.Duration, int) (bool, time.Duration) { return usual(random) }
+	}
+	tests := map[string]load{
+		"few requests": {former: 6, next: 6, perSecond: 20},
+		"little room":  {former: 68, next: 8, perSecond: 700},
+	}
+	for name, l := range tests {
+		t.Run(name, func(t *testing.T) {
+			l.classes = map[string]float64{"views": 1}
+			l.duration = 10 * time.Second
+			l.run = good(rand.New(rand.NewPCG(1, 1)))
+			o := play(l, 0.1, 1)
+			qt.Check(t, o.phase, qt.Equals, rollout.Stopped, qt.Commentf("%+v", o))
+			qt.Check(t, o.given <= o.sent/10+50, qt.IsTrue)
+		})
+	}
+}
--- /dev/null
+++ b/rollout/take_test.go
@@ -0,0 +1,101 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package rollout_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/objectapi"
+	"sassafrasfront.example/rollout"
+)
+
+// found returns an order for a version as it is read at a point.
+func found(version string, era, revision uint64, outcome rollout.Phase) rollout.Found {
+	return rollout.Found{
+		Order: rollout.Order{
+			Service:  "s",
+			Version:  version,
+			Duration: 10 * time.Second,
+			At:       objectapi.Point{Era: era, Revision: revision},
+		},
+		Outcome: outcome,
+	}
+}
+
+// TestTake reads an order where a state is known, or none.
+func TestTake(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	in := func(f rollout.Found, p rollout.Phase, recorded uint64) *rollout.State {
+		s := rollout.State{Order: f.Order}.With(p, "", "n", now)
+		if recorded > 0 {
+			s = s.WithRecorded(objectapi.Point{Era: f.Order.At.Era, Revision: recorded})
+		}
+		return &s
+	}
+	tests := map[string]struct {
+		known   *rollout.State
+		found   rollout.Found
+		want    rollout.Phase
+		changed bool
+	}{
+		"first":                                {found: found("v2", 1, 5, rollout.Trial), want: rollout.Trial, changed: true},
+		"done before this node began":          {found: found("v2", 1, 9, rollout.RolledBack), want: rollout.RolledBack, changed: true},
+		"the same, with a status":              {known: in(found("v2", 1, 5, 0), rollout.Widened, 0), found: found("v2", 1, 6, rollout.Trial), want: rollout.Widened},
+		"recorded by another":                  {known: in(found("v2", 1, 5, 0), rollout.Moved, 0), found: found("v2", 1, 8, rollout.Completed), want: rollout.Completed, changed: true},
+		"an old read after it was recorded":    {known: in(found("v2", 1, 5, 0), rollout.RolledBack, 8), found: found("v2", 1, 6, rollout.Trial), want: rollout.RolledBack},
+		"ordered once more":                    {known: in(found("v2", 1, 5, 0), rollout.RolledBack, 8), found: found("v2", 1, 12, rollout.Trial), want: rollout.Trial, changed: true},
+		"another version":                      {known: in(found("v2", 1, 5, 0), rollout.Completed, 8), found: found("v3", 1, 12, rollout.Trial), want: rollout.Trial, changed: true},
+		"an old read of an order before":       {known: in(found("v3", 1, 12, 0), rollout.Widened, 0), found: found("v2", 1, 8, rollout.Completed), want: rollout.Widened},
+		"a copy without the roll-back":         {known: in(found("v2", 1, 5, 0), rollout.RolledBack, 8), found: found("v2", 2, 6, rollout.Trial), want: rollout.Stopped, changed: true},
+		"a copy without the completion":        {known: in(found("v2", 1, 5, 0), rollout.Completed, 8), found: found("v2", 2, 6, rollout.Trial), want: rollout.Moved, changed: true},
+		"a copy while it is carried out":       {known: in(found("v2", 1, 5, 0), rollout.Widened, 0), found: found("v2", 2, 6, rollout.Trial), want: rollout.Widened, changed: true},
+		"a copy with the outcome":              {known: in(found("v2", 1, 5, 0), rollout.RolledBack, 8), found: found("v2", 2, 8, rollout.RolledBack), want: rollout.RolledBack, changed: true},
+		"a store that comes back without eras": {known: in(found("v2", 0, 5, 0), rollout.RolledBack, 8), found: found("v2", 0, 5, rollout.Trial), want: rollout.RolledBack},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var known rollout.State
+			if test.known != nil {
+				known = *test.known
+			}
+			next, changed := rollout.Take(known, test.known != nil, test.found, now)
+			qt.Check(t, changed, qt.Equals, test.changed)
+			if !changed {
+				qt.Check(t, next, qt.DeepEquals, known)
+			}
+			qt.Check(t, next.Phase, qt.Equals, test.want)
+			if changed && test.known != nil {
+				oldEra, oldRank := known.Rank()
+				era, rank := next.Rank()
+				qt.Check(t, era > oldEra || era == oldEra && rank > oldRank, qt.IsTrue, qt.Commentf("it replaces what was known"))
+			}
+			decoded, err := rollout.Decode(next.Encode())
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, decoded.Order, qt.DeepEquals, next.Order)
+		})
+	}
+}
+
+// TestExposure has the shares of all phases but the last keep to the bound on all requests of
+// an order, with room for the last one's to be found faulty.
+func TestExposure(t *testing.T) {
+	for _, e := range []rollout.Exposure{0.02, 0.1, 0.3} {
+		spent := 0.45*e.Share(rollout.Trial) + 0.1*e.Share(rollout.Widened)
+		qt.Check(t, spent <= 0.4*float64(e), qt.IsTrue)
+		for _, n := range []int{0, 1, 2, 10, 68, 739} {
+			last := 0
+			for p := rollout.Trial; p <= rollout.Moved; p++ {
+				in := e.InUse(p, n)
+				qt.Check(t, in >= last && in <= n, qt.IsTrue)
+				last = in
+			}
+			qt.Check(t, last, qt.Equals, n)
+			qt.Check(t, e.InUse(rollout.Stopped, n)+e.InUse(rollout.RolledBack, n), qt.Equals, 0)
+		}
+	}
+}
--- /dev/null
+++ b/rollout/tally.go
@@ -0,0 +1,84 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package rollout
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// buckets is the number of ranges of run times that are told apart, each bucketRatio
+	// times as long as the one before, from leastBucket on.
+	buckets     = 24
+	bucketRatio = 1.5
+	leastBucket = time.Millisecond
+)
+
+// Tally counts requests that an upstream has run. It is an immutable value; the zero value
+// counts none.
+type Tally struct {
+	// Requests is the number of requests, and Failed of those that the upstream failed.
+	Requests uint64 `msgpack:"requests"`
+	Failed   uint64 `msgpack:"failed,omitempty"`
+	// Took are the numbers of requests by run time, up to the last that is not 0.
+	Took []uint64 `msgpack:"took,omitempty"`
+}
+
+// bucketOf returns the range that a run time is in.
+func bucketOf(took time.Duration) int {
+	if took <= leastBucket {
+		return 0
+	}
+	i := int(math.Log(float64(took)/float64(leastBucket)) / math.Log(bucketRatio))
+	return min(i, buckets-1)
+}
+
+// With returns t with one more request.
+func (t Tally) With(failed bool, took time.Duration) Tally {
+	t.Requests++
+	if failed {
+		t.Failed++
+	}
+	b := bucketOf(took)
+	t.Took = append(make([]uint64, 0, max(len(t.Took), b+1)), t.Took...)
+	for len(t.Took) <= b {
+		t.Took = append(t.Took, 0)
+	}
+	t.Took[b]++
+	return t
+}
+
+// since returns what t counts beyond an earlier tally of the same requests.
+func (t Tally) since(before Tally) Tally {
+	if t.Requests < before.Requests || t.Failed < before.Failed || len(t.Took) < len(before.Took) {
+		return t // the counts began anew
+	}
+	d := Tally{
+		Requests: t.Requests - before.Requests,
+		Failed:   t.Failed - before.Failed,
+		Took:     make([]uint64, len(t.Took)),
+	}
+	for i, n := range t.Took {
+		if i < len(before.Took) {
+			n -= min(n, before.Took[i])
+		}
+		d.Took[i] = n
+	}
+	return d
+}
+
+// Report is what the node beside an upstream tells a judge.
+type Report struct {
+	// Service and Version are the upstream's.
+	Service string `msgpack:"service"`
+	Version string `msgpack:"version"`
+	// Start tells the counts of one start of the upstream or the node from another's.
+	Start uint64 `msgpack:"start"`
+	// Running is the number of requests at the upstream now.
+	Running int `msgpack:"running"`
+	// Classes are the counts since Start, by class of request.
+	Classes map[string]Tally `msgpack:"classes"`
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -112,6 +112,8 @@
 	}
 	within(c, "heartbeat", s.Heartbeat, 0, time.Hour)
 	within(c, "configWithin", s.ConfigWithin, 500*time.Millisecond, time.Hour)
+	c.add(s.RolloutShare >= 0 && s.RolloutShare <= 0.5, "rolloutShare", "%v is not within 0 and 0.5", s.RolloutShare)
+	c.add(s.RolloutShare == 0 || s.RollbackWithin >= time.Second && s.RollbackWithin <= time.Hour, "rollbackWithin", "%v is not within 1s and 1h", s.RollbackWithin)
 	c.add(s.EvacuateWithin == 0 || s.EvacuateWithin >= 500*time.Millisecond && s.EvacuateWithin <= time.Hour, "evacuateWithin", "%v is not 0, nor within 500ms and 1h", s.EvacuateWithin)
 	within(c, "coldRatio", s.ColdRatio, 0, 100)
 	within(c, "coldSlack", s.ColdSlack, 0, 1e6)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -60,6 +60,12 @@
 	// times the requests a second that the table of routes names for it, and ColdSlack
 	// more.
 	ColdRatio, ColdSlack float64
+	// RolloutShare bounds the share of a service's requests that a version may get which an
+	// operator has ordered to be rolled out, as long as it may be faulty. Zero means that no
+	// such orders are read, and upstreams of all versions are alike. RollbackWithin is the time
+	// after which a version that was found faulty gets no more requests, from no node.
+	RolloutShare   float64
+	RollbackWithin time.Duration
 	// RevokeWithin is the time after which no request may run any more whose key has been
 	// revoked, also at nodes that the platform does not answer: one whose table of routes
 	// is not known to be as fresh refuses requests that need a key. Zero means that such a
@@ -139,6 +145,8 @@
 	fs.DurationVar(&s.EvacuateWithin, "evacuateWithin", 0, "time after which an evacuated zone's upstreams get no more requests; 0 if zones are not evacuated")
 	fs.Float64Var(&s.ColdRatio, "coldRatio", 1, "requests to a cold upstream in any second, as a ratio of what the table of routes names for it")
 	fs.Float64Var(&s.ColdSlack, "coldSlack", 0, "requests to a cold upstream in any second beyond that")
+	fs.Float64Var(&s.RolloutShare, "rolloutShare", 0, "largest share of a service's requests for a version that is rolled out and may be faulty; 0 if no roll-outs are ordered")
+	fs.DurationVar(&s.RollbackWithin, "rollbackWithin", 5*time.Second, "time after which a version that was found faulty gets no more requests")
 	fs.DurationVar(&s.RevokeWithin, "revokeWithin", 0, "time after which no request with a revoked key runs, also where the platform does not answer; 0 if such nodes go by what they know")
 	fs.DurationVar(&s.QuotaWindow, "quotaWindow", 5*time.Second, "time over which the rate limits of organisations are bounded")
 	fs.Float64Var(&s.QuotaOverage, "quotaOverage", 0.1, "requests of an organisation in a quotaWindow beyond its rate limit, as a ratio of that")
--- a/upstream/announcement.go
+++ b/upstream/announcement.go
@@ -26,6 +26,9 @@
 	// Connections is the number of connections that it takes. Zero means as
 	// many as it has slots.
 	Connections int `json:"connections"`
+	// Version is the version of its software. Empty means that it is not known, or of no
+	// concern.
+	Version string `json:"version,omitempty"`
 	// Draining is whether it wants no new requests.
 	Draining bool `json:"draining"`
 	// Start tells one start of the upstream from another, together with Born. When
