node: roll-outs of a good and of a faulty version with real nodes

Found on the way: the room for a version was counted without the judge's own upstream, so that with three upstreams the judge beside one of them never found room.

--- a/canary/runner.go
+++ b/canary/runner.go
@@ -61,7 +61,7 @@
 	Known func() map[string]rollout.Known
 	// Judges returns the nodes that may be judge for a service, in order.
 	Judges func(service string) []Peer
-	// Sizes returns how many upstreams a service has, by version, without the node's own.
+	// Sizes returns how many upstreams a service has, by version.
 	Sizes func(service string) map[string]rollout.Size
 	// Upstream returns the upstream beside the node.
 	Upstream func() Upstream
--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -98,10 +98,7 @@
 	c.init()
 	sizes := make(map[string]rollout.Size)
 	c.do(func() {
-		for id, r := range c.byService[service] {
-			if id == c.self.ID {
-				continue
-			}
+		for _, r := range c.byService[service] {
 			s := sizes[r.Software]
 			s.Upstreams++
 			s.Slots += r.Slots
--- a/node/managed_test.go
+++ b/node/managed_test.go
@@ -35,8 +35,9 @@
 	store *standin.Store
 	url   string
 	nodes []*managed
-	// strict is the nodes' RevokeWithin.
+	// strict is the nodes' RevokeWithin, and share their RolloutShare.
 	strict time.Duration
+	share  float64
 }
 
 // managed is a node with its upstream.
@@ -110,15 +111,23 @@
 
 // addIn does what add does, in an availability zone.
 func (w *world) addIn(zone, service string, seeds ...string) *managed {
+	return w.addUpstream(zone, &standin.Upstream{Service: service}, seeds...)
+}
+
+// addUpstream starts a node in an availability zone beside an upstream, whose id, slots and
+// work are set.
+func (w *world) addUpstream(zone string, u *standin.Upstream, seeds ...string) *managed {
 	id := "i-" + strconv.Itoa(len(w.nodes))
-	m := &managed{upstream: &standin.Upstream{ID: id, Service: service, Slots: 8, Work: 5 * time.Millisecond}}
+	service := u.Service
+	u.ID, u.Slots, u.Work = id, 8, 5*time.Millisecond
+	m := &managed{upstream: u}
 	addr, err := m.upstream.Start()
 	qt.Assert(w.t, err, qt.IsNil)
 	m.settings = settings.Settings{
 		Node: "n" + id, Region: "r", Zone: zone, Dialect: settings.DialectManaged,
 		CallerAddress: freeAddr(w.t), PeerAddress: freeAddr(w.t), AnnounceAddress: freeAddr(w.t), OperatorAddress: freeAddr(w.t),
 		PlatformURL: w.url, Service: service, UpstreamAddress: addr, Peers: strings.Join(seeds, ","),
-		EvacuateWithin: 2 * time.Second, ConfigWithin: 2 * time.Second, RevokeWithin: w.strict,
+		EvacuateWithin: 2 * time.Second, ConfigWithin: 2 * time.Second, RevokeWithin: w.strict, RolloutShare: w.share, RollbackWithin: 5 * time.Second,
 		QuotaWindow: 5 * time.Second, QuotaOverage: 0.1, QuotaSlack: 20,
 		RetryRatio: 0.2, RetrySlack: 60, ReportBytes: 20000, ControlBytes: 100000, PlatformCalls: 100,
 		LeaveDelay: 50 * time.Millisecond, DrainTimeout: 2 * time.Second, MaxHeaderBytes: 1 << 16,
@@ -139,6 +148,7 @@
 			API:   func(c *objectapi.Caller) objectapi.Polled { return &platform.Store{Caller: c} },
 			Era:   platform.Era,
 			Kind:  platform.ManifestKind, Name: platform.ManifestName, Table: platform.Table, ZoneKind: platform.EvacuationKind, Announce: platform.Instances,
+			RolloutKind: platform.RolloutKind, Rollout: platform.Rollout, RolloutStatus: platform.RolloutStatus,
 		},
 	}
 	var done sync.WaitGroup
