peer: an idle connection is not looked at, and one in use is not closed

Cause: each connection of a node was looked at four times in the bound on silence, every 150 ms to gates, whether anything was open on it or not: with 16 connections to gates and 12 to neighbours some 120 of the 575 wake-ups a second that a node of the fleet has (by arithmetic). And control requests did not count as use, so that each control connection was closed and opened anew every 30 s.

TestIdleConnections fails before: with the old ticks 800 looks in two minutes at an idle connection (two rows), and without the note of use the connection of one that is told something every 20 s is closed (two rows).

--- a/peer/client.go
+++ b/peer/client.go
@@ -113,6 +113,7 @@
 		exchanges: make(map[uint64]*Exchange),
 		requests:  make(map[uint64]chan *Reply),
 		idleSince: time.Now(),
+		begun:     make(chan struct{}, 1),
 	}
 	go l.readLoop()
 	go l.watch()
@@ -176,6 +177,7 @@
 		Payload: payload,
 	}
 	if notify {
+		l.used()
 		return nil, l.send(KindRequest, request)
 	}
 	reply := make(chan *Reply, 1)
--- /dev/null
+++ b/peer/idle_test.go
@@ -0,0 +1,67 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package peer
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestIdleConnections uses one of a node's connections seldom, or not at all: it is looked at
+// as seldom, stays open as long as it is in use, and is closed once it is idle for long.
+func TestIdleConnections(t *testing.T) {
+	request := func(notify bool) func(c *Client) {
+		return func(c *Client) { _, _ = c.Request(context.Background(), "t", nil, notify) }
+	}
+	tests := map[string]struct {
+		use   func(c *Client)
+		every time.Duration
+		most  uint64 // looks in two minutes
+		open  bool   // at their end, without having been closed
+	}{
+		"not used":                    {most: 3},
+		"a request now and then":      {use: request(false), every: 20 * time.Second, most: 30, open: true},
+		"told something now and then": {use: request(true), every: 20 * time.Second, most: 10, open: true},
+		"used less often than Idle":   {use: request(false), every: 45 * time.Second, most: 15},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				s := &Server{Control: func(context.Context, Hello, *Request) ([]byte, error) { return nil, nil }}
+				c := &Client{
+					Hello:  Hello{Control: true},
+					Limits: Limits{Idle: 30 * time.Second, Silence: 600 * time.Millisecond},
+					Dial: func(context.Context, string) (net.Conn, error) {
+						near, far := net.Pipe()
+						go s.serve(ctx, far)
+						return near, nil
+					},
+				}
+				first, err := c.connect(ctx)
+				qt.Assert(t, err, qt.IsNil)
+				for began := time.Now(); time.Since(began) < 2*time.Minute; {
+					if test.use == nil {
+						time.Sleep(time.Second)
+						continue
+					}
+					test.use(c)
+					time.Sleep(test.every)
+				}
+				qt.Check(t, first.usable(), qt.Equals, test.open)
+				qt.Check(t, first.looked.Load() <= test.most, qt.IsTrue, qt.Commentf("%d looks", first.looked.Load()))
+				c.Close()
+				cancel()
+				s.shutAll()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/peer/link.go
+++ b/peer/link.go
@@ -32,6 +32,9 @@
 	requests  map[uint64]chan *Reply
 	idleSince time.Time
 	busySince time.Time // when the first of the open exchanges and requests began
+
+	begun  chan struct{} // has a value when the first of them has begun
+	looked atomic.Uint64 // how often watch has looked at the connection
 }
 
 // usable returns whether new calls may be sent on the connection.
@@ -83,8 +86,13 @@
 
 // began notes that an exchange or a request begins. The lock is held.
 func (l *link) began() {
-	if len(l.exchanges)+len(l.requests) == 0 {
-		l.busySince = time.Now()
+	if len(l.exchanges)+len(l.requests) > 0 {
+		return
+	}
+	l.busySince = time.Now()
+	select {
+	case l.begun <- struct{}{}:
+	default:
 	}
 }
 
@@ -120,6 +128,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.requests, id)
+	l.idleSince = time.Now()
+}
+
+// used notes that the connection is in use, though nothing is open on it.
+func (l *link) used() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.idleSince = time.Now()
 }
 
 // readLoop handles frames until the connection ends, and then fails what is
@@ -273,22 +289,26 @@
 }
 
 // watch closes the connection when it is silent with calls open, or idle for
-// long.
+// long. While nothing is open it waits: a node has some thirty connections, and
+// most of them are idle.
 func (l *link) watch() {
-	tick := time.NewTicker(l.limits.Silence / 4)
-	defer tick.Stop()
+	next := time.NewTimer(l.nextLook())
+	defer next.Stop()
 	var pinging atomic.Bool
 	for number := uint64(1); ; {
 		select {
 		case <-l.closed:
 			return
-		case <-tick.C:
+		case <-l.begun:
+		case <-next.C:
 		}
+		next.Reset(l.nextLook())
+		l.looked.Add(1)
 		open, idle, busy := l.activity()
 		// A peer owes nothing while nothing is open: the silence of an idle
 		// connection says nothing when a call begins on it.
 		switch silence := min(l.silence(), busy); {
-		case open == 0 && idle > l.limits.Idle:
+		case open == 0 && idle >= l.limits.Idle:
 			l.shut(eris.New("idle"))
 		case open > 0 && idle == 0 && silence > l.limits.Silence:
 			l.shut(eris.Errorf("nothing heard for %v", silence.Round(time.Millisecond)))
@@ -304,6 +324,14 @@
 	}
 }
 
+// nextLook returns when the connection is to be looked at next.
+func (l *link) nextLook() time.Duration {
+	if open, idle, _ := l.activity(); open == 0 {
+		return max(l.limits.Idle-idle, 0) + time.Millisecond
+	}
+	return l.limits.Silence / 4
+}
+
 // activity returns the number of open exchanges and requests, for how long there
 // have been none, and for how long there have been some.
 func (l *link) activity() (open int, idle, busy time.Duration) {
