control: comparisons cost what differs, also where much does

Cause: as soon as half of the 64 groups of a set differed, a comparison fetched all records of the peer. With 986 members some 45 changed records are enough for that, so while everybody starts each comparison of each node, one a second, carried the whole state both ways: a node of the fleet moved 4.1 MB in 29 s, 28 times the members' state. And where fewer groups differed, one comparison looked into 16 of them.

Now the digests of the records in the groups that differ go across, and the records that either side lacks come back. TestComparisonBytes fails before in five of seven rows: 1000 members with 50 or 250 changed at each side cost 304,006 bytes (bounds 60,000 and 240,000), 4000 with 20 changed 621,724 (69,000). Above 4096 records the hashes of leaves are cheaper, and stay.

--- /dev/null
+++ b/control/digest_test.go
@@ -0,0 +1,123 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package control
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/peer"
+)
+
+// between returns a client by which one state reaches another, and what counts its traffic.
+// Both run until the test ends.
+func between(t *testing.T, one, other *Control) (*peer.Client, *peer.Counters) {
+	ctx, cancel := context.WithCancel(context.Background())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	server := &peer.Server{Control: other.Handle}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Run(ctx, listener)
+	}()
+	for _, c := range []*Control{one, other} {
+		go func() {
+			for {
+				select {
+				case f := <-c.jobs:
+					f()
+				case <-ctx.Done():
+					return
+				}
+			}
+		}()
+	}
+	counters := new(peer.Counters)
+	client := &peer.Client{Addr: listener.Addr().String(), Hello: peer.Hello{Control: true}, Counters: counters}
+	t.Cleanup(func() {
+		client.Close()
+		cancel()
+		<-done
+	})
+	return client, counters
+}
+
+// TestComparisonBytes compares the states of two nodes of which each has changes that the other
+// has not heard of, as while many nodes start or come back. One comparison finds them all, and
+// what crosses grows with them and with some bytes a member, whichever part of the members has
+// changed: not with the whole state.
+func TestComparisonBytes(t *testing.T) {
+	const (
+		perMember = 12  // a digest, and the framing
+		perChange = 450 // the newer record, and the older one or its digest
+		fixed     = 3000
+	)
+	tests := map[string]struct {
+		members, changed int // changed at each of the two
+	}{
+		"100, a few changed":    {members: 100, changed: 3},
+		"100, most changed":     {members: 100, changed: 45},
+		"1000, a few changed":   {members: 1000, changed: 3},
+		"1000, a tenth changed": {members: 1000, changed: 50},
+		"1000, half changed":    {members: 1000, changed: 250},
+		"4000, a few changed":   {members: 4000, changed: 20},
+		"4000, a tenth changed": {members: 4000, changed: 200},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			one, other := sized(test.members), sizedAs("other", test.members)
+			now := uint64(time.Now().UnixNano())
+			for i := range test.members {
+				r := recordOf(i, test.members, 1)
+				r.Incarnation = now
+				for _, c := range []*Control{one, other} {
+					c.members.put(r)
+				}
+				r.Version = 2
+				switch {
+				case i < test.changed:
+					one.members.put(r)
+				case i < 2*test.changed:
+					other.members.put(r)
+				}
+			}
+			client, counters := between(t, one, other)
+			qt.Assert(t, reconcile(context.Background(), one, &one.members, client), qt.IsNil)
+			qt.Assert(t, reconcile(context.Background(), one, &one.members, client), qt.IsNil, qt.Commentf("which finds nothing, after what was told"))
+			var a, b uint64
+			one.do(func() { a = one.members.set.Root() })
+			other.do(func() { b = other.members.set.Root() })
+			qt.Check(t, a, qt.Equals, b, qt.Commentf("they are the same then"))
+			crossed := int(counters.BytesIn.Load() + counters.BytesOut.Load())
+			most := fixed + perMember*test.members + perChange*2*test.changed
+			qt.Check(t, crossed <= most, qt.IsTrue, qt.Commentf("%d bytes, bound %d", crossed, most))
+		})
+	}
+}
+
+// TestComparisonOfNewNode has a node that has met no other learn all that there is, and tell of
+// itself.
+func TestComparisonOfNewNode(t *testing.T) {
+	for _, n := range []int{10, 1000, 5000} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			fresh, old := sizedAs("fresh", 6), sized(max(n, 6))
+			fresh.members.put(recordOf(99999, 6, 1))
+			client, _ := between(t, fresh, old)
+			for range 2 {
+				qt.Assert(t, reconcile(context.Background(), fresh, &fresh.members, client), qt.IsNil)
+			}
+			var a, b uint64
+			fresh.do(func() { a = fresh.members.set.Root() })
+			old.do(func() { b = old.members.set.Root() })
+			qt.Check(t, a, qt.Equals, b)
+		})
+	}
+}
--- a/control/exchanger.go
+++ b/control/exchanger.go
@@ -19,11 +19,16 @@
 	// is found by the next one.
 	maxGroups = 16
 	maxLeaves = 128
-	// bulkGroups is the number of differing groups from which all records are
-	// fetched in turn.
-	bulkGroups = gossip.Groups / 2
+	// fewRecords is the number of records below which a node has nearly none of what
+	// others have, as at its start. It fetches all of a peer's, in turn.
+	fewRecords = 16
 	// bulkRecords is the number of records fetched at once.
 	bulkRecords = 500
+	// mostByDigest is the number of records up to which a comparison is by the digests of
+	// the records in the groups that differ: they are then fewer than the leaves, so that a
+	// digest of each record costs less than the hashes of all leaves, and one exchange
+	// finds all that differs.
+	mostByDigest = gossip.Leaves
 )
 
 // exchanger is a set of records with what is needed to keep it the same as
@@ -101,6 +106,7 @@
 	askLeaves   = ".leaves"
 	askVersions = ".versions"
 	askBulk     = ".bulk"
+	askDigests  = ".digests"
 	tellRecords = ".records"
 )
 
@@ -122,6 +128,12 @@
 			return nil, true, err
 		}
 		return e.versions(q), true, nil
+	case e.topic + askDigests:
+		q, err := unpack[digestQuery](payload)
+		if err != nil || !validGroups(q.Groups) {
+			return nil, true, eris.Errorf("bad digests: %v", err)
+		}
+		return e.beyond(q), true, nil
 	case e.topic + askBulk:
 		q, err := unpack[bulkQuery](payload)
 		if err != nil || q.From < 0 {
@@ -205,14 +217,23 @@
 // is called by a goroutine that does not own the state.
 func reconcile[R gossip.Record](ctx context.Context, c *Control, e *exchanger[R], p *peer.Client) error {
 	var own []uint64
-	c.do(func() { own = e.set.Group() })
+	var held int
+	c.do(func() {
+		own = e.set.Group()
+		held = e.set.Len()
+	})
 	theirs, err := ask[struct{}, hashes](ctx, p, e.topic+askGroups, struct{}{})
 	if err != nil {
 		return err
 	}
 	groups := gossip.Differing(own, theirs.Hashes)
-	if len(groups) > bulkGroups {
+	switch {
+	case len(groups) == 0:
+		return nil
+	case held < fewRecords:
 		return fetchAll(ctx, c, e, p)
+	case held <= mostByDigest:
+		return reconcileByDigest(ctx, c, e, p, groups)
 	}
 	leaves, err := differingLeaves(ctx, c, e, p, groups)
 	if err != nil || len(leaves) == 0 {
--- a/control/size_test.go
+++ b/control/size_test.go
@@ -20,9 +20,12 @@
 )
 
 // sized returns a state with n members and n/6 services. Nothing runs it.
-func sized(n int) *Control {
+func sized(n int) *Control { return sizedAs("self", n) }
+
+// sizedAs does what sized does, for a node of the given name.
+func sizedAs(name string, n int) *Control {
 	c := &Control{
-		Self:      member.Record{ID: "self", Zone: "z0", Region: "r0", Addr: "10.0.0.1:8081"},
+		Self:      member.Record{ID: name, Zone: "z0", Region: "r0", Addr: "10.0.0.1:8081"},
 		Budget:    watch.NewBudget(1<<20, 1),
 		Log:       zerolog.Nop(),
 		Published: func(*Snapshot) {},
--- a/gossip/set.go
+++ b/gossip/set.go
@@ -147,6 +147,61 @@
 	return m
 }
 
+// Digests returns the hash of each record in some groups, over its key and version. It panics
+// if there is no such group.
+func (s *Set[R]) Digests(groups []int) []uint64 {
+	var list []uint64
+	s.in(groups, func(r R) { list = append(list, hash(r)) })
+	return list
+}
+
+// Beyond returns the records in some groups whose digests are not among the given ones, and of
+// these the digests that no record there has. It panics if there is no such group.
+func (s *Set[R]) Beyond(groups []int, digests []uint64) (records []R, unknown []uint64) {
+	theirs := make(map[uint64]bool, len(digests))
+	for _, d := range digests {
+		theirs[d] = true
+	}
+	s.in(groups, func(r R) {
+		d := hash(r)
+		if !theirs[d] {
+			records = append(records, r)
+		}
+		delete(theirs, d)
+	})
+	for _, d := range digests {
+		if theirs[d] {
+			unknown = append(unknown, d)
+		}
+	}
+	return records, unknown
+}
+
+// Of returns the records in some groups that have one of the given digests.
+func (s *Set[R]) Of(groups []int, digests []uint64) (records []R) {
+	wanted := make(map[uint64]bool, len(digests))
+	for _, d := range digests {
+		wanted[d] = true
+	}
+	s.in(groups, func(r R) {
+		if wanted[hash(r)] {
+			records = append(records, r)
+		}
+	})
+	return records
+}
+
+// in calls f with each record in some groups.
+func (s *Set[R]) in(groups []int, f func(R)) {
+	for _, g := range groups {
+		for _, leaf := range s.leaves[g<<groupBits : (g+1)<<groupBits] {
+			for _, r := range leaf {
+				f(r)
+			}
+		}
+	}
+}
+
 // Newer returns the records in a leaf that are newer than the given versions,
 // or are not among them.
 func (s *Set[R]) Newer(leaf int, than map[string]Version) []R {
