member: records without the names of their fields on the wire

Cause: while everybody starts, records of members are most of what nodes tell each other, and four tenths of a record were names of fields: one as a node of the fleet has it takes 107 bytes (TestWire), and had 72 more for twelve names. Later versions of the program may add fields. Version 4 of the protocol: nodes of version 3 are refused.

--- a/member/record.go
+++ b/member/record.go
@@ -30,33 +30,33 @@
 // Record is what is known of one node. It is an immutable value.
 type Record struct {
 	// ID is the node's name. It stays the same over restarts.
-	ID string `msgpack:"id" json:"id"`
+	ID string `json:"id"`
 	// Addr is where the node takes peer connections.
-	Addr string `msgpack:"addr" json:"addr"`
+	Addr string `json:"addr"`
 	// Zone and Region are where it is.
-	Zone   string `msgpack:"zone" json:"zone"`
-	Region string `msgpack:"region" json:"region"`
+	Zone   string `json:"zone"`
+	Region string `json:"region"`
 	// Service is the service of its upstream, or empty.
-	Service string `msgpack:"service,omitempty" json:"service,omitempty"`
+	Service string `json:"service,omitempty"`
 	// Slots is the number of requests that its upstream runs at once.
-	Slots int `msgpack:"slots,omitempty" json:"slots,omitempty"`
+	Slots int `json:"slots,omitempty"`
 	// State is what the node says of itself.
-	State State `msgpack:"state" json:"state"`
+	State State `json:"state"`
 	// Incarnation grows with each start of the node.
-	Incarnation uint64 `msgpack:"incarnation" json:"incarnation"`
+	Incarnation uint64 `json:"incarnation"`
 	// Version grows with each change within an incarnation.
-	Version uint64 `msgpack:"version" json:"version"`
+	Version uint64 `json:"version"`
 	// Software is the version of the upstream's software, or empty where it is of no
 	// concern or not known yet.
-	Software string `msgpack:"software,omitempty" json:"software,omitempty"`
+	Software string `json:"software,omitempty"`
 	// Trial is whether an operator has ordered a roll-out of that version which is not
 	// completed, as the node itself has heard.
-	Trial bool `msgpack:"trial,omitempty" json:"trial,omitempty"`
+	Trial bool `json:"trial,omitempty"`
 	// Blind is whether the node was to look after the platform for others and can't
 	// reach it.
-	Blind bool `msgpack:"blind,omitempty" json:"blind,omitempty"`
+	Blind bool `json:"blind,omitempty"`
 	// At is when the record was written, in seconds since 1970.
-	At int64 `msgpack:"at" json:"at"`
+	At int64 `json:"at"`
 }
 
 // Keep is how long a record of a node that is gone is kept after it was
--- /dev/null
+++ b/member/wire_test.go
@@ -0,0 +1,76 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package member_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"sassafrasfront.example/member"
+)
+
+// wide is a record as a node of a fleet has it.
+var wide = member.Record{
+	ID:          "sidecar-glenorchy-154",
+	Addr:        "10.128.3.38:8146",
+	Zone:        "glenorchy",
+	Region:      "tas-south",
+	Service:     "pledgebook",
+	Slots:       9,
+	State:       member.Up,
+	Incarnation: 1765000000123456789,
+	Version:     2,
+	Software:    "v1",
+	At:          1765000000,
+}
+
+// TestWire has records come back as they were, from a later version of the program as well, and
+// be small: each crosses to each node some four times.
+func TestWire(t *testing.T) {
+	data, err := msgpack.Marshal(wide)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, len(data) <= 110, qt.IsTrue, qt.Commentf("%d bytes", len(data)))
+	var got member.Record
+	qt.Assert(t, msgpack.Unmarshal(data, &got), qt.IsNil)
+	qt.Check(t, got, qt.Equals, wide)
+
+	list, err := msgpack.Marshal([]member.Record{wide, {ID: "b"}})
+	qt.Assert(t, err, qt.IsNil)
+	var both []member.Record
+	qt.Assert(t, msgpack.Unmarshal(list, &both), qt.IsNil)
+	qt.Check(t, both, qt.DeepEquals, []member.Record{wide, {ID: "b"}})
+}
+
+// TestWireOfOthers decodes records with more fields, too few, and none at all.
+func TestWireOfOthers(t *testing.T) {
+	fields := func(n int) []any {
+		list := []any{"a", "", "", "", "", 1, "up", uint64(1), uint64(1), "", false, false, int64(1), "more", []int{1}}
+		return list[:n]
+	}
+	tests := map[string]struct {
+		value any
+		good  bool
+	}{
+		"as many":    {value: fields(13), good: true},
+		"more":       {value: fields(15), good: true},
+		"fewer":      {value: fields(12)},
+		"none":       {value: []any{}},
+		"not a list": {value: map[string]any{"id": "a"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			data, err := msgpack.Marshal(test.value)
+			qt.Assert(t, err, qt.IsNil)
+			var got member.Record
+			err = msgpack.Unmarshal(data, &got)
+			qt.Check(t, err == nil, qt.Equals, test.good, qt.Commentf("%v", err))
+			if test.good {
+				qt.Check(t, got.ID, qt.Equals, "a")
+			}
+		})
+	}
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -11,7 +11,7 @@
 )
 
 // Version is the version of the protocol that this package speaks.
-const Version = 3
+const Version = 4
 
 // Kind tells the messages apart on the wire.
 type Kind uint8
