node: an upstream with few calls is asked for its speed less often

Cause: each node asked its upstream 25 times a second, whatever came in: on the fleet, where an upstream has 1.5 calls a second, 599,792 questions for 13,112 requests. A call that comes in asks by itself where the last word is older than 15 ms, so the words in between are for the choice of others only.

Now four words a call, at most 25 a second and at least ten; TestQuestionsByCalls fails for one and four calls a second with a fixed age of 40 ms (25).

--- a/node/build.go
+++ b/node/build.go
@@ -80,7 +80,7 @@
 			Every:  reportEvery,
 			Size:   reportSize,
 		},
-		Ended:    n.metrics.gateEnded,
+		Ended:    n.callEnded,
 		Received: n.metrics.bodyIn,
 		Inflow:   func() (rate float64, backlog int) { return n.peers.Inflow() },
 		Gone:     n.upstreamGone,
--- /dev/null
+++ b/node/callpace_test.go
@@ -0,0 +1,51 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package node
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestQuestionsByCalls has calls come in at a pace, and asks how many questions a second the
+// upstream gets for it: some for each call, within bounds, so that an upstream in a large fleet
+// that has a call a second is not asked more than one with ten.
+func TestQuestionsByCalls(t *testing.T) {
+	tests := map[string]struct {
+		before, perSecond float64 // calls a second, for fifteen seconds each
+		least, most       float64 // questions a second
+	}{
+		"none":                     {least: 9, most: 10},
+		"one a second":             {perSecond: 1, least: 9, most: 10},
+		"four a second":            {perSecond: 4, least: 14, most: 18},
+		"many":                     {perSecond: 30, least: 24, most: 25},
+		"many, and then few":       {before: 30, perSecond: 1, least: 9, most: 13},
+		"few, and then a lot come": {before: 1, perSecond: 50, least: 22, most: 25},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			const settling, span = 5 * time.Second, 15 * time.Second
+			now := time.Unix(1e9, 0)
+			var p callPace
+			var calls float64
+			questions := 0
+			for _, perSecond := range []float64{test.before, test.perSecond} {
+				questions = 0
+				for began := now; now.Sub(began) < span; {
+					age := p.loadAge(uint64(calls), now)
+					now = now.Add(age)
+					calls += perSecond * age.Seconds()
+					if now.Sub(began) > settling {
+						questions++
+					}
+				}
+			}
+			got := float64(questions-1) / (span - settling).Seconds() // spans between questions
+			qt.Check(t, got >= test.least && got <= test.most, qt.IsTrue, qt.Commentf("%.1f a second", got))
+		})
+	}
+}
--- a/node/events.go
+++ b/node/events.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -100,6 +101,12 @@
 		Int("running", load.Running).Int("waiting", load.Waiting).Int("organisations", load.Organisations).Int("allowed", load.Allowed).Float64("slowdown", load.Slowdown).Float64("pace", load.Pace).Dur("restMs", load.Rest).Float64("failing", load.Failing).Bool("draining", load.Draining).Dur("retryAfterMs", failure.RetryAfter).AnErr("reason", failure.Err).Msg("call not answered")
 }
 
+// callEnded counts a call to the upstream.
+func (n *Node) callEnded(service, class string, failure *verdict.Error, waited, took time.Duration) {
+	n.calls.Add(1)
+	n.metrics.gateEnded(service, class, failure, waited, took)
+}
+
 // callPanicked logs that the handling of a call panicked, and counts it.
 func (n *Node) callPanicked(c *peer.Call, value any, stack []byte) {
 	n.metrics.set.GetOrCreateCounter(`sassafras_panics_total{part="gate"}`).Inc()
--- a/node/node.go
+++ b/node/node.go
@@ -93,6 +93,7 @@
 	keysStale  atomic.Bool // whether keys can't be judged, as the last request with one found
 	loadAsked  chan chan struct{}
 	asks       *rate.Limiter
+	calls      atomic.Uint64 // to the upstream, so far
 
 	// announcing is held while the node's state is found and told, so that what
 	// is told last was found last. configuring is held while the gate is given
--- a/node/upstreamwatch.go
+++ b/node/upstreamwatch.go
@@ -131,12 +131,6 @@
 	n.announce()
 }
 
-// loadEvery is how old the upstream's last word on its speed grows before its
-// health check is asked. Instances share their processors with others for some
-// hundred milliseconds at a time; answers alone would tell of it late. 25 questions
-// a second at most are under half of what the platform allows.
-const loadEvery = 40 * time.Millisecond
-
 // coldEvery is how old the upstream's word on whether it is cold grows before its health
 // check is asked. An upstream that turns cold gets so long what a warm one gets: three of 28
 // requests a second.
@@ -177,8 +171,8 @@
 	}
 }
 
-// pollLoad asks the upstream for its speed whenever it has not told it for
-// loadEvery, and whenever askLoad wants it, until ctx ends.
+// pollLoad asks the upstream for its speed whenever its last word on that has grown too old for
+// the calls that come in, and whenever askLoad wants it, until ctx ends.
 func (n *Node) pollLoad(ctx context.Context) {
 	poller := &upstream.Poller{
 		Names:    n.Platform.Names,
@@ -187,9 +181,10 @@
 		Cold:     n.gate.Cold,
 	}
 	defer poller.Close()
-	due := time.NewTimer(loadEvery)
+	due := time.NewTimer(leastLoadAge)
 	defer due.Stop()
 	var polled time.Time
+	pace := callPace{}
 	for {
 		told := make(chan struct{})
 		select {
@@ -198,7 +193,7 @@
 		case <-due.C:
 			// Answers tell the speed as well as the health check does, but not that the
 			// upstream has turned cold.
-			rest := min(loadEvery-n.gate.Observed(), coldEvery-time.Since(polled))
+			rest := min(pace.loadAge(n.calls.Load(), time.Now())-n.gate.Observed(), coldEvery-time.Since(polled))
 			if rest > 0 {
 				due.Reset(rest)
 				continue
@@ -214,7 +209,7 @@
 		polled = time.Now()
 		close(told)
 		n.answerAsked()
-		due.Reset(loadEvery)
+		due.Reset(leastLoadAge)
 	}
 }
 
