blocklist: few of the nodes that start at once read the blocks a second time

Cause: the first read of a node that starts may be seconds old, so each read the blocks once more a little later: on the fleet 986 reads more, though one reader's findings reach all. Now 24 are expected to.

--- a/blocklist/ledger.go
+++ b/blocklist/ledger.go
@@ -27,6 +27,9 @@
 	// lookAgain is after how long a node that has started reads the blocks once more: the
 	// first read is a cheap one that may be some seconds old.
 	lookAgain = 6 * time.Second
+	// readers is how many of the nodes that start at once are expected to do so: what one
+	// reads it tells the others. None does once in thirty thousand million times.
+	readers = 24
 	// sweepEvery is the time between two reads by a zone's scout, which deletes the
 	// blocks that count no more.
 	sweepEvery = time.Hour
@@ -70,16 +73,18 @@
 	Report func(r quarantine.Report)
 	// Scout, if not nil, returns whether this node looks after the blocks for its zone.
 	Scout func() bool
+	// Nodes, if not nil, returns the number of nodes that there are.
+	Nodes func() int
 	// Log takes the failures.
 	Log zerolog.Logger
 }
 
-// Run reads the blocks, once more a little later, and now and then if this node is the
-// scout, until ctx ends.
+// Run reads the blocks, once more a little later unless there are many nodes and others do, and
+// now and then if this node is the scout, until ctx ends.
 func (l *Ledger) Run(ctx context.Context) {
 	l.Load(ctx)
 	sleep.For(ctx, lookAgain/2+rand.N(lookAgain))
-	if ctx.Err() == nil {
+	if ctx.Err() == nil && l.drawn() {
 		l.Load(ctx)
 	}
 	for ctx.Err() == nil {
@@ -90,6 +95,11 @@
 	}
 }
 
+// drawn draws whether this node is one of the readers.
+func (l *Ledger) drawn() bool {
+	return l.Nodes == nil || rand.Float64()*float64(l.Nodes()) < readers
+}
+
 // Load reads the blocks and reports them. Those that count no more are deleted.
 func (l *Ledger) Load(ctx context.Context) {
 	list, err := l.API.ListStale(ctx, Kind)
--- a/node/build.go
+++ b/node/build.go
@@ -172,6 +172,7 @@
 		API:    api,
 		Report: n.control.Report,
 		Scout:  n.control.Scout,
+		Nodes:  func() int { return n.control.Snapshot().Members },
 		Log:    n.Log,
 	}
 }
