rollout: both versions are compared up to the last step, step by step

Now a fifth of the requests stays at the former version until the version is taken for good, and is taken off in a step of its own, in which nothing is judged. The new version's counts are judged two steps late against the largest share that the former one may have failed in any of four steps, as the two report a spell a step sooner or later.

--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -42,8 +42,8 @@
 	// Members are the nodes whose upstreams take requests.
 	Members []Member
 	// TrialShare is the share of the requests, within 0 and 1, that is sent to the members
-	// on trial first. What they don't answer goes to the others, and nothing else goes to
-	// them, unless the share is 1.
+	// on trial first. What they don't serve goes to the others. Nothing else goes to them,
+	// unless the share is that of a version which has proved itself.
 	TrialShare float64
 }
 
--- a/entry/trial.go
+++ b/entry/trial.go
@@ -21,18 +21,25 @@
 // anyMember passes over none.
 var anyMember = []func(id string) bool{func(string) bool { return false }}
 
+// trustedShare is the share from which members on trial take what the others can't.
+const trustedShare = 0.5
+
 // kinds returns which members a request may be sent to, in the order of preference, each as a
 // function that tells those to pass over. The members on trial get their share of the first
-// sendings. A request that one of them did not serve goes to the others, unless all requests
-// go to those on trial first; it then counts as one of their share no more.
+// sendings. A request that one of them did not serve goes to the others, unless most requests
+// go to those on trial.
 func (s *service) kinds(again bool) []func(id string) bool {
 	if len(s.trial) == 0 {
 		return anyMember
 	}
 	ordinary := func(id string) bool { return s.trial[id] }
 	onTrial := func(id string) bool { return !s.trial[id] }
-	if s.TrialShare >= 1 || !again && rand.Float64() < s.TrialShare {
+	trusted := s.TrialShare >= trustedShare
+	switch {
+	case (!again || trusted) && rand.Float64() < s.TrialShare:
 		return []func(id string) bool{onTrial, ordinary}
+	case trusted:
+		return []func(id string) bool{ordinary, onTrial}
 	}
 	return []func(id string) bool{ordinary}
 }
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -8,10 +8,15 @@
 
 const (
 	// reportsKept is the weight that counts of the former version keep with each step, so
-	// that some two seconds count, and latestKept that of the counts by which a spell is
-	// noticed that has just begun.
+	// that some two seconds count.
 	reportsKept = 0.9
-	latestKept  = 0.5
+	// lag is the number of steps after which the new version's counts are judged, and recent
+	// the number of steps of the former version's that they are compared with, one by one: a
+	// spell in which both fail begins at one moment, and is reported by each a step sooner or
+	// later. Steps of fewer than leastInStep requests tell nothing.
+	lag         = 2
+	recent      = 4
+	leastInStep = 8
 	// leastReference is the number of requests of the former version from which it is a
 	// reference.
 	leastReference = 20
@@ -60,21 +65,21 @@
 
 // reference is what the former version's requests of one class were like lately.
 type reference struct {
-	requests, failed             float64
-	latestRequests, latestFailed float64
-	took                         [buckets]float64
+	requests, failed float64
+	took             [buckets]float64
+	steps            [recent]Tally // the last first
 }
 
 // add takes in one step's counts. A step without any changes nothing: once all requests have
 // moved, the last reference stays.
 func (r *reference) add(t Tally) {
+	copy(r.steps[1:], r.steps[:])
+	r.steps[0] = t
 	if t.Requests == 0 {
 		return
 	}
 	r.requests = reportsKept*r.requests + float64(t.Requests)
 	r.failed = reportsKept*r.failed + float64(t.Failed)
-	r.latestRequests = latestKept*r.latestRequests + float64(t.Requests)
-	r.latestFailed = latestKept*r.latestFailed + float64(t.Failed)
 	for i := range r.took {
 		r.took[i] *= reportsKept
 		if i < len(t.Took) {
@@ -86,16 +91,24 @@
 // known returns whether there is enough to compare with.
 func (r *reference) known() bool { return r.requests >= leastReference }
 
-// failedShare returns the share of the former version's requests that it failed, over some
-// time or just now, whichever is more.
-func (r *reference) failedShare() float64 {
-	share := r.failed / r.requests
-	if r.latestRequests >= leastReference/2 {
-		share = max(share, r.latestFailed/r.latestRequests)
+// failedLately returns the largest share of its requests that the former version may have
+// failed in one of the last steps.
+func (r *reference) failedLately() (share float64) {
+	for _, t := range r.steps {
+		if t.Requests >= leastInStep {
+			share = max(share, upper(float64(t.Requests), float64(t.Failed)))
+		}
 	}
 	return share
 }
 
+// upper returns the share that is two standard deviations above the one of some requests that
+// were counted.
+func upper(requests, failed float64) float64 {
+	share := (failed + 0.5) / (requests + 1)
+	return share + 2*math.Sqrt(share*(1-share)/(requests+1))
+}
+
 // slowFrom returns the range of run times from which a request is slow, and the share of such
 // requests at the former version.
 func (r *reference) slowFrom() (bucket int, share float64) {
--- a/rollout/exposure.go
+++ b/rollout/exposure.go
@@ -13,6 +13,9 @@
 	// is left to the time in which a fault is found that shows only once all has moved.
 	trialPart   = 0.3
 	widenedPart = 2.5
+	// movedShare leaves a fifth of the requests to the former version: without them a fault of
+	// a service that both call would look like one of the new version.
+	movedShare = 0.8
 	// leastInUse is the least number of upstreams that are tried: of fewer, the fault of a
 	// single instance looks like the version's.
 	leastInUse = 3
@@ -29,7 +32,9 @@
 		return min(1, trialPart*float64(e))
 	case Widened:
 		return min(1, widenedPart*float64(e))
-	case Moved, Completed:
+	case Moved:
+		return movedShare
+	case Emptied, Completed:
 		return 1
 	}
 	return 0
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -11,16 +11,16 @@
 
 const (
 	// trialUntil and widenedFor are the part of an order's duration up to which a version
-	// stays on trial, and for which its share is widened, and movedFor how long all requests
-	// go there before the outcome is recorded. A fault that begins late is to show before.
-	trialUntil = 0.45
+	// stays on trial, and for which its share is widened and then most requests go there. A
+	// fault that begins late is to show before all do.
+	trialUntil = 0.4
 	widenedFor = 0.1
 	movedFor   = 0.15
 	// leastStep is the least time in one phase, so that all nodes have heard of it.
 	leastStep = 1500 * time.Millisecond
 	// lastStep is the part of the duration after which a version that has not moved is
 	// rolled back, and one that has moved is completed.
-	lastStep = 0.9
+	lastStep = 0.85
 	// leastRequests is the number of a version's requests without which it goes no further.
 	leastRequests = 30
 	// reportAge is how old a report may be that counts.
@@ -37,8 +37,10 @@
 
 	upstreams map[string]*upstream  // by node
 	former    map[string]*reference // by class
+	all       reference             // the former version's requests of all classes
 	failed    sums                  // of the new version, by class
 	slow      sums
+	waiting   [lag][]counted // the new version's counts of the last steps, the last first
 	phase     Phase
 	since     time.Time // when the phase was first seen
 	requests  uint64    // of the version, since then
@@ -53,6 +55,13 @@
 	slow   sums
 }
 
+// counted is what one upstream of the new version counts in one step, of one class.
+type counted struct {
+	upstream *upstream
+	class    string
+	tally    Tally
+}
+
 // sums are the evidence against a version by class.
 type sums map[string]evidence
 
@@ -91,7 +100,7 @@
 	if present.Phase >= Stopped {
 		return present.Phase, present.Reason
 	}
-	if sum >= alarm {
+	if sum >= alarm && present.Phase != Emptied { // nothing is left then to compare with
 		return Stopped, fmt.Sprintf("class %s: %s, evidence %.1f of %.1f", class, what, sum, alarm)
 	}
 	return j.advance(present, room, sum < alarm/2, now)
@@ -106,9 +115,11 @@
 	}
 	ready := calm && room && j.requests >= leastRequests
 	switch {
-	case present.Phase == Moved && (part >= lastStep || inPhase >= step(movedFor) && calm && j.formerRunning(now) == 0):
-		return Completed, fmt.Sprintf("%d requests since all have moved", j.requests)
-	case present.Phase == Moved:
+	case present.Phase == Emptied && (part >= 1 || inPhase >= leastStep && j.formerRunning(now) == 0):
+		return Completed, fmt.Sprintf("%d requests since the former version gets none", j.requests)
+	case present.Phase == Moved && calm && (part >= lastStep || inPhase >= step(movedFor)):
+		return Emptied, fmt.Sprintf("%d requests since most have moved", j.requests)
+	case present.Phase == Emptied, present.Phase == Moved && part < 1:
 	case part >= lastStep:
 		return Stopped, fmt.Sprintf("not enough is known in time: %d requests, room for all: %v", j.requests, room)
 	case present.Phase == Trial && ready && part >= trialUntil:
@@ -131,33 +142,26 @@
 			u.judged[class] = t
 		}
 	}
+	var sum Tally
 	for class, t := range sums {
 		if j.former[class] == nil {
 			j.former[class] = new(reference)
 		}
-		j.former[class].add(t)
+		sum = sum.plus(t)
+	}
+	j.all.add(sum)
+	for class, r := range j.former {
+		r.add(sums[class])
 	}
 }
 
 // judge takes in what was reported of the new version, and returns the class with the most
 // evidence against it, and what of.
 func (j *Judge) judge() (worst string, most float64, what string) {
-	classes := make(map[string]bool)
-	for _, u := range j.upstreams {
-		if u.report.Version != j.Order.Version {
-			continue
-		}
-		for class, t := range u.report.Classes {
-			d := t.since(u.judged[class])
-			u.judged[class] = t
-			if d.Requests > 0 {
-				j.requests += d.Requests
-				j.weigh(u, class, d)
-			}
-			classes[class] = true
-		}
+	for _, c := range j.due() {
+		j.weigh(c.upstream, c.class, c.tally)
 	}
-	for class := range classes {
+	for class := range j.failed {
 		if e := j.shared(class, j.failed, func(u *upstream) sums { return u.failed }); e > most {
 			worst, most, what = class, e, "fails more requests than the former version"
 		}
@@ -168,17 +172,43 @@
 	return worst, most, what
 }
 
+// due takes in the new version's counts of this step, and returns those that are to be judged.
+func (j *Judge) due() []counted {
+	var now []counted
+	for _, u := range j.upstreams {
+		if u.report.Version != j.Order.Version {
+			continue
+		}
+		for class, t := range u.report.Classes {
+			if d := t.since(u.judged[class]); d.Requests > 0 {
+				j.requests += d.Requests
+				now = append(now, counted{
+					upstream: u,
+					class:    class,
+					tally:    d,
+				})
+			}
+			u.judged[class] = t
+		}
+	}
+	due := j.waiting[lag-1]
+	copy(j.waiting[1:], j.waiting[:])
+	j.waiting[0] = now
+	return due
+}
+
 // weigh adds the evidence of some requests of a class at one upstream.
 func (j *Judge) weigh(u *upstream, class string, d Tally) {
-	share := 0.0
+	share := j.all.failedLately() // a class may have too few requests to tell of a spell
 	if r := j.former[class]; r != nil && r.known() {
-		share = r.failedShare()
+		share = max(share, upper(r.requests, r.failed), r.failedLately())
 		from, usual := r.slowFrom()
 		if b, ok := slow(usual); ok {
 			u.slow.add(class, b, d.Requests, d.above(from))
 			j.slow.add(class, b, d.Requests, d.above(from))
 		}
 	}
+	j.failed[class] += 0 // which shows that there are such requests
 	if b, ok := failing(share); ok {
 		u.failed.add(class, b, d.Requests, d.Failed)
 		j.failed.add(class, b, d.Requests, d.Failed)
--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -111,15 +111,35 @@
 	return o
 }
 
+// versionRun is load.run.
+type versionRun = func(next bool, i int, class string, at time.Duration, busy int) (bool, time.Duration)
+
+// versionLoad is how upstreams of both versions run requests, and whether the new one is faulty.
+type versionLoad struct {
+	faulty bool
+	run    func(random *rand.Rand) versionRun
+}
+
+// failing returns the load with two in five requests failing at both versions after a time, as
+// when a service that both call does.
+func (l versionLoad) failing(after time.Duration) versionLoad {
+	good := l.run
+	l.run = func(random *rand.Rand) versionRun {
+		usual := good(random)
+		return func(next bool, i int, class string, at time.Duration, busy int) (bool, time.Duration) {
+			failed, took := usual(next, i, class, at, busy)
+			return failed || at > after && random.Float64() < 0.4, took
+		}
+	}
+	return l
+}
+
 // TestRolloutLoads plays loads of the patterns that their names say, each with ten seeds. A
 // faulty version gets at most a tenth of the requests and 50 more, none is completed, and after
 // the fiftieth bad answer it gets nothing for longer than two seconds. A good one is completed.
 func TestRolloutLoads(t *testing.T) {
-	type run = func(next bool, i int, class string, at time.Duration, busy int) (bool, time.Duration)
-	tests := map[string]struct {
-		faulty bool
-		run    func(random *rand.Rand) run
-	}{
+	type run = versionRun
+	tests := map[string]versionLoad{
 		"good": {run: func(random *rand.Rand) run {
 			return func(bool, int, string, time.Duration, int) (bool, time.Duration) { return usual(random) }
 		}},
@@ -182,6 +202,9 @@
 			}
 		}},
 	}
+	for from := 2 * time.Second; from < 14*time.Second; from += time.Second {
+		tests["good, a called service fails two in five after "+from.String()] = tests["good"].failing(from)
+	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(10) {
--- a/rollout/state.go
+++ b/rollout/state.go
@@ -21,9 +21,10 @@
 	Trial Phase = iota
 	// Widened gives it a larger one.
 	Widened
-	// Moved gives it all requests that it can take, while the upstreams of the former
-	// version are still there.
+	// Moved gives it most of them. The rest stays at the former version, to compare with.
 	Moved
+	// Emptied gives it all, while the upstreams of the former version are still there.
+	Emptied
 	// Stopped gives it no request. The platform has not recorded it yet.
 	Stopped
 	// Completed and RolledBack are recorded on the platform, by one conditional write. The
@@ -33,7 +34,7 @@
 )
 
 // phases are the names of the phases.
-var phases = [...]string{"trial", "widened", "moved", "stopped", "completed", "rolledBack"}
+var phases = [...]string{"trial", "widened", "moved", "emptied", "stopped", "completed", "rolledBack"}
 
 // String returns the name of p.
 func (p Phase) String() string {
--- a/rollout/take.go
+++ b/rollout/take.go
@@ -58,7 +58,7 @@
 	next.Order = f.Order
 	switch known.Phase {
 	case Completed:
-		return next.With(Moved, "the platform has lost that it was completed", known.Node, now)
+		return next.With(Emptied, "the platform has lost that it was completed", known.Node, now)
 	case RolledBack:
 		return next.With(Stopped, "the platform has lost that it was rolled back", known.Node, now)
 	}
--- a/rollout/take_test.go
+++ b/rollout/take_test.go
@@ -52,7 +52,7 @@
 		"another version":                      {known: in(found("v2", 1, 5, 0), rollout.Completed, 8), found: found("v3", 1, 12, rollout.Trial), want: rollout.Trial, changed: true},
 		"an old read of an order before":       {known: in(found("v3", 1, 12, 0), rollout.Widened, 0), found: found("v2", 1, 8, rollout.Completed), want: rollout.Widened},
 		"a copy without the roll-back":         {known: in(found("v2", 1, 5, 0), rollout.RolledBack, 8), found: found("v2", 2, 6, rollout.Trial), want: rollout.Stopped, changed: true},
-		"a copy without the completion":        {known: in(found("v2", 1, 5, 0), rollout.Completed, 8), found: found("v2", 2, 6, rollout.Trial), want: rollout.Moved, changed: true},
+		"a copy without the completion":        {known: in(found("v2", 1, 5, 0), rollout.Completed, 8), found: found("v2", 2, 6, rollout.Trial), want: rollout.Emptied, changed: true},
 		"a copy while it is carried out":       {known: in(found("v2", 1, 5, 0), rollout.Widened, 0), found: found("v2", 2, 6, rollout.Trial), want: rollout.Widened, changed: true},
 		"a copy with the outcome":              {known: in(found("v2", 1, 5, 0), rollout.RolledBack, 8), found: found("v2", 2, 8, rollout.RolledBack), want: rollout.RolledBack, changed: true},
 		"a store that comes back without eras": {known: in(found("v2", 0, 5, 0), rollout.RolledBack, 8), found: found("v2", 0, 5, rollout.Trial), want: rollout.RolledBack},
@@ -85,11 +85,11 @@
 // an order, with room for the last one's to be found faulty.
 func TestExposure(t *testing.T) {
 	for _, e := range []rollout.Exposure{0.02, 0.1, 0.3} {
-		spent := 0.45*e.Share(rollout.Trial) + 0.1*e.Share(rollout.Widened)
+		spent := 0.4*e.Share(rollout.Trial) + 0.1*e.Share(rollout.Widened)
 		qt.Check(t, spent <= 0.4*float64(e), qt.IsTrue)
 		for _, n := range []int{0, 1, 2, 10, 68, 739} {
 			last := 0
-			for p := rollout.Trial; p <= rollout.Moved; p++ {
+			for p := rollout.Trial; p <= rollout.Emptied; p++ {
 				in := e.InUse(p, n)
 				qt.Check(t, in >= last && in <= n, qt.IsTrue)
 				last = in
