--- /dev/null
+++ b/canary/runner_test.go
@@ -0,0 +1,248 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package canary
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"sassafrasfront.example/objectapi"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/rollout"
+)
+
+const lease = 2 * time.Second
+
+// store holds one order, whose status is the name of a phase.
+type store struct {
+	objectapi.Polled
+	mu       sync.Mutex
+	revision int
+	status   string
+	writes   []string
+	away     bool
+	between  func() // called once between a read and the write that follows
+}
+
+var errAway = errors.New("away")
+
+func (s *store) object() *objectapi.Object {
+	o := objectapi.NewObject("rollout", "s", s.status).WithVersion(strconv.Itoa(s.revision))
+	if s.status != "" {
+		o = o.WithStatus(s.status)
+	}
+	return o
+}
+
+// Get implements objectapi.Objects.
+func (s *store) Get(context.Context, string, string) (*objectapi.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return nil, errAway
+	}
+	return s.object(), nil
+}
+
+// UpdateStatus implements objectapi.Polled.
+func (s *store) UpdateStatus(_ context.Context, o *objectapi.Object) (*objectapi.Object, error) {
+	if f := s.between; f != nil {
+		s.between = nil
+		f()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return nil, errAway
+	}
+	if o.Metadata.ResourceVersion != strconv.Itoa(s.revision) {
+		return nil, &objectapi.Error{Status: 409, Err: errors.New("conflict")}
+	}
+	s.revision++
+	s.status, _ = strconv.Unquote(string(o.Status))
+	s.writes = append(s.writes, s.status)
+	return s.object(), nil
+}
+
+var order = rollout.Order{
+	Service:  "s",
+	Version:  "v2",
+	Duration: 10 * time.Second,
+	At:       objectapi.Point{Revision: 1},
+}
+
+// decode reads an order of the store.
+func decode(o *objectapi.Object) (rollout.Found, error) {
+	f := rollout.Found{Order: order}
+	f.Order.At, _ = objectapi.ParsePoint(o.Metadata.ResourceVersion)
+	switch string(o.Status) {
+	case `"completed"`:
+		f.Outcome = rollout.Completed
+	case `"rolledBack"`:
+		f.Outcome = rollout.RolledBack
+	}
+	return f, nil
+}
+
+// world is some nodes that know one roll-out, and share what they decide at once.
+type world struct {
+	store    *store
+	mu       sync.Mutex
+	known    rollout.Known
+	deaf     bool // whether no judge can be reached
+	withheld map[string]bool
+}
+
+// node returns a node beside an upstream of a version, which is judge if it is so named.
+func (w *world) node(name, version, judge string) *Runner {
+	return &Runner{
+		Hello:  peer.Hello{Node: name},
+		API:    w.store,
+		Decode: decode,
+		Status: func(_ string, p rollout.Phase) any { return p.String() },
+		Lease:  lease,
+		Known: func() map[string]rollout.Known { return map[string]rollout.Known{"s": w.present()} },
+		Judges: func(string) []Peer {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if w.deaf {
+				return nil
+			}
+			return []Peer{{ID: judge}}
+		},
+		Sizes: func(string) map[string]rollout.Size {
+			return map[string]rollout.Size{"v1": {Upstreams: 1, Slots: 8}, "v2": {Upstreams: 1, Slots: 8}}
+		},
+		Upstream: func() Upstream { return Upstream{Service: "s", Version: version, Start: "i"} },
+		Withhold: func(withheld bool) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.withheld[name] = withheld
+		},
+		Decide: w.decide,
+		Log:    zerolog.Nop(),
+	}
+}
+
+// present returns the roll-out as all nodes know it.
+func (w *world) present() rollout.Known {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.known
+}
+
+// decide takes in a decision, as the ranks of records do.
+func (w *world) decide(s rollout.State) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if s.Phase > w.known.Phase {
+		w.known.State = s
+		w.known.Changed = time.Now()
+	}
+}
+
+func newWorld() *world {
+	return &world{
+		store:    &store{revision: 1},
+		known:    rollout.Known{State: rollout.State{Order: order}, Heard: time.Now(), Changed: time.Now()},
+		withheld: make(map[string]bool),
+	}
+}
+
+// TestLease has the node beside an upstream on trial lose its judge, and find one again.
+func TestLease(t *testing.T) {
+	tests := map[string]struct {
+		version string
+		phase   rollout.Phase
+		deaf    time.Duration // for how long no judge answers
+		want    bool          // whether the upstream is withheld then
+	}{
+		"on trial":                          {version: "v2"},
+		"on trial, a judge is away shortly": {version: "v2", deaf: lease / 2},
+		"on trial, no judge answers":        {version: "v2", deaf: lease + time.Second, want: true},
+		"the former version needs no judge": {version: "v1", deaf: lease + time.Second},
+		"a version not known yet":           {version: "", want: true},
+		"stopped":                           {version: "v2", phase: rollout.Stopped, want: true},
+		"rolled back":                       {version: "v2", phase: rollout.RolledBack, want: true},
+		"completed":                         {version: "v2", phase: rollout.Completed, deaf: lease + time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld()
+				w.known.Phase = test.phase
+				r := w.node("n", test.version, "n")
+				ctx, cancel := context.WithCancel(t.Context())
+				go r.Run(ctx)
+				time.Sleep(2 * time.Second)
+				w.mu.Lock()
+				w.deaf = true
+				w.mu.Unlock()
+				r.mu.Lock()
+				r.choices = time.Time{}
+				r.mu.Unlock()
+				time.Sleep(test.deaf)
+				w.mu.Lock()
+				got := w.withheld["n"]
+				w.deaf = false
+				w.mu.Unlock()
+				qt.Check(t, got, qt.Equals, test.want)
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// TestOutcomes has nodes record different outcomes at once, behind a platform that is away for
+// a while: the first one stays, and all take it over.
+func TestOutcomes(t *testing.T) {
+	tests := map[string]struct {
+		first, second rollout.Phase
+		away          time.Duration
+		stands        string
+	}{
+		"both rolled back":             {first: rollout.RolledBack, second: rollout.RolledBack, stands: "rolledBack"},
+		"completed by another between": {first: rollout.RolledBack, second: rollout.Completed, stands: "completed"},
+		"rolled back by another":       {first: rollout.Completed, second: rollout.RolledBack, stands: "rolledBack"},
+		"the platform is away":         {first: rollout.RolledBack, second: rollout.RolledBack, away: 8 * time.Second, stands: "rolledBack"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld()
+				w.store.away = test.away > 0
+				one, other := w.node("a", "v1", "a"), w.node("b", "v1", "b")
+				one.init()
+				other.init()
+				w.store.between = func() {
+					_, err := other.write(t.Context(), w.present().With(test.second, "", "b", time.Now()))
+					qt.Check(t, err, qt.IsNil)
+				}
+				began := time.Now()
+				for !w.present().Phase.Settled() && time.Since(began) < time.Minute {
+					w.store.mu.Lock()
+					w.store.away = time.Since(began) < test.away
+					w.store.mu.Unlock()
+					one.mu.Lock()
+					one.record(t.Context(), one.judgementOf(w.present()), w.present().With(test.first, "", "a", time.Now()), time.Now())
+					one.mu.Unlock()
+					time.Sleep(stepEvery)
+				}
+				qt.Check(t, w.store.status, qt.Equals, test.stands)
+				qt.Check(t, w.store.writes, qt.DeepEquals, []string{test.stands}, qt.Commentf("it is written once"))
+				qt.Check(t, w.present().Phase.String(), qt.Equals, test.stands)
+			})
+		})
+	}
+}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -15,6 +15,7 @@
 	"sassafrasfront.example/peer"
 	"sassafrasfront.example/quarantine"
 	"sassafrasfront.example/ratelimit"
+	"sassafrasfront.example/rollout"
 	"sassafrasfront.example/verdict"
 	"sassafrasfront.example/watch"
 )
@@ -45,6 +46,9 @@
 	gauge(`sassafras_table_age_seconds`, n.tableAgeSeconds)
 	gauge(`sassafras_platform_era`, func() float64 { return float64(n.era()) })
 	gauge(`sassafras_evacuated_zones`, func() float64 { return float64(len(n.control.Snapshot().Evacuated.Zones)) })
+	for p := rollout.Trial; p <= rollout.RolledBack; p++ {
+		gauge(fmt.Sprintf(`sassafras_rollouts{phase=%q}`, p), func() float64 { return float64(n.rolloutsIn(p)) })
+	}
 	m.quotaGauges(n)
 	for _, s := range []quarantine.Standing{quarantine.Seen, quarantine.Isolated, quarantine.Blocked} {
 		gauge(fmt.Sprintf(`sassafras_suspected_requests{standing=%q}`, s), func() float64 { return float64(n.suspects.Count(s)) })
--- a/node/rollouts.go
+++ b/node/rollouts.go
@@ -199,6 +199,16 @@
 	}
 }
 
+// rolloutsIn returns the number of roll-outs in a phase.
+func (n *Node) rolloutsIn(p rollout.Phase) (count int) {
+	for _, k := range n.control.Snapshot().Rollouts {
+		if k.Phase == p {
+			count++
+		}
+	}
+	return count
+}
+
 // listRollouts answers with the roll-outs that the node knows of.
 func (n *Node) listRollouts(w http.ResponseWriter, _ *http.Request) {
 	known := n.control.Snapshot().Rollouts
