--- a/node/metrics.go
+++ b/node/metrics.go
@@ -111,6 +111,11 @@
 	}
 }
 
+// platformCalled counts a call to the platform.
+func (m *metricSet) platformCalled(call, kind string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`sassafras_platform_calls_by_kind_total{call=%q,kind=%q}`, call, kind)).Inc()
+}
+
 // requestEnded counts a caller's request.
 func (m *metricSet) requestEnded(o caller.Outcome) {
 	v, cause := verdict.Ran, verdict.Cause("")
--- a/node/platform.go
+++ b/node/platform.go
@@ -80,6 +80,7 @@
 		Skipped: n.objectSkipped,
 		EraOf:   n.Platform.Era,
 		Refused: n.answerRefused,
+		Made:    n.metrics.platformCalled,
 		Budget:  rate.NewLimiter(rate.Limit(n.Settings.PlatformCalls), int(n.Settings.PlatformCalls)),
 		HTTP: &http.Client{
 			Transport: &http.Transport{
--- a/objectapi/caller.go
+++ b/objectapi/caller.go
@@ -47,6 +47,9 @@
 	// Skipped, if not nil, is called with why an object of an answer can't be read
 	// and is left out.
 	Skipped func(reason error)
+	// Made, if not nil, is called with each call that an API makes by this Caller, by what it
+	// does and the kind of the objects.
+	Made func(call, kind string)
 	// EraOf, if not nil, reads the era that an answer names, if it names one. Nil means
 	// that the API has no eras.
 	EraOf func(h http.Header) (era uint64, named bool, err error)
@@ -60,6 +63,13 @@
 	eras  eras
 }
 
+// Note notes a call that an API is about to make.
+func (c *Caller) Note(call, kind string) {
+	if c.Made != nil {
+		c.Made(call, kind)
+	}
+}
+
 // Calls returns the number of calls made so far, a watch counting as one.
 func (c *Caller) Calls() uint64 { return c.calls.Load() }
 
