--- a/control/control.go
+++ b/control/control.go
@@ -153,6 +153,7 @@
 	fresh      *tableFreshness // of the table, if there is a Clock
 	placed     time.Time       // when lastPlace was found
 	lastPlace  follow.Place
+	pace       publishPace
 	fetching   bool // whether a table is being fetched
 	comparing  bool
 	suspects   map[string]time.Time // until when, by node
@@ -253,7 +254,7 @@
 		case f := <-c.jobs:
 			f()
 		case <-push.C:
-			c.publish()
+			c.publishInPace()
 			c.push(ctx)
 		case <-compare.C:
 			c.compare(ctx)
@@ -265,6 +266,16 @@
 	}
 }
 
+// publishInPace does what publish does, unless that has taken too much of the time lately.
+func (c *Control) publishInPace() {
+	began := time.Now()
+	if len(c.dirty) > 0 && !c.pace.due(began) {
+		return
+	}
+	c.publish()
+	c.pace.took(began, time.Now())
+}
+
 // publish makes a new snapshot if something has changed.
 func (c *Control) publish() {
 	c.enforceZones(time.Now()) // some are retained for a time only
--- a/entry/subset_test.go
+++ b/entry/subset_test.go
@@ -6,9 +6,12 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/peer"
 )
 
 func members(n int) []Member {
@@ -87,3 +90,17 @@
 		})
 	}
 }
+
+// BenchmarkBuild times the taking in of a change of one member of a service.
+func BenchmarkBuild(b *testing.B) {
+	for _, n := range []int{12, 100, 1000, 6000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			d := &Dispatcher{Hello: peer.Hello{Node: "m0", Zone: "z0"}}
+			list := members(n)
+			for b.Loop() {
+				s := &Service{Name: "s", Members: slices.Clone(list)}
+				d.services.Store(&map[string]*service{"s": d.build(d.load()["s"], s)})
+			}
+		})
+	}
+}
