--- a/control/bootstrap.go
+++ b/control/bootstrap.go
@@ -22,8 +22,10 @@
 // node has met others in another way. The first node of a system goes on for
 // long, so as a steward it asks seldom.
 func (c *Control) bootstrap(ctx context.Context) {
+	contacts := slices.Clone(c.Contacts) // others have the same ones
+	rand.Shuffle(len(contacts), func(i, j int) { contacts[i], contacts[j] = contacts[j], contacts[i] })
 	for n := 0; ctx.Err() == nil; n++ {
-		if c.learnFrom(ctx, c.Contacts) || c.API != nil && c.learnFromStewards(ctx) {
+		if c.learnFrom(ctx, contacts) || c.API != nil && c.learnFromStewards(ctx) {
 			return
 		}
 		if !c.alone() {
@@ -72,6 +74,7 @@
 		ctx, cancel := context.WithTimeout(ctx, 4*compareTimeout)
 		err := c.compareWith(ctx, p)
 		cancel()
+		c.do(func() { c.release(addr) })
 		if err == nil {
 			c.Log.Info().Str("peer", addr).Msg("learnt from a first peer")
 			return true
@@ -110,11 +113,15 @@
 	// tried at the same time.
 	meetAtOnce = 3
 	// enoughContacts is the number of nodes in the book up to which others write
-	// themselves in, with the chance of registerChance each. After a loss of power a
+	// themselves in, and the number of those that are expected to where many start at once;
+	// of a few, each does with the chance of registerChance. After a loss of power a
 	// tenth of 200 nodes tells the others of all, each some ten of them: a few hundred
 	// KB. Each entry costs a call, and is kept over restarts.
 	enoughContacts = 24
 	registerChance = 0.25
+	// registerAfter is the mean time after which a node that is no scout decides on that: it
+	// then knows how many there are.
+	registerAfter = 2 * time.Second
 )
 
 // meet looks into the book for nodes that this one does not know, and learns from
@@ -123,16 +130,25 @@
 // otherwise never hear of each other. Each has scouts, which stand in the book and
 // look into it.
 func (c *Control) meet(ctx context.Context) {
-	drawn := rand.Float64() < registerChance
+	var listed atomic.Int32 // at the latest look
+	var late sync.WaitGroup
+	defer late.Wait()
+	late.Go(func() {
+		sleep.For(ctx, registerAfter/2+rand.N(registerAfter))
+		if c.Register != nil && ctx.Err() == nil && registers(c.Snapshot().Members, int(listed.Load()), rand.Float64()) {
+			c.Register(ctx)
+		}
+	})
 	pause := meetFirst
 	for n := 0; ctx.Err() == nil; n++ {
 		addrs := c.Book(ctx)
+		listed.Store(int32(len(addrs)))
 		c.meetSome(ctx, c.strangers(slices.Clone(addrs)))
 		for try := 1; try < meetTries && len(addrs) > 0 && c.alone() && ctx.Err() == nil; try++ {
 			sleep.For(ctx, meetAgain/2+rand.N(meetAgain))
 			c.meetSome(ctx, c.strangers(slices.Clone(addrs)))
 		}
-		if c.register(n, drawn && len(addrs) < enoughContacts) {
+		if c.registersAsScout(n) {
 			c.Register(ctx)
 		}
 		c.restUntilMeeting(ctx, pause)
@@ -143,14 +159,22 @@
 	}
 }
 
-// register returns whether this node writes itself into the book after look n, from 0:
-// a scout, one that knows no other, and one that was drawn. At a start of all at once
-// nobody stands there, and the first ones that have waited for a moment are enough.
-func (c *Control) register(n int, drawn bool) bool {
+// registers returns whether a node that is no scout writes itself into the book, given how many
+// nodes it knows, how many stand there, and a draw within 0 and 1: of all that start at once
+// some enoughContacts do, however many they are.
+func registers(nodes, listed int, draw float64) bool {
+	chance := min(registerChance, enoughContacts/float64(max(1, nodes)))
+	return listed < enoughContacts && draw < chance
+}
+
+// registersAsScout returns whether this node writes itself into the book after look n, from 0,
+// as a scout or as one that knows no other. At a start of all at once nobody stands there, and
+// the first ones that have waited for a moment are enough.
+func (c *Control) registersAsScout(n int) bool {
 	if c.Register == nil || n == 0 && c.alone() {
 		return false
 	}
-	return drawn || c.Scout() // who knows no other is the scout
+	return c.Scout() // who knows no other is the scout
 }
 
 // restUntilMeeting waits until the next look: for about the given time at a scout, and
--- a/control/neighbours.go
+++ b/control/neighbours.go
@@ -27,11 +27,8 @@
 		return p
 	}
 	if len(c.clients) >= maxClients {
-		for other, p := range c.clients {
-			if !slices.ContainsFunc(c.neighbours, func(r member.Record) bool { return r.Addr == other }) {
-				time.AfterFunc(compareTimeout, p.Close)
-				delete(c.clients, other)
-			}
+		for other := range c.clients {
+			c.release(other)
 		}
 	}
 	limits := c.Limits
@@ -51,6 +48,17 @@
 	return p
 }
 
+// release closes the connection to an address in a moment, unless a neighbour has it. Those
+// whom all nodes meet at their start would hold one for each otherwise.
+func (c *Control) release(addr string) {
+	p := c.clients[addr]
+	if p == nil || slices.ContainsFunc(c.neighbours, func(r member.Record) bool { return r.Addr == addr }) {
+		return
+	}
+	time.AfterFunc(compareTimeout, p.Close)
+	delete(c.clients, addr)
+}
+
 // turnOver replaces one neighbour and fills up their number. Changes and
 // comparisons go to neighbours only, so that few connections are needed; as
 // they change, the picture of each node comes to each other.
--- /dev/null
+++ b/control/registers_test.go
@@ -0,0 +1,35 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package control
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestRegistersOfManyStarts has many nodes start at once beside an empty book, and beside one in
+// which enough stand: the entries that they write don't grow with them.
+func TestRegistersOfManyStarts(t *testing.T) {
+	for _, nodes := range []int{12, 100, 1000, 18000} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, uint64(nodes)))
+			var empty, full int
+			for range nodes {
+				draw := random.Float64()
+				if registers(nodes, 0, draw) {
+					empty++
+				}
+				if registers(nodes, enoughContacts, draw) {
+					full++
+				}
+			}
+			qt.Check(t, empty >= 1 && empty <= 2*enoughContacts, qt.IsTrue, qt.Commentf("%d", empty))
+			qt.Check(t, full, qt.Equals, 0)
+		})
+	}
+}
