reconcile: what makes two nodes' sets the same is a package of its own

Moved out of control, generic over the kind of record as before, with the owner's goroutine as a function in place of the whole of control.

--- a/control/acceptor.go
+++ b/control/acceptor.go
@@ -68,7 +68,7 @@
 func (a *acceptor) inForce() map[string]bool {
 	names := make(map[string]bool)
 	a.control.do(func() {
-		for r := range a.control.configs.set.All {
+		for r := range a.control.configs.Set.All {
 			if !r.Deleted {
 				names[r.Name] = true
 			}
@@ -95,7 +95,7 @@
 	}
 	name := o.Metadata.Name
 	a.done(name, spec.Source)
-	a.control.do(func() { a.control.configs.put(acceptance.FromAccepted(name, spec)) })
+	a.control.do(func() { a.control.configs.Put(acceptance.FromAccepted(name, spec)) })
 	a.reporter.accepted(name, &spec)
 	return nil
 }
--- a/control/bootstrap.go
+++ b/control/bootstrap.go
@@ -199,7 +199,7 @@
 func (c *Control) strangers(addrs []string) []string {
 	known := make(map[string]bool)
 	c.do(func() {
-		for r := range c.members.set.All {
+		for r := range c.members.Set.All {
 			known[r.Addr] = true
 		}
 	})
--- a/control/candidates.go
+++ b/control/candidates.go
@@ -11,6 +11,7 @@
 
 	"sassafrasfront.example/member"
 	"sassafrasfront.example/peer"
+	"sassafrasfront.example/reconcile"
 )
 
 // stewardRank returns this node's place among the live nodes of its zone, and
@@ -30,7 +31,7 @@
 
 // blind returns whether a node is known not to reach the platform.
 func (c *Control) blind(id string) bool {
-	r, _ := c.members.set.Get(id)
+	r, _ := c.members.Set.Get(id)
 	return r.Blind
 }
 
@@ -91,7 +92,7 @@
 func (c *Control) askCandidate(ctx context.Context, id string, silent []string) error {
 	var p *peer.Client
 	c.do(func() {
-		if r, ok := c.members.set.Get(id); ok {
+		if r, ok := c.members.Set.Get(id); ok {
 			p = c.client(r.Addr)
 		}
 	})
@@ -100,7 +101,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	_, err := ask[suspicions, struct{}](ctx, p, topicCandidates, suspicions{Nodes: silent})
+	_, err := reconcile.Ask[suspicions, struct{}](ctx, p, topicCandidates, suspicions{Nodes: silent})
 	return err
 }
 
@@ -112,13 +113,13 @@
 	var list []member.Record
 	c.do(func() {
 		var ids []string
-		for r := range c.members.set.All {
+		for r := range c.members.Set.All {
 			if r.Live() && r.State != member.Draining {
 				ids = append(ids, r.ID)
 			}
 		}
 		for _, id := range member.First(subject, ids, n) {
-			r, _ := c.members.set.Get(id)
+			r, _ := c.members.Set.Get(id)
 			list = append(list, r)
 		}
 	})
--- a/control/control.go
+++ b/control/control.go
@@ -25,6 +25,7 @@
 	"sassafrasfront.example/operator"
 	"sassafrasfront.example/peer"
 	"sassafrasfront.example/quarantine"
+	"sassafrasfront.example/reconcile"
 	"sassafrasfront.example/rollout"
 	"sassafrasfront.example/routes"
 	"sassafrasfront.example/watch"
@@ -135,9 +136,9 @@
 
 	// The goroutine of Run owns what follows.
 	self       member.Record
-	members    exchanger[member.Record]
-	configs    exchanger[acceptance.Config]
-	reports    exchanger[quarantine.Report]
+	members    reconcile.Exchange[member.Record]
+	configs    reconcile.Exchange[acceptance.Config]
+	reports    reconcile.Exchange[quarantine.Report]
 	byService  map[string]map[string]member.Record
 	table      *routes.Table            // in force, or nil
 	rollouts   map[string]rollout.Known // by service
@@ -172,17 +173,19 @@
 		c.suspects = make(map[string]time.Time)
 		c.clients = make(map[string]*peer.Client)
 		c.random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-		c.members = exchanger[member.Record]{
-			topic: "members",
-			accept: func(r member.Record) bool {
+		c.members = reconcile.Exchange[member.Record]{
+			Topic: "members",
+			Accept: func(r member.Record) bool {
 				return !r.Expired(time.Now())
 			},
-			changed: c.memberChanged,
+			Changed: c.memberChanged,
+			Do:      c.do,
 		}
-		c.configs = exchanger[acceptance.Config]{
-			topic:   "configs",
-			accept:  func(acceptance.Config) bool { return true },
-			changed: c.configChanged,
+		c.configs = reconcile.Exchange[acceptance.Config]{
+			Topic:   "configs",
+			Accept:  func(acceptance.Config) bool { return true },
+			Changed: c.configChanged,
+			Do:      c.do,
 		}
 		if c.Quarantine == nil {
 			c.Quarantine = new(quarantine.Index)
@@ -198,7 +201,7 @@
 		}
 		c.initFresh()
 		c.self = c.Self.Reborn(member.Record{}, time.Now())
-		c.members.put(c.self)
+		c.members.Put(c.self)
 	})
 }
 
@@ -318,7 +321,7 @@
 // setSelf replaces the node's own record.
 func (c *Control) setSelf(r member.Record) {
 	c.self = r
-	c.members.put(r)
+	c.members.Put(r)
 }
 
 // memberChanged takes in a change of a member's record.
@@ -364,9 +367,9 @@
 func (c *Control) expire() {
 	now := time.Now()
 	c.expireReports(now)
-	for r := range c.members.set.All {
+	for r := range c.members.Set.All {
 		if r.Expired(now) {
-			c.members.set.Remove(r.ID)
+			c.members.Set.Remove(r.ID)
 		}
 	}
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -304,11 +304,11 @@
 	c.apply("a", `{"hosts":["a.example"]}`)
 	c.allHave("a", 1)
 	n := c.nodes[0]
-	old, ok := n.configs.set.Get("a")
+	old, ok := n.configs.Set.Get("a")
 	qt.Assert(t, ok, qt.IsTrue)
 	c.apply("a", `{"hosts":["a.example"],"policy":"random"}`)
 	c.allHave("a", 2)
-	n.do(func() { n.configs.put(old) })
+	n.do(func() { n.configs.Put(old) })
 	time.Sleep(100 * time.Millisecond)
 	qt.Check(t, n.Snapshot().Sequences["a"], qt.Equals, uint64(2))
 	qt.Check(t, n.Snapshot().Services["a"].Config.Policy, qt.Equals, "random")
@@ -386,13 +386,13 @@
 	n := c.nodes[0]
 	var before uint64
 	n.do(func() {
-		r, _ := n.members.set.Get(victim.Self.ID)
+		r, _ := n.members.Set.Get(victim.Self.ID)
 		before = r.Incarnation
-		n.members.put(r.Tombstone())
+		n.members.Put(r.Tombstone())
 	})
 	c.eventually("a higher incarnation", func() bool {
 		var now uint64
-		n.do(func() { r, _ := n.members.set.Get(victim.Self.ID); now = r.Incarnation })
+		n.do(func() { r, _ := n.members.Set.Get(victim.Self.ID); now = r.Incarnation })
 		return now > before && knows()
 	})
 }
@@ -541,11 +541,12 @@
 		topic   string
 		payload []byte
 	}{
-		"unknown topic":  {topic: "nonsense"},
-		"garbage":        {topic: "members.records", payload: []byte{0xc1}},
-		"group too high": {topic: "members.leaves", payload: mustPack(leafQuery{Group: 64})},
-		"group negative": {topic: "configs.leaves", payload: mustPack(leafQuery{Group: -1})},
-		"leaf negative":  {topic: "configs.bulk", payload: mustPack(bulkQuery{From: -1})},
+		"unknown topic":   {topic: "nonsense"},
+		"garbage":         {topic: "members.records", payload: []byte{0xc1}},
+		"group too high":  {topic: "members.leaves", payload: mustPack(map[string]int{"group": 64})},
+		"group negative":  {topic: "configs.leaves", payload: mustPack(map[string]int{"group": -1})},
+		"groups unsorted": {topic: "members.digests", payload: mustPack(map[string][]int{"groups": {3, 2}})},
+		"leaf negative":   {topic: "configs.bulk", payload: mustPack(map[string]int{"from": -1})},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/control/crossing_test.go
+++ b/control/crossing_test.go
@@ -39,7 +39,7 @@
 				if i >= test.near {
 					zone = "there"
 				}
-				c.members.put(member.Record{ID: fmt.Sprint("n", i), Addr: fmt.Sprintf("10.1.%d.%d:1", i>>8, i&255), Zone: zone, State: member.Up, Incarnation: 1})
+				c.members.Put(member.Record{ID: fmt.Sprint("n", i), Addr: fmt.Sprintf("10.1.%d.%d:1", i>>8, i&255), Zone: zone, State: member.Up, Incarnation: 1})
 			}
 			c.turnOver()
 			const draws = 4000
--- a/control/digest_test.go
+++ b/control/digest_test.go
@@ -79,22 +79,22 @@
 				r := recordOf(i, test.members, 1)
 				r.Incarnation = now
 				for _, c := range []*Control{one, other} {
-					c.members.put(r)
+					c.members.Put(r)
 				}
 				r.Version = 2
 				switch {
 				case i < test.changed:
-					one.members.put(r)
+					one.members.Put(r)
 				case i < 2*test.changed:
-					other.members.put(r)
+					other.members.Put(r)
 				}
 			}
 			client, counters := between(t, one, other)
-			qt.Assert(t, reconcile(context.Background(), one, &one.members, client), qt.IsNil)
-			qt.Assert(t, reconcile(context.Background(), one, &one.members, client), qt.IsNil, qt.Commentf("which finds nothing, after what was told"))
+			qt.Assert(t, one.members.With(context.Background(), client), qt.IsNil)
+			qt.Assert(t, one.members.With(context.Background(), client), qt.IsNil, qt.Commentf("which finds nothing, after what was told"))
 			var a, b uint64
-			one.do(func() { a = one.members.set.Root() })
-			other.do(func() { b = other.members.set.Root() })
+			one.do(func() { a = one.members.Set.Root() })
+			other.do(func() { b = other.members.Set.Root() })
 			qt.Check(t, a, qt.Equals, b, qt.Commentf("they are the same then"))
 			crossed := int(counters.BytesIn.Load() + counters.BytesOut.Load())
 			most := fixed + perMember*test.members + perChange*2*test.changed
@@ -109,14 +109,14 @@
 	for _, n := range []int{10, 1000, 5000} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			fresh, old := sizedAs("fresh", 6), sized(max(n, 6))
-			fresh.members.put(recordOf(99999, 6, 1))
+			fresh.members.Put(recordOf(99999, 6, 1))
 			client, _ := between(t, fresh, old)
 			for range 2 {
-				qt.Assert(t, reconcile(context.Background(), fresh, &fresh.members, client), qt.IsNil)
+				qt.Assert(t, fresh.members.With(context.Background(), client), qt.IsNil)
 			}
 			var a, b uint64
-			fresh.do(func() { a = fresh.members.set.Root() })
-			old.do(func() { b = old.members.set.Root() })
+			fresh.do(func() { a = fresh.members.Set.Root() })
+			old.do(func() { b = old.members.Set.Root() })
 			qt.Check(t, a, qt.Equals, b)
 		})
 	}
--- a/control/era_test.go
+++ b/control/era_test.go
@@ -85,7 +85,7 @@
 	c.waitZones(list, zonesAt(2, 870))
 	began := time.Now()
 	list[1].do(func() {
-		list[1].configs.put(acceptance.FromRetained(zonesAt(1, 900, "z"), began.Add(left-evacuation.RetainFor)))
+		list[1].configs.Put(acceptance.FromRetained(zonesAt(1, 900, "z"), began.Add(left-evacuation.RetainFor)))
 	})
 	c.waitZones(list[1:2], zonesAt(2, 870, "z"))
 	c.waitZones(list, zonesAt(2, 870))
--- a/control/evacuation.go
+++ b/control/evacuation.go
@@ -22,7 +22,7 @@
 		if s.Same(last) && s.At.Era == last.At.Era {
 			return // a later revision of the same is no news to anybody
 		}
-		c.configs.put(acceptance.FromZones(s))
+		c.configs.Put(acceptance.FromZones(s))
 		c.publish()
 	})
 }
@@ -30,7 +30,7 @@
 // zonesChanged takes in evacuated zones as a node has read them. Like a table of routes they
 // are fetched by those who hear of them, and not pushed.
 func (c *Control) zonesChanged(r acceptance.Config) {
-	delete(c.configs.outbox, acceptance.Evacuated)
+	delete(c.configs.Outbox, acceptance.Evacuated)
 	s, err := r.Zones()
 	if err != nil {
 		c.Log.Error().Err(err).Uint64("era", r.Era).Uint64("revision", r.Sequence).Msg("evacuated zones can't be read, the old ones stay")
@@ -38,7 +38,7 @@
 	}
 	now := time.Now()
 	if before, restored := c.zonesKnown.Take(s, now); restored {
-		c.configs.put(acceptance.FromRetained(before, c.eraRose(now)))
+		c.configs.Put(acceptance.FromRetained(before, c.eraRose(now)))
 	}
 	if c.reads != nil {
 		c.reads.ZonesInForce(s.At)
@@ -48,7 +48,7 @@
 
 // retainedChanged takes in the zones that were in force when an era of the platform ended.
 func (c *Control) retainedChanged(r acceptance.Config) {
-	delete(c.configs.outbox, acceptance.Retained)
+	delete(c.configs.Outbox, acceptance.Retained)
 	s, err := r.Zones()
 	if err != nil {
 		c.Log.Error().Err(err).Uint64("era", r.Era).Uint64("revision", r.Sequence).Msg("zones of an earlier era can't be read")
--- a/control/freshness.go
+++ b/control/freshness.go
@@ -10,6 +10,7 @@
 
 	"sassafrasfront.example/follow"
 	"sassafrasfront.example/freshness"
+	"sassafrasfront.example/reconcile"
 	"sassafrasfront.example/routes"
 )
 
@@ -127,7 +128,7 @@
 	}
 	known := c.fresh.Hear(p, c.Clock())
 	c.publishProofs()
-	r, ok := c.members.set.Get(from)
+	r, ok := c.members.Set.Get(from)
 	if known || !ok || c.fresh.asking[from] {
 		return
 	}
@@ -137,7 +138,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), newsTimeout)
 		defer cancel()
 		asked := c.Clock()
-		reply, err := ask[struct{}, newsAndProof](ctx, client, topicAskNews, struct{}{})
+		reply, err := reconcile.Ask[struct{}, newsAndProof](ctx, client, topicAskNews, struct{}{})
 		if err != nil {
 			c.Log.Debug().Err(err).Str("peer", from).Msg("clock not told")
 		}
--- a/control/freshness_test.go
+++ b/control/freshness_test.go
@@ -19,6 +19,7 @@
 	"sassafrasfront.example/internal/boottime"
 	"sassafrasfront.example/member"
 	"sassafrasfront.example/operator"
+	"sassafrasfront.example/reconcile"
 	"sassafrasfront.example/routes"
 	"sassafrasfront.example/watch"
 )
@@ -97,11 +98,11 @@
 	var plain follow.News
 	qt.Assert(t, msgpack.Unmarshal(payload, &plain), qt.IsNil)
 	qt.Check(t, plain, qt.Equals, news)
-	back, err := unpack[newsAndProof](payload)
+	back, err := reconcile.Unpack[newsAndProof](payload)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, back.News, qt.Equals, news)
 	qt.Check(t, back.Proof.At, qt.Equals, time.Duration(2))
-	back, err = unpack[newsAndProof](mustPack(news))
+	back, err = reconcile.Unpack[newsAndProof](mustPack(news))
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, back, qt.Equals, newsAndProof{News: news})
 }
--- a/control/lease.go
+++ b/control/lease.go
@@ -101,7 +101,7 @@
 	c := l.control
 	var known bool
 	c.do(func() {
-		r, ok := c.members.set.Get(l.spec.Holder)
+		r, ok := c.members.Set.Get(l.spec.Holder)
 		known = c.live > 1 && (ok && r.Live() || l.spec.Holder == "")
 	})
 	return !known && c.learnFrom(ctx, l.spec.Contacts)
--- a/control/neighbours.go
+++ b/control/neighbours.go
@@ -65,7 +65,7 @@
 func (c *Control) turnOver() {
 	near, far := c.split()
 	kept := slices.DeleteFunc(c.neighbours, func(r member.Record) bool {
-		now, ok := c.members.set.Get(r.ID)
+		now, ok := c.members.Set.Get(r.ID)
 		return !ok || !now.Live() || now.Addr != r.Addr
 	})
 	if len(kept) > 0 {
@@ -103,7 +103,7 @@
 
 // split returns the other live nodes, by whether they are in the node's zone.
 func (c *Control) split() (near, far []member.Record) {
-	for r := range c.members.set.All {
+	for r := range c.members.Set.All {
 		switch {
 		case r.ID == c.self.ID || !r.Live():
 		case r.Zone == c.self.Zone:
--- a/control/quarantine.go
+++ b/control/quarantine.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"sassafrasfront.example/quarantine"
+	"sassafrasfront.example/reconcile"
 )
 
 // Report tells all nodes, this one included, what it has seen of some requests. It
@@ -17,17 +18,18 @@
 	c.init()
 	c.Quarantine.Add(r)
 	go c.do(func() {
-		c.reports.put(r)
+		c.reports.Put(r)
 		c.push(context.Background())
 	})
 }
 
 // newReports returns the exchanger of reports of requests.
-func (c *Control) newReports() exchanger[quarantine.Report] {
-	return exchanger[quarantine.Report]{
-		topic:   "quarantine",
-		accept:  c.acceptReport,
-		changed: c.reportChanged,
+func (c *Control) newReports() reconcile.Exchange[quarantine.Report] {
+	return reconcile.Exchange[quarantine.Report]{
+		Topic:   "quarantine",
+		Accept:  c.acceptReport,
+		Changed: c.reportChanged,
+		Do:      c.do,
 	}
 }
 
@@ -52,14 +54,14 @@
 
 // dropReport forgets a report.
 func (c *Control) dropReport(r quarantine.Report) {
-	c.reports.set.Remove(r.Name)
-	delete(c.reports.outbox, r.Name)
+	c.reports.Set.Remove(r.Name)
+	delete(c.reports.Outbox, r.Name)
 	c.Quarantine.Remove(r.Name)
 }
 
 // expireReports drops the reports that count no more.
 func (c *Control) expireReports(now time.Time) {
-	for r := range c.reports.set.All {
+	for r := range c.reports.Set.All {
 		if r.Expired(now) {
 			c.dropReport(r)
 		}
--- a/control/quarantine_test.go
+++ b/control/quarantine_test.go
@@ -71,28 +71,28 @@
 	c := sized(60)
 	first := endOf("first", 0)
 	first.At -= time.Minute.Milliseconds()
-	c.reports.put(first)
+	c.reports.Put(first)
 	for i := range 2 * quarantine.MaxReports {
 		r := endOf(fmt.Sprint(i), i)
 		r.At += int64(i)
-		c.reports.put(r)
+		c.reports.Put(r)
 	}
-	qt.Check(t, c.reports.set.Len(), qt.Equals, quarantine.MaxReports)
-	c.reports.put(first)
-	qt.Check(t, c.reports.set.Len(), qt.Equals, quarantine.MaxReports)
+	qt.Check(t, c.reports.Set.Len(), qt.Equals, quarantine.MaxReports)
+	c.reports.Put(first)
+	qt.Check(t, c.reports.Set.Len(), qt.Equals, quarantine.MaxReports)
 	qt.Check(t, c.Quarantine.Judge(printOf(0)).Standing, qt.Equals, quarantine.Unsuspected, qt.Commentf("an old report does not come back"))
 	qt.Check(t, c.Quarantine.Judge(printOf(2*quarantine.MaxReports-1)).Standing, qt.Equals, quarantine.Seen)
 
-	before := c.reports.set.Root()
+	before := c.reports.Set.Root()
 	future := endOf("future", 1)
 	future.At += time.Hour.Milliseconds()
 	past := endOf("past", 1)
 	past.At -= 2 * quarantine.Keep.Milliseconds()
 	for _, r := range []quarantine.Report{{}, future, past} {
-		c.reports.put(r)
+		c.reports.Put(r)
 	}
-	qt.Check(t, c.reports.set.Root(), qt.Equals, before)
+	qt.Check(t, c.reports.Set.Root(), qt.Equals, before)
 	c.expireReports(time.Now().Add(quarantine.Keep + time.Minute))
-	qt.Check(t, c.reports.set.Len(), qt.Equals, 0)
+	qt.Check(t, c.reports.Set.Len(), qt.Equals, 0)
 	qt.Check(t, c.Quarantine.All(), qt.HasLen, 0)
 }
--- a/control/reads.go
+++ b/control/reads.go
@@ -14,6 +14,7 @@
 	"sassafrasfront.example/follow"
 	"sassafrasfront.example/member"
 	"sassafrasfront.example/peer"
+	"sassafrasfront.example/reconcile"
 )
 
 // The topics of the reads of the platform.
@@ -76,7 +77,7 @@
 				ctx, cancel := context.WithTimeout(ctx, newsTimeout)
 				defer cancel()
 				asked := c.reading()
-				news, err := ask[struct{}, newsAndProof](ctx, t.Client, topicAskNews, struct{}{})
+				news, err := reconcile.Ask[struct{}, newsAndProof](ctx, t.Client, topicAskNews, struct{}{})
 				if err != nil {
 					c.Log.Debug().Err(err).Str("peer", t.ID).Msg("news not told")
 					return
@@ -100,7 +101,7 @@
 	}
 	zone := c.self.Zone
 	var all, seeing []string
-	for r := range c.members.set.All {
+	for r := range c.members.Set.All {
 		if r.ID == c.self.ID || !r.Live() || now.Before(c.suspects[r.ID]) {
 			continue
 		}
@@ -171,7 +172,7 @@
 // fetchTable asks a node that has a later table of routes for it. News of it is
 // passed on once it is in force here.
 func (c *Control) fetchTable(from string) {
-	r, ok := c.members.set.Get(from)
+	r, ok := c.members.Set.Get(from)
 	if !ok || c.fetching {
 		return
 	}
@@ -180,13 +181,13 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), newsTimeout)
 		defer cancel()
-		reply, err := ask[struct{}, records[acceptance.Config]](ctx, p, topicTable, struct{}{})
+		reply, err := reconcile.Ask[struct{}, reconcile.Records[acceptance.Config]](ctx, p, topicTable, struct{}{})
 		if err != nil {
 			c.Log.Debug().Err(err).Str("peer", from).Msg("table not fetched")
 		}
 		c.do(func() {
 			c.fetching = false
-			c.configs.putAll(reply.Records)
+			c.configs.PutAll(reply.Records)
 			c.publish()
 			c.passNews()
 		})
@@ -201,7 +202,7 @@
 	}
 	switch topic {
 	case topicNews:
-		news, err := unpack[newsAndProof](payload)
+		news, err := reconcile.Unpack[newsAndProof](payload)
 		if err != nil {
 			return nil, true, err
 		}
@@ -210,7 +211,7 @@
 	case topicAskNews:
 		return c.tell(c.reads.Tell(time.Now())), true, nil
 	case topicTable:
-		return records[acceptance.Config]{Records: c.configs.get(append(c.rolloutNames(), acceptance.Whole, acceptance.Retained, acceptance.Evacuated))}, true, nil
+		return reconcile.Records[acceptance.Config]{Records: c.configs.Get(append(c.rolloutNames(), acceptance.Whole, acceptance.Retained, acceptance.Evacuated))}, true, nil
 	}
 	return nil, false, nil
 }
--- a/control/reporter.go
+++ b/control/reporter.go
@@ -18,6 +18,7 @@
 	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/operator"
 	"sassafrasfront.example/peer"
+	"sassafrasfront.example/reconcile"
 )
 
 const (
@@ -273,7 +274,7 @@
 	}
 	c.do(func() {
 		near, _ = c.split()
-		config, _ := c.configs.set.Get(name)
+		config, _ := c.configs.Set.Get(name)
 		own = config.Sequence
 		for _, m := range c.byService[name] {
 			if m.Zone == c.self.Zone {
@@ -307,7 +308,7 @@
 			continue
 		}
 		all.Go(func() {
-			reply, err := ask[haveQuery, haveReply](ctx, p, topicHave, haveQuery{Service: name})
+			reply, err := reconcile.Ask[haveQuery, haveReply](ctx, p, topicHave, haveQuery{Service: name})
 			if err == nil && reply.Sequence >= sequence {
 				mu.Lock()
 				having++
--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -28,12 +28,12 @@
 			listed[f.Order.Service] = true
 			known, ok := c.rollouts[f.Order.Service]
 			if s, changed := rollout.Take(known.State, ok, f, now); changed {
-				c.configs.put(acceptance.FromRollout(s))
+				c.configs.Put(acceptance.FromRollout(s))
 			}
 		}
 		for name, known := range c.rollouts {
 			if whole && !listed[name] && known.Phase < rollout.Stopped && known.Order.At.Era == at.Era && known.Order.At.Less(at) {
-				c.configs.put(acceptance.FromRollout(known.With(rollout.Stopped, "the order was withdrawn", c.self.ID, now)))
+				c.configs.Put(acceptance.FromRollout(known.With(rollout.Stopped, "the order was withdrawn", c.self.ID, now)))
 			}
 		}
 		c.publish()
@@ -44,7 +44,7 @@
 func (c *Control) Decide(s rollout.State) {
 	c.init()
 	c.do(func() {
-		c.configs.put(acceptance.FromRollout(s))
+		c.configs.Put(acceptance.FromRollout(s))
 		c.publish()
 	})
 }
--- a/control/size_test.go
+++ b/control/size_test.go
@@ -32,13 +32,13 @@
 	}
 	c.init()
 	for i := range n / 6 {
-		c.configs.put(configOf(i, 1))
+		c.configs.Put(configOf(i, 1))
 	}
 	for i := range n {
-		c.members.put(recordOf(i, n, 1))
+		c.members.Put(recordOf(i, n, 1))
 	}
-	clear(c.members.outbox)
-	clear(c.configs.outbox)
+	clear(c.members.Outbox)
+	clear(c.configs.Outbox)
 	c.rebuild()
 	return c
 }
@@ -82,9 +82,9 @@
 			var version uint64 = 1
 			for b.Loop() {
 				version++
-				c.members.put(recordOf(int(version)%n, n, version))
+				c.members.Put(recordOf(int(version)%n, n, version))
 				c.rebuild()
-				clear(c.members.outbox)
+				clear(c.members.Outbox)
 			}
 			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "MB")
 			b.ReportMetric(float64(len(r)), "B/record")
@@ -103,9 +103,9 @@
 			var sequence uint64 = 1
 			for b.Loop() {
 				sequence++
-				c.configs.put(configOf(int(sequence)%(n/6), sequence))
+				c.configs.Put(configOf(int(sequence)%(n/6), sequence))
 				c.rebuild()
-				clear(c.configs.outbox)
+				clear(c.configs.Outbox)
 			}
 		})
 	}
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -59,7 +59,7 @@
 			c.rebuildFromTable(next, name)
 			continue
 		}
-		config, ok := c.configs.set.Get(name)
+		config, ok := c.configs.Set.Get(name)
 		if !ok {
 			continue
 		}
--- a/control/spread.go
+++ b/control/spread.go
@@ -16,6 +16,7 @@
 
 	"sassafrasfront.example/gossip"
 	"sassafrasfront.example/peer"
+	"sassafrasfront.example/reconcile"
 )
 
 const (
@@ -64,7 +65,7 @@
 	var reply any
 	var err error
 	if !c.do(func() { reply, err = c.handle(from, r.Topic, r.Payload) }) {
-		return nil, errStopped
+		return nil, reconcile.ErrStopped
 	}
 	if err != nil || reply == nil {
 		return nil, err
@@ -78,14 +79,14 @@
 	case topicRoots:
 		return c.roots(), nil
 	case topicHave:
-		q, err := unpack[haveQuery](payload)
+		q, err := reconcile.Unpack[haveQuery](payload)
 		if err != nil {
 			return nil, err
 		}
-		config, _ := c.configs.set.Get(q.Service)
+		config, _ := c.configs.Set.Get(q.Service)
 		return haveReply{Sequence: config.Sequence}, nil
 	case topicCandidates:
-		q, err := unpack[suspicions](payload)
+		q, err := reconcile.Unpack[suspicions](payload)
 		if err != nil {
 			return nil, err
 		}
@@ -95,13 +96,13 @@
 	if reply, ok, err := c.handleReads(from, topic, payload); ok {
 		return reply, err
 	}
-	if reply, ok, err := c.members.handle(topic, payload); ok {
+	if reply, ok, err := c.members.Handle(topic, payload); ok {
 		return reply, err
 	}
-	if reply, ok, err := c.configs.handle(topic, payload); ok {
+	if reply, ok, err := c.configs.Handle(topic, payload); ok {
 		return reply, err
 	}
-	if reply, ok, err := c.reports.handle(topic, payload); ok {
+	if reply, ok, err := c.reports.Handle(topic, payload); ok {
 		return reply, err
 	}
 	return nil, eris.Errorf("unknown topic %q", topic)
@@ -109,9 +110,9 @@
 
 func (c *Control) roots() roots {
 	return roots{
-		Members: c.members.set.Root(),
-		Configs: c.configs.set.Root(),
-		Reports: c.reports.set.Root(),
+		Members: c.members.Set.Root(),
+		Configs: c.configs.Set.Root(),
+		Reports: c.reports.Set.Root(),
 	}
 }
 
@@ -145,7 +146,7 @@
 // configurations always go; reports of requests and changes of members wait while
 // the budget is spent, and comparisons carry them meanwhile.
 func (c *Control) takeOutbox() ([]target, []message) {
-	if len(c.members.outbox)+len(c.configs.outbox)+len(c.reports.outbox) == 0 {
+	if len(c.members.Outbox)+len(c.configs.Outbox)+len(c.reports.Outbox) == 0 {
 		return nil, nil
 	}
 	targets := c.pushTargets()
@@ -163,22 +164,22 @@
 }
 
 // batches empties an outbox into messages, as far as afford allows.
-func batches[R gossip.Record](e *exchanger[R], afford func(n int) bool) []message {
+func batches[R gossip.Record](e *reconcile.Exchange[R], afford func(n int) bool) []message {
 	var list []message
-	for keys := range slices.Chunk(slices.Collect(maps.Keys(e.outbox)), pushBatch) {
-		batch := records[R]{}
+	for keys := range slices.Chunk(slices.Collect(maps.Keys(e.Outbox)), pushBatch) {
+		batch := reconcile.Records[R]{}
 		for _, key := range keys {
-			batch.Records = append(batch.Records, e.outbox[key])
+			batch.Records = append(batch.Records, e.Outbox[key])
 		}
 		payload, err := msgpack.Marshal(batch)
 		if err != nil || !afford(len(payload)) {
 			return list
 		}
 		for _, key := range keys {
-			delete(e.outbox, key)
+			delete(e.Outbox, key)
 		}
 		list = append(list, message{
-			topic:   e.topic + tellRecords,
+			topic:   e.Topic + reconcile.TellRecords,
 			payload: payload,
 		})
 	}
@@ -215,7 +216,7 @@
 
 // compareWith makes the state the same as a peer's.
 func (c *Control) compareWith(ctx context.Context, p *peer.Client) error {
-	theirs, err := ask[struct{}, roots](ctx, p, topicRoots, struct{}{})
+	theirs, err := reconcile.Ask[struct{}, roots](ctx, p, topicRoots, struct{}{})
 	if err != nil {
 		return err
 	}
@@ -225,17 +226,17 @@
 	// table of thousands of routes takes a slow link most of a second, and a node that
 	// starts reads it from the platform meanwhile.
 	if own.Members != theirs.Members {
-		if err := reconcile(ctx, c, &c.members, p); err != nil {
+		if err := c.members.With(ctx, p); err != nil {
 			return err
 		}
 	}
 	if theirs.Reports != 0 && own.Reports != theirs.Reports {
-		if err := reconcile(ctx, c, &c.reports, p); err != nil {
+		if err := c.reports.With(ctx, p); err != nil {
 			return err
 		}
 	}
 	if own.Configs != theirs.Configs {
-		return reconcile(ctx, c, &c.configs, p)
+		return c.configs.With(ctx, p)
 	}
 	return nil
 }
--- a/control/sweeper.go
+++ b/control/sweeper.go
@@ -12,6 +12,7 @@
 	"sassafrasfront.example/internal/sleep"
 	"sassafrasfront.example/member"
 	"sassafrasfront.example/peer"
+	"sassafrasfront.example/reconcile"
 )
 
 const (
@@ -81,7 +82,7 @@
 	s.do(func() { p = s.client(r.Addr) })
 	ctx, cancel := context.WithTimeout(ctx, compareTimeout)
 	defer cancel()
-	if _, err := ask[struct{}, roots](ctx, p, topicRoots, struct{}{}); err == nil {
+	if _, err := reconcile.Ask[struct{}, roots](ctx, p, topicRoots, struct{}{}); err == nil {
 		s.liveness.Heard(r.ID)
 	} else if ctx.Err() != context.Canceled {
 		s.liveness.Missed(r.ID, time.Now())
@@ -92,9 +93,9 @@
 func (s *sweeper) remove(known int) {
 	for _, id := range s.liveness.Due(known, time.Now()) {
 		s.do(func() {
-			if r, ok := s.members.set.Get(id); ok && r.Live() {
+			if r, ok := s.members.Set.Get(id); ok && r.Live() {
 				s.Log.Warn().Str("node", id).Msg("node removed after long silence")
-				s.members.put(r.Tombstone())
+				s.members.Put(r.Tombstone())
 			}
 		})
 	}
--- a/control/table.go
+++ b/control/table.go
@@ -45,7 +45,7 @@
 	c.init()
 	record := acceptance.FromTable(t)
 	c.do(func() {
-		c.configs.put(record)
+		c.configs.Put(record)
 		c.publish()
 	})
 }
@@ -54,7 +54,7 @@
 // accepts higher sequences only. It is not pushed: others fetch it from one of those
 // that tell them of it, so that a table of thousands of routes comes to each but once.
 func (c *Control) tableChanged(r acceptance.Config) {
-	delete(c.configs.outbox, acceptance.Whole)
+	delete(c.configs.Outbox, acceptance.Whole)
 	t, err := r.Table()
 	if err != nil {
 		c.Log.Error().Err(err).Uint64("version", r.Sequence).Msg("configuration can't be read")
--- a/control/digest.go
+++ b/reconcile/digest.go
@@ -2,7 +2,7 @@
 // Use of this source code is governed by a BSD-style
 // license that can be found in the LICENSE file.
 
-package control
+package reconcile
 
 import (
 	"context"
@@ -40,8 +40,8 @@
 }
 
 // beyond answers a digestQuery.
-func (e *exchanger[R]) beyond(q digestQuery) digestReply[R] {
-	list, unknown := e.set.Beyond(q.Groups, q.Digests)
+func (e *Exchange[R]) beyond(q digestQuery) digestReply[R] {
+	list, unknown := e.Set.Beyond(q.Groups, q.Digests)
 	n := min(len(list), bulkRecords)
 	return digestReply[R]{
 		Records: list[:n],
@@ -50,29 +50,29 @@
 	}
 }
 
-// reconcileByDigest makes some groups of the set and a peer's the same. What crosses is a
+// withDigests makes some groups of the set and a peer's the same. What crosses is a
 // digest for each record in these groups, and the records that differ: while everybody
 // starts all groups differ everywhere, each by a few records.
-func reconcileByDigest[R gossip.Record](ctx context.Context, c *Control, e *exchanger[R], p *peer.Client, groups []int) error {
+func (e *Exchange[R]) withDigests(ctx context.Context, p *peer.Client, groups []int) error {
 	slices.Sort(groups)
 	for more := true; more; {
 		q := digestQuery{Groups: groups}
-		c.do(func() { q.Digests = e.set.Digests(groups) })
-		reply, err := ask[digestQuery, digestReply[R]](ctx, p, e.topic+askDigests, q)
+		e.Do(func() { q.Digests = e.Set.Digests(groups) })
+		reply, err := Ask[digestQuery, digestReply[R]](ctx, p, e.Topic+askDigests, q)
 		if err != nil {
 			return err
 		}
 		before, after := 0, 0
 		var wanted []R
-		c.do(func() {
-			before = e.set.Len()
-			e.putAll(reply.Records)
-			after = e.set.Len()
-			wanted = e.set.Of(groups, reply.Unknown) // unless newer ones have come just now
+		e.Do(func() {
+			before = e.Set.Len()
+			e.PutAll(reply.Records)
+			after = e.Set.Len()
+			wanted = e.Set.Of(groups, reply.Unknown) // unless newer ones have come just now
 		})
 		more = reply.More && after > before
 		if len(wanted) > 0 {
-			if err := tell(ctx, p, e.topic, wanted); err != nil {
+			if err := tell(ctx, p, e.Topic, wanted); err != nil {
 				return err
 			}
 		}
--- a/control/exchanger.go
+++ b/reconcile/exchange.go
@@ -2,7 +2,7 @@
 // Use of this source code is governed by a BSD-style
 // license that can be found in the LICENSE file.
 
-package control
+package reconcile
 
 import (
 	"context"
@@ -31,36 +31,45 @@
 	mostByDigest = gossip.Leaves
 )
 
-// exchanger is a set of records with what is needed to keep it the same as
-// other nodes'. The goroutine that owns the state calls its methods, but for
-// reconcile.
-type exchanger[R gossip.Record] struct {
-	topic   string
-	accept  func(R) bool
-	changed func(old, r R)
-	set     gossip.Set[R]
-	outbox  map[string]R // changes to push, by key
+// Exchange is a set of records with what is needed to keep it the same as other nodes'. The
+// goroutine that owns the state calls its methods, but for With. The exported functions are
+// set before the first call.
+type Exchange[R gossip.Record] struct {
+	// Topic is the first part of the topics of its messages.
+	Topic string
+	// Accept returns whether a record may be taken in.
+	Accept func(R) bool
+	// Changed is called with each record that is new, and the one that it replaces, if any.
+	Changed func(old, r R)
+	// Do has a function called by the goroutine that owns the state, and waits for it. It
+	// returns false if that has ended.
+	Do func(f func()) bool
+	// Set holds the records.
+	Set gossip.Set[R]
+	// Outbox holds the changes to push, by key. Who pushes them takes them out.
+	Outbox map[string]R
 }
 
-// put takes in a record if it is new. It is then pushed on.
-func (e *exchanger[R]) put(r R) {
-	if !e.accept(r) {
+// Put takes in a record if it is new. It is then pushed on.
+func (e *Exchange[R]) Put(r R) {
+	if !e.Accept(r) {
 		return
 	}
-	old, _ := e.set.Get(r.Key())
-	if !e.set.Put(r) {
+	old, _ := e.Set.Get(r.Key())
+	if !e.Set.Put(r) {
 		return
 	}
-	if e.outbox == nil {
-		e.outbox = make(map[string]R)
+	if e.Outbox == nil {
+		e.Outbox = make(map[string]R)
 	}
-	e.outbox[r.Key()] = r
-	e.changed(old, r)
+	e.Outbox[r.Key()] = r
+	e.Changed(old, r)
 }
 
-func (e *exchanger[R]) putAll(list []R) {
+// PutAll takes in records as Put does.
+func (e *Exchange[R]) PutAll(list []R) {
 	for _, r := range list {
-		e.put(r)
+		e.Put(r)
 	}
 }
 
@@ -94,8 +103,8 @@
 		Records []R `msgpack:"records"`
 		Next    int `msgpack:"next"`
 	}
-	// records are sent unasked, or because they were wanted.
-	records[R gossip.Record] struct {
+	// Records are sent unasked, or because they were wanted.
+	Records[R gossip.Record] struct {
 		Records []R `msgpack:"records"`
 	}
 )
@@ -107,60 +116,61 @@
 	askVersions = ".versions"
 	askBulk     = ".bulk"
 	askDigests  = ".digests"
-	tellRecords = ".records"
+	// TellRecords is that of Records.
+	TellRecords = ".records"
 )
 
-// handle answers a request of a peer's comparison. The second result is false
+// Handle answers a request of a peer's comparison. The second result is false
 // if the topic is not the exchanger's.
-func (e *exchanger[R]) handle(topic string, payload []byte) (reply any, ok bool, err error) {
+func (e *Exchange[R]) Handle(topic string, payload []byte) (reply any, ok bool, err error) {
 	switch topic {
-	case e.topic + askGroups:
-		return hashes{Hashes: e.set.Group()}, true, nil
-	case e.topic + askLeaves:
-		q, err := unpack[leafQuery](payload)
+	case e.Topic + askGroups:
+		return hashes{Hashes: e.Set.Group()}, true, nil
+	case e.Topic + askLeaves:
+		q, err := Unpack[leafQuery](payload)
 		if err != nil || q.Group < 0 || q.Group >= gossip.Groups {
 			return nil, true, eris.Errorf("bad group: %v", err)
 		}
-		return hashes{Hashes: e.set.Leaf(q.Group)}, true, nil
-	case e.topic + askVersions:
-		q, err := unpack[versionsQuery](payload)
+		return hashes{Hashes: e.Set.Leaf(q.Group)}, true, nil
+	case e.Topic + askVersions:
+		q, err := Unpack[versionsQuery](payload)
 		if err != nil {
 			return nil, true, err
 		}
 		return e.versions(q), true, nil
-	case e.topic + askDigests:
-		q, err := unpack[digestQuery](payload)
+	case e.Topic + askDigests:
+		q, err := Unpack[digestQuery](payload)
 		if err != nil || !validGroups(q.Groups) {
 			return nil, true, eris.Errorf("bad digests: %v", err)
 		}
 		return e.beyond(q), true, nil
-	case e.topic + askBulk:
-		q, err := unpack[bulkQuery](payload)
+	case e.Topic + askBulk:
+		q, err := Unpack[bulkQuery](payload)
 		if err != nil || q.From < 0 {
 			return nil, true, eris.Errorf("bad leaf: %v", err)
 		}
-		list, next := e.set.From(q.From, bulkRecords)
+		list, next := e.Set.From(q.From, bulkRecords)
 		return bulkReply[R]{Records: list, Next: next}, true, nil
-	case e.topic + tellRecords:
-		m, err := unpack[records[R]](payload)
+	case e.Topic + TellRecords:
+		m, err := Unpack[Records[R]](payload)
 		if err != nil {
 			return nil, true, err
 		}
-		e.putAll(m.Records)
+		e.PutAll(m.Records)
 		return nil, true, nil
 	}
 	return nil, false, nil
 }
 
 // versions compares the versions in some leaves with the ones held.
-func (e *exchanger[R]) versions(q versionsQuery) versionsReply[R] {
+func (e *Exchange[R]) versions(q versionsQuery) versionsReply[R] {
 	var reply versionsReply[R]
 	for leaf, theirs := range q.Leaves {
 		if leaf < 0 || leaf >= gossip.Leaves {
 			continue
 		}
-		reply.Newer = append(reply.Newer, e.set.Newer(leaf, theirs)...)
-		own := e.set.Versions(leaf)
+		reply.Newer = append(reply.Newer, e.Set.Newer(leaf, theirs)...)
+		own := e.Set.Versions(leaf)
 		for key, v := range theirs {
 			if w, ok := own[key]; !ok || w.Less(v) {
 				reply.Wanted = append(reply.Wanted, key)
@@ -170,26 +180,26 @@
 	return reply
 }
 
-// get returns the records with the given keys.
-func (e *exchanger[R]) get(keys []string) []R {
+// Get returns the records with the given keys.
+func (e *Exchange[R]) Get(keys []string) []R {
 	var list []R
 	for _, key := range keys {
-		if r, ok := e.set.Get(key); ok {
+		if r, ok := e.Set.Get(key); ok {
 			list = append(list, r)
 		}
 	}
 	return list
 }
 
-// errStopped is the failure of what is asked for after the control goroutine
+// ErrStopped is the failure of what is asked for after the control goroutine
 // has ended, when there is no client to ask with any more.
-var errStopped = eris.New("control stopped")
+var ErrStopped = eris.New("control stopped")
 
-// ask sends a request to a peer and decodes its reply.
-func ask[Q, A any](ctx context.Context, p *peer.Client, topic string, q Q) (A, error) {
+// Ask sends a request to a peer and decodes its reply.
+func Ask[Q, A any](ctx context.Context, p *peer.Client, topic string, q Q) (A, error) {
 	var none A
 	if p == nil {
-		return none, errStopped
+		return none, ErrStopped
 	}
 	payload, err := msgpack.Marshal(q)
 	if err != nil {
@@ -199,10 +209,11 @@
 	if err != nil {
 		return none, err
 	}
-	return unpack[A](reply)
+	return Unpack[A](reply)
 }
 
-func unpack[T any](payload []byte) (T, error) {
+// Unpack decodes a message.
+func Unpack[T any](payload []byte) (T, error) {
 	var v T
 	if !peer.Plausible(payload) {
 		return v, eris.Wrap(peer.ErrProtocol, "decode: a length is over what follows it")
@@ -213,16 +224,16 @@
 	return v, nil
 }
 
-// reconcile makes the set and a peer's the same, as far as one round goes. It
-// is called by a goroutine that does not own the state.
-func reconcile[R gossip.Record](ctx context.Context, c *Control, e *exchanger[R], p *peer.Client) error {
+// With makes the set and a peer's the same, as far as one round goes. It is called by a
+// goroutine that does not own the state.
+func (e *Exchange[R]) With(ctx context.Context, p *peer.Client) error {
 	var own []uint64
 	var held int
-	c.do(func() {
-		own = e.set.Group()
-		held = e.set.Len()
+	e.Do(func() {
+		own = e.Set.Group()
+		held = e.Set.Len()
 	})
-	theirs, err := ask[struct{}, hashes](ctx, p, e.topic+askGroups, struct{}{})
+	theirs, err := Ask[struct{}, hashes](ctx, p, e.Topic+askGroups, struct{}{})
 	if err != nil {
 		return err
 	}
@@ -231,45 +242,45 @@
 	case len(groups) == 0:
 		return nil
 	case held < fewRecords:
-		return fetchAll(ctx, c, e, p)
+		return e.fetchAll(ctx, p)
 	case held <= mostByDigest:
-		return reconcileByDigest(ctx, c, e, p, groups)
+		return e.withDigests(ctx, p, groups)
 	}
-	leaves, err := differingLeaves(ctx, c, e, p, groups)
+	leaves, err := e.differingLeaves(ctx, p, groups)
 	if err != nil || len(leaves) == 0 {
 		return err
 	}
 	q := versionsQuery{Leaves: make(map[int]map[string]gossip.Version, len(leaves))}
-	c.do(func() {
+	e.Do(func() {
 		for _, leaf := range leaves {
-			q.Leaves[leaf] = e.set.Versions(leaf)
+			q.Leaves[leaf] = e.Set.Versions(leaf)
 		}
 	})
-	reply, err := ask[versionsQuery, versionsReply[R]](ctx, p, e.topic+askVersions, q)
+	reply, err := Ask[versionsQuery, versionsReply[R]](ctx, p, e.Topic+askVersions, q)
 	if err != nil {
 		return err
 	}
 	var wanted []R
-	c.do(func() {
-		e.putAll(reply.Newer)
-		wanted = e.get(reply.Wanted)
+	e.Do(func() {
+		e.PutAll(reply.Newer)
+		wanted = e.Get(reply.Wanted)
 	})
 	if len(wanted) == 0 {
 		return nil
 	}
-	return tell(ctx, p, e.topic, wanted)
+	return tell(ctx, p, e.Topic, wanted)
 }
 
 // differingLeaves returns leaves in which the set and a peer's differ.
-func differingLeaves[R gossip.Record](ctx context.Context, c *Control, e *exchanger[R], p *peer.Client, groups []int) ([]int, error) {
+func (e *Exchange[R]) differingLeaves(ctx context.Context, p *peer.Client, groups []int) ([]int, error) {
 	var leaves []int
 	for _, g := range groups[:min(len(groups), maxGroups)] {
-		theirs, err := ask[leafQuery, hashes](ctx, p, e.topic+askLeaves, leafQuery{Group: g})
+		theirs, err := Ask[leafQuery, hashes](ctx, p, e.Topic+askLeaves, leafQuery{Group: g})
 		if err != nil {
 			return nil, err
 		}
 		var own []uint64
-		c.do(func() { own = e.set.Leaf(g) })
+		e.Do(func() { own = e.Set.Leaf(g) })
 		for _, l := range gossip.Differing(own, theirs.Hashes) {
 			leaves = append(leaves, g*gossip.Groups+l)
 		}
@@ -279,36 +290,36 @@
 
 // fetchAll fetches all records of a peer, for a node that has few, and tells it
 // its own if they are few.
-func fetchAll[R gossip.Record](ctx context.Context, c *Control, e *exchanger[R], p *peer.Client) error {
+func (e *Exchange[R]) fetchAll(ctx context.Context, p *peer.Client) error {
 	var own []R
-	c.do(func() {
-		if e.set.Len() <= bulkRecords {
-			own, _ = e.set.From(0, bulkRecords)
+	e.Do(func() {
+		if e.Set.Len() <= bulkRecords {
+			own, _ = e.Set.From(0, bulkRecords)
 		}
 	})
 	for from := 0; from < gossip.Leaves; {
-		reply, err := ask[bulkQuery, bulkReply[R]](ctx, p, e.topic+askBulk, bulkQuery{From: from})
+		reply, err := Ask[bulkQuery, bulkReply[R]](ctx, p, e.Topic+askBulk, bulkQuery{From: from})
 		if err != nil {
 			return err
 		}
 		if reply.Next <= from {
 			return eris.Errorf("peer goes on from leaf %d after %d", reply.Next, from)
 		}
-		c.do(func() { e.putAll(reply.Records) })
+		e.Do(func() { e.PutAll(reply.Records) })
 		from = reply.Next
 	}
 	if len(own) == 0 {
 		return nil
 	}
-	return tell(ctx, p, e.topic, own)
+	return tell(ctx, p, e.Topic, own)
 }
 
 // tell sends records to a peer.
 func tell[R gossip.Record](ctx context.Context, p *peer.Client, topic string, list []R) error {
-	payload, err := msgpack.Marshal(records[R]{Records: list})
+	payload, err := msgpack.Marshal(Records[R]{Records: list})
 	if err != nil {
 		return eris.Wrap(err, "encode records")
 	}
-	_, err = p.Request(ctx, topic+tellRecords, payload, true)
+	_, err = p.Request(ctx, topic+TellRecords, payload, true)
 	return err
 }
