--- a/node/metrics.go
+++ b/node/metrics.go
@@ -34,6 +34,7 @@
 		set:           metrics.NewSet(),
 		platformCalls: func() uint64 { return 0 },
 	}
+	m.control.Requested = m.controlRequested
 	gauge := m.gauge
 	m.upstreamGauges(n)
 	gauge(`sassafras_members`, func() float64 { return float64(n.control.Snapshot().Members) })
@@ -111,6 +112,13 @@
 	}
 }
 
+// controlRequested counts a control request to another node by its topic.
+func (m *metricSet) controlRequested(topic string, sent, received int) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`sassafras_control_requests_total{topic=%q}`, topic)).Inc()
+	m.set.GetOrCreateCounter(fmt.Sprintf(`sassafras_control_bytes_total{topic=%q,direction="out"}`, topic)).Add(sent)
+	m.set.GetOrCreateCounter(fmt.Sprintf(`sassafras_control_bytes_total{topic=%q,direction="in"}`, topic)).Add(received)
+}
+
 // platformCalled counts a call to the platform.
 func (m *metricSet) platformCalled(call, kind string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`sassafras_platform_calls_by_kind_total{call=%q,kind=%q}`, call, kind)).Inc()
--- a/peer/client.go
+++ b/peer/client.go
@@ -178,6 +178,7 @@
 	}
 	if notify {
 		l.used()
+		c.Counters.requested(topic, len(payload), 0)
 		return nil, l.send(KindRequest, request)
 	}
 	reply := make(chan *Reply, 1)
@@ -188,6 +189,7 @@
 	}
 	select {
 	case r := <-reply:
+		c.Counters.requested(topic, len(payload), len(r.Payload))
 		if r.Detail != "" {
 			return nil, eris.Errorf("peer: %s", r.Detail)
 		}
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -21,6 +21,16 @@
 type Counters struct {
 	BytesIn, BytesOut   atomic.Uint64
 	FramesIn, FramesOut atomic.Uint64
+	// Requested, if not nil, is called with each control request by its topic, with the bytes
+	// of its payload and of the reply's. It is set before the first request.
+	Requested func(topic string, sent, received int)
+}
+
+// requested notes a control request.
+func (c *Counters) requested(topic string, sent, received int) {
+	if c != nil && c.Requested != nil {
+		c.Requested(topic, sent, received)
+	}
 }
 
 // conn is one connection, from either side: it frames, counts and keeps the
--- a/peer/idle_test.go
+++ b/peer/idle_test.go
@@ -65,3 +65,37 @@
 		})
 	}
 }
+
+// TestRequestsAreCounted counts control requests by their topics.
+func TestRequestsAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		s := &Server{Control: func(_ context.Context, _ Hello, r *Request) ([]byte, error) { return append(r.Payload, 1, 2), nil }}
+		type count struct{ requests, sent, received int }
+		counts := make(map[string]count)
+		c := &Client{
+			Hello: Hello{Control: true},
+			Counters: &Counters{Requested: func(topic string, sent, received int) {
+				n := counts[topic]
+				counts[topic] = count{n.requests + 1, n.sent + sent, n.received + received}
+			}},
+			Dial: func(context.Context, string) (net.Conn, error) {
+				near, far := net.Pipe()
+				go s.serve(ctx, far)
+				return near, nil
+			},
+		}
+		for range 3 {
+			_, err := c.Request(ctx, "asked", []byte{1, 2, 3}, false)
+			qt.Assert(t, err, qt.IsNil)
+		}
+		_, err := c.Request(ctx, "told", []byte{1}, true)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, counts["asked"], qt.Equals, count{3, 9, 15})
+		qt.Check(t, counts["told"], qt.Equals, count{1, 1, 0})
+		c.Close()
+		cancel()
+		s.shutAll()
+		synctest.Wait()
+	})
+}
