--- a/canary/judgement.go
+++ b/canary/judgement.go
@@ -59,22 +59,13 @@
 
 // judge does a judge's work on one order, if this node is one.
 func (r *Runner) judge(ctx context.Context, service string, k rollout.Known, now time.Time) {
-	first := r.isFirst(r.candidates(service, now))
+	if !r.isJudge(ctx, service, k, now) {
+		return
+	}
 	room := r.room(k.Order)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if now.Before(r.declines) {
-		return
-	}
 	j := r.judgementOf(k)
-	if first && !j.told && k.Phase < rollout.Stopped {
-		r.record(ctx, j, k.State, now)
-		return
-	}
-	over := now.Sub(k.Heard) > k.Order.Duration
-	if now.Sub(j.heard) > judgesFor && !(first && over) {
-		return // it may be cut off from the upstreams: it has nothing to judge by
-	}
 	next, reason := j.judge.Step(k.State, room, now)
 	decided := k.With(next, reason, r.Hello.Node, now)
 	switch {
@@ -87,6 +78,24 @@
 	}
 }
 
+// isJudge returns whether this node has something to judge an order by. The first candidate
+// has it stand on the platform first that the order is carried out.
+func (r *Runner) isJudge(ctx context.Context, service string, k rollout.Known, now time.Time) bool {
+	first := r.isFirst(r.candidates(service, now))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Before(r.declines) {
+		return false
+	}
+	j := r.judgementOf(k)
+	if first && !j.told && k.Phase < rollout.Stopped {
+		r.record(ctx, j, k.State, now)
+		return false
+	}
+	over := now.Sub(k.Heard) > k.Order.Duration
+	return now.Sub(j.heard) <= judgesFor || first && over
+}
+
 // room returns whether the upstreams of an order's version can take all requests.
 func (r *Runner) room(o rollout.Order) bool {
 	var former, next int
--- a/canary/runner_test.go
+++ b/canary/runner_test.go
@@ -111,7 +111,7 @@
 		Decode: decode,
 		Status: func(_ string, p rollout.Phase) any { return p.String() },
 		Lease:  lease,
-		Known: func() map[string]rollout.Known { return map[string]rollout.Known{"s": w.present()} },
+		Known:  func() map[string]rollout.Known { return map[string]rollout.Known{"s": w.present()} },
 		Judges: func(string) []Peer {
 			w.mu.Lock()
 			defer w.mu.Unlock()
--- /dev/null
+++ b/control/rollouts_test.go
@@ -0,0 +1,88 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package control
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/acceptance"
+	"sassafrasfront.example/objectapi"
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/rollout"
+)
+
+// TestMembersOnTrial has a service with ten upstreams of one version and ten of another, which its
+// nodes say are on trial or not, at a node that has heard of an order or not.
+func TestMembersOnTrial(t *testing.T) {
+	order := func(version string, p rollout.Phase) *rollout.State {
+		s := rollout.State{Order: rollout.Order{Service: "s", Version: version, Duration: time.Second, At: objectapi.Point{Revision: 5}}}
+		s = s.With(p, "", "n", time.Now())
+		return &s
+	}
+	tests := map[string]struct {
+		known    *rollout.State
+		flagged  bool // whether the nodes of v2 say that it is on trial
+		ordinary int
+		trial    int
+		share    float64
+	}{
+		"no order":                           {ordinary: 20},
+		"an order that was not heard of":     {flagged: true, ordinary: 10, trial: 3, share: 0.03},
+		"on trial":                           {known: order("v2", rollout.Trial), flagged: true, ordinary: 10, trial: 3, share: 0.03},
+		"on trial, its nodes have not heard": {known: order("v2", rollout.Trial), ordinary: 10, trial: 3, share: 0.03},
+		"widened":                            {known: order("v2", rollout.Widened), flagged: true, ordinary: 10, trial: 3, share: 0.2},
+		"moved":                              {known: order("v2", rollout.Moved), flagged: true, ordinary: 10, trial: 8, share: 0.8},
+		"emptied":                            {known: order("v2", rollout.Emptied), flagged: true, ordinary: 10, trial: 10, share: 1},
+		"stopped":                            {known: order("v2", rollout.Stopped), flagged: true, ordinary: 10},
+		"rolled back":                        {known: order("v2", rollout.RolledBack), ordinary: 10},
+		"completed just now":                 {known: order("v2", rollout.Completed), ordinary: 10, trial: 10, share: 1},
+		"another order, the last was done":   {known: order("v1", rollout.Completed), flagged: true, ordinary: 10, trial: 3, share: 0.03},
+		"another order, the last was undone": {known: order("v0", rollout.RolledBack), flagged: true, ordinary: 10, trial: 3, share: 0.03},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := sized(6)
+			c.Exposure = 0.1
+			for i := range 20 {
+				r := recordOf(100+i, 120, 1)
+				r.Service, r.Software = "s", "v1"
+				if i >= 10 {
+					r.Software, r.Trial = "v2", test.flagged
+				}
+				c.members.Put(r)
+			}
+			if test.known != nil {
+				c.configs.Put(acceptance.FromRollout(*test.known))
+			}
+			s := c.withMembers("s", operator.Service{})
+			trial := 0
+			for _, m := range s.Members {
+				if m.Trial {
+					trial++
+				}
+			}
+			qt.Check(t, trial, qt.Equals, test.trial)
+			qt.Check(t, len(s.Members)-trial, qt.Equals, test.ordinary)
+			qt.Check(t, s.TrialShare > test.share-1e-9 && s.TrialShare < test.share+1e-9, qt.IsTrue, qt.Commentf("%f", s.TrialShare))
+		})
+	}
+}
+
+// TestPreferenceEnds has the versions of a service be alike again some time after a roll-out.
+func TestPreferenceEnds(t *testing.T) {
+	c := sized(6)
+	c.Exposure = 0.1
+	r := recordOf(100, 120, 1)
+	r.Service, r.Software = "s", "v2"
+	c.members.Put(r)
+	s := rollout.State{Order: rollout.Order{Service: "s", Version: "v2"}}
+	c.configs.Put(acceptance.FromRollout(s.With(rollout.Completed, "", "n", time.Now())))
+	qt.Check(t, c.withMembers("s", operator.Service{}).TrialShare, qt.Equals, 1.0)
+	c.endPreference(time.Now().Add(preferFor))
+	qt.Check(t, c.withMembers("s", operator.Service{}).TrialShare, qt.Equals, 0.0)
+}
--- a/node/state.go
+++ b/node/state.go
@@ -108,6 +108,9 @@
 		u.Software, u.Trial = n.software(a)
 	}
 	n.control.Announce(u)
+	if n.rollouts != nil {
+		n.rollouts.Wake() // another start may be of another version
+	}
 }
 
 // leave stops the traffic without cutting a request: first callers are sent away,
