control: a node that starts learns from one in its zone that a first peer names

From 64 members on a first peer names a dozen, the asker's zone first, and the state comes from one of these.

Tried and left out: nodes that know nobody write themselves in with a chance that doubles with each look. A first start of four nodes then has islands for seconds (node TestEvacuation, 503 noUpstream).

--- a/control/bootstrap.go
+++ b/control/bootstrap.go
@@ -60,8 +60,7 @@
 	return false
 }
 
-// learnFrom compares the state with each of some addresses until one answers,
-// and returns whether one did.
+// learnFrom learns from each of some addresses until one answers, and returns whether one did.
 func (c *Control) learnFrom(ctx context.Context, addrs []string) bool {
 	for _, addr := range addrs {
 		if addr == c.Self.Addr {
@@ -72,7 +71,7 @@
 			return false
 		}
 		ctx, cancel := context.WithTimeout(ctx, 4*compareTimeout)
-		err := c.compareWith(ctx, p)
+		err := c.learnBy(ctx, p)
 		cancel()
 		c.do(func() { c.release(addr) })
 		if err == nil {
--- /dev/null
+++ b/control/introduce.go
@@ -0,0 +1,102 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package control
+
+import (
+	"context"
+
+	"sassafrasfront.example/member"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/reconcile"
+)
+
+// topicIntroduce asks a first peer for some members, and tells it of the asker.
+const topicIntroduce = "introduce"
+
+const (
+	// introduceNear and introduceFar are the numbers of members that a first peer names, in the
+	// asker's zone and elsewhere.
+	introduceNear = 8
+	introduceFar  = 4
+	// introduceFrom is the number of members from which a node that starts learns the state of
+	// one in its own zone rather than of the first peer. All that start ask the same few
+	// first peers: with a whole state for each, their links are busy for as long as there are
+	// nodes, and most of the bytes cross zones.
+	introduceFrom = 64
+	// introduceTries is the number of members in its zone that a node tries to learn from.
+	introduceTries = 2
+)
+
+// introduction is a question for members, with the record of who asks.
+type introduction struct {
+	Self member.Record `msgpack:"self"`
+}
+
+// introduced is the answer to an introduction.
+type introduced struct {
+	// Members is the number of live members that are known.
+	Members int `msgpack:"members"`
+	// Records are some of them, those in the asker's zone first.
+	Records []member.Record `msgpack:"records"`
+}
+
+// introduce answers an introduction.
+func (c *Control) introduce(q introduction) introduced {
+	c.members.PutAll([]member.Record{q.Self})
+	reply := introduced{Members: c.live}
+	var near, far []member.Record
+	for r := range c.members.Set.All {
+		switch {
+		case !r.Live() || r.ID == q.Self.ID || r.ID == c.self.ID:
+		case r.Zone == q.Self.Zone:
+			near = append(near, r)
+		default:
+			far = append(far, r)
+		}
+	}
+	for _, l := range []struct {
+		list []member.Record
+		most int
+	}{{near, introduceNear}, {far, introduceFar}} {
+		c.random.Shuffle(len(l.list), func(i, j int) { l.list[i], l.list[j] = l.list[j], l.list[i] })
+		reply.Records = append(reply.Records, l.list[:min(l.most, len(l.list))]...)
+	}
+	return reply
+}
+
+// learnBy learns from a first peer, or, where there are many nodes, from one in the own zone that
+// it names.
+func (c *Control) learnBy(ctx context.Context, p *peer.Client) error {
+	var q introduction
+	c.do(func() { q.Self = c.self })
+	reply, err := reconcile.Ask[introduction, introduced](ctx, p, topicIntroduce, q)
+	if err != nil {
+		return err
+	}
+	c.do(func() { c.members.PutAll(reply.Records) })
+	if reply.Members < introduceFrom {
+		return c.compareWith(ctx, p)
+	}
+	tried := 0
+	for _, r := range reply.Records {
+		if r.Zone != q.Self.Zone || tried == introduceTries {
+			break
+		}
+		tried++
+		var near *peer.Client
+		if !c.do(func() { near = c.client(r.Addr) }) {
+			return reconcile.ErrStopped
+		}
+		limited, cancel := context.WithTimeout(ctx, compareTimeout)
+		err := c.compareWith(limited, near)
+		cancel()
+		c.do(func() { c.release(r.Addr) })
+		if err == nil {
+			return nil
+		}
+		c.Log.Debug().Err(err).Str("peer", r.ID).Msg("not learnt from a member that was named")
+	}
+	return c.compareWith(ctx, p)
+}
--- a/control/spread.go
+++ b/control/spread.go
@@ -85,6 +85,12 @@
 		}
 		config, _ := c.configs.Set.Get(q.Service)
 		return haveReply{Sequence: config.Sequence}, nil
+	case topicIntroduce:
+		q, err := reconcile.Unpack[introduction](payload)
+		if err != nil {
+			return nil, err
+		}
+		return c.introduce(q), nil
 	case topicCandidates:
 		q, err := reconcile.Unpack[suspicions](payload)
 		if err != nil {
