canary: a judge that can't record that it began judges all the same

Cause, read from the code: where the platform turns a third of the nodes away, the first candidate failed to record running and declined, and so might the second and the third; no report was taken then, leases ended, and a good version was not known in time.

TestJudgeBehindPlatform fails before.

--- a/canary/judgement.go
+++ b/canary/judgement.go
@@ -18,8 +18,8 @@
 	// judgesFor is how long after the last report a node is judge.
 	judgesFor = 2 * time.Second
 	// recordTimeout bounds the recording of an outcome, and recordAgain is the wait before the
-	// next try. A judge whose try failed declines for declineFor: the platform may answer
-	// another node.
+	// next try. A judge that could not record an outcome declines for declineFor: the platform
+	// may answer another node.
 	recordTimeout = 2 * time.Second
 	recordAgain   = 500 * time.Millisecond
 	declineFor    = 3 * time.Second
@@ -79,7 +79,7 @@
 }
 
 // isJudge returns whether this node has something to judge an order by. The first candidate
-// has it stand on the platform first that the order is carried out.
+// has it stand on the platform that the order is carried out.
 func (r *Runner) isJudge(ctx context.Context, service string, k rollout.Known, now time.Time) bool {
 	first := r.isFirst(r.candidates(service, now))
 	r.mu.Lock()
@@ -90,7 +90,6 @@
 	j := r.judgementOf(k)
 	if first && !j.told && k.Phase < rollout.Stopped {
 		r.record(ctx, j, k.State, now)
-		return false
 	}
 	over := now.Sub(k.Heard) > k.Order.Duration
 	return now.Sub(j.heard) <= judgesFor || first && over
@@ -125,7 +124,7 @@
 		switch {
 		case err == nil:
 			j.told = true
-		case !objectapi.IsConflict(err):
+		case s.Phase.Settled() && !objectapi.IsConflict(err):
 			r.declines = time.Now().Add(declineFor)
 		}
 		r.mu.Unlock()
--- a/canary/runner_test.go
+++ b/canary/runner_test.go
@@ -246,3 +246,42 @@
 		})
 	}
 }
+
+// TestJudgeBehindPlatform has the judge be refused by the platform from the start, as where that
+// turns a third of the nodes away: it judges all the same, and a faulty version gets nothing
+// more, though the outcome is recorded only later.
+func TestJudgeBehindPlatform(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		w.store.away = true
+		judge := w.node("a", "v1", "a")
+		others := map[string]*Runner{"b": w.node("b", "v2", "a"), "c": w.node("c", "v2", "a")}
+		ctx, cancel := context.WithCancel(t.Context())
+		go judge.Run(ctx)
+		for began := time.Now(); w.present().Phase < rollout.Stopped && time.Since(began) < 4*time.Second; {
+			for range 20 {
+				judge.Ran("class", false, 10*time.Millisecond)
+				for _, r := range others {
+					r.Ran("class", true, 10*time.Millisecond)
+				}
+			}
+			for name, r := range others {
+				qt.Check(t, judge.take(name, rollout.Report{Service: "s", Version: "v2", Start: 1, Classes: map[string]rollout.Tally{"class": r.classes["class"]}}), qt.IsNil)
+			}
+			time.Sleep(stepEvery)
+		}
+		qt.Check(t, w.present().Phase, qt.Equals, rollout.Stopped)
+		w.store.mu.Lock()
+		w.store.away = false
+		w.store.mu.Unlock()
+		for range 4 * 8 {
+			for name := range others {
+				_ = judge.take(name, rollout.Report{Service: "s", Version: "v2", Start: 1}) // refused while it declines
+			}
+			time.Sleep(stepEvery)
+		}
+		qt.Check(t, w.present().Phase, qt.Equals, rollout.RolledBack)
+		cancel()
+		synctest.Wait()
+	})
+}
