explain says whether a request met a version on trial

Logs of requests bear trial=true where they were sent to such an upstream; TestSummaryOfTrial. docs/OPERATIONS.md goes from there to the decision.

--- a/cmd/sassafrasctl/explain.go
+++ b/cmd/sassafrasctl/explain.go
@@ -110,10 +110,14 @@
 // summary names what ended the request, by its last line and the failures
 // before it.
 func summary(lines []logLine) string {
-	var causes []string
+	var causes, trial []string
 	end := logLine{}
 	for _, l := range lines {
 		switch l.field("event") {
+		case "request sent":
+			if l.field("trial") == "true" {
+				trial = append(trial, l.field("to"))
+			}
 		case "request failed":
 			causes = append(causes, l.field("cause")+" at "+l.field("to"))
 		case "call not answered":
@@ -126,6 +130,9 @@
 		return "summary: no node's log says how it ended; failures: " + strings.Join(causes, "; ")
 	}
 	text := fmt.Sprintf("summary: status %s, verdict %s, cause %s, after %s ms and %s sendings, version %s in force", end.field("status"), end.field("verdict"), end.field("cause"), end.field("tookMs"), end.field("tries"), end.field("version"))
+	if len(trial) > 0 {
+		text += "; sent to a version on trial at " + strings.Join(trial, ", ")
+	}
 	if len(causes) > 0 {
 		text += "; " + strings.Join(causes, "; ")
 	}
--- a/cmd/sassafrasctl/explain_test.go
+++ b/cmd/sassafrasctl/explain_test.go
@@ -51,6 +51,17 @@
 	}
 }
 
+// TestSummaryOfTrial has a request be sent to an upstream of a version on trial first.
+func TestSummaryOfTrial(t *testing.T) {
+	lines := []logLine{
+		parseLine(`event="request sent" to=n2 trial=true`),
+		parseLine(`event="request failed" cause=upstreamLost to=n2`),
+		parseLine(`event="request sent" to=n3`),
+		parseLine(`event="request ended" status=200 verdict=ran tries=2`),
+	}
+	qt.Check(t, summary(lines), qt.Matches, ".*; sent to a version on trial at n2; upstreamLost at n2")
+}
+
 func TestExplain(t *testing.T) {
 	dir := t.TempDir()
 	one, two := filepath.Join(dir, "n1"), filepath.Join(dir, "n2")
--- a/entry/do.go
+++ b/entry/do.go
@@ -174,7 +174,7 @@
 	if a != nil {
 		f.tried = append(f.tried, a.member.ID)
 		picture, age := a.use.Picture()
-		f.note(Step{Event: EventSent, Node: a.member.ID, Picture: picture, Age: age})
+		f.note(Step{Event: EventSent, Node: a.member.ID, Picture: picture, Age: age, Trial: a.member.Trial})
 	}
 	if failure != nil {
 		return failure
--- a/entry/step.go
+++ b/entry/step.go
@@ -23,6 +23,8 @@
 	// it rests on, negative if there was none. They are set for EventSent.
 	Picture route.Candidate
 	Age     time.Duration
+	// Trial is whether that node's upstream is of a version on trial. It is set for EventSent.
+	Trial bool
 	// Cause is why a sending failed. It is set for EventFailed.
 	Cause verdict.Cause
 }
--- a/node/events.go
+++ b/node/events.go
@@ -74,6 +74,9 @@
 	case entry.EventSent:
 		e = e.Str("to", s.Node).Str("load", fmt.Sprintf("%.1f/%d", s.Picture.Load, s.Picture.Allowed)).
 			Float64("slowdown", s.Picture.Slowdown).Float64("failing", s.Picture.Failing).Dur("serviceMs", s.Picture.Service).Dur("reportAgeMs", s.Age)
+		if s.Trial {
+			e = e.Bool("trial", true)
+		}
 		if s.Picture.Transfer > 0 {
 			e = e.Dur("transferMs", s.Picture.Transfer)
 		}
