rollout: half of the requests stay at the former version until the last step

Cause, by arithmetic: with four fifths moved, a fault that begins only then is given 8 of the 10 percent that it may get in the second and a half until it is found, besides the 3.3 of the steps before.

--- a/rollout/exposure.go
+++ b/rollout/exposure.go
@@ -12,10 +12,12 @@
 	// trialUntil and widenedFor of the duration they make up four tenths of that; the rest
 	// is left to the time in which a fault is found that shows only once all has moved.
 	trialPart   = 0.3
-	widenedPart = 2.0
-	// movedShare leaves a fifth of the requests to the former version: without them a fault of
-	// a service that both call would look like one of the new version.
-	movedShare = 0.8
+	widenedPart = 1.75
+	// movedShare leaves the other requests to the former version: without them a fault of a
+	// service that both call would look like one of the new version. More than half would be
+	// more than a version may get in the second or two in which a fault is found that begins
+	// only then.
+	movedShare = 0.5
 	// leastInUse is the least number of upstreams that are tried: of fewer, the fault of a
 	// single instance looks like the version's.
 	leastInUse = 3
@@ -29,9 +31,9 @@
 func (e Exposure) Share(p Phase) float64 {
 	switch p {
 	case Trial:
-		return min(1, trialPart*float64(e))
+		return min(movedShare, trialPart*float64(e))
 	case Widened:
-		return min(1, widenedPart*float64(e))
+		return min(movedShare, widenedPart*float64(e))
 	case Moved:
 		return movedShare
 	case Emptied, Completed:
--- a/rollout/state.go
+++ b/rollout/state.go
@@ -21,7 +21,7 @@
 	Trial Phase = iota
 	// Widened gives it a larger one.
 	Widened
-	// Moved gives it most of them. The rest stays at the former version, to compare with.
+	// Moved gives it half of them. The rest stays at the former version, to compare with.
 	Moved
 	// Emptied gives it all, while the upstreams of the former version are still there.
 	Emptied
--- /dev/null
+++ b/rollout/world_test.go
@@ -0,0 +1,136 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package rollout_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sassafrasfront.example/rollout"
+)
+
+// drawn is a system of entries and upstreams of which some hear late, or are cut off for a time.
+type drawn struct {
+	entries, upstreams []*hearer
+	phases             []rollout.Phase // in force at the judge, by step
+}
+
+// hearer is a node that hears of phases after some steps, and of none while it is cut off.
+type hearer struct {
+	delay    int
+	from, to int // steps in which it is cut off
+	heard    rollout.Phase
+	lease    int // the last step in which a judge took its report, of an upstream's node
+}
+
+func (h *hearer) cut(step int) bool { return step >= h.from && step < h.to }
+
+// hear takes in what reaches the node by a step.
+func (d *drawn) hear(h *hearer, step int) {
+	if h.cut(step) {
+		return
+	}
+	if at := step - h.delay; at >= 0 && at < len(d.phases) {
+		h.heard = max(h.heard, d.phases[at])
+	}
+}
+
+// draw draws a node: it hears within half a second, and one in four is cut off for up to eight
+// seconds.
+func draw(random *rand.Rand, steps int) *hearer {
+	h := &hearer{delay: random.IntN(3)}
+	if random.IntN(4) == 0 {
+		h.from = random.IntN(steps)
+		h.to = h.from + random.IntN(32)
+	}
+	return h
+}
+
+// TestExposureInDrawnWorlds has a faulty version rolled out where entries and upstreams hear late
+// and are cut off, with a fault that begins at any moment up to the step in which half of the
+// requests move. However that goes, the version gets at most its share of all requests, and
+// nothing from five seconds after its fiftieth bad answer on.
+func TestExposureInDrawnWorlds(t *testing.T) {
+	const (
+		step     = 250 * time.Millisecond
+		lasts    = 14 * time.Second
+		exposure = rollout.Exposure(0.1)
+		perEntry = 2 // requests in a step
+		slack    = 50
+		leases   = 8  // steps for which an upstream runs requests after a judge has answered
+		rollback = 20 // steps after the fiftieth bad answer
+	)
+	steps := int(lasts / step)
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 7))
+		begins := rapid.IntRange(0, 30).Draw(t, "first step of the fault")
+		fails := rapid.Float64Range(0.4, 1).Draw(t, "share of its requests that fail")
+		d := new(drawn)
+		for range 90 {
+			d.entries = append(d.entries, draw(random, steps))
+		}
+		for range 60 {
+			d.upstreams = append(d.upstreams, draw(random, steps))
+		}
+		order := rollout.Order{Service: "s", Version: "v2", Duration: lasts}
+		start := time.Unix(1e9, 0)
+		judge := rollout.Judge{Order: order, Began: start}
+		state := rollout.State{Order: order}
+		former, next := make(map[int]rollout.Tally), make(map[int]rollout.Tally)
+		sent, given, bad, fiftieth, last := 0, 0, 0, 0, 0
+		for n := range steps {
+			d.phases = append(d.phases, state.Phase)
+			for _, h := range append(d.entries, d.upstreams...) {
+				d.hear(h, n)
+			}
+			for i, u := range d.upstreams {
+				if u.cut(n) || u.heard >= rollout.Stopped {
+					continue
+				}
+				u.lease = n
+				judge.Hear(fmt.Sprint("new", i), rollout.Report{Version: "v2", Start: 1, Classes: map[string]rollout.Tally{"c": next[i]}}, start.Add(time.Duration(n)*step))
+			}
+			for i, r := range former {
+				judge.Hear(fmt.Sprint("old", i), rollout.Report{Version: "v1", Start: 1, Classes: map[string]rollout.Tally{"c": r}}, start.Add(time.Duration(n)*step))
+			}
+			for _, e := range d.entries {
+				for range perEntry {
+					sent++
+					took := usualRun/2 + time.Duration(random.Int64N(int64(usualRun)))
+					inUse := exposure.InUse(e.heard, len(d.upstreams))
+					if inUse > 0 && random.Float64() < exposure.Share(e.heard) {
+						i := random.IntN(inUse)
+						if u := d.upstreams[i]; u.heard < rollout.Stopped && n-u.lease <= leases {
+							failed := n >= begins && random.Float64() < fails
+							next[i] = next[i].With(failed, took)
+							given++
+							last = n
+							if failed {
+								if bad++; bad == 50 {
+									fiftieth = n
+								}
+							}
+							continue
+						}
+					}
+					i := random.IntN(60)
+					former[i] = former[i].With(random.Float64() < 0.005, took)
+				}
+			}
+			phase, reason := judge.Step(state, true, start.Add(time.Duration(n+1)*step))
+			state = state.With(phase, reason, "n", start)
+		}
+		if given > int(float64(exposure)*float64(sent))+slack {
+			t.Fatalf("%d of %d, %d bad, ends %v: %s", given, sent, bad, state.Phase, state.Reason)
+		}
+		if bad >= 50 && last-fiftieth > rollback {
+			t.Fatalf("the last request came %v after the fiftieth bad answer", time.Duration(last-fiftieth)*step)
+		}
+	})
+}
