--- a/canary/judgement.go
+++ b/canary/judgement.go
@@ -31,8 +31,8 @@
 // judgement is this node's work as the judge of one order.
 type judgement struct {
 	judge     rollout.Judge
-	heard     time.Time // the last report
-	told      bool      // whether it stands on the platform that the order is carried out
+	received  time.Time // the last report
+	recorded  bool      // whether it stands on the platform that the order is carried out
 	recording bool
 	again     time.Time // when recording may be tried again
 }
@@ -43,7 +43,7 @@
 	if j == nil || j.judge.Order.At != k.Order.At {
 		j = &judgement{judge: rollout.Judge{
 			Order: k.Order,
-			Began: k.Heard,
+			Began: k.Received,
 		}}
 		r.judges[k.Order.Service] = j
 	}
@@ -88,11 +88,11 @@
 		return false
 	}
 	j := r.judgementOf(k)
-	if first && !j.told && k.Phase < rollout.Stopped {
+	if first && !j.recorded && k.Phase < rollout.Stopped {
 		r.record(ctx, j, k.State, now)
 	}
-	over := now.Sub(k.Heard) > k.Order.Duration
-	return now.Sub(j.heard) <= judgesFor || first && over
+	over := now.Sub(k.Received) > k.Order.Duration
+	return now.Sub(j.received) <= judgesFor || first && over
 }
 
 // room returns whether the upstreams of an order's version can take all requests.
@@ -123,7 +123,7 @@
 		j.again = time.Now().Add(recordAgain)
 		switch {
 		case err == nil:
-			j.told = true
+			j.recorded = true
 		case s.Phase.Settled() && !objectapi.IsConflict(err):
 			r.declines = time.Now().Add(declineFor)
 		}
--- a/canary/report.go
+++ b/canary/report.go
@@ -176,8 +176,8 @@
 		return errDeclines
 	}
 	j := r.judgementOf(k)
-	j.judge.Hear(node, report, now)
-	j.heard = now
+	j.judge.Observe(node, report, now)
+	j.received = now
 	return nil
 }
 
--- a/canary/runner_test.go
+++ b/canary/runner_test.go
@@ -154,7 +154,7 @@
 func newWorld() *world {
 	return &world{
 		store:    &store{revision: 1},
-		known:    rollout.Known{State: rollout.State{Order: order}, Heard: time.Now(), Changed: time.Now()},
+		known:    rollout.Known{State: rollout.State{Order: order}, Received: time.Now(), Changed: time.Now()},
 		withheld: make(map[string]bool),
 	}
 }
--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -59,12 +59,12 @@
 	now := time.Now()
 	next := rollout.Known{
 		State:     s,
-		Heard:     now,
+		Received:  now,
 		Changed:   now,
 		Preferred: s.Phase == rollout.Completed,
 	}
 	if before, ok := c.rollouts[s.Order.Service]; ok && before.Order.At == s.Order.At {
-		next.Heard = before.Heard
+		next.Received = before.Received
 	}
 	c.rollouts[s.Order.Service] = next
 	c.dirty[s.Order.Service] = true
@@ -119,9 +119,9 @@
 	inUse map[string]bool // upstreams of the version that get it
 }
 
-// unheard returns whether an upstream is on trial by an order that this node has not heard
+// unknownOrder returns whether an upstream is on trial by an order that this node has not heard
 // of, as the node beside it says.
-func (t trial) unheard(r member.Record) bool {
+func (t trial) unknownOrder(r member.Record) bool {
 	return r.Trial && (!t.known || r.Software != t.state.Order.Version)
 }
 
@@ -129,7 +129,7 @@
 func (t trial) standing(r member.Record) rollout.Standing {
 	s := rollout.Ordinary
 	switch {
-	case t.unheard(r):
+	case t.unknownOrder(r):
 		s = rollout.OnTrial
 	case t.known:
 		s = t.state.Standing(r.Software)
@@ -148,19 +148,19 @@
 		return t
 	}
 	t.state, t.known = c.rollouts[service]
-	var ids, unheard []string
+	var ids, unknown []string
 	for id, r := range c.byService[service] {
 		switch {
 		case c.evacuated.Has(r.Zone):
-		case t.unheard(r):
-			unheard = append(unheard, id)
+		case t.unknownOrder(r):
+			unknown = append(unknown, id)
 		case t.known && (t.state.Standing(r.Software) == rollout.OnTrial || t.state.Preferred && r.Software == t.state.Order.Version):
 			ids = append(ids, id)
 		}
 	}
 	phase := t.state.Phase
-	if len(unheard) > 0 {
-		ids, phase = unheard, rollout.Trial
+	if len(unknown) > 0 {
+		ids, phase = unknown, rollout.Trial
 	}
 	for _, id := range member.First(service, ids, c.Exposure.InUse(phase, len(ids))) {
 		t.inUse[id] = true
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -58,11 +58,11 @@
 
 // upstream is what a node has reported.
 type upstream struct {
-	report Report
-	heard  time.Time
-	judged map[string]Tally // up to the last step, by class
-	failed sums
-	slow   sums
+	report   Report
+	received time.Time
+	judged   map[string]Tally // up to the last step, by class
+	failed   sums
+	slow     sums
 }
 
 // counted is what one upstream of the new version counts in one step, of one class.
@@ -75,8 +75,8 @@
 // sums are the evidence against a version by class.
 type sums map[string]evidence
 
-// Hear takes in a node's report.
-func (j *Judge) Hear(node string, r Report, now time.Time) {
+// Observe takes in a node's report.
+func (j *Judge) Observe(node string, r Report, now time.Time) {
 	if j.upstreams == nil {
 		j.upstreams = make(map[string]*upstream)
 		j.former = make(map[string]*reference)
@@ -93,7 +93,7 @@
 		j.upstreams[node] = u
 	}
 	u.report = r
-	u.heard = now
+	u.received = now
 }
 
 // Step judges what was reported since the last step, and returns the phase that the order is
@@ -265,7 +265,7 @@
 // formerRunning returns the number of requests at reporting upstreams of the former version.
 func (j *Judge) formerRunning(now time.Time) (running int) {
 	for _, u := range j.upstreams {
-		if u.report.Version != j.Order.Version && now.Sub(u.heard) < reportAge {
+		if u.report.Version != j.Order.Version && now.Sub(u.received) < reportAge {
 			running += u.report.Running
 		}
 	}
--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -102,7 +102,7 @@
 			for c, t := range r.Classes {
 				copied.Classes[c] = t
 			}
-			judge.Hear(strconv.Itoa(i), copied, now)
+			judge.Observe(strconv.Itoa(i), copied, now)
 		}
 		phase, reason := judge.Step(state, l.next >= l.former, now)
 		state = state.With(phase, reason, "n", now)
--- a/rollout/state.go
+++ b/rollout/state.go
@@ -111,8 +111,8 @@
 // Known is a State as one node knows it. It is an immutable value.
 type Known struct {
 	State
-	// Heard is when the node heard of the order first, and Changed of the present phase.
-	Heard, Changed time.Time
+	// Received is when the node received the order first, and Changed the present phase.
+	Received, Changed time.Time
 	// Preferred is whether a completed version still goes before others.
 	Preferred bool
 }
--- a/rollout/world_test.go
+++ b/rollout/world_test.go
@@ -94,10 +94,10 @@
 					continue
 				}
 				u.lease = n
-				judge.Hear(fmt.Sprint("new", i), rollout.Report{Version: "v2", Start: 1, Classes: map[string]rollout.Tally{"c": next[i]}}, start.Add(time.Duration(n)*step))
+				judge.Observe(fmt.Sprint("new", i), rollout.Report{Version: "v2", Start: 1, Classes: map[string]rollout.Tally{"c": next[i]}}, start.Add(time.Duration(n)*step))
 			}
 			for i, r := range former {
-				judge.Hear(fmt.Sprint("old", i), rollout.Report{Version: "v1", Start: 1, Classes: map[string]rollout.Tally{"c": r}}, start.Add(time.Duration(n)*step))
+				judge.Observe(fmt.Sprint("old", i), rollout.Report{Version: "v1", Start: 1, Classes: map[string]rollout.Tally{"c": r}}, start.Add(time.Duration(n)*step))
 			}
 			for _, e := range d.entries {
 				for range perEntry {
