--- a/rollout/exposure.go
+++ b/rollout/exposure.go
@@ -9,7 +9,7 @@
 const (
 	// trialPart and widenedPart are the share of the requests in a phase, as a ratio of the
 	// largest share that a faulty version may have of all requests up to its deadline. With
-	// trialUntil and widenedFor of the duration they make up four tenths of that; the rest
+	// trialUntil and widenedFor of the duration they make up three tenths of that; the rest
 	// is left to the time in which a fault is found that shows only once all has moved.
 	trialPart   = 0.3
 	widenedPart = 1.75
