acceptance: the name of a roll-out's record without the record

Cause: a node that was asked for its table encoded each roll-out's whole state as JSON only to read its name. RolloutName gives it; the records are as they were. No behaviour changes.

--- a/acceptance/rollout.go
+++ b/acceptance/rollout.go
@@ -14,11 +14,14 @@
 // service's. No service can have such a name.
 const rolloutPrefix = "*rollout:"
 
+// RolloutName returns the name of the Config that holds the roll-out of a service.
+func RolloutName(service string) string { return rolloutPrefix + service }
+
 // FromRollout returns the state of a roll-out as nodes pass it on.
 func FromRollout(s rollout.State) Config {
 	era, sequence := s.Rank()
 	return Config{
-		Name:     rolloutPrefix + s.Order.Service,
+		Name:     RolloutName(s.Order.Service),
 		Era:      era,
 		Sequence: sequence,
 		At:       s.When,
--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -86,8 +86,8 @@
 // rolloutNames returns the names of the records of roll-outs.
 func (c *Control) rolloutNames() []string {
 	var names []string
-	for _, r := range c.rollouts {
-		names = append(names, acceptance.FromRollout(r.State).Name)
+	for service := range c.rollouts {
+		names = append(names, acceptance.RolloutName(service))
 	}
 	return names
 }
