Seeds: settings that name instances on any port, and starts that ask them before the book

The users' platform names up to three instances to each node that starts, by the port on which upstreams announce themselves. The settings took them as peer addresses, so that no node ever learnt from one, and each start began with a look into the book of contacts; of nodes that start at once beside an empty book, those that found nobody wrote themselves in and became what all others met.

Hypothesis: the seeds' hosts with the node's own peer port join a start of all within the first tenths of a second, so that fewer look, fewer write and no contact is met by all.

--- a/control/bootstrap.go
+++ b/control/bootstrap.go
@@ -20,15 +20,18 @@
 
 // bootstrap learns from a first peer. It goes on until one has answered, or this
 // node has met others in another way. The first node of a system goes on for
-// long, so as a steward it asks seldom.
+// long, so as a steward it asks seldom. A node that is itself a first peer goes on until
+// it knows the other ones: others may have met it before.
 func (c *Control) bootstrap(ctx context.Context) {
 	contacts := slices.Clone(c.Contacts) // others have the same ones
 	rand.Shuffle(len(contacts), func(i, j int) { contacts[i], contacts[j] = contacts[j], contacts[i] })
+	first := slices.Contains(contacts, c.Self.Addr)
 	for n := 0; ctx.Err() == nil; n++ {
-		if c.learnFrom(ctx, contacts) || c.API != nil && c.learnFromStewards(ctx) {
-			return
+		learnt := c.learnFrom(ctx, contacts) || c.API != nil && c.learnFromStewards(ctx)
+		if first {
+			contacts = c.strangers(contacts)
 		}
-		if !c.alone() {
+		if first && len(contacts) == 0 || !first && (learnt || !c.alone()) {
 			return
 		}
 		pause := objectapi.Backoff(n, nil)
@@ -118,6 +121,12 @@
 	// KB. Each entry costs a call, and is kept over restarts.
 	enoughContacts = 24
 	registerChance = 0.25
+	// firstPeersTime is how long a node that has first peers waits for one to answer before
+	// it looks into the book, and firstPeersCheck how often it looks whether one has. A
+	// look is a call, and where all start at once beside an empty book, those that find
+	// nobody write themselves in.
+	firstPeersTime  = 400 * time.Millisecond
+	firstPeersCheck = 20 * time.Millisecond
 	// registerAfter is the mean time after which a node that is no scout decides on that: it
 	// then knows how many there are.
 	registerAfter = 2 * time.Second
@@ -130,22 +139,15 @@
 // look into it.
 func (c *Control) meet(ctx context.Context) {
 	var listed atomic.Int32 // at the latest look
+	listed.Store(notLooked)
 	var late sync.WaitGroup
 	defer late.Wait()
-	late.Go(func() {
-		sleep.For(ctx, registerAfter/2+rand.N(registerAfter))
-		if c.Register != nil && ctx.Err() == nil && registers(c.Snapshot().Members, int(listed.Load()), rand.Float64()) {
-			c.Register(ctx)
-		}
-	})
+	late.Go(func() { c.registerLate(ctx, &listed) })
+	c.awaitFirstPeer(ctx)
 	pause := meetFirst
 	for n := 0; ctx.Err() == nil; n++ {
-		addrs := c.Book(ctx)
-		listed.Store(int32(len(addrs)))
-		c.meetSome(ctx, c.strangers(slices.Clone(addrs)))
-		for try := 1; try < meetTries && len(addrs) > 0 && c.alone() && ctx.Err() == nil; try++ {
-			sleep.For(ctx, meetAgain/2+rand.N(meetAgain))
-			c.meetSome(ctx, c.strangers(slices.Clone(addrs)))
+		if n > 0 || c.alone() || c.Scout() {
+			c.lookAndMeet(ctx, &listed)
 		}
 		if c.registersAsScout(n) {
 			c.Register(ctx)
@@ -158,6 +160,53 @@
 	}
 }
 
+// notLooked is the number of nodes that are listed in the book before a look into it.
+const notLooked = -1
+
+// look returns the addresses in the book and stores their number.
+func (c *Control) look(ctx context.Context, listed *atomic.Int32) []string {
+	addrs := c.Book(ctx)
+	listed.Store(int32(len(addrs)))
+	return addrs
+}
+
+// lookAndMeet looks into the book and learns from some nodes there that this one does not know.
+func (c *Control) lookAndMeet(ctx context.Context, listed *atomic.Int32) {
+	addrs := c.look(ctx, listed)
+	c.meetSome(ctx, c.strangers(slices.Clone(addrs)))
+	for try := 1; try < meetTries && len(addrs) > 0 && c.alone() && ctx.Err() == nil; try++ {
+		sleep.For(ctx, meetAgain/2+rand.N(meetAgain))
+		c.meetSome(ctx, c.strangers(slices.Clone(addrs)))
+	}
+}
+
+// awaitFirstPeer waits until a first peer has answered, but not for long.
+func (c *Control) awaitFirstPeer(ctx context.Context) {
+	if len(c.Contacts) == 0 {
+		return
+	}
+	for began := time.Now(); time.Since(began) < firstPeersTime && ctx.Err() == nil && c.alone(); {
+		sleep.For(ctx, firstPeersCheck)
+	}
+}
+
+// registerLate writes this node into the book, some time after its start, if it is drawn. Only
+// one that is drawn looks whether enough stand there, if it has not looked yet.
+func (c *Control) registerLate(ctx context.Context, listed *atomic.Int32) {
+	sleep.For(ctx, registerAfter/2+rand.N(registerAfter))
+	nodes := c.Snapshot().Members
+	draw := rand.Float64()
+	if c.Register == nil || ctx.Err() != nil || !registers(nodes, int(listed.Load()), draw) {
+		return
+	}
+	if listed.Load() == notLooked {
+		c.look(ctx, listed)
+	}
+	if registers(nodes, int(listed.Load()), draw) {
+		c.Register(ctx)
+	}
+}
+
 // registers returns whether a node that is no scout writes itself into the book, given how many
 // nodes it knows, how many stand there, and a draw within 0 and 1: of all that start at once
 // some enoughContacts do, however many they are.
--- a/node/build.go
+++ b/node/build.go
@@ -117,7 +117,7 @@
 			Region: s.Region,
 			State:  member.Idle,
 		},
-		Contacts: s.PeerList(),
+		Contacts: s.FirstPeers(),
 		Timing: control.Timing{
 			Lease:    s.Lease,
 			Patience: s.Patience,
--- a/settings/check.go
+++ b/settings/check.go
@@ -103,6 +103,9 @@
 	for _, p := range s.PeerList() {
 		c.address("peers", p, false)
 	}
+	for _, a := range split(s.Seeds) {
+		c.address("seeds", a, false)
+	}
 	if s.TraceURL != "" {
 		c.url("traceURL", s.TraceURL)
 	}
@@ -145,9 +148,27 @@
 }
 
 // PeerList returns the addresses in Peers.
-func (s *Settings) PeerList() []string {
+func (s *Settings) PeerList() []string { return split(s.Peers) }
+
+// FirstPeers returns the addresses in Peers and those of the nodes at Seeds.
+func (s *Settings) FirstPeers() []string {
+	list := s.PeerList()
+	_, port, err := net.SplitHostPort(s.PeerAt())
+	if err != nil {
+		return list // which Check refuses
+	}
+	for _, a := range split(s.Seeds) {
+		if host, _, err := net.SplitHostPort(a); err == nil {
+			list = append(list, net.JoinHostPort(host, port))
+		}
+	}
+	return list
+}
+
+// split returns the parts of a text that commas separate, without space around them.
+func split(text string) []string {
 	var list []string
-	for p := range strings.SplitSeq(s.Peers, ",") {
+	for p := range strings.SplitSeq(text, ",") {
 		if p = strings.TrimSpace(p); p != "" {
 			list = append(list, p)
 		}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -40,6 +40,10 @@
 	// Peers are peer addresses to learn from at the start, separated by
 	// commas. They are needed only if the platform may be down then.
 	Peers string
+	// Seeds are addresses of instances to learn from at the start, separated by commas, on
+	// any port: nodes there take peer connections on the port of this node's PeerAddress.
+	// Some may be gone.
+	Seeds string
 	// Dialect says which names the platform and the upstream use on the wire: the
 	// product's own, "native", or those of the users' platform, "managed".
 	Dialect string
@@ -137,6 +141,7 @@
 	fs.StringVar(&s.PlatformURL, "platformURL", "", "root of the platform's object API")
 	fs.StringVar(&s.Namespace, "namespace", "sassafrasfront", "namespace of the system's objects")
 	fs.StringVar(&s.Peers, "peers", "", "peer addresses to learn from at the start, separated by commas")
+	fs.StringVar(&s.Seeds, "seeds", "", "addresses of instances to learn from at the start, on any port, separated by commas")
 	fs.StringVar(&s.Dialect, "dialect", DialectNative, "names on the wire: native or managed")
 	fs.StringVar(&s.Service, "service", "", "service that runs beside this node, if it is known beforehand")
 	fs.StringVar(&s.UpstreamAddress, "upstreamAddress", "", "where the upstream takes requests, if it is known beforehand")
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -50,6 +50,7 @@
 		"not YAML":          {yaml: "node: [\n", want: []string{"node.yaml:"}},
 		"not a mapping":     {yaml: "- a\n", want: []string{"not a list of settings"}},
 		"empty":             {yaml: "", want: []string{"node: "}},
+		"bad seed":          {yaml: good + "seeds: 127.0.0.1:1, somewhere\n", want: []string{"node.yaml:5: seeds: \"somewhere\""}},
 		"peers in place of": {yaml: "node: a\nregion: r\nzone: z\npeers: 127.0.0.1:1, 127.0.0.1:2\n"},
 	}
 	for name, test := range tests {
@@ -70,6 +71,34 @@
 	}
 }
 
+// TestFirstPeers has settings name nodes by their peer addresses, and instances by addresses on
+// other ports.
+func TestFirstPeers(t *testing.T) {
+	tests := map[string]struct {
+		yaml string
+		want []string
+	}{
+		"none":  {},
+		"peers": {yaml: "peers: 127.0.0.1:1, 127.0.0.2:2\n", want: []string{"127.0.0.1:1", "127.0.0.2:2"}},
+		"seeds": {
+			yaml: "peerAddress: 10.0.0.1:8142\nseeds: 10.0.0.3:8144,[::1]:8144\n",
+			want: []string{"10.0.0.3:8142", "[::1]:8142"},
+		},
+		"both": {
+			yaml: "advertisedPeerAddress: 10.0.0.1:9\npeers: 127.0.0.1:1\nseeds: 10.0.0.3:8144\n",
+			want: []string{"127.0.0.1:1", "10.0.0.3:9"},
+		},
+		"seeds are empty": {yaml: "seeds: \"\"\n"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, err := read(t, good+test.yaml)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, s.FirstPeers(), qt.DeepEquals, test.want)
+		})
+	}
+}
+
 func TestEnvironment(t *testing.T) {
 	t.Setenv("SASSAFRAS_ZONE", "fromenv")
 	s, err := read(t, good)
