--- a/control/bootstrap.go
+++ b/control/bootstrap.go
@@ -35,7 +35,7 @@
 			return
 		}
 		pause := objectapi.Backoff(n, nil)
-		if c.steward.Load() {
+		if c.Steward() {
 			pause = max(pause, c.Timing.Lease)
 		}
 		sleep.For(ctx, pause)
--- a/control/control.go
+++ b/control/control.go
@@ -26,6 +26,7 @@
 	"sassafrasfront.example/peer"
 	"sassafrasfront.example/quarantine"
 	"sassafrasfront.example/reconcile"
+	"sassafrasfront.example/representative"
 	"sassafrasfront.example/rollout"
 	"sassafrasfront.example/routes"
 	"sassafrasfront.example/watch"
@@ -127,12 +128,12 @@
 	// the state.
 	Published func(*Snapshot)
 
-	starting sync.Once
-	jobs     chan func()
-	done     chan struct{}
-	snapshot atomic.Pointer[Snapshot]
-	steward  atomic.Bool
-	proofs   atomic.Pointer[freshness.Proofs]
+	starting   sync.Once
+	jobs       chan func()
+	done       chan struct{}
+	snapshot   atomic.Pointer[Snapshot]
+	represents atomic.Pointer[representative.Representative]
+	proofs     atomic.Pointer[freshness.Proofs]
 
 	// The goroutine of Run owns what follows.
 	self       member.Record
@@ -220,7 +221,10 @@
 
 // Steward returns whether this node holds its zone's lease, as far as it
 // knows.
-func (c *Control) Steward() bool { return c.steward.Load() }
+func (c *Control) Steward() bool {
+	r := c.represents.Load()
+	return r != nil && r.Holds()
+}
 
 // Run keeps the state until ctx ends. It then tells a few peers that the node
 // has left.
@@ -239,7 +243,9 @@
 		work.Go(func() { c.bootstrap(ctx) })
 	}
 	if c.API != nil {
-		work.Go(func() { c.runSteward(ctx) })
+		r := c.newRepresentative()
+		c.represents.Store(r)
+		work.Go(func() { r.Run(ctx) })
 	}
 	push := time.NewTicker(c.Timing.Push)
 	defer push.Stop()
--- /dev/null
+++ b/control/represent.go
@@ -0,0 +1,161 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package control
+
+import (
+	"context"
+	"slices"
+
+	"sassafrasfront.example/acceptance"
+	"sassafrasfront.example/member"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/reconcile"
+	"sassafrasfront.example/representative"
+)
+
+// newRepresentative returns what represents this node's zone at the platform.
+func (c *Control) newRepresentative() *representative.Representative {
+	return &representative.Representative{
+		Node:     represented{c},
+		Zone:     c.Self.Zone,
+		API:      c.API,
+		Lease:    c.Timing.Lease,
+		Bridge:   c.Timing.Bridge,
+		Takeover: c.Timing.Takeover,
+		Log:      c.Log,
+	}
+}
+
+// represented is the control state as the representative of a zone sees it.
+type represented struct {
+	c *Control
+}
+
+// Self implements representative.Node.
+func (r represented) Self() (self member.Record) {
+	r.c.do(func() { self = r.c.self })
+	return self
+}
+
+// Rank implements representative.Node.
+func (r represented) Rank() (rank, nodes int) {
+	r.c.do(func() { rank, nodes = r.c.stewardRank() })
+	return rank, nodes
+}
+
+// ProbeCandidates implements representative.Node.
+func (r represented) ProbeCandidates(ctx context.Context) { r.c.probeCandidates(ctx) }
+
+// Knows implements representative.Node.
+func (r represented) Knows(id string) (known bool) {
+	r.c.do(func() {
+		m, ok := r.c.members.Set.Get(id)
+		known = r.c.live > 1 && (ok && m.Live() || id == "")
+	})
+	return known
+}
+
+// LearnFrom implements representative.Node.
+func (r represented) LearnFrom(ctx context.Context, addrs []string) bool {
+	return r.c.learnFrom(ctx, addrs)
+}
+
+// Addresses implements representative.Node. Neighbours go first: one that does not answer is
+// soon none.
+func (r represented) Addresses(n int) (list []string) {
+	c := r.c
+	c.do(func() {
+		near, _ := c.split()
+		c.random.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+		list = append(list, c.self.Addr)
+		for _, m := range append(slices.Clone(c.neighbours), near...) {
+			if len(list) < n && !slices.Contains(list, m.Addr) {
+				list = append(list, m.Addr)
+			}
+		}
+	})
+	return list
+}
+
+// Others implements representative.Node.
+func (r represented) Others() (near []member.Record) {
+	r.c.do(func() { near, _ = r.c.split() })
+	return near
+}
+
+// Nodes implements representative.Node.
+func (r represented) Nodes() (n int) {
+	r.c.do(func() { n = r.c.near + 1 })
+	return n
+}
+
+// OtherZones implements representative.Node.
+func (r represented) OtherZones() (zones []string) {
+	r.c.do(func() {
+		_, far := r.c.split()
+		for _, m := range far {
+			zones = append(zones, m.Zone)
+		}
+	})
+	slices.Sort(zones)
+	return slices.Compact(zones)
+}
+
+// Sweep implements representative.Node.
+func (r represented) Sweep(ctx context.Context) { newSweeper(r.c).run(ctx) }
+
+// InForce implements representative.Node.
+func (r represented) InForce() (names []string) {
+	r.c.do(func() {
+		for config := range r.c.configs.Set.All {
+			if !config.Deleted {
+				names = append(names, config.Name)
+			}
+		}
+	})
+	return names
+}
+
+// HostOwner implements representative.Node.
+func (r represented) HostOwner(host string) string {
+	if s := r.c.Snapshot().Lookup(host); s != nil {
+		return s.Name
+	}
+	return ""
+}
+
+// PutInForce implements representative.Node.
+func (r represented) PutInForce(config acceptance.Config) {
+	r.c.do(func() { r.c.configs.Put(config) })
+}
+
+// Sequence implements representative.Node.
+func (r represented) Sequence(service string) (sequence uint64) {
+	r.c.do(func() {
+		config, _ := r.c.configs.Set.Get(service)
+		sequence = config.Sequence
+	})
+	return sequence
+}
+
+// SequenceAt implements representative.Node.
+func (r represented) SequenceAt(ctx context.Context, m member.Record, service string) (uint64, error) {
+	var p *peer.Client
+	r.c.do(func() { p = r.c.client(m.Addr) })
+	reply, err := reconcile.Ask[haveQuery, haveReply](ctx, p, topicHave, haveQuery{Service: service})
+	return reply.Sequence, err
+}
+
+// Upstreams implements representative.Node.
+func (r represented) Upstreams(service string) (n int) {
+	r.c.do(func() {
+		for _, m := range r.c.byService[service] {
+			if m.Zone == r.c.self.Zone {
+				n++
+			}
+		}
+	})
+	return n
+}
--- a/control/acceptor.go
+++ b/representative/acceptor.go
@@ -2,7 +2,7 @@
 // Use of this source code is governed by a BSD-style
 // license that can be found in the LICENSE file.
 
-package control
+package representative
 
 import (
 	"context"
@@ -16,11 +16,11 @@
 	"sassafrasfront.example/operator"
 )
 
-// acceptor makes operators' intents the configuration in force. All stewards
+// acceptor makes operators' intents the configuration in force. All representatives
 // may accept any intent. The first in the order for the service does so at
 // once, and each of the others waits a little longer, and finds it done.
 type acceptor struct {
-	control  *Control
+	*Representative
 	reporter *reporter
 
 	mu      sync.Mutex
@@ -38,13 +38,13 @@
 	failures int
 }
 
-func newAcceptor(c *Control, r *reporter) *acceptor {
+func newAcceptor(of *Representative, r *reporter) *acceptor {
 	return &acceptor{
-		control:  c,
-		reporter: r,
-		pending:  make(map[string]pendingIntent),
-		sources:  make(map[string]uint64),
-		wake:     make(chan struct{}, 1),
+		Representative: of,
+		reporter:       r,
+		pending:        make(map[string]pendingIntent),
+		sources:        make(map[string]uint64),
+		wake:           make(chan struct{}, 1),
 	}
 }
 
@@ -67,13 +67,9 @@
 // inForce returns the names of the services in force.
 func (a *acceptor) inForce() map[string]bool {
 	names := make(map[string]bool)
-	a.control.do(func() {
-		for r := range a.control.configs.Set.All {
-			if !r.Deleted {
-				names[r.Name] = true
-			}
-		}
-	})
+	for _, name := range a.Node.InForce() {
+		names[name] = true
+	}
 	return names
 }
 
@@ -95,12 +91,12 @@
 	}
 	name := o.Metadata.Name
 	a.done(name, spec.Source)
-	a.control.do(func() { a.control.configs.Put(acceptance.FromAccepted(name, spec)) })
+	a.Node.PutInForce(acceptance.FromAccepted(name, spec))
 	a.reporter.accepted(name, &spec)
 	return nil
 }
 
-// consider has an intent accepted when it is this steward's turn, unless it is
+// consider has an intent accepted when it is this representative's turn, unless it is
 // known to be done.
 func (a *acceptor) consider(in acceptance.Intent) {
 	if a.settled(in) {
@@ -131,35 +127,20 @@
 // takes a walk over all members, and a list of services asks for it often.
 const zonesFor = time.Second
 
-// turn returns how long this steward leaves an intent to those before it.
+// turn returns how long this representative leaves an intent to those before it.
 func (a *acceptor) turn(name string) time.Duration {
 	a.mu.Lock()
 	fresh := time.Since(a.zonesAt) < zonesFor
 	zones := a.zones
 	a.mu.Unlock()
-	c := a.control
 	if !fresh {
-		c.do(func() { zones = c.zones() })
+		zones = a.Node.OtherZones()
 		a.mu.Lock()
 		a.zones = zones
 		a.zonesAt = time.Now()
 		a.mu.Unlock()
 	}
-	return time.Duration(member.RankOf(name, c.Self.Zone, zones)) * c.Timing.Takeover
-}
-
-// zones returns the names of the other zones that have live nodes.
-func (c *Control) zones() []string {
-	_, far := c.split()
-	seen := make(map[string]bool)
-	var list []string
-	for _, r := range far {
-		if !seen[r.Zone] {
-			seen[r.Zone] = true
-			list = append(list, r.Zone)
-		}
-	}
-	return list
+	return time.Duration(member.RankOf(name, a.Zone, zones)) * a.Takeover
 }
 
 // acceptTick is how often the acceptor looks for what is due.
@@ -178,7 +159,7 @@
 		}
 		for _, p := range a.takeDue() {
 			if err := a.accept(ctx, p); err != nil {
-				a.control.Log.Warn().Err(err).Str("service", p.Name).Msg("accepting failed, trying again")
+				a.Log.Warn().Err(err).Str("service", p.Name).Msg("accepting failed, trying again")
 				a.again(p, err)
 			}
 		}
@@ -221,13 +202,13 @@
 		a.reporter.refused(p.Intent, f)
 		return nil
 	}
-	result, err := acceptance.Accept(ctx, a.control.API, p.Intent)
+	result, err := acceptance.Accept(ctx, a.API, p.Intent)
 	if err != nil {
 		return err
 	}
 	a.done(p.Name, p.Source)
 	if len(result.Refused) > 0 {
-		a.control.Log.Warn().Err(result.Refused).Str("service", p.Name).Msg("intent refused")
+		a.Log.Warn().Err(result.Refused).Str("service", p.Name).Msg("intent refused")
 		a.reporter.refused(p.Intent, result.Refused)
 	}
 	if result.Object == nil {
@@ -251,12 +232,11 @@
 		return nil
 	}
 	var f operator.Faults
-	hosts := a.control.Snapshot().Hosts
 	for i, h := range s.Hosts {
-		if other := hosts[h]; other != nil && other.Name != in.Name {
+		if other := a.Node.HostOwner(h); other != "" && other != in.Name {
 			f = append(f, operator.Fault{
 				Field:   fmt.Sprintf("hosts[%d]", i),
-				Message: fmt.Sprintf("%q belongs to the service %s", h, other.Name),
+				Message: fmt.Sprintf("%q belongs to the service %s", h, other),
 			})
 		}
 	}
--- a/control/lease.go
+++ b/representative/lease.go
@@ -2,69 +2,34 @@
 // Use of this source code is governed by a BSD-style
 // license that can be found in the LICENSE file.
 
-package control
+package representative
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
-	"sassafrasfront.example/internal/sleep"
 	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/operator"
 )
 
-const (
-	// candidates is the number of nodes of a zone that look after its lease:
-	// the first ones in an order that all nodes find alike. The others make no
-	// calls to the platform at all.
-	candidates = 3
-	// contactCount is the number of addresses in a Steward object.
-	contactCount = 8
-)
-
-// runSteward holds the zone's lease whenever this node can get it, and does the
-// steward's work meanwhile.
-func (c *Control) runSteward(ctx context.Context) {
-	l := lease{
-		control: c,
-		wait:    c.Timing.Lease,
-	}
-	for ctx.Err() == nil {
-		var rank, zone int
-		c.do(func() { rank, zone = c.stewardRank() })
-		switch {
-		case rank < candidates:
-			if l.acquire(ctx) {
-				l.hold(ctx)
-			}
-		case rand.IntN(zone) < candidates:
-			c.probeCandidates(ctx)
-		}
-		// The first in the order comes back soonest, so that those after it find
-		// the lease renewed.
-		pause := c.Timing.Lease * time.Duration(1+min(rank, candidates-1))
-		sleep.For(ctx, pause-rand.N(pause/4))
-	}
-}
+// contactCount is the number of addresses in a lease.
+const contactCount = 8
 
 // lease is the lease of this node's zone as this node last saw it.
 type lease struct {
-	control *Control
-	wait    time.Duration
-	object  *objectapi.Object
-	spec    operator.Steward
-	since   time.Time // when the present number of renewals was first seen
+	*Representative
+	object *objectapi.Object
+	spec   operator.Steward
+	since  time.Time // when the present number of renewals was first seen
 }
 
 // acquire takes the lease if there is none, or if it has not been renewed for
 // its duration, as this node's clock measures it. It returns whether this node
 // holds it now.
 func (l *lease) acquire(ctx context.Context) bool {
-	c := l.control
-	o, err := c.API.Get(ctx, operator.KindSteward, c.Self.Zone)
+	o, err := l.API.Get(ctx, operator.KindSteward, l.Zone)
 	switch {
 	case objectapi.IsNotFound(err):
 		l.object = nil
@@ -74,7 +39,7 @@
 	}
 	spec, err := objectapi.SpecOf[operator.Steward](o)
 	if err != nil {
-		c.Log.Error().Err(err).Msg("steward object can't be read")
+		l.Log.Error().Err(err).Msg("steward object can't be read")
 		return false
 	}
 	if l.object == nil || o.Metadata.ResourceVersion != l.object.Metadata.ResourceVersion {
@@ -87,7 +52,7 @@
 	}
 	// A holder that left in good order, or this node before its restart, is not
 	// waited for.
-	free := spec.Holder == "" || spec.Holder == c.Self.ID
+	free := spec.Holder == "" || spec.Holder == l.Node.Self().ID
 	if !free && time.Since(l.since) < spec.Duration.Std() {
 		return false
 	}
@@ -98,38 +63,30 @@
 // not know the holder, and returns whether one answered. Without it, a node that
 // took the lease before it knew the others could go on apart from them.
 func (l *lease) meet(ctx context.Context) bool {
-	c := l.control
-	var known bool
-	c.do(func() {
-		r, ok := c.members.Set.Get(l.spec.Holder)
-		known = c.live > 1 && (ok && r.Live() || l.spec.Holder == "")
-	})
-	return !known && c.learnFrom(ctx, l.spec.Contacts)
+	return !l.Node.Knows(l.spec.Holder) && l.Node.LearnFrom(ctx, l.spec.Contacts)
 }
 
 // write takes or renews the lease, and returns whether that succeeded.
 func (l *lease) write(ctx context.Context) bool {
-	c := l.control
+	self := l.Node.Self()
 	next := operator.Steward{
-		Renewals: l.spec.Renewals + 1,
-		Duration: operator.Duration(l.wait),
+		Holder:      self.ID,
+		Incarnation: self.Incarnation,
+		Renewals:    l.spec.Renewals + 1,
+		Duration:    operator.Duration(l.Lease),
+		Contacts:    l.Node.Addresses(contactCount),
 	}
-	c.do(func() {
-		next.Holder = c.self.ID
-		next.Incarnation = c.self.Incarnation
-		next.Contacts = c.contacts()
-	})
 	// A node that knows few others keeps the addresses that are there.
 	for _, addr := range l.spec.Contacts {
 		if len(next.Contacts) < contactCount && !slices.Contains(next.Contacts, addr) {
 			next.Contacts = append(next.Contacts, addr)
 		}
 	}
-	o := objectapi.NewObject(operator.KindSteward, c.Self.Zone, next)
+	o := objectapi.NewObject(operator.KindSteward, l.Zone, next)
 	if l.object != nil {
 		o = o.WithVersion(l.object.Metadata.ResourceVersion)
 	}
-	written, err := objectapi.Put(ctx, c.API, o)
+	written, err := objectapi.Put(ctx, l.API, o)
 	if err != nil {
 		return false
 	}
@@ -139,34 +96,19 @@
 	return true
 }
 
-// contacts returns the addresses of this node and of some others. Neighbours go
-// first: one that does not answer is soon none.
-func (c *Control) contacts() []string {
-	near, _ := c.split()
-	c.random.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-	list := []string{c.self.Addr}
-	for _, r := range append(slices.Clone(c.neighbours), near...) {
-		if len(list) < contactCount && !slices.Contains(list, r.Addr) {
-			list = append(list, r.Addr)
-		}
-	}
-	return list
-}
-
 // hold does the steward's work and renews the lease until it is lost to another
 // node or ctx ends. While the platform is down the work goes on: it does no
 // harm, as all that it writes it writes conditionally.
 func (l *lease) hold(ctx context.Context) {
-	c := l.control
-	c.Log.Info().Msg("steward of the zone")
-	c.steward.Store(true)
-	defer c.steward.Store(false)
+	l.Log.Info().Msg("steward of the zone")
+	l.holds.Store(true)
+	defer l.holds.Store(false)
 	work, cancel := context.WithCancel(ctx)
 	var done sync.WaitGroup
-	done.Go(func() { newStewardWork(c).run(work) })
+	done.Go(func() { newWork(l.Representative).run(work) })
 	defer done.Wait()
 	defer cancel()
-	tick := time.NewTicker(l.wait / 3)
+	tick := time.NewTicker(l.Lease / 3)
 	defer tick.Stop()
 	for {
 		select {
@@ -176,7 +118,7 @@
 		case <-tick.C:
 		}
 		if !l.renew(ctx) {
-			c.Log.Info().Str("holder", l.spec.Holder).Msg("no longer steward")
+			l.Log.Info().Str("holder", l.spec.Holder).Msg("no longer steward")
 			return
 		}
 	}
@@ -187,7 +129,7 @@
 	if l.write(ctx) {
 		return true
 	}
-	o, err := l.control.API.Get(ctx, operator.KindSteward, l.control.Self.Zone)
+	o, err := l.API.Get(ctx, operator.KindSteward, l.Zone)
 	if err != nil {
 		return true
 	}
@@ -197,7 +139,7 @@
 	}
 	l.object = o
 	l.spec = spec
-	return spec.Holder == l.control.Self.ID
+	return spec.Holder == l.Node.Self().ID
 }
 
 // giveBack frees the lease, so that the next steward need not wait.
@@ -206,6 +148,6 @@
 	defer cancel()
 	next := l.spec
 	next.Holder = ""
-	o := objectapi.NewObject(operator.KindSteward, l.control.Self.Zone, next)
-	_, _ = l.control.API.Update(ctx, o.WithVersion(l.object.Metadata.ResourceVersion))
+	o := objectapi.NewObject(operator.KindSteward, l.Zone, next)
+	_, _ = l.API.Update(ctx, o.WithVersion(l.object.Metadata.ResourceVersion))
 }
--- a/control/reporter.go
+++ b/representative/reporter.go
@@ -2,14 +2,14 @@
 // Use of this source code is governed by a BSD-style
 // license that can be found in the LICENSE file.
 
-package control
+package representative
 
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sassafrasfront.example/acceptance"
@@ -17,21 +17,21 @@
 	"sassafrasfront.example/member"
 	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/operator"
-	"sassafrasfront.example/peer"
-	"sassafrasfront.example/reconcile"
 )
 
 const (
 	// sample is the number of nodes of the zone that are asked whether they
 	// have a configuration. In a smaller zone all are asked.
 	sample = 16
-	// reportWindow is the time over which the stewards of all zones spread
+	// askTimeout bounds the wait for their answers.
+	askTimeout = time.Second
+	// reportWindow is the time over which the representatives of all zones spread
 	// their writes of a status.
 	reportWindow = 500 * time.Millisecond
 	// reportTries bounds the tries of one write of a status against other
-	// stewards.
+	// representatives.
 	reportTries = 8
-	// reportFor is how long a steward goes on asking for a configuration that
+	// reportFor is how long a representative goes on asking for a configuration that
 	// not all have, or that the zone's later members may lack.
 	reportFor = 30 * time.Second
 	reportAsk = 250 * time.Millisecond
@@ -41,7 +41,7 @@
 
 // reporter writes the statuses of services, as far as this zone is concerned.
 type reporter struct {
-	control *Control
+	*Representative
 
 	mu      sync.Mutex
 	pending map[reportKey]*report
@@ -65,11 +65,11 @@
 	members  int // of the zone, when all that were asked had it; 0 before
 }
 
-func newReporter(c *Control) *reporter {
+func newReporter(of *Representative) *reporter {
 	return &reporter{
-		control: c,
-		pending: make(map[reportKey]*report),
-		written: make(map[string]uint64),
+		Representative: of,
+		pending:        make(map[reportKey]*report),
+		written:        make(map[string]uint64),
 	}
 }
 
@@ -140,7 +140,7 @@
 
 // write asks how far the zone is and writes the status. The report stays
 // pending for a while after all that were asked have the configuration: a
-// steward that has just started may not know all members yet.
+// representative that has just started may not know all members yet.
 func (r *reporter) write(ctx context.Context, p *report) {
 	if p.members > 0 && p.members == r.zoneMembers() {
 		r.settle(p, nil, reportLook)
@@ -151,7 +151,7 @@
 	p.members = r.zoneMembers()
 	if p.accepted != nil {
 		zone := r.ask(ctx, p.name, p.accepted.Sequence)
-		next = statusOf(p.accepted, r.control.Self.Zone, zone)
+		next = statusOf(p.accepted, r.Zone, zone)
 		if zone.Having < zone.Asked {
 			wait = reportAsk
 			p.members = 0
@@ -167,9 +167,7 @@
 
 // zoneMembers returns the number of live nodes of the zone.
 func (r *reporter) zoneMembers() int {
-	var n int
-	r.control.do(func() { n = r.control.near + 1 })
-	return n
+	return r.Node.Nodes()
 }
 
 // settle keeps a report for later, or ends it when its time is over. One that
@@ -210,7 +208,7 @@
 	var err error
 	for range reportTries {
 		var present *objectapi.Object
-		present, err = r.control.API.Get(ctx, operator.KindServiceStatus, name)
+		present, err = r.API.Get(ctx, operator.KindServiceStatus, name)
 		if err != nil && !objectapi.IsNotFound(err) {
 			return err
 		}
@@ -226,7 +224,7 @@
 			}
 			o = objectapi.NewObject(operator.KindServiceStatus, name, merged).WithVersion(present.Metadata.ResourceVersion)
 		}
-		if _, err = objectapi.Put(ctx, r.control.API, o); !objectapi.IsConflict(err) {
+		if _, err = objectapi.Put(ctx, r.API, o); !objectapi.IsConflict(err) {
 			return err
 		}
 		sleep.For(ctx, rand.N(reportWindow/4))
@@ -265,29 +263,17 @@
 
 // ask returns how far this zone has a configuration.
 func (r *reporter) ask(ctx context.Context, name string, sequence uint64) operator.ZoneStatus {
-	c := r.control
-	var near []member.Record
-	var own uint64
+	near := r.Node.Others()
 	z := operator.ZoneStatus{
-		Sequence: sequence,
-		At:       time.Now().UTC(),
+		Sequence:  sequence,
+		At:        time.Now().UTC(),
+		Members:   len(near) + 1,
+		Upstreams: r.Node.Upstreams(name),
 	}
-	c.do(func() {
-		near, _ = c.split()
-		config, _ := c.configs.Set.Get(name)
-		own = config.Sequence
-		for _, m := range c.byService[name] {
-			if m.Zone == c.self.Zone {
-				z.Upstreams++
-			}
-		}
-	})
-	z.Members = len(near) + 1
-	near = slices.DeleteFunc(near, func(m member.Record) bool { return !m.Live() })
 	rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
 	near = near[:min(len(near), sample)]
 	z.Asked = len(near) + 1
-	if own >= sequence {
+	if r.Node.Sequence(name) >= sequence {
 		z.Having++
 	}
 	z.Having += r.askAll(ctx, near, name, sequence)
@@ -296,26 +282,22 @@
 
 // askAll returns how many of the nodes have the sequence, or a higher one.
 func (r *reporter) askAll(ctx context.Context, nodes []member.Record, name string, sequence uint64) int {
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	var mu sync.Mutex
-	var having int
+	var having atomic.Int32
 	var all sync.WaitGroup
 	for _, m := range nodes {
-		var p *peer.Client
-		r.control.do(func() { p = r.control.client(m.Addr) })
-		if p == nil {
-			continue
-		}
 		all.Go(func() {
-			reply, err := reconcile.Ask[haveQuery, haveReply](ctx, p, topicHave, haveQuery{Service: name})
-			if err == nil && reply.Sequence >= sequence {
-				mu.Lock()
-				having++
-				mu.Unlock()
+			theirs, err := r.Node.SequenceAt(ctx, m, name)
+			if err != nil {
+				r.Log.Debug().Err(err).Str("peer", m.ID).Str("service", name).Msg("sequence not told")
+				return
+			}
+			if theirs >= sequence {
+				having.Add(1)
 			}
 		})
 	}
 	all.Wait()
-	return having
+	return int(having.Load())
 }
