Words: representative, first of a zone, view and candidate, for steward, scout and picture

Seen outside: the metric sassafras_representative, GET /v1/view, and the kind Representative of the native dialect's leases, which take the place of Steward objects (those of an earlier version are left as they are, and nobody reads them). Nothing else changes.

--- a/acceptance/accept.go
+++ b/acceptance/accept.go
@@ -22,11 +22,11 @@
 	Refused operator.Faults
 }
 
-// acceptTries bounds the tries of one Accept against other stewards.
+// acceptTries bounds the tries of one Accept against other representatives.
 const acceptTries = 5
 
 // Accept makes an intent the configuration in force, unless that has been done
-// or the intent is invalid. Any number of stewards may do so at once, and each
+// or the intent is invalid. Any number of representatives may do so at once, and each
 // may be paused at any point: the conditional write decides.
 func Accept(ctx context.Context, api objectapi.API, in Intent) (Accepted, error) {
 	var lastErr error
--- a/acceptance/acceptance_test.go
+++ b/acceptance/acceptance_test.go
@@ -39,17 +39,17 @@
 		deleted  bool
 		refused  bool
 	}{
-		"first":                      {source: 1, spec: valid, sequence: 1},
-		"newer":                      {present: accepted(4, 8, false), source: 9, spec: valid, sequence: 5},
-		"the same again":             {present: accepted(4, 9, false), source: 9, spec: valid},
-		"older, by a paused steward": {present: accepted(4, 9, false), source: 8, spec: valid},
-		"invalid":                    {present: accepted(4, 8, false), source: 9, spec: invalid, refused: true},
-		"invalid and old":            {present: accepted(4, 9, false), source: 8, spec: invalid},
-		"deleted":                    {present: accepted(4, 8, false), source: 9, sequence: 5, deleted: true},
-		"deleted before":             {present: accepted(4, 8, true), source: 9},
-		"never there":                {source: 9},
-		"gone from an old list":      {present: accepted(4, 9, false), source: 8},
-		"created again":              {present: accepted(4, 8, true), source: 9, spec: valid, sequence: 5},
+		"first":                             {source: 1, spec: valid, sequence: 1},
+		"newer":                             {present: accepted(4, 8, false), source: 9, spec: valid, sequence: 5},
+		"the same again":                    {present: accepted(4, 9, false), source: 9, spec: valid},
+		"older, by a paused representative": {present: accepted(4, 9, false), source: 8, spec: valid},
+		"invalid":                           {present: accepted(4, 8, false), source: 9, spec: invalid, refused: true},
+		"invalid and old":                   {present: accepted(4, 9, false), source: 8, spec: invalid},
+		"deleted":                           {present: accepted(4, 8, false), source: 9, sequence: 5, deleted: true},
+		"deleted before":                    {present: accepted(4, 8, true), source: 9},
+		"never there":                       {source: 9},
+		"gone from an old list":             {present: accepted(4, 9, false), source: 8},
+		"created again":                     {present: accepted(4, 8, true), source: 9, spec: valid, sequence: 5},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -99,9 +99,9 @@
 	return o, err
 }
 
-// TestPausedStewardIsHarmless has one steward read, then another accept a newer
+// TestPausedRepresentativeIsHarmless has one representative read, then another accept a newer
 // intent, and then the first go on with its old one.
-func TestPausedStewardIsHarmless(t *testing.T) {
+func TestPausedRepresentativeIsHarmless(t *testing.T) {
 	ctx := context.Background()
 	_, api := start(t)
 	old := acceptance.Intent{Name: "a", Source: 5, Spec: []byte(`{"hosts":["old"]}`)}
@@ -119,10 +119,10 @@
 	qt.Check(t, a.Sequence, qt.Equals, uint64(1))
 }
 
-// TestStewardsRace has three stewards accept a stream of intents at once, with
+// TestRepresentativesRace has three representatives accept a stream of intents at once, with
 // answers lost. The sequences that they see form one growing history, and the
 // last intent is in force at the end.
-func TestStewardsRace(t *testing.T) {
+func TestRepresentativesRace(t *testing.T) {
 	ctx := context.Background()
 	s, api := start(t)
 	s.SetFaults(objectstore.Faults{LoseWrites: 0.2})
--- a/acceptance/decide.go
+++ b/acceptance/decide.go
@@ -44,7 +44,7 @@
 // Decide returns what to do about an intent, given the present Accepted object
 // or nil if there is none.
 //
-// An intent that is not newer than the one in force is done already: a steward
+// An intent that is not newer than the one in force is done already: a representative
 // that was paused, or reads old state, then writes nothing. If the present
 // object is itself out of date, the conditional write fails.
 func Decide(in Intent, present *objectapi.Object, now time.Time) (Decision, error) {
--- a/blocklist/ledger.go
+++ b/blocklist/ledger.go
@@ -30,7 +30,7 @@
 	// readers is how many of the nodes that start at once are expected to do so: what one
 	// reads it tells the others. None does once in thirty thousand million times.
 	readers = 24
-	// sweepEvery is the time between two reads by a zone's scout, which deletes the
+	// sweepEvery is the time between two reads by a zone's first node, which deletes the
 	// blocks that count no more.
 	sweepEvery = time.Hour
 )
@@ -71,8 +71,8 @@
 	API objectapi.Objects
 	// Report is called with each block that is read.
 	Report func(r quarantine.Report)
-	// Scout, if not nil, returns whether this node looks after the blocks for its zone.
-	Scout func() bool
+	// FirstOfZone, if not nil, returns whether this node looks after the blocks for its zone.
+	FirstOfZone func() bool
 	// Nodes, if not nil, returns the number of nodes that there are.
 	Nodes func() int
 	// Log takes the failures.
@@ -80,7 +80,7 @@
 }
 
 // Run reads the blocks, once more a little later unless there are many nodes and others do, and
-// now and then if this node is the scout, until ctx ends.
+// now and then if this node is the first of its zone, until ctx ends.
 func (l *Ledger) Run(ctx context.Context) {
 	l.Load(ctx)
 	sleep.For(ctx, lookAgain/2+rand.N(lookAgain))
@@ -89,7 +89,7 @@
 	}
 	for ctx.Err() == nil {
 		sleep.For(ctx, sweepEvery/2+rand.N(sweepEvery))
-		if ctx.Err() == nil && l.Scout != nil && l.Scout() {
+		if ctx.Err() == nil && l.FirstOfZone != nil && l.FirstOfZone() {
 			l.Load(ctx)
 		}
 	}
--- a/cmd/sassafrasbench/controls.go
+++ b/cmd/sassafrasbench/controls.go
@@ -46,7 +46,7 @@
 		if !n.Running() {
 			continue
 		}
-		p, err := n.Picture()
+		p, err := n.View()
 		if err != nil {
 			return 0
 		}
@@ -189,7 +189,7 @@
 	return true
 }
 
-// race has operators write at once, while stewards race to accept and answers
+// race has operators write at once, while representatives race to accept and answers
 // are lost.
 func race(ctx context.Context, b *bench) error {
 	spec := small(9)
--- a/cmd/sassafrasbench/experiments.go
+++ b/cmd/sassafrasbench/experiments.go
@@ -38,7 +38,7 @@
 	{"hedge", "with and without hedging", hedge},
 	{"config", "a change each second at 30 nodes, with kills", config},
 	{"outage", "the platform off for longer than every lease", outage},
-	{"race", "operators and stewards race under lost answers", race},
+	{"race", "operators and representatives race under lost answers", race},
 	{"platformcost", "calls on the platform at 9, 30 and 90 nodes", platformCost},
 	{"controlcost", "control traffic, processor time and memory per node at 9, 30 and 90 nodes", controlCost},
 }
--- a/cmd/sassafrasbench/faults_test.go
+++ b/cmd/sassafrasbench/faults_test.go
@@ -176,11 +176,11 @@
 				nodes = append(nodes, n)
 			}
 			known := func() bool {
-				p, err := entry.Picture()
+				p, err := entry.View()
 				return err == nil && len(p.Upstreams[service]) == test.upstreams
 			}
 			if err := rig.Poll(ctx, known); err != nil {
-				p, _ := entry.Picture()
+				p, _ := entry.View()
 				t.Fatalf("%v: the entry knows %v of %s", err, p.Upstreams[service], service)
 			}
 			if got := ask(ctx, entry, service, "GET", "/", service+"-warm"); got.status != 200 {
--- a/cmd/sassafrasbench/rig/node.go
+++ b/cmd/sassafrasbench/rig/node.go
@@ -187,9 +187,9 @@
 	return put(url, a)
 }
 
-// Picture returns what the node knows.
-func (n *Node) Picture() (node.Picture, error) {
-	var p node.Picture
-	err := get(n.OperatorURL()+"/v1/picture", &p)
+// View returns what the node knows.
+func (n *Node) View() (node.View, error) {
+	var p node.View
+	err := get(n.OperatorURL()+"/v1/view", &p)
 	return p, err
 }
--- a/cmd/sassafrasbench/rig/rig.go
+++ b/cmd/sassafrasbench/rig/rig.go
@@ -238,7 +238,7 @@
 			if !n.Running() {
 				continue
 			}
-			p, err := n.Picture()
+			p, err := n.View()
 			if err != nil {
 				return false
 			}
--- a/control/bootstrap.go
+++ b/control/bootstrap.go
@@ -20,42 +20,42 @@
 
 // bootstrap learns from a first peer. It goes on until one has answered, or this
 // node has met others in another way. The first node of a system goes on for
-// long, so as a steward it asks seldom. A node that is itself a first peer goes on until
+// long, so as a representative it asks seldom. A node that is itself a first peer goes on until
 // it knows the other ones: others may have met it before.
 func (c *Control) bootstrap(ctx context.Context) {
 	contacts := slices.Clone(c.Contacts) // others have the same ones
 	rand.Shuffle(len(contacts), func(i, j int) { contacts[i], contacts[j] = contacts[j], contacts[i] })
 	first := slices.Contains(contacts, c.Self.Addr)
 	for n := 0; ctx.Err() == nil; n++ {
-		learnt := c.learnFrom(ctx, contacts) || c.API != nil && c.learnFromStewards(ctx)
+		learnt := c.learnFrom(ctx, contacts) || c.API != nil && c.learnFromLeases(ctx)
 		if first {
-			contacts = c.strangers(contacts)
+			contacts = c.unknown(contacts)
 		}
 		if first && len(contacts) == 0 || !first && (learnt || !c.alone()) {
 			return
 		}
 		pause := objectapi.Backoff(n, nil)
-		if c.Steward() {
+		if c.Represents() {
 			pause = max(pause, c.Timing.Lease)
 		}
 		sleep.For(ctx, pause)
 	}
 }
 
-// learnFromStewards learns from a contact of the steward of this node's zone,
+// learnFromLeases learns from a contact of the representative of this node's zone,
 // or of another zone's, and returns whether one answered.
-func (c *Control) learnFromStewards(ctx context.Context) bool {
-	s, ok := c.readSteward(ctx, c.Self.Zone)
+func (c *Control) learnFromLeases(ctx context.Context) bool {
+	s, ok := c.readLease(ctx, c.Self.Zone)
 	if ok && c.learnFrom(ctx, s.Contacts) {
 		return true
 	}
-	l, err := c.API.List(ctx, operator.KindSteward)
+	l, err := c.API.List(ctx, operator.KindRepresentative)
 	if err != nil {
 		return false
 	}
 	rand.Shuffle(len(l.Items), func(i, j int) { l.Items[i], l.Items[j] = l.Items[j], l.Items[i] })
 	for _, o := range l.Items {
-		s, err := objectapi.SpecOf[operator.Steward](o)
+		s, err := objectapi.SpecOf[operator.Representative](o)
 		if err == nil && c.learnFrom(ctx, s.Contacts) {
 			return true
 		}
@@ -85,26 +85,26 @@
 	return false
 }
 
-// readSteward returns the lease of a zone's steward, if there is one.
-func (c *Control) readSteward(ctx context.Context, zone string) (operator.Steward, bool) {
-	o, err := c.API.Get(ctx, operator.KindSteward, zone)
+// readLease returns the lease of a zone's representative, if there is one.
+func (c *Control) readLease(ctx context.Context, zone string) (operator.Representative, bool) {
+	o, err := c.API.Get(ctx, operator.KindRepresentative, zone)
 	if err != nil {
-		return operator.Steward{}, false
+		return operator.Representative{}, false
 	}
-	s, err := objectapi.SpecOf[operator.Steward](o)
+	s, err := objectapi.SpecOf[operator.Representative](o)
 	return s, err == nil
 }
 
 const (
 	// meetFirst is the wait between two looks into the book at the start, which
-	// grows fourfold each time up to meetOften for a scout. Other nodes look again
-	// after meetSeldom, once they know any.
+	// grows fourfold each time up to meetOften for the first node of a zone. Others look
+	// again after meetSeldom, once they know any.
 	meetFirst  = 500 * time.Millisecond
 	meetOften  = 10 * time.Second
 	meetSeldom = 2 * time.Minute
 	meetGrowth = 4
-	// meetCheck is how often a node looks whether it has become the scout, which looks
-	// more often.
+	// meetCheck is how often a node looks whether it has become the first of its zone,
+	// which looks more often.
 	meetCheck = time.Second
 	// meetAgain is the wait before the same addresses are tried again, and meetTries how
 	// often they are tried, by a node that knew none to answer: at a start of all at
@@ -127,16 +127,16 @@
 	// nobody write themselves in.
 	firstPeersTime  = 400 * time.Millisecond
 	firstPeersCheck = 20 * time.Millisecond
-	// registerAfter is the mean time after which a node that is no scout decides on that: it
-	// then knows how many there are.
+	// registerAfter is the mean time after which a node that is not the first of its zone
+	// decides on that: it then knows how many there are.
 	registerAfter = 2 * time.Second
 )
 
 // meet looks into the book for nodes that this one does not know, and learns from
 // some of them, time and again: two groups of nodes that have met only among
 // themselves, as may happen at a start of all at once or after a partition, would
-// otherwise never hear of each other. Each has scouts, which stand in the book and
-// look into it.
+// otherwise never hear of each other. The first node of each zone in each group stands
+// in the book and looks into it.
 func (c *Control) meet(ctx context.Context) {
 	var listed atomic.Int32 // at the latest look
 	listed.Store(notLooked)
@@ -146,10 +146,10 @@
 	c.awaitFirstPeer(ctx)
 	pause := meetFirst
 	for n := 0; ctx.Err() == nil; n++ {
-		if n > 0 || c.alone() || c.Scout() {
+		if n > 0 || c.alone() || c.FirstOfZone() {
 			c.lookAndMeet(ctx, &listed)
 		}
-		if c.registersAsScout(n) {
+		if c.registersAsFirst(n) {
 			c.Register(ctx)
 		}
 		c.restUntilMeeting(ctx, pause)
@@ -173,10 +173,10 @@
 // lookAndMeet looks into the book and learns from some nodes there that this one does not know.
 func (c *Control) lookAndMeet(ctx context.Context, listed *atomic.Int32) {
 	addrs := c.look(ctx, listed)
-	c.meetSome(ctx, c.strangers(slices.Clone(addrs)))
+	c.meetSome(ctx, c.unknown(slices.Clone(addrs)))
 	for try := 1; try < meetTries && len(addrs) > 0 && c.alone() && ctx.Err() == nil; try++ {
 		sleep.For(ctx, meetAgain/2+rand.N(meetAgain))
-		c.meetSome(ctx, c.strangers(slices.Clone(addrs)))
+		c.meetSome(ctx, c.unknown(slices.Clone(addrs)))
 	}
 }
 
@@ -207,32 +207,32 @@
 	}
 }
 
-// registers returns whether a node that is no scout writes itself into the book, given how many
-// nodes it knows, how many stand there, and a draw within 0 and 1: of all that start at once
+// registers returns whether a node that is not the first of its zone writes itself into the
+// book, given how many nodes it knows, how many stand there, and a draw within 0 and 1: of all that start at once
 // some enoughContacts do, however many they are.
 func registers(nodes, listed int, draw float64) bool {
 	chance := min(registerChance, enoughContacts/float64(max(1, nodes)))
 	return listed < enoughContacts && draw < chance
 }
 
-// registersAsScout returns whether this node writes itself into the book after look n, from 0,
-// as a scout or as one that knows no other. At a start of all at once nobody stands there, and
-// the first ones that have waited for a moment are enough.
-func (c *Control) registersAsScout(n int) bool {
+// registersAsFirst returns whether this node writes itself into the book after look n, from 0,
+// as the first of its zone or as one that knows no other. At a start of all at once nobody
+// stands there, and the first ones that have waited for a moment are enough.
+func (c *Control) registersAsFirst(n int) bool {
 	if c.Register == nil || n == 0 && c.alone() {
 		return false
 	}
-	return c.Scout() // who knows no other is the scout
+	return c.FirstOfZone() // who knows no other is the first of its zone
 }
 
-// restUntilMeeting waits until the next look: for about the given time at a scout, and
-// for long at another node.
+// restUntilMeeting waits until the next look: for about the given time at the first
+// node of a zone, and for long at another.
 func (c *Control) restUntilMeeting(ctx context.Context, often time.Duration) {
 	often = often/2 + rand.N(often)
 	seldom := meetSeldom/2 + rand.N(meetSeldom)
 	began := time.Now()
 	sleep.For(ctx, often)
-	for ctx.Err() == nil && !c.Scout() && time.Since(began) < seldom {
+	for ctx.Err() == nil && !c.FirstOfZone() && time.Since(began) < seldom {
 		sleep.For(ctx, meetCheck)
 	}
 }
@@ -243,8 +243,8 @@
 	return alone
 }
 
-// strangers returns those of some addresses that no known node has.
-func (c *Control) strangers(addrs []string) []string {
+// unknown returns those of some addresses that no known node has.
+func (c *Control) unknown(addrs []string) []string {
 	known := make(map[string]bool)
 	c.do(func() {
 		for r := range c.members.Set.All {
@@ -271,7 +271,7 @@
 				if met.Load() >= meetAtOnce || ctx.Err() != nil {
 					return
 				}
-				if met.Load() > 0 && len(c.strangers([]string{addr})) == 0 {
+				if met.Load() > 0 && len(c.unknown([]string{addr})) == 0 {
 					continue // learnt of meanwhile
 				}
 				if c.meetOne(ctx, addr) {
--- a/control/candidates.go
+++ b/control/candidates.go
@@ -14,10 +14,10 @@
 	"sassafrasfront.example/reconcile"
 )
 
-// stewardRank returns this node's place among the live nodes of its zone, and
+// zoneRank returns this node's place among the live nodes of its zone, and
 // their number. Nodes that are suspected don't count. Those that can't reach the
 // platform come after those that can.
-func (c *Control) stewardRank() (rank, zone int) {
+func (c *Control) zoneRank() (rank, zone int) {
 	ids := c.candidateIDs()
 	seeing := slices.DeleteFunc(slices.Clone(ids), c.blind)
 	switch {
@@ -69,7 +69,7 @@
 	}
 }
 
-// probeCandidates asks the candidates for stewardship in their order for a sign
+// probeCandidates asks the candidates in their order for a sign
 // of life until one answers, and tells it of those before it that did not. All
 // candidates may have died at once, and the nodes after them would not know
 // that it is their turn. A few nodes of each zone do so in each period, so the
--- a/control/control.go
+++ b/control/control.go
@@ -44,18 +44,18 @@
 	// Turnover is the time after which one neighbour is replaced by another.
 	// The default is 10 s.
 	Turnover time.Duration
-	// Lease is the duration of a steward's lease. The default is 15 s.
+	// Lease is the duration of a representative's lease. The default is 15 s.
 	Lease time.Duration
-	// Bridge is the time after which a steward looks for nodes of other zones
+	// Bridge is the time after which a representative looks for nodes of other zones
 	// that it has lost. The default is 60 s.
 	Bridge time.Duration
 	// Patience is the time of silence after which a node is removed. The
 	// default is 3 min.
 	Patience time.Duration
-	// Sweep is the time in which a steward asks all nodes of its zone for a sign
+	// Sweep is the time in which a representative asks all nodes of its zone for a sign
 	// of life. The default is 60 s.
 	Sweep time.Duration
-	// Takeover is the wait of a steward for each of those that come before it
+	// Takeover is the wait of a representative for each of those that come before it
 	// in accepting a change. The default is 300 ms.
 	Takeover time.Duration
 }
@@ -213,15 +213,15 @@
 // state.
 const jobQueue = 256
 
-// Snapshot returns the present picture.
+// Snapshot returns what is known and in force now.
 func (c *Control) Snapshot() *Snapshot {
 	c.init()
 	return c.snapshot.Load()
 }
 
-// Steward returns whether this node holds its zone's lease, as far as it
+// Represents returns whether this node holds its zone's lease, as far as it
 // knows.
-func (c *Control) Steward() bool {
+func (c *Control) Represents() bool {
 	r := c.represents.Load()
 	return r != nil && r.Holds()
 }
@@ -237,7 +237,7 @@
 	defer cancel()
 	if c.Book != nil {
 		work.Go(func() { c.meet(ctx) })
-		work.Go(func() { newSweeper(c).runAsScout(ctx) })
+		work.Go(func() { newSweeper(c).runAsFirst(ctx) })
 	}
 	if c.Book == nil || len(c.Contacts) > 0 {
 		work.Go(func() { c.bootstrap(ctx) })
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -146,7 +146,7 @@
 			for _, r := range n.neighbours {
 				near = append(near, r.ID)
 			}
-			c.t.Logf("%s: steward=%v live=%d neighbours=%v suspects=%d comparing=%v sequences=%v", n.Self.ID, n.Steward(), n.live, near, len(n.suspects), n.comparing, n.Snapshot().Sequences)
+			c.t.Logf("%s: representative=%v live=%d neighbours=%v suspects=%d comparing=%v sequences=%v", n.Self.ID, n.Represents(), n.live, near, len(n.suspects), n.comparing, n.Snapshot().Sequences)
 		})
 	}
 	l, err := c.api.List(context.Background(), operator.KindAccepted)
@@ -335,19 +335,19 @@
 	c.allHave("a", sequence)
 }
 
-// TestStewardDies kills stewards one after another. Another node of the zone
+// TestRepresentativeDies kills representatives one after another. Another node of the zone
 // takes over, and changes are accepted again.
-func TestStewardDies(t *testing.T) {
+func TestRepresentativeDies(t *testing.T) {
 	c := newCluster(t)
 	for i := range 8 {
 		c.add(fmt.Sprint("n", i), "z0")
 	}
 	for i := range 5 {
-		var steward *testNode
-		c.eventually("a steward", func() bool {
+		var representative *testNode
+		c.eventually("a representative", func() bool {
 			for _, n := range c.nodes {
-				if n.Steward() {
-					steward = n
+				if n.Represents() {
+					representative = n
 					return true
 				}
 			}
@@ -355,9 +355,9 @@
 		})
 		c.apply("a", fmt.Sprintf(`{"hosts":["a.example"],"timeout":"%ds"}`, i+1))
 		c.allHave("a", uint64(i+1))
-		steward.stop()
+		representative.stop()
 		for j, n := range c.nodes {
-			if n == steward {
+			if n == representative {
 				c.nodes = append(c.nodes[:j:j], c.nodes[j+1:]...)
 				break
 			}
@@ -496,7 +496,7 @@
 	c.apply("a", `{"hosts":["a.example"],"policy":"random"}`)
 	c.eventually("some node of the late zone has it", func() bool {
 		for _, n := range c.nodes[24:] {
-			if n.Snapshot().Sequences["a"] == 2 && !n.Steward() {
+			if n.Snapshot().Sequences["a"] == 2 && !n.Represents() {
 				return true
 			}
 		}
@@ -504,7 +504,7 @@
 	})
 }
 
-// TestWorkAfterTheEnd has a steward's work go on for a moment after the control
+// TestWorkAfterTheEnd has a representative's work go on for a moment after the control
 // goroutine has ended.
 func TestWorkAfterTheEnd(t *testing.T) {
 	c := newCluster(t)
@@ -518,13 +518,13 @@
 	qt.Check(t, err, qt.IsNotNil)
 }
 
-// TestIslandIsFound has a steward that knows nobody and that nobody knows, as
+// TestIslandIsFound has a representative that knows nobody and that nobody knows, as
 // the others learnt of each other by their settings.
 func TestIslandIsFound(t *testing.T) {
 	c := newCluster(t)
 	island := c.add("island", "z0")
-	c.eventually("the island is steward", island.Steward)
-	// The others learn from each other, and so never ask for the steward's
+	c.eventually("the island has the lease", island.Represents)
+	// The others learn from each other, and so never ask for the representative's
 	// contacts.
 	a, b := c.listener(), c.listener()
 	c.addAt(a, "n0", "z0", b.Addr().String())
--- a/control/doc.go
+++ b/control/doc.go
@@ -2,7 +2,7 @@
 // Use of this source code is governed by a BSD-style
 // license that can be found in the LICENSE file.
 
-// Package control keeps a node's picture of the system: which nodes there are,
+// Package control keeps a node's view of the system: which nodes there are,
 // and which configuration is in force.
 //
 // One goroutine owns all of that state. It publishes immutable snapshots, which
@@ -12,7 +12,7 @@
 //
 // What a node learns it pushes to a few random nodes, and once a second it
 // compares its state with one of its neighbours. One node of each availability
-// zone, its steward, talks to the platform: it accepts configurations, removes
-// nodes that are gone and writes statuses. Stewardship is a lease that saves
+// zone, its representative, talks to the platform: it accepts configurations, removes
+// nodes that are gone and writes statuses. It holds a lease that saves
 // calls; nothing breaks when two nodes think they hold it.
 package control
--- a/control/neighbours.go
+++ b/control/neighbours.go
@@ -61,7 +61,7 @@
 
 // turnOver replaces one neighbour and fills up their number. Changes and
 // comparisons go to neighbours only, so that few connections are needed; as
-// they change, the picture of each node comes to each other.
+// they change, what each node knows comes to each other.
 func (c *Control) turnOver() {
 	near, far := c.split()
 	kept := slices.DeleteFunc(c.neighbours, func(r member.Record) bool {
--- a/control/reads.go
+++ b/control/reads.go
@@ -100,8 +100,8 @@
 
 // place returns the node's place among the others. The leader is the first of the
 // live nodes that are not suspected and that the platform answers. Its order is that
-// of stewardship in the first zone, so that where there is one zone, the leader is its
-// scout.
+// of representatives in the first zone, so that where there is one zone, the leader is
+// its first node.
 func (c *Control) place(now time.Time) follow.Place {
 	if now.Sub(c.placed) < placeEvery {
 		return c.lastPlace
--- a/control/represent.go
+++ b/control/represent.go
@@ -41,7 +41,7 @@
 
 // Rank implements representative.Node.
 func (r represented) Rank() (rank, nodes int) {
-	r.c.do(func() { rank, nodes = r.c.stewardRank() })
+	r.c.do(func() { rank, nodes = r.c.zoneRank() })
 	return rank, nodes
 }
 
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -17,7 +17,7 @@
 	"sassafrasfront.example/routes"
 )
 
-// Snapshot is a node's picture at one moment. It is an immutable value.
+// Snapshot is a node's view at one moment. It is an immutable value.
 type Snapshot struct {
 	// Services are the services in force by name.
 	Services map[string]*entry.Service
--- a/control/sweeper.go
+++ b/control/sweeper.go
@@ -24,7 +24,7 @@
 )
 
 // sweeper removes the nodes of a zone that are silent for long. One node of each
-// zone sweeps: its steward, or its scout where there are no stewards.
+// zone sweeps: its representative, or its first node where there are no representatives.
 type sweeper struct {
 	*Control
 	liveness member.Liveness
@@ -41,11 +41,11 @@
 	}
 }
 
-// runAsScout sweeps while this node is its zone's scout, until ctx ends.
-func (s *sweeper) runAsScout(ctx context.Context) {
+// runAsFirst sweeps while this node is its zone's first node, until ctx ends.
+func (s *sweeper) runAsFirst(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep.For(ctx, s.Timing.Sweep)
-		if s.Scout() {
+		if s.FirstOfZone() {
 			s.round(ctx)
 		}
 	}
--- a/control/table.go
+++ b/control/table.go
@@ -12,16 +12,16 @@
 	"sassafrasfront.example/routes"
 )
 
-// Scout returns whether this node is the one of its zone that looks after the
+// FirstOfZone returns whether this node is the one of its zone that looks after the
 // platform most closely, as far as it knows. It is the first of the zone's live
-// nodes in the order of stewardship.
-func (c *Control) Scout() bool {
+// nodes in the order of representatives.
+func (c *Control) FirstOfZone() bool {
 	c.init()
 	var rank int
-	return c.do(func() { rank, _ = c.stewardRank() }) && rank == 0
+	return c.do(func() { rank, _ = c.zoneRank() }) && rank == 0
 }
 
-// sighted takes in whether the platform answered this node. The scout of a zone and
+// sighted takes in whether the platform answered this node. The first node of a zone and
 // the leader of all nodes, if the platform does not answer them, tell the others, so
 // that another node takes their place: a partition may part them from the platform
 // alone. Other nodes keep it to
@@ -30,7 +30,7 @@
 	if answered == !c.self.Blind {
 		return
 	}
-	rank, _ := c.stewardRank()
+	rank, _ := c.zoneRank()
 	if !answered && rank > 0 && !c.place(time.Now()).Leads {
 		return
 	}
--- a/control/table_test.go
+++ b/control/table_test.go
@@ -122,8 +122,8 @@
 	qt.Check(t, first.Snapshot().Services["s"], qt.IsNotNil)
 }
 
-// TestScoutRemovesSilentNode has a node fall silent where there are no stewards.
-func TestScoutRemovesSilentNode(t *testing.T) {
+// TestFirstOfZoneRemovesSilentNode has a node fall silent where there are no representatives.
+func TestFirstOfZoneRemovesSilentNode(t *testing.T) {
 	c := newCluster(t)
 	list := c.tableNodes(4)
 	mute := list[3]
@@ -139,40 +139,40 @@
 	c.eventually("three are left", func() bool { return list[0].liveNodes() == 3 })
 }
 
-// TestBlindScoutIsReplaced has the platform stop answering a zone's scout, then
+// TestBlindFirstOfZoneIsReplaced has the platform stop answering a zone's first node, then
 // its successor as well, then every node, and answer all of them again.
-func TestBlindScoutIsReplaced(t *testing.T) {
+func TestBlindFirstOfZoneIsReplaced(t *testing.T) {
 	c := newCluster(t)
 	list := c.tableNodes(3)
-	scouts := func() (ids []string) {
+	firsts := func() (ids []string) {
 		for _, n := range list {
-			if n.Scout() {
+			if n.FirstOfZone() {
 				ids = append(ids, n.Self.ID)
 			}
 		}
 		return ids
 	}
-	one := func() bool { return len(scouts()) == 1 }
+	one := func() bool { return len(firsts()) == 1 }
 	node := func(id string) *testNode { return list[id[0]-'a'] }
-	c.eventually("one scout", one)
-	first := scouts()[0]
+	c.eventually("one first node", one)
+	first := firsts()[0]
 	for _, n := range list {
 		if n.Self.ID != first {
-			n.Read(false, 0) // it is no scout, and tells nobody
+			n.Read(false, 0) // it is not the first of its zone, and tells nobody
 		}
 	}
-	qt.Check(t, scouts(), qt.DeepEquals, []string{first})
+	qt.Check(t, firsts(), qt.DeepEquals, []string{first})
 	node(first).Read(false, 0)
-	c.eventually("a second scout", func() bool { return one() && scouts()[0] != first })
-	second := scouts()[0]
+	c.eventually("another first node", func() bool { return one() && firsts()[0] != first })
+	second := firsts()[0]
 	node(second).Read(false, 0)
-	c.eventually("a third scout", func() bool { return one() && scouts()[0] != first && scouts()[0] != second })
-	node(scouts()[0]).Read(false, 0)
+	c.eventually("a third one", func() bool { return one() && firsts()[0] != first && firsts()[0] != second })
+	node(firsts()[0]).Read(false, 0)
 	c.eventually("all are blind, and one of them goes on asking", one)
 	for _, n := range list {
 		n.Read(true, 0)
 	}
-	c.eventually("the first again", func() bool { return one() && scouts()[0] == first })
+	c.eventually("the first again", func() bool { return one() && firsts()[0] == first })
 }
 
 // fakePlatform is a platform with one table of routes, which it gives to the nodes that
--- a/entry/do.go
+++ b/entry/do.go
@@ -173,8 +173,8 @@
 	a, failure := f.dispatcher.start(f.ctx, f.service, f.request, f.tried, f.refused)
 	if a != nil {
 		f.tried = append(f.tried, a.member.ID)
-		picture, age := a.use.Picture()
-		f.note(Step{Event: EventSent, Node: a.member.ID, Picture: picture, Age: age, Trial: a.member.Trial})
+		candidate, age := a.use.Candidate()
+		f.note(Step{Event: EventSent, Node: a.member.ID, Candidate: candidate, Age: age, Trial: a.member.Trial})
 	}
 	if failure != nil {
 		return failure
--- a/entry/step.go
+++ b/entry/step.go
@@ -19,10 +19,10 @@
 	Event Event
 	// Node is the node that it concerns, or empty.
 	Node string
-	// Picture is what the node was chosen by, and Age the age of the report that
+	// Candidate is what the node was chosen by, and Age the age of the report that
 	// it rests on, negative if there was none. They are set for EventSent.
-	Picture route.Candidate
-	Age     time.Duration
+	Candidate route.Candidate
+	Age       time.Duration
 	// Trial is whether that node's upstream is of a version on trial. It is set for EventSent.
 	Trial bool
 	// Cause is why a sending failed. It is set for EventFailed.
--- a/member/doc.go
+++ b/member/doc.go
@@ -9,6 +9,6 @@
 // A node takes a new, higher incarnation each time it starts. Within it, it
 // counts the versions of its record. Whoever hears two versions keeps the newer
 // one, so records may be lost, repeated and reordered on the way. A record goes
-// only by a tombstone that a steward writes after the node was silent for long;
+// only by a tombstone that a representative writes after the node was silent for long;
 // a node that reads its own tombstone takes a higher incarnation and is back.
 package member
--- a/member/record.go
+++ b/member/record.go
@@ -23,7 +23,7 @@
 	Draining State = "draining"
 	// Left means that the node has stopped in good order.
 	Left State = "left"
-	// Removed means that a steward took the node for gone.
+	// Removed means that a representative took the node for gone.
 	Removed State = "removed"
 )
 
@@ -141,7 +141,7 @@
 	return r
 }
 
-// Tombstone returns the record by which a steward removes the node. It comes
+// Tombstone returns the record by which a representative removes the node. It comes
 // after all that the node has said, and before anything that the node says in
 // its next incarnation.
 func (r Record) Tombstone() Record {
--- a/node/build.go
+++ b/node/build.go
@@ -169,11 +169,11 @@
 // blocklistOn returns the blocked requests that a platform keeps.
 func (n *Node) blocklistOn(api objectapi.Objects) *blocklist.Ledger {
 	return &blocklist.Ledger{
-		API:    api,
-		Report: n.control.Report,
-		Scout:  n.control.Scout,
-		Nodes:  func() int { return n.control.Snapshot().Members },
-		Log:    n.Log,
+		API:         api,
+		Report:      n.control.Report,
+		FirstOfZone: n.control.FirstOfZone,
+		Nodes:       func() int { return n.control.Snapshot().Members },
+		Log:         n.Log,
 	}
 }
 
--- a/node/events.go
+++ b/node/events.go
@@ -72,13 +72,13 @@
 	e := n.Log.Info().Str("requestId", id).Dur("afterMs", s.After)
 	switch s.Event {
 	case entry.EventSent:
-		e = e.Str("to", s.Node).Str("load", fmt.Sprintf("%.1f/%d", s.Picture.Load, s.Picture.Allowed)).
-			Float64("slowdown", s.Picture.Slowdown).Float64("failing", s.Picture.Failing).Dur("serviceMs", s.Picture.Service).Dur("reportAgeMs", s.Age)
+		e = e.Str("to", s.Node).Str("load", fmt.Sprintf("%.1f/%d", s.Candidate.Load, s.Candidate.Allowed)).
+			Float64("slowdown", s.Candidate.Slowdown).Float64("failing", s.Candidate.Failing).Dur("serviceMs", s.Candidate.Service).Dur("reportAgeMs", s.Age)
 		if s.Trial {
 			e = e.Bool("trial", true)
 		}
-		if s.Picture.Transfer > 0 {
-			e = e.Dur("transferMs", s.Picture.Transfer)
+		if s.Candidate.Transfer > 0 {
+			e = e.Dur("transferMs", s.Candidate.Transfer)
 		}
 	case entry.EventAside:
 		e = e.Str("from", s.Node).Int("status", http.StatusInternalServerError)
--- a/node/handlers.go
+++ b/node/handlers.go
@@ -72,7 +72,7 @@
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.set.WritePrometheus(w) })
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /readyz", n.ready)
-	mux.HandleFunc("GET /v1/picture", n.picture)
+	mux.HandleFunc("GET /v1/view", n.view)
 	mux.HandleFunc("GET /v1/zones", n.listZones)
 	mux.HandleFunc("GET /v1/rollouts", n.listRollouts)
 	mux.HandleFunc("GET /v1/organisations", n.listOrganisations)
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -38,8 +38,8 @@
 	gauge := m.gauge
 	m.upstreamGauges(n)
 	gauge(`sassafras_members`, func() float64 { return float64(n.control.Snapshot().Members) })
-	gauge(`sassafras_steward`, func() float64 {
-		if n.control.Steward() {
+	gauge(`sassafras_representative`, func() float64 {
+		if n.control.Represents() {
 			return 1
 		}
 		return 0
--- a/node/node.go
+++ b/node/node.go
@@ -187,7 +187,7 @@
 	}
 }
 
-// published takes in a new picture of the system.
+// published takes in a new view of the system.
 func (n *Node) published(s *control.Snapshot) {
 	n.dispatcher.Set(s.Services)
 	n.evacuated.set(s.Evacuated)
@@ -203,8 +203,8 @@
 
 // configureGate gives the gate the configuration of its upstream's service. It
 // returns whether the gate has one now and had none before, or the reverse. The
-// picture is read under the lock, so that of two calls the later one has the
-// later picture.
+// The snapshot is read under the lock, so that of two calls the later one has the
+// later snapshot.
 func (n *Node) configureGate() (changed bool) {
 	n.configuring.Lock()
 	defer n.configuring.Unlock()
--- a/node/restore.go
+++ b/node/restore.go
@@ -66,7 +66,7 @@
 func (n *Node) writeAgain(ctx context.Context) {
 	sleep.For(ctx, rand.N(rewriteSpread))
 	n.contacts.WriteAgain(ctx)
-	if n.control.Scout() {
+	if n.control.FirstOfZone() {
 		n.saveBlocks(ctx)
 	}
 }
--- a/node/state.go
+++ b/node/state.go
@@ -168,27 +168,27 @@
 	}
 }
 
-// Picture is what a node tells an operator of what it knows.
-type Picture struct {
-	Node      string            `json:"node"`
-	Zone      string            `json:"zone"`
-	Steward   bool              `json:"steward"`
-	Members   int               `json:"members"`
-	Sequences map[string]uint64 `json:"sequences"`
+// View is what a node tells an operator of what it knows.
+type View struct {
+	Node           string            `json:"node"`
+	Zone           string            `json:"zone"`
+	Representative bool              `json:"representative"`
+	Members        int               `json:"members"`
+	Sequences      map[string]uint64 `json:"sequences"`
 	// Upstreams are the nodes whose upstreams take requests, by service.
 	Upstreams map[string][]string `json:"upstreams"`
 }
 
-// picture answers with what the node knows.
-func (n *Node) picture(w http.ResponseWriter, _ *http.Request) {
+// view answers with what the node knows.
+func (n *Node) view(w http.ResponseWriter, _ *http.Request) {
 	s := n.control.Snapshot()
-	p := Picture{
-		Node:      n.Settings.Node,
-		Zone:      n.Settings.Zone,
-		Steward:   n.control.Steward(),
-		Members:   s.Members,
-		Sequences: s.Sequences,
-		Upstreams: make(map[string][]string),
+	p := View{
+		Node:           n.Settings.Node,
+		Zone:           n.Settings.Zone,
+		Representative: n.control.Represents(),
+		Members:        s.Members,
+		Sequences:      s.Sequences,
+		Upstreams:      make(map[string][]string),
 	}
 	for name, service := range s.Services {
 		p.Upstreams[name] = []string{}
--- a/operator/kinds.go
+++ b/operator/kinds.go
@@ -14,8 +14,8 @@
 	KindServiceStatus = "ServiceStatus"
 	// KindAccepted is the configuration in force. The system writes it.
 	KindAccepted = "Accepted"
-	// KindSteward is the lease of an availability zone's steward.
-	KindSteward = "Steward"
+	// KindRepresentative is the lease of an availability zone's representative.
+	KindRepresentative = "Representative"
 	// KindClaim records a non-idempotent request that may be sent again.
 	KindClaim = "Claim"
 )
@@ -84,8 +84,8 @@
 	Service Service `json:"service"`
 }
 
-// Steward is the spec of a Steward object, which has the name of its zone.
-type Steward struct {
+// Representative is the spec of a Representative object, which has the name of its zone.
+type Representative struct {
 	// Holder is the node that holds the lease.
 	Holder string `json:"holder"`
 	// Incarnation is the holder's.
--- a/representative/lease.go
+++ b/representative/lease.go
@@ -21,7 +21,7 @@
 type lease struct {
 	*Representative
 	object *objectapi.Object
-	spec   operator.Steward
+	spec   operator.Representative
 	since  time.Time // when the present number of renewals was first seen
 }
 
@@ -29,7 +29,7 @@
 // its duration, as this node's clock measures it. It returns whether this node
 // holds it now.
 func (l *lease) acquire(ctx context.Context) bool {
-	o, err := l.API.Get(ctx, operator.KindSteward, l.Zone)
+	o, err := l.API.Get(ctx, operator.KindRepresentative, l.Zone)
 	switch {
 	case objectapi.IsNotFound(err):
 		l.object = nil
@@ -37,9 +37,9 @@
 	case err != nil:
 		return false
 	}
-	spec, err := objectapi.SpecOf[operator.Steward](o)
+	spec, err := objectapi.SpecOf[operator.Representative](o)
 	if err != nil {
-		l.Log.Error().Err(err).Msg("steward object can't be read")
+		l.Log.Error().Err(err).Msg("representative object can't be read")
 		return false
 	}
 	if l.object == nil || o.Metadata.ResourceVersion != l.object.Metadata.ResourceVersion {
@@ -69,7 +69,7 @@
 // write takes or renews the lease, and returns whether that succeeded.
 func (l *lease) write(ctx context.Context) bool {
 	self := l.Node.Self()
-	next := operator.Steward{
+	next := operator.Representative{
 		Holder:      self.ID,
 		Incarnation: self.Incarnation,
 		Renewals:    l.spec.Renewals + 1,
@@ -82,7 +82,7 @@
 			next.Contacts = append(next.Contacts, addr)
 		}
 	}
-	o := objectapi.NewObject(operator.KindSteward, l.Zone, next)
+	o := objectapi.NewObject(operator.KindRepresentative, l.Zone, next)
 	if l.object != nil {
 		o = o.WithVersion(l.object.Metadata.ResourceVersion)
 	}
@@ -96,11 +96,11 @@
 	return true
 }
 
-// hold does the steward's work and renews the lease until it is lost to another
+// hold does the representative's work and renews the lease until it is lost to another
 // node or ctx ends. While the platform is down the work goes on: it does no
 // harm, as all that it writes it writes conditionally.
 func (l *lease) hold(ctx context.Context) {
-	l.Log.Info().Msg("steward of the zone")
+	l.Log.Info().Msg("representative of the zone")
 	l.holds.Store(true)
 	defer l.holds.Store(false)
 	work, cancel := context.WithCancel(ctx)
@@ -118,7 +118,7 @@
 		case <-tick.C:
 		}
 		if !l.renew(ctx) {
-			l.Log.Info().Str("holder", l.spec.Holder).Msg("no longer steward")
+			l.Log.Info().Str("holder", l.spec.Holder).Msg("no longer representative")
 			return
 		}
 	}
@@ -129,11 +129,11 @@
 	if l.write(ctx) {
 		return true
 	}
-	o, err := l.API.Get(ctx, operator.KindSteward, l.Zone)
+	o, err := l.API.Get(ctx, operator.KindRepresentative, l.Zone)
 	if err != nil {
 		return true
 	}
-	spec, err := objectapi.SpecOf[operator.Steward](o)
+	spec, err := objectapi.SpecOf[operator.Representative](o)
 	if err != nil {
 		return true
 	}
@@ -142,12 +142,12 @@
 	return spec.Holder == l.Node.Self().ID
 }
 
-// giveBack frees the lease, so that the next steward need not wait.
+// giveBack frees the lease, so that the next representative need not wait.
 func (l *lease) giveBack() {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	next := l.spec
 	next.Holder = ""
-	o := objectapi.NewObject(operator.KindSteward, l.Zone, next)
+	o := objectapi.NewObject(operator.KindRepresentative, l.Zone, next)
 	_, _ = l.API.Update(ctx, o.WithVersion(l.object.Metadata.ResourceVersion))
 }
--- a/representative/work.go
+++ b/representative/work.go
@@ -112,7 +112,7 @@
 
 // bridgeOnce returns the number of other zones that it found a node of.
 func (w *work) bridgeOnce(ctx context.Context) int {
-	l, err := w.API.List(ctx, operator.KindSteward)
+	l, err := w.API.List(ctx, operator.KindRepresentative)
 	if err != nil {
 		return 0
 	}
@@ -121,7 +121,7 @@
 		if o.Metadata.Name == w.Zone {
 			continue
 		}
-		spec, err := objectapi.SpecOf[operator.Steward](o)
+		spec, err := objectapi.SpecOf[operator.Representative](o)
 		if err == nil && w.Node.LearnFrom(ctx, spec.Contacts[:min(1, len(spec.Contacts))]) {
 			found++
 		}
--- a/route/pool.go
+++ b/route/pool.go
@@ -192,10 +192,10 @@
 		body: body,
 	}
 	chosen := policy.Choose(v, p.random)
-	picture := v.At(chosen)
-	if d, ok := policy.(Demanding); ok && !d.Enough(picture) && p.addSpare(now, exclude) {
+	candidate := v.At(chosen)
+	if d, ok := policy.(Demanding); ok && !d.Enough(candidate) && p.addSpare(now, exclude) {
 		chosen = policy.Choose(v, p.random)
-		picture = v.At(chosen)
+		candidate = v.At(chosen)
 	}
 	e := p.usable[chosen]
 	e.own++
@@ -208,8 +208,8 @@
 		entry: e,
 		began: now,
 
-		picture: picture,
-		age:     e.age(now),
+		candidate: candidate,
+		age:       e.age(now),
 	}, true
 }
 
--- a/route/use.go
+++ b/route/use.go
@@ -29,14 +29,14 @@
 	began time.Time
 	done  bool
 
-	picture Candidate
-	age     time.Duration
+	candidate Candidate
+	age       time.Duration
 }
 
-// Picture returns what the choice was made by: the upstream as the pool saw it,
+// Candidate returns what the choice was made by: the upstream as the pool saw it,
 // and the age of the report that this rests on. The age is negative if there was
 // none.
-func (u *Use[K]) Picture() (Candidate, time.Duration) { return u.picture, u.age }
+func (u *Use[K]) Candidate() (Candidate, time.Duration) { return u.candidate, u.age }
 
 // Key returns the key of the upstream.
 func (u *Use[K]) Key() K { return u.entry.key }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -102,7 +102,7 @@
 	ReportBytes, ControlBytes int
 	// PlatformCalls is the budget of calls to the platform, per second.
 	PlatformCalls float64
-	// Lease is the duration of the steward's lease.
+	// Lease is the duration of the representative's lease.
 	Lease time.Duration
 	// Patience is the silence after which a node is removed.
 	Patience time.Duration
@@ -167,7 +167,7 @@
 	fs.IntVar(&s.ReportBytes, "reportBytes", 1000, "budget for load reports, in bytes per second")
 	fs.IntVar(&s.ControlBytes, "controlBytes", 10000, "budget for the control state, in bytes per second")
 	fs.Float64Var(&s.PlatformCalls, "platformCalls", 20, "budget of calls to the platform, per second")
-	fs.DurationVar(&s.Lease, "lease", 15*time.Second, "duration of the steward's lease")
+	fs.DurationVar(&s.Lease, "lease", 15*time.Second, "duration of the representative's lease")
 	fs.DurationVar(&s.Patience, "patience", 3*time.Minute, "silence after which a node is removed")
 	fs.DurationVar(&s.DrainTimeout, "drainTimeout", 30*time.Second, "longest wait for requests in flight at a planned stop")
 	fs.DurationVar(&s.LeaveDelay, "leaveDelay", time.Second, "how long a leaving node goes on taking callers' requests")
