contact: when a node looks for others is decided beside the book

What a node does about the book of contacts (when it looks, whom it learns from, whether it writes itself in) was in control, behind three functions that were set from outside. Three of its exported fields go.

--- /dev/null
+++ b/contact/discovery.go
@@ -0,0 +1,225 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package contact
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sassafrasfront.example/internal/sleep"
+)
+
+const (
+	// lookFirst is the wait between two looks into the book at the start, which
+	// grows by lookGrowth each time up to lookOften for the first node of a zone. Others look
+	// again after lookSeldom, once they know any.
+	lookFirst  = 500 * time.Millisecond
+	lookOften  = 10 * time.Second
+	lookSeldom = 2 * time.Minute
+	lookGrowth = 4
+	// rankCheck is how often a node looks whether it has become the first of its zone,
+	// which looks more often.
+	rankCheck = time.Second
+	// tryAgain is the wait before the same addresses are tried again, and tries how
+	// often they are tried, by a node that knew none to answer: at a start of all at
+	// once, some are up a little later.
+	tryAgain = 150 * time.Millisecond
+	tries    = 4
+	// joinAtOnce is the number of nodes that are joined after one look, and that are
+	// tried at the same time.
+	joinAtOnce = 3
+	// enough is the number of nodes in the book up to which others write
+	// themselves in, and the number of those that are expected to where many start at once;
+	// of a few, each does with the chance of registerChance. After a loss of power a
+	// tenth of 200 nodes tells the others of all, each some ten of them: a few hundred
+	// KB. Each entry costs a call, and is kept over restarts.
+	enough         = 24
+	registerChance = 0.25
+	// registerAfter is the mean time after which a node that is not the first of its zone
+	// decides on that: it then knows how many there are.
+	registerAfter = 2 * time.Second
+	// firstPeersTime is how long a node that has first peers waits for one to answer before
+	// it looks into the book, and firstPeersCheck how often it looks whether one has. A
+	// look is a call, and where all start at once beside an empty book, those that find
+	// nobody write themselves in.
+	firstPeersTime  = 400 * time.Millisecond
+	firstPeersCheck = 20 * time.Millisecond
+)
+
+// Directory is a book of contacts. A Book is one.
+type Directory interface {
+	// Addresses returns the addresses of other nodes, those to try first coming first.
+	Addresses(ctx context.Context) []string
+	// Register writes this node into the book, unless it stands there.
+	Register(ctx context.Context)
+	// Met takes in whether a node answered at an address.
+	Met(ctx context.Context, addr string, answered bool)
+}
+
+// Node is what a Discovery needs of its node. The methods may be called from any goroutine.
+type Node interface {
+	// Alone returns whether the node knows no other, and Nodes how many it knows, itself
+	// included.
+	Alone() bool
+	Nodes() int
+	// FirstOfZone returns whether the node looks after the book for its zone. One that knows
+	// no other does.
+	FirstOfZone() bool
+	// Unknown returns those of some addresses that no known node has.
+	Unknown(addrs []string) []string
+	// LearnFrom learns what a node at one of some addresses knows, and returns whether one
+	// answered.
+	LearnFrom(ctx context.Context, addrs []string) bool
+}
+
+// Discovery has a node find others by a book of contacts. The fields are set before Run.
+type Discovery struct {
+	// Book is where nodes stand.
+	Book Directory
+	// Node is the node that looks for others.
+	Node Node
+	// FirstPeers is whether the node also asks first peers that its settings name.
+	FirstPeers bool
+
+	listed atomic.Int32 // how many stood in the book at the latest look, or notLooked
+}
+
+// notLooked is the number of listed nodes before the first look.
+const notLooked = -1
+
+// Run looks into the book for nodes that this one does not know, and learns from
+// some of them, time and again until ctx ends: two groups of nodes that have met only among
+// themselves, as may happen at a start of all at once or after a partition, would
+// otherwise never hear of each other. The first node of each zone in each group stands
+// in the book and looks into it.
+func (d *Discovery) Run(ctx context.Context) {
+	d.listed.Store(notLooked)
+	var late sync.WaitGroup
+	defer late.Wait()
+	late.Go(func() { d.registerLate(ctx) })
+	d.awaitFirstPeer(ctx)
+	pause := lookFirst
+	for n := 0; ctx.Err() == nil; n++ {
+		if n > 0 || d.Node.Alone() || d.Node.FirstOfZone() {
+			d.join(ctx)
+		}
+		if d.registersAsFirst(n) {
+			d.Book.Register(ctx)
+		}
+		d.rest(ctx, pause)
+		pause = min(lookGrowth*pause, lookOften)
+		if d.Node.Alone() {
+			pause = lookFirst
+		}
+	}
+}
+
+// awaitFirstPeer waits until a first peer has answered, but not for long.
+func (d *Discovery) awaitFirstPeer(ctx context.Context) {
+	for began := time.Now(); d.FirstPeers && time.Since(began) < firstPeersTime && ctx.Err() == nil && d.Node.Alone(); {
+		sleep.For(ctx, firstPeersCheck)
+	}
+}
+
+// look returns the addresses in the book.
+func (d *Discovery) look(ctx context.Context) []string {
+	addrs := d.Book.Addresses(ctx)
+	d.listed.Store(int32(len(addrs)))
+	return addrs
+}
+
+// join looks into the book and learns from some nodes there that this one does not know.
+func (d *Discovery) join(ctx context.Context) {
+	addrs := d.look(ctx)
+	d.joinSome(ctx, d.Node.Unknown(slices.Clone(addrs)))
+	for try := 1; try < tries && len(addrs) > 0 && d.Node.Alone() && ctx.Err() == nil; try++ {
+		sleep.For(ctx, tryAgain/2+rand.N(tryAgain))
+		d.joinSome(ctx, d.Node.Unknown(slices.Clone(addrs)))
+	}
+}
+
+// joinSome learns from a few of some addresses that answer. Several are tried at
+// once: those of instances that are gone are silent for as long as the opening of
+// a connection may take.
+func (d *Discovery) joinSome(ctx context.Context, addrs []string) {
+	var joined atomic.Int32
+	untried := make(chan string, len(addrs))
+	for _, a := range addrs {
+		untried <- a
+	}
+	close(untried)
+	var all sync.WaitGroup
+	for range joinAtOnce {
+		all.Go(func() {
+			for addr := range untried {
+				if joined.Load() >= joinAtOnce || ctx.Err() != nil {
+					return
+				}
+				if joined.Load() > 0 && len(d.Node.Unknown([]string{addr})) == 0 {
+					continue // learnt of meanwhile
+				}
+				answered := d.Node.LearnFrom(ctx, []string{addr})
+				if ctx.Err() == nil {
+					d.Book.Met(ctx, addr, answered)
+				}
+				if answered {
+					joined.Add(1)
+				}
+			}
+		})
+	}
+	all.Wait()
+}
+
+// registerLate writes this node into the book, some time after its start, if it is drawn. Only
+// one that is drawn looks whether enough stand there, if it has not looked yet.
+func (d *Discovery) registerLate(ctx context.Context) {
+	sleep.For(ctx, registerAfter/2+rand.N(registerAfter))
+	nodes := d.Node.Nodes()
+	draw := rand.Float64()
+	if ctx.Err() != nil || !registers(nodes, int(d.listed.Load()), draw) {
+		return
+	}
+	if d.listed.Load() == notLooked {
+		d.look(ctx)
+	}
+	if registers(nodes, int(d.listed.Load()), draw) {
+		d.Book.Register(ctx)
+	}
+}
+
+// registers returns whether a node that is not the first of its zone writes itself into the
+// book, given how many nodes it knows, how many stand there, and a draw within 0 and 1: of
+// all that start at once some enough do, however many they are.
+func registers(nodes, listed int, draw float64) bool {
+	chance := min(registerChance, enough/float64(max(1, nodes)))
+	return listed < enough && draw < chance
+}
+
+// registersAsFirst returns whether this node writes itself into the book after look n, from 0,
+// as the first of its zone or as one that knows no other. At a start of all at once nobody
+// stands there, and the first ones that have waited for a moment are enough.
+func (d *Discovery) registersAsFirst(n int) bool {
+	if n == 0 && d.Node.Alone() {
+		return false
+	}
+	return d.Node.FirstOfZone()
+}
+
+// rest waits until the next look: for about the given time at the first node of a zone, and
+// for long at another.
+func (d *Discovery) rest(ctx context.Context, often time.Duration) {
+	often = often/2 + rand.N(often)
+	seldom := lookSeldom/2 + rand.N(lookSeldom)
+	began := time.Now()
+	sleep.For(ctx, often)
+	for ctx.Err() == nil && !d.Node.FirstOfZone() && time.Since(began) < seldom {
+		sleep.For(ctx, rankCheck)
+	}
+}
--- /dev/null
+++ b/contact/discovery_test.go
@@ -0,0 +1,204 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package contact_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/contact"
+)
+
+// world is nodes that find one another. Who learns from a node knows all that it knows, and the
+// reverse, a little later.
+type world struct {
+	zones int
+
+	mu      sync.Mutex
+	nodes   map[string]*worldNode
+	entries []string
+	looks   int
+	learnt  map[string]int // how often others learnt from a node
+}
+
+// worldNode is a node of a world.
+type worldNode struct {
+	w     *world
+	i     int
+	addr  string
+	known map[string]*worldNode
+}
+
+// exchangeTime is how long it takes to learn from a node.
+const exchangeTime = 5 * time.Millisecond
+
+// add starts a node.
+func (w *world) add(i int) *worldNode {
+	n := &worldNode{
+		w:    w,
+		i:    i,
+		addr: fmt.Sprint("10.0.0.", i),
+	}
+	n.known = map[string]*worldNode{n.addr: n}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.nodes[n.addr] = n
+	return n
+}
+
+// Addresses implements contact.Directory.
+func (n *worldNode) Addresses(context.Context) []string {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	n.w.looks++
+	return slices.DeleteFunc(slices.Clone(n.w.entries), func(a string) bool { return a == n.addr })
+}
+
+// Register implements contact.Directory.
+func (n *worldNode) Register(context.Context) {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	if !slices.Contains(n.w.entries, n.addr) {
+		n.w.entries = append(n.w.entries, n.addr)
+	}
+}
+
+// Met implements contact.Directory.
+func (n *worldNode) Met(context.Context, string, bool) {}
+
+// Alone implements contact.Node.
+func (n *worldNode) Alone() bool { return n.Nodes() == 1 }
+
+// Nodes implements contact.Node.
+func (n *worldNode) Nodes() int {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	return len(n.known)
+}
+
+// FirstOfZone implements contact.Node.
+func (n *worldNode) FirstOfZone() bool {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	for _, o := range n.known {
+		if o.i%n.w.zones == n.i%n.w.zones && o.i < n.i {
+			return false
+		}
+	}
+	return true
+}
+
+// Unknown implements contact.Node.
+func (n *worldNode) Unknown(addrs []string) []string {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	return slices.DeleteFunc(addrs, func(a string) bool { return n.known[a] != nil })
+}
+
+// LearnFrom implements contact.Node. What two nodes learn from each other their acquaintances
+// learn as well.
+func (n *worldNode) LearnFrom(_ context.Context, addrs []string) bool {
+	time.Sleep(exchangeTime)
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	for _, a := range addrs {
+		o := n.w.nodes[a]
+		if o == nil || o == n {
+			continue
+		}
+		n.w.learnt[a]++
+		all := make(map[string]*worldNode)
+		for _, m := range []*worldNode{n, o} {
+			for addr, k := range m.known {
+				all[addr] = k
+			}
+		}
+		for _, m := range all {
+			m.known = all
+		}
+		return true
+	}
+	return false
+}
+
+// firstPeers does what a node with first peers does besides.
+func (n *worldNode) firstPeers(ctx context.Context, addrs []string) {
+	for ctx.Err() == nil && !n.LearnFrom(ctx, addrs) {
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// TestDiscoveryOfManyStarts has nodes start within 0.3 s of each other beside an empty book, with and
+// without first peers that answer.
+//
+// All must find each other. The entries may nowhere grow with the nodes, and the looks not where
+// first peers answer: the first node of each of five zones looks four times in ten seconds, and
+// each of some 24 that are drawn looks once.
+func TestDiscoveryOfManyStarts(t *testing.T) {
+	const spread = 300 * time.Millisecond
+	tests := map[string]struct {
+		nodes      int
+		firstPeers []string
+		within     time.Duration // until all know each other
+		looks      int           // in ten seconds, at most
+		entries    int           // at most
+	}{
+		"10, no first peer":      {nodes: 10, within: 3 * time.Second, looks: 60, entries: 10},
+		"10, one first peer":     {nodes: 10, firstPeers: []string{"10.0.0.3"}, within: time.Second, looks: 60, entries: 10},
+		"300, three first peers": {nodes: 300, firstPeers: []string{"10.0.0.3", "10.0.0.9", "10.0.0.12"}, within: time.Second, looks: 60, entries: 48},
+		"3000, three of them":    {nodes: 3000, firstPeers: []string{"10.0.0.3", "10.0.0.9", "10.0.0.12"}, within: time.Second, looks: 60, entries: 48},
+		"300, they are gone":     {nodes: 300, firstPeers: []string{"10.9.9.9"}, within: 3 * time.Second, looks: 900, entries: 72},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := &world{
+					zones:  5,
+					nodes:  make(map[string]*worldNode),
+					learnt: make(map[string]int),
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				var all sync.WaitGroup
+				for i := range test.nodes {
+					all.Go(func() {
+						time.Sleep(spread * time.Duration(i) / time.Duration(test.nodes))
+						n := w.add(i)
+						if len(test.firstPeers) > 0 {
+							all.Go(func() { n.firstPeers(ctx, test.firstPeers) })
+						}
+						d := &contact.Discovery{
+							Book:       n,
+							Node:       n,
+							FirstPeers: len(test.firstPeers) > 0,
+						}
+						d.Run(ctx)
+					})
+				}
+				time.Sleep(spread + test.within)
+				w.mu.Lock()
+				for _, n := range w.nodes {
+					qt.Check(t, n.known, qt.HasLen, test.nodes)
+					break // those that know each other share what they know
+				}
+				w.mu.Unlock()
+				time.Sleep(10 * time.Second)
+				w.mu.Lock()
+				looks, entries := w.looks, len(w.entries)
+				w.mu.Unlock()
+				cancel()
+				all.Wait()
+				qt.Check(t, looks <= test.looks, qt.IsTrue, qt.Commentf("%d looks", looks))
+				qt.Check(t, entries >= 1 && entries <= test.entries, qt.IsTrue, qt.Commentf("%d entries", entries))
+			})
+		})
+	}
+}
--- a/control/registers_test.go
+++ b/contact/registers_test.go
@@ -2,7 +2,7 @@
 // Use of this source code is governed by a BSD-style
 // license that can be found in the LICENSE file.
 
-package control
+package contact
 
 import (
 	"fmt"
@@ -24,11 +24,11 @@
 				if registers(nodes, 0, draw) {
 					empty++
 				}
-				if registers(nodes, enoughContacts, draw) {
+				if registers(nodes, enough, draw) {
 					full++
 				}
 			}
-			qt.Check(t, empty >= 1 && empty <= 2*enoughContacts, qt.IsTrue, qt.Commentf("%d", empty))
+			qt.Check(t, empty >= 1 && empty <= 2*enough, qt.IsTrue, qt.Commentf("%d", empty))
 			qt.Check(t, full, qt.Equals, 0)
 		})
 	}
--- a/control/bootstrap_test.go
+++ b/control/bootstrap_test.go
@@ -15,21 +15,23 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// bookCalls counts the calls for the book of contacts, which stays empty.
+// bookCalls is an empty book of contacts that counts the calls for it.
 type bookCalls struct {
 	looks, entries atomic.Int32
 }
 
-// use has a state use the book.
-func (b *bookCalls) use(c *Control) {
-	c.API = nil
-	c.Book = func(context.Context) []string {
-		b.looks.Add(1)
-		return nil
-	}
-	c.Register = func(context.Context) { b.entries.Add(1) }
+// Addresses implements contact.Directory.
+func (b *bookCalls) Addresses(context.Context) []string {
+	b.looks.Add(1)
+	return nil
 }
 
+// Register implements contact.Directory.
+func (b *bookCalls) Register(context.Context) { b.entries.Add(1) }
+
+// Met implements contact.Directory.
+func (b *bookCalls) Met(context.Context, string, bool) {}
+
 // knows waits until a node knows as many live nodes as given.
 func (c *cluster) knows(n *testNode, nodes int) {
 	c.t.Helper()
@@ -70,10 +72,11 @@
 				}
 			}
 			book := new(bookCalls)
+			c.directory = book
 			for i, l := range listeners {
 				c.addAtWith(l, fmt.Sprint("n", i), fmt.Sprint("z", i%3), func(k *Control) {
+					k.API = nil
 					k.Contacts = contacts
-					book.use(k)
 				})
 			}
 			for _, n := range c.nodes {
@@ -90,6 +93,7 @@
 // find each other once it is back.
 func TestFirstPeersMeet(t *testing.T) {
 	c := newCluster(t)
+	c.directory = new(bookCalls)
 	late := c.listener()
 	lateAddr := late.Addr().String()
 	qt.Assert(t, late.Close(), qt.IsNil)
@@ -97,8 +101,8 @@
 	contacts := []string{listener.Addr().String(), lateAddr}
 	withBook := func(contacts ...string) func(*Control) {
 		return func(k *Control) {
+			k.API = nil
 			k.Contacts = contacts
-			new(bookCalls).use(k)
 		}
 	}
 	a := c.addAtWith(listener, "a", "z1", withBook(contacts...))
--- a/control/control.go
+++ b/control/control.go
@@ -85,12 +85,6 @@
 	API objectapi.API
 	// Contacts are peer addresses to learn from at the start, if any.
 	Contacts []string
-	// Book, if not nil, returns addresses of other nodes from the platform.
-	Book func(ctx context.Context) []string
-	// Register, if not nil, writes this node into the Book, unless it stands there.
-	Register func(ctx context.Context)
-	// Met, if not nil, is told whether a node answered at an address of the Book.
-	Met func(ctx context.Context, addr string, answered bool)
 	// Template, if not nil, says that the configuration is one table of routes,
 	// given by Configure. It returns what holds for a service of a table, given
 	// the number of live nodes.
@@ -235,14 +229,12 @@
 	defer close(c.done) // which lets the work end that waits for this goroutine
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if c.Book != nil {
-		work.Go(func() { c.meet(ctx) })
-		work.Go(func() { newSweeper(c).runAsFirst(ctx) })
-	}
-	if c.Book == nil || len(c.Contacts) > 0 {
+	if c.API != nil || len(c.Contacts) > 0 {
 		work.Go(func() { c.bootstrap(ctx) })
 	}
-	if c.API != nil {
+	if c.API == nil {
+		work.Go(func() { newSweeper(c).runAsFirst(ctx) })
+	} else {
 		r := c.newRepresentative()
 		c.represents.Store(r)
 		work.Go(func() { r.Run(ctx) })
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"sassafrasfront.example/contact"
 	"sassafrasfront.example/internal/objectstore"
 	"sassafrasfront.example/member"
 	"sassafrasfront.example/objectapi"
@@ -33,6 +34,8 @@
 	store *objectstore.Server
 	api   *objectapi.Client
 	nodes []*testNode
+	// directory, if not nil, is the book by which nodes that are added find others.
+	directory contact.Directory
 }
 
 // testNode is one control state with its peer server.
@@ -111,6 +114,14 @@
 	var all, running sync.WaitGroup
 	all.Go(func() { _ = s.Run(serving, listener) })
 	running.Go(func() { n.Run(ctx) })
+	if c.directory != nil {
+		discovery := &contact.Discovery{
+			Book:       c.directory,
+			Node:       n.Control,
+			FirstPeers: len(n.Contacts) > 0,
+		}
+		running.Go(func() { discovery.Run(ctx) })
+	}
 	var once sync.Once
 	n.stop = func() {
 		once.Do(func() {
@@ -513,7 +524,7 @@
 	n.stop()
 	newSweeper(n.Control).check(context.Background(), c.nodes[1].Self)
 	n.probeCandidates(context.Background())
-	qt.Check(t, n.learnFrom(context.Background(), []string{c.nodes[1].Self.Addr}), qt.IsFalse)
+	qt.Check(t, n.LearnFrom(context.Background(), []string{c.nodes[1].Self.Addr}), qt.IsFalse)
 	_, err := n.Handle(context.Background(), peer.Hello{}, &peer.Request{ID: 1, Topic: topicRoots})
 	qt.Check(t, err, qt.IsNotNil)
 }
--- a/control/introduce_test.go
+++ b/control/introduce_test.go
@@ -82,7 +82,7 @@
 				c.Self.Zone = "zone-3"
 				c.init()
 				serve(t, c)
-				qt.Assert(t, c.learnFrom(context.Background(), []string{firstAddr}), qt.IsTrue)
+				qt.Assert(t, c.LearnFrom(context.Background(), []string{firstAddr}), qt.IsTrue)
 				var known int
 				c.do(func() { known = c.members.Set.Len() })
 				qt.Check(t, known >= test.members, qt.IsTrue, qt.Commentf("%d", known))
--- a/control/represent.go
+++ b/control/represent.go
@@ -59,7 +59,7 @@
 
 // LearnFrom implements representative.Node.
 func (r represented) LearnFrom(ctx context.Context, addrs []string) bool {
-	return r.c.learnFrom(ctx, addrs)
+	return r.c.LearnFrom(ctx, addrs)
 }
 
 // Addresses implements representative.Node. Neighbours go first: one that does not answer is
--- a/control/table_test.go
+++ b/control/table_test.go
@@ -22,16 +22,28 @@
 // tableNode starts a node that follows a table of routes and finds others by a
 // book.
 func (c *cluster) tableNode(id, zone string, book func() []string) *testNode {
+	c.directory = listed(book)
 	listener := c.listener()
 	n := c.addAtWith(listener, id, zone, func(k *Control) {
 		k.API = nil
 		k.Within = 500 * time.Millisecond
-		k.Book = func(context.Context) []string { return book() }
 		k.Template = func(*routes.Table, string, int) operator.Service { return operator.Service{}.WithDefaults() }
 	})
 	return n
 }
 
+// listed is a book of contacts in which nobody writes.
+type listed func() []string
+
+// Addresses implements contact.Directory.
+func (l listed) Addresses(context.Context) []string { return l() }
+
+// Register implements contact.Directory.
+func (l listed) Register(context.Context) {}
+
+// Met implements contact.Directory.
+func (l listed) Met(context.Context, string, bool) {}
+
 // tableNodes starts nodes a, b and so on that find each other by one book, and
 // waits until all have met.
 func (c *cluster) tableNodes(count int) (list []*testNode) {
--- a/node/build.go
+++ b/node/build.go
@@ -11,6 +11,7 @@
 
 	"sassafrasfront.example/blocklist"
 	"sassafrasfront.example/claim"
+	"sassafrasfront.example/contact"
 	"sassafrasfront.example/control"
 	"sassafrasfront.example/entry"
 	"sassafrasfront.example/gate"
@@ -157,9 +158,11 @@
 	n.metrics.platformCalls = n.store.Calls
 	n.api = n.Platform.API(n.store)
 	n.contacts = n.book(n.api)
-	n.control.Book = n.contacts.Addresses
-	n.control.Register = n.contacts.Register
-	n.control.Met = n.contacts.Met
+	n.discovery = &contact.Discovery{
+		Book:       n.contacts,
+		Node:       n.control,
+		FirstPeers: len(n.control.Contacts) > 0,
+	}
 	n.contacts.Nodes = n.limits.Nodes
 	n.contacts.Counted = n.limits.Told
 	n.blocked = n.blocklistOn(n.api)
--- a/node/node.go
+++ b/node/node.go
@@ -84,6 +84,7 @@
 	blocked    *blocklist.Ledger                 // of them, on the platform, or nil
 	api        objectapi.Polled                  // of Platform
 	store      *objectapi.Caller                 // which makes its calls, or nil
+	discovery  *contact.Discovery                // finds other nodes by it
 	contacts   *contact.Book                     // which is kept there
 	restored   chan struct{}                     // has a value when what was written there may be lost
 	reloaded   atomic.Pointer[settings.Settings] // nil until the settings change
@@ -250,6 +251,7 @@
 	controlling.Go(func() { n.control.Run(controlCtx) })
 	if n.Platform != nil {
 		controlling.Go(func() { n.follow(controlCtx, n.reader(n.api)) })
+		controlling.Go(func() { n.discovery.Run(controlCtx) })
 		controlling.Go(func() { n.keepWritten(controlCtx) })
 		all.Go(func() { n.findUpstream(inner) })
 		all.Go(func() { n.pollLoad(inner) })
