--- /dev/null
+++ b/cmd/sassafrasctl/busiest.go
@@ -0,0 +1,256 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package main
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"sassafrasfront.example/operator"
+)
+
+const (
+	// readAtOnce is how many nodes are read at the same time.
+	readAtOnce = 32
+	// shownNodes is the number of nodes that are shown if the flag does not say so.
+	shownNodes = 5
+	// shownCauses is the number of causes that are shown for a node.
+	shownCauses = 3
+)
+
+// usage is what a node uses, per second but for memory and files.
+type usage struct {
+	Node string `json:"node"`
+	Zone string `json:"zone"`
+	// Cores is processor time, Bytes what peers are sent and send, Memory the resident bytes,
+	// Files the open descriptors and Calls the calls to the platform.
+	Cores  float64 `json:"cores"`
+	Bytes  float64 `json:"bytesPerSecond"`
+	Memory float64 `json:"memoryBytes"`
+	Files  float64 `json:"openFiles"`
+	Calls  float64 `json:"platformCallsPerSecond"`
+	// Causes are rates of what the figure in question may come from, by name.
+	Causes map[string]float64 `json:"causesPerSecond"`
+}
+
+// measures are the figures by which nodes can be compared, and the metrics that explain them.
+var measures = map[string]struct {
+	of     func(u usage) float64
+	causes []string
+}{
+	"bytes":    {of: func(u usage) float64 { return u.Bytes }, causes: []string{"sassafras_control_bytes_total", "sassafras_peer_bytes_total", "sassafras_gate_body_bytes_total"}},
+	"cores":    {of: func(u usage) float64 { return u.Cores }, causes: []string{"sassafras_control_requests_total", "sassafras_requests_total", "sassafras_gate_calls_total", "go_gc_cycles_total"}},
+	"memory":   {of: func(u usage) float64 { return u.Memory }, causes: []string{"sassafras_gate_body_bytes_total", "sassafras_peer_bytes_total"}},
+	"files":    {of: func(u usage) float64 { return u.Files }, causes: []string{"sassafras_control_requests_total", "sassafras_requests_total", "sassafras_gate_calls_total"}},
+	"platform": {of: func(u usage) float64 { return u.Calls }, causes: []string{"sassafras_platform_calls_by_kind_total"}},
+}
+
+// measureNames returns the names of the measures in order.
+func measureNames() []string {
+	var names []string
+	for name := range measures {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// busiest shows which nodes use most, what all use in the middle, and what it comes from.
+func (t *tool) busiest(ctx context.Context, args []string) error {
+	measure, ok := measures[t.by]
+	switch {
+	case len(args) > 0:
+		return exitError{exitUsage, errors.New("usage: sassafrasctl busiest -node ADDRESS [-by MEASURE] [-over TIME] [-show N]")}
+	case !ok:
+		return exitError{exitUsage, fmt.Errorf("-by: %q is not one of %s", t.by, strings.Join(measureNames(), ", "))}
+	case t.over <= 0:
+		return exitError{exitUsage, fmt.Errorf("-over: %v is not positive", t.over)}
+	case t.show <= 0:
+		return exitError{exitUsage, fmt.Errorf("-show: %d is not positive", t.show)}
+	}
+	list, silent, err := t.usages(ctx, measure.causes)
+	if err != nil {
+		return err
+	}
+	if len(list) == 0 {
+		return fmt.Errorf("none of %d nodes answers at the port of %s", len(silent), t.node)
+	}
+	slices.SortFunc(list, func(a, b usage) int {
+		return cmp.Or(cmp.Compare(measure.of(b), measure.of(a)), cmp.Compare(a.Node, b.Node))
+	})
+	if t.output == "json" {
+		return json.NewEncoder(t.out).Encode(list[:min(t.show, len(list))])
+	}
+	middle := list[len(list)/2]
+	w := tabwriter.NewWriter(t.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "NODE\tZONE\tCORES\tKB/S\tMEMORY MB\tFILES\tPLATFORM CALLS/S\tMOSTLY, PER SECOND")
+	for _, u := range list[:min(t.show, len(list))] {
+		fmt.Fprintln(w, u.row())
+	}
+	middle.Node = fmt.Sprintf("middle of %d", len(list))
+	middle.Zone = "-"
+	fmt.Fprintln(w, middle.row())
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if len(silent) > 0 {
+		fmt.Fprintf(t.out, "%d nodes not read, %s among them: %v\n", len(silent), silent[0].node, silent[0].err)
+	}
+	return nil
+}
+
+// row returns a line of the table.
+func (u usage) row() string {
+	var names []string
+	for name := range u.Causes {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(u.Causes[b], u.Causes[a]), cmp.Compare(a, b))
+	})
+	var mostly []string
+	for _, name := range names[:min(shownCauses, len(names))] {
+		mostly = append(mostly, fmt.Sprintf("%s %.4g", name, u.Causes[name]))
+	}
+	return fmt.Sprintf("%s\t%s\t%.3f\t%.1f\t%.1f\t%.0f\t%.2f\t%s", u.Node, u.Zone, u.Cores, u.Bytes/1000, u.Memory/1e6, u.Files, u.Calls, strings.Join(mostly, ", "))
+}
+
+// unread is a node that could not be read, and why.
+type unread struct {
+	node string
+	err  error
+}
+
+// usages reads all nodes twice.
+func (t *tool) usages(ctx context.Context, causes []string) (list []usage, silent []unread, err error) {
+	data, err := t.callNode(ctx, http.MethodGet, "/v1/nodes")
+	if err != nil {
+		return nil, nil, err
+	}
+	var nodes []operator.NodeAddress
+	if err := json.Unmarshal(data, &nodes); err != nil {
+		return nil, nil, fmt.Errorf("%s: %w", t.node, err)
+	}
+	_, port, err := net.SplitHostPort(t.node)
+	if err != nil {
+		return nil, nil, exitError{exitUsage, fmt.Errorf("-node: %w", err)}
+	}
+	before := readAll(ctx, nodes, port)
+	select {
+	case <-ctx.Done():
+		return nil, nil, ctx.Err()
+	case <-time.After(t.over):
+	}
+	after := readAll(ctx, nodes, port)
+	for i, n := range nodes {
+		if err := errors.Join(before[i].err, after[i].err); err != nil {
+			silent = append(silent, unread{
+				node: n.Node,
+				err:  err,
+			})
+			continue
+		}
+		list = append(list, usageOf(n, before[i], after[i], causes))
+	}
+	return list, silent, nil
+}
+
+// reading is the metrics of a node at one moment.
+type reading struct {
+	at     time.Time
+	values map[string]float64
+	err    error
+}
+
+// readAll reads the metrics of nodes, whose operator addresses have the given port.
+func readAll(ctx context.Context, nodes []operator.NodeAddress, port string) []reading {
+	list := make([]reading, len(nodes))
+	todo := make(chan int)
+	var all sync.WaitGroup
+	for range readAtOnce {
+		all.Go(func() {
+			for i := range todo {
+				list[i] = read(ctx, nodes[i], port)
+			}
+		})
+	}
+	for i := range nodes {
+		todo <- i
+	}
+	close(todo)
+	all.Wait()
+	return list
+}
+
+// read reads the metrics of one node.
+func read(ctx context.Context, n operator.NodeAddress, port string) reading {
+	host, _, err := net.SplitHostPort(n.Address)
+	if err != nil {
+		return reading{err: err}
+	}
+	one := tool{node: net.JoinHostPort(host, port)}
+	data, err := one.callNode(ctx, http.MethodGet, "/metrics")
+	if err != nil {
+		return reading{err: err}
+	}
+	return reading{
+		at:     time.Now(),
+		values: parseMetrics(string(data)),
+	}
+}
+
+// usageOf returns what a node used between two readings.
+func usageOf(n operator.NodeAddress, before, after reading, causes []string) usage {
+	seconds := after.at.Sub(before.at).Seconds()
+	rate := func(name string) float64 { return max(0, after.values[name]-before.values[name]) / seconds }
+	u := usage{
+		Node:   n.Node,
+		Zone:   n.Zone,
+		Cores:  rate("process_cpu_seconds_total"),
+		Memory: after.values["process_resident_memory_bytes"],
+		Files:  after.values["process_open_fds"],
+		Calls:  rate("sassafras_platform_calls_total"),
+		Causes: make(map[string]float64),
+	}
+	for name := range after.values {
+		if strings.HasPrefix(name, "sassafras_peer_bytes_total{") {
+			u.Bytes += rate(name)
+		}
+		family, labels, _ := strings.Cut(name, "{")
+		if r := rate(name); r > 0 && slices.Contains(causes, family) {
+			family = strings.TrimSuffix(strings.TrimPrefix(family, "sassafras_"), "_total")
+			u.Causes[family+"{"+labels] = r
+		}
+	}
+	return u
+}
+
+// parseMetrics reads metrics in the text format of Prometheus. Lines that it does not know are
+// left out.
+func parseMetrics(text string) map[string]float64 {
+	values := make(map[string]float64)
+	for line := range strings.Lines(text) {
+		line = strings.TrimSpace(line)
+		i := strings.LastIndexByte(line, ' ')
+		if i < 0 || strings.HasPrefix(line, "#") {
+			continue
+		}
+		var v float64
+		if _, err := fmt.Sscanf(line[i+1:], "%g", &v); err == nil {
+			values[line[:i]] = v
+		}
+	}
+	return values
+}
--- /dev/null
+++ b/cmd/sassafrasctl/busiest_test.go
@@ -0,0 +1,87 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// fleetOf starts nodes on one port of several addresses, each of which sends more than the one
+// before it and the last one most platform calls. Another one that they know is gone. It returns
+// the operator address of the first.
+func fleetOf(t *testing.T, nodes int) string {
+	first, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	_, port, _ := net.SplitHostPort(first.Addr().String())
+	var list []string
+	for i := range nodes + 1 {
+		list = append(list, fmt.Sprintf(`{"node":"n%d","zone":"z%d","address":"127.0.0.%d:8142"}`, i, i%2, i+1))
+	}
+	for i := range nodes {
+		listener := first
+		if i > 0 {
+			listener, err = net.Listen("tcp", fmt.Sprintf("127.0.0.%d:%s", i+1, port))
+			qt.Assert(t, err, qt.IsNil)
+		}
+		var reads atomic.Int64
+		s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/v1/nodes" {
+				_, _ = fmt.Fprintf(w, "[%s]", strings.Join(list, ","))
+				return
+			}
+			n := reads.Add(1)
+			_, _ = fmt.Fprintf(w, "# a comment\nprocess_cpu_seconds_total %g\nprocess_resident_memory_bytes 15e6\nprocess_open_fds %d\n", 0.01*float64(n), 100+i)
+			_, _ = fmt.Fprintf(w, "sassafras_peer_bytes_total{part=\"control\",direction=\"out\"} %d\n", n*int64(10000*(i+1)))
+			_, _ = fmt.Fprintf(w, "sassafras_control_bytes_total{topic=\"members.records\",direction=\"out\"} %d\n", n*int64(9000*(i+1)))
+			_, _ = fmt.Fprintf(w, "sassafras_platform_calls_total %d\nsassafras_platform_calls_by_kind_total{call=\"list\",kind=\"contact\"} %d\n", n*int64(nodes-i), n*int64(nodes-i))
+		}))
+		s.Listener.Close()
+		s.Listener = listener
+		s.Start()
+		t.Cleanup(s.Close)
+	}
+	return first.Addr().String()
+}
+
+// TestBusiest compares nodes of which one does not answer.
+func TestBusiest(t *testing.T) {
+	node := fleetOf(t, 5)
+	tests := map[string]struct {
+		args []string
+		code int
+		want []string // in this order
+	}{
+		"by bytes":         {args: []string{"-node", node, "-over", "20ms", "-show", "2"}, want: []string{"n4 ", `control_bytes{topic="members.records",direction="out"}`, "n3 ", "middle of 5", "1 nodes not read, n5 among them"}},
+		"by calls":         {args: []string{"-node", node, "-over", "20ms", "-show", "1", "-by", "platform"}, want: []string{"n0 ", `platform_calls_by_kind{call="list",kind="contact"}`, "middle of 5"}},
+		"by files":         {args: []string{"-node", node, "-over", "20ms", "-show", "9", "-by", "files"}, want: []string{"n4 ", "104", "n0 ", "100"}},
+		"unknown measure":  {args: []string{"-node", node, "-by", "luck"}, code: exitUsage, want: []string{"bytes, cores, files, memory, platform"}},
+		"no time":          {args: []string{"-node", node, "-over", "0s"}, code: exitUsage, want: []string{"-over"}},
+		"none to show":     {args: []string{"-node", node, "-show", "0"}, code: exitUsage, want: []string{"-show"}},
+		"no node":          {code: exitUsage, want: []string{"-node"}},
+		"not an answering": {args: []string{"-node", "127.0.0.77:1", "-over", "20ms"}, code: exitFailed, want: []string{"127.0.0.77:1"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var out bytes.Buffer
+			qt.Check(t, execute(context.Background(), append([]string{"busiest"}, test.args...), &out, &out), qt.Equals, test.code)
+			rest := out.String()
+			for _, w := range test.want {
+				_, after, found := strings.Cut(rest, w)
+				qt.Check(t, found, qt.IsTrue, qt.Commentf("%q not in %q", w, out.String()))
+				rest = after
+			}
+		})
+	}
+}
--- a/cmd/sassafrasctl/main.go
+++ b/cmd/sassafrasctl/main.go
@@ -18,7 +18,9 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
+	"time"
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -74,6 +76,11 @@
 	output    string
 	file      string
 	node      string
+
+	// of busiest
+	by   string
+	over time.Duration
+	show int
 }
 
 // root returns the command line.
@@ -89,9 +96,14 @@
 		if name == "validate" || name == "apply" || name == "diff" {
 			f.StringVar(&t.file, "f", "", "file with a Service in YAML or JSON")
 		}
-		if name == "suspects" || name == "release" || name == "zones" || name == "rollouts" || name == "organisations" {
+		if name == "suspects" || name == "release" || name == "zones" || name == "rollouts" || name == "organisations" || name == "busiest" {
 			f.StringVar(&t.node, "node", "", "operator address of a node, such as 10.1.0.38:8141")
 		}
+		if name == "busiest" {
+			f.StringVar(&t.by, "by", "bytes", "what to compare nodes by: "+strings.Join(measureNames(), ", "))
+			f.DurationVar(&t.over, "over", 5*time.Second, "time between the two readings of each node")
+			f.IntVar(&t.show, "show", shownNodes, "number of nodes to show")
+		}
 		return &ffcli.Command{
 			Name:       name,
 			ShortUsage: "sassafrasctl [flags] " + usage,
@@ -119,10 +131,11 @@
 			command("release", "release -node ADDRESS PRINT", "let such a request run again, at all nodes", t.release),
 			command("zones", "zones -node ADDRESS", "show the evacuated availability zones", t.zones),
 			command("rollouts", "rollouts -node ADDRESS", "show how far versions are rolled out", t.rollouts),
+			command("busiest", "busiest -node ADDRESS [-by MEASURE] [-over TIME] [-show N]", "show which nodes use most, and what for", t.busiest),
 			command("organisations", "organisations -node ADDRESS", "show the organisations' rate limits and what they use", t.organisations),
 		},
 		Exec: func(context.Context, []string) error {
-			return exitError{exitUsage, errors.New("usage: sassafrasctl [flags] <validate|apply|diff|get|status|watch|delete|explain|failures|suspects|release|zones|rollouts|organisations>")}
+			return exitError{exitUsage, errors.New("usage: sassafrasctl [flags] <validate|apply|diff|get|status|watch|delete|explain|failures|suspects|release|zones|rollouts|organisations|busiest>")}
 		},
 	}
 }
--- a/control/bootstrap.go
+++ b/control/bootstrap.go
@@ -10,6 +10,7 @@
 	"slices"
 
 	"sassafrasfront.example/internal/sleep"
+	"sassafrasfront.example/member"
 	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/operator"
 	"sassafrasfront.example/peer"
@@ -103,6 +104,19 @@
 // Nodes returns the number of live nodes that traffic knows.
 func (c *Control) Nodes() int { return c.Snapshot().Members }
 
+// Members returns the live nodes that this one knows, itself included.
+func (c *Control) Members() (list []member.Record) {
+	c.init()
+	c.do(func() {
+		for r := range c.members.Set.All {
+			if r.Live() {
+				list = append(list, r)
+			}
+		}
+	})
+	return list
+}
+
 // Unknown returns those of some addresses that no known node has.
 func (c *Control) Unknown(addrs []string) []string {
 	c.init()
--- a/node/handlers.go
+++ b/node/handlers.go
@@ -11,6 +11,8 @@
 	"net/http/pprof"
 	"strings"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"sassafrasfront.example/caller"
 	"sassafrasfront.example/entry"
 	"sassafrasfront.example/routes"
@@ -69,10 +71,15 @@
 // operatorHandler returns what serves operators.
 func (n *Node) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.set.WritePrometheus(w) })
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		n.metrics.set.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+		metrics.WriteFDMetrics(w)
+	})
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /readyz", n.ready)
 	mux.HandleFunc("GET /v1/view", n.view)
+	mux.HandleFunc("GET /v1/nodes", n.listNodes)
 	mux.HandleFunc("GET /v1/zones", n.listZones)
 	mux.HandleFunc("GET /v1/rollouts", n.listRollouts)
 	mux.HandleFunc("GET /v1/organisations", n.listOrganisations)
--- a/node/state.go
+++ b/node/state.go
@@ -5,13 +5,16 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"sassafrasfront.example/caller"
 	"sassafrasfront.example/internal/sleep"
 	"sassafrasfront.example/member"
+	"sassafrasfront.example/operator"
 	"sassafrasfront.example/upstream"
 )
 
@@ -179,6 +182,20 @@
 	Upstreams map[string][]string `json:"upstreams"`
 }
 
+// listNodes answers with the live nodes that the node knows.
+func (n *Node) listNodes(w http.ResponseWriter, _ *http.Request) {
+	list := []operator.NodeAddress{}
+	for _, r := range n.control.Members() {
+		list = append(list, operator.NodeAddress{
+			Node:    r.ID,
+			Zone:    r.Zone,
+			Address: r.Addr,
+		})
+	}
+	slices.SortFunc(list, func(a, b operator.NodeAddress) int { return cmp.Compare(a.Node, b.Node) })
+	reply(w, list)
+}
+
 // view answers with what the node knows.
 func (n *Node) view(w http.ResponseWriter, _ *http.Request) {
 	s := n.control.Snapshot()
--- /dev/null
+++ b/operator/node.go
@@ -0,0 +1,14 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package operator
+
+// NodeAddress is what a node tells an operator of another node.
+type NodeAddress struct {
+	// Node is the node's name, and Zone its availability zone.
+	Node string `json:"node"`
+	Zone string `json:"zone"`
+	// Address is where it takes peer connections, as an IP number and port.
+	Address string `json:"address"`
+}
