One type for connections by node, and one for lists of a kind

canary and ratelimit each kept clients by node, with the same rules for an address that changes (peer.Clients, TestClients); canary and evacuation each read a whole list now and as of seconds ago (objectapi.Listing). What an order or a zone is stays where it was. No change of behaviour: tests of the five packages and node's on roll-outs, evacuation and limits.

--- a/canary/reader.go
+++ b/canary/reader.go
@@ -5,20 +5,13 @@
 package canary
 
 import (
-	"context"
-
-	"github.com/rotisserie/eris"
-
 	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/rollout"
 )
 
-// Reader reads the orders from the platform. The exported fields are set before the first
-// call.
-type Reader struct {
-	// API is the platform, and Kind the kind of the orders.
-	API  objectapi.Polled
-	Kind string
+// Orders takes in the orders that a Listing has read. The exported fields are set before the
+// first call.
+type Orders struct {
 	// Decode decodes an order.
 	Decode func(o *objectapi.Object) (rollout.Found, error)
 	// Found is called with the orders that were read at a Point. Whole is whether those that
@@ -28,31 +21,12 @@
 	Refused func(reason error)
 }
 
-// Read reads all orders as they are.
-func (r *Reader) Read(ctx context.Context) error {
-	list, err := r.API.List(ctx, r.Kind)
-	return r.take(list, err, true)
-}
-
-// First reads the orders as they were at some time, which may be seconds ago: it costs the
-// platform little.
-func (r *Reader) First(ctx context.Context) error {
-	list, err := r.API.ListStale(ctx, r.Kind)
-	return r.take(list, err, false)
-}
-
-// take takes in a list, or returns why there is none. An order that can't be followed does not
-// count as withdrawn.
-func (r *Reader) take(list *objectapi.List, err error, whole bool) error {
-	if err != nil {
-		return eris.Wrap(err, "rollouts")
-	}
-	at, err := objectapi.ParsePoint(list.Metadata.ResourceVersion)
-	if err != nil {
-		return eris.Wrap(err, "rollouts")
-	}
+// Take takes in what was read. An order that can't be followed does not count as withdrawn, and
+// neither does one that a read lacks which is not current.
+func (r *Orders) Take(items []*objectapi.Object, at objectapi.Point, current bool) {
+	whole := current
 	var found []rollout.Found
-	for _, o := range list.Items {
+	for _, o := range items {
 		f, err := r.Decode(o)
 		if err != nil {
 			whole = false
@@ -64,5 +38,4 @@
 		found = append(found, f)
 	}
 	r.Found(found, at, whole)
-	return nil
 }
--- a/canary/report.go
+++ b/canary/report.go
@@ -120,33 +120,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	_, err = r.client(p).Request(ctx, Topic, payload, false)
+	_, err = r.clients.At(p.ID, p.Addr).Request(ctx, Topic, payload, false)
 	return err
 }
 
-// client returns the client of a candidate.
-func (r *Runner) client(p Peer) *peer.Client {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	c := r.clients[p.ID]
-	if c != nil && c.Addr == p.Addr {
-		return c
-	}
-	if c != nil {
-		c.Close()
-	}
-	limits := r.Limits
-	limits.Idle = clientsIdle
-	c = &peer.Client{
-		Addr:     p.Addr,
-		Hello:    r.Hello,
-		Limits:   limits,
-		Counters: r.Counters,
-	}
-	r.clients[p.ID] = c
-	return c
-}
-
 // Handle takes in a report of another node.
 func (r *Runner) Handle(from peer.Hello, payload []byte) ([]byte, error) {
 	r.init()
--- a/canary/runner.go
+++ b/canary/runner.go
@@ -74,6 +74,7 @@
 
 	starting sync.Once
 	wake     chan struct{}
+	clients  *peer.Clients // of judges
 
 	mu       sync.Mutex
 	start    string                   // of the upstream that is counted
@@ -84,7 +85,6 @@
 	reported time.Time                // when it was sent
 	asking   bool                     // whether a report is under way
 	declines time.Time                // until when this node is no judge
-	clients  map[string]*peer.Client  // by node
 	chosen   map[string][]Peer        // judges, by service
 	choices  time.Time                // when these were chosen
 }
@@ -95,7 +95,13 @@
 		r.wake = make(chan struct{}, 1)
 		r.classes = make(map[string]rollout.Tally)
 		r.judges = make(map[string]*judgement)
-		r.clients = make(map[string]*peer.Client)
+		limits := r.Limits
+		limits.Idle = clientsIdle
+		r.clients = &peer.Clients{
+			Hello:    r.Hello,
+			Limits:   limits,
+			Counters: r.Counters,
+		}
 	})
 }
 
@@ -120,7 +126,7 @@
 // waits for one.
 func (r *Runner) Run(ctx context.Context) {
 	r.init()
-	defer r.close()
+	defer r.clients.Close()
 	t := time.NewTimer(0)
 	defer t.Stop()
 	for {
@@ -189,12 +195,3 @@
 	r.began = uint64(time.Now().UnixNano())
 	r.classes = make(map[string]rollout.Tally)
 }
-
-// close closes the connections to judges.
-func (r *Runner) close() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, c := range r.clients {
-		c.Close()
-	}
-}
--- a/evacuation/evacuation_test.go
+++ b/evacuation/evacuation_test.go
@@ -63,7 +63,13 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			var found []evacuation.Set
-			r := &evacuation.Reader{API: test.store, Kind: "zone", Found: func(s evacuation.Set) { found = append(found, s) }}
+			r := &objectapi.Listing{
+				API:  test.store,
+				Kind: "zone",
+				Found: func(items []*objectapi.Object, at objectapi.Point, _ bool) {
+					found = append(found, evacuation.Named(items, at))
+				},
+			}
 			for _, read := range []func(context.Context) error{r.First, r.Read} {
 				found = nil
 				err := read(context.Background())
--- a/evacuation/set.go
+++ b/evacuation/set.go
@@ -22,6 +22,16 @@
 	Zones []string `json:"zones"`
 }
 
+// Named returns the zones that objects read at a Point are named for. What an object says
+// beside its name does not count, so one that can't be decoded holds for its zone all the same.
+func Named(items []*objectapi.Object, at objectapi.Point) Set {
+	zones := make([]string, len(items))
+	for i, o := range items {
+		zones[i] = o.Metadata.Name
+	}
+	return New(at, zones...)
+}
+
 // New returns the Set of the given zones at a Point.
 func New(at objectapi.Point, zones ...string) Set {
 	zones = append([]string(nil), zones...)
--- a/node/follow.go
+++ b/node/follow.go
@@ -8,7 +8,6 @@
 	"context"
 	"time"
 
-	"sassafrasfront.example/canary"
 	"sassafrasfront.example/evacuation"
 	"sassafrasfront.example/follow"
 	"sassafrasfront.example/internal/boottime"
@@ -18,9 +17,9 @@
 // configReader reads the parts of the configuration.
 type configReader struct {
 	table *objectapi.Reader
-	zones *evacuation.Reader // nil where zones are not evacuated
+	zones *objectapi.Listing // nil where zones are not evacuated
 	// orders, if not nil, reads the orders to roll versions out.
-	orders *canary.Reader
+	orders *objectapi.Listing
 	// clock, if not nil, is read before each read of the table, and answered called with
 	// that if the platform answers it.
 	clock    boottime.Clock
@@ -46,10 +45,12 @@
 		leads:    n.control.Leads,
 	}
 	if n.Settings.EvacuateWithin > 0 {
-		r.zones = &evacuation.Reader{
-			API:   api,
-			Kind:  n.Platform.ZoneKind,
-			Found: n.control.Evacuate,
+		r.zones = &objectapi.Listing{
+			API:  api,
+			Kind: n.Platform.ZoneKind,
+			Found: func(items []*objectapi.Object, at objectapi.Point, _ bool) {
+				n.control.Evacuate(evacuation.Named(items, at))
+			},
 		}
 	}
 	r.orders = n.orders
--- a/node/node.go
+++ b/node/node.go
@@ -78,7 +78,7 @@
 	evacuated  zoneLog
 	limits     *ratelimit.Limiter                // of organisations, or nil
 	rollouts   *canary.Runner                    // or nil, where none are ordered
-	orders     *canary.Reader                    // of the same
+	orders     *objectapi.Listing                // of the same
 	versions   versionCheck                      // of the upstream
 	suspects   quarantine.Index                  // the requests that upstreams have ended under
 	blocked    *blocklist.Ledger                 // of them, on the platform, or nil
--- a/node/rollouts.go
+++ b/node/rollouts.go
@@ -15,6 +15,7 @@
 
 	"sassafrasfront.example/canary"
 	"sassafrasfront.example/internal/sleep"
+	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/operator"
 	"sassafrasfront.example/peer"
 	"sassafrasfront.example/rollout"
@@ -49,13 +50,16 @@
 	}
 	n.versions.wanted = make(chan string, 1)
 	n.control.Exposure = rollout.Exposure(s.RolloutShare)
-	n.orders = &canary.Reader{
-		API:     n.api,
-		Kind:    n.Platform.RolloutKind,
+	orders := &canary.Orders{
 		Decode:  n.Platform.Rollout,
 		Found:   n.control.Orders,
 		Refused: func(reason error) { n.warnOfOther("order refused", reason) },
 	}
+	n.orders = &objectapi.Listing{
+		API:   n.api,
+		Kind:  n.Platform.RolloutKind,
+		Found: orders.Take,
+	}
 	n.rollouts = &canary.Runner{
 		Hello: peer.Hello{
 			Node:    s.Node,
--- a/ratelimit/exchange.go
+++ b/ratelimit/exchange.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -31,7 +32,7 @@
 // ctx ends.
 func (l *Limiter) Run(ctx context.Context) {
 	l.init()
-	defer l.close()
+	defer l.clients.Close()
 	t := time.NewTimer(0)
 	defer t.Stop()
 	for {
@@ -138,48 +139,12 @@
 
 // connect has a client for each of some nodes.
 func (l *Limiter) connect(homes []Peer) {
-	l.clientsMu.Lock()
-	defer l.clientsMu.Unlock()
-	wanted := make(map[string]bool, len(homes))
 	for _, h := range homes {
-		wanted[h.ID] = true
-		if c := l.clients[h.ID]; c != nil && c.Addr == h.Addr {
-			continue
-		}
-		if c := l.clients[h.ID]; c != nil {
-			c.Close()
-		}
-		limits := l.Limits
-		limits.Idle = clientsIdle
-		l.clients[h.ID] = &peer.Client{
-			Addr:     h.Addr,
-			Hello:    l.Hello,
-			Limits:   limits,
-			Counters: l.Counters,
-		}
-	}
-	for id, c := range l.clients {
-		if len(l.clients) > maxClients && !wanted[id] {
-			c.Close()
-			delete(l.clients, id)
-		}
-	}
-}
-
-// client returns the client of a home, or nil if its address isn't known.
-func (l *Limiter) client(id string) *peer.Client {
-	l.clientsMu.Lock()
-	defer l.clientsMu.Unlock()
-	return l.clients[id]
-}
-
-// close closes the connections to homes.
-func (l *Limiter) close() {
-	l.clientsMu.Lock()
-	defer l.clientsMu.Unlock()
-	for _, c := range l.clients {
-		c.Close()
+		l.clients.At(h.ID, h.Addr)
 	}
+	l.clients.Retain(maxClients, func(node string) bool {
+		return slices.ContainsFunc(homes, func(h Peer) bool { return h.ID == node })
+	})
 }
 
 // exchange sends an Ask and takes its answer in.
@@ -210,7 +175,7 @@
 	if home == l.Hello.Node {
 		return l.answer(home, a)
 	}
-	c := l.client(home)
+	c := l.clients.Get(home)
 	if c == nil {
 		return nil, eris.Errorf("no address of %q is known", home)
 	}
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -67,7 +67,8 @@
 	starting sync.Once
 	began    time.Duration // by Clock
 	wake     chan struct{}
-	active   atomic.Bool // whether any organisation has a limit
+	clients  *peer.Clients // of homes
+	active   atomic.Bool   // whether any organisation has a limit
 
 	mu       sync.Mutex
 	set      *organisation.Set
@@ -83,11 +84,9 @@
 	// answered, unanswered and answers count exchanges.
 	answered, unanswered, answers uint64
 
-	// The goroutine of Run owns what follows, but for the clients, under clientsMu.
-	homes     []Peer        // to choose from, as of homesAt
-	homesAt   time.Duration // when they were chosen
-	clientsMu sync.Mutex
-	clients   map[string]*peer.Client // by the id of the home
+	// The goroutine of Run owns what follows.
+	homes   []Peer        // to choose from, as of homesAt
+	homesAt time.Duration // when they were chosen
 }
 
 // init makes what the first call needs, by whichever method it comes.
@@ -102,7 +101,13 @@
 		l.limiter = quota.NewLimiter(quota.NewClient(uint64(time.Now().UnixMilli()), 0))
 		l.census = quota.NewCensus(0)
 		l.tallies = make(map[string]*tally)
-		l.clients = make(map[string]*peer.Client)
+		limits := l.Limits
+		limits.Idle = clientsIdle
+		l.clients = &peer.Clients{
+			Hello:    l.Hello,
+			Limits:   limits,
+			Counters: l.Counters,
+		}
 	})
 }
 
--- a/ratelimit/tally.go
+++ b/ratelimit/tally.go
@@ -119,7 +119,7 @@
 	l.mu.Lock()
 	home := l.asked
 	l.mu.Unlock()
-	c := l.client(home)
+	c := l.clients.Get(home)
 	if home == l.Hello.Node || c == nil {
 		return l.rates(names), nil
 	}
