control: whom a node talks to is package neighbour

The choice of neighbours, and which of them get a change, news or a comparison, needs no network and no state but the numbers of nodes known. No change of behaviour.

--- a/control/control.go
+++ b/control/control.go
@@ -21,6 +21,7 @@
 	"sassafrasfront.example/freshness"
 	"sassafrasfront.example/internal/boottime"
 	"sassafrasfront.example/member"
+	"sassafrasfront.example/neighbour"
 	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/operator"
 	"sassafrasfront.example/peer"
@@ -142,7 +143,7 @@
 	live       int // live nodes, this one included
 	near       int // those in the node's own zone, without this one
 	dirty      map[string]bool
-	neighbours []member.Record
+	neighbours neighbour.Set
 	clients    map[string]*peer.Client
 	reads      *follow.State // of the table, if there is a Template
 	heard      chan struct{}
@@ -168,6 +169,10 @@
 		c.suspects = make(map[string]time.Time)
 		c.clients = make(map[string]*peer.Client)
 		c.random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+		c.neighbours = neighbour.Set{
+			Zone:   c.Self.Zone,
+			Random: c.random,
+		}
 		c.members = reconcile.Exchange[member.Record]{
 			Topic: "members",
 			Accept: func(r member.Record) bool {
@@ -326,7 +331,7 @@
 func (c *Control) memberChanged(old, r member.Record) {
 	c.index(old, r)
 	if r.Live() && !wasLive(old) && r.ID != c.self.ID {
-		c.consider(r)
+		c.neighbours.Consider(r, c.known())
 	}
 	if r.ID == c.self.ID && c.self.Rank().Less(r.Rank()) {
 		// Somebody knows a later word than this node's own: one from before its
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -154,7 +154,7 @@
 	for _, n := range c.nodes {
 		n.do(func() {
 			var near []string
-			for _, r := range n.neighbours {
+			for _, r := range n.neighbours.All() {
 				near = append(near, r.ID)
 			}
 			c.t.Logf("%s: representative=%v live=%d neighbours=%v suspects=%d comparing=%v sequences=%v", n.Self.ID, n.Represents(), n.live, near, len(n.suspects), n.comparing, n.Snapshot().Sequences)
@@ -427,7 +427,7 @@
 		for _, p := range mute.clients {
 			p.Close()
 		}
-		mute.neighbours = nil
+		mute.neighbours.Clear()
 	})
 	silent := make(chan struct{})
 	defer close(silent)
--- a/control/reads.go
+++ b/control/reads.go
@@ -13,6 +13,7 @@
 	"sassafrasfront.example/acceptance"
 	"sassafrasfront.example/follow"
 	"sassafrasfront.example/member"
+	"sassafrasfront.example/neighbour"
 	"sassafrasfront.example/peer"
 	"sassafrasfront.example/reconcile"
 )
@@ -79,7 +80,7 @@
 // AskNews asks a few neighbours for their news.
 func (c *Control) AskNews(ctx context.Context) {
 	c.do(func() {
-		for _, t := range c.targets(askNews) {
+		for _, t := range c.targets(askNews, func() []member.Record { return c.neighbours.Some(askNews) }) {
 			go func() {
 				ctx, cancel := context.WithTimeout(ctx, newsTimeout)
 				defer cancel()
@@ -165,7 +166,7 @@
 		c.Log.Error().Err(err).Msg("news not encoded")
 		return
 	}
-	for _, t := range c.newsTargets() {
+	for _, t := range c.targets(neighbour.Most, c.neighbours.ForNews) {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), newsTimeout)
 			defer cancel()
--- a/control/release_test.go
+++ b/control/release_test.go
@@ -24,7 +24,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := sizedAs("fresh", test.members)
 			near := make(map[string]bool)
-			for _, r := range c.neighbours {
+			for _, r := range c.neighbours.All() {
 				near[r.Addr] = true
 			}
 			kept := 0
--- a/control/represent.go
+++ b/control/represent.go
@@ -70,7 +70,7 @@
 		near, _ := c.split()
 		c.random.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
 		list = append(list, c.self.Addr)
-		for _, m := range append(slices.Clone(c.neighbours), near...) {
+		for _, m := range append(slices.Clone(c.neighbours.All()), near...) {
 			if len(list) < n && !slices.Contains(list, m.Addr) {
 				list = append(list, m.Addr)
 			}
--- a/control/spread.go
+++ b/control/spread.go
@@ -15,13 +15,13 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"sassafrasfront.example/gossip"
+	"sassafrasfront.example/member"
+	"sassafrasfront.example/neighbour"
 	"sassafrasfront.example/peer"
 	"sassafrasfront.example/reconcile"
 )
 
 const (
-	// fanOut is the number of nodes that a change or news is passed on to.
-	fanOut = 4
 	// compareCost is what a comparison that finds no difference costs, in
 	// bytes.
 	compareCost = 150
@@ -155,7 +155,7 @@
 	if len(c.members.Outbox)+len(c.configs.Outbox)+len(c.reports.Outbox) == 0 {
 		return nil, nil
 	}
-	targets := c.pushTargets()
+	targets := c.targets(neighbour.Most, func() []member.Record { return c.neighbours.ForChange(c.known()) })
 	if len(targets) == 0 {
 		return nil, nil
 	}
@@ -199,7 +199,7 @@
 // still on. A comparison that finds no difference has a small and fixed cost,
 // so it is made even while the budget is spent.
 func (c *Control) compare(ctx context.Context) {
-	targets := c.toCompare()
+	targets := c.targets(neighbour.Most, func() []member.Record { return c.neighbours.ForComparison(compareTries, c.known()) })
 	if c.comparing || len(targets) == 0 {
 		return
 	}
--- a/control/table_test.go
+++ b/control/table_test.go
@@ -143,7 +143,7 @@
 		for _, p := range mute.clients {
 			p.Close()
 		}
-		mute.neighbours = nil
+		mute.neighbours.Clear()
 	})
 	silent := make(chan struct{})
 	defer close(silent)
--- a/control/crossing_test.go
+++ b/neighbour/crossing_test.go
@@ -2,10 +2,11 @@
 // Use of this source code is governed by a BSD-style
 // license that can be found in the LICENSE file.
 
-package control
+package neighbour
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -32,28 +33,37 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			c := &Control{Self: member.Record{ID: "self", Zone: "here", Addr: "10.0.0.1:1"}, Published: func(*Snapshot) {}}
-			c.init()
+			s := &Set{
+				Zone:   "here",
+				Random: rand.New(rand.NewPCG(1, uint64(test.near))),
+			}
+			known := Known{
+				Near: test.near,
+				Far:  test.far,
+			}
+			var nearby, elsewhere []member.Record
 			for i := range test.near + test.far {
-				zone := "here"
-				if i >= test.near {
-					zone = "there"
+				r := member.Record{ID: fmt.Sprint("n", i), Zone: "here"}
+				if i < test.near {
+					nearby = append(nearby, r)
+					continue
 				}
-				c.members.Put(member.Record{ID: fmt.Sprint("n", i), Addr: fmt.Sprintf("10.1.%d.%d:1", i>>8, i&255), Zone: zone, State: member.Up, Incarnation: 1})
+				r.Zone = "there"
+				elsewhere = append(elsewhere, r)
 			}
-			c.turnOver()
+			s.TurnOver(func(member.Record) bool { return true }, nearby, elsewhere)
 			const draws = 4000
 			passed, compared := 0, 0
 			for range draws {
-				list := c.pushTargets()
+				list := s.ForChange(known)
 				qt.Assert(t, list, qt.HasLen, test.targets)
 				if test.far > 0 && test.near > fanOut {
-					qt.Assert(t, elsewhere(c.newsTargets()), qt.Equals, 1)
+					qt.Assert(t, outside(s.ForNews()), qt.Equals, 1)
 				}
-				if elsewhere(list) > 0 {
+				if outside(list) > 0 {
 					passed++
 				}
-				if first := c.toCompare()[0]; first.Zone != "here" {
+				if first := s.ForComparison(3, known)[0]; first.Zone != "here" {
 					compared++
 				}
 			}
@@ -64,8 +74,8 @@
 	}
 }
 
-// elsewhere returns how many of the targets are in another zone.
-func elsewhere(list []target) (n int) {
+// outside returns how many of the nodes are in another zone.
+func outside(list []member.Record) (n int) {
 	for _, t := range list {
 		if t.Zone != "here" {
 			n++
--- /dev/null
+++ b/neighbour/set_test.go
@@ -0,0 +1,94 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package neighbour
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/member"
+)
+
+// TestLateStarts has nodes come up one after another: the first and the last are neighbours of as
+// many nodes, and no node has more than Most.
+func TestLateStarts(t *testing.T) {
+	tests := map[string]struct{ own, elsewhere int }{
+		"few":              {own: 5, elsewhere: 3},
+		"one zone":         {own: 100},
+		"a hundred of 300": {own: 100, elsewhere: 200},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			const sets = 4000
+			first, last := 0, 0
+			for i := range sets {
+				s := &Set{
+					Zone:   "here",
+					Random: rand.New(rand.NewPCG(7, uint64(i))),
+				}
+				var known Known
+				for j := range test.elsewhere {
+					known.Far++
+					s.Consider(member.Record{ID: fmt.Sprint("f", j), Zone: "there"}, known)
+				}
+				for j := range test.own {
+					known.Near++
+					s.Consider(member.Record{ID: fmt.Sprint("n", j), Zone: "here"}, known)
+				}
+				qt.Assert(t, s.Len(), qt.Equals, min(near, test.own)+min(far, test.elsewhere))
+				has := func(id string) bool {
+					return slices.ContainsFunc(s.All(), func(r member.Record) bool { return r.ID == id })
+				}
+				if has("n0") {
+					first++
+				}
+				if has(fmt.Sprint("n", test.own-1)) {
+					last++
+				}
+			}
+			want := min(1, float64(near)/float64(test.own))
+			for _, n := range []int{first, last} {
+				share := float64(n) / sets
+				qt.Check(t, share > 0.8*want && share <= min(1, 1.2*want), qt.IsTrue, qt.Commentf("%f, want %f", share, want))
+			}
+		})
+	}
+}
+
+// TestTurnOver has neighbours go, and others take their places.
+func TestTurnOver(t *testing.T) {
+	s := &Set{
+		Zone:   "here",
+		Random: rand.New(rand.NewPCG(1, 1)),
+	}
+	var nearby, elsewhere []member.Record
+	for i := range 20 {
+		nearby = append(nearby, member.Record{ID: fmt.Sprint("n", i), Zone: "here", Addr: fmt.Sprint("10.0.0.", i)})
+		elsewhere = append(elsewhere, member.Record{ID: fmt.Sprint("f", i), Zone: "there", Addr: fmt.Sprint("10.1.0.", i)})
+	}
+	stays := func(member.Record) bool { return true }
+	s.TurnOver(stays, nearby, elsewhere)
+	qt.Assert(t, s.Len(), qt.Equals, Most)
+	before := slices.Clone(s.All())
+	s.TurnOver(stays, nearby, elsewhere)
+	kept := 0
+	for _, r := range before {
+		if s.HasAddress(r.Addr) {
+			kept++
+		}
+	}
+	qt.Check(t, kept >= Most-1, qt.IsTrue, qt.Commentf("%d kept", kept))
+	s.TurnOver(func(r member.Record) bool { return r.Zone == "here" }, nearby, nil)
+	qt.Check(t, s.Len(), qt.Equals, near, qt.Commentf("nobody elsewhere is left"))
+	gone := s.All()[0]
+	s.Remove(gone.ID)
+	qt.Check(t, s.HasAddress(gone.Addr), qt.IsFalse)
+	s.Clear()
+	qt.Check(t, s.Some(3), qt.HasLen, 0)
+}
