control: a connection to learn by is closed at once

A node that starts keeps the connection to each that it learns from for 5 s, in case somebody else uses its client; all 986 start within 0.3 s and ask at most three first peers.

Hypothesis: with a client of its own for the visit, closed when that is over, a first peer holds those that are there at the same moment, not all of the last 5 s. Ruled out: connections of traffic (12 to 32 a service).

--- a/control/bootstrap.go
+++ b/control/bootstrap.go
@@ -69,13 +69,14 @@
 			continue
 		}
 		var p *peer.Client
-		if !c.do(func() { p = c.client(addr) }) {
+		var end func()
+		if !c.do(func() { p, end = c.visit(addr) }) {
 			return false
 		}
 		ctx, cancel := context.WithTimeout(ctx, 4*compareTimeout)
 		err := c.learnBy(ctx, p)
 		cancel()
-		c.do(func() { c.release(addr) })
+		end()
 		if err == nil {
 			c.Log.Info().Str("peer", addr).Msg("learnt from a first peer")
 			return true
--- a/control/introduce.go
+++ b/control/introduce.go
@@ -86,13 +86,14 @@
 		}
 		tried++
 		var near *peer.Client
-		if !c.do(func() { near = c.client(r.Addr) }) {
+		var end func()
+		if !c.do(func() { near, end = c.visit(r.Addr) }) {
 			return reconcile.ErrStopped
 		}
 		limited, cancel := context.WithTimeout(ctx, compareTimeout)
 		err := c.compareWith(limited, near)
 		cancel()
-		c.do(func() { c.release(r.Addr) })
+		end()
 		if err == nil {
 			return nil
 		}
--- a/control/neighbours.go
+++ b/control/neighbours.go
@@ -25,9 +25,16 @@
 			c.release(other)
 		}
 	}
+	p := c.newClient(addr)
+	c.clients[addr] = p
+	return p
+}
+
+// newClient returns a client for control requests to an address that is not kept.
+func (c *Control) newClient(addr string) *peer.Client {
 	limits := c.Limits
 	limits.Idle = 30 * time.Second
-	p := &peer.Client{
+	return &peer.Client{
 		Addr: addr,
 		Hello: peer.Hello{
 			Node:        c.self.ID,
@@ -38,12 +45,30 @@
 		Limits:   limits,
 		Counters: c.Counters,
 	}
-	c.clients[addr] = p
-	return p
 }
 
-// release closes the connection to an address in a moment, unless a neighbour has it. Those
-// whom all nodes meet at their start would hold one for each otherwise.
+// visit returns a client to learn from the node at an address, and what ends that. The connection
+// is then closed at once, unless it is to a neighbour: where all that start visit the same few
+// nodes, these have a connection for each that is there at the same moment, and no more.
+func (c *Control) visit(addr string) (p *peer.Client, end func()) {
+	if p := c.clients[addr]; p != nil {
+		return p, func() {}
+	}
+	p = c.newClient(addr)
+	return p, func() {
+		kept := false
+		c.do(func() {
+			if kept = c.clients[addr] == nil && c.neighbours.HasAddress(addr); kept {
+				c.clients[addr] = p
+			}
+		})
+		if !kept {
+			p.Close()
+		}
+	}
+}
+
+// release closes the connection to an address in a moment, unless a neighbour has it.
 func (c *Control) release(addr string) {
 	p := c.clients[addr]
 	if p == nil || c.neighbours.HasAddress(addr) {
--- a/control/release_test.go
+++ b/control/release_test.go
@@ -5,9 +5,14 @@
 package control
 
 import (
+	"context"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/member"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/reconcile"
 )
 
 // TestConnectionsOfMet has a node meet others at its start, of which some become neighbours: it
@@ -40,3 +45,47 @@
 		})
 	}
 }
+
+// TestVisits has a node learn from others: it keeps the connection of one that has become a
+// neighbour, and that of no other, not even for a moment.
+func TestVisits(t *testing.T) {
+	tests := map[string]struct {
+		neighbour, client bool // whether the visited node is a neighbour, or has a client already
+		kept              bool
+	}{
+		"another node":          {},
+		"a neighbour":           {neighbour: true, kept: true},
+		"one that is talked to": {client: true, kept: true},
+		"both":                  {neighbour: true, client: true, kept: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			ctx := context.Background()
+			c := sizedAs("fresh", 30)
+			serve(t, c)
+			first := sizedAs("first", 30)
+			addr, counters := serve(t, first)
+			c.do(func() {
+				c.neighbours.Clear()
+				if test.client {
+					c.client(addr)
+				}
+				if test.neighbour {
+					c.neighbours.Consider(member.Record{ID: "first", Zone: c.Self.Zone, Addr: addr}, c.known())
+				}
+			})
+			var p *peer.Client
+			var end func()
+			c.do(func() { p, end = c.visit(addr) })
+			_, err := reconcile.Ask[struct{}, roots](ctx, p, topicRoots, struct{}{})
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, counters.BytesOut.Load() > 0, qt.IsTrue)
+			end()
+			var kept bool
+			c.do(func() { kept = c.clients[addr] == p })
+			qt.Check(t, kept, qt.Equals, test.kept)
+			_, err = reconcile.Ask[struct{}, roots](ctx, p, topicRoots, struct{}{})
+			qt.Check(t, err == nil, qt.Equals, test.kept)
+		})
+	}
+}
