--- a/control/bootstrap.go
+++ b/control/bootstrap.go
@@ -49,6 +49,7 @@
 	}
 	l, err := c.API.List(ctx, operator.KindRepresentative)
 	if err != nil {
+		c.Log.Debug().Err(err).Msg("leases not read")
 		return false
 	}
 	rand.Shuffle(len(l.Items), func(i, j int) { l.Items[i], l.Items[j] = l.Items[j], l.Items[i] })
@@ -81,6 +82,7 @@
 			c.Log.Info().Str("peer", addr).Msg("learnt from a first peer")
 			return true
 		}
+		c.Log.Debug().Err(err).Str("peer", addr).Msg("not learnt from a first peer")
 	}
 	return false
 }
@@ -89,9 +91,13 @@
 func (c *Control) readLease(ctx context.Context, zone string) (operator.Representative, bool) {
 	o, err := c.API.Get(ctx, operator.KindRepresentative, zone)
 	if err != nil {
+		c.Log.Debug().Err(err).Str("zone", zone).Msg("lease not read")
 		return operator.Representative{}, false
 	}
 	s, err := objectapi.SpecOf[operator.Representative](o)
+	if err != nil {
+		c.Log.Warn().Err(err).Str("zone", zone).Msg("lease can't be read")
+	}
 	return s, err == nil
 }
 
--- a/representative/lease.go
+++ b/representative/lease.go
@@ -35,11 +35,12 @@
 		l.object = nil
 		return l.write(ctx)
 	case err != nil:
+		l.Log.Debug().Err(err).Msg("lease not read")
 		return false
 	}
 	spec, err := objectapi.SpecOf[operator.Representative](o)
 	if err != nil {
-		l.Log.Error().Err(err).Msg("representative object can't be read")
+		l.Log.Error().Err(err).Msg("lease can't be read")
 		return false
 	}
 	if l.object == nil || o.Metadata.ResourceVersion != l.object.Metadata.ResourceVersion {
@@ -88,6 +89,7 @@
 	}
 	written, err := objectapi.Put(ctx, l.API, o)
 	if err != nil {
+		l.Log.Debug().Err(err).Msg("lease not written")
 		return false
 	}
 	l.object = written
@@ -131,10 +133,12 @@
 	}
 	o, err := l.API.Get(ctx, operator.KindRepresentative, l.Zone)
 	if err != nil {
+		l.Log.Debug().Err(err).Msg("lease not read")
 		return true
 	}
 	spec, err := objectapi.SpecOf[operator.Representative](o)
 	if err != nil {
+		l.Log.Error().Err(err).Msg("lease can't be read")
 		return true
 	}
 	l.object = o
@@ -149,5 +153,7 @@
 	next := l.spec
 	next.Holder = ""
 	o := objectapi.NewObject(operator.KindRepresentative, l.Zone, next)
-	_, _ = l.API.Update(ctx, o.WithVersion(l.object.Metadata.ResourceVersion))
+	if _, err := l.API.Update(ctx, o.WithVersion(l.object.Metadata.ResourceVersion)); err != nil {
+		l.Log.Debug().Err(err).Msg("lease not given back, the next representative waits for its end")
+	}
 }
--- a/representative/work.go
+++ b/representative/work.go
@@ -114,6 +114,7 @@
 func (w *work) bridgeOnce(ctx context.Context) int {
 	l, err := w.API.List(ctx, operator.KindRepresentative)
 	if err != nil {
+		w.Log.Debug().Err(err).Msg("leases not read")
 		return 0
 	}
 	var found int
