--- a/control/release_test.go
+++ b/control/release_test.go
@@ -71,7 +71,11 @@
 					c.client(addr)
 				}
 				if test.neighbour {
-					c.neighbours.Consider(member.Record{ID: "first", Zone: c.Self.Zone, Addr: addr}, c.known())
+					c.neighbours.Consider(member.Record{
+						ID:   "first",
+						Zone: c.Self.Zone,
+						Addr: addr,
+					}, c.known())
 				}
 			})
 			var p *peer.Client
--- a/entry/do.go
+++ b/entry/do.go
@@ -174,7 +174,13 @@
 	if a != nil {
 		f.tried = append(f.tried, a.member.ID)
 		candidate, age := a.use.Candidate()
-		f.note(Step{Event: EventSent, Node: a.member.ID, Candidate: candidate, Age: age, Trial: a.member.Trial})
+		f.note(Step{
+			Event:     EventSent,
+			Node:      a.member.ID,
+			Candidate: candidate,
+			Age:       age,
+			Trial:     a.member.Trial,
+		})
 	}
 	if failure != nil {
 		return failure
--- a/neighbour/crossing_test.go
+++ b/neighbour/crossing_test.go
@@ -5,7 +5,6 @@
 package neighbour
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"testing"
 
@@ -43,13 +42,11 @@
 			}
 			var nearby, elsewhere []member.Record
 			for i := range test.near + test.far {
-				r := member.Record{ID: fmt.Sprint("n", i), Zone: "here"}
 				if i < test.near {
-					nearby = append(nearby, r)
-					continue
+					nearby = append(nearby, nodeIn("here", i))
+				} else {
+					elsewhere = append(elsewhere, nodeIn("there", i))
 				}
-				r.Zone = "there"
-				elsewhere = append(elsewhere, r)
 			}
 			s.TurnOver(func(member.Record) bool { return true }, nearby, elsewhere)
 			const draws = 4000
--- a/neighbour/set_test.go
+++ b/neighbour/set_test.go
@@ -15,6 +15,15 @@
 	"sassafrasfront.example/member"
 )
 
+// nodeIn returns the i-th node of a zone.
+func nodeIn(zone string, i int) member.Record {
+	return member.Record{
+		ID:   fmt.Sprint(zone, "-", i),
+		Zone: zone,
+		Addr: fmt.Sprint(zone, ":", i),
+	}
+}
+
 // TestLateStarts has nodes come up one after another: the first and the last are neighbours of as
 // many nodes, and no node has more than Most.
 func TestLateStarts(t *testing.T) {
@@ -35,20 +44,20 @@
 				var known Known
 				for j := range test.elsewhere {
 					known.Far++
-					s.Consider(member.Record{ID: fmt.Sprint("f", j), Zone: "there"}, known)
+					s.Consider(nodeIn("there", j), known)
 				}
 				for j := range test.own {
 					known.Near++
-					s.Consider(member.Record{ID: fmt.Sprint("n", j), Zone: "here"}, known)
+					s.Consider(nodeIn("here", j), known)
 				}
 				qt.Assert(t, s.Len(), qt.Equals, min(near, test.own)+min(far, test.elsewhere))
 				has := func(id string) bool {
 					return slices.ContainsFunc(s.All(), func(r member.Record) bool { return r.ID == id })
 				}
-				if has("n0") {
+				if has(nodeIn("here", 0).ID) {
 					first++
 				}
-				if has(fmt.Sprint("n", test.own-1)) {
+				if has(nodeIn("here", test.own-1).ID) {
 					last++
 				}
 			}
@@ -69,8 +78,8 @@
 	}
 	var nearby, elsewhere []member.Record
 	for i := range 20 {
-		nearby = append(nearby, member.Record{ID: fmt.Sprint("n", i), Zone: "here", Addr: fmt.Sprint("10.0.0.", i)})
-		elsewhere = append(elsewhere, member.Record{ID: fmt.Sprint("f", i), Zone: "there", Addr: fmt.Sprint("10.1.0.", i)})
+		nearby = append(nearby, nodeIn("here", i))
+		elsewhere = append(elsewhere, nodeIn("there", i))
 	}
 	stays := func(member.Record) bool { return true }
 	s.TurnOver(stays, nearby, elsewhere)
