sassafrasctl: TestBusiest's nodes are a thousandfold apart

The rates are right; the test's nodes were 25% apart, so that it asked for how fast the machine reads.

--- a/cmd/sassafrasctl/busiest_test.go
+++ b/cmd/sassafrasctl/busiest_test.go
@@ -18,9 +18,13 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// fleetOf starts nodes on one port of several addresses, each of which sends more than the one
-// before it and the last one most platform calls. Another one that they know is gone. It returns
-// the operator address of the first.
+// apart is how many times more one node uses than the next one, so that their order does not hang
+// on how long the reading of each takes.
+const apart = 1000
+
+// fleetOf starts nodes on one port of several addresses, each of which sends far more than the one
+// before it and makes far fewer calls to the platform. Another one that they know is gone. It
+// returns the operator address of the first.
 func fleetOf(t *testing.T, nodes int) string {
 	first, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
@@ -36,6 +40,13 @@
 			qt.Assert(t, err, qt.IsNil)
 		}
 		var reads atomic.Int64
+		sends, calls := int64(1000), int64(1)
+		for range i {
+			sends *= apart
+		}
+		for range nodes - i {
+			calls *= apart
+		}
 		s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/v1/nodes" {
 				_, _ = fmt.Fprintf(w, "[%s]", strings.Join(list, ","))
@@ -43,9 +54,9 @@
 			}
 			n := reads.Add(1)
 			_, _ = fmt.Fprintf(w, "# a comment\nprocess_cpu_seconds_total %g\nprocess_resident_memory_bytes 15e6\nprocess_open_fds %d\n", 0.01*float64(n), 100+i)
-			_, _ = fmt.Fprintf(w, "sassafras_peer_bytes_total{part=\"control\",direction=\"out\"} %d\n", n*int64(10000*(i+1)))
-			_, _ = fmt.Fprintf(w, "sassafras_control_bytes_total{topic=\"members.records\",direction=\"out\"} %d\n", n*int64(9000*(i+1)))
-			_, _ = fmt.Fprintf(w, "sassafras_platform_calls_total %d\nsassafras_platform_calls_by_kind_total{call=\"list\",kind=\"contact\"} %d\n", n*int64(nodes-i), n*int64(nodes-i))
+			_, _ = fmt.Fprintf(w, "sassafras_peer_bytes_total{part=\"control\",direction=\"out\"} %d\n", n*sends)
+			_, _ = fmt.Fprintf(w, "sassafras_control_bytes_total{topic=\"members.records\",direction=\"out\"} %d\n", n*sends)
+			_, _ = fmt.Fprintf(w, "sassafras_platform_calls_total %d\nsassafras_platform_calls_by_kind_total{call=\"list\",kind=\"contact\"} %d\n", n*calls, n*calls)
 		}))
 		s.Listener.Close()
 		s.Listener = listener
