peer: one Ask and one Unpack for control requests

Found in a reading of the whole change: the check of a payload's lengths and its decoding stood three times (reconcile, canary, ratelimit), and what sends a question and decodes its answer four times. Both speak package peer's control requests and know nothing of sets, so they are peer.Ask and peer.Unpack now, and all call them; reconcile's test of a payload with false lengths goes along, unchanged. control has its own errStopped. Two functions of representative that only passed on what its Node says go. No change of behaviour; the tests of these packages and node's on roll-outs, limits and evacuation pass.

--- a/canary/report.go
+++ b/canary/report.go
@@ -114,25 +114,18 @@
 	if p.ID == r.Hello.Node {
 		return r.take(p.ID, report)
 	}
-	payload, err := msgpack.Marshal(report)
-	if err != nil {
-		return eris.Wrap(err, "encode")
-	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	_, err = r.clients.At(p.ID, p.Addr).Request(ctx, Topic, payload, false)
+	_, err := peer.Ask[rollout.Report, struct{}](ctx, r.clients.At(p.ID, p.Addr), Topic, report)
 	return err
 }
 
 // Handle takes in a report of another node.
 func (r *Runner) Handle(from peer.Hello, payload []byte) ([]byte, error) {
 	r.init()
-	if !peer.Plausible(payload) {
-		return nil, eris.Wrap(peer.ErrProtocol, "decode: a length is over what follows it")
-	}
-	var report rollout.Report
-	if err := msgpack.Unmarshal(payload, &report); err != nil {
-		return nil, eris.Wrap(err, "decode")
+	report, err := peer.Unpack[rollout.Report](payload)
+	if err != nil {
+		return nil, err
 	}
 	if err := r.take(from.Node, report); err != nil {
 		return nil, err
--- a/control/candidates.go
+++ b/control/candidates.go
@@ -11,7 +11,6 @@
 
 	"sassafrasfront.example/member"
 	"sassafrasfront.example/peer"
-	"sassafrasfront.example/reconcile"
 )
 
 // zoneRank returns this node's place among the live nodes of its zone, and
@@ -101,7 +100,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	_, err := reconcile.Ask[suspicions, struct{}](ctx, p, topicCandidates, suspicions{Nodes: silent})
+	_, err := peer.Ask[suspicions, struct{}](ctx, p, topicCandidates, suspicions{Nodes: silent})
 	return err
 }
 
--- a/control/control.go
+++ b/control/control.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"sassafrasfront.example/acceptance"
@@ -292,6 +293,9 @@
 	}
 }
 
+// errStopped is the failure of what is asked of a state whose goroutine has ended.
+var errStopped = eris.New("control stopped")
+
 // do has f run by the goroutine that owns the state, and waits for it. It
 // returns false if that goroutine has ended.
 func (c *Control) do(f func()) bool {
--- a/control/freshness.go
+++ b/control/freshness.go
@@ -6,11 +6,11 @@
 
 import (
 	"context"
+	"sassafrasfront.example/peer"
 	"time"
 
 	"sassafrasfront.example/follow"
 	"sassafrasfront.example/freshness"
-	"sassafrasfront.example/reconcile"
 	"sassafrasfront.example/routes"
 )
 
@@ -138,7 +138,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), newsTimeout)
 		defer cancel()
 		asked := c.Clock()
-		reply, err := reconcile.Ask[struct{}, newsAndProof](ctx, client, topicAskNews, struct{}{})
+		reply, err := peer.Ask[struct{}, newsAndProof](ctx, client, topicAskNews, struct{}{})
 		if err != nil {
 			c.Log.Debug().Err(err).Str("peer", from).Msg("clock not told")
 		}
--- a/control/freshness_test.go
+++ b/control/freshness_test.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"sassafrasfront.example/peer"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -19,7 +20,6 @@
 	"sassafrasfront.example/internal/boottime"
 	"sassafrasfront.example/member"
 	"sassafrasfront.example/operator"
-	"sassafrasfront.example/reconcile"
 	"sassafrasfront.example/routes"
 	"sassafrasfront.example/watch"
 )
@@ -98,11 +98,11 @@
 	var plain follow.News
 	qt.Assert(t, msgpack.Unmarshal(payload, &plain), qt.IsNil)
 	qt.Check(t, plain, qt.Equals, news)
-	back, err := reconcile.Unpack[newsAndProof](payload)
+	back, err := peer.Unpack[newsAndProof](payload)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, back.News, qt.Equals, news)
 	qt.Check(t, back.Proof.At, qt.Equals, time.Duration(2))
-	back, err = reconcile.Unpack[newsAndProof](mustPack(news))
+	back, err = peer.Unpack[newsAndProof](mustPack(news))
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, back, qt.Equals, newsAndProof{News: news})
 }
--- a/control/introduce.go
+++ b/control/introduce.go
@@ -9,7 +9,6 @@
 
 	"sassafrasfront.example/member"
 	"sassafrasfront.example/peer"
-	"sassafrasfront.example/reconcile"
 )
 
 // topicIntroduce asks a first peer for some members, and tells it of the asker.
@@ -71,7 +70,7 @@
 func (c *Control) learnBy(ctx context.Context, p *peer.Client) error {
 	var q introduction
 	c.do(func() { q.Self = c.self })
-	reply, err := reconcile.Ask[introduction, introduced](ctx, p, topicIntroduce, q)
+	reply, err := peer.Ask[introduction, introduced](ctx, p, topicIntroduce, q)
 	if err != nil {
 		return err
 	}
@@ -88,7 +87,7 @@
 		var near *peer.Client
 		var end func()
 		if !c.do(func() { near, end = c.visit(r.Addr) }) {
-			return reconcile.ErrStopped
+			return errStopped
 		}
 		limited, cancel := context.WithTimeout(ctx, compareTimeout)
 		err := c.compareWith(limited, near)
--- a/control/reads.go
+++ b/control/reads.go
@@ -85,7 +85,7 @@
 				ctx, cancel := context.WithTimeout(ctx, newsTimeout)
 				defer cancel()
 				asked := c.reading()
-				news, err := reconcile.Ask[struct{}, newsAndProof](ctx, t.Client, topicAskNews, struct{}{})
+				news, err := peer.Ask[struct{}, newsAndProof](ctx, t.Client, topicAskNews, struct{}{})
 				if err != nil {
 					c.Log.Debug().Err(err).Str("peer", t.ID).Msg("news not told")
 					return
@@ -189,7 +189,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), newsTimeout)
 		defer cancel()
-		reply, err := reconcile.Ask[struct{}, reconcile.Records[acceptance.Config]](ctx, p, topicTable, struct{}{})
+		reply, err := peer.Ask[struct{}, reconcile.Records[acceptance.Config]](ctx, p, topicTable, struct{}{})
 		if err != nil {
 			c.Log.Debug().Err(err).Str("peer", from).Msg("table not fetched")
 		}
@@ -210,7 +210,7 @@
 	}
 	switch topic {
 	case topicNews:
-		news, err := reconcile.Unpack[newsAndProof](payload)
+		news, err := peer.Unpack[newsAndProof](payload)
 		if err != nil {
 			return nil, true, err
 		}
--- a/control/release_test.go
+++ b/control/release_test.go
@@ -12,7 +12,6 @@
 
 	"sassafrasfront.example/member"
 	"sassafrasfront.example/peer"
-	"sassafrasfront.example/reconcile"
 )
 
 // TestConnectionsOfMet has a node meet others at its start, of which some become neighbours: it
@@ -81,14 +80,14 @@
 			var p *peer.Client
 			var end func()
 			c.do(func() { p, end = c.visit(addr) })
-			_, err := reconcile.Ask[struct{}, roots](ctx, p, topicRoots, struct{}{})
+			_, err := peer.Ask[struct{}, roots](ctx, p, topicRoots, struct{}{})
 			qt.Assert(t, err, qt.IsNil)
 			qt.Check(t, counters.BytesOut.Load() > 0, qt.IsTrue)
 			end()
 			var kept bool
 			c.do(func() { kept = c.clients[addr] == p })
 			qt.Check(t, kept, qt.Equals, test.kept)
-			_, err = reconcile.Ask[struct{}, roots](ctx, p, topicRoots, struct{}{})
+			_, err = peer.Ask[struct{}, roots](ctx, p, topicRoots, struct{}{})
 			qt.Check(t, err == nil, qt.Equals, test.kept)
 		})
 	}
--- a/control/represent.go
+++ b/control/represent.go
@@ -11,7 +11,6 @@
 	"sassafrasfront.example/acceptance"
 	"sassafrasfront.example/member"
 	"sassafrasfront.example/peer"
-	"sassafrasfront.example/reconcile"
 	"sassafrasfront.example/representative"
 )
 
@@ -107,11 +106,12 @@
 func (r represented) Sweep(ctx context.Context) { newSweeper(r.c).run(ctx) }
 
 // InForce implements representative.Node.
-func (r represented) InForce() (names []string) {
+func (r represented) InForce() map[string]bool {
+	names := make(map[string]bool)
 	r.c.do(func() {
 		for config := range r.c.configs.Set.All {
 			if !config.Deleted {
-				names = append(names, config.Name)
+				names[config.Name] = true
 			}
 		}
 	})
@@ -144,7 +144,7 @@
 func (r represented) SequenceAt(ctx context.Context, m member.Record, service string) (uint64, error) {
 	var p *peer.Client
 	r.c.do(func() { p = r.c.client(m.Addr) })
-	reply, err := reconcile.Ask[haveQuery, haveReply](ctx, p, topicHave, haveQuery{Service: service})
+	reply, err := peer.Ask[haveQuery, haveReply](ctx, p, topicHave, haveQuery{Service: service})
 	return reply.Sequence, err
 }
 
--- a/control/spread.go
+++ b/control/spread.go
@@ -65,7 +65,7 @@
 	var reply any
 	var err error
 	if !c.do(func() { reply, err = c.handle(from, r.Topic, r.Payload) }) {
-		return nil, reconcile.ErrStopped
+		return nil, errStopped
 	}
 	if err != nil || reply == nil {
 		return nil, err
@@ -79,20 +79,20 @@
 	case topicRoots:
 		return c.roots(), nil
 	case topicHave:
-		q, err := reconcile.Unpack[haveQuery](payload)
+		q, err := peer.Unpack[haveQuery](payload)
 		if err != nil {
 			return nil, err
 		}
 		config, _ := c.configs.Set.Get(q.Service)
 		return haveReply{Sequence: config.Sequence}, nil
 	case topicIntroduce:
-		q, err := reconcile.Unpack[introduction](payload)
+		q, err := peer.Unpack[introduction](payload)
 		if err != nil {
 			return nil, err
 		}
 		return c.introduce(q), nil
 	case topicCandidates:
-		q, err := reconcile.Unpack[suspicions](payload)
+		q, err := peer.Unpack[suspicions](payload)
 		if err != nil {
 			return nil, err
 		}
@@ -222,7 +222,7 @@
 
 // compareWith makes the state the same as a peer's.
 func (c *Control) compareWith(ctx context.Context, p *peer.Client) error {
-	theirs, err := reconcile.Ask[struct{}, roots](ctx, p, topicRoots, struct{}{})
+	theirs, err := peer.Ask[struct{}, roots](ctx, p, topicRoots, struct{}{})
 	if err != nil {
 		return err
 	}
--- a/control/sweeper.go
+++ b/control/sweeper.go
@@ -12,7 +12,6 @@
 	"sassafrasfront.example/internal/sleep"
 	"sassafrasfront.example/member"
 	"sassafrasfront.example/peer"
-	"sassafrasfront.example/reconcile"
 )
 
 const (
@@ -82,7 +81,7 @@
 	s.do(func() { p = s.client(r.Addr) })
 	ctx, cancel := context.WithTimeout(ctx, compareTimeout)
 	defer cancel()
-	if _, err := reconcile.Ask[struct{}, roots](ctx, p, topicRoots, struct{}{}); err == nil {
+	if _, err := peer.Ask[struct{}, roots](ctx, p, topicRoots, struct{}{}); err == nil {
 		s.liveness.Heard(r.ID)
 	} else if ctx.Err() != context.Canceled {
 		s.liveness.Missed(r.ID, time.Now())
--- /dev/null
+++ b/peer/ask.go
@@ -0,0 +1,45 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package peer
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// ErrNoClient is the failure of what is asked for without a client, as by a node that has
+// stopped and has none any more.
+var ErrNoClient = eris.New("no client to ask with")
+
+// Ask sends a control request to a peer and decodes its reply.
+func Ask[Q, A any](ctx context.Context, p *Client, topic string, q Q) (A, error) {
+	var none A
+	if p == nil {
+		return none, ErrNoClient
+	}
+	payload, err := msgpack.Marshal(q)
+	if err != nil {
+		return none, eris.Wrap(err, "encode "+topic)
+	}
+	reply, err := p.Request(ctx, topic, payload, false)
+	if err != nil {
+		return none, err
+	}
+	return Unpack[A](reply)
+}
+
+// Unpack decodes the payload of a control request or its reply.
+func Unpack[T any](payload []byte) (T, error) {
+	var v T
+	if !Plausible(payload) {
+		return v, eris.Wrap(ErrProtocol, "decode: a length is over what follows it")
+	}
+	if err := msgpack.Unmarshal(payload, &v); err != nil {
+		return v, eris.Wrap(err, "decode")
+	}
+	return v, nil
+}
--- a/reconcile/unpack_test.go
+++ b/peer/unpack_test.go
@@ -2,7 +2,7 @@
 // Use of this source code is governed by a BSD-style
 // license that can be found in the LICENSE file.
 
-package reconcile_test
+package peer_test
 
 import (
 	"testing"
@@ -10,11 +10,10 @@
 	qt "github.com/frankban/quicktest"
 
 	"sassafrasfront.example/peer"
-	"sassafrasfront.example/reconcile"
 )
 
 // TestUnpackOfFewBytes declares a list of 3.7 thousand million fields in 5 bytes.
 func TestUnpackOfFewBytes(t *testing.T) {
-	_, err := reconcile.Unpack[[]peer.Field]([]byte{0xdd, 0xdd, 0xdd, 0xdd, 0xdd})
+	_, err := peer.Unpack[[]peer.Field]([]byte{0xdd, 0xdd, 0xdd, 0xdd, 0xdd})
 	qt.Check(t, err, qt.ErrorIs, peer.ErrProtocol)
 }
--- a/ratelimit/exchange.go
+++ b/ratelimit/exchange.go
@@ -179,18 +179,10 @@
 	if c == nil {
 		return nil, eris.Errorf("no address of %q is known", home)
 	}
-	payload, err := msgpack.Marshal(a)
-	if err != nil {
-		return nil, eris.Wrap(err, "encode")
-	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	reply, err := c.Request(ctx, Topic, payload, false)
-	if err != nil {
-		return nil, err
-	}
-	answer := new(quota.Answer)
-	return answer, decode(reply, answer)
+	answer, err := peer.Ask[*quota.Ask, quota.Answer](ctx, c, Topic, a)
+	return &answer, err
 }
 
 // Topics returns what answers other nodes, by the topics of their control requests.
@@ -204,11 +196,11 @@
 // Handle answers an Ask of another node.
 func (l *Limiter) Handle(from peer.Hello, payload []byte) ([]byte, error) {
 	l.init()
-	a := new(quota.Ask)
-	if err := decode(payload, a); err != nil {
+	a, err := peer.Unpack[quota.Ask](payload)
+	if err != nil {
 		return nil, err
 	}
-	answer, err := l.answer(from.Node, a)
+	answer, err := l.answer(from.Node, &a)
 	if err != nil {
 		return nil, err
 	}
@@ -226,11 +218,3 @@
 	}
 	return answer, nil
 }
-
-// decode reads what a peer has sent.
-func decode(payload []byte, to any) error {
-	if !peer.Plausible(payload) {
-		return eris.Wrap(peer.ErrProtocol, "decode: a length is over what follows it")
-	}
-	return eris.Wrap(msgpack.Unmarshal(payload, to), "decode")
-}
--- a/ratelimit/tally.go
+++ b/ratelimit/tally.go
@@ -11,7 +11,6 @@
 	"slices"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"sassafrasfront.example/peer"
@@ -123,24 +122,16 @@
 	if home == l.Hello.Node || c == nil {
 		return l.rates(names), nil
 	}
-	payload, err := msgpack.Marshal(names)
-	if err != nil {
-		return nil, eris.Wrap(err, "encode")
-	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	reply, err := c.Request(ctx, RatesTopic, payload, false)
-	if err != nil {
-		return nil, err
-	}
-	return rates, decode(reply, &rates)
+	return peer.Ask[[]string, []float64](ctx, c, RatesTopic, names)
 }
 
 // HandleRates answers another node that asks for rates.
 func (l *Limiter) HandleRates(_ peer.Hello, payload []byte) ([]byte, error) {
 	l.init()
-	var names []string
-	if err := decode(payload, &names); err != nil {
+	names, err := peer.Unpack[[]string](payload)
+	if err != nil {
 		return nil, err
 	}
 	return msgpack.Marshal(l.rates(names[:min(len(names), maxRates)]))
--- a/reconcile/digest.go
+++ b/reconcile/digest.go
@@ -58,7 +58,7 @@
 	for more := true; more; {
 		q := digestQuery{Groups: groups}
 		e.Do(func() { q.Digests = e.Set.Digests(groups) })
-		reply, err := Ask[digestQuery, digestReply[R]](ctx, p, e.Topic+askDigests, q)
+		reply, err := peer.Ask[digestQuery, digestReply[R]](ctx, p, e.Topic+askDigests, q)
 		if err != nil {
 			return err
 		}
--- a/reconcile/exchange.go
+++ b/reconcile/exchange.go
@@ -127,32 +127,32 @@
 	case e.Topic + askGroups:
 		return hashes{Hashes: e.Set.Group()}, true, nil
 	case e.Topic + askLeaves:
-		q, err := Unpack[leafQuery](payload)
+		q, err := peer.Unpack[leafQuery](payload)
 		if err != nil || q.Group < 0 || q.Group >= gossip.Groups {
 			return nil, true, eris.Errorf("bad group: %v", err)
 		}
 		return hashes{Hashes: e.Set.Leaf(q.Group)}, true, nil
 	case e.Topic + askVersions:
-		q, err := Unpack[versionsQuery](payload)
+		q, err := peer.Unpack[versionsQuery](payload)
 		if err != nil {
 			return nil, true, err
 		}
 		return e.versions(q), true, nil
 	case e.Topic + askDigests:
-		q, err := Unpack[digestQuery](payload)
+		q, err := peer.Unpack[digestQuery](payload)
 		if err != nil || !validGroups(q.Groups) {
 			return nil, true, eris.Errorf("bad digests: %v", err)
 		}
 		return e.beyond(q), true, nil
 	case e.Topic + askBulk:
-		q, err := Unpack[bulkQuery](payload)
+		q, err := peer.Unpack[bulkQuery](payload)
 		if err != nil || q.From < 0 {
 			return nil, true, eris.Errorf("bad leaf: %v", err)
 		}
 		list, next := e.Set.From(q.From, bulkRecords)
 		return bulkReply[R]{Records: list, Next: next}, true, nil
 	case e.Topic + TellRecords:
-		m, err := Unpack[Records[R]](payload)
+		m, err := peer.Unpack[Records[R]](payload)
 		if err != nil {
 			return nil, true, err
 		}
@@ -191,39 +191,6 @@
 	return list
 }
 
-// ErrStopped is the failure of what is asked for after the control goroutine
-// has ended, when there is no client to ask with any more.
-var ErrStopped = eris.New("control stopped")
-
-// Ask sends a request to a peer and decodes its reply.
-func Ask[Q, A any](ctx context.Context, p *peer.Client, topic string, q Q) (A, error) {
-	var none A
-	if p == nil {
-		return none, ErrStopped
-	}
-	payload, err := msgpack.Marshal(q)
-	if err != nil {
-		return none, eris.Wrap(err, "encode "+topic)
-	}
-	reply, err := p.Request(ctx, topic, payload, false)
-	if err != nil {
-		return none, err
-	}
-	return Unpack[A](reply)
-}
-
-// Unpack decodes a message.
-func Unpack[T any](payload []byte) (T, error) {
-	var v T
-	if !peer.Plausible(payload) {
-		return v, eris.Wrap(peer.ErrProtocol, "decode: a length is over what follows it")
-	}
-	if err := msgpack.Unmarshal(payload, &v); err != nil {
-		return v, eris.Wrap(err, "decode")
-	}
-	return v, nil
-}
-
 // With makes the set and a peer's the same, as far as one round goes. It is called by a
 // goroutine that does not own the state.
 func (e *Exchange[R]) With(ctx context.Context, p *peer.Client) error {
@@ -233,7 +200,7 @@
 		own = e.Set.Group()
 		held = e.Set.Len()
 	})
-	theirs, err := Ask[struct{}, hashes](ctx, p, e.Topic+askGroups, struct{}{})
+	theirs, err := peer.Ask[struct{}, hashes](ctx, p, e.Topic+askGroups, struct{}{})
 	if err != nil {
 		return err
 	}
@@ -256,7 +223,7 @@
 			q.Leaves[leaf] = e.Set.Versions(leaf)
 		}
 	})
-	reply, err := Ask[versionsQuery, versionsReply[R]](ctx, p, e.Topic+askVersions, q)
+	reply, err := peer.Ask[versionsQuery, versionsReply[R]](ctx, p, e.Topic+askVersions, q)
 	if err != nil {
 		return err
 	}
@@ -275,7 +242,7 @@
 func (e *Exchange[R]) differingLeaves(ctx context.Context, p *peer.Client, groups []int) ([]int, error) {
 	var leaves []int
 	for _, g := range groups[:min(len(groups), maxGroups)] {
-		theirs, err := Ask[leafQuery, hashes](ctx, p, e.Topic+askLeaves, leafQuery{Group: g})
+		theirs, err := peer.Ask[leafQuery, hashes](ctx, p, e.Topic+askLeaves, leafQuery{Group: g})
 		if err != nil {
 			return nil, err
 		}
@@ -298,7 +265,7 @@
 		}
 	})
 	for from := 0; from < gossip.Leaves; {
-		reply, err := Ask[bulkQuery, bulkReply[R]](ctx, p, e.Topic+askBulk, bulkQuery{From: from})
+		reply, err := peer.Ask[bulkQuery, bulkReply[R]](ctx, p, e.Topic+askBulk, bulkQuery{From: from})
 		if err != nil {
 			return err
 		}
--- a/representative/acceptor.go
+++ b/representative/acceptor.go
@@ -51,7 +51,7 @@
 // listed takes in a list of all Service objects. Services in force that are not
 // on it have been deleted.
 func (a *acceptor) listed(l *objectapi.List) {
-	gone := a.inForce()
+	gone := a.Node.InForce()
 	for _, o := range l.Items {
 		a.consider(acceptance.IntentOf(o))
 		delete(gone, o.Metadata.Name)
@@ -64,15 +64,6 @@
 	}
 }
 
-// inForce returns the names of the services in force.
-func (a *acceptor) inForce() map[string]bool {
-	names := make(map[string]bool)
-	for _, name := range a.Node.InForce() {
-		names[name] = true
-	}
-	return names
-}
-
 // changed takes in a change of a Service object.
 func (a *acceptor) changed(e objectapi.Event) {
 	in := acceptance.IntentOf(e.Object)
--- a/representative/reporter.go
+++ b/representative/reporter.go
@@ -142,13 +142,13 @@
 // pending for a while after all that were asked have the configuration: a
 // representative that has just started may not know all members yet.
 func (r *reporter) write(ctx context.Context, p *report) {
-	if p.members > 0 && p.members == r.zoneMembers() {
+	if p.members > 0 && p.members == r.Node.Nodes() {
 		r.settle(p, nil, reportLook)
 		return
 	}
 	next := p.status
 	wait := reportLook
-	p.members = r.zoneMembers()
+	p.members = r.Node.Nodes()
 	if p.accepted != nil {
 		zone := r.ask(ctx, p.name, p.accepted.Sequence)
 		next = statusOf(p.accepted, r.Zone, zone)
@@ -165,11 +165,6 @@
 	r.settle(p, err, wait)
 }
 
-// zoneMembers returns the number of live nodes of the zone.
-func (r *reporter) zoneMembers() int {
-	return r.Node.Nodes()
-}
-
 // settle keeps a report for later, or ends it when its time is over. One that
 // could not be written is kept in any case.
 func (r *reporter) settle(p *report, err error, wait time.Duration) {
--- a/representative/representative.go
+++ b/representative/representative.go
@@ -48,7 +48,7 @@
 
 	// InForce returns the names of the services in force, and HostOwner that of the one that
 	// has a host, or "".
-	InForce() []string
+	InForce() map[string]bool
 	HostOwner(host string) string
 	// PutInForce takes in a configuration that has been accepted.
 	PutInForce(c acceptance.Config)
