--- a/admit/dispatch.go
+++ b/admit/dispatch.go
@@ -15,7 +15,8 @@
 // dispatch starts waiting requests while slots are free.
 func (g *Gate) dispatch(now time.Time) {
 	allowed := g.allowed(now)
-	for g.occupied(now) < allowed && g.waiting > 0 {
+	held, next := g.abandoned.held(now)
+	for g.running+held < allowed && g.waiting > 0 {
 		q := g.next(allowed, now)
 		if q == nil {
 			return
@@ -28,7 +29,7 @@
 		sending.Done()
 		g.start(q, now)
 	}
-	if held, next := g.abandoned.held(now); held > 0 && g.waiting > 0 {
+	if held > 0 && g.waiting > 0 {
 		g.dispatchAfter(next.Sub(now))
 	}
 }
--- a/cmd/sassafrasctl/busiest.go
+++ b/cmd/sassafrasctl/busiest.go
@@ -51,7 +51,7 @@
 	causes []string
 }{
 	"bytes":    {of: func(u usage) float64 { return u.Bytes }, causes: []string{"sassafras_control_bytes_total", "sassafras_peer_bytes_total", "sassafras_gate_body_bytes_total"}},
-	"cores":    {of: func(u usage) float64 { return u.Cores }, causes: []string{"sassafras_control_requests_total", "sassafras_requests_total", "sassafras_gate_calls_total", "go_gc_cycles_total"}},
+	"cores":    {of: func(u usage) float64 { return u.Cores }, causes: []string{"sassafras_control_requests_total", "sassafras_requests_total", "sassafras_gate_calls_total"}},
 	"memory":   {of: func(u usage) float64 { return u.Memory }, causes: []string{"sassafras_gate_body_bytes_total", "sassafras_peer_bytes_total"}},
 	"files":    {of: func(u usage) float64 { return u.Files }, causes: []string{"sassafras_control_requests_total", "sassafras_requests_total", "sassafras_gate_calls_total"}},
 	"platform": {of: func(u usage) float64 { return u.Calls }, causes: []string{"sassafras_platform_calls_by_kind_total"}},
@@ -200,8 +200,7 @@
 	if err != nil {
 		return reading{err: err}
 	}
-	one := tool{node: net.JoinHostPort(host, port)}
-	data, err := one.callNode(ctx, http.MethodGet, "/metrics")
+	data, err := callNode(ctx, net.JoinHostPort(host, port), http.MethodGet, "/metrics")
 	if err != nil {
 		return reading{err: err}
 	}
--- a/cmd/sassafrasctl/node.go
+++ b/cmd/sassafrasctl/node.go
@@ -46,14 +46,19 @@
 	return w.Flush()
 }
 
-// callNode makes a call to a node's operator address and returns the answer.
+// callNode makes a call to the node that the flags name and returns the answer.
 func (t *tool) callNode(ctx context.Context, method, path string) ([]byte, error) {
 	if t.node == "" {
 		return nil, exitError{exitUsage, errors.New("-node: the operator address of a node is missing")}
 	}
+	return callNode(ctx, t.node, method, path)
+}
+
+// callNode makes a call to a node's operator address and returns the answer.
+func callNode(ctx context.Context, node, method, path string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, nodeTimeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+t.node+path, nil)
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+node+path, nil)
 	if err != nil {
 		return nil, exitError{exitUsage, fmt.Errorf("-node: %w", err)}
 	}
@@ -64,10 +69,10 @@
 	defer response.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxNodeAnswer))
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", t.node, err)
+		return nil, fmt.Errorf("%s: %w", node, err)
 	}
 	if response.StatusCode/100 != 2 {
-		return nil, fmt.Errorf("%s: %s: %s", t.node, response.Status, strings.TrimSpace(string(data)))
+		return nil, fmt.Errorf("%s: %s: %s", node, response.Status, strings.TrimSpace(string(data)))
 	}
 	return data, nil
 }
--- a/node/build.go
+++ b/node/build.go
@@ -175,7 +175,7 @@
 		API:         api,
 		Report:      n.control.Report,
 		FirstOfZone: n.control.FirstOfZone,
-		Nodes:       func() int { return n.control.Snapshot().Members },
+		Nodes:       n.control.Nodes,
 		Log:         n.Log,
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -203,7 +203,7 @@
 }
 
 // configureGate gives the gate the configuration of its upstream's service. It
-// returns whether the gate has one now and had none before, or the reverse. The
+// returns whether the gate has one now and had none before, or the reverse.
 // The snapshot is read under the lock, so that of two calls the later one has the
 // later snapshot.
 func (n *Node) configureGate() (changed bool) {
