peer, verdict, entry, node, sassafrasctl: who ended a request, why, and in which phase of the node

A request that ended as peerLost bore no reason in 'request failed', nothing said how the connection stood, and a node's own stop looked like a lost peer ('client closed'). 'request failed' has the reason; silence says how many pings and bytes were written since the last bytes arrived, how many calls were open and how late this process was itself; 'request ended' has by (caller, entry, link, gate, upstream, stop) and phase (serving, leaving, draining), and sassafras_unanswered_requests_total counts by them. What ends with the node's own connections has the cause stopped, with the status and verdict of peerLost (502, mayHaveRun): TestAheadLost closed the client to lose a connection; it has rows for both now.

--- a/cmd/sassafrasctl/explain.go
+++ b/cmd/sassafrasctl/explain.go
@@ -119,7 +119,11 @@
 				trial = append(trial, l.field("to"))
 			}
 		case "request failed":
-			causes = append(causes, l.field("cause")+" at "+l.field("to"))
+			cause := l.field("cause") + " at " + l.field("to")
+			if reason := l.field("reason"); reason != "" {
+				cause += " (" + reason + ")"
+			}
+			causes = append(causes, cause)
 		case "call not answered":
 			limit := ""
 			if l.field("limit") != "" {
@@ -134,6 +138,9 @@
 		return "summary: no node's log says how it ended; failures: " + strings.Join(causes, "; ")
 	}
 	text := fmt.Sprintf("summary: status %s, verdict %s, cause %s, after %s ms and %s sendings, version %s in force", end.field("status"), end.field("verdict"), end.field("cause"), end.field("tookMs"), end.field("tries"), end.field("version"))
+	if by := end.field("by"); by != "" {
+		text += fmt.Sprintf("; ended by the %s while the node was %s", by, end.field("phase"))
+	}
 	if len(trial) > 0 {
 		text += "; sent to a version on trial at " + strings.Join(trial, ", ")
 	}
--- a/cmd/sassafrasctl/explain_test.go
+++ b/cmd/sassafrasctl/explain_test.go
@@ -43,6 +43,14 @@
 			line: `event="call not answered" cause=refused node=n2 running=1 allowed=8 waiting=3 slowdown=1 limit=7.6 limitUsed=1 freeMs=400`,
 			want: `refused told by n2 \(running 1 of 8, waiting 3, slowdown 1, limit 7.6/s named by the upstream\)`,
 		},
+		"ended by a link": {
+			line: `event="request ended" by=link cause=peerLost phase=leaving status=502 verdict=mayHaveRun`,
+			want: `cause peerLost, .*; ended by the link while the node was leaving`,
+		},
+		"reason of a sending": {
+			line: `event="request failed" cause=peerLost reason="nothing heard for 612ms" to=n2`,
+			want: `peerLost at n2 \(nothing heard for 612ms\)`,
+		},
 		"other": {
 			line: `event="request ended" cause=noUpstream reason=none status=503 verdict=notRun version=3`,
 			want: `version 3 in force`,
--- a/entry/do.go
+++ b/entry/do.go
@@ -228,7 +228,12 @@
 		return a, nil
 	}
 	a.end(failure)
-	f.note(Step{Event: EventFailed, Node: a.member.ID, Cause: failure.Cause})
+	f.note(Step{
+		Event:  EventFailed,
+		Node:   a.member.ID,
+		Cause:  failure.Cause,
+		Reason: failure.Err,
+	})
 	f.expect(failure)
 	if failure.Cause == verdict.Refused || failure.Cause == verdict.Draining {
 		f.refused = append(f.refused, a.member.ID)
--- a/entry/step.go
+++ b/entry/step.go
@@ -25,8 +25,10 @@
 	Age       time.Duration
 	// Trial is whether that node's upstream is of a version on trial. It is set for EventSent.
 	Trial bool
-	// Cause is why a sending failed. It is set for EventFailed.
-	Cause verdict.Cause
+	// Cause is why a sending failed, and Reason what stands behind that, or nil. They are
+	// set for EventFailed.
+	Cause  verdict.Cause
+	Reason error
 }
 
 // The events that are steps of a request only.
--- a/node/events.go
+++ b/node/events.go
@@ -40,7 +40,7 @@
 // requestEnded counts a request and logs it with its steps if it failed, or now
 // and then if it did not.
 func (n *Node) requestEnded(o caller.Outcome) {
-	n.metrics.requestEnded(o)
+	n.metrics.requestEnded(o, n.phase())
 	if o.Failure == nil && n.successes.Add(1)%successShare != 0 {
 		return
 	}
@@ -56,6 +56,9 @@
 	}
 	e := n.Log.Info().Str("requestId", o.ID).Str("route", o.Route).Str("service", o.Service).Str("class", o.Class).Str("organisation", o.Organisation).Str("method", o.Method).Str("path", o.Path).
 		Int("status", o.Status).Str("verdict", v).Str("cause", cause).Int("tries", o.Tries).Dur("tookMs", o.Took).Uint64("version", n.version()).Stringer("print", o.Print)
+	if o.Failure != nil {
+		e = e.Str("by", string(verdict.Lookup(o.Failure.Cause).By)).Str("phase", string(n.phase()))
+	}
 	if o.Failure != nil && o.Failure.RetryAfter > 0 {
 		e = e.Dur("retryAfterMs", o.Failure.RetryAfter)
 	}
@@ -84,7 +87,7 @@
 	case entry.EventAside:
 		e = e.Str("from", s.Node).Int("status", http.StatusInternalServerError)
 	case entry.EventFailed:
-		e = e.Str("to", s.Node).Str("cause", string(s.Cause))
+		e = e.Str("to", s.Node).Str("cause", string(s.Cause)).AnErr("reason", s.Reason)
 	}
 	e.Msg("request " + string(s.Event))
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -135,10 +135,11 @@
 }
 
 // requestEnded counts a caller's request.
-func (m *metricSet) requestEnded(o caller.Outcome) {
+func (m *metricSet) requestEnded(o caller.Outcome, p phase) {
 	v, cause := verdict.Ran, verdict.Cause("")
 	if o.Failure != nil {
 		v, cause = o.Failure.Verdict(), o.Failure.Cause
+		m.set.GetOrCreateCounter(fmt.Sprintf(`sassafras_unanswered_requests_total{by=%q,cause=%q,phase=%q}`, verdict.Lookup(cause).By, string(cause), string(p))).Inc()
 	}
 	m.set.GetOrCreateCounter(fmt.Sprintf(`sassafras_requests_total{service=%q,class=%q,verdict=%q,cause=%q}`, o.Service, o.Class, v, string(cause))).Inc()
 	if o.Failure != nil && o.Failure.RetryAfter > 0 {
--- a/node/node.go
+++ b/node/node.go
@@ -106,6 +106,7 @@
 	down      bool // whether the prober says that the upstream is down
 	leaving   bool // whether callers are sent away
 	closing   bool // whether the gate refuses as well
+	draining  bool // whether no requests are taken any more
 	stopProbe context.CancelFunc
 }
 
--- a/node/state.go
+++ b/node/state.go
@@ -116,6 +116,32 @@
 	}
 }
 
+// phase is how far a node has come on its way to its end.
+type phase string
+
+// The phases.
+const (
+	// phaseServing: it takes requests.
+	phaseServing phase = "serving"
+	// phaseLeaving: it has been told to stop, and still takes requests.
+	phaseLeaving phase = "leaving"
+	// phaseDraining: it takes no more requests, and lets those under way end.
+	phaseDraining phase = "draining"
+)
+
+// phase returns the phase that the node is in.
+func (n *Node) phase() phase {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch {
+	case n.draining:
+		return phaseDraining
+	case n.leaving:
+		return phaseLeaving
+	}
+	return phaseServing
+}
+
 // leave stops the traffic without cutting a request: first callers are sent away,
 // then new work for the upstream is refused and others are told, and what is in
 // flight is let end. The upstream can be reached through this node alone, so its
@@ -137,6 +163,9 @@
 	n.mu.Unlock()
 	n.announce()
 	sleep.For(ctx, n.Settings.LeaveDelay-admitting)
+	n.mu.Lock()
+	n.draining = true
+	n.mu.Unlock()
 	err := callers.Shutdown(ctx)
 	if err == nil {
 		err = conns.Quiesce(ctx)
--- a/peer/ahead_test.go
+++ b/peer/ahead_test.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"strings"
 	"sync"
 	"testing"
@@ -58,14 +59,16 @@
 }
 
 // TestAheadLost has the connection lost before the end of a body that is sent ahead, after
-// which the call has not run, and after it, when it may have.
+// which the call has not run, and after it, when it may have; or the client is closed then.
 func TestAheadLost(t *testing.T) {
 	tests := map[string]struct {
-		whole bool
-		want  verdict.Cause
+		whole, closed bool
+		want          verdict.Cause
 	}{
-		"before the end": {want: verdict.NotWritten},
-		"after the end":  {whole: true, want: verdict.PeerLost},
+		"before the end":        {want: verdict.NotWritten},
+		"after the end":         {whole: true, want: verdict.PeerLost},
+		"closed before the end": {closed: true, want: verdict.NotWritten},
+		"closed after the end":  {whole: true, closed: true, want: verdict.Stopped},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -75,6 +78,13 @@
 				_, _ = in.Receive(in.Context())
 				<-in.Context().Done()
 			})
+			conns := make(chan net.Conn, 1)
+			c.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+				var d net.Dialer
+				n, err := d.DialContext(ctx, "tcp", addr)
+				conns <- n
+				return n, err
+			}
 			reader, writer := io.Pipe()
 			x, failed := c.Start(context.Background(), newCallAhead(100), reader)
 			qt.Assert(t, failed == nil, qt.IsTrue)
@@ -86,7 +96,11 @@
 				writer.Close()
 			}
 			time.Sleep(20 * time.Millisecond)
-			c.Close()
+			if test.closed {
+				c.Close()
+			} else {
+				_ = (<-conns).Close()
+			}
 			_, failed = x.Wait()
 			qt.Assert(t, failed != nil, qt.IsTrue)
 			qt.Check(t, failed.Cause, qt.Equals, test.want)
--- a/peer/client.go
+++ b/peer/client.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -52,7 +53,7 @@
 		switch {
 		case c.stopped:
 			c.mu.Unlock()
-			return nil, eris.New("client closed")
+			return nil, errClosed
 		case c.current != nil && c.current.usable():
 			l := c.current
 			c.mu.Unlock()
@@ -84,7 +85,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.stopped && l != nil {
-		l.shut(eris.New("client closed"))
+		l.shut(errClosed)
 	}
 	c.current = l
 	c.failure = err
@@ -130,13 +131,16 @@
 	return d.DialContext(ctx, "tcp", addr)
 }
 
+// errClosed is why the connections of a Client end that is closed.
+var errClosed = errors.New("client closed")
+
 // Close closes the connection. Open calls fail.
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.stopped = true
 	if c.current != nil {
-		c.current.shut(eris.New("client closed"))
+		c.current.shut(errClosed)
 	}
 }
 
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -40,7 +40,8 @@
 	limits   Limits
 	counters *Counters
 	reader   *bufio.Reader
-	heard    atomic.Int64 // time of the last bytes, in ns since the epoch of base
+	heard    atomic.Int64  // time of the last bytes, in ns since the epoch of base
+	written  atomic.Uint64 // bytes written since then
 
 	writing sync.Mutex
 
@@ -69,7 +70,10 @@
 }
 
 // hear notes that the peer gave a sign of life.
-func (c *conn) hear() { c.heard.Store(int64(time.Since(base))) }
+func (c *conn) hear() {
+	c.heard.Store(int64(time.Since(base)))
+	c.written.Store(0)
+}
 
 // heeding reads from a connection and takes each piece that arrives for a sign of
 // life, so that a frame that takes long on a slow link does not look like silence.
@@ -179,6 +183,7 @@
 		c.shut(eris.Wrap(err, "write"))
 		return err
 	}
+	c.written.Add(uint64(b.Len()))
 	c.counters.FramesOut.Add(uint64(len(frames)))
 	c.counters.BytesOut.Add(uint64(b.Len()))
 	return nil
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -165,7 +165,11 @@
 // lose ends the exchange because the connection was lost.
 func (x *Exchange) lose(reason error) {
 	cause := verdict.NotWritten
-	if x.written.Load() {
+	switch {
+	case !x.written.Load():
+	case errors.Is(reason, errClosed):
+		cause = verdict.Stopped
+	default:
 		cause = verdict.PeerLost
 	}
 	x.fail(verdict.New(cause, reason))
--- a/peer/link.go
+++ b/peer/link.go
@@ -305,30 +305,47 @@
 // long. While nothing is open it waits: a node has some thirty connections, and
 // most of them are idle.
 func (l *link) watch() {
-	next := time.NewTimer(l.nextLook())
+	wait := l.nextLook()
+	due := time.Now().Add(wait)
+	next := time.NewTimer(wait)
 	defer next.Stop()
 	var pinging atomic.Bool
+	pings := 0 // since the last bytes arrived
 	for number := uint64(1); ; {
+		var late time.Duration
 		select {
 		case <-l.closed:
 			return
 		case <-l.begun:
 		case <-next.C:
+			late = time.Since(due)
 		}
-		next.Reset(l.nextLook())
+		wait = l.nextLook()
+		due = time.Now().Add(wait)
+		next.Reset(wait)
 		l.looked.Add(1)
 		open, idle, busy := l.activity()
+		if l.silence() <= l.limits.Silence/2 {
+			pings = 0
+		}
 		// A peer owes nothing while nothing is open: the silence of an idle
 		// connection says nothing when a call begins on it.
 		switch silence := min(l.silence(), busy); {
 		case open == 0 && idle >= l.limits.Idle:
 			l.shut(eris.New("idle"))
 		case open > 0 && idle == 0 && silence > l.limits.Silence:
-			l.shut(eris.Errorf("nothing heard for %v", silence.Round(time.Millisecond)))
+			l.shut(&Quiet{
+				Silence: silence,
+				Late:    late,
+				Pings:   pings,
+				Written: l.written.Load(),
+				Open:    open,
+			})
 		case open > 0 && silence > l.limits.Silence/2 && pinging.CompareAndSwap(false, true):
 			// A writer may wait for room in the kernel. Silence is judged meanwhile.
 			ping := &Ping{Number: number}
 			number++
+			pings++
 			go func() {
 				defer pinging.Store(false)
 				_ = l.send(KindPing, ping) // a failure ends the connection
--- /dev/null
+++ b/peer/quiet.go
@@ -0,0 +1,31 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package peer
+
+import (
+	"fmt"
+	"time"
+)
+
+// Quiet says how a connection stood on which nothing was heard for long. It tells a peer
+// that is gone from one that is slow, and both from a process that was late itself.
+type Quiet struct {
+	// Silence is the time since the last bytes arrived.
+	Silence time.Duration
+	// Late is how much later than it was due this process looked at the connection.
+	Late time.Duration
+	// Pings is the number of pings sent since the last bytes arrived.
+	Pings int
+	// Written is the number of bytes written since then.
+	Written uint64
+	// Open is the number of calls and requests that wait for an answer.
+	Open int
+}
+
+// Error implements error.
+func (q *Quiet) Error() string {
+	return fmt.Sprintf("nothing heard for %v, with %d open, %d pings and %d bytes written since, looked at %v late",
+		q.Silence.Round(time.Millisecond), q.Open, q.Pings, q.Written, q.Late.Round(time.Millisecond))
+}
--- a/verdict/cause.go
+++ b/verdict/cause.go
@@ -73,6 +73,9 @@
 	// PeerLost: the connection to the node beside the upstream was lost after
 	// the whole request had been handed to it.
 	PeerLost Cause = "peerLost"
+	// Stopped: the node that had taken the request stopped after the whole request had
+	// been handed to another, and before it was answered.
+	Stopped Cause = "stopped"
 	// TimedOut: the deadline passed after the request had been sent on, and
 	// there is no proof that it did not run.
 	TimedOut Cause = "timedOut"
@@ -105,46 +108,68 @@
 	Status int
 	// Elsewhere is whether another upstream may do better.
 	Elsewhere bool
+	// By is who ended the request.
+	By Party
 }
 
+// Party is who ends a request without an answer of an upstream.
+type Party string
+
+// The parties.
+const (
+	// ByCaller: the caller left, or sent what can't be carried.
+	ByCaller Party = "caller"
+	// ByEntry: the node that took the request decided so, or its time was over.
+	ByEntry Party = "entry"
+	// ByLink: the connection between two nodes ended, or could not be opened.
+	ByLink Party = "link"
+	// ByGate: the node beside the upstream decided so.
+	ByGate Party = "gate"
+	// ByUpstream: the upstream broke off, refused, or could not be reached.
+	ByUpstream Party = "upstream"
+	// ByStop: the node that took the request had to stop.
+	ByStop Party = "stop"
+)
+
 // table is the one place that says what each cause means.
 var table = map[Cause]Entry{
-	UnknownHost:        {Verdict: NotRun, Status: http.StatusNotFound},
-	BadRequest:         {Verdict: NotRun, Status: http.StatusBadRequest},
-	NotSupported:       {Verdict: NotRun, Status: http.StatusNotImplemented},
-	TooLarge:           {Verdict: NotRun, Status: http.StatusRequestEntityTooLarge},
-	HeadTooLarge:       {Verdict: NotRun, Status: http.StatusRequestHeaderFieldsTooLarge},
-	NotReady:           {Verdict: NotRun, Status: http.StatusServiceUnavailable},
-	Unauthorized:       {Verdict: NotRun, Status: http.StatusUnauthorized},
-	NotFresh:           {Verdict: NotRun, Status: http.StatusServiceUnavailable},
-	RateLimited:        {Verdict: NotRun, Status: http.StatusTooManyRequests},
-	LimitUnknown:       {Verdict: NotRun, Status: http.StatusServiceUnavailable},
-	NoUpstream:         {Verdict: NotRun, Status: http.StatusServiceUnavailable},
-	DeadlinePassed:     {Verdict: NotRun, Status: http.StatusServiceUnavailable},
-	DialFailed:         {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
-	NotWritten:         {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
-	Refused:            {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
-	Slowed:             {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
-	Draining:           {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
-	Misrouted:          {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
-	Quarantined:        {Verdict: NotRun, Status: http.StatusServiceUnavailable},
-	Revoked:            {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
-	UpstreamDialFailed: {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
-	UpstreamRefused:    {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
-	ClaimFailed:        {Verdict: NotRun, Status: http.StatusServiceUnavailable},
-	ResendMismatch:     {Verdict: NotRun, Status: http.StatusUnprocessableEntity},
-	ResendUnderway:     {Verdict: MayHaveRun, Status: http.StatusBadGateway},
-	ResendNotKept:      {Verdict: Ran, Status: http.StatusConflict},
-	PeerLost:           {Verdict: MayHaveRun, Status: http.StatusBadGateway, Elsewhere: true},
-	TimedOut:           {Verdict: MayHaveRun, Status: http.StatusGatewayTimeout},
-	CallerGone:         {Verdict: MayHaveRun, Status: http.StatusBadGateway},
-	BodyLost:           {Verdict: MayHaveRun, Status: http.StatusBadGateway},
-	GateFailed:         {Verdict: MayHaveRun, Status: http.StatusBadGateway},
-	UpstreamLost:       {Verdict: MayHaveRun, Status: http.StatusBadGateway, Elsewhere: true},
-	WrongUpstream:      {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true},
-	AnswerSpoilt:       {Verdict: MayHaveRun, Status: http.StatusBadGateway, Elsewhere: true},
-	AnswerCut:          {Verdict: Ran, Status: http.StatusBadGateway},
-	AnswerInvalid:      {Verdict: Ran, Status: http.StatusBadGateway},
+	UnknownHost:        {Verdict: NotRun, Status: http.StatusNotFound, By: ByCaller},
+	BadRequest:         {Verdict: NotRun, Status: http.StatusBadRequest, By: ByCaller},
+	NotSupported:       {Verdict: NotRun, Status: http.StatusNotImplemented, By: ByCaller},
+	TooLarge:           {Verdict: NotRun, Status: http.StatusRequestEntityTooLarge, By: ByCaller},
+	HeadTooLarge:       {Verdict: NotRun, Status: http.StatusRequestHeaderFieldsTooLarge, By: ByCaller},
+	NotReady:           {Verdict: NotRun, Status: http.StatusServiceUnavailable, By: ByEntry},
+	Unauthorized:       {Verdict: NotRun, Status: http.StatusUnauthorized, By: ByCaller},
+	NotFresh:           {Verdict: NotRun, Status: http.StatusServiceUnavailable, By: ByEntry},
+	RateLimited:        {Verdict: NotRun, Status: http.StatusTooManyRequests, By: ByCaller},
+	LimitUnknown:       {Verdict: NotRun, Status: http.StatusServiceUnavailable, By: ByEntry},
+	NoUpstream:         {Verdict: NotRun, Status: http.StatusServiceUnavailable, By: ByEntry},
+	DeadlinePassed:     {Verdict: NotRun, Status: http.StatusServiceUnavailable, By: ByEntry},
+	DialFailed:         {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true, By: ByLink},
+	NotWritten:         {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true, By: ByLink},
+	Refused:            {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true, By: ByGate},
+	Slowed:             {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true, By: ByGate},
+	Draining:           {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true, By: ByGate},
+	Misrouted:          {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true, By: ByGate},
+	Quarantined:        {Verdict: NotRun, Status: http.StatusServiceUnavailable, By: ByEntry},
+	Revoked:            {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true, By: ByGate},
+	UpstreamDialFailed: {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true, By: ByUpstream},
+	UpstreamRefused:    {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true, By: ByUpstream},
+	ClaimFailed:        {Verdict: NotRun, Status: http.StatusServiceUnavailable, By: ByEntry},
+	ResendMismatch:     {Verdict: NotRun, Status: http.StatusUnprocessableEntity, By: ByCaller},
+	ResendUnderway:     {Verdict: MayHaveRun, Status: http.StatusBadGateway, By: ByEntry},
+	ResendNotKept:      {Verdict: Ran, Status: http.StatusConflict, By: ByEntry},
+	PeerLost:           {Verdict: MayHaveRun, Status: http.StatusBadGateway, Elsewhere: true, By: ByLink},
+	Stopped:            {Verdict: MayHaveRun, Status: http.StatusBadGateway, By: ByStop},
+	TimedOut:           {Verdict: MayHaveRun, Status: http.StatusGatewayTimeout, By: ByEntry},
+	CallerGone:         {Verdict: MayHaveRun, Status: http.StatusBadGateway, By: ByCaller},
+	BodyLost:           {Verdict: MayHaveRun, Status: http.StatusBadGateway, By: ByCaller},
+	GateFailed:         {Verdict: MayHaveRun, Status: http.StatusBadGateway, By: ByGate},
+	UpstreamLost:       {Verdict: MayHaveRun, Status: http.StatusBadGateway, Elsewhere: true, By: ByUpstream},
+	WrongUpstream:      {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true, By: ByUpstream},
+	AnswerSpoilt:       {Verdict: MayHaveRun, Status: http.StatusBadGateway, Elsewhere: true, By: ByUpstream},
+	AnswerCut:          {Verdict: Ran, Status: http.StatusBadGateway, By: ByUpstream},
+	AnswerInvalid:      {Verdict: Ran, Status: http.StatusBadGateway, By: ByUpstream},
 }
 
 // Lookup returns what the table says of c. A cause that is not in the table
@@ -152,7 +177,7 @@
 func Lookup(c Cause) Entry {
 	e, ok := table[c]
 	if !ok {
-		return Entry{Verdict: MayHaveRun, Status: http.StatusBadGateway}
+		return Entry{Verdict: MayHaveRun, Status: http.StatusBadGateway, By: ByEntry}
 	}
 	return e
 }
