entry: a Dispatcher's connections may be opened by its owner

Tests of calls over links that fall silent, fill up or lose packets have to play the links, on a clock of their own. No behaviour changes: without the field connections are opened as before.

--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"context"
 	"maps"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,6 +61,8 @@
 	Limits peer.Limits
 	// Counters, if not nil, counts the traffic to peers.
 	Counters *peer.Counters
+	// Dial opens the connections to peers, as in peer.Client. Nil means TCP.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// Quarantine, if not nil, knows the requests that end upstreams.
 	Quarantine *quarantine.Index
 	// Policy, if not empty, overrides the routing policy of all services.
@@ -251,6 +254,7 @@
 			Hello:    d.Hello,
 			Limits:   d.Limits,
 			Counters: d.Counters,
+			Dial:     d.Dial,
 			Report:   func(r peer.Report) { d.observe(s.Name, m.ID, r) },
 			Noticed:  func(n *peer.Notice) { d.notices.set(m.ID, n) },
 		},
