entry: failing tests: requests whose upstreams work on them end as 502 when a link is silent

The tests send what can't be sent elsewhere through a Dispatcher on a played network and ask for the upstream's answer, one run and none cut.

--- /dev/null
+++ b/entry/silentlink_test.go
@@ -0,0 +1,273 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/entry"
+	"sassafrasfront.example/internal/playnet"
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/peer"
+)
+
+const (
+	// linkSilence and linkHandshake are the bounds of a node on its peers.
+	linkSilence   = 600 * time.Millisecond
+	linkHandshake = 400 * time.Millisecond
+	// linkTimeout is how long a kernel waits for an acknowledgement.
+	linkTimeout = 3 * time.Second
+	// linkRate is that of a link of 10 Mbit/s, in bytes per second.
+	linkRate = 10e6 / 8
+	// linkWindow is what a connection's receiver holds, in bytes.
+	linkWindow = 256 << 10
+	// linkUnderWay is how many body bytes a node on such a link lets its peers have under
+	// way to it.
+	linkUnderWay = 50 << 10
+	// linkWork is how long an upstream takes.
+	linkWork = 1500 * time.Millisecond
+)
+
+// distant is an entry and gates on a played network, which run on the clock of the bubble.
+type distant struct {
+	*playnet.Network
+	dispatcher *entry.Dispatcher
+	entry      *playnet.Host
+	gates      []*playnet.Host
+	stop       func()
+
+	mu   sync.Mutex
+	runs map[string]int // calls that upstreams have begun to run, by node
+	cut  int            // runs whose call ended before their answer
+}
+
+// newDistant starts an entry and n gates on a network, whose upstreams take linkWork for each
+// call and answer with the given number of bytes.
+func newDistant(n int, network *playnet.Network, config operator.Service, answer int) *distant {
+	w := &distant{
+		Network: network,
+		entry:   network.Host("entry"),
+		runs:    make(map[string]int),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var servers sync.WaitGroup
+	service := &entry.Service{
+		Name:   "service",
+		Config: config.WithDefaults(),
+	}
+	for i := range n {
+		host := network.Host(fmt.Sprint("gate", i))
+		w.gates = append(w.gates, host)
+		addr := fmt.Sprint("gate", i)
+		service.Members = append(service.Members, entry.Member{ID: addr, Addr: addr, Slots: 100})
+		server := &peer.Server{
+			Hello:  peer.Hello{Node: addr},
+			Limits: peer.Limits{Silence: linkSilence, Handshake: linkHandshake, UnderWay: linkUnderWay},
+			Call:   func(in *peer.Inbound) { w.run(addr, in, answer) },
+		}
+		listener := host.Listen()
+		servers.Go(func() { _ = server.Run(ctx, listener) })
+		w.addStop(func() { _ = server.Quiesce(context.Background()) })
+	}
+	w.dispatcher = &entry.Dispatcher{
+		Hello:  peer.Hello{Node: "entry"},
+		Limits: peer.Limits{Silence: linkSilence, Handshake: linkHandshake},
+		Dial:   w.entry.Dial,
+	}
+	w.dispatcher.Set(map[string]*entry.Service{service.Name: service})
+	w.addStop(func() {
+		w.dispatcher.Close()
+		cancel()
+		servers.Wait()
+	})
+	return w
+}
+
+// addStop has f called by stop, before what was added earlier.
+func (w *distant) addStop(f func()) {
+	earlier := w.stop
+	w.stop = func() {
+		f()
+		if earlier != nil {
+			earlier()
+		}
+	}
+}
+
+// run plays a gate and its upstream, which works on to its end whatever becomes of the call.
+func (w *distant) run(node string, in *peer.Inbound, answer int) {
+	if in.Call.Ahead {
+		if _, err := in.Receive(in.Context()); err != nil {
+			return
+		}
+	}
+	if in.Admit() != nil {
+		return
+	}
+	w.mu.Lock()
+	w.runs[node]++
+	w.mu.Unlock()
+	if _, err := io.Copy(io.Discard, in.Body()); err == nil {
+		time.Sleep(linkWork)
+	}
+	if in.Context().Err() != nil {
+		w.mu.Lock()
+		w.cut++
+		w.mu.Unlock()
+		return
+	}
+	if answer == 0 {
+		_ = in.Reply(&peer.Answer{Status: 200, Body: []byte(node)})
+		return
+	}
+	_ = in.Begin(&peer.Answer{Status: 200, Length: int64(answer)})
+	_ = in.CopyBody(bytes.NewReader(make([]byte, answer)))
+	_ = in.Finish(nil)
+}
+
+// ran returns how many runs there have been, and how many calls ended before their answer.
+func (w *distant) ran() (runs, cut int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, n := range w.runs {
+		runs += n
+	}
+	return runs, w.cut
+}
+
+// request returns a request with a body of the given size.
+func (w *distant) request(idempotent bool, size int) *entry.Request {
+	return &entry.Request{
+		Service:    "service",
+		Method:     "X",
+		Target:     "/",
+		Body:       make([]byte, size),
+		Length:     int64(size),
+		Idempotent: idempotent,
+		Deadline:   time.Now().Add(time.Minute),
+	}
+}
+
+// send sends a request and reads its answer to the end.
+func (w *distant) send(r *entry.Request) (string, error) {
+	result, failed := w.dispatcher.Do(context.Background(), r)
+	if failed != nil {
+		return "", failed
+	}
+	defer result.Close()
+	data, err := io.ReadAll(result.Body)
+	return string(data), err
+}
+
+// once is the configuration of a service whose requests are sent to one upstream only.
+func once() operator.Service {
+	return operator.Service{Retry: operator.Retry{MaxTries: 1, Share: 1e-9, Burst: 1e-9}}
+}
+
+// overLink sends one request that can't be sent elsewhere, idempotent or not, has trouble come
+// while its upstream works, and checks that it ends with the upstream's answer.
+func overLink(t *testing.T, trouble func(w *distant)) {
+	for name, idempotent := range map[string]bool{"idempotent": true, "not idempotent": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newDistant(1, &playnet.Network{Delay: time.Millisecond, Window: linkWindow, Timeout: linkTimeout}, once(), 0)
+				defer w.stop()
+				time.Sleep(time.Second)
+				time.AfterFunc(100*time.Millisecond, func() { trouble(w) })
+				got, err := w.send(w.request(idempotent, 0))
+				qt.Check(t, err, qt.IsNil)
+				qt.Check(t, got, qt.Equals, "gate0")
+				time.Sleep(5 * time.Second)
+				runs, cut := w.ran()
+				qt.Check(t, runs, qt.Equals, 1)
+				qt.Check(t, cut, qt.Equals, 0)
+			})
+		})
+	}
+}
+
+// TestAnswerOverSilentLink guards against requests that are answered with 502 while their
+// upstreams work on them, because a link or a process was silent for longer than
+// Limits.Silence.
+func TestAnswerOverSilentLink(t *testing.T) {
+	for name, trouble := range map[string]func(w *distant){
+		"both ways for 0.7 s":            func(w *distant) { w.gates[0].Silence(700 * time.Millisecond) },
+		"both ways for 1 s":              func(w *distant) { w.gates[0].Silence(time.Second) },
+		"both ways for 2 s":              func(w *distant) { w.gates[0].Silence(2 * time.Second) },
+		"from the gate for 0.7 s":        func(w *distant) { w.gates[0].SilenceUp(700 * time.Millisecond) },
+		"from the gate for 1 s":          func(w *distant) { w.gates[0].SilenceUp(time.Second) },
+		"from the gate for 2 s":          func(w *distant) { w.gates[0].SilenceUp(2 * time.Second) },
+		"at the entry for 2 s":           func(w *distant) { w.entry.Silence(2 * time.Second) },
+		"a packet is lost three times":   func(w *distant) { w.gates[0].Lose(3) },
+		"gate's process suspended":       func(w *distant) { w.gates[0].Suspend(time.Second) },
+		"entry late by 0.8 s":            func(w *distant) { w.entry.Suspend(800 * time.Millisecond) },
+		"entry late by 1 s":              func(w *distant) { w.entry.Suspend(time.Second) },
+		"bytes due with the second look": func(w *distant) { w.entry.Suspend(linkSilence*5/4 - 100*time.Millisecond) },
+	} {
+		t.Run(name, func(t *testing.T) { overLink(t, trouble) })
+	}
+}
+
+// TestAnswerOverShortSilence guards against requests that are answered with 502 while their
+// upstreams work on them, because of a silence that is no longer than Limits.Silence.
+func TestAnswerOverShortSilence(t *testing.T) {
+	for name, trouble := range map[string]func(w *distant){
+		"a packet is lost":              func(w *distant) { w.gates[0].Lose(1) },
+		"bytes due with the first look": func(w *distant) { w.entry.Suspend(linkSilence - 100*time.Millisecond) },
+	} {
+		t.Run(name, func(t *testing.T) { overLink(t, trouble) })
+	}
+}
+
+// TestAnswerOverFullLink guards against requests that are answered with 502 while their
+// upstreams work on them, because the links between nodes were full of bodies for longer than
+// Limits.Silence.
+func TestAnswerOverFullLink(t *testing.T) {
+	const size = 360 << 10
+	for name, test := range map[string]struct {
+		gates, bodies int
+		answer        int
+	}{
+		"bodies to one gate":            {gates: 1, bodies: 8},
+		"bodies to four gates":          {gates: 4, bodies: 16},
+		"bodies to twelve gates":        {gates: 12, bodies: 60},
+		"bodies from one gate":          {gates: 1, answer: size},
+		"bodies from four gates":        {gates: 4, answer: size},
+		"bodies to and from one gate":   {gates: 1, bodies: 8, answer: size},
+		"bodies to and from four gates": {gates: 4, bodies: 32, answer: size},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newDistant(test.gates, &playnet.Network{Rate: linkRate, Delay: time.Millisecond, Window: linkWindow, Timeout: linkTimeout}, once(), test.answer)
+				defer w.stop()
+				time.Sleep(time.Second)
+				var requests sync.WaitGroup
+				one := func(size int, idempotent bool) {
+					_, err := w.send(w.request(idempotent, size))
+					qt.Check(t, err, qt.IsNil)
+				}
+				for range test.bodies {
+					requests.Go(func() { one(size, false) })
+				}
+				for i := range 16 {
+					requests.Go(func() { one(0, i%2 == 0) })
+				}
+				requests.Wait()
+				runs, cut := w.ran()
+				qt.Check(t, runs, qt.Equals, test.bodies+16)
+				qt.Check(t, cut, qt.Equals, 0)
+			})
+		})
+	}
+}
