peer: a call that waits to be written is given up at its deadline, and a cancel waits for nobody

What callers saw: a request to a node that reads nothing (its process stands still, its buffers are full) could wait for up to 5 s, beyond its own deadline, behind the one that was being written; and an answer that another upstream had given waited for the cancel of the sending to such a node.

Cause: calls wait on mutexes, without a context, while a write waits for room in the kernel; Exchange.Close wrote its frame itself.

Now both locks are channels, and a call waits for them as long as its time lasts; it is then provably not written.

--- a/peer/client.go
+++ b/peer/client.go
@@ -120,6 +120,7 @@
 		requests:  make(map[uint64]chan *Reply),
 		idleSince: time.Now(),
 		begun:     make(chan struct{}, 1),
+		starting:  make(chan struct{}, 1),
 	}
 	go l.readLoop()
 	go l.watch()
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -7,6 +7,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"net"
 	"sync"
@@ -43,7 +44,7 @@
 	heard    atomic.Int64  // time of the last bytes, in ns since the epoch of base
 	written  atomic.Uint64 // bytes written since then
 
-	writing sync.Mutex
+	writing chan struct{} // has a value while frames are written
 
 	closing sync.Once
 	closed  chan struct{}
@@ -63,6 +64,7 @@
 		limits:   l,
 		counters: counters,
 		closed:   make(chan struct{}),
+		writing:  make(chan struct{}, 1),
 	}
 	n.reader = bufio.NewReaderSize(&heeding{conn: n}, readBuffer)
 	n.hear()
@@ -157,9 +159,9 @@
 	message any
 }
 
-// write hands frames to the kernel in one call. If it returns an error, the
-// last of them was not wholly handed over, so the receiver can't have it.
-func (c *conn) write(frames ...frame) error {
+// write hands frames to the kernel in one call, unless ctx ends before its turn comes. If it
+// returns an error, the last of them was not wholly handed over, so the receiver can't have it.
+func (c *conn) write(ctx context.Context, frames ...frame) error {
 	b := buffers.Get().(*bytes.Buffer)
 	b.Reset()
 	defer buffers.Put(b)
@@ -171,12 +173,16 @@
 	if b.Len() > c.limits.Frame {
 		return eris.Errorf("frame of %d bytes is over the limit", b.Len())
 	}
-	c.writing.Lock()
-	defer c.writing.Unlock()
 	select {
+	case c.writing <- struct{}{}:
+		defer func() { <-c.writing }()
 	case <-c.closed:
 		return c.ended()
-	default:
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+	if c.isClosed() {
+		return c.ended()
 	}
 	_ = c.SetWriteDeadline(time.Now().Add(c.limits.Write))
 	if _, err := c.Write(b.Bytes()); err != nil {
@@ -189,9 +195,19 @@
 	return nil
 }
 
+// isClosed returns whether the connection has been closed.
+func (c *conn) isClosed() bool {
+	select {
+	case <-c.closed:
+		return true
+	default:
+		return false
+	}
+}
+
 // send writes one frame.
 func (c *conn) send(k Kind, message any) error {
-	return c.write(frame{
+	return c.write(context.Background(), frame{
 		kind:    k,
 		message: message,
 	})
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -119,12 +119,18 @@
 // there and what arrives late is dropped.
 func (x *Exchange) Close() {
 	if x.link.remove(x.id) != nil {
-		_ = x.link.send(KindCancel, &Cancel{ID: x.id})
+		x.cancel()
 		x.body.end(verdict.New(verdict.AnswerCut, eris.New("closed by the receiver")), nil)
 	}
 	x.stop()
 }
 
+// cancel tells the peer that the call's answer is not wanted any more. It does not wait, as
+// there may be no room in the kernel for what is written to a peer that is silent.
+func (x *Exchange) cancel() {
+	go func() { _ = x.link.send(KindCancel, &Cancel{ID: x.id}) }() // a failure ends the connection
+}
+
 // answered takes in the head of the answer.
 func (x *Exchange) answered(m *Answer) error {
 	r := &Response{
@@ -237,7 +243,7 @@
 	if x.ctx.Err() != nil || x.link.remove(x.id) == nil {
 		return
 	}
-	_ = x.link.send(KindCancel, &Cancel{ID: x.id})
+	x.cancel()
 	e := verdict.As(err, verdict.BodyLost)
 	if !x.written.Load() && e.Cause == verdict.BodyLost {
 		e = verdict.New(verdict.BadRequest, err)
--- a/peer/link.go
+++ b/peer/link.go
@@ -24,9 +24,9 @@
 	// noticed is as in Client.
 	noticed func(*Notice)
 
-	// starting is held from the choice of a call's id until the call is
-	// written, so that ids arrive in order.
-	starting sync.Mutex
+	// starting has a value from the choice of a call's id until the call is written, so
+	// that ids arrive in order.
+	starting chan struct{}
 
 	mu        sync.Mutex
 	lastID    uint64
@@ -49,11 +49,19 @@
 	}
 }
 
-// begin opens an exchange and writes its call. An error means that the call
-// has not wholly been written.
+// begin opens an exchange and writes its call, unless ctx ends or the call's time is over
+// before its turn comes. An error means that the call has not wholly been written.
 func (l *link) begin(ctx context.Context, call *Call) (*Exchange, error) {
-	l.starting.Lock()
-	defer l.starting.Unlock()
+	writing, cancel := context.WithTimeout(ctx, call.Remaining)
+	defer cancel()
+	select {
+	case l.starting <- struct{}{}:
+		defer func() { <-l.starting }()
+	case <-l.closed:
+		return nil, l.ended()
+	case <-writing.Done():
+		return nil, context.Cause(writing)
+	}
 	x, err := l.add(ctx)
 	if err != nil {
 		return nil, err
@@ -62,7 +70,11 @@
 	x.ahead = call.Ahead
 	x.noticed = call.Notice != nil
 	x.written.Store(!call.Streams)
-	if err := l.send(KindCall, call); err != nil {
+	err = l.write(writing, frame{
+		kind:    KindCall,
+		message: call,
+	})
+	if err != nil {
 		l.remove(x.id)
 		x.stop()
 		return nil, err
