peer, entry, node: silence of a node ends no request there

What callers saw: 502 (peerLost) for requests at which their upstreams were at work, where the node beside the upstream, or the link to it, had been silent for 600 ms; around a SIGTERM of the node that took the request the users count it as LOST.

Cause: a connection with open calls was closed after 600 ms without a byte, and all that was open on it failed. A full link, a processor that stands still, or a packet lost when the only ping in that time was under way (it went out after 300 to 450 ms) looks the same. Silence was taken for a proof of loss.

What ends a call is the end of the connection or the kernel's word that nothing has been acknowledged for 2 s. Connections that are closed for idleness, or whose node has another address, are closed under the lock under which calls are begun.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -21,6 +21,15 @@
 	member   Member
 	exchange *peer.Exchange
 	began    time.Time
+	silent   bool // whether the member's node has been silent for long
+}
+
+// silence returns the channel that tells that the node is silent, or nil once it has told.
+func (a *attempt) silence() <-chan struct{} {
+	if a.silent {
+		return nil
+	}
+	return a.exchange.Silent()
 }
 
 // end closes the attempt and tells the routing how it went.
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -219,14 +219,13 @@
 				return false
 			}
 		}
-		// Calls that are open get time to end.
-		time.AfterFunc(closeDelay, c.Close)
+		// Who has just taken the client may still begin a call.
+		time.AfterFunc(closeDelay, c.Retire)
 		return true
 	})
 }
 
-// closeDelay is how long the connection to a node that is gone stays open for
-// the calls on it.
+// closeDelay is how long the client of a node that is gone takes calls.
 const closeDelay = time.Minute
 
 // client is the connection to a member of a service.
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -9,6 +9,7 @@
 
 	"sassafrasfront.example/quarantine"
 	"sassafrasfront.example/retry"
+	"sassafrasfront.example/verdict"
 )
 
 // slow returns a channel that yields once the request counts as slow and
@@ -39,6 +40,26 @@
 	return s.hedges.Take()
 }
 
+// hush acts on the silence of the node that has an open attempt. It may be slow, as its
+// upstream may be at work on the request, so the attempt goes on; an idempotent request is
+// sent a second time, within the budget.
+func (f *flight) hush(i int, plan retry.Plan) {
+	a := f.open[i]
+	a.silent = true
+	f.note(Step{
+		Event: EventSilent,
+		Node:  a.member.ID,
+	})
+	lost := verdict.New(verdict.PeerLost, nil)
+	if len(f.open) > 1 || f.request.Stream != nil || !f.mayGoOn(lost) || !f.attemptsLeft() ||
+		!plan.Again(lost, f.request.Idempotent, len(f.tried), time.Until(f.request.Deadline)) {
+		return
+	}
+	if f.launch() == nil {
+		f.did(EventRetry)
+	}
+}
+
 // hurry acts on a slow request. An idempotent one is sent a second time, within
 // the budget. Any other is taken back if it still waits in a queue, and is then
 // sent elsewhere as a request that has not run.
--- /dev/null
+++ b/entry/lostpacket_test.go
@@ -0,0 +1,45 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package entry_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/internal/playnet"
+	"sassafrasfront.example/operator"
+)
+
+// TestLostPacketIsNoSilence guards against a second sending of a request, or its end, because
+// one packet between two nodes was lost: it is sent again before the node counts as silent.
+func TestLostPacketIsNoSilence(t *testing.T) {
+	for name, lose := range map[string]func(w *distant){
+		"of the entry's": func(w *distant) { w.entry.Lose(1) },
+		"of the gates'": func(w *distant) {
+			for _, g := range w.gates {
+				g.Lose(1)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for after := time.Duration(0); after < linkWork; after += 25 * time.Millisecond {
+				synctest.Test(t, func(t *testing.T) {
+					config := operator.Service{Retry: operator.Retry{MaxTries: 3, Share: 1, Burst: 10}}
+					w := newDistant(2, &playnet.Network{Delay: time.Millisecond, Window: linkWindow, Timeout: linkTimeout}, config, 0)
+					defer w.stop()
+					time.Sleep(time.Second)
+					time.AfterFunc(after, func() { lose(w) })
+					_, err := w.send(w.request(true, 0))
+					qt.Check(t, err, qt.IsNil)
+					runs, _ := w.ran()
+					qt.Check(t, runs, qt.Equals, 1, qt.Commentf("lost after %v", after))
+				})
+			}
+		})
+	}
+}
--- a/entry/step.go
+++ b/entry/step.go
@@ -35,6 +35,8 @@
 const (
 	EventSent   Event = "sent"
 	EventFailed Event = "failed"
+	// EventSilent is that nothing has been heard for long from a node that has the request.
+	EventSilent Event = "silent"
 	// EventAside is an error answer that is kept back while another upstream is
 	// asked.
 	EventAside Event = "answer set aside"
--- a/node/build.go
+++ b/node/build.go
@@ -142,6 +142,7 @@
 	n.gate.Failed = n.upstreamFailed
 	n.dispatcher.Limits = peer.Limits{
 		Silence:   peerSilence,
+		Loss:      peerLoss,
 		Handshake: peerHandshake,
 	}
 	n.gate.Tell = func(r *peer.Report) { n.peers.Tell(r) }
--- a/node/events.go
+++ b/node/events.go
@@ -84,6 +84,8 @@
 		if s.Candidate.Transfer > 0 {
 			e = e.Dur("transferMs", s.Candidate.Transfer)
 		}
+	case entry.EventSilent:
+		e = e.Str("to", s.Node)
 	case entry.EventAside:
 		e = e.Str("from", s.Node).Int("status", http.StatusInternalServerError)
 	case entry.EventFailed:
--- a/node/organisations.go
+++ b/node/organisations.go
@@ -43,6 +43,7 @@
 		},
 		Limits: peer.Limits{
 			Silence:   peerSilence,
+			Loss:      peerLoss,
 			Handshake: peerHandshake,
 		},
 		Clock:    n.clock(),
--- a/node/platform.go
+++ b/node/platform.go
@@ -48,13 +48,18 @@
 
 const (
 	// peerSilence is how long a node that owes an answer may be silent, pings
-	// included, and peerHandshake bounds the opening of a connection to it. A node
-	// whose instance has died is silent; callers have 400 ms and more. A node whose
-	// processor is allotted by the tenth of a second answers well within that, and
-	// so does one behind a link that loses a packet, whose first repetition comes
-	// after 200 ms.
+	// included, before its requests are sent elsewhere as well, and peerHandshake bounds
+	// the opening of a connection to it. A node whose instance has died is silent; callers
+	// have 400 ms and more. A node whose processor is allotted by the tenth of a second
+	// answers well within that, and so does one behind a link that loses a packet, whose
+	// first repetition comes after 200 ms.
 	peerSilence   = 600 * time.Millisecond
 	peerHandshake = 400 * time.Millisecond
+	// peerLoss is how long the kernel of a node may leave what was written to it without
+	// an acknowledgement before the requests there are given up. It does so while the
+	// node's process stands still, and late while its link is full or loses packets
+	// several times in a row.
+	peerLoss = 2 * time.Second
 	// storeTimeout bounds a call to the platform other than a watch. A store that
 	// is slowed down sixtyfold answers in a quarter of that.
 	storeTimeout = time.Second
--- a/peer/client.go
+++ b/peer/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"sassafrasfront.example/internal/tcp"
 	"sassafrasfront.example/verdict"
 )
 
@@ -41,8 +42,9 @@
 
 	mu      sync.Mutex
 	current *link
-	dialing chan struct{} // closed when the dialling in progress has ended
-	failure error         // of the last dialling
+	former  map[*link]struct{} // the open connections that were current before
+	dialing chan struct{}      // closed when the dialling in progress has ended
+	failure error              // of the last dialling
 	stopped bool
 }
 
@@ -87,19 +89,43 @@
 	if c.stopped && l != nil {
 		l.shut(errClosed)
 	}
-	c.current = l
+	if l != nil || !c.current.alive() {
+		c.replace(l)
+	}
 	c.failure = err
 	c.dialing = nil
 	close(done)
 }
 
+// replace makes l, or nothing, the connection for new calls. The lock is held.
+func (c *Client) replace(l *link) {
+	old := c.current
+	c.current = l
+	if !old.alive() {
+		return
+	}
+	if c.former == nil {
+		c.former = make(map[*link]struct{})
+	}
+	c.former[old] = struct{}{}
+	old.retire()
+	go func() {
+		<-old.closed
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.former, old)
+	}()
+}
+
 func (c *Client) dial() (*link, error) {
 	limits := c.Limits.withDefaults()
 	ctx, cancel := context.WithTimeout(context.Background(), limits.Handshake)
 	defer cancel()
 	dial := c.Dial
 	if dial == nil {
-		dial = dialTCP
+		dial = func(ctx context.Context, addr string) (net.Conn, error) {
+			return tcp.Dialer(limits.Handshake, limits.Loss).DialContext(ctx, "tcp", addr)
+		}
 	}
 	raw, err := dial(ctx, c.Addr)
 	if err != nil {
@@ -116,6 +142,7 @@
 		peer:      *other,
 		report:    c.Report,
 		noticed:   c.Noticed,
+		control:   c.Hello.Control,
 		exchanges: make(map[uint64]*Exchange),
 		requests:  make(map[uint64]chan *Reply),
 		idleSince: time.Now(),
@@ -127,11 +154,6 @@
 	return l, nil
 }
 
-func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
-	var d net.Dialer
-	return d.DialContext(ctx, "tcp", addr)
-}
-
 // errClosed is why the connections of a Client end that is closed.
 var errClosed = errors.New("client closed")
 
@@ -143,6 +165,17 @@
 	if c.current != nil {
 		c.current.shut(errClosed)
 	}
+	for l := range c.former {
+		l.shut(errClosed)
+	}
+}
+
+// Retire has the client take no more calls. Its connections end with what is open on them.
+func (c *Client) Retire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopped = true
+	c.replace(nil)
 }
 
 // live returns a connection that the peer is not known to have closed. A call
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -49,19 +49,28 @@
 	body    *incoming
 	ahead   bool // whether the body may be sent before the call is admitted
 	noticed bool // whether the call told what was known of the peer's upstream
-	// written is set once the peer may start the call.
-	written atomic.Bool
+	silent  chan struct{}
+	hushed  bool          // whether silent is closed or being closed; the link's lock guards it
+	stage   atomic.Uint32 // how far the sending has come
 
 	once     sync.Once
 	response *Response
 	failure  *verdict.Error
 }
 
+// The stages of a sending.
+const (
+	stagePending   uint32 = iota // the peer can't start the call
+	stageWritten                 // the peer may start it
+	stageWithdrawn               // the peer can't start it, and never will
+)
+
 func newExchange(ctx context.Context, l *link, id uint64) *Exchange {
 	x := &Exchange{
 		link:    l,
 		id:      id,
 		ready:   make(chan struct{}),
+		silent:  make(chan struct{}),
 		informs: make(chan *Inform, informBuffer),
 		credit:  newOutgoing(0),
 	}
@@ -74,6 +83,10 @@
 // Ready returns a channel that is closed when Result has something to return.
 func (x *Exchange) Ready() <-chan struct{} { return x.ready }
 
+// Silent returns a channel that is closed when nothing has been heard from the peer for as
+// long as Limits.Silence says. The exchange goes on.
+func (x *Exchange) Silent() <-chan struct{} { return x.silent }
+
 // Informs yields informational answers that come ahead of the final one.
 func (x *Exchange) Informs() <-chan *Inform { return x.informs }
 
@@ -172,7 +185,7 @@
 func (x *Exchange) lose(reason error) {
 	cause := verdict.NotWritten
 	switch {
-	case !x.written.Load():
+	case x.stage.Load() != stageWritten:
 	case errors.Is(reason, errClosed):
 		cause = verdict.Stopped
 	default:
@@ -181,6 +194,22 @@
 	x.fail(verdict.New(cause, reason))
 }
 
+// write notes that the peer may start the call from now on, and returns whether it may.
+func (x *Exchange) write() bool {
+	return x.stage.CompareAndSwap(stagePending, stageWritten) || x.stage.Load() == stageWritten
+}
+
+// hush notes that nothing has been heard from the peer for long. A call that can't have
+// been started there is taken back, and one that may have been goes on.
+func (x *Exchange) hush(q *Quiet) {
+	if x.stage.CompareAndSwap(stagePending, stageWithdrawn) {
+		x.fail(verdict.New(verdict.NotWritten, q))
+		x.Close()
+		return
+	}
+	close(x.silent)
+}
+
 func (x *Exchange) inform(m *Inform) {
 	select {
 	case x.informs <- m:
@@ -209,7 +238,9 @@
 	}
 	var unsent error
 	err := x.credit.copyBody(x.ctx, body, func(data []byte) error {
-		x.written.Store(!x.ahead)
+		if !x.ahead && !x.write() {
+			return context.Canceled
+		}
 		unsent = x.link.send(KindBody, &Body{
 			ID:   x.id,
 			Data: data,
@@ -233,8 +264,9 @@
 		x.bodyFailed(eris.Errorf("%d trailer fields", len(end.Trailer)))
 		return
 	}
-	x.written.Store(true)
-	_ = x.link.send(KindEnd, end)
+	if x.write() {
+		_ = x.link.send(KindEnd, end)
+	}
 }
 
 // bodyFailed ends the exchange because the caller's body failed, unless the
@@ -245,7 +277,7 @@
 	}
 	x.cancel()
 	e := verdict.As(err, verdict.BodyLost)
-	if !x.written.Load() && e.Cause == verdict.BodyLost {
+	if x.stage.Load() != stageWritten && e.Cause == verdict.BodyLost {
 		e = verdict.New(verdict.BadRequest, err)
 	}
 	x.fail(e)
--- a/peer/limits.go
+++ b/peer/limits.go
@@ -31,9 +31,15 @@
 	// Write bounds the writing of one frame. The default is 5 s.
 	Write time.Duration
 	// Silence is the time after which a connection with open calls, on which
-	// nothing arrives, is lost. A ping is sent after half of it. The default is
-	// 3 s.
+	// nothing arrives, gets no more of them. A ping is sent after half of it. What is
+	// open stays so, as a peer whose link is full or whose processor is scarce is as
+	// silent as one that is gone. A control connection ends: what is asked there may be
+	// asked again. The default is 3 s.
 	Silence time.Duration
+	// Loss is the time after which a connection ends on which what was written has
+	// not been acknowledged by the peer's kernel (TCP_USER_TIMEOUT, see RFC 5482). The
+	// default is 10 s.
+	Loss time.Duration
 	// Idle is the time after which a client connection without open calls is
 	// closed. The default is 5 min.
 	Idle time.Duration
@@ -61,6 +67,7 @@
 	l.Handshake = orDefault(l.Handshake, time.Second)
 	l.Write = orDefault(l.Write, 5*time.Second)
 	l.Silence = orDefault(l.Silence, 3*time.Second)
+	l.Loss = orDefault(l.Loss, 10*time.Second)
 	l.Idle = orDefault(l.Idle, 5*time.Minute)
 	return l
 }
--- a/peer/link.go
+++ b/peer/link.go
@@ -23,6 +23,8 @@
 	report func(Report)
 	// noticed is as in Client.
 	noticed func(*Notice)
+	// control is whether the connection carries control requests only.
+	control bool
 
 	// starting has a value from the choice of a call's id until the call is written, so
 	// that ids arrive in order.
@@ -35,17 +37,41 @@
 	idleSince time.Time
 	busySince time.Time // when the first of the open exchanges and requests began
 
-	begun  chan struct{} // has a value when the first of them has begun
+	// retired is whether no more calls are begun, and the connection ends with what is open.
+	retired bool
+
+	begun  chan struct{} // has a value when the first of them has begun, or l is retired
 	looked atomic.Uint64 // how often watch has looked at the connection
 }
 
+// alive returns whether there is a connection that has not ended.
+func (l *link) alive() bool {
+	return l != nil && !l.isClosed()
+}
+
 // usable returns whether new calls may be sent on the connection.
-func (l *link) usable() bool {
+func (l *link) usable() bool { return l.alive() && !l.quiet(l.limits.Silence) }
+
+// quiet returns whether the peer has owed something for longer than most, and has not been
+// heard meanwhile.
+func (l *link) quiet(most time.Duration) bool {
+	open, _, busy := l.activity()
+	return open > 0 && min(l.silence(), busy) >= most
+}
+
+// retire has the connection take no more calls and end with what is open on it.
+func (l *link) retire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.retired = true
+	l.wake()
+}
+
+// wake has watch look at the connection.
+func (l *link) wake() {
 	select {
-	case <-l.closed:
-		return false
+	case l.begun <- struct{}{}:
 	default:
-		return true
 	}
 }
 
@@ -69,7 +95,9 @@
 	call.ID = x.id
 	x.ahead = call.Ahead
 	x.noticed = call.Notice != nil
-	x.written.Store(!call.Streams)
+	if !call.Streams {
+		x.stage.Store(stageWritten)
+	}
 	err = l.write(writing, frame{
 		kind:    KindCall,
 		message: call,
@@ -86,9 +114,12 @@
 func (l *link) add(ctx context.Context) (*Exchange, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.usable() {
+	if !l.alive() {
 		return nil, l.ended()
 	}
+	if l.retired {
+		return nil, eris.New("the connection has been replaced")
+	}
 	if len(l.exchanges) >= l.limits.Open {
 		return nil, eris.Errorf("%d calls are open", len(l.exchanges))
 	}
@@ -105,10 +136,7 @@
 		return
 	}
 	l.busySince = time.Now()
-	select {
-	case l.begun <- struct{}{}:
-	default:
-	}
+	l.wake()
 }
 
 // find returns the open exchange with the given id, or nil.
@@ -126,6 +154,9 @@
 	delete(l.exchanges, id)
 	if len(l.exchanges) == 0 {
 		l.idleSince = time.Now()
+		if l.retired {
+			l.wake()
+		}
 	}
 	return x
 }
@@ -302,20 +333,28 @@
 // notice hands on what an answer or a failure says of the peer's upstream. That it says nothing
 // means that nothing holds any more if the peer has been told what did.
 func (l *link) notice(n *Notice, told bool) {
-	if l.noticed != nil && (n != nil || told) {
+	if l.noticed != nil && (n != nil || told) && !l.isRetired() {
 		l.noticed(n)
 	}
 }
 
 func (l *link) observe(r *Report) {
-	if r != nil && l.report != nil {
+	if r != nil && l.report != nil && !l.isRetired() {
 		l.report(*r)
 	}
 }
 
-// watch closes the connection when it is silent with calls open, or idle for
-// long. While nothing is open it waits: a node has some thirty connections, and
-// most of them are idle.
+// isRetired returns whether another connection has taken the place of this one. What comes
+// on it is older than what the other has brought.
+func (l *link) isRetired() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.retired
+}
+
+// watch pings a peer that is silent with calls open, tells the calls, and closes the
+// connection when it is idle for long. While nothing is open it waits: a node has some
+// thirty connections, and most of them are idle.
 func (l *link) watch() {
 	wait := l.nextLook()
 	due := time.Now().Add(wait)
@@ -323,6 +362,7 @@
 	defer next.Stop()
 	var pinging atomic.Bool
 	pings := 0 // since the last bytes arrived
+	waited := false
 	for number := uint64(1); ; {
 		var late time.Duration
 		select {
@@ -336,24 +376,34 @@
 		due = time.Now().Add(wait)
 		next.Reset(wait)
 		l.looked.Add(1)
-		open, idle, busy := l.activity()
+		open, _, busy := l.activity()
 		if l.silence() <= l.limits.Silence/2 {
 			pings = 0
 		}
-		// A peer owes nothing while nothing is open: the silence of an idle
-		// connection says nothing when a call begins on it.
-		switch silence := min(l.silence(), busy); {
-		case open == 0 && idle >= l.limits.Idle:
-			l.shut(eris.New("idle"))
-		case open > 0 && idle == 0 && silence > l.limits.Silence:
-			l.shut(&Quiet{
+		if l.closeIdle() {
+			return
+		}
+		if late > l.limits.Silence/4 && !waited {
+			waited = true // this process was late: what has arrived meanwhile is read first
+			continue
+		}
+		waited = false
+		silence := min(l.silence(), busy)
+		if open > 0 && silence >= l.limits.Silence {
+			q := &Quiet{
 				Silence: silence,
 				Late:    late,
 				Pings:   pings,
 				Written: l.written.Load(),
 				Open:    open,
-			})
-		case open > 0 && silence > l.limits.Silence/2 && pinging.CompareAndSwap(false, true):
+			}
+			if l.control {
+				l.shut(q)
+				return
+			}
+			l.hush(q)
+		}
+		if open > 0 && silence >= l.limits.Silence/2 && pinging.CompareAndSwap(false, true) {
 			// A writer may wait for room in the kernel. Silence is judged meanwhile.
 			ping := &Ping{Number: number}
 			number++
@@ -366,12 +416,56 @@
 	}
 }
 
+// hush tells the open calls that the peer is silent.
+func (l *link) hush(q *Quiet) {
+	l.mu.Lock()
+	var list []*Exchange
+	for _, x := range l.exchanges {
+		if !x.hushed {
+			x.hushed = true
+			list = append(list, x)
+		}
+	}
+	l.mu.Unlock()
+	for _, x := range list {
+		go x.hush(q) // a call that is taken back is cancelled, which may wait for room in the kernel
+	}
+}
+
+// closeIdle closes the connection if nothing is open on it and nothing more will be, or
+// has been for long. It returns whether it did. The lock is held meanwhile, so that no
+// call is begun on a connection that is being closed.
+func (l *link) closeIdle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case len(l.exchanges)+len(l.requests) > 0:
+		return false
+	case l.retired:
+		l.shut(eris.New("replaced"))
+	case time.Since(l.idleSince) >= l.limits.Idle:
+		l.shut(eris.New("idle"))
+	default:
+		return false
+	}
+	return true
+}
+
 // nextLook returns when the connection is to be looked at next.
 func (l *link) nextLook() time.Duration {
-	if open, idle, _ := l.activity(); open == 0 {
+	open, idle, busy := l.activity()
+	if open == 0 {
 		return max(l.limits.Idle-idle, 0) + time.Millisecond
 	}
-	return l.limits.Silence / 4
+	next := l.limits.Silence / 4
+	silence := min(l.silence(), busy)
+	// A ping that is sent late leaves no time for a lost packet to be sent again.
+	for _, due := range []time.Duration{l.limits.Silence / 2, l.limits.Silence} {
+		if left := due - silence; left > 0 {
+			next = min(next, left)
+		}
+	}
+	return next
 }
 
 // activity returns the number of open exchanges and requests, for how long there
--- a/peer/tell.go
+++ b/peer/tell.go
@@ -30,11 +30,7 @@
 	c.mu.Lock()
 	l := c.current
 	c.mu.Unlock()
-	if l == nil || !l.usable() {
-		return false
-	}
-	open, _, busy := l.activity()
-	return open == 0 || min(l.silence(), busy) <= l.limits.Silence*2/3
+	return l.alive() && !l.quiet(l.limits.Silence*2/3)
 }
 
 // Warm opens the connection if it is not open, so that the first call need not
