upstream, tcp: an upstream that reads late keeps its requests

What callers saw: a request with a body that the upstream does not read within some 0.4 s ends as upstreamLost, 502, though the upstream works. So does a request behind one that was answered early and whose body the upstream reads on later.

Cause: connections to the upstream have a TCP_USER_TIMEOUT of 200 ms. The kernel counts bytes for which the receiver has no room as unacknowledged, though the receiver's kernel answers each probe of its window. A receiver that reads late is taken for one that is silent.

Evidence: TestUpstreamReadsLate, a listener with a small receive buffer that reads on after 0.8 s. Before, all three rows fail after 0.42 s with "connection timed out"; after, all pass (three runs).

Ruled out: a bound by the size of the body alone, as heads may be large too; setting the bound again for the next small request of the connection, as the upstream may still have the earlier body to read (the third row); TCP_INFO polled by a timer, which tells both cases apart but costs a timer and a call for each request.

Now the first write beyond 4 KiB of a request lifts the bound from its connection for good. Such a request ends by its deadline where the upstream's kernel is silent, which on one instance needs a fault of the network between the two. Smaller requests are acknowledged by any kernel at once, and keep the bound.

--- /dev/null
+++ b/internal/tcp/silence.go
@@ -0,0 +1,40 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package tcp
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
+)
+
+// SetSilence changes for how long what was written to a connection may be without an
+// acknowledgement. Zero means as long as the kernel allows by itself. Data for which the
+// receiver has no room counts as unacknowledged, though its kernel answers: a receiver that
+// reads late is then taken for a silent one. A connection that is no socket is left as it is.
+func SetSilence(c net.Conn, silence time.Duration) error {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return eris.Wrap(err, "set the bound on silence")
+	}
+	var failure error
+	err = raw.Control(func(fd uintptr) {
+		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds()))
+	})
+	if err == nil {
+		err = failure
+	}
+	if err != nil {
+		return eris.Wrap(err, "set the bound on silence")
+	}
+	return nil
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -18,6 +18,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"sassafrasfront.example/internal/tcp"
 	"sassafrasfront.example/verdict"
 )
 
@@ -32,6 +33,7 @@
 	crossed   bool // whether an answer to another request was read
 	idleSince time.Time
 	mostIdle  time.Duration // as the upstream told last, 0 if it did not
+	patient   bool          // whether the bound on silence is lifted
 }
 
 // errUnusable is an answer that is in order and can't be passed on.
@@ -61,11 +63,28 @@
 
 // Write implements io.Writer.
 func (w countingWriter) Write(p []byte) (int, error) {
+	if w.sent.Load()+int64(len(p)) > promptBytes {
+		w.bePatient()
+	}
 	n, err := w.Conn.Write(p)
 	w.sent.Add(int64(n))
 	return n, err
 }
 
+// promptBytes is how much of a request any upstream's kernel takes at once. More may wait until
+// the upstream reads it, unacknowledged.
+const promptBytes = 4 << 10
+
+// bePatient lifts the bound on silence. It is not set again: the upstream may answer a request
+// and read the rest of its body later.
+func (c *conn) bePatient() {
+	if c.patient {
+		return
+	}
+	c.patient = true
+	_ = tcp.SetSilence(c.Conn, 0) // it fails on a connection that is closed only
+}
+
 // kill makes every read and write fail.
 func (c *conn) kill() {
 	_ = c.SetDeadline(time.Unix(1, 0))
--- /dev/null
+++ b/upstream/slowread_test.go
@@ -0,0 +1,74 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/upstream"
+)
+
+// TestUpstreamReadsLate guards against the loss of requests whose bodies fill the receive window of a
+// working upstream, which reads on only after a while.
+func TestUpstreamReadsLate(t *testing.T) {
+	const pause = 800 * time.Millisecond // beyond the bound on silence
+	tests := map[string]struct {
+		body  int
+		again bool // whether the connection has carried a large body before
+	}{
+		"a body that is written before the answer is read": {body: 60 << 10},
+		"a larger body": {body: 256 << 10},
+		"a request behind a body that is read on later": {again: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			addr := raw(t, func(_ int, c net.Conn) {
+				_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+				reader := bufio.NewReaderSize(c, 1<<10)
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					if r.Header.Get("Early") != "" {
+						_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+					}
+					time.Sleep(pause)
+					_ = c.(*net.TCPConn).SetReadBuffer(1 << 20)
+					_, _ = io.Copy(io.Discard, r.Body)
+					if r.Header.Get("Early") == "" {
+						_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+					}
+				}
+			})
+			tr := &upstream.Transport{
+				Addr: addr,
+				Warm: 1,
+			}
+			send := func(r *http.Request) {
+				t.Helper()
+				response, failure := tr.Send(r, nil)
+				qt.Assert(t, failure == nil, qt.IsTrue, qt.Commentf("%v", failure))
+				_, err := io.Copy(io.Discard, response.Body)
+				qt.Assert(t, err, qt.IsNil)
+			}
+			if test.again {
+				send(request(context.Background(), "POST", strings.Repeat("x", 60<<10), "Early", "1"))
+				qt.Assert(t, tr.Open(), qt.Equals, 1)
+			}
+			send(request(context.Background(), "POST", strings.Repeat("x", test.body)))
+		})
+	}
+}
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -39,7 +39,8 @@
 	idleShare = 0.9
 	// silence is how long what was sent may be without an acknowledgement by the
 	// upstream's kernel. The upstream is on the same instance, so that a fraction
-	// of a millisecond is usual; callers have 250 ms and more.
+	// of a millisecond is usual; callers have 250 ms and more. It does not bind
+	// requests over promptBytes, which may wait until the upstream reads them.
 	silence = 200 * time.Millisecond
 )
 
