gate: the announcement of another start ends no call at the former one

What callers saw: a request ends as upstreamLost, 502, though its upstream works on it, at the moment at which another start announces itself at the same address. A former start may be ending its last requests when the next one takes its address over, with its drain not heard or told in answers only; and a heartbeat of an earlier start that comes late is taken for that of the next one where starts don't tell when they began.

Cause: the gate took the announcement for a proof that nothing is left of the former start, and ended its calls (errStartOver). The kernel gives that proof by itself: the connections of a process that is gone are closed or reset.

Evidence: TestUpstreamStartsAgain and TestNotGone. Their rows asked for the loss while the upstream's handler still ran. They now ask for it at once when the connections end, and for the upstream's answer when it goes on.

Quarantine blamed the requests at hand at the same moment. It does so now once one of them has been lost, before the announcement or after it; TestGone has a row for each order. What the former start still answers counts nothing for the new one's speed, run times and failures.

Not done: shorter keep-alive probes on connections to the upstream. One lost probe would end a sound run, as TCP_USER_TIMEOUT is shorter than the time between two.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -12,7 +12,6 @@
 	"syscall"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
@@ -110,19 +109,9 @@
 type binding struct {
 	announcement *upstream.Announcement
 	transport    *upstream.Transport
-	// over ends with the start of the upstream, if that ends without a drain. Its
-	// cause is the failure of the calls that ran there.
-	over context.Context
-	end  context.CancelCauseFunc
-	// running are the requests at this start.
-	running *quarantine.Running
-	// looking is whether it is being found out if the upstream is still there.
-	looking *atomic.Bool
+	start        *start // of the upstream
 }
 
-// errStartOver says why calls end whose upstream has started anew.
-var errStartOver = eris.New("the upstream has started anew")
-
 // serves returns whether the binding is for the same start of an upstream, reached
 // in the same way, as a is.
 func (b *binding) serves(a *upstream.Announcement) bool {
@@ -130,28 +119,6 @@
 	return o.SameStart(a) && o.Address == a.Address && o.Connections == a.Connections
 }
 
-// during returns a context that ends with ctx, and with the start of the upstream.
-// Stop releases it.
-func (b *binding) during(ctx context.Context) (during context.Context, stop func()) {
-	during, cancel := context.WithCancelCause(ctx)
-	unhook := context.AfterFunc(b.over, func() { cancel(context.Cause(b.over)) })
-	return during, func() {
-		unhook()
-		cancel(nil)
-	}
-}
-
-// replaced ends the calls to a start of an upstream that another has come after at
-// the same address: nothing listens there any more that could answer them. They
-// would keep their slots, and their callers would wait, to the end of their time. A
-// start that drains is left alone, as it may be ending its last requests.
-func (b *binding) replaced(a *upstream.Announcement) {
-	b.transport.CloseIdle()
-	if !b.announcement.Draining && b.announcement.Address == a.Address && !b.announcement.SameStart(a) {
-		b.end(verdict.New(verdict.UpstreamLost, errStartOver))
-	}
-}
-
 // Announce takes in an announcement, or the withdrawal of one if a is nil.
 func (g *Gate) Announce(a *upstream.Announcement) {
 	g.mu.Lock()
@@ -175,10 +142,10 @@
 	g.update()
 	g.latest = a
 	if old != nil && old.transport != b.transport {
-		if !old.announcement.SameStart(a) {
-			g.gone(old)
+		if old.start != b.start {
+			g.replaced(old)
 		}
-		old.replaced(a)
+		old.transport.CloseIdle()
 	}
 	if restarted {
 		g.startCold(a, first)
@@ -193,33 +160,31 @@
 // bind returns the binding for an announcement, which keeps the connections of the
 // one before if it is for the same start.
 func (g *Gate) bind(old *binding, a *upstream.Announcement) *binding {
+	b := &binding{announcement: a}
+	if old != nil && old.announcement.SameStart(a) {
+		b.start = old.start
+	} else {
+		b.start = new(start)
+	}
+	b.start.drained.Store(a.Draining)
 	if old != nil && old.serves(a) {
-		return &binding{
-			announcement: a,
-			transport:    old.transport,
-			over:         old.over,
-			end:          old.end,
-			running:      old.running,
-			looking:      old.looking,
-		}
+		b.transport = old.transport
+		return b
 	}
-	over, end := context.WithCancelCause(context.Background())
-	return &binding{
-		announcement: a,
-		transport: &upstream.Transport{
-			Addr:        a.Address,
-			Connections: a.Connections,
-			Warm:        min(a.Slots, a.Connections),
-			Names:       g.Names.OrDefault(),
-			Observed:    g.Observe,
-			Noticed:     func(n upstream.Notice) { g.Notice(a.Start, n) },
-			Permit:      g.permit,
+	b.transport = &upstream.Transport{
+		Addr:        a.Address,
+		Connections: a.Connections,
+		Warm:        min(a.Slots, a.Connections),
+		Names:       g.Names.OrDefault(),
+		Observed: func(l upstream.Load) {
+			if g.present(b) {
+				g.Observe(l)
+			}
 		},
-		over:    over,
-		end:     end,
-		running: new(quarantine.Running),
-		looking: new(atomic.Bool),
+		Noticed: func(n upstream.Notice) { g.Notice(a.Start, n) },
+		Permit:  g.permit,
 	}
+	return b
 }
 
 // tellRatio is the change of the upstream's speed from which it is told at once.
@@ -364,7 +329,12 @@
 func (g *Gate) sendFailed(b *binding, failure *verdict.Error) {
 	switch {
 	case failure.Cause == verdict.UpstreamLost:
-		go g.look(b)
+		b.start.broke.Store(true)
+		if g.present(b) {
+			go g.look(b)
+		} else {
+			g.gone(b)
+		}
 	case failure.Cause == verdict.WrongUpstream || errors.Is(failure, syscall.ECONNREFUSED):
 		g.gone(b)
 	}
--- a/gate/gone.go
+++ b/gate/gone.go
@@ -22,16 +22,16 @@
 			Reader: c.in.Body(),
 		}
 	}
-	return b.running.Begin(c.print, isolated)
+	return b.start.running.Begin(c.print, isolated)
 }
 
 // look finds out whether an upstream that has lost a request is still there. Connections
 // may be cut for other reasons; only an upstream that is gone refuses new ones.
 func (g *Gate) look(b *binding) {
-	if !b.looking.CompareAndSwap(false, true) {
+	if !b.start.looking.CompareAndSwap(false, true) {
 		return
 	}
-	defer b.looking.Store(false)
+	defer b.start.looking.Store(false)
 	if err := b.transport.Reach(context.Background()); errors.Is(err, syscall.ECONNREFUSED) {
 		g.gone(b)
 	}
@@ -40,14 +40,10 @@
 // gone tells that an upstream has ended, with the requests that it may have ended under.
 // One that drains, or that has left, ends as it was to.
 func (g *Gate) gone(b *binding) {
-	now := g.current.Load()
-	if now != nil && now.running == b.running {
-		b = now // what it has said since the call began
-	}
-	if g.Gone == nil || now == nil || b.announcement.Draining {
+	if g.Gone == nil || g.current.Load() == nil || b.start.drained.Load() {
 		return
 	}
-	atHand, alone := b.running.Take()
+	atHand, alone := b.start.running.Take()
 	if len(atHand) == 0 {
 		return
 	}
