upstream: informational answers end no request

What callers saw: a request ends as answerInvalid, 502, though its upstream works on it and says so: with its eighth informational answer, such as 102 Processing every few seconds of a long run.

Cause: a fixed number of them was borne. They say that the upstream is at work, and callers may be left without them.

Evidence: TestLongWork; before, 600 and 10,000 of them end the request ("too many informational ones"), after, the answer is passed on. Seven were borne before as well.

Now all are passed on up to 64 KiB, and the rest left out. An upstream that sends 1 MiB of them without an answer is still given up, as that is no sign of work.

--- a/upstream/slowread_test.go
+++ b/upstream/slowread_test.go
@@ -17,6 +17,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"sassafrasfront.example/upstream"
+	"sassafrasfront.example/verdict"
 )
 
 // TestUpstreamReadsLate guards against the loss of requests whose bodies fill the receive window of a
@@ -72,3 +73,48 @@
 		})
 	}
 }
+
+// TestLongWork guards against the loss of requests whose upstream says time and again that it is at
+// work on them. What never stops saying so, without a pause, is no answer.
+func TestLongWork(t *testing.T) {
+	const word = "HTTP/1.1 102 Processing\r\n\r\n"
+	tests := map[string]struct {
+		words    int
+		want     verdict.Cause
+		informed int // at least
+	}{
+		"as many as once were borne": {words: 7, informed: 7},
+		"one for each second":        {words: 600, informed: 600},
+		"more than are passed on":    {words: 10000, informed: 2000},
+		"without an end":             {words: 100000, want: verdict.AnswerInvalid, informed: 2000},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			addr := raw(t, func(_ int, c net.Conn) {
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, strings.Repeat(word, test.words)+"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				_, _ = io.Copy(io.Discard, c)
+			})
+			tr := &upstream.Transport{
+				Addr: addr,
+			}
+			informed := 0
+			response, failure := tr.Send(request(context.Background(), "GET", ""), func(status int, _ http.Header) {
+				qt.Check(t, status, qt.Equals, http.StatusProcessing)
+				informed++
+			})
+			qt.Check(t, informed >= test.informed && informed <= test.words, qt.IsTrue, qt.Commentf("%d", informed))
+			if test.want != "" {
+				qt.Assert(t, failure != nil, qt.IsTrue)
+				qt.Check(t, failure.Cause, qt.Equals, test.want)
+				return
+			}
+			qt.Assert(t, failure == nil, qt.IsTrue, qt.Commentf("%v", failure))
+			body, err := io.ReadAll(response.Body)
+			qt.Check(t, err, qt.IsNil)
+			qt.Check(t, string(body), qt.Equals, "ok")
+		})
+	}
+}
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -27,8 +27,12 @@
 const (
 	// maxHead bounds the head of an answer, in bytes.
 	maxHead = 64 << 10
-	// maxInforms bounds the informational answers to one request.
-	maxInforms = 8
+	// informBytes bounds the informational answers to one request that are passed on, in
+	// bytes.
+	informBytes = 64 << 10
+	// floodBytes is from how many bytes of informational answers on the upstream is taken to
+	// send nothing else.
+	floodBytes = 1 << 20
 	// defaultDial bounds the opening of a connection.
 	defaultDial = time.Second
 	// defaultIdle is how long an idle connection is kept. It is shorter than
