gate, upstream: no more connections than announced after the announcement has changed

What callers saw: requests end as upstreamLost, 502, at a working upstream after it has announced another number of slots: it resets the connections beyond those that it takes.

Cause: each such announcement made a new transport with a count of its own. The connections whose requests ran on were kept idle by the former one once these had ended, and nobody closed or used them again.

Evidence: TestConnectionsAfterChange counts what is open at the upstream. Before, all three rows stay above what was announced (the test ends by its time-out); after, all pass, also with the race detector.

Now the transport of a start at an address is kept and its bounds are changed, and that of a former start or address keeps no connection once its request has ended.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -116,7 +116,7 @@
 // in the same way, as a is.
 func (b *binding) serves(a *upstream.Announcement) bool {
 	o := b.announcement
-	return o.SameStart(a) && o.Address == a.Address && o.Connections == a.Connections
+	return o.SameStart(a) && o.Address == a.Address
 }
 
 // Announce takes in an announcement, or the withdrawal of one if a is nil.
@@ -145,7 +145,7 @@
 		if old.start != b.start {
 			g.replaced(old)
 		}
-		old.transport.CloseIdle()
+		old.transport.Resize(old.announcement.Connections, 0)
 	}
 	if restarted {
 		g.startCold(a, first)
@@ -169,6 +169,7 @@
 	b.start.drained.Store(a.Draining)
 	if old != nil && old.serves(a) {
 		b.transport = old.transport
+		b.transport.Resize(a.Connections, min(a.Slots, a.Connections))
 		return b
 	}
 	b.transport = &upstream.Transport{
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -59,7 +59,7 @@
 )
 
 // Transport sends requests to one upstream. The exported fields are set before
-// the first call.
+// the first call; Resize changes two of them later.
 type Transport struct {
 	// Addr is the address of the upstream.
 	Addr string
@@ -270,7 +270,7 @@
 func (t *Transport) put(c *conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.idle) >= t.Warm || c.reader.Buffered() > 0 {
+	if len(t.idle) >= t.Warm || t.surplus() || c.reader.Buffered() > 0 {
 		t.closeLocked(c)
 		return
 	}
@@ -299,6 +299,24 @@
 	}
 }
 
+// surplus returns whether more connections are open than may be. The lock is held.
+func (t *Transport) surplus() bool { return t.Connections > 0 && t.open > t.Connections }
+
+// Resize changes the largest numbers of open and of idle connections. A connection with a
+// request on it stays open until that has ended.
+func (t *Transport) Resize(connections, warm int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.Connections = connections
+	t.Warm = warm
+	for len(t.idle) > 0 && (len(t.idle) > warm || t.surplus()) {
+		c := t.idle[0]
+		t.idle = t.idle[1:]
+		t.closeLocked(c)
+	}
+	t.signal()
+}
+
 // CloseIdle closes the idle connections.
 func (t *Transport) CloseIdle() {
 	t.mu.Lock()
