upstream: a request of which nothing was written is told as not run

What callers saw: a request with a body over 64 KiB whose connection the upstream resets before anything has been written ends as upstreamLost, 502, and is not sent elsewhere if it may not be repeated, though it can't have run.

Cause: such a body is written by a goroutine of its own. If the connection's end is read before that has returned, it was taken as unknown what it has sent.

The writer now says when its first write begins. The connection is closed when the failure is told, so a writer that has not begun by then never sends anything.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -29,8 +29,9 @@
 	writer    *bufio.Writer
 	allowed   int64 // bytes that may still be read
 	sent      atomic.Int64
-	ended     bool // whether a read has failed
-	crossed   bool // whether an answer to another request was read
+	begun     atomic.Bool // whether the writing of the request has begun
+	ended     bool        // whether a read has failed
+	crossed   bool        // whether an answer to another request was read
 	idleSince time.Time
 	mostIdle  time.Duration // as the upstream told last, 0 if it did not
 	patient   bool          // whether the bound on silence is lifted
@@ -66,6 +67,7 @@
 	if w.sent.Load()+int64(len(p)) > promptBytes {
 		w.bePatient()
 	}
+	w.begun.Store(true)
 	n, err := w.Conn.Write(p)
 	w.sent.Add(int64(n))
 	return n, err
@@ -90,9 +92,14 @@
 	_ = c.SetDeadline(time.Unix(1, 0))
 }
 
+// begin makes the connection ready for the next request.
+func (c *conn) begin() {
+	c.sent.Store(0)
+	c.begun.Store(false)
+}
+
 // write writes the whole request.
 func (c *conn) write(r *http.Request) error {
-	c.sent.Store(0)
 	if err := r.Write(c.writer); err != nil {
 		return err
 	}
@@ -123,7 +130,8 @@
 
 // failure returns the verdict on a request whose answer's head could not be
 // read. The connection is closed by now. The writing may go on, waiting for
-// the caller's body; what it has sent is then not known for certain.
+// the caller's body; what it has sent is then not known for certain, but that it
+// had not begun to.
 func (c *conn) failure(ctx context.Context, err error, written chan error) *verdict.Error {
 	var writeErr error
 	certain := true
@@ -136,7 +144,7 @@
 		err = context.Cause(ctx)
 	}
 	switch {
-	case certain && c.sent.Load() == 0:
+	case certain && c.sent.Load() == 0, !c.begun.Load():
 		return verdict.New(verdict.UpstreamDialFailed, err)
 	case ctx.Err() != nil:
 		return verdict.As(err, verdict.CallerGone)
--- a/upstream/slowread_test.go
+++ b/upstream/slowread_test.go
@@ -118,3 +118,21 @@
 		})
 	}
 }
+
+// TestResetUnsent has the upstream reset the connection before anything of a request with a body has
+// been written: it has not run.
+func TestResetUnsent(t *testing.T) {
+	for name, size := range map[string]int{"none": 0, "medium": 60 << 10, "large": 1 << 20} {
+		t.Run(name, func(t *testing.T) {
+			ours, theirs := net.Pipe()
+			theirs.Close()
+			tr := &upstream.Transport{
+				Addr: "upstream",
+				Dial: func(context.Context, string) (net.Conn, error) { return ours, nil },
+			}
+			_, failure := tr.Send(request(context.Background(), "POST", strings.Repeat("x", size)), nil)
+			qt.Assert(t, failure != nil, qt.IsTrue)
+			qt.Check(t, failure.Verdict(), qt.Equals, verdict.NotRun, qt.Commentf("%v", failure))
+		})
+	}
+}
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -105,6 +105,7 @@
 			return nil, refused
 		}
 	}
+	c.begin()
 	stop := context.AfterFunc(r.Context(), c.kill)
 	asked := time.Now()
 	written := make(chan error, 1)
