upstream: an early answer does not wait for the body of its request

What callers saw: an upstream answers a request before it has read the body, as it may with 413 or 401, and the caller gets the answer late, or, if the upstream reads no further, 504 at its deadline.

Cause: bodies up to 64 KiB were written before the answer was read, and the writing waits for room at the upstream.

Evidence: TestEarlyAnswer, over a connection that holds nothing; before, the rows of 6 and 60 KB end with their deadline, after, all are answered. On the kernel's loopback 64 KiB have room anyway, so there this is seen with small buffers only.

Now only requests up to 4 KiB, which any kernel takes at once, are written first. Connections are used again as before if the request's end is written within 10 ms of the answer's: a fast upstream's answer may be read before the writer has said that it is done.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -74,7 +74,7 @@
 }
 
 // promptBytes is how much of a request any upstream's kernel takes at once. More may wait until
-// the upstream reads it, unacknowledged.
+// the upstream reads it, unacknowledged, which may be after its answer.
 const promptBytes = 4 << 10
 
 // bePatient lifts the bound on silence. It is not set again: the upstream may answer a request
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -114,7 +114,7 @@
 		done()
 		written <- err
 	}
-	if r.Body == nil || r.ContentLength >= 0 && r.ContentLength <= inlineBody {
+	if r.Body == nil || r.ContentLength >= 0 && r.ContentLength <= promptBytes {
 		write()
 	} else {
 		go write()
@@ -148,9 +148,6 @@
 	return response, nil
 }
 
-// inlineBody is the largest body that is written before the answer is read.
-const inlineBody = 64 << 10
-
 // refusal returns the failure that an answer stands for, if it says that the
 // upstream has not run the request.
 func (t *Transport) refusal(r *http.Response) *verdict.Error {
@@ -373,22 +370,40 @@
 		return
 	}
 	b.done = true
-	alive := b.stop()
-	if whole && alive && b.reusable && b.requestWritten() {
-		b.transport.put(b.conn)
+	if alive := b.stop(); !whole || !alive || !b.reusable {
+		b.transport.discard(b.conn)
 		return
 	}
-	b.transport.discard(b.conn)
-}
-
-// requestWritten returns whether the whole request has been written by now.
-func (b *body) requestWritten() bool {
 	select {
 	case err := <-b.written:
-		return err == nil
+		b.release(err)
 	default:
-		return false
+		go b.releaseWritten()
+	}
+}
+
+// writtenWithin is how long a connection whose answer has been read stays open for the end of its
+// request, which another goroutine writes.
+const writtenWithin = 10 * time.Millisecond
+
+// releaseWritten gives the connection back once the whole request has been written, if that is
+// soon.
+func (b *body) releaseWritten() {
+	late := time.AfterFunc(writtenWithin, b.conn.kill)
+	err := <-b.written
+	if !late.Stop() && err == nil {
+		err = context.DeadlineExceeded
+	}
+	b.release(err)
+}
+
+// release gives the connection back whose request has been written, or closes it if that failed.
+func (b *body) release(err error) {
+	if err != nil {
+		b.transport.discard(b.conn)
+		return
 	}
+	b.transport.put(b.conn)
 }
 
 // unlimited lifts the bound on what is read from a connection.
