gate: tests of how calls end that are lost, and of a stop that is told as a caller's

The only places that make a peerLost are the end of a session (peer/session.go), a handler without an answer (peer/inbound.go) and the loss of a link (peer/exchange.go), and each gives the error that it rests on. TestLostCallsHaveReasons ends calls in four ways at each of six stages at the gate, 20 times with the race detector: each peerLost had its reason. A context that ends with another call's is ruled out by reading: a call's own context alone reaches what it waits for, and dials are each call's own.

Found on the way: a call that is cut as the gate's server stops ends as callerGone, with "context canceled" as its reason, in 19 of 20 runs of TestStoppedServerIsNoCaller. An entry that is told so does not send an idempotent request elsewhere.

--- /dev/null
+++ b/gate/reason_test.go
@@ -0,0 +1,223 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package gate_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/admit"
+	"sassafrasfront.example/gate"
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/upstream"
+	"sassafrasfront.example/verdict"
+)
+
+// never is a body that does not come.
+type never struct{}
+
+// Read implements io.Reader.
+func (never) Read([]byte) (int, error) { select {} }
+
+// TestLostCallsHaveReasons ends a call in each way, at each stage of its handling: a gate says why,
+// and says peerLost only where the connection that the call came on is lost. It guards against a
+// peerLost that no log explains.
+func TestLostCallsHaveReasons(t *testing.T) {
+	stages := map[string]struct {
+		call peer.Call
+		body func() io.Reader
+		busy bool // whether another call has the slot
+		runs bool // whether the upstream has it
+		at   func(r admit.Report) bool
+	}{
+		"waits for a slot": {
+			busy: true,
+			at:   func(r admit.Report) bool { return r.Waiting == 1 },
+		},
+		"waits for its body": {
+			call: peer.Call{Streams: true, Length: 1},
+			body: func() io.Reader { return never{} },
+			at:   func(r admit.Report) bool { return r.Running == 1 },
+		},
+		"waits for its body ahead": {
+			call: peer.Call{Streams: true, Ahead: true, Length: 100 << 10},
+			body: func() io.Reader { return never{} },
+			at:   func(admit.Report) bool { return true },
+		},
+		"runs": {
+			runs: true,
+		},
+		"runs with half of its body": {
+			call: peer.Call{Streams: true, Length: 20 << 10},
+			body: func() io.Reader { return io.MultiReader(strings.NewReader(strings.Repeat("x", 10<<10)), never{}) },
+			runs: true,
+		},
+		"is answered": {
+			call: peer.Call{Target: "/long"},
+			runs: true,
+		},
+	}
+	ends := map[string]struct {
+		remaining time.Duration
+		end       func(p *ended)
+		causes    []verdict.Cause
+	}{
+		"its caller leaves": {
+			end:    func(p *ended) { p.exchange.Close() },
+			causes: []verdict.Cause{verdict.Revoked, verdict.CallerGone, verdict.BodyLost, verdict.AnswerCut, verdict.AnswerSpoilt},
+		},
+		"its sender stops": {
+			end:    func(p *ended) { p.client.Close() },
+			causes: []verdict.Cause{verdict.Revoked, verdict.PeerLost, verdict.AnswerCut, verdict.AnswerSpoilt},
+		},
+		"its connection is reset": {
+			end:    func(p *ended) { _ = p.conn.(*net.TCPConn).SetLinger(0); p.conn.Close() },
+			causes: []verdict.Cause{verdict.Revoked, verdict.PeerLost, verdict.AnswerCut, verdict.AnswerSpoilt},
+		},
+		"its deadline passes": {
+			remaining: 50 * time.Millisecond,
+			end:       func(*ended) {},
+			causes:    []verdict.Cause{verdict.Revoked, verdict.Refused, verdict.DeadlinePassed, verdict.UpstreamDialFailed, verdict.TimedOut, verdict.CallerGone, verdict.AnswerCut, verdict.AnswerSpoilt},
+		},
+	}
+	for stage, s := range stages {
+		for name, e := range ends {
+			if stage == "is answered" && e.remaining > 0 {
+				continue // an answer that has begun may go on
+			}
+			t.Run(stage+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				p := newEnded(t)
+				if s.busy {
+					go p.start(peer.Call{Remaining: time.Minute}, nil)
+					p.await(func(r admit.Report) bool { return r.Running == 1 })
+				}
+				m := s.call
+				m.Remaining = time.Minute
+				if e.remaining > 0 {
+					m.Remaining = e.remaining
+				}
+				var body io.Reader
+				if s.body != nil {
+					body = s.body()
+				}
+				p.exchange = p.start(m, body)
+				switch {
+				case e.remaining > 0:
+				case s.runs:
+					<-p.inside
+				default:
+					p.await(s.at)
+				}
+				e.end(p)
+				failure := <-p.failures
+				qt.Check(t, e.causes, qt.Contains, failure.Cause)
+				if failure.Cause == verdict.PeerLost {
+					qt.Check(t, failure.Err, qt.IsNotNil)
+				}
+			})
+		}
+	}
+}
+
+// TestStoppedServerIsNoCaller has the server of a gate stop while a call runs: the call has not been
+// given up by its caller. It guards against a callerGone where nobody left, which no node sends
+// elsewhere.
+func TestStoppedServerIsNoCaller(t *testing.T) {
+	p := newEnded(t)
+	p.start(peer.Call{Remaining: time.Minute}, nil)
+	<-p.inside
+	p.stop()
+	failure := <-p.failures
+	qt.Check(t, failure.Cause, qt.Not(qt.Equals), verdict.CallerGone, qt.Commentf("%v", failure))
+	qt.Check(t, failure.Err, qt.IsNotNil)
+}
+
+// ended is a gate whose calls are ended.
+type ended struct {
+	t        *testing.T
+	gate     *gate.Gate
+	client   *peer.Client
+	conn     net.Conn // of the client
+	stop     func()   // ends the gate's server
+	exchange *peer.Exchange
+	inside   chan struct{}       // tells of each call at the upstream
+	failures chan *verdict.Error // of the calls, as the gate tells
+}
+
+func newEnded(t *testing.T) *ended {
+	inside := make(chan struct{}, 10)
+	r := newRig(t, 1, func(w http.ResponseWriter, r *http.Request) {
+		inside <- struct{}{}
+		if r.URL.Path == "/long" {
+			w.(http.Flusher).Flush()
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err == nil {
+			<-r.Context().Done()
+		}
+	})
+	p := &ended{
+		t:        t,
+		inside:   inside,
+		failures: make(chan *verdict.Error, 10),
+	}
+	p.gate = &gate.Gate{
+		Tracer: r.gate.Tracer,
+		Ended: func(_, _ string, failure *verdict.Error, _, _ time.Duration) {
+			p.failures <- failure
+		},
+	}
+	config := operator.Service{Queue: operator.Queue{Length: 1, Wait: operator.Duration(time.Minute)}}.WithDefaults()
+	p.gate.Configure(&config)
+	p.gate.Announce(&upstream.Announcement{Service: "service", Address: r.address, Slots: 1, Connections: 1})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	ctx, stop := context.WithCancel(context.Background())
+	p.stop = stop
+	server := &peer.Server{Call: p.gate.Serve}
+	go server.Run(ctx, listener)
+	p.client = &peer.Client{
+		Addr: listener.Addr().String(),
+		Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+			var d net.Dialer
+			c, err := d.DialContext(ctx, "tcp", addr)
+			p.conn = c
+			return c, err
+		},
+	}
+	t.Cleanup(func() {
+		p.client.Close()
+		stop()
+	})
+	return p
+}
+
+// start makes a call.
+func (p *ended) start(m peer.Call, body io.Reader) *peer.Exchange {
+	m.Service, m.Method = "service", "POST"
+	if m.Target == "" {
+		m.Target = "/"
+	}
+	x, failure := p.client.Start(context.Background(), &m, body)
+	if failure != nil {
+		p.t.Error(failure)
+	}
+	return x
+}
+
+// await waits until the gate's load is as said.
+func (p *ended) await(as func(r admit.Report) bool) {
+	for !as(p.gate.Load()) {
+		time.Sleep(time.Millisecond)
+	}
+}
