upstream: a large answer to another request ends none

What callers saw: a request ends as answerSpoilt, 502, at a working upstream that first sends a late answer of 1 MiB or more to a request before it.

Cause: what is skipped ahead of the right answer was bounded in bytes. The bound protects from nothing that the deadline of the request does not.

Evidence: the row "late large one in front" of TestNamedAnswers fails before ("answers to other requests, and no end of them") and passes after.

--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -16,12 +16,8 @@
 	"sassafrasfront.example/verdict"
 )
 
-const (
-	// maxCrossed bounds the answers to other requests that are skipped ahead of
-	// the right one, and maxCrossedBody the body of each, in bytes.
-	maxCrossed     = 4
-	maxCrossedBody = 1 << 20
-)
+// maxCrossed bounds the answers to other requests that are skipped ahead of the right one.
+const maxCrossed = 4
 
 // errCrossed ends a connection whose answers can't be told apart.
 var errCrossed = eris.New("answers to other requests, and no end of them")
@@ -50,8 +46,7 @@
 		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			return nil, errCrossed // it ends with the connection
 		}
-		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxCrossedBody))
-		if err != nil || n == maxCrossedBody || response.Close {
+		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
 			return nil, errCrossed
 		}
 	}
--- a/upstream/answer_test.go
+++ b/upstream/answer_test.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -42,6 +43,7 @@
 		"whole":                      {answer: ok, body: "mine", status: 200, reused: true},
 		"late answer in front":       {answer: "HTTP/1.1 200 OK\r\nTest-Id: 0\r\nTest-Signature: s\r\nContent-Length: 5\r\n\r\nother" + ok, body: "mine", status: 200},
 		"late chunked one in front":  {answer: "HTTP/1.1 200 OK\r\nTest-Id: 0\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nother\r\n0\r\n\r\n" + ok, body: "mine", status: 200},
+		"late large one in front":    {answer: "HTTP/1.1 200 OK\r\nTest-Id: 0\r\nContent-Length: 2000000\r\n\r\n" + strings.Repeat("x", 2000000) + ok, body: "mine", status: 200},
 		"late one without an end":    {answer: "HTTP/1.1 200 OK\r\nTest-Id: 0\r\n\r\n" + ok, want: verdict.AnswerSpoilt},
 		"second answer behind":       {answer: ok + ok, body: "mine", status: 200},
 		"success without signature":  {answer: "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nContent-Length: 4\r\n\r\nmine", want: verdict.AnswerSpoilt},
