node: a failing test of the calls that an upstream makes while its node leaves

What callers saw: a request ends with its upstream's 500, as a call that the upstream made for it was refused by its own node.

Cause: a node that leaves closes the listener for callers at the end of leaveDelay, and lets what runs at its upstream end after that. The upstream reaches the others through that node alone.

--- /dev/null
+++ b/node/innercall_test.go
@@ -0,0 +1,83 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package node_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/platform/standin"
+)
+
+// TestCallsOfARunWhileLeaving guards against the failure of runs that outlast leaveDelay at a node that
+// leaves: the calls that their upstream makes meanwhile go through that node, and need it.
+func TestCallsOfARunWhileLeaving(t *testing.T) {
+	tests := map[string]struct {
+		kept bool // whether the call goes over a connection that was open before
+	}{
+		"over a new connection":  {},
+		"over a kept connection": {kept: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.configure(1, "")
+			inside := make(chan struct{})
+			left := make(chan struct{}) // closed once leaveDelay is over
+			status := make(chan int, 1)
+			var first *managed
+			first = w.addUpstream("z", &standin.Upstream{
+				Service: "a",
+				Failing: func(r standin.Run) bool {
+					if r.ID != "parent" {
+						return false
+					}
+					transport := new(http.Transport)
+					defer transport.CloseIdleConnections()
+					call := func(id string) int {
+						q, _ := http.NewRequest("GET", "http://"+first.settings.CallerAddress+"/b/x", nil)
+						q.Host = "h.example"
+						q.Header.Set(standin.RequestID, id)
+						q.Header.Set(standin.Timeout, "900")
+						response, err := transport.RoundTrip(q)
+						if err != nil {
+							return 0
+						}
+						defer response.Body.Close()
+						return response.StatusCode
+					}
+					if test.kept {
+						call("before")
+					}
+					close(inside)
+					<-left
+					s := call("inner")
+					status <- s
+					return s != http.StatusOK
+				},
+			})
+			second := w.add("b")
+			w.eventually("both serve", func() bool {
+				return second.ask("PUT", "/a/x", "warm", "").status == 200 && first.ask("GET", "/b/x", "warm", "").status == 200
+			})
+			parent := make(chan answer, 1)
+			go func() { parent <- second.ask("PUT", "/a/x", "parent", "") }()
+			<-inside
+			stopped := make(chan struct{})
+			go func() {
+				first.stop()
+				close(stopped)
+			}()
+			time.Sleep(4 * first.settings.LeaveDelay)
+			close(left)
+			qt.Check(t, <-status, qt.Equals, http.StatusOK, qt.Commentf("the call"))
+			qt.Check(t, (<-parent).status, qt.Equals, http.StatusOK, qt.Commentf("the run"))
+			<-stopped
+		})
+	}
+}
