upstream, node: a late heartbeat of a former start takes no upstream away for good

What callers saw: all requests to an upstream are refused, until its node or it starts again, though it works and says so with each heartbeat.

Cause: a node that has just started knows of no start before the present one. A late heartbeat of such a start was taken for that of the next one, and the present one was put among those that are past, whose heartbeats don't count. Starts that don't tell when they began can't be put in order, and the health check, which names the present one, was only asked whether the late one was back.

An upstream that has said that it leaves is not taken back.

Now the health check, which is asked once a request was refused as another's, puts the start that it names back, if that had announced itself at the same address and has not left.

--- a/node/upstreamwatch.go
+++ b/node/upstreamwatch.go
@@ -118,7 +118,13 @@
 	defer tick.Stop()
 	for next(ctx, tick) {
 		h, err := n.health(ctx, a.Service, a.Address)
-		if err != nil || h.Start != a.Start {
+		if err != nil {
+			continue
+		}
+		if h.Start != a.Start {
+			if n.announced.Restore(h.Start, h.Born, a) {
+				return
+			}
 			continue
 		}
 		if again := a.WithStart(h.Start, h.Born); !again.SameStart(a) {
--- a/upstream/announcement.go
+++ b/upstream/announcement.go
@@ -105,6 +105,9 @@
 	current *Announcement
 	heard   time.Time // when the current start announced itself last
 	past    past
+	// replaced are the starts that others came after and that have not left, by name, as
+	// they announced themselves last.
+	replaced map[string]*Announcement
 }
 
 // Check returns the faults of an announcement, of which one is a service that is
@@ -180,6 +183,10 @@
 	old := h.current
 	if old != nil && a != nil && !old.SameStart(a) && (old.Sequence != 0 || old.Born != 0) {
 		h.past.add(old.Start, old.Born)
+		if h.replaced == nil {
+			h.replaced = make(map[string]*Announcement)
+		}
+		h.replaced[old.Start] = old
 	}
 	if a != nil && a.Born == 0 && old != nil && old.SameStart(a) {
 		b := *a
@@ -217,6 +224,26 @@
 	}
 }
 
+// Restore takes in that a start answers at the address of another one, whose announcement had
+// taken its place here: that was a late one of a start that is over. It returns false, and
+// changes nothing, if the other one does not hold any more, or if the start is not known to have
+// had the address, or has left.
+func (h *Announcements) Restore(start string, born int64, other *Announcement) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a, c := h.replaced[start], h.current
+	if a == nil || c == nil || !c.SameStart(other) || a.Address != c.Address || !a.SameStart(a.WithStart(start, born)) {
+		return false
+	}
+	delete(h.replaced, start)
+	h.past.remove(a.Start, a.Born)
+	h.past.add(c.Start, c.Born)
+	h.current = a
+	h.heard = time.Now()
+	h.Changed(a)
+	return true
+}
+
 // late returns whether the announcement comes too late to count.
 func (h *Announcements) late(a *Announcement) bool {
 	if h.past.has(a.Start, a.Born) {
@@ -258,6 +285,7 @@
 	}
 	if start != "" {
 		h.past.add(start, born)
+		delete(h.replaced, start)
 	}
 	if !present || c.Draining || born < c.Born {
 		return
@@ -287,6 +315,12 @@
 	(*p)[startKey{name: name}] = true
 }
 
+// remove takes a start out of those that are past.
+func (p past) remove(name string, born int64) {
+	delete(p, startKey{name: name, born: born})
+	delete(p, startKey{name: name})
+}
+
 // has returns whether a start is past. One that does not tell when it began is, if
 // any of its name is.
 func (p past) has(name string, born int64) bool {
