--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -18,6 +18,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"sassafrasfront.example/internal/tcp"
 	"sassafrasfront.example/verdict"
 )
 
@@ -28,10 +29,12 @@
 	writer    *bufio.Writer
 	allowed   int64 // bytes that may still be read
 	sent      atomic.Int64
-	ended     bool // whether a read has failed
-	crossed   bool // whether an answer to another request was read
+	begun     atomic.Bool // whether the writing of the request has begun
+	ended     bool        // whether a read has failed
+	crossed   bool        // whether an answer to another request was read
 	idleSince time.Time
 	mostIdle  time.Duration // as the upstream told last, 0 if it did not
+	patient   bool          // whether the bound on silence is lifted
 }
 
 // errUnusable is an answer that is in order and can't be passed on.
@@ -61,28 +64,52 @@
 
 // Write implements io.Writer.
 func (w countingWriter) Write(p []byte) (int, error) {
+	if w.sent.Load()+int64(len(p)) > promptBytes {
+		w.bePatient()
+	}
+	w.begun.Store(true)
 	n, err := w.Conn.Write(p)
 	w.sent.Add(int64(n))
 	return n, err
 }
 
+// promptBytes is how much of a request any upstream's kernel takes at once. More may wait until
+// the upstream reads it, unacknowledged, which may be after its answer.
+const promptBytes = 4 << 10
+
+// bePatient lifts the bound on silence. It is not set again: the upstream may answer a request
+// and read the rest of its body later.
+func (c *conn) bePatient() {
+	if c.patient {
+		return
+	}
+	c.patient = true
+	_ = tcp.SetSilence(c.Conn, 0) // it fails on a connection that is closed only
+}
+
 // kill makes every read and write fail.
 func (c *conn) kill() {
 	_ = c.SetDeadline(time.Unix(1, 0))
 }
 
+// begin makes the connection ready for the next request.
+func (c *conn) begin() {
+	c.sent.Store(0)
+	c.begun.Store(false)
+}
+
 // write writes the whole request.
 func (c *conn) write(r *http.Request) error {
-	c.sent.Store(0)
 	if err := r.Write(c.writer); err != nil {
 		return err
 	}
 	return c.writer.Flush()
 }
 
-// readHead reads the head of the final answer.
+// readHead reads the head of the final answer. Informational answers say that the upstream is at
+// work, however many there are; those beyond informBytes are left out.
 func (c *conn) readHead(r *http.Request, inform func(int, http.Header)) (*http.Response, error) {
-	for range maxInforms {
+	for informed := int64(0); informed < floodBytes; informed += maxHead - c.allowed {
 		c.allowed = maxHead
 		response, err := http.ReadResponse(c.reader, r)
 		if err != nil {
@@ -94,16 +121,17 @@
 		case response.StatusCode >= 200:
 			c.allowed = unlimited
 			return response, nil
-		case inform != nil && response.StatusCode != http.StatusContinue:
+		case inform != nil && informed < informBytes && response.StatusCode != http.StatusContinue:
 			inform(response.StatusCode, response.Header)
 		}
 	}
-	return nil, fmt.Errorf("%w: too many informational ones", errUnusable)
+	return nil, fmt.Errorf("%w: %d bytes of informational ones", errUnusable, int64(floodBytes))
 }
 
 // failure returns the verdict on a request whose answer's head could not be
 // read. The connection is closed by now. The writing may go on, waiting for
-// the caller's body; what it has sent is then not known for certain.
+// the caller's body; what it has sent is then not known for certain, but that it
+// had not begun to.
 func (c *conn) failure(ctx context.Context, err error, written chan error) *verdict.Error {
 	var writeErr error
 	certain := true
@@ -116,7 +144,7 @@
 		err = context.Cause(ctx)
 	}
 	switch {
-	case certain && c.sent.Load() == 0:
+	case certain && c.sent.Load() == 0, !c.begun.Load():
 		return verdict.New(verdict.UpstreamDialFailed, err)
 	case ctx.Err() != nil:
 		return verdict.As(err, verdict.CallerGone)
--- /dev/null
+++ b/upstream/slowread_test.go
@@ -0,0 +1,174 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/upstream"
+	"sassafrasfront.example/verdict"
+)
+
+// TestUpstreamReadsLate guards against the loss of requests whose bodies fill the receive window of a
+// working upstream, which reads on only after a while.
+func TestUpstreamReadsLate(t *testing.T) {
+	const pause = 800 * time.Millisecond // beyond the bound on silence
+	tests := map[string]struct {
+		body  int
+		again bool // whether the connection has carried a large body before
+	}{
+		"a body that is written before the answer is read": {body: 60 << 10},
+		"a larger body": {body: 256 << 10},
+		"a request behind a body that is read on later": {again: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			addr := raw(t, func(_ int, c net.Conn) {
+				_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+				reader := bufio.NewReaderSize(c, 1<<10)
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					if r.Header.Get("Early") != "" {
+						_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+					}
+					time.Sleep(pause)
+					_ = c.(*net.TCPConn).SetReadBuffer(1 << 20)
+					_, _ = io.Copy(io.Discard, r.Body)
+					if r.Header.Get("Early") == "" {
+						_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+					}
+				}
+			})
+			tr := &upstream.Transport{
+				Addr:        addr,
+				Connections: 1,
+				Warm:        1,
+			}
+			send := func(r *http.Request) {
+				t.Helper()
+				response, failure := tr.Send(r, nil)
+				qt.Assert(t, failure == nil, qt.IsTrue, qt.Commentf("%v", failure))
+				_, err := io.Copy(io.Discard, response.Body)
+				qt.Assert(t, err, qt.IsNil)
+			}
+			if test.again {
+				send(request(context.Background(), "POST", strings.Repeat("x", 60<<10), "Early", "1"))
+			}
+			send(request(context.Background(), "POST", strings.Repeat("x", test.body)))
+		})
+	}
+}
+
+// TestLongWork guards against the loss of requests whose upstream says time and again that it is at
+// work on them. What never stops saying so, without a pause, is no answer.
+func TestLongWork(t *testing.T) {
+	const word = "HTTP/1.1 102 Processing\r\n\r\n"
+	tests := map[string]struct {
+		words    int
+		want     verdict.Cause
+		informed int // at least
+	}{
+		"as many as once were borne": {words: 7, informed: 7},
+		"one for each second":        {words: 600, informed: 600},
+		"more than are passed on":    {words: 10000, informed: 2000},
+		"without an end":             {words: 100000, want: verdict.AnswerInvalid, informed: 2000},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			addr := raw(t, func(_ int, c net.Conn) {
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, strings.Repeat(word, test.words)+"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				_, _ = io.Copy(io.Discard, c)
+			})
+			tr := &upstream.Transport{
+				Addr: addr,
+			}
+			informed := 0
+			response, failure := tr.Send(request(context.Background(), "GET", ""), func(status int, _ http.Header) {
+				qt.Check(t, status, qt.Equals, http.StatusProcessing)
+				informed++
+			})
+			qt.Check(t, informed >= test.informed && informed <= test.words, qt.IsTrue, qt.Commentf("%d", informed))
+			if test.want != "" {
+				qt.Assert(t, failure != nil, qt.IsTrue)
+				qt.Check(t, failure.Cause, qt.Equals, test.want)
+				return
+			}
+			qt.Assert(t, failure == nil, qt.IsTrue, qt.Commentf("%v", failure))
+			body, err := io.ReadAll(response.Body)
+			qt.Check(t, err, qt.IsNil)
+			qt.Check(t, string(body), qt.Equals, "ok")
+		})
+	}
+}
+
+// TestEarlyAnswer guards against answers that are held back until the upstream has read the body of
+// their request, which it may do later, or never.
+func TestEarlyAnswer(t *testing.T) {
+	for name, size := range map[string]int{
+		"within one frame": 6 << 10,
+		"medium":           60 << 10,
+		"large":            1 << 20,
+	} {
+		t.Run(name, func(t *testing.T) {
+			ours, theirs := net.Pipe() // which has no room for what is not read
+			answered := make(chan struct{})
+			go func() {
+				defer theirs.Close()
+				if _, err := http.ReadRequest(bufio.NewReaderSize(theirs, 1<<10)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(theirs, "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nok")
+				<-answered
+			}()
+			tr := &upstream.Transport{
+				Addr: "upstream",
+				Dial: func(context.Context, string) (net.Conn, error) { return ours, nil },
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			response, failure := tr.Send(request(ctx, "POST", strings.Repeat("x", size)), nil)
+			defer close(answered)
+			qt.Assert(t, failure == nil, qt.IsTrue, qt.Commentf("%v", failure))
+			qt.Check(t, response.StatusCode, qt.Equals, http.StatusRequestEntityTooLarge)
+			body, err := io.ReadAll(response.Body)
+			qt.Check(t, err, qt.IsNil)
+			qt.Check(t, string(body), qt.Equals, "ok")
+		})
+	}
+}
+
+// TestResetUnsent has the upstream reset the connection before anything of a request with a body has
+// been written: it has not run.
+func TestResetUnsent(t *testing.T) {
+	for name, size := range map[string]int{"none": 0, "medium": 60 << 10, "large": 1 << 20} {
+		t.Run(name, func(t *testing.T) {
+			ours, theirs := net.Pipe()
+			theirs.Close()
+			tr := &upstream.Transport{
+				Addr: "upstream",
+				Dial: func(context.Context, string) (net.Conn, error) { return ours, nil },
+			}
+			_, failure := tr.Send(request(context.Background(), "POST", strings.Repeat("x", size)), nil)
+			qt.Assert(t, failure != nil, qt.IsTrue)
+			qt.Check(t, failure.Verdict(), qt.Equals, verdict.NotRun, qt.Commentf("%v", failure))
+		})
+	}
+}
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -27,8 +27,12 @@
 const (
 	// maxHead bounds the head of an answer, in bytes.
 	maxHead = 64 << 10
-	// maxInforms bounds the informational answers to one request.
-	maxInforms = 8
+	// informBytes bounds the informational answers to one request that are passed on, in
+	// bytes.
+	informBytes = 64 << 10
+	// floodBytes is from how many bytes of informational answers on the upstream is taken to
+	// send nothing else.
+	floodBytes = 1 << 20
 	// defaultDial bounds the opening of a connection.
 	defaultDial = time.Second
 	// defaultIdle is how long an idle connection is kept. It is shorter than
@@ -39,7 +43,8 @@
 	idleShare = 0.9
 	// silence is how long what was sent may be without an acknowledgement by the
 	// upstream's kernel. The upstream is on the same instance, so that a fraction
-	// of a millisecond is usual; callers have 250 ms and more.
+	// of a millisecond is usual; callers have 250 ms and more. It does not bind
+	// requests over promptBytes, which may wait until the upstream reads them.
 	silence = 200 * time.Millisecond
 )
 
@@ -54,7 +59,7 @@
 )
 
 // Transport sends requests to one upstream. The exported fields are set before
-// the first call.
+// the first call; Resize changes two of them later.
 type Transport struct {
 	// Addr is the address of the upstream.
 	Addr string
@@ -100,6 +105,7 @@
 			return nil, refused
 		}
 	}
+	c.begin()
 	stop := context.AfterFunc(r.Context(), c.kill)
 	asked := time.Now()
 	written := make(chan error, 1)
@@ -108,7 +114,7 @@
 		done()
 		written <- err
 	}
-	if r.Body == nil || r.ContentLength >= 0 && r.ContentLength <= inlineBody {
+	if r.Body == nil || r.ContentLength >= 0 && r.ContentLength <= promptBytes {
 		write()
 	} else {
 		go write()
@@ -142,9 +148,6 @@
 	return response, nil
 }
 
-// inlineBody is the largest body that is written before the answer is read.
-const inlineBody = 64 << 10
-
 // refusal returns the failure that an answer stands for, if it says that the
 // upstream has not run the request.
 func (t *Transport) refusal(r *http.Response) *verdict.Error {
@@ -265,7 +268,7 @@
 func (t *Transport) put(c *conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.idle) >= t.Warm || c.reader.Buffered() > 0 {
+	if len(t.idle) >= t.Warm || t.surplus() || c.reader.Buffered() > 0 {
 		t.closeLocked(c)
 		return
 	}
@@ -294,6 +297,24 @@
 	}
 }
 
+// surplus returns whether more connections are open than may be. The lock is held.
+func (t *Transport) surplus() bool { return t.Connections > 0 && t.open > t.Connections }
+
+// Resize changes the largest numbers of open and of idle connections. A connection with a
+// request on it stays open until that has ended.
+func (t *Transport) Resize(connections, warm int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.Connections = connections
+	t.Warm = warm
+	for len(t.idle) > 0 && (len(t.idle) > warm || t.surplus()) {
+		c := t.idle[0]
+		t.idle = t.idle[1:]
+		t.closeLocked(c)
+	}
+	t.signal()
+}
+
 // CloseIdle closes the idle connections.
 func (t *Transport) CloseIdle() {
 	t.mu.Lock()
@@ -349,22 +370,40 @@
 		return
 	}
 	b.done = true
-	alive := b.stop()
-	if whole && alive && b.reusable && b.requestWritten() {
-		b.transport.put(b.conn)
+	if alive := b.stop(); !whole || !alive || !b.reusable {
+		b.transport.discard(b.conn)
 		return
 	}
-	b.transport.discard(b.conn)
-}
-
-// requestWritten returns whether the whole request has been written by now.
-func (b *body) requestWritten() bool {
 	select {
 	case err := <-b.written:
-		return err == nil
+		b.release(err)
 	default:
-		return false
+		go b.releaseWritten()
+	}
+}
+
+// writtenWithin is how long a connection whose answer has been read stays open for the end of its
+// request, which another goroutine writes.
+const writtenWithin = 10 * time.Millisecond
+
+// releaseWritten gives the connection back once the whole request has been written, if that is
+// soon.
+func (b *body) releaseWritten() {
+	late := time.AfterFunc(writtenWithin, b.conn.kill)
+	err := <-b.written
+	if !late.Stop() && err == nil {
+		err = context.DeadlineExceeded
+	}
+	b.release(err)
+}
+
+// release gives the connection back whose request has been written, or closes it if that failed.
+func (b *body) release(err error) {
+	if err != nil {
+		b.transport.discard(b.conn)
+		return
 	}
+	b.transport.put(b.conn)
 }
 
 // unlimited lifts the bound on what is read from a connection.
