peer: what a stopping server cuts is told as cut by its connection

What callers saw: 502 (callerGone) for an idempotent request whose gate's node stopped under it, without another upstream being asked; logs named the caller.

Cause: the contexts of calls were children of the server's, which ends without a verdict, so that what ended with it counted as the caller's leaving.

Now they end with their connection alone, which the server closes when it stops, with the reason of that.

--- a/peer/session.go
+++ b/peer/session.go
@@ -35,14 +35,16 @@
 	}
 	n.from = *from
 	n.greeted.Store(true)
-	ctx, cancel := context.WithCancelCause(ctx)
+	// The calls end with the connection, whose end has a reason.
+	ctx, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	for {
 		k, payload, err := n.read()
 		if err == nil {
 			err = n.handle(ctx, k, payload)
 		}
 		if err != nil {
-			cancel(verdict.New(verdict.PeerLost, err))
+			n.shut(err)
+			cancel(verdict.New(verdict.PeerLost, n.why()))
 			return err
 		}
 	}
