upstream, gate: the kernel of a start that another came after is asked whether it is there

What callers would see: a request at an upstream that has gone without a word waits to its deadline, as another start's announcement ends no calls any more, and nothing is written on their connections that the kernel could find unanswered.

Now connections with requests at a start that another has come after are probed each second. The kernel of a process that works acknowledges, and that of one that is gone resets them. The bound of 200 ms on what is written is lifted there, as with it the first probe that is lost would end the connection. TestProbe; what a dark instance does was not played in a test.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -143,6 +143,7 @@
 	g.latest = a
 	if old != nil && old.transport != b.transport {
 		if old.start != b.start {
+			old.transport.Probe()
 			g.replaced(old)
 		}
 		old.transport.Resize(old.announcement.Connections, 0)
--- a/internal/tcp/silence.go
+++ b/internal/tcp/silence.go
@@ -38,3 +38,25 @@
 	}
 	return nil
 }
+
+// Probe has the kernel ask the peer's for a connection on which nothing is said, each time that
+// the given time has passed, and end it after count questions in a row without an answer. The
+// kernel of a process that is gone answers by a reset, and that of one that works, however long
+// it says nothing, acknowledges. A connection that is no TCP socket is left as it is.
+func Probe(c net.Conn, every time.Duration, count int) error {
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	// With a bound on silence the first question that is lost would end the connection.
+	if err := SetSilence(c, 0); err != nil {
+		return err
+	}
+	err := t.SetKeepAliveConfig(net.KeepAliveConfig{
+		Enable:   true,
+		Idle:     every,
+		Interval: every,
+		Count:    count,
+	})
+	return eris.Wrap(err, "probe a connection")
+}
--- a/upstream/slowread_test.go
+++ b/upstream/slowread_test.go
@@ -15,7 +15,9 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sys/unix"
 
+	"sassafrasfront.example/internal/tcp"
 	"sassafrasfront.example/upstream"
 	"sassafrasfront.example/verdict"
 )
@@ -172,3 +174,48 @@
 		})
 	}
 }
+
+// TestProbe guards against requests that wait to their deadlines at an upstream that has gone
+// without a word, after another start has announced itself: nothing is written to it any more,
+// so that its kernel has to be asked.
+func TestProbe(t *testing.T) {
+	began := make(chan struct{})
+	end := make(chan struct{})
+	addr := raw(t, func(_ int, c net.Conn) {
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		close(began)
+		<-end
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	})
+	var opened net.Conn
+	tr := &upstream.Transport{
+		Addr: addr,
+		Dial: func(ctx context.Context, addr string) (c net.Conn, err error) {
+			opened, err = tcp.Dialer(time.Second, 200*time.Millisecond).DialContext(ctx, "tcp", addr)
+			return opened, err
+		},
+	}
+	ended := make(chan *verdict.Error, 1)
+	go func() {
+		response, failure := tr.Send(request(context.Background(), "GET", ""), nil)
+		if failure == nil {
+			response.Body.Close()
+		}
+		ended <- failure
+	}()
+	<-began
+	tr.Probe()
+	s, err := opened.(*net.TCPConn).SyscallConn()
+	qt.Assert(t, err, qt.IsNil)
+	got := make(map[int]int)
+	err = s.Control(func(fd uintptr) {
+		for _, option := range []int{unix.TCP_USER_TIMEOUT, unix.TCP_KEEPIDLE, unix.TCP_KEEPINTVL, unix.TCP_KEEPCNT} {
+			got[option], _ = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, option)
+		}
+	})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, got, qt.DeepEquals, map[int]int{unix.TCP_USER_TIMEOUT: 0, unix.TCP_KEEPIDLE: 1, unix.TCP_KEEPINTVL: 1, unix.TCP_KEEPCNT: 3})
+	close(end)
+	failure := <-ended
+	qt.Check(t, failure == nil, qt.IsTrue, qt.Commentf("%v", failure))
+}
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -87,6 +87,7 @@
 	open int
 	free chan struct{} // closed when a connection is closed or becomes idle
 	idle []*conn       // the latest used last
+	busy map[*conn]struct{}
 }
 
 // Send writes the request and returns the head of the answer. The request's
@@ -174,6 +175,7 @@
 		c := t.popIdle()
 		switch {
 		case c != nil:
+			t.busy[c] = struct{}{}
 			t.mu.Unlock()
 			return c, nil
 		case t.Connections <= 0 || t.open < t.Connections:
@@ -244,6 +246,12 @@
 	c := &conn{Conn: raw}
 	c.reader = bufio.NewReader(c)
 	c.writer = bufio.NewWriter(countingWriter{c})
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.busy == nil {
+		t.busy = make(map[*conn]struct{})
+	}
+	t.busy[c] = struct{}{}
 	return c, nil
 }
 
@@ -273,6 +281,7 @@
 		return
 	}
 	c.idleSince = time.Now()
+	delete(t.busy, c)
 	t.idle = append(t.idle, c)
 	t.signal()
 }
@@ -286,6 +295,7 @@
 
 func (t *Transport) closeLocked(c *conn) {
 	_ = c.Close()
+	delete(t.busy, c)
 	t.open--
 	t.signal()
 }
@@ -315,6 +325,23 @@
 	t.signal()
 }
 
+const (
+	// probeEvery is the time between two questions to the kernel of an upstream that may be
+	// gone, and probeCount how many of them in a row may be without an answer.
+	probeEvery = time.Second
+	probeCount = 3
+)
+
+// Probe has the kernel find out whether the other end of each connection with a request on it
+// is still there. Those of an upstream that is gone end.
+func (t *Transport) Probe() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.busy {
+		_ = tcp.Probe(c.Conn, probeEvery, probeCount) // it fails on a connection that has ended only
+	}
+}
+
 // CloseIdle closes the idle connections.
 func (t *Transport) CloseIdle() {
 	t.mu.Lock()
