control, evacuation: a zone that was removed after a restore is evacuated at no node again

What callers saw: the platform comes back from a copy without an evacuation, the operator writes it again and removes it. A node that starts within 30 s of the restore, or has missed the lists with the zone in them, evacuates the zone once more until the 30 s are over: it sends nothing to the zone's upstreams, and if it stands in the zone, its gate refuses all that comes.

Cause: a zone is retained until it has stood on the platform in the new era. Each node kept that by itself, of the lists that it had taken in. The latest list and what was in force before, which are all that a node is told, don't say it.

Nodes now pass on one record for each retained zone that has stood there in the present era. It is the same at all nodes whoever makes it, so there is nothing to reconcile between two of them, and it is fetched with the table and by comparisons, not pushed. A record in the latest list was ruled out: a node that starts reads the platform before it hears of others, so its list is later than theirs, and lacks what they know. So was a lower record of what is retained: its rank says whose list of the earlier era was the latest.

An evacuation that is written again and removed between two reads is not seen by any node; this is listed among the limits of docs/design/restore.md, and stays.

--- a/acceptance/evacuated.go
+++ b/acceptance/evacuated.go
@@ -5,6 +5,7 @@
 package acceptance
 
 import (
+	"strings"
 	"time"
 
 	"sassafrasfront.example/evacuation"
@@ -19,6 +20,25 @@
 	Retained = "*retained"
 )
 
+// stoodPrefix begins the names of the Configs which say that a zone has stood on the platform in
+// an era, though the platform had lost it. They end with the zone's.
+const stoodPrefix = "*stood:"
+
+// StoodName returns the name of the Config which says that a zone has stood on the platform.
+func StoodName(zone string) string { return stoodPrefix + zone }
+
+// FromStood returns that a zone has stood on the platform in an era, as nodes pass it on.
+func FromStood(zone string, era uint64) Config {
+	return Config{
+		Name: StoodName(zone),
+		Era:  era,
+	}
+}
+
+// Stood returns the zone that a Config of FromStood names. The second result is false if c is
+// none.
+func (c Config) Stood() (zone string, ok bool) { return strings.CutPrefix(c.Name, stoodPrefix) }
+
 // FromZones returns evacuated zones as nodes pass them on. Its rank is the Point at which
 // they were found.
 func FromZones(s evacuation.Set) Config { return fromSet(Evacuated, s, time.Time{}) }
--- a/control/control.go
+++ b/control/control.go
@@ -365,6 +365,10 @@
 		c.rolloutChanged(r)
 		return
 	}
+	if zone, ok := r.Stood(); ok {
+		c.stoodChanged(r, zone)
+		return
+	}
 	c.dirty[r.Name] = true
 	c.Log.Info().Str("service", r.Name).Uint64("sequence", r.Sequence).Bool("deleted", r.Deleted).Msg("configuration in force")
 }
--- a/control/era_test.go
+++ b/control/era_test.go
@@ -30,6 +30,12 @@
 	n.Read(true, 0)
 }
 
+// configRoot returns the hash over the configurations that a node knows.
+func (n *testNode) configRoot() (root uint64) {
+	n.do(func() { root = n.configs.Set.Root() })
+	return root
+}
+
 // waitZones waits until some zones are in force at all nodes, as they were read at a point.
 func (c *cluster) waitZones(nodes []*testNode, want evacuation.Set) {
 	c.t.Helper()
@@ -75,6 +81,51 @@
 	c.waitZones(list, zonesAt(3, 871))
 }
 
+// TestRemovedAfterRestoreStaysRemoved guards against a zone that is evacuated once more at nodes
+// which did not see it stand there: the platform loses an evacuation, the operator writes it
+// again and removes it, and some nodes hear of neither but of what was in force before.
+func TestRemovedAfterRestoreStaysRemoved(t *testing.T) {
+	tests := map[string]func(c *cluster, list []*testNode) *testNode{
+		"a node that starts": func(c *cluster, list []*testNode) *testNode {
+			return c.tableNode("late", "y", func() []string { return []string{list[0].Self.Addr} })
+		},
+		"a node that starts and reads first": func(c *cluster, list []*testNode) *testNode {
+			var joins atomic.Bool
+			late := c.tableNode("late", "y", func() []string {
+				if joins.Load() {
+					return []string{list[0].Self.Addr}
+				}
+				return nil
+			})
+			late.EraSeen(2, false)
+			late.Evacuate(zonesAt(2, 880))
+			joins.Store(true)
+			return late
+		},
+	}
+	for name, start := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t)
+			list := c.tableNodes(3)
+			list[0].readZones(zonesAt(1, 900, "z"))
+			c.waitZones(list, zonesAt(1, 900, "z"))
+			list[1].readZones(zonesAt(2, 870))
+			c.waitZones(list, zonesAt(2, 870, "z"))
+			list[1].readZones(zonesAt(2, 871, "z"))
+			c.waitZones(list, zonesAt(2, 871, "z"))
+			list[2].readZones(zonesAt(2, 872))
+			c.waitZones(list, zonesAt(2, 872))
+			late := start(c, list)
+			c.eventually("it has met the others", func() bool { return late.liveNodes() == 4 })
+			c.eventually("it knows what they know", func() bool { return late.configRoot() == list[0].configRoot() })
+			for _, n := range append(list, late) {
+				n.do(n.publish)
+				qt.Check(t, n.Snapshot().Evacuated.Zones, qt.HasLen, 0, qt.Commentf("%s", n.Self.ID))
+			}
+		})
+	}
+}
+
 // TestRetainedZoneIsGivenUp has a zone that was lost, and not written again, come back after its
 // time.
 func TestRetainedZoneIsGivenUp(t *testing.T) {
--- a/control/evacuation.go
+++ b/control/evacuation.go
@@ -43,6 +43,7 @@
 	if c.reads != nil {
 		c.reads.ZonesInForce(s.At)
 	}
+	c.tellStood()
 	c.enforceZones(now)
 }
 
@@ -56,9 +57,35 @@
 	}
 	now := time.Now()
 	c.zonesKnown.Retain(s, r.At, now)
+	c.tellStood()
 	c.enforceZones(now)
 }
 
+// tellStood has other nodes know of the zones that need not be retained any more. One that has
+// started since, or has missed the moment, would retain them otherwise.
+func (c *Control) tellStood() {
+	for _, zone := range c.zonesKnown.WrittenAgain() {
+		c.configs.Put(acceptance.FromStood(zone, c.zonesKnown.Listed().At.Era))
+	}
+}
+
+// stoodChanged takes in that a zone has stood on the platform in an era.
+func (c *Control) stoodChanged(r acceptance.Config, zone string) {
+	delete(c.configs.Outbox, r.Name)
+	c.zonesKnown.Stood(zone, r.Era)
+	c.enforceZones(time.Now())
+}
+
+// zoneNames returns the names of the records of evacuated zones, that of the zones as they were
+// read last: who takes them in that order never puts zones in force that have been removed.
+func (c *Control) zoneNames() []string {
+	var names []string
+	for _, zone := range c.zonesKnown.WrittenAgain() {
+		names = append(names, acceptance.StoodName(zone))
+	}
+	return append(names, acceptance.Retained, acceptance.Evacuated)
+}
+
 // enforceZones puts the evacuated zones in force as they now are.
 func (c *Control) enforceZones(now time.Time) {
 	s := c.zonesKnown.InForce(now)
--- a/control/reads.go
+++ b/control/reads.go
@@ -219,7 +219,7 @@
 	case topicAskNews:
 		return c.tell(c.reads.Tell(time.Now())), true, nil
 	case topicTable:
-		return reconcile.Records[acceptance.Config]{Records: c.configs.Get(append(c.rolloutNames(), acceptance.Whole, acceptance.Retained, acceptance.Evacuated))}, true, nil
+		return reconcile.Records[acceptance.Config]{Records: c.configs.Get(append(append(c.rolloutNames(), acceptance.Whole), c.zoneNames()...))}, true, nil
 	}
 	return nil, false, nil
 }
--- a/evacuation/state.go
+++ b/evacuation/state.go
@@ -4,10 +4,7 @@
 
 package evacuation
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // RetainFor is how long zones stay evacuated that the platform has lost by coming back from a
 // copy, unless their operator writes them again, or removes them. Without it requests would
@@ -18,10 +15,10 @@
 // State is what one node knows of evacuated zones. The zero value knows of none. It is not
 // safe for use by several goroutines at once.
 type State struct {
-	listed Set       // as read last
-	stood  []string  // zones that have stood on the platform in the present era
-	before Set       // what was in force at the end of an earlier era
-	until  time.Time // when before counts no more
+	listed Set               // as read last
+	stood  map[string]uint64 // the latest era in which each zone has stood on the platform
+	before Set               // what was in force at the end of an earlier era
+	until  time.Time         // when before counts no more
 }
 
 // Listed returns the latest Set that was read.
@@ -32,15 +29,42 @@
 func (s *State) Take(n Set, now time.Time) (before Set, restored bool) {
 	if s.listed.At.Era < n.At.Era {
 		before, restored = s.InForce(now), s.listed.At.Revision > 0
-		s.stood = nil
 	}
 	s.listed = n
-	s.stood = append(s.stood, n.Zones...)
-	slices.Sort(s.stood)
-	s.stood = slices.Compact(s.stood)
+	for _, zone := range n.Zones {
+		s.Stood(zone, n.At.Era)
+	}
 	return before, restored
 }
 
+// Stood takes in that a zone has stood on the platform in an era.
+func (s *State) Stood(zone string, era uint64) {
+	if s.stood == nil {
+		s.stood = make(map[string]uint64)
+	}
+	s.stood[zone] = max(s.stood[zone], era)
+}
+
+// WrittenAgain returns those of the zones to be retained that have stood on the platform in the
+// present era, sorted: a node that has not read them there must not retain them either.
+func (s *State) WrittenAgain() (zones []string) {
+	if s.before.At.Era >= s.listed.At.Era {
+		return nil
+	}
+	for _, zone := range s.before.Zones {
+		if s.hasStood(zone) {
+			zones = append(zones, zone)
+		}
+	}
+	return zones
+}
+
+// hasStood returns whether a zone has stood on the platform in the present era.
+func (s *State) hasStood(zone string) bool {
+	era, ok := s.stood[zone]
+	return ok && era == s.listed.At.Era
+}
+
 // Retain takes in what was in force when an era ended, and when its successor was first seen.
 func (s *State) Retain(before Set, seen, now time.Time) {
 	s.before = before
@@ -62,7 +86,7 @@
 		return nil
 	}
 	for _, zone := range s.before.Zones {
-		if !slices.Contains(s.stood, zone) {
+		if !s.hasStood(zone) {
 			zones = append(zones, zone)
 		}
 	}
--- a/evacuation/state_test.go
+++ b/evacuation/state_test.go
@@ -86,3 +86,37 @@
 		})
 	}
 }
+
+// TestStoodElsewhere guards against a zone that is evacuated once more at a node which did not see
+// it stand on the platform after that had lost it: others have seen it there, and it is removed.
+func TestStoodElsewhere(t *testing.T) {
+	tests := map[string]struct {
+		era   uint64 // in which z stood
+		first bool   // whether the node hears of that before all else
+		want  []string
+		again []string // what need not be retained
+	}{
+		"in this era":                    {era: 2, want: []string{"y"}, again: []string{"z"}},
+		"in this era, heard first":       {era: 2, first: true, want: []string{"y"}, again: []string{"z"}},
+		"in the era before":              {era: 1, want: []string{"y", "z"}},
+		"in one that is not yet known":   {era: 3, want: []string{"y", "z"}},
+		"not known, where none is named": {era: 0, want: []string{"y", "z"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1e9, 0)
+			var s evacuation.State
+			if test.first {
+				s.Stood("z", test.era)
+			}
+			s.Take(set(2, 872), now)
+			s.Retain(set(1, 900, "y", "z"), now, now)
+			if !test.first {
+				s.Stood("z", test.era)
+			}
+			s.Stood("x", test.era)
+			qt.Check(t, s.InForce(now).Zones, qt.DeepEquals, test.want)
+			qt.Check(t, s.WrittenAgain(), qt.DeepEquals, test.again)
+		})
+	}
+}
