control, member: a node that nobody has asked for long is not silent

What callers see: an upstream gets no more requests for a moment, and a service with no other refuses what comes, though its node and the links to it are sound.

Cause: the first node of a zone asks the others for a sign of life, and has one removed that has been silent for the patience (three minutes) since the first question that it missed. While another node is the zone's first, it asks nobody, but kept what had been missed before. Once first again, it removed a node for a single question that was not answered in five seconds, whatever time lay between.

The sweeper now forgets all silence at each turn at which it is not the first. A node that is gone is asked again from then on, and removed within the patience.

A representative makes a new sweeper each time it takes the lease, and was not concerned.

--- a/control/sweeper.go
+++ b/control/sweeper.go
@@ -44,10 +44,17 @@
 func (s *sweeper) runAsFirst(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep.For(ctx, s.Timing.Sweep)
-		if s.FirstOfZone() {
-			s.round(ctx)
-		}
+		s.turn(ctx)
+	}
+}
+
+// turn makes a round if this node is its zone's first node.
+func (s *sweeper) turn(ctx context.Context) {
+	if !s.FirstOfZone() {
+		s.liveness.Reset()
+		return
 	}
+	s.round(ctx)
 }
 
 // run sweeps until ctx ends.
--- a/member/liveness.go
+++ b/member/liveness.go
@@ -69,3 +69,6 @@
 
 // Forget drops what is known of a node that is no longer there.
 func (l *Liveness) Forget(id string) { delete(l.silent, id) }
+
+// Reset drops all silence that is known: a node that is asked no longer may be well.
+func (l *Liveness) Reset() { clear(l.silent) }
