claim: a claim whose writing nobody answered is withdrawn

What callers see: a request with an Idempotency-Key is refused as not run (claimFailed, 503, Retry-After), and each later sending is told for as long as claims are kept that the first one may have run (resendUnderway, 502). It never runs.

Cause: Begin gives up on the platform after two seconds, or when its caller is gone, and says that the request has not run, which is true. Whether the claim was written is open then, and nothing took it back.

Begin now has such a claim deleted in the background, with the tries and the time of Finish and Release. A claim bears an id, and only the one with Begin's own is deleted: another sending of the same request, through the same node too, may hold one and run. Claims without an id, of nodes before this, are never withdrawn.

TestUnansweredClaimIsWithdrawn fails in 5 of 5 runs on the code before (resendUnderway), and passes in 10 of 10 with -race now, with the rest of the package. What remains: a write that reaches the platform after the withdrawal has found nothing, or a platform that is silent for ten seconds more, leaves the claim as before.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -115,6 +115,47 @@
 	}
 }
 
+// cutOff is an API whose Create takes effect, and whose caller is gone before the answer comes.
+type cutOff struct {
+	objectapi.API
+	cut func()
+}
+
+func (x *cutOff) Create(ctx context.Context, o *objectapi.Object) (*objectapi.Object, error) {
+	if _, err := x.API.Create(ctx, o); err != nil {
+		return nil, err
+	}
+	x.cut()
+	return nil, &objectapi.Error{Verdict: verdict.MayHaveRun, Err: ctx.Err()}
+}
+
+// TestUnansweredClaimIsWithdrawn guards against a request that can't be sent again although it
+// was refused as not run: the platform had taken the claim, but its answer came too late.
+func TestUnansweredClaimIsWithdrawn(t *testing.T) {
+	s, l := start(t)
+	api := l.API
+	ctx, cancel := context.WithCancel(context.Background())
+	l.API = &cutOff{API: api, cut: cancel}
+	_, _, failed := l.Begin(ctx, request("a"))
+	qt.Assert(t, failed != nil, qt.IsTrue)
+	qt.Check(t, failed.Cause, qt.Equals, verdict.ClaimFailed)
+	qt.Check(t, failed.Verdict(), qt.Equals, verdict.NotRun)
+	l.Wait()
+	l.API = api
+	c, _, failed := l.Begin(context.Background(), request("a"))
+	qt.Check(t, failed == nil, qt.IsTrue, qt.Commentf("%v", failed))
+	qt.Check(t, c != nil, qt.IsTrue)
+
+	s.SetFaults(objectstore.Faults{Hang: true})
+	_, _, failed = l.Begin(context.Background(), request("a"))
+	qt.Assert(t, failed != nil, qt.IsTrue)
+	s.SetFaults(objectstore.Faults{})
+	l.Wait()
+	_, _, failed = l.Begin(context.Background(), request("a"))
+	qt.Assert(t, failed != nil, qt.IsTrue)
+	qt.Check(t, failed.Cause, qt.Equals, verdict.ResendUnderway, qt.Commentf("another sending's claim stays"))
+}
+
 // TestOneOfManyRuns sends the same request through many nodes at once, with
 // answers of the platform lost.
 func TestOneOfManyRuns(t *testing.T) {
--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
 	"sync"
@@ -47,6 +48,8 @@
 	Fingerprint string `json:"fingerprint"`
 	// Node is the node that claimed it.
 	Node string `json:"node"`
+	// ID tells the claim from all others, also of the same request and node.
+	ID string `json:"id,omitempty"`
 	// Until is when the claim may be deleted.
 	Until time.Time `json:"until"`
 	State State     `json:"state"`
@@ -117,6 +120,7 @@
 		Service:     r.Service,
 		Fingerprint: digest(r.Parts...),
 		Node:        l.Node,
+		ID:          rand.Text(),
 		Until:       time.Now().Add(r.Keep).UTC(),
 		State:       Claimed,
 	}
@@ -131,6 +135,9 @@
 		return c, nil, nil
 	}
 	if !objectapi.IsConflict(err) {
+		if objectapi.IsUnanswered(err) {
+			l.withdraw(name, own)
+		}
 		return nil, nil, verdict.New(verdict.ClaimFailed, err).WithRetryAfter(comeBack)
 	}
 	present, err := l.API.Get(ctx, operator.KindClaim, name)
@@ -179,7 +186,7 @@
 	next := c.record
 	next.State = Answered
 	next.Answer = a
-	c.update(func(ctx context.Context) error {
+	c.ledger.update(func(ctx context.Context) error {
 		o := objectapi.NewObject(operator.KindClaim, c.object.Metadata.Name, next)
 		_, err := objectapi.Put(ctx, c.ledger.API, o.WithVersion(c.object.Metadata.ResourceVersion))
 		return err
@@ -189,14 +196,30 @@
 // Release gives the claim up because the request certainly has not run, so that
 // it can be sent again.
 func (c *Claim) Release() {
-	c.update(func(ctx context.Context) error {
+	c.ledger.update(func(ctx context.Context) error {
 		return c.ledger.API.Delete(ctx, operator.KindClaim, c.object.Metadata.Name, c.object.Metadata.ResourceVersion)
 	})
 }
 
+// withdraw deletes a claim that may have been written though nobody answered, so that the
+// request, which does not run, can be sent again. It returns at once.
+func (l *Ledger) withdraw(name string, own Record) {
+	l.update(func(ctx context.Context) error {
+		present, err := l.API.Get(ctx, operator.KindClaim, name)
+		if err != nil {
+			return err
+		}
+		r, err := objectapi.SpecOf[Record](present)
+		if err != nil || r.ID != own.ID {
+			return nil // not this one's
+		}
+		return l.API.Delete(ctx, operator.KindClaim, name, present.Metadata.ResourceVersion)
+	})
+}
+
 // update has f try until it succeeds, or can't any more.
-func (c *Claim) update(f func(ctx context.Context) error) {
-	c.ledger.writing.Go(func() {
+func (l *Ledger) update(f func(ctx context.Context) error) {
+	l.writing.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
 		defer cancel()
 		for n := 0; ctx.Err() == nil; n++ {
