sassafrassoak, standin: stops in series under load on slow links

With -stops nodes are told to stop in series that overlap, some with a SIGHUP and a second SIGTERM on the way, and are started again at the same address, under bursts of bodies of 60 to 360 KB, on kept and fresh connections, over links of 4 to 10 Mbit/s that fall silent for 0.1 to 2 s and lose packets.

The check is that no request at which an upstream is at work, or has done its work, ends with an answer of a node's own or with a closed connection before its deadline and the route's timeout. What the soak itself did excuses only: the entry or the node of the upstream killed between the request's start and its end, connections to the latter reset then, and the last sixth of the grace time of one of them. A link or a process that is silent and comes back excuses nothing.

--- a/cmd/sassafrassoak/check.go
+++ b/cmd/sassafrassoak/check.go
@@ -32,12 +32,15 @@
 		broken = append(broken, w.checkDrains()...)
 		broken = append(broken, w.checkRoutes()...)
 		broken = append(broken, checkRecovery(list, whole)...)
+		broken = append(broken, w.checkEnds()...)
+	}
+	if w.stops {
+		broken = append(broken, w.checkAtWork(list, w.endedRuns())...)
 	}
 	if planned(faults) {
 		broken = append(broken, checkUncut(list, runs)...)
 	}
-	const most = 8
-	return broken[:min(len(broken), most)]
+	return broken
 }
 
 // planned returns whether all faults are planned work.
@@ -77,7 +80,7 @@
 			continue
 		}
 		for _, r := range list {
-			if ok && (r.Body != "body of "+id || r.Path != "/"+o.route+"/x") {
+			if ok && (r.Body != standin.Brief(o.body()) || r.Path != "/"+o.route+"/x") {
 				broken = append(broken, fmt.Sprintf("ran changed: request %s with %s %q", id, r.Path, r.Body))
 			}
 		}
@@ -110,7 +113,7 @@
 	var broken []string
 	for _, n := range w.nodes {
 		for _, route := range w.routes {
-			if o := ask(client, n, route, "", "check-"+n.name+route); o.status == http.StatusNotFound || o.status == 0 {
+			if o := ask(client, n, outcome{id: "check-" + n.name + route, route: route}); o.status == http.StatusNotFound || o.status == 0 {
 				broken = append(broken, fmt.Sprintf("configuration %d is not in force at %s: route %s got %d", w.version, n.name, route, o.status))
 			}
 		}
--- a/cmd/sassafrassoak/faults.go
+++ b/cmd/sassafrassoak/faults.go
@@ -25,6 +25,9 @@
 	planned bool
 	// limit is that of an upstream, in requests a second.
 	limit float64
+	// hangup and again are how long after the SIGTERM of a stop a SIGHUP and a second SIGTERM come,
+	// 0 for none.
+	hangup, again time.Duration
 }
 
 // kinds are the faults, with whether they are planned work.
@@ -46,6 +49,9 @@
 	restored:       false, // only where it is asked for
 	limited:        false, // the same
 	leavingTold:    false, // the same
+	stopped:        true,  // the same
+	burst:          true,  // the same
+	linkLoses:      false, // the same
 }
 
 // restored has the store come back from a copy, twice in a row.
@@ -95,7 +101,14 @@
 }
 
 func (f fault) String() string {
-	return fmt.Sprintf("%s node %d at %v for %v", f.name, f.node, f.at.Round(time.Millisecond), f.last.Round(time.Millisecond))
+	text := fmt.Sprintf("%s node %d at %v for %v", f.name, f.node, f.at.Round(time.Millisecond), f.last.Round(time.Millisecond))
+	if f.hangup > 0 {
+		text += fmt.Sprintf(", SIGHUP after %v", f.hangup.Round(time.Millisecond))
+	}
+	if f.again > 0 {
+		text += fmt.Sprintf(", SIGTERM after %v", f.again.Round(time.Millisecond))
+	}
+	return text
 }
 
 // inject does the faults, each at its time, and returns when all are undone.
@@ -108,7 +121,7 @@
 			time.Sleep(f.at)
 			n := w.nodes[f.node]
 			switch f.name {
-			case "stop", "kill", "pause", "hangup":
+			case "stop", "kill", "pause", "hangup", stopped:
 				perNode[f.node].Lock() // one process has one signal at a time
 				defer perNode[f.node].Unlock()
 			case "storeDown", "storeSilent", "storeLost", "storeForgets", restored:
@@ -134,11 +147,10 @@
 		w.store.SetFaults(standin.Faults{})
 	}
 	switch f.name {
-	case "stop":
-		n.signal(syscall.SIGTERM)
-		n.wait(graceTime)
-		_ = w.start(n)
+	case "stop", stopped:
+		w.stop(f, n)
 	case "kill":
+		w.begin(killed, n)
 		n.signal(syscall.SIGKILL)
 		n.wait(graceTime)
 		_ = w.start(n)
@@ -156,7 +168,15 @@
 	case "linkOneWay":
 		during(oneWay)
 	case "linkReset":
+		d := w.begin(broken, n)
 		during(reset)
+		w.end(d)
+	case linkLoses:
+		n.link.lose()
+	case burst:
+		w.bursts.Add(1)
+		time.Sleep(f.last)
+		w.bursts.Add(-1)
 	case "storeDown":
 		store(standin.Faults{Status: http.StatusServiceUnavailable})
 	case "storeSilent":
--- a/cmd/sassafrassoak/main.go
+++ b/cmd/sassafrassoak/main.go
@@ -9,6 +9,8 @@
 //	sassafrassoak hunt -seeds 50 -node bin/sassafrasnode
 //	sassafrassoak hunt -seeds 50 -restore -node bin/sassafrasnode
 //	sassafrassoak hunt -seeds 50 -limits -node bin/sassafrasnode
+//	sassafrassoak hunt -seeds 50 -stops -node bin/sassafrasnode
+//	sassafrassoak run -seed 3 -stops -nodes 200 -node bin/sassafrasnode
 //
 // The store and the upstreams are stand-ins in this process; the nodes are
 // processes of their own, reached by their peers through proxies here. It ends
@@ -42,6 +44,8 @@
 	keys     bool
 	restore  bool
 	limits   bool
+	stops    bool
+	nodes    int
 }
 
 func main() {
@@ -70,12 +74,18 @@
 	fs.BoolVar(&o.keys, "keys", false, "replace the keys of an organisation all the while, and check that revoked ones let nobody in")
 	fs.BoolVar(&o.restore, "restore", false, "have the store come back from an older copy as well, twice in a row")
 	fs.BoolVar(&o.limits, "limits", false, "have upstreams name limits as well, and one say in its answers that it leaves")
+	fs.BoolVar(&o.stops, "stops", false, "stop nodes in series as well, under bursts of large bodies over slow links that fall silent and lose packets")
+	fs.IntVar(&o.nodes, "nodes", 2*pairs, "number of nodes; their callers are as slow as is needed for the same load in all")
 	if err := fs.Parse(args[1:]); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
 			return 0
 		}
 		return 2
 	}
+	if o.nodes < 2*pairs {
+		fmt.Fprintf(out, "-nodes must be %d at least\n", 2*pairs)
+		return 2
+	}
 	if args[0] == "run" {
 		o.seeds, o.parallel = 1, 1
 	}
--- a/cmd/sassafrassoak/play.go
+++ b/cmd/sassafrassoak/play.go
@@ -6,8 +6,11 @@
 
 import (
 	"bytes"
+	"cmp"
+	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -25,7 +28,11 @@
 	// callerPause is the wait of a caller between two requests.
 	callerPause = 15 * time.Millisecond
 	// patience is how long a caller waits for an answer.
-	patience = 1200 * time.Millisecond
+	patience = usualDeadline + clientGrace
+	// usualDeadline is how long a caller says that it waits.
+	usualDeadline = 900 * time.Millisecond
+	// readyWithin is how long the usual number of nodes may take to become ready.
+	readyWithin = 10 * time.Second
 	// settle is the time after the last fault within which the system is whole
 	// again, and recovered the time over which that is measured.
 	settle    = 4 * time.Second
@@ -40,13 +47,19 @@
 // outcome is what a caller saw of a request.
 type outcome struct {
 	id, route  string
-	key        string // that it showed, or empty
+	key        string        // that it showed, or empty
+	size       int           // the least number of bytes of its body
+	lasts      time.Duration // how long its run takes; 0 for the upstream's usual time
+	deadline   time.Duration
+	leaves     time.Duration // after which its caller leaves before the deadline, 0 for never
+	left       bool          // whether the caller has left before there was an answer
 	sent       time.Time
 	status     int // 0 if there was no answer
 	cut        bool
 	wrong      string // what was wrong with the answer
 	node       string // that was asked
 	ended      time.Time
+	signed     bool   // whether an upstream gave the answer
 	leaver     string // the upstream that says with the answer that it leaves, or empty
 	connection bool   // whether a connection was made
 }
@@ -65,7 +78,7 @@
 
 // play runs one seed. It returns the report, and whether every promise was kept.
 func play(o *options, seed uint64) (string, bool) {
-	w, err := newWorld(o.program, seed, o.keys)
+	w, err := newWorld(o, seed)
 	if err != nil {
 		return fmt.Sprintf("seed %d could not start: %v\n", seed, err), false
 	}
@@ -75,14 +88,15 @@
 			return fmt.Sprintf("seed %d could not start: %v\n", seed, err), false
 		}
 	}
+	within := time.Duration(float64(readyWithin) * w.scale())
 	for began := time.Now(); w.readyNodes() < len(w.nodes); {
-		if time.Since(began) > 10*time.Second {
+		if time.Since(began) > within {
 			w.keepLogs(o.logs, seed)
 			return fmt.Sprintf("seed %d FAILED: the nodes did not become ready\n", seed), false
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	time.Sleep(time.Second) // they meet
+	time.Sleep(time.Duration(float64(time.Second) * min(w.scale(), 10))) // they meet
 	faults := draw(seed, o.duration)
 	if o.restore {
 		faults = append(faults, drawRestore(seed, o.duration))
@@ -90,6 +104,9 @@
 	if o.limits {
 		faults = append(faults, drawLimits(seed, o.duration)...)
 	}
+	if o.stops {
+		faults = append(faults, drawStops(seed, o.duration, o.nodes)...)
+	}
 	seen := new(records)
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
@@ -104,9 +121,19 @@
 		}
 		callers.Go(func() { w.replaceKeys(stop) })
 	}
+	stopLoad := make(chan struct{})
+	if o.stops {
+		for i, n := range w.nodes {
+			for j, fresh := range []bool{false, true} {
+				random := rand.New(rand.NewPCG(seed, uint64(4+2*i+j)))
+				callers.Go(func() { w.load(n, seen, stopLoad, fmt.Sprintf("s%d-%d-%d-l", seed, i, j), random, fresh) })
+			}
+		}
+	}
 	began := time.Now()
 	w.inject(faults)
 	time.Sleep(max(0, o.duration-time.Since(began)))
+	close(stopLoad)
 	time.Sleep(settle)
 	whole := time.Now()
 	time.Sleep(recovered)
@@ -117,7 +144,13 @@
 		return fmt.Sprintf("seed %d passed: %d requests, faults: %v\n", seed, len(seen.list), faults), true
 	}
 	w.keepLogs(o.logs, seed)
-	return fmt.Sprintf("seed %d FAILED: %d requests, faults: %v\n  %s\n", seed, len(seen.list), faults, strings.Join(broken, "\n  ")), false
+	if o.logs != "" {
+		all := strings.Join(broken, "\n") + "\n"
+		_ = os.WriteFile(filepath.Join(o.logs, fmt.Sprintf("%d-broken.txt", seed)), []byte(all), 0o600)
+	}
+	const most = 8
+	shown := broken[:min(len(broken), most)]
+	return fmt.Sprintf("seed %d FAILED: %d requests, faults: %v\n  %s\n", seed, len(seen.list), faults, strings.Join(shown, "\n  ")), false
 }
 
 // keepLogs writes the nodes' logs.
@@ -146,10 +179,12 @@
 		select {
 		case <-stop:
 			return
-		case <-time.After(callerPause):
+		case <-time.After(time.Duration(float64(callerPause) * w.scale())):
 		}
-		route := []string{"a", "b"}[i%2]
-		seen.add(ask(client, n, route, "", fmt.Sprintf("%s-%d", name, i)))
+		seen.add(ask(client, n, outcome{
+			id:    fmt.Sprintf("%s-%d", name, i),
+			route: []string{"a", "b"}[i%2],
+		}))
 	}
 }
 
@@ -168,32 +203,48 @@
 			return
 		case <-time.After(callerPause):
 		}
-		all.Go(func() { seen.add(ask(client, n, keyedRoute, w.keys.any(), fmt.Sprintf("%s-%d", name, i))) })
+		o := outcome{
+			id:    fmt.Sprintf("%s-%d", name, i),
+			route: keyedRoute,
+			key:   w.keys.any(),
+		}
+		all.Go(func() { seen.add(ask(client, n, o)) })
 	}
 }
 
-// ask sends one request.
-func ask(client *http.Client, n *node, route, key, id string) (o outcome) {
-	o = outcome{
-		id:    id,
-		route: route,
-		key:   key,
-		sent:  time.Now(),
-		node:  n.name,
-	}
-	defer func() { o.ended = time.Now() }()
-	r, _ := http.NewRequest(http.MethodPost, "http://"+n.caller+"/"+route+"/x", strings.NewReader("body of "+id))
+// body returns what the request has as its body.
+func (o *outcome) body() string {
+	text := "body of " + o.id
+	return text + strings.Repeat(".", max(0, o.size-len(text)))
+}
+
+// ask sends a request, and returns it with what the caller saw.
+func ask(client *http.Client, n *node, o outcome) outcome {
+	o.deadline = cmp.Or(o.deadline, usualDeadline)
+	o.sent = time.Now()
+	o.node = n.name
+	ctx, cancel := context.WithTimeout(context.Background(), cmp.Or(o.leaves, o.deadline+clientGrace))
+	defer cancel()
+	o.answer(ctx, client, n)
+	o.ended = time.Now()
+	o.left = ctx.Err() != nil && (o.status == 0 || o.cut)
+	return o
+}
+
+// answer sends the request and notes what comes back.
+func (o *outcome) answer(ctx context.Context, client *http.Client, n *node) {
+	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.caller+"/"+o.route+"/x", strings.NewReader(o.body()))
 	r.GetBody = nil // the library must not send it again
 	r.Host = "h.example"
-	r.Header.Set(standin.RequestID, id)
-	r.Header.Set(standin.Timeout, "900")
-	if key != "" {
-		r.Header.Set("Authorization", "Bearer "+key)
+	r.Header.Set(standin.RequestID, o.id)
+	r.Header.Set(standin.Timeout, fmt.Sprint(o.deadline.Milliseconds()))
+	if o.key != "" {
+		r.Header.Set("Authorization", "Bearer "+o.key)
 	}
 	response, err := client.Do(r)
 	if err != nil {
 		o.connection = !strings.Contains(err.Error(), "connection refused")
-		return o
+		return
 	}
 	defer response.Body.Close()
 	o.connection = true
@@ -201,16 +252,16 @@
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		o.cut = true
-		return o
+		return
 	}
+	o.signed = response.Header.Get(standin.Signature) != ""
 	if o.status == http.StatusOK {
 		upstream, _, _ := strings.Cut(string(body), " ")
 		if response.Header.Get(standin.Leaving) != "" {
 			o.leaver = upstream
 		}
-		if string(body) != upstream+" ran "+id || response.Header.Get(standin.Signature) != standin.Sign(upstream, id) {
+		if string(body) != upstream+" ran "+o.id || response.Header.Get(standin.Signature) != standin.Sign(upstream, o.id) {
 			o.wrong = fmt.Sprintf("%q", body)
 		}
 	}
-	return o
 }
--- a/cmd/sassafrassoak/proxy.go
+++ b/cmd/sassafrassoak/proxy.go
@@ -25,24 +25,41 @@
 // pieceDelay is the wait of each piece in the mode delayed.
 const pieceDelay = 30 * time.Millisecond
 
+const (
+	// window is how much a connection may have in the queue of a link with a rate.
+	window = 32 << 10
+	// repetition is how long a connection waits for a packet that was lost.
+	repetition = 200 * time.Millisecond
+)
+
 // proxy passes connections on to an address, with faults.
 type proxy struct {
 	to       string
 	listener net.Listener
+	// rate is in bytes a second in each direction, for all connections together; 0 means no bound.
+	rate        float64
+	there, back lane
 
 	mu      sync.Mutex
 	mode    mode
+	losses  int // how many pieces are to wait for a repetition
 	changed chan struct{}
 	conns   map[net.Conn]bool
 }
 
-// newProxy starts a proxy on a free port.
-func newProxy(to string) (*proxy, error) {
+// newProxy starts a proxy on a free port, with a rate in bytes a second, or 0 for no bound.
+func newProxy(to string, rate float64) (*proxy, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{to: to, listener: l, changed: make(chan struct{}), conns: make(map[net.Conn]bool)}
+	p := &proxy{
+		to:       to,
+		listener: l,
+		rate:     rate,
+		changed:  make(chan struct{}),
+		conns:    make(map[net.Conn]bool),
+	}
 	go p.accept()
 	return p, nil
 }
@@ -63,6 +80,42 @@
 	}
 }
 
+// lose has the connection wait that passes something on next, as if a packet of it was lost.
+func (p *proxy) lose() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.losses++
+}
+
+// lost returns whether the next piece is to wait for a repetition.
+func (p *proxy) lost() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.losses == 0 {
+		return false
+	}
+	p.losses--
+	return true
+}
+
+// lane is one direction of a link, which sends what is queued there in the order of its arrival.
+type lane struct {
+	mu   sync.Mutex
+	free time.Time // when all that is queued has been sent
+}
+
+// send waits until the given number of bytes has been sent at a rate in bytes a second.
+func (l *lane) send(bytes int, rate float64) {
+	l.mu.Lock()
+	if now := time.Now(); l.free.Before(now) {
+		l.free = now
+	}
+	l.free = l.free.Add(time.Duration(float64(bytes) / rate * float64(time.Second)))
+	free := l.free
+	l.mu.Unlock()
+	time.Sleep(time.Until(free))
+}
+
 // abort ends a connection with a reset.
 func abort(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
@@ -101,6 +154,12 @@
 		abort(near)
 		abort(far)
 	}
+	if p.rate > 0 {
+		for _, c := range []net.Conn{near, far} {
+			_ = c.(*net.TCPConn).SetReadBuffer(window)
+			_ = c.(*net.TCPConn).SetWriteBuffer(window)
+		}
+	}
 	var both sync.WaitGroup
 	both.Go(func() { p.copy(far, near, false) })
 	both.Go(func() { p.copy(near, far, true) })
@@ -114,10 +173,20 @@
 // copy passes pieces on as the mode allows.
 func (p *proxy) copy(to, from net.Conn, back bool) {
 	defer to.Close()
-	buffer := make([]byte, 32<<10)
+	buffer := make([]byte, window)
+	l := &p.there
+	if back {
+		l = &p.back
+	}
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
+			if p.rate > 0 {
+				l.send(n, p.rate)
+			}
+			if p.lost() {
+				time.Sleep(repetition)
+			}
 			p.gate(back)
 			if _, err := to.Write(buffer[:n]); err != nil {
 				_, _ = io.Copy(io.Discard, from)
--- a/cmd/sassafrassoak/world.go
+++ b/cmd/sassafrassoak/world.go
@@ -40,6 +40,7 @@
 	server  *httptest.Server
 	front   *proxy // of the store
 	nodes   []*node
+	hosts   int // how many addresses' ports have been given to nodes
 	port    int // the last one given to a node
 	// configuring is held while the configuration is written. It guards what follows.
 	configuring sync.Mutex
@@ -48,6 +49,10 @@
 	keys        *keyring // nil if no request needs a key
 	valid       []string // the keys that the configuration has now
 	done        chan struct{}
+	stops       bool
+	bursts      atomic.Int32 // how many there are now
+	doing       sync.Mutex   // held while deeds change
+	deeds       []*deed
 }
 
 // node is a node with its upstream.
@@ -72,13 +77,14 @@
 }
 
 // newWorld starts the system.
-func newWorld(program string, seed uint64, keys bool) (*world, error) {
+func newWorld(o *options, seed uint64) (*world, error) {
 	dir, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		return nil, err
 	}
 	w := &world{
-		program: program,
+		program: o.program,
+		stops:   o.stops,
 		dir:     dir,
 		store:   &standin.Store{Era: 1},
 		done:    make(chan struct{}),
@@ -86,16 +92,16 @@
 	}
 	w.port = firstPort + int(seed%portBlocks)*portsPerSeed
 	w.server = httptest.NewServer(w.store)
-	if w.front, err = newProxy(w.server.Listener.Addr().String()); err != nil {
+	if w.front, err = newProxy(w.server.Listener.Addr().String(), 0); err != nil {
 		return nil, err
 	}
-	if keys {
+	if o.keys {
 		w.keys = &keyring{revoked: make(map[string]time.Time)}
 		w.valid = w.keys.add()
 		w.routes = append(w.routes, keyedRoute)
 	}
 	w.configure(func() {})
-	for i := range 2 * pairs {
+	for i := range o.nodes {
 		service := []string{"a", "b"}[i%2]
 		n := &node{name: fmt.Sprintf("n%d", i), service: service}
 		w.nodes = append(w.nodes, n)
@@ -109,6 +115,9 @@
 // build starts a node with its upstream.
 func (w *world) build(n *node, seed uint64) error {
 	u := &standin.Upstream{ID: fmt.Sprintf("i-%s-%d", n.name, seed), Service: n.service, Slots: 8, Work: 15 * time.Millisecond}
+	if w.stops {
+		u.Lasts = lasts
+	}
 	var err error
 	if n.upstreamAt, err = u.Start(); err != nil {
 		return err
@@ -119,12 +128,22 @@
 			return err
 		}
 	}
-	if n.link, err = newProxy(n.peer); err != nil {
+	var rate float64 // in Mbit/s
+	if w.stops {
+		rate = linkRate(seed)
+	}
+	const bytes = 1e6 / 8 // of a Mbit
+	if n.link, err = newProxy(n.peer, rate*bytes); err != nil {
 		return err
 	}
 	n.config = filepath.Join(w.dir, n.name+".yaml")
-	text := fmt.Sprintf("dialect: managed\nnode: %s\nregion: r\nzone: z%s\ncallerAddress: %s\npeerAddress: %s\nadvertisedPeerAddress: %s\nannounceAddress: %s\noperatorAddress: %s\nplatformURL: http://%s\nservice: %s\nupstreamAddress: %s\nretryRatio: 0.2\nretrySlack: 60\nreportBytes: 20000\ncontrolBytes: 100000\nplatformCalls: 100\nleaveDelay: 500ms\ndrainTimeout: 4s\nprocessors: 1\n",
+	text := fmt.Sprintf("dialect: managed\nnode: %s\nregion: r\nzone: z%s\ncallerAddress: %s\npeerAddress: %s\nadvertisedPeerAddress: %s\nannounceAddress: %s\noperatorAddress: %s\nplatformURL: http://%s\nservice: %s\nupstreamAddress: %s\nretryRatio: 0.2\nretrySlack: 60\nreportBytes: 20000\ncontrolBytes: 100000\nplatformCalls: 100\nprocessors: 1\n",
 		n.name, n.service, n.caller, n.peer, n.link.addr(), n.control, n.ready, w.front.addr(), n.service, n.upstreamAt)
+	if w.stops {
+		text += fmt.Sprintf("leaveDelay: 2500ms\nadmitDelay: 1500ms\ndrainTimeout: 2500ms\nlinkMbps: %g\n", rate)
+	} else {
+		text += "leaveDelay: 500ms\ndrainTimeout: 4s\n"
+	}
 	if w.keys != nil {
 		text += fmt.Sprintf("revokeWithin: %v\n", revokeWithin)
 	}
@@ -144,18 +163,24 @@
 	portBlocks   = 500
 )
 
-// host is a loopback address of this process's own, so that runs of one seed at
+// hosts are the loopback addresses of this process's own, so that runs of one seed at
 // the same time don't take each other's ports.
-var host = fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()/256%250, os.Getpid()%256)
+var hosts = fmt.Sprintf("127.%d.%d", 1+os.Getpid()/256%250, os.Getpid()%256)
+
+// mostHosts is the number of hosts.
+const mostHosts = 250
 
 // freeAddr returns the next address of the run that nobody listens at.
 func (w *world) freeAddr() (string, error) {
-	for w.port++; w.port%portsPerSeed != 0; w.port++ {
-		addr := fmt.Sprintf("%s:%d", host, w.port)
-		if l, err := net.Listen("tcp", addr); err == nil {
-			_ = l.Close()
-			return addr, nil
+	for ; w.hosts < mostHosts; w.hosts++ {
+		for w.port++; w.port%portsPerSeed != 0; w.port++ {
+			addr := fmt.Sprintf("%s.%d:%d", hosts, 1+w.hosts, w.port)
+			if l, err := net.Listen("tcp", addr); err == nil {
+				_ = l.Close()
+				return addr, nil
+			}
 		}
+		w.port -= portsPerSeed
 	}
 	return "", errors.New("no free port for a node")
 }
@@ -229,22 +254,32 @@
 	}
 }
 
-// wait waits for the end of the process, and kills it after the given time.
-func (n *node) wait(most time.Duration) {
+// waitFor waits for the end of the process, for the given time, and returns whether it has ended.
+func (n *node) waitFor(most time.Duration) bool {
 	n.mu.Lock()
 	exited := n.exited
 	n.mu.Unlock()
 	if exited == nil {
-		return
+		return true
 	}
 	select {
 	case <-exited:
+		return true
 	case <-time.After(most):
+		return false
+	}
+}
+
+// wait waits for the end of the process, and kills it after the given time.
+func (n *node) wait(most time.Duration) {
+	for !n.waitFor(most) {
 		n.signal(syscall.SIGKILL)
-		<-exited
 	}
 }
 
+// scale returns how many times as many nodes there are as usual.
+func (w *world) scale() float64 { return float64(len(w.nodes)) / (2 * pairs) }
+
 // configure makes a change and writes the manifest with all routes, under a new version. All
 // but one are public where keys are asked for.
 func (w *world) configure(change func()) {
@@ -257,13 +292,18 @@
 
 // writeConfiguration writes the manifest with all routes. The lock is held.
 func (w *world) writeConfiguration() {
+	const usual = time.Second
+	timeout, target := usual, 0.3*usual.Seconds()
+	if w.stops {
+		timeout, target = stopTimeout, usual.Seconds()
+	}
 	var list []json.RawMessage
 	for _, name := range w.routes {
 		kind, service := "idempotent", "b"
 		if name == "a" {
 			kind, service = "non_idempotent", "a"
 		}
-		list = append(list, json.RawMessage(fmt.Sprintf(`{"name":%q,"pathPrefix":"/%s/","kind":%q,"timeoutS":1,"targetLatencyS":0.3,"priority":1,"service":%q,"maxAttempts":2,"public":%v}`, name, name, kind, service, name != keyedRoute)))
+		list = append(list, json.RawMessage(fmt.Sprintf(`{"name":%q,"pathPrefix":"/%s/","kind":%q,"timeoutS":%g,"targetLatencyS":%g,"priority":1,"service":%q,"maxAttempts":2,"public":%v}`, name, name, kind, timeout.Seconds(), target, service, name != keyedRoute)))
 	}
 	manifest := map[string]any{
 		"version":      fmt.Sprintf("r%d", w.version),
