sassafrassoak: with -stops, no connection is closed on a request that a node could read

A request that crosses the closing of an idle connection is no loss; one whose connection is closed 200 ms after its start or later is, unless its node was killed or paused meanwhile. Left out with -safety, as it has a bound on time.

--- a/cmd/sassafrassoak/check.go
+++ b/cmd/sassafrassoak/check.go
@@ -33,6 +33,9 @@
 		broken = append(broken, w.checkRoutes()...)
 		broken = append(broken, checkRecovery(list, whole)...)
 		broken = append(broken, w.checkEnds()...)
+		if w.stops {
+			broken = append(broken, w.checkUnanswered(list)...)
+		}
 	}
 	if w.stops {
 		broken = append(broken, w.checkAtWork(list, w.endedRuns())...)
--- a/cmd/sassafrassoak/faults.go
+++ b/cmd/sassafrassoak/faults.go
@@ -155,9 +155,11 @@
 		n.wait(graceTime)
 		_ = w.start(n)
 	case "pause":
+		d := w.begin(paused, n)
 		n.signal(syscall.SIGSTOP)
 		time.Sleep(f.last)
 		n.signal(syscall.SIGCONT)
+		w.end(d)
 	case "hangup":
 		n.awaitStart()
 		n.signal(syscall.SIGHUP)
--- a/cmd/sassafrassoak/play.go
+++ b/cmd/sassafrassoak/play.go
@@ -53,6 +53,7 @@
 	deadline   time.Duration
 	leaves     time.Duration // after which its caller leaves before the deadline, 0 for never
 	left       bool          // whether the caller has left before there was an answer
+	failure    string        // why there was no answer, or no whole one
 	sent       time.Time
 	status     int // 0 if there was no answer
 	cut        bool
@@ -243,7 +244,8 @@
 	}
 	response, err := client.Do(r)
 	if err != nil {
-		o.connection = !strings.Contains(err.Error(), "connection refused")
+		o.failure = err.Error()
+		o.connection = !strings.Contains(o.failure, "connection refused")
 		return
 	}
 	defer response.Body.Close()
@@ -252,6 +254,7 @@
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		o.cut = true
+		o.failure = err.Error()
 		return
 	}
 	o.signed = response.Header.Get(standin.Signature) != ""
--- a/cmd/sassafrassoak/stops.go
+++ b/cmd/sassafrassoak/stops.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -34,6 +35,9 @@
 	// kind, whether answers come or not, and burstFactor how many times as often they are sent in a burst.
 	loadPause   = 150 * time.Millisecond
 	burstFactor = 5
+	// closeSlack is how long after a request's start its connection may be closed unanswered: the
+	// request may have crossed the closing of an idle connection.
+	closeSlack = 200 * time.Millisecond
 	// clientGrace is how long after its deadline a caller still waits for an answer.
 	clientGrace = 300 * time.Millisecond
 )
@@ -113,6 +117,7 @@
 	told   kind = iota // the node was told to stop, until its process had ended
 	killed             // its process was killed
 	broken             // connections to it were reset
+	paused             // its process did not run
 )
 
 // deed is something that the soak has done to a node.
@@ -267,6 +272,30 @@
 	return broken
 }
 
+// checkUnanswered finds requests that a node has left without an answer though it had the time to
+// read them, unless it was killed or paused meanwhile.
+func (w *world) checkUnanswered(list []outcome) []string {
+	var broken []string
+	for _, o := range list {
+		if o.status != 0 || o.left || !o.connection || o.ended.Sub(o.sent) <= closeSlack {
+			continue
+		}
+		excused := slices.ContainsFunc(w.deeds, func(d *deed) bool {
+			switch {
+			case d.node != o.node || d.from.After(o.ended):
+				return false
+			case d.kind == paused:
+				return d.to.IsZero() || d.to.After(o.sent)
+			}
+			return d.kind == killed && d.from.After(o.sent)
+		})
+		if !excused {
+			broken = append(broken, fmt.Sprintf("not answered: request %s sent to %s at %s, after %v: %s%s", o.id, o.node, o.sent.Format(time.RFC3339Nano), o.after(o.ended), o.failure, w.near(o, o.node)))
+		}
+	}
+	return broken
+}
+
 // checkEnds finds processes that did not end within their grace time.
 func (w *world) checkEnds() []string {
 	var broken []string
@@ -287,9 +316,9 @@
 func (o *outcome) got() string {
 	switch {
 	case o.cut:
-		return fmt.Sprintf("a part of a %d", o.status)
+		return fmt.Sprintf("a part of a %d (%s)", o.status, o.failure)
 	case o.status == 0:
-		return "a closed connection"
+		return fmt.Sprintf("a closed connection (%s)", o.failure)
 	}
 	return fmt.Sprintf("a %d", o.status)
 }
--- a/cmd/sassafrassoak/stops_test.go
+++ b/cmd/sassafrassoak/stops_test.go
@@ -124,6 +124,36 @@
 	qt.Check(t, endings[1].At.IsZero(), qt.IsTrue)
 }
 
+// TestUnansweredCheckFails has a connection be closed with a request on it.
+func TestUnansweredCheckFails(t *testing.T) {
+	start := time.Now()
+	closed := outcome{node: "n", sent: start, ended: start.Add(time.Second), connection: true}
+	crossed := closed
+	crossed.ended = start.Add(closeSlack / 2)
+	left := closed
+	left.left = true
+	tests := map[string]struct {
+		outcome outcome
+		deed    deed
+		broken  int
+	}{
+		"closed":        {outcome: closed, broken: 1},
+		"crossed":       {outcome: crossed},
+		"left":          {outcome: left},
+		"paused":        {outcome: closed, deed: deed{kind: paused, node: "n", from: start.Add(-time.Second), to: start.Add(time.Millisecond)}},
+		"paused before": {outcome: closed, deed: deed{kind: paused, node: "n", from: start.Add(-time.Second), to: start.Add(-time.Millisecond)}, broken: 1},
+		"killed":        {outcome: closed, deed: deed{kind: killed, node: "n", from: start.Add(time.Millisecond)}},
+		"killed before": {outcome: closed, deed: deed{kind: killed, node: "n", from: start.Add(-time.Millisecond)}, broken: 1},
+		"told to stop":  {outcome: closed, deed: deed{kind: told, node: "n", from: start.Add(time.Millisecond)}, broken: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := &world{deeds: []*deed{&test.deed}}
+			qt.Check(t, w.checkUnanswered([]outcome{test.outcome}), qt.HasLen, test.broken)
+		})
+	}
+}
+
 // TestEndCheckFails has a process be killed at the end of its grace time.
 func TestEndCheckFails(t *testing.T) {
 	w := &world{deeds: []*deed{{kind: killed, node: "n"}}}
