peer: a call beyond the number of open ones is refused alone

What callers would see: all requests under way to a node end as peerLost when one more than 4,096 calls is begun on a connection. The sender counts a call that it has cancelled as over, and the receiver until its handler has ended, so a sender that keeps to the bound can break it.

TestTooManyCalls loses three calls of three on the code before.

--- /dev/null
+++ b/peer/open_test.go
@@ -0,0 +1,55 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package peer_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/verdict"
+)
+
+// TestTooManyCalls guards against the loss of all calls of a connection for one too many, which
+// comes while calls that their sender has cancelled still end.
+func TestTooManyCalls(t *testing.T) {
+	const most = 4
+	began := make(chan struct{}, most)
+	end := make(chan struct{})
+	_, c := serve(t, peer.Limits{Open: most}, func(in *peer.Inbound) {
+		began <- struct{}{}
+		<-end
+		_ = in.Reply(&peer.Answer{Status: 200})
+	})
+	var kept []*peer.Exchange
+	for i := range most {
+		x, failed := c.Start(context.Background(), newCall(), nil)
+		qt.Assert(t, failed == nil, qt.IsTrue, qt.Commentf("%v", failed))
+		<-began
+		if i > 0 {
+			kept = append(kept, x)
+			continue
+		}
+		x.Close() // its handler goes on
+	}
+	x, failed := c.Start(context.Background(), newCall(), nil)
+	qt.Assert(t, failed == nil, qt.IsTrue, qt.Commentf("%v", failed))
+	select {
+	case <-x.Ready():
+	case <-time.After(time.Minute):
+		t.Fatal("no answer to the call that is one too many")
+	}
+	_, failed = x.Result()
+	qt.Assert(t, failed != nil, qt.IsTrue)
+	qt.Check(t, failed.Cause, qt.Equals, verdict.Refused)
+	close(end)
+	for _, x := range kept {
+		_, failed := x.Wait()
+		qt.Check(t, failed == nil, qt.IsTrue, qt.Commentf("%v", failed))
+	}
+}
--- a/peer/session.go
+++ b/peer/session.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -109,7 +110,9 @@
 	}
 	n.lastID = m.ID
 	if len(n.open) >= n.limits.Open {
-		return eris.Wrapf(ErrProtocol, "%d calls are open", len(n.open))
+		// The peer counts a call that it has cancelled as over before this side does.
+		go n.refuse(m.ID, len(n.open))
+		return nil
 	}
 	in := newInbound(ctx, n, m)
 	n.open[m.ID] = in
@@ -118,6 +121,15 @@
 	return nil
 }
 
+// refuse ends a call that is one too many.
+func (n *session) refuse(id uint64, open int) {
+	_ = n.send(KindFailure, &Failure{
+		ID:     id,
+		Cause:  string(verdict.Refused),
+		Detail: fmt.Sprintf("%d calls are open", open),
+	})
+}
+
 // bodies returns the quota of the link that bodies cross to this node, or nil if the peer is
 // this node itself.
 func (n *session) bodies() *quota {
