peer: a caller is not held beyond its deadline by a call that is written in part

What callers saw: a request whose deadline is 1 s is answered after 1.2, 2 or 3 s, up to Limits.Write (5 s), where the node that it is sent to reads nothing and the kernel's buffer has taken a part of the call.

Cause: the call was written by the goroutine that waits for its answer, and a write can't be taken back in part.

Now another goroutine writes. A call whose time is over meanwhile is given up as one that may have run, as it may yet be written.

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -162,35 +162,58 @@
 // write hands frames to the kernel in one call, unless ctx ends before its turn comes. If it
 // returns an error, the last of them was not wholly handed over, so the receiver can't have it.
 func (c *conn) write(ctx context.Context, frames ...frame) error {
+	b, err := c.encode(frames...)
+	defer buffers.Put(b)
+	if err == nil {
+		err = c.turn(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	return c.put(b, len(frames))
+}
+
+// encode returns a buffer with the frames, which goes back to buffers in any case.
+func (c *conn) encode(frames ...frame) (*bytes.Buffer, error) {
 	b := buffers.Get().(*bytes.Buffer)
 	b.Reset()
-	defer buffers.Put(b)
 	for _, f := range frames {
 		if err := appendFrame(b, f.kind, f.message); err != nil {
-			return err
+			return b, err
 		}
 	}
 	if b.Len() > c.limits.Frame {
-		return eris.Errorf("frame of %d bytes is over the limit", b.Len())
+		return b, eris.Errorf("frame of %d bytes is over the limit", b.Len())
 	}
+	return b, nil
+}
+
+// turn waits for the turn to write, which put ends.
+func (c *conn) turn(ctx context.Context) error {
 	select {
 	case c.writing <- struct{}{}:
-		defer func() { <-c.writing }()
 	case <-c.closed:
 		return c.ended()
 	case <-ctx.Done():
 		return context.Cause(ctx)
 	}
 	if c.isClosed() {
+		<-c.writing
 		return c.ended()
 	}
+	return nil
+}
+
+// put hands a number of frames to the kernel, which is this goroutine's turn.
+func (c *conn) put(b *bytes.Buffer, frames int) error {
+	defer func() { <-c.writing }()
 	_ = c.SetWriteDeadline(time.Now().Add(c.limits.Write))
 	if _, err := c.Write(b.Bytes()); err != nil {
 		c.shut(eris.Wrap(err, "write"))
 		return err
 	}
 	c.written.Add(uint64(b.Len()))
-	c.counters.FramesOut.Add(uint64(len(frames)))
+	c.counters.FramesOut.Add(uint64(frames))
 	c.counters.BytesOut.Add(uint64(b.Len()))
 	return nil
 }
--- a/peer/link.go
+++ b/peer/link.go
@@ -76,13 +76,13 @@
 }
 
 // begin opens an exchange and writes its call, unless ctx ends or the call's time is over
-// before its turn comes. An error means that the call has not wholly been written.
+// before its turn comes. An error means that the call has not wholly been written. A call that
+// is being written when its time is over may yet be.
 func (l *link) begin(ctx context.Context, call *Call) (*Exchange, error) {
 	writing, cancel := context.WithTimeout(ctx, call.Remaining)
 	defer cancel()
 	select {
 	case l.starting <- struct{}{}:
-		defer func() { <-l.starting }()
 	case <-l.closed:
 		return nil, l.ended()
 	case <-writing.Done():
@@ -90,6 +90,7 @@
 	}
 	x, err := l.add(ctx)
 	if err != nil {
+		<-l.starting
 		return nil, err
 	}
 	call.ID = x.id
@@ -98,10 +99,32 @@
 	if !call.Streams {
 		x.stage.Store(stageWritten)
 	}
-	err = l.write(writing, frame{
+	b, err := l.encode(frame{
 		kind:    KindCall,
 		message: call,
 	})
+	if err == nil {
+		err = l.turn(writing)
+	}
+	if err != nil {
+		<-l.starting
+		buffers.Put(b)
+		l.remove(x.id)
+		x.stop()
+		return nil, err
+	}
+	written := make(chan error, 1)
+	go func() {
+		err := l.put(b, 1)
+		<-l.starting
+		buffers.Put(b)
+		written <- err
+	}()
+	select {
+	case err = <-written:
+	case <-writing.Done():
+		return x, nil
+	}
 	if err != nil {
 		l.remove(x.id)
 		x.stop()
