internal/playnet: a test of the network, and a record of the connections that kernels end

Tests that tell what proves a peer gone have to know when its kernel, or the own one, ended a connection; Host.Breaks says so.

The rows pin down rate, silence, loss, suspension, a window, a full buffer, power off with Timeout, reset, and connections to hosts that take none.

--- a/internal/playnet/conn.go
+++ b/internal/playnet/conn.go
@@ -185,6 +185,13 @@
 func (e *end) fail(err error) {
 	if e.failure == nil {
 		e.failure = err
+		if !e.closed {
+			e.host.breaks = append(e.host.breaks, Break{
+				Peer: e.other.host.name,
+				At:   time.Now(),
+				Err:  err,
+			})
+		}
 	}
 	e.wake.Broadcast()
 }
--- a/internal/playnet/network.go
+++ b/internal/playnet/network.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -46,6 +47,24 @@
 	off       bool
 	suspended time.Time // the process does nothing until then
 	ends      []*end
+	breaks    []Break
+}
+
+// Break is the end of a connection that a host's kernel has found broken, or broken off.
+type Break struct {
+	// Peer is the host at the other end.
+	Peer string
+	// At is when the kernel ended it.
+	At time.Time
+	// Err is what the process is told.
+	Err error
+}
+
+// Breaks returns the connections of the host that its kernel has ended, in order.
+func (h *Host) Breaks() []Break {
+	h.network.mu.Lock()
+	defer h.network.mu.Unlock()
+	return slices.Clone(h.breaks)
 }
 
 // Host returns the host of the given name, and adds it if there is none.
--- /dev/null
+++ b/internal/playnet/playnet_test.go
@@ -0,0 +1,224 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package playnet_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/internal/playnet"
+)
+
+// delay is what a packet takes in tests beside its time on the links.
+const delay = time.Millisecond
+
+// pair is a connection from one host to another.
+type pair struct {
+	a, b      *playnet.Host
+	near, far net.Conn
+}
+
+// connect makes a pair on a network.
+func connect(t *testing.T, n *playnet.Network) *pair {
+	t.Helper()
+	p := &pair{
+		a: n.Host("a"),
+		b: n.Host("b"),
+	}
+	listener := p.b.Listen()
+	var err error
+	p.near, err = p.a.Dial(context.Background(), "b")
+	qt.Assert(t, err, qt.IsNil)
+	p.far, err = listener.Accept()
+	qt.Assert(t, err, qt.IsNil)
+	return p
+}
+
+// TestArrival sends bytes and checks when the last of them is read, and that they are the
+// same.
+func TestArrival(t *testing.T) {
+	const rate = 100_000
+	for name, test := range map[string]struct {
+		network playnet.Network
+		size    int
+		trouble func(p *pair)
+		want    time.Duration
+	}{
+		"one packet":                    {size: 100, want: delay},
+		"one packet at a rate":          {network: playnet.Network{Rate: rate}, size: 1000, want: 20*time.Millisecond + delay},
+		"many packets at a rate":        {network: playnet.Network{Rate: rate}, size: 150_000, want: 1515*time.Millisecond + delay},
+		"both ways silent":              {size: 100, trouble: func(p *pair) { p.b.Silence(time.Second) }, want: time.Second + delay},
+		"sender silent":                 {size: 100, trouble: func(p *pair) { p.a.SilenceUp(time.Second) }, want: time.Second + delay},
+		"only the way back silent":      {size: 100, trouble: func(p *pair) { p.b.SilenceUp(time.Second) }, want: delay},
+		"silent for less than Timeout":  {network: playnet.Network{Timeout: 2 * time.Second}, size: 100, trouble: func(p *pair) { p.b.Silence(time.Second) }, want: time.Second + delay},
+		"a packet is lost":              {size: 100, trouble: func(p *pair) { p.a.Lose(1) }, want: 200*time.Millisecond + delay},
+		"a packet is lost three times":  {size: 5000, trouble: func(p *pair) { p.a.Lose(3) }, want: 1400*time.Millisecond + delay},
+		"receiver suspended":            {size: 100, trouble: func(p *pair) { p.b.Suspend(time.Second) }, want: time.Second},
+		"sender suspended":              {size: 100, trouble: func(p *pair) { p.a.Suspend(time.Second) }, want: time.Second + delay},
+		"a window is under way at once": {network: playnet.Network{Window: 1500}, size: 4500, want: 5 * delay},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network := test.network
+				network.Delay = delay
+				if network.Window == 0 {
+					network.Window = 1 << 20
+				}
+				p := connect(t, &network)
+				if test.trouble != nil {
+					test.trouble(p)
+				}
+				began := time.Now()
+				sent := bytes.Repeat([]byte("0123456789abc"), test.size/13+1)[:test.size]
+				go func() { _, _ = p.near.Write(sent) }()
+				got := make([]byte, test.size)
+				_, err := io.ReadFull(p.far, got)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Check(t, time.Since(began), qt.Equals, test.want)
+				qt.Check(t, bytes.Equal(got, sent), qt.IsTrue)
+				qt.Check(t, p.a.Breaks(), qt.HasLen, 0)
+				qt.Check(t, p.near.Close(), qt.IsNil)
+				_, err = p.far.Read(got)
+				qt.Check(t, err, qt.Equals, io.EOF)
+			})
+		})
+	}
+}
+
+// TestBreak has connections end in ways that the sender of some bytes finds out, and checks
+// when, and how.
+func TestBreak(t *testing.T) {
+	const timeout = 2 * time.Second
+	for name, test := range map[string]struct {
+		trouble func(p *pair)
+		silent  bool // whether nothing is written
+		want    error
+		after   time.Duration
+	}{
+		"power off":                         {trouble: func(p *pair) { p.b.PowerOff() }, want: syscall.ETIMEDOUT, after: timeout},
+		"silent for as long as Timeout":     {trouble: func(p *pair) { p.b.Silence(timeout + time.Second) }, want: syscall.ETIMEDOUT, after: timeout},
+		"no acknowledgement":                {trouble: func(p *pair) { p.b.SilenceUp(timeout + time.Second) }, want: syscall.ETIMEDOUT, after: timeout},
+		"reset":                             {trouble: func(p *pair) { p.b.Reset() }, want: syscall.ECONNRESET, after: delay},
+		"reset over a silent link":          {trouble: func(p *pair) { p.b.Silence(time.Second); p.b.Reset() }, want: syscall.ECONNRESET, after: time.Second + delay},
+		"closed with bytes on their way":    {trouble: func(p *pair) { _ = p.far.Close() }, want: io.EOF, after: delay},
+		"power off with nothing to be sent": {trouble: func(p *pair) { p.b.PowerOff() }, silent: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := connect(t, &playnet.Network{Delay: delay, Window: 1 << 20, Timeout: timeout})
+				test.trouble(p)
+				began := time.Now()
+				if !test.silent {
+					_, err := p.near.Write(make([]byte, 100))
+					qt.Assert(t, err, qt.IsNil)
+				}
+				_ = p.near.SetReadDeadline(began.Add(time.Minute))
+				_, err := p.near.Read(make([]byte, 1))
+				if test.silent {
+					qt.Check(t, errors.Is(err, context.DeadlineExceeded) || isTimeout(err), qt.IsTrue, qt.Commentf("%v", err))
+					qt.Check(t, p.a.Breaks(), qt.HasLen, 0)
+					return
+				}
+				qt.Check(t, errors.Is(err, test.want), qt.IsTrue, qt.Commentf("%v", err))
+				qt.Check(t, time.Since(began), qt.Equals, test.after)
+				if test.want != io.EOF {
+					qt.Check(t, p.a.Breaks(), qt.DeepEquals, []playnet.Break{{Peer: "b", At: time.Now(), Err: test.want}}, qt.Commentf("%v", err))
+				}
+			})
+		})
+	}
+}
+
+// TestFullBuffer writes to a host that does not read: what the kernels hold is taken, and the
+// rest once it reads, or never.
+func TestFullBuffer(t *testing.T) {
+	const (
+		window  = 10_000
+		buffer  = 20_000
+		timeout = 2 * time.Second
+	)
+	for name, test := range map[string]struct {
+		reads   time.Duration // when the receiver begins to read, or 0
+		written int
+		want    error
+		after   time.Duration
+	}{
+		"read in time":             {reads: time.Second, written: 100_000, after: time.Second},
+		"read after Timeout":       {reads: 3 * time.Second, written: window + buffer, want: syscall.ETIMEDOUT, after: timeout + 2*delay},
+		"deadline of a write ends": {written: window + buffer, want: errTimeout, after: timeout / 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := connect(t, &playnet.Network{Delay: delay, Window: window, Buffer: buffer, Timeout: timeout})
+				began := time.Now()
+				if test.reads > 0 {
+					time.AfterFunc(test.reads, func() { _, _ = io.Copy(io.Discard, p.far) })
+				} else {
+					_ = p.near.SetWriteDeadline(began.Add(timeout / 2))
+				}
+				n, err := p.near.Write(make([]byte, 100_000))
+				took := time.Since(began)
+				qt.Check(t, n, qt.Equals, test.written)
+				switch test.want {
+				case nil:
+					qt.Check(t, err, qt.IsNil)
+					qt.Check(t, took >= test.after, qt.IsTrue, qt.Commentf("%v", took))
+				case errTimeout:
+					qt.Check(t, isTimeout(err), qt.IsTrue, qt.Commentf("%v", err))
+					qt.Check(t, took, qt.Equals, test.after)
+				default:
+					qt.Check(t, errors.Is(err, test.want), qt.IsTrue, qt.Commentf("%v", err))
+					qt.Check(t, took, qt.Equals, test.after)
+				}
+				_ = p.near.Close()
+				time.Sleep(time.Minute)
+				_ = p.far.Close()
+			})
+		})
+	}
+}
+
+// TestDial opens connections to hosts that take none.
+func TestDial(t *testing.T) {
+	for name, test := range map[string]struct {
+		trouble func(h *playnet.Host)
+		want    error
+		after   time.Duration
+	}{
+		"nobody listens":     {trouble: func(*playnet.Host) {}, want: syscall.ECONNREFUSED, after: 2 * delay},
+		"listener closed":    {trouble: func(h *playnet.Host) { _ = h.Listen().Close() }, want: syscall.ECONNREFUSED, after: 2 * delay},
+		"host without power": {trouble: func(h *playnet.Host) { h.Listen(); h.PowerOff() }, want: context.DeadlineExceeded, after: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := &playnet.Network{Delay: delay, Window: 1 << 20}
+				test.trouble(n.Host("b"))
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				began := time.Now()
+				_, err := n.Host("a").Dial(ctx, "b")
+				qt.Check(t, errors.Is(err, test.want), qt.IsTrue, qt.Commentf("%v", err))
+				qt.Check(t, time.Since(began), qt.Equals, test.after)
+			})
+		})
+	}
+}
+
+// errTimeout stands for the failure of an operation whose deadline has passed.
+var errTimeout = errors.New("deadline")
+
+func isTimeout(err error) bool {
+	var n net.Error
+	return errors.As(err, &n) && n.Timeout() && !errors.Is(err, syscall.ETIMEDOUT)
+}
