--- a/internal/playnet/playnet_test.go
+++ b/internal/playnet/playnet_test.go
@@ -50,32 +50,35 @@
 func TestArrival(t *testing.T) {
 	const rate = 100_000
 	for name, test := range map[string]struct {
-		network playnet.Network
+		network *playnet.Network // nil for one without bounds
 		size    int
 		trouble func(p *pair)
 		want    time.Duration
 	}{
 		"one packet":                    {size: 100, want: delay},
-		"one packet at a rate":          {network: playnet.Network{Rate: rate}, size: 1000, want: 20*time.Millisecond + delay},
-		"many packets at a rate":        {network: playnet.Network{Rate: rate}, size: 150_000, want: 1515*time.Millisecond + delay},
+		"one packet at a rate":          {network: &playnet.Network{Rate: rate}, size: 1000, want: 20*time.Millisecond + delay},
+		"many packets at a rate":        {network: &playnet.Network{Rate: rate}, size: 150_000, want: 1515*time.Millisecond + delay},
 		"both ways silent":              {size: 100, trouble: func(p *pair) { p.b.Silence(time.Second) }, want: time.Second + delay},
 		"sender silent":                 {size: 100, trouble: func(p *pair) { p.a.SilenceUp(time.Second) }, want: time.Second + delay},
 		"only the way back silent":      {size: 100, trouble: func(p *pair) { p.b.SilenceUp(time.Second) }, want: delay},
-		"silent for less than Timeout":  {network: playnet.Network{Timeout: 2 * time.Second}, size: 100, trouble: func(p *pair) { p.b.Silence(time.Second) }, want: time.Second + delay},
+		"silent for less than Timeout":  {network: &playnet.Network{Timeout: 2 * time.Second}, size: 100, trouble: func(p *pair) { p.b.Silence(time.Second) }, want: time.Second + delay},
 		"a packet is lost":              {size: 100, trouble: func(p *pair) { p.a.Lose(1) }, want: 200*time.Millisecond + delay},
 		"a packet is lost three times":  {size: 5000, trouble: func(p *pair) { p.a.Lose(3) }, want: 1400*time.Millisecond + delay},
 		"receiver suspended":            {size: 100, trouble: func(p *pair) { p.b.Suspend(time.Second) }, want: time.Second},
 		"sender suspended":              {size: 100, trouble: func(p *pair) { p.a.Suspend(time.Second) }, want: time.Second + delay},
-		"a window is under way at once": {network: playnet.Network{Window: 1500}, size: 4500, want: 5 * delay},
+		"a window is under way at once": {network: &playnet.Network{Window: 1500}, size: 4500, want: 5 * delay},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				network := test.network
+				if network == nil {
+					network = new(playnet.Network)
+				}
 				network.Delay = delay
 				if network.Window == 0 {
 					network.Window = 1 << 20
 				}
-				p := connect(t, &network)
+				p := connect(t, network)
 				if test.trouble != nil {
 					test.trouble(p)
 				}
