entry: tests of requests at an instance that has lost its power, and of an entry that stops

An exchange with such an instance ends as peerLost within Limits.Silence, the kernel's timeout and one look after the last byte heard; what may be repeated is with another upstream no later than Limits.Silence after that byte; what may not is sent once. Requests sent meanwhile and after go elsewhere at once. What an entry's stop ends is told as stopped.

--- /dev/null
+++ b/entry/deadnode_test.go
@@ -0,0 +1,218 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package entry_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/entry"
+	"sassafrasfront.example/internal/playnet"
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/verdict"
+)
+
+const (
+	// linkLook is how often a connection with open calls is looked at.
+	linkLook = linkSilence / 4
+	// linkDelay is what a packet takes.
+	linkDelay = time.Millisecond
+	// linkLoss is the longest time from the last byte of an instance without power until the
+	// requests at it end.
+	linkLoss = linkSilence + linkTimeout + linkLook
+)
+
+// quick is a network without a bound on the rate.
+func quick() *playnet.Network {
+	return &playnet.Network{Delay: linkDelay, Window: linkWindow, Timeout: linkTimeout}
+}
+
+// again is the configuration of a service whose requests may be sent once more.
+func again() operator.Service {
+	return operator.Service{Retry: operator.Retry{MaxTries: 3, Share: 0.1, Burst: 20}}
+}
+
+// requestTo returns a request with a target of its own.
+func (w *distant) requestTo(target string, idempotent bool) *entry.Request {
+	r := w.request(idempotent, 0)
+	r.Target = target
+	return r
+}
+
+// sendTo sends such a request, as send does.
+func (w *distant) sendTo(target string, idempotent bool) (string, error) {
+	return w.send(w.requestTo(target, idempotent))
+}
+
+// failedAfter returns when the first sending that failed for a cause ended, from the beginning
+// of the request, or -1 if there is none.
+func failedAfter(r *entry.Request, c verdict.Cause) time.Duration {
+	for _, s := range r.Steps {
+		if s.Event == entry.EventFailed && s.Cause == c {
+			return s.After
+		}
+	}
+	return -1
+}
+
+// causeOf returns the cause of a failed request, or the empty one.
+func causeOf(err error) verdict.Cause {
+	if e, ok := err.(*verdict.Error); ok && e != nil {
+		return e.Cause
+	}
+	return ""
+}
+
+// answerAfter answers each call with the name of its node after the given time.
+func answerAfter(d time.Duration) func(node string, in *peer.Inbound) {
+	return func(node string, in *peer.Inbound) {
+		time.Sleep(d)
+		_ = in.Reply(&peer.Answer{Status: 200, Body: []byte(node)})
+	}
+}
+
+// TestRequestAtDeadNode guards against callers that are held for as long as their deadlines by
+// an instance that has lost its power, and against its requests being run twice.
+func TestRequestAtDeadNode(t *testing.T) {
+	for name, test := range map[string]struct {
+		gates      int
+		idempotent bool
+		before     time.Duration // how long the node is silent for before, while it has the call
+		off        time.Duration // when it loses its power, from the arrival of the call
+		answered   bool
+	}{
+		"not idempotent":                           {gates: 2},
+		"not idempotent, off in the run":           {gates: 2, off: time.Second},
+		"not idempotent, off after a silence":      {gates: 2, before: time.Second, off: 5 * time.Second},
+		"not idempotent, off after two silences":   {gates: 2, before: 2 * time.Second, off: 8 * time.Second},
+		"idempotent":                               {gates: 2, idempotent: true, answered: true},
+		"idempotent, off in the run":               {gates: 2, idempotent: true, off: time.Second, answered: true},
+		"idempotent, off after a silence":          {gates: 2, idempotent: true, before: linkSilence / 2, off: 2 * time.Second, answered: true},
+		"idempotent, and no other upstream":        {gates: 1, idempotent: true},
+		"idempotent, and no other, off in the run": {gates: 1, idempotent: true, off: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newDistant(test.gates, quick(), again(), 0)
+				defer w.stop()
+				var dead string
+				var off time.Time
+				w.play = func(node string, in *peer.Inbound) {
+					if in.Call.Try == 1 && in.Call.Target == "/" {
+						dead = node
+						w.Host(node).Silence(test.before)
+						time.Sleep(test.off)
+						w.Host(node).PowerOff()
+						off = time.Now()
+						time.Sleep(time.Minute) // its process is gone, and answers nothing
+						return
+					}
+					answerAfter(100*time.Millisecond)(node, in)
+				}
+				time.Sleep(time.Second)
+				began := time.Now()
+				r := w.requestTo("/", test.idempotent)
+				got, err := w.send(r)
+				ended := time.Now()
+				calls := w.callsOf("/")
+				if test.answered {
+					qt.Check(t, err, qt.IsNil)
+					qt.Assert(t, calls, qt.HasLen, 2)
+					qt.Check(t, got, qt.Equals, calls[1].node)
+					qt.Check(t, calls[1].node != dead, qt.IsTrue)
+					sent := calls[1].at.Add(-linkDelay)
+					qt.Check(t, !sent.After(off.Add(linkDelay+linkSilence)), qt.IsTrue, qt.Commentf("sent %v after the last byte", sent.Sub(off)))
+				} else {
+					qt.Check(t, causeOf(err), qt.Equals, verdict.PeerLost, qt.Commentf("%v", err))
+					lost := began.Add(failedAfter(r, verdict.PeerLost)).Sub(off)
+					qt.Check(t, lost > linkSilence && lost <= linkLoss, qt.IsTrue, qt.Commentf("lost %v after the last byte", lost))
+					// What may be repeated is repeated at a node that can't be dialled.
+					repeated := time.Duration(0)
+					if test.idempotent {
+						repeated = 2 * linkHandshake
+					}
+					qt.Check(t, ended.Sub(off) <= linkLoss+repeated, qt.IsTrue, qt.Commentf("ended %v after the last byte", ended.Sub(off)))
+					qt.Check(t, calls, qt.HasLen, 1)
+				}
+				time.Sleep(time.Minute)
+				qt.Check(t, len(w.callsOf("/")), qt.Equals, len(calls))
+			})
+		})
+	}
+}
+
+// TestRequestsBesideDeadNode guards against new requests that are sent to an instance without
+// power while its connection has not ended, or wait for it to be dialled anew.
+func TestRequestsBesideDeadNode(t *testing.T) {
+	for name, idempotent := range map[string]bool{"idempotent": true, "not idempotent": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newDistant(3, quick(), again(), 0)
+				defer w.stop()
+				var dead string
+				w.play = func(node string, in *peer.Inbound) {
+					if in.Call.Target == "/dead" && dead == "" {
+						dead = node
+						w.Host(node).PowerOff()
+					}
+					if node == dead {
+						time.Sleep(time.Minute)
+						return
+					}
+					answerAfter(20*time.Millisecond)(node, in)
+				}
+				time.Sleep(time.Second)
+				var all sync.WaitGroup
+				all.Go(func() { _, _ = w.sendTo("/dead", false) })
+				time.Sleep(linkSilence + linkLook)
+				for i := range 200 { // for four seconds, beyond the end of the connection
+					all.Go(func() {
+						target := fmt.Sprint("/", i)
+						began := time.Now()
+						_, err := w.sendTo(target, idempotent)
+						qt.Check(t, err, qt.IsNil)
+						qt.Check(t, time.Since(began), qt.Equals, 20*time.Millisecond+2*linkDelay)
+						qt.Check(t, w.callsOf(target), qt.HasLen, 1)
+					})
+					time.Sleep(20 * time.Millisecond)
+				}
+				all.Wait()
+				for _, call := range w.calls {
+					qt.Check(t, call.node == dead, qt.Equals, call.target == "/dead", qt.Commentf("%v", call))
+				}
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
+
+// TestStopTellsItsCause guards against requests that end with their entry's stop and are told
+// as if the other node had been lost.
+func TestStopTellsItsCause(t *testing.T) {
+	for name, trouble := range map[string]func(w *distant){
+		"over a sound link":  func(*distant) {},
+		"over a silent link": func(w *distant) { w.gates[0].Silence(2 * time.Second) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newDistant(1, quick(), once(), 0)
+				defer w.stop()
+				time.Sleep(time.Second)
+				began := time.Now()
+				time.AfterFunc(100*time.Millisecond, func() { trouble(w) })
+				time.AfterFunc(time.Second, w.dispatcher.Close)
+				_, err := w.sendTo("/", true)
+				qt.Check(t, causeOf(err), qt.Equals, verdict.Stopped, qt.Commentf("%v", err))
+				qt.Check(t, time.Since(began), qt.Equals, time.Second)
+			})
+		})
+	}
+}
--- a/entry/silentlink_test.go
+++ b/entry/silentlink_test.go
@@ -47,14 +47,31 @@
 	gates      []*playnet.Host
 	stop       func()
 
-	mu   sync.Mutex
-	runs map[string]int // calls that upstreams have begun to run, by node
-	cut  int            // runs whose call ended before their answer
+	// play, if not nil, plays the gates and their upstreams in place of run. It is set before
+	// the first request.
+	play func(node string, in *peer.Inbound)
+
+	mu    sync.Mutex
+	runs  map[string]int // calls that upstreams have begun to run, by node
+	cut   int            // runs whose call ended before their answer
+	calls []arrival      // what has come to the gates
+}
+
+// arrival is a call that has come to a gate.
+type arrival struct {
+	node, target string
+	at           time.Time
 }
 
 // newDistant starts an entry and n gates on a network, whose upstreams take linkWork for each
 // call and answer with the given number of bytes.
 func newDistant(n int, network *playnet.Network, config operator.Service, answer int) *distant {
+	limits := peer.Limits{Silence: linkSilence, Handshake: linkHandshake}
+	return newDistantWithin(limits, n, network, config, answer)
+}
+
+// newDistantWithin is newDistant with bounds on the entry's connections.
+func newDistantWithin(limits peer.Limits, n int, network *playnet.Network, config operator.Service, answer int) *distant {
 	w := &distant{
 		Network: network,
 		entry:   network.Host("entry"),
@@ -74,7 +91,14 @@
 		server := &peer.Server{
 			Hello:  peer.Hello{Node: addr},
 			Limits: peer.Limits{Silence: linkSilence, Handshake: linkHandshake, UnderWay: linkUnderWay},
-			Call:   func(in *peer.Inbound) { w.run(addr, in, answer) },
+			Call: func(in *peer.Inbound) {
+				w.arrived(addr, in)
+				if w.play != nil {
+					w.play(addr, in)
+					return
+				}
+				w.run(addr, in, answer)
+			},
 		}
 		listener := host.Listen()
 		servers.Go(func() { _ = server.Run(ctx, listener) })
@@ -82,7 +106,7 @@
 	}
 	w.dispatcher = &entry.Dispatcher{
 		Hello:  peer.Hello{Node: "entry"},
-		Limits: peer.Limits{Silence: linkSilence, Handshake: linkHandshake},
+		Limits: limits,
 		Dial:   w.entry.Dial,
 	}
 	w.dispatcher.Set(map[string]*entry.Service{service.Name: service})
@@ -105,6 +129,29 @@
 	}
 }
 
+// arrived notes a call that has come to a gate.
+func (w *distant) arrived(node string, in *peer.Inbound) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.calls = append(w.calls, arrival{
+		node:   node,
+		target: in.Call.Target,
+		at:     time.Now(),
+	})
+}
+
+// callsOf returns the calls that have come for a target, in order.
+func (w *distant) callsOf(target string) (list []arrival) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, a := range w.calls {
+		if a.target == target {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
 // run plays a gate and its upstream, which works on to its end whatever becomes of the call.
 func (w *distant) run(node string, in *peer.Inbound, answer int) {
 	if in.Call.Ahead {
