entry: tests of calls whose bodies were not handed over, and of a full send buffer

A call whose body was not wholly handed over when the link or the process fell silent is withdrawn, sent elsewhere, be it idempotent or not, and does not run at the silent node, though its process goes on. A call that waits to be written is given up at its deadline, and what is told as not run has not run.

--- /dev/null
+++ b/entry/bodylink_test.go
@@ -0,0 +1,195 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package entry_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/entry"
+	"sassafrasfront.example/internal/playnet"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/verdict"
+)
+
+// takeBody plays a gate that waits before it admits a call, and runs it once it may.
+func (w *distant) takeBody(node string, in *peer.Inbound, queue time.Duration) {
+	if in.Call.Ahead {
+		if _, err := in.Receive(in.Context()); err != nil {
+			in.Fail(verdict.As(err, verdict.BodyLost), nil)
+			return
+		}
+	}
+	select {
+	case <-time.After(queue):
+	case <-in.Context().Done():
+		return
+	}
+	if err := in.Admit(); err != nil {
+		in.Fail(verdict.As(err, verdict.BodyLost), nil)
+		return
+	}
+	w.mu.Lock()
+	w.runs[node]++
+	w.mu.Unlock()
+	n, err := io.Copy(io.Discard, in.Body())
+	if err != nil {
+		return
+	}
+	time.Sleep(100 * time.Millisecond)
+	_ = in.Reply(&peer.Answer{Status: 200, Body: []byte(fmt.Sprint(node, " ", n))})
+}
+
+// TestBodyNotHandedOver guards against calls that can't have run, as their bodies had not been
+// handed over when the link fell silent, and are told as lost, kept until the end of the
+// silence, or run after they were sent elsewhere.
+func TestBodyNotHandedOver(t *testing.T) {
+	const silence = 2 * time.Second
+	for name, test := range map[string]struct {
+		size    int
+		stream  bool          // whether the body can be read once only
+		queue   time.Duration // how long the call waits to be admitted
+		after   time.Duration // when the link falls silent, from the arrival of the call
+		trouble func(h *playnet.Host)
+	}{
+		"ahead, nothing asked for":           {size: 120 << 10, trouble: func(h *playnet.Host) { h.Silence(silence) }},
+		"ahead, asked for over a lost path":  {size: 120 << 10, trouble: func(h *playnet.Host) { h.SilenceUp(silence) }},
+		"ahead, partly sent":                 {size: 240 << 10, after: 50 * time.Millisecond, trouble: func(h *playnet.Host) { h.Silence(silence) }},
+		"ahead, partly sent, one way silent": {size: 240 << 10, after: 50 * time.Millisecond, trouble: func(h *playnet.Host) { h.SilenceUp(silence) }},
+		"stream, waits to be admitted":       {size: 300 << 10, stream: true, queue: time.Second, after: 50 * time.Millisecond, trouble: func(h *playnet.Host) { h.Silence(silence) }},
+		"stream, admitted over a lost path":  {size: 300 << 10, stream: true, queue: 60 * time.Millisecond, after: 50 * time.Millisecond, trouble: func(h *playnet.Host) { h.SilenceUp(silence) }},
+		"large, waits to be admitted":        {size: 300 << 10, queue: time.Second, after: 50 * time.Millisecond, trouble: func(h *playnet.Host) { h.Silence(silence) }},
+		"ahead, process suspended":           {size: 120 << 10, trouble: func(h *playnet.Host) { h.Suspend(silence) }},
+	} {
+		for kind, idempotent := range map[string]bool{"idempotent": true, "not idempotent": false} {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					network := quick()
+					network.Rate = linkRate
+					w := newDistant(2, network, again(), 0)
+					defer w.stop()
+					var silent string
+					var fell time.Time
+					w.play = func(node string, in *peer.Inbound) {
+						if silent == "" {
+							silent = node
+							time.AfterFunc(test.after, func() {
+								test.trouble(w.Host(node))
+								fell = time.Now()
+							})
+							if test.after == 0 {
+								time.Sleep(time.Millisecond)
+							}
+						}
+						w.takeBody(node, in, test.queue)
+					}
+					time.Sleep(time.Second)
+					r := w.request(idempotent, test.size)
+					if test.stream {
+						r.Stream = entry.Once(bytes.NewReader(r.Body))
+						r.Body = nil
+					}
+					got, err := w.send(r)
+					qt.Assert(t, err, qt.IsNil)
+					calls := w.callsOf("/")
+					qt.Assert(t, calls, qt.HasLen, 2)
+					qt.Check(t, calls[1].node != silent, qt.IsTrue)
+					qt.Check(t, got, qt.Equals, fmt.Sprint(calls[1].node, " ", test.size))
+					withdrawn := failedAfter(r, verdict.NotWritten)
+					qt.Check(t, withdrawn >= 0, qt.IsTrue, qt.Commentf("steps %v", r.Steps))
+					qt.Check(t, calls[1].at.Sub(fell) <= linkSilence+linkLook+50*time.Millisecond, qt.IsTrue, qt.Commentf("sent again after %v", calls[1].at.Sub(fell)))
+					time.Sleep(20 * time.Second)
+					w.mu.Lock()
+					defer w.mu.Unlock()
+					qt.Check(t, w.runs, qt.DeepEquals, map[string]int{calls[1].node: 1})
+				})
+			})
+		}
+	}
+}
+
+// TestFullSendBuffer guards against calls that wait to be written to a peer that does not read,
+// and outlast their deadlines, or run after they were told as not run.
+func TestFullSendBuffer(t *testing.T) {
+	const fillers = 6 // fill the buffer, one of them in part
+	fullBuffer(t, func(i int) time.Duration {
+		if i < fillers {
+			return time.Minute
+		}
+		return time.Second
+	})
+}
+
+// fullBuffer sends calls, with the given times until their deadlines, that the buffer of a
+// connection can't hold, to a peer that does not read for some time.
+func fullBuffer(t *testing.T, deadline func(i int) time.Duration) {
+	for name, suspended := range map[string]time.Duration{
+		"reads again in time":            linkSilence / 2,
+		"reads again after Silence":      2 * linkSilence,
+		"reads again after the deadline": 2 * time.Second,
+		"does not read again":            time.Hour,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network := quick()
+				network.Window = 16 << 10
+				network.Buffer = 16 << 10
+				w := newDistant(1, network, again(), 0)
+				defer w.stop()
+				ran := make(map[string]bool)
+				w.play = func(node string, in *peer.Inbound) {
+					w.mu.Lock()
+					ran[in.Call.Target] = true
+					w.mu.Unlock()
+					_ = in.Reply(&peer.Answer{Status: 200, Body: []byte(node)})
+				}
+				time.Sleep(time.Second)
+				w.gates[0].Suspend(suspended)
+				told := make(map[string]verdict.Cause)
+				var all sync.WaitGroup
+				for i := range 20 {
+					all.Go(func() {
+						r := w.request(false, entry.InlineBody)
+						r.Target = fmt.Sprint("/", i)
+						r.Deadline = time.Now().Add(deadline(i))
+						began := time.Now()
+						_, err := w.send(r)
+						qt.Check(t, time.Since(began) <= deadline(i), qt.IsTrue, qt.Commentf("%s: %v after %v", r.Target, err, time.Since(began)))
+						w.mu.Lock()
+						defer w.mu.Unlock()
+						told[r.Target] = causeOf(err)
+					})
+					synctest.Wait()
+				}
+				all.Wait()
+				time.Sleep(20 * time.Second)
+				notRun := 0
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				for target, c := range told {
+					if c != "" && verdict.New(c, nil).Verdict() == verdict.NotRun {
+						notRun++
+						qt.Check(t, ran[target], qt.IsFalse, qt.Commentf("%s: %s", target, c))
+					}
+				}
+				if suspended > time.Second {
+					qt.Check(t, notRun > 0, qt.IsTrue, qt.Commentf("%v", told))
+				}
+				if suspended < linkSilence {
+					for target, c := range told {
+						qt.Check(t, c, qt.Equals, verdict.Cause(""), qt.Commentf("%s", target))
+					}
+				}
+			})
+		})
+	}
+}
