entry: failing test: a caller is held beyond its deadline by a call that is written in part

Callers see: a request whose deadline is 1 s is answered after 1.2, 2 or 3 s, up to Limits.Write, where its node does not read and the send buffer takes a part of the call only.

Cause: link.begin writes in the goroutine of the caller.

--- a/entry/bodylink_test.go
+++ b/entry/bodylink_test.go
@@ -129,6 +129,12 @@
 	})
 }
 
+// TestPartlyWrittenCall guards against a caller that is held beyond the deadline because a part
+// of its call is in the kernel's buffer and there is no room for the rest.
+func TestPartlyWrittenCall(t *testing.T) {
+	fullBuffer(t, func(int) time.Duration { return time.Second })
+}
+
 // fullBuffer sends calls, with the given times until their deadlines, that the buffer of a
 // connection can't hold, to a peer that does not read for some time.
 func fullBuffer(t *testing.T, deadline func(i int) time.Duration) {
