entry: tests of connections that another takes the place of, and of sendings that lose

New calls leave a silent connection for a new one; the old one's answers are delivered, and it closes once nothing is open on it. Calls that are begun while their connection closes for idleness, is replaced, or whose member leaves are answered. The end of one sending does not end the other; answers that have begun, informational ones and second sendings outlast a silence.

--- /dev/null
+++ b/entry/oldlink_test.go
@@ -0,0 +1,362 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/entry"
+	"sassafrasfront.example/internal/playnet"
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/verdict"
+)
+
+// dials counts the connections that an entry opens and closes.
+type dials struct {
+	mu             sync.Mutex
+	opened, closed int
+}
+
+// counts returns how many connections have been opened and closed.
+func (d *dials) counts() (opened, closed int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.opened, d.closed
+}
+
+// dial opens a connection as h does.
+func (d *dials) dial(h *playnet.Host) func(ctx context.Context, addr string) (net.Conn, error) {
+	return func(ctx context.Context, addr string) (net.Conn, error) {
+		c, err := h.Dial(ctx, addr)
+		if err != nil {
+			return nil, err
+		}
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.opened++
+		return &counted{Conn: c, dials: d}, nil
+	}
+}
+
+// counted is a connection that dials has opened.
+type counted struct {
+	net.Conn
+	dials *dials
+	once  sync.Once
+}
+
+// Close implements net.Conn.
+func (c *counted) Close() error {
+	c.once.Do(func() {
+		c.dials.mu.Lock()
+		defer c.dials.mu.Unlock()
+		c.dials.closed++
+	})
+	return c.Conn.Close()
+}
+
+// TestSilentConnection guards against new calls over a connection that is silent, against calls
+// that end when another takes its place, and against silent connections that are never closed.
+func TestSilentConnection(t *testing.T) {
+	for name, idempotent := range map[string]bool{"idempotent": true, "not idempotent": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newDistant(1, quick(), once(), 0)
+				defer w.stop()
+				w.play = func(node string, in *peer.Inbound) {
+					work := 20 * time.Millisecond
+					if in.Call.Target == "/old" {
+						work = 400 * time.Millisecond
+					}
+					answerAfter(work)(node, in)
+				}
+				time.Sleep(time.Second)
+				opened, _ := w.dials.counts()
+				qt.Assert(t, opened, qt.Equals, 1)
+				var all sync.WaitGroup
+				began := time.Now()
+				all.Go(func() {
+					got, err := w.sendTo("/old", idempotent)
+					qt.Check(t, err, qt.IsNil)
+					qt.Check(t, got, qt.Equals, "gate0")
+					took := time.Since(began)
+					qt.Check(t, took > 1400*time.Millisecond && took < 2*time.Second, qt.IsTrue, qt.Commentf("%v", took))
+				})
+				time.Sleep(100 * time.Millisecond)
+				w.gates[0].Lose(3) // 1.4 s; other connections carry on
+				time.Sleep(linkSilence)
+				for i := range 30 {
+					all.Go(func() {
+						began := time.Now()
+						_, err := w.sendTo(fmt.Sprint("/", i), idempotent)
+						qt.Check(t, err, qt.IsNil)
+						took := time.Since(began)
+						qt.Check(t, took <= 20*time.Millisecond+6*linkDelay, qt.IsTrue, qt.Commentf("request %d took %v", i, took))
+					})
+					time.Sleep(20 * time.Millisecond)
+				}
+				all.Wait()
+				qt.Check(t, len(w.callsOf("/old")), qt.Equals, 1)
+				time.Sleep(100 * time.Millisecond)
+				opened, closed := w.dials.counts()
+				qt.Check(t, opened, qt.Equals, 2)
+				qt.Check(t, closed, qt.Equals, 1, qt.Commentf("connections closed once nothing is open on the old one"))
+				_, err := w.sendTo("/new", idempotent)
+				qt.Check(t, err, qt.IsNil)
+				opened, _ = w.dials.counts()
+				qt.Check(t, opened, qt.Equals, 2)
+			})
+		})
+	}
+}
+
+// TestCallAtClosing guards against calls that end because their connection is closed for
+// idleness, or replaced, at the moment at which they are begun.
+func TestCallAtClosing(t *testing.T) {
+	const idle = 2 * time.Second
+	t.Run("idle", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			limits := peer.Limits{Silence: linkSilence, Handshake: linkHandshake, Idle: idle}
+			w := newDistantWithin(limits, 1, quick(), once(), 0)
+			defer w.stop()
+			w.play = answerAfter(10 * time.Millisecond)
+			for i := -40; i <= 40; i++ {
+				var all sync.WaitGroup
+				for j := range 4 { // they are begun at the moment of the closing and beside it
+					all.Go(func() {
+						time.Sleep(idle + time.Millisecond + time.Duration(i)*50*time.Microsecond + time.Duration(j)*time.Microsecond)
+						_, err := w.sendTo(fmt.Sprint("/", i, "/", j), false)
+						qt.Check(t, err, qt.IsNil, qt.Commentf("%v of %v", j, i))
+					})
+				}
+				all.Wait()
+			}
+			opened, closed := w.dials.counts()
+			qt.Check(t, opened > 20, qt.IsTrue, qt.Commentf("%d", opened))
+			qt.Check(t, closed >= opened-1, qt.IsTrue, qt.Commentf("%d of %d", closed, opened))
+			qt.Check(t, len(w.calls), qt.Equals, 81*4)
+		})
+	})
+	t.Run("replaced", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newDistant(1, quick(), once(), 0)
+			defer w.stop()
+			w.play = answerAfter(10 * time.Millisecond)
+			for i := range 20 {
+				time.Sleep(time.Second)
+				var all sync.WaitGroup
+				all.Go(func() { _, _ = w.sendTo(fmt.Sprint("/", i), false) })
+				time.Sleep(5 * time.Millisecond)
+				w.gates[0].Lose(3)
+				for j := range 40 { // the connection is replaced among them
+					all.Go(func() {
+						time.Sleep(linkSilence - 15*time.Millisecond + time.Duration(j)*time.Millisecond)
+						_, err := w.sendTo(fmt.Sprint("/", i, "/", j), false)
+						qt.Check(t, err, qt.IsNil, qt.Commentf("%v of %v", j, i))
+					})
+				}
+				all.Wait()
+			}
+			opened, _ := w.dials.counts()
+			qt.Check(t, opened >= 21, qt.IsTrue, qt.Commentf("%d", opened))
+			qt.Check(t, len(w.calls), qt.Equals, 20*41)
+		})
+	})
+	t.Run("member leaves", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newDistant(1, quick(), once(), 0)
+			defer w.stop()
+			w.play = answerAfter(2 * time.Minute)
+			r := w.request(false, 0)
+			r.Deadline = time.Now().Add(5 * time.Minute)
+			time.AfterFunc(time.Second, func() { w.dispatcher.Set(nil) })
+			got, err := w.send(r)
+			qt.Check(t, err, qt.IsNil)
+			qt.Check(t, got, qt.Equals, "gate0")
+		})
+	})
+}
+
+// hedged is the configuration of a service whose slow requests are sent a second time.
+func hedged() operator.Service {
+	c := again()
+	c.Hedge = operator.Hedge{Share: 1, Burst: 100, Quantile: 0.5, MinDelay: operator.Duration(50 * time.Millisecond)}
+	return c
+}
+
+// learn has the entry learn how long requests take.
+func (w *distant) learn() {
+	for i := range 100 {
+		_, _ = w.sendTo(fmt.Sprint("/learn/", i), true)
+	}
+}
+
+// TestLoserEnds guards against an answer that ends with the other sending of its request.
+func TestLoserEnds(t *testing.T) {
+	const size = 360 << 10
+	whole := func(in *peer.Inbound) {
+		_ = in.Begin(&peer.Answer{Status: 200, Length: size})
+		_ = in.CopyBody(bytes.NewReader(make([]byte, size)))
+		_ = in.Finish(nil)
+	}
+	for name, test := range map[string]struct {
+		first  func(w *distant, node string, in *peer.Inbound)
+		second func(w *distant, node string, in *peer.Inbound)
+		winner int
+	}{
+		"the first, with an answer later": {
+			first:  func(_ *distant, _ string, in *peer.Inbound) { time.Sleep(time.Second); whole(in) },
+			second: func(_ *distant, _ string, in *peer.Inbound) { whole(in) },
+			winner: 1,
+		},
+		"the first, whose node loses its power": {
+			first:  func(w *distant, node string, _ *peer.Inbound) { w.Host(node).PowerOff(); time.Sleep(time.Minute) },
+			second: func(_ *distant, _ string, in *peer.Inbound) { time.Sleep(10 * time.Second); whole(in) },
+			winner: 1,
+		},
+		"the first, whose connection is reset": {
+			first: func(w *distant, node string, _ *peer.Inbound) {
+				time.Sleep(time.Second)
+				w.Host(node).Reset()
+			},
+			second: func(_ *distant, _ string, in *peer.Inbound) { time.Sleep(2 * time.Second); whole(in) },
+			winner: 1,
+		},
+		"the second, whose connection is reset": {
+			first:  func(_ *distant, _ string, in *peer.Inbound) { time.Sleep(2 * time.Second); whole(in) },
+			second: func(w *distant, node string, _ *peer.Inbound) { w.Host(node).Reset() },
+		},
+		"the second, whose node loses its power": {
+			first:  func(_ *distant, _ string, in *peer.Inbound) { time.Sleep(10 * time.Second); whole(in) },
+			second: func(w *distant, node string, _ *peer.Inbound) { w.Host(node).PowerOff(); time.Sleep(time.Minute) },
+		},
+		"the second, which is refused": {
+			first: func(_ *distant, _ string, in *peer.Inbound) { time.Sleep(2 * time.Second); whole(in) },
+			second: func(_ *distant, _ string, in *peer.Inbound) {
+				in.Fail(verdict.New(verdict.Refused, nil), nil)
+			},
+		},
+		"both silent, the first answers": {
+			first: func(w *distant, node string, in *peer.Inbound) {
+				w.Host(node).Silence(1500 * time.Millisecond)
+				time.Sleep(time.Second)
+				whole(in)
+			},
+			second: func(w *distant, node string, _ *peer.Inbound) {
+				w.Host(node).Silence(2500 * time.Millisecond)
+				time.Sleep(time.Minute)
+			},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newDistant(2, quick(), hedged(), 0)
+				defer w.stop()
+				w.play = func(node string, in *peer.Inbound) {
+					switch {
+					case in.Call.Target != "/":
+						answerAfter(20*time.Millisecond)(node, in)
+					case in.Call.Try == 1:
+						test.first(w, node, in)
+					case in.Call.Try == 2:
+						test.second(w, node, in)
+					default:
+						time.Sleep(time.Minute)
+					}
+				}
+				time.Sleep(time.Second)
+				w.learn()
+				r := w.request(true, 0)
+				result, failed := w.dispatcher.Do(context.Background(), r)
+				qt.Assert(t, failed == nil, qt.IsTrue, qt.Commentf("%v", failed))
+				defer result.Close()
+				data, err := io.ReadAll(result.Body)
+				qt.Check(t, err, qt.IsNil)
+				qt.Check(t, len(data), qt.Equals, size)
+				qt.Check(t, result.Node, qt.Equals, w.callsOf("/")[test.winner].node)
+			})
+		})
+	}
+}
+
+// TestSilenceWithinAnswer guards against answers that are cut, or given up, because the link
+// falls silent once they have begun, or once informational answers have come.
+func TestSilenceWithinAnswer(t *testing.T) {
+	const (
+		size    = 200 << 10
+		silence = 1500 * time.Millisecond
+	)
+	// slowly sends a body in two halves, and has the node be silent between them.
+	slowly := func(w *distant, node string, in *peer.Inbound) {
+		_ = in.Begin(&peer.Answer{Status: 200, Length: size})
+		_ = in.CopyBody(bytes.NewReader(make([]byte, size/2)))
+		time.Sleep(20 * time.Millisecond)
+		w.Host(node).Silence(silence)
+		time.Sleep(50 * time.Millisecond)
+		_ = in.CopyBody(bytes.NewReader(make([]byte, size/2)))
+		_ = in.Finish(nil)
+	}
+	for name, test := range map[string]struct {
+		play    func(w *distant, node string, in *peer.Inbound)
+		sends   int
+		informs int
+	}{
+		"an answer has begun": {play: slowly, sends: 1},
+		"an informational answer has come": {
+			play: func(w *distant, node string, in *peer.Inbound) {
+				_ = in.Inform(103, nil)
+				time.Sleep(10 * time.Millisecond)
+				w.Host(node).Silence(silence)
+				_ = in.Inform(103, nil)
+				time.Sleep(silence / 2)
+				slowly(w, node, in)
+			},
+			sends:   1,
+			informs: 2,
+		},
+		"on the second sending": {
+			play: func(w *distant, node string, in *peer.Inbound) {
+				if in.Call.Try == 1 {
+					in.Fail(verdict.New(verdict.UpstreamLost, nil), nil)
+					return
+				}
+				w.Host(node).Silence(silence)
+				time.Sleep(2 * silence)
+				slowly(w, node, in)
+			},
+			sends: 2,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				config := again()
+				config.Retry.MaxTries = test.sends
+				w := newDistant(2, quick(), config, 0)
+				defer w.stop()
+				w.play = func(node string, in *peer.Inbound) { test.play(w, node, in) }
+				time.Sleep(time.Second)
+				r := w.request(true, 0)
+				informs := 0
+				r.Inform = func(*peer.Inform) { informs++ }
+				got, err := w.send(r)
+				qt.Check(t, err, qt.IsNil)
+				qt.Check(t, len(got), qt.Equals, size)
+				qt.Check(t, entry.Sendings(r.Steps), qt.Equals, test.sends)
+				qt.Check(t, informs, qt.Equals, test.informs)
+			})
+		})
+	}
+}
--- a/entry/silentlink_test.go
+++ b/entry/silentlink_test.go
@@ -45,6 +45,7 @@
 	dispatcher *entry.Dispatcher
 	entry      *playnet.Host
 	gates      []*playnet.Host
+	dials      dials
 	stop       func()
 
 	// play, if not nil, plays the gates and their upstreams in place of run. It is set before
@@ -107,7 +108,7 @@
 	w.dispatcher = &entry.Dispatcher{
 		Hello:  peer.Hello{Node: "entry"},
 		Limits: limits,
-		Dial:   w.entry.Dial,
+		Dial:   w.dials.dial(w.entry),
 	}
 	w.dispatcher.Set(map[string]*entry.Service{service.Name: service})
 	w.addStop(func() {
