peer: tests of what comes late over a silent connection, and of pings that go on

Reports and notices of a connection that another has taken the place of are dropped; an answer without a notice does not clear a newer one. A call at a peer without power ends within Limits.Silence, the kernel's timeout and one look, whatever silences came before.

--- /dev/null
+++ b/peer/oldlink_test.go
@@ -0,0 +1,188 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package peer_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/internal/playnet"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/verdict"
+)
+
+// farPeer is a client and a server on a played network.
+type farPeer struct {
+	client *peer.Client
+	server *peer.Server
+	host   *playnet.Host // the server's
+	stop   func()
+}
+
+const (
+	farSilence = 600 * time.Millisecond
+	farTimeout = 3 * time.Second
+)
+
+// newFarPeer starts a server and makes a client of it.
+func newFarPeer(call func(in *peer.Inbound)) *farPeer {
+	network := &playnet.Network{Delay: time.Millisecond, Window: 256 << 10, Timeout: farTimeout}
+	f := &farPeer{
+		server: &peer.Server{Call: call},
+		host:   network.Host("gate"),
+	}
+	listener := f.host.Listen()
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = f.server.Run(ctx, listener) })
+	from := network.Host("entry")
+	f.client = &peer.Client{
+		Addr:   "gate",
+		Limits: peer.Limits{Silence: farSilence},
+		Dial:   func(ctx context.Context, addr string) (net.Conn, error) { return from.Dial(ctx, addr) },
+	}
+	f.stop = func() {
+		f.client.Close()
+		_ = f.server.Quiesce(context.Background())
+		cancel()
+		running.Wait()
+	}
+	return f
+}
+
+// call makes a call and waits for its result.
+func (f *farPeer) call(target string, notice *peer.Notice) *verdict.Error {
+	m := newCall()
+	m.Target = target
+	m.Notice = notice
+	x, failed := f.client.Start(context.Background(), m, nil)
+	if failed != nil {
+		return failed
+	}
+	defer x.Close()
+	_, failed = x.Wait()
+	return failed
+}
+
+// TestLateReports guards against reports and notices that come late over a connection in whose
+// place there is another, and overwrite what is newer.
+func TestLateReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFarPeer(func(in *peer.Inbound) {
+			running := 2
+			start := "new"
+			if in.Call.Target == "/old" {
+				time.Sleep(100 * time.Millisecond)
+				running = 1
+				start = "old"
+			}
+			in.Notice = &peer.Notice{Start: start, Leaving: true}
+			_ = in.Reply(&peer.Answer{Status: 200, Report: &peer.Report{Running: running}})
+		})
+		defer f.stop()
+		var reports []int
+		var notices []string
+		f.client.Report = func(r peer.Report) { reports = append(reports, r.Running) }
+		f.client.Noticed = func(n *peer.Notice) { notices = append(notices, n.Start) }
+		qt.Assert(t, f.call("/first", nil) == nil, qt.IsTrue)
+		var all sync.WaitGroup
+		began := time.Now()
+		all.Go(func() {
+			failed := f.call("/old", nil)
+			qt.Check(t, failed == nil, qt.IsTrue, qt.Commentf("%v", failed))
+			qt.Check(t, time.Since(began) > 1400*time.Millisecond, qt.IsTrue, qt.Commentf("after %v", time.Since(began)))
+		})
+		time.Sleep(50 * time.Millisecond)
+		f.host.Lose(3)
+		time.Sleep(farSilence)
+		f.server.Tell(&peer.Report{Running: 3}) // over the silent connection, as there is no other yet
+		failed := f.call("/new", nil)
+		qt.Check(t, failed == nil, qt.IsTrue, qt.Commentf("%v", failed))
+		f.server.Tell(&peer.Report{Running: 4}) // over both
+		all.Wait()
+		time.Sleep(time.Second)
+		qt.Check(t, reports, qt.DeepEquals, []int{2, 2, 4})
+		qt.Check(t, notices, qt.DeepEquals, []string{"new", "new"})
+	})
+}
+
+// TestLateClearing guards against an answer without a notice that comes late over a connection
+// in whose place there is another, and is taken to say that a newer notice is over.
+func TestLateClearing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFarPeer(func(in *peer.Inbound) {
+			if in.Call.Target == "/old" {
+				time.Sleep(100 * time.Millisecond)
+			} else {
+				in.Notice = &peer.Notice{Start: "new", Leaving: true}
+			}
+			_ = in.Reply(&peer.Answer{Status: 200})
+		})
+		defer f.stop()
+		var last *peer.Notice
+		f.client.Noticed = func(n *peer.Notice) { last = n }
+		qt.Assert(t, f.call("/first", nil) == nil, qt.IsTrue)
+		var all sync.WaitGroup
+		all.Go(func() {
+			failed := f.call("/old", &peer.Notice{Start: "new", Leaving: true})
+			qt.Check(t, failed == nil, qt.IsTrue, qt.Commentf("%v", failed))
+		})
+		time.Sleep(50 * time.Millisecond)
+		f.host.Lose(3)
+		time.Sleep(farSilence)
+		qt.Check(t, f.call("/new", nil) == nil, qt.IsTrue)
+		all.Wait()
+		qt.Check(t, last, qt.IsNotNil)
+	})
+}
+
+// TestPingsGoOn guards against a call that is not known to be lost because no more pings are
+// sent once the peer is silent, or once it has been heard again.
+func TestPingsGoOn(t *testing.T) {
+	for name, test := range map[string]struct {
+		silences int           // of the peer, before it loses its power
+		each     time.Duration // how long
+	}{
+		"at once":                {},
+		"after a short silence":  {silences: 1, each: farSilence * 3 / 4},
+		"after a long silence":   {silences: 1, each: farTimeout - farSilence},
+		"after several silences": {silences: 4, each: 2 * farSilence},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFarPeer(func(in *peer.Inbound) { <-in.Context().Done() })
+				defer f.stop()
+				var off time.Time
+				go func() {
+					for range test.silences {
+						time.Sleep(time.Second)
+						f.host.Silence(test.each)
+						time.Sleep(test.each)
+					}
+					time.Sleep(time.Second)
+					f.host.PowerOff()
+					off = time.Now()
+				}()
+				m := newCall()
+				m.Remaining = time.Hour
+				x, failed := f.client.Start(context.Background(), m, nil)
+				qt.Assert(t, failed == nil, qt.IsTrue, qt.Commentf("%v", failed))
+				_, failed = x.Wait()
+				qt.Assert(t, failed != nil, qt.IsTrue)
+				qt.Check(t, failed.Cause, qt.Equals, verdict.PeerLost)
+				took := time.Since(off)
+				qt.Check(t, !off.IsZero() && took <= farSilence*5/4+farTimeout, qt.IsTrue, qt.Commentf("%v after the end of power", took))
+				x.Close()
+				time.Sleep(2 * time.Hour) // the server's connection ends with the call's time
+			})
+		})
+	}
+}
