caller: an answer says so when the connection ends for the rest of the body

What callers see: a request with a body of more than 256 KiB is refused, or answered, before its body has come in. The answer says nothing of the connection, which is then cut without notice. A further request on it, which a caller may send at once, gets no answer, and one that is not idempotent can't be sent again.

Cause: after an answer up to 256 KiB of the rest of the body are read, so that the connection can be used again; where more is left, it is aborted. The head of the answer had gone out by then.

The head now says "Connection: close" where more than that is known to be left of the body, and the server ends the connection after the answer in good order. What is not known is not changed: bodies without a length, and callers that take over a second for the rest. HTTP/2, whose streams end by themselves, is not concerned.

The rows of the test now say how much is sent and read before the answer.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -74,6 +74,7 @@
 		panic(err) // a Problem holds strings and numbers
 	}
 	h.Set("Content-Length", strconv.Itoa(len(body)))
+	x.closes = x.bodyOutlasts()
 	x.writeHead(status)
 	_, _ = x.w.Write(body)
 }
@@ -87,6 +88,12 @@
 	x.w.WriteHeader(status)
 }
 
+// bodyOutlasts returns whether the rest of the body is too long to be read for the sake of the
+// connection, which then ends with the answer.
+func (x *exchange) bodyOutlasts() bool {
+	return x.streamed != nil && x.r.ProtoMajor == 1 && x.streamed.outlasts()
+}
+
 // retryAfter returns d as the value of Retry-After, in whole seconds unless
 // callers take fractions.
 func retryAfter(d time.Duration, fractional bool) string {
@@ -121,7 +128,7 @@
 	}
 	// The end of an answer without a length goes out when the handler returns, and
 	// so not while the rest of the body is read.
-	x.closes = h.Get("Content-Length") == "" && x.streamed != nil && !x.streamed.ended()
+	x.closes = h.Get("Content-Length") == "" && x.streamed != nil && !x.streamed.ended() || x.bodyOutlasts()
 	x.writeHead(result.Status)
 	if err := x.copyBody(result); err != nil {
 		x.outcome.Failure = verdict.As(err, verdict.CallerGone)
--- a/caller/body.go
+++ b/caller/body.go
@@ -37,6 +37,7 @@
 	reader  io.Reader
 	request *http.Request
 	broken  *atomic.Bool
+	taken   atomic.Int64 // bytes that have been read
 	// withheld are the fields that its trailer can't bear.
 	withheld []string
 
@@ -85,6 +86,7 @@
 // read reads, and notes how the body ends. The lock is held.
 func (b *streamedBody) read(p []byte) (int, error) {
 	n, err := b.reader.Read(p)
+	b.taken.Add(int64(n))
 	if err != nil {
 		b.err = err
 	}
@@ -112,6 +114,11 @@
 	return b.err == io.EOF
 }
 
+// outlasts returns whether more of the body is known to be left than finish reads.
+func (b *streamedBody) outlasts() bool {
+	return b.request.ContentLength-b.taken.Load() > drainBytes
+}
+
 // finish ends the reading by others, and reads what little is left. It returns
 // whether the body has ended, so that another request may follow it.
 func (b *streamedBody) finish() bool {
--- a/caller/body_test.go
+++ b/caller/body_test.go
@@ -27,11 +27,12 @@
 	"sassafrasfront.example/verdict"
 )
 
-// hasty answers each request as soon as it has begun to read its body, and leaves
-// the reading of the rest to a goroutine, as a sending does whose gate has answered.
+// hasty answers each request as soon as it has read the first bytes of its body, one at least, and
+// leaves the reading of the rest to a goroutine, as a sending does whose gate has answered.
 type hasty struct {
 	refuses bool
 	length  int64
+	first   int
 	reading sync.WaitGroup
 }
 
@@ -44,7 +45,7 @@
 	if body != nil {
 		first := make(chan struct{})
 		h.reading.Go(func() {
-			_, _ = body.Read(make([]byte, 1))
+			_, _ = io.ReadFull(body, make([]byte, max(1, h.first)))
 			close(first)
 			_, _ = io.Copy(io.Discard, body)
 		})
@@ -70,21 +71,24 @@
 
 // TestAnswerBeforeBody has a caller send a large body, which is kept or not, that is
 // answered before it has come in. The caller gets the answer whole, and its next request on the same
-// connection is answered too, unless the first answer said that none may follow.
+// connection is answered too, unless the first answer said that none may follow. It guards against
+// one that was sent and got no answer, as the connection was closed for the rest of the body.
 func TestAnswerBeforeBody(t *testing.T) {
-	const kept, once = 200 << 10, 300 << 10
+	const kept, once, part, little = 200 << 10, 300 << 10, 100 << 10, 20 << 10
 	tests := map[string]struct {
 		dispatcher *hasty
-		size       int
+		size, sent int // sent before the answer
 		status     int
 		closes     bool
 	}{
-		"kept, refused":                 {&hasty{refuses: true}, kept, 503, false},
-		"kept, answered":                {&hasty{length: 4}, kept, 200, false},
-		"kept, answered without length": {&hasty{length: -1}, kept, 200, true},
-		"refused":                       {&hasty{refuses: true}, once, 503, false},
-		"answered":                      {&hasty{length: 4}, once, 200, false},
-		"answered without length":       {&hasty{length: -1}, once, 200, true},
+		"kept, refused":                 {&hasty{refuses: true}, kept, kept / 2, 503, false},
+		"kept, answered":                {&hasty{length: 4}, kept, kept / 2, 200, false},
+		"kept, answered without length": {&hasty{length: -1}, kept, kept / 2, 200, true},
+		"refused":                       {&hasty{refuses: true, first: part}, once, once / 2, 503, false},
+		"refused, little sent":          {&hasty{refuses: true}, once, little, 503, true},
+		"answered":                      {&hasty{length: 4, first: part}, once, once / 2, 200, false},
+		"answered, little sent":         {&hasty{length: 4}, once, little, 200, true},
+		"answered without length":       {&hasty{length: -1}, once, once / 2, 200, true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -103,7 +107,7 @@
 			r := bufio.NewReader(c)
 			for range 2 {
 				fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: service.example\r\nContent-Length: %d\r\n\r\n", test.size)
-				_, err = c.Write(make([]byte, test.size/2))
+				_, err = c.Write(make([]byte, test.sent))
 				qt.Assert(t, err, qt.IsNil)
 				a, err := http.ReadResponse(r, nil)
 				qt.Assert(t, err, qt.IsNil)
@@ -111,7 +115,7 @@
 				_, err = io.Copy(io.Discard, a.Body)
 				qt.Check(t, err, qt.IsNil)
 				qt.Check(t, a.Close, qt.Equals, test.closes)
-				_, _ = c.Write(make([]byte, test.size-test.size/2)) // the rest; the connection may be closed
+				_, _ = c.Write(make([]byte, test.size-test.sent)) // the rest; the connection may be closed
 				if test.closes {
 					break
 				}
