--- /dev/null
+++ b/gate/goeson_test.go
@@ -0,0 +1,90 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package gate_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/gate"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/upstream"
+)
+
+// TestRunsGoOn guards against the loss of requests at whose upstream work goes on, by what the gate
+// learns meanwhile: it may refuse others by that, and end none.
+func TestRunsGoOn(t *testing.T) {
+	announced := func(address string) upstream.Announcement {
+		return upstream.Announcement{Service: "service", Address: address, Slots: 4, Connections: 4, Start: "one"}
+	}
+	events := map[string]func(g *gate.Gate, a upstream.Announcement){
+		"the node leaves":          func(g *gate.Gate, _ upstream.Announcement) { g.Leave() },
+		"the zone is evacuated":    func(g *gate.Gate, _ upstream.Announcement) { g.Evacuate(true) },
+		"the version is withheld":  func(g *gate.Gate, _ upstream.Announcement) { g.Withhold(true) },
+		"it is withdrawn":          func(g *gate.Gate, _ upstream.Announcement) { g.Announce(nil) },
+		"its service is withdrawn": func(g *gate.Gate, _ upstream.Announcement) { g.Configure(nil) },
+		"it says in an answer that it leaves": func(g *gate.Gate, a upstream.Announcement) {
+			g.Notice(a.Start, upstream.Notice{Leaving: true, Asked: time.Now()})
+		},
+		"it names a limit of none": func(g *gate.Gate, a upstream.Announcement) {
+			g.Notice(a.Start, upstream.Notice{Limited: true, Asked: time.Now()})
+		},
+		"it drains":          func(g *gate.Gate, a upstream.Announcement) { a.Draining = true; g.Announce(&a) },
+		"it has fewer slots": func(g *gate.Gate, a upstream.Announcement) { a.Slots, a.Connections = 1, 1; g.Announce(&a) },
+		"it has another address": func(g *gate.Gate, a upstream.Announcement) {
+			a.Address = "127.0.0.1:1"
+			g.Announce(&a)
+		},
+		"it is of another service": func(g *gate.Gate, a upstream.Announcement) { a.Service = "other"; g.Announce(&a) },
+		"another start, and back": func(g *gate.Gate, a upstream.Announcement) {
+			b := a
+			b.Start = "two"
+			g.Announce(&b)
+			g.Announce(&a)
+		},
+		"it turns cold": func(g *gate.Gate, _ upstream.Announcement) { g.ColdAtLeast(time.Minute) },
+	}
+	for name, event := range events {
+		for _, begun := range []bool{false, true} {
+			stage := "before its answer"
+			if begun {
+				stage = "within its answer"
+			}
+			t.Run(name+"/"+stage, func(t *testing.T) {
+				inside, goOn := make(chan struct{}), make(chan struct{})
+				r := newRig(t, 4, func(w http.ResponseWriter, _ *http.Request) {
+					if begun {
+						_, _ = io.WriteString(w, "be")
+						w.(http.Flusher).Flush()
+					}
+					close(inside)
+					<-goOn
+					if !begun {
+						_, _ = io.WriteString(w, "be")
+					}
+					_, _ = io.WriteString(w, "gun")
+				})
+				a := announced(r.address)
+				r.gate.Announce(&a)
+				x, failure := r.client.Start(context.Background(), &peer.Call{Service: "service", Method: "POST", Target: "/", Remaining: time.Minute}, nil)
+				qt.Assert(t, failure == nil, qt.IsTrue)
+				defer x.Close()
+				<-inside
+				event(r.gate, a)
+				close(goOn)
+				response, failure := x.Wait()
+				qt.Assert(t, failure == nil, qt.IsTrue, qt.Commentf("%v", failure))
+				body, err := io.ReadAll(response.Body)
+				qt.Check(t, err, qt.IsNil)
+				qt.Check(t, string(body), qt.Equals, "begun")
+			})
+		}
+	}
+}
