caller: a connection on which a request is handled is not closed from outside

What callers saw: the connection of a request that its upstream was at work on could end without an answer, or the request be given up (callerGone), when the node got SIGTERM or closed its listener.

Cause: net/http looks at a connection's state first and closes it afterwards (closeIdleConns). In between a request may have come in and its handler have begun; Close then really closed the connection. For a request that had come in with the one before (pipelined, so that nothing of it was read anew), Close set a read deadline that had passed, the server's own deadlines were ignored from then on, and the server's background read, which takes the failure for the caller's end, cancelled the context of the request that was being handled.

Evidence: TestCloseMeetsRequest calls Close in that order, on the runtime's clock.

Now Close never closes: a connection with a request ends after its answer, and one between two requests has its reader told to stop. Only the server's StateClosed closes, which a handler that aborts comes to as well. Of HTTP/2 the server closes connections itself. A reader that is told to stop reads once more: a read whose deadline has passed returns nothing, also where a request lies there.

Ruled out: Head and Idle bounds. They apply in phaseHead and phaseIdle only, and the server sets no deadline before a handler begins, so they can't end a request that is being handled or its body.

--- /dev/null
+++ b/caller/closing_test.go
@@ -0,0 +1,175 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package caller_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/caller"
+)
+
+// served is a server of callers on the runtime's clock, with one connection.
+type served struct {
+	t        *testing.T
+	listener *caller.Listener
+	server   *http.Server
+	source   pipes
+	conn     net.Conn     // the caller's end
+	cancels  atomic.Int32 // requests whose contexts ended under their handlers
+}
+
+// serve starts a server whose requests take a second each. Hook, if not nil, is called after the
+// listener has taken in a new state of the connection.
+func serve(t *testing.T, hook func(c net.Conn, s http.ConnState)) *served {
+	s := &served{t: t, source: make(pipes, 1)}
+	s.listener = &caller.Listener{Listener: s.source}
+	s.server = &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/abort" {
+				panic(http.ErrAbortHandler)
+			}
+			body, err := io.ReadAll(r.Body)
+			select {
+			case <-time.After(time.Second):
+			case <-r.Context().Done():
+				s.cancels.Add(1)
+			}
+			if err != nil {
+				body = []byte(err.Error())
+			}
+			_, _ = io.WriteString(w, r.URL.Path+" "+string(body))
+		}),
+		ReadHeaderTimeout: 10 * time.Second,
+		IdleTimeout:       2 * time.Minute,
+		ConnContext:       caller.ConnContext,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			caller.ConnState(c, state)
+			if hook != nil {
+				hook(c, state)
+			}
+		},
+	}
+	var theirs net.Conn
+	s.conn, theirs = net.Pipe()
+	s.source <- theirs
+	go s.server.Serve(s.listener)
+	t.Cleanup(func() {
+		_ = s.conn.Close()
+		close(s.source)
+	})
+	return s
+}
+
+// send writes to the server, without waiting for it.
+func (s *served) send(text string) {
+	go func() { _, _ = io.WriteString(s.conn, strings.ReplaceAll(text, "\n", "\r\n")) }()
+	synctest.Wait()
+}
+
+// answers yields the bodies of all answers, and is closed when the connection ends.
+func (s *served) answers() <-chan string {
+	all := make(chan string, 10)
+	go func() {
+		defer close(all)
+		from := bufio.NewReader(s.conn)
+		for {
+			r, err := http.ReadResponse(from, nil)
+			if err != nil {
+				return
+			}
+			body, err := io.ReadAll(r.Body)
+			if err != nil {
+				return
+			}
+			all <- string(body)
+		}
+	}()
+	return all
+}
+
+// quiet checks that the listener's connections end, and that no handler lost its caller.
+func (s *served) quiet() {
+	s.t.Helper()
+	ctx, cancel := context.WithTimeout(s.t.Context(), time.Minute)
+	defer cancel()
+	qt.Check(s.t, s.listener.Quiesce(ctx), qt.IsNil)
+	qt.Check(s.t, s.cancels.Load(), qt.Equals, int32(0), qt.Commentf("requests whose contexts ended"))
+}
+
+// nth returns a function that calls f at its nth call.
+func nth(n int, f func()) func() {
+	var calls atomic.Int32
+	return func() {
+		if int(calls.Add(1)) == n {
+			f()
+		}
+	}
+}
+
+const (
+	firstRequest  = "GET /one HTTP/1.1\nHost: service.example\n\n"
+	secondRequest = "GET /two HTTP/1.1\nHost: service.example\n\n"
+	chunkedPost   = "POST /two HTTP/1.1\nHost: service.example\nTransfer-Encoding: chunked\n\n"
+)
+
+// TestCloseMeetsRequest has a server close a connection that it took for idle when a request on
+// it is already being handled, or has come in with the one before. Those requests lost their
+// answers, or their contexts ended, which gave up the upstream's run.
+func TestCloseMeetsRequest(t *testing.T) {
+	tests := map[string]struct {
+		state http.ConnState // when the connection is closed
+		nth   int            // the how manieth of that state
+		sent  []string
+		want  []string
+	}{
+		"a fresh one":               {state: http.StateActive, nth: 1, sent: []string{firstRequest}, want: []string{"/one "}},
+		"a kept one":                {state: http.StateActive, nth: 2, sent: []string{firstRequest, secondRequest}, want: []string{"/one ", "/two "}},
+		"a pipelined one":           {state: http.StateActive, nth: 2, sent: []string{firstRequest + secondRequest}, want: []string{"/one ", "/two "}},
+		"before a pipelined one":    {state: http.StateIdle, nth: 1, sent: []string{firstRequest + secondRequest}, want: []string{"/one ", "/two "}},
+		"before a pipelined body":   {state: http.StateIdle, nth: 1, sent: []string{firstRequest + chunkedPost + "2\nhi\n0\n\n"}, want: []string{"/one ", "/two hi"}},
+		"half of a pipelined head":  {state: http.StateIdle, nth: 1, sent: []string{firstRequest + secondRequest[:20], secondRequest[20:]}, want: []string{"/one ", "/two "}},
+		"a body that is coming in":  {state: http.StateActive, nth: 1, sent: []string{chunkedPost + "2\nhi\n", "3\n ho\n0\n\n"}, want: []string{"/two hi ho"}},
+		"an answer that is aborted": {state: http.StateActive, nth: 2, sent: []string{firstRequest, strings.Replace(firstRequest, "/one", "/abort", 1)}, want: []string{"/one "}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var conn net.Conn
+				closes := nth(test.nth, func() { _ = conn.Close() })
+				s := serve(t, func(c net.Conn, state http.ConnState) {
+					conn = c
+					if state == test.state {
+						closes()
+					}
+				})
+				answers := s.answers()
+				for _, text := range test.sent {
+					s.send(text)
+					time.Sleep(50 * time.Millisecond)
+					if text == firstRequest {
+						time.Sleep(2 * time.Second) // until it is answered
+					}
+				}
+				for _, want := range test.want {
+					qt.Check(t, <-answers, qt.Equals, want)
+				}
+				_, more := <-answers
+				qt.Check(t, more, qt.IsFalse, qt.Commentf("the connection ends"))
+				s.quiet()
+			})
+		})
+	}
+}
--- a/caller/listener.go
+++ b/caller/listener.go
@@ -7,8 +7,10 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -73,6 +75,16 @@
 	phaseIdle                 // nothing of the next request has come in
 )
 
+// ending is how far a connection is that is to end.
+type ending uint8
+
+const (
+	endingNot   ending = iota
+	endingAfter        // once the request that is being handled has its answer
+	endingTold         // its reader has been told to stop
+	endingLook         // its reader looks once more for a request that has come in
+)
+
 // connection is a caller's connection. It notes whether a head with a
 // Content-Length came in since the connection was last idle, keeps the server's
 // deadlines for reading within the bounds, and is not closed under a request that
@@ -84,11 +96,12 @@
 
 	mu      sync.Mutex
 	phase   phase
-	begun   bool   // whether part of the present head has been read
-	closing bool   // whether the connection is to end unless a request has begun
-	streams bool   // whether it speaks HTTP/2, whose server ends it in good order
-	length  bool   // whether a Content-Length came in
-	tail    []byte // the last bytes read, where the field's name may have begun
+	begun   bool      // whether part of the present head has been read
+	ending  ending    // whether the connection is to end unless a request has begun
+	asked   time.Time // the deadline that the server set last
+	streams bool      // whether it speaks HTTP/2, whose server ends it in good order
+	length  bool      // whether a Content-Length came in
+	tail    []byte    // the last bytes read, where the field's name may have begun
 }
 
 const (
@@ -98,23 +111,49 @@
 	lengthField = "\ncontent-length"
 	// streamsPreface is how a connection of HTTP/2 begins (RFC 9113, section 3.4).
 	streamsPreface = "PRI "
+	// headAfterClose bounds the rest of a head whose first bytes crossed the closing
+	// of its connection, where no other bound is in force. Heads come in within a few
+	// round trips.
+	headAfterClose = 2 * time.Second
+	// crossing is how long a reader that has been told to stop still looks for a
+	// request. A read after its deadline returns nothing, also where something has
+	// come in.
+	crossing = 100 * time.Millisecond
 )
 
 // Read implements net.Conn.
 func (c *connection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n == 0 && c.mayLook(err) {
+		n, err = c.Conn.Read(p)
+	}
 	if n > 0 {
 		c.scan(p[:n])
 	}
 	return n, err
 }
 
+// mayLook returns whether a read that ended by err is done once more, because it
+// was told to stop.
+func (c *connection) mayLook(err error) bool {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ending != endingTold {
+		return false
+	}
+	c.ending = endingLook
+	return c.Conn.SetReadDeadline(time.Now().Add(crossing)) == nil
+}
+
 // scan takes in what was read. The server reads only when it has used up what it
 // read before, so what comes in on an idle connection begins a request.
 func (c *connection) scan(p []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase == phaseIdle {
+	if c.phase == phaseIdle && !c.streams {
 		c.phase = phaseHead
 		c.length = false
 		c.tail = c.tail[:0]
@@ -134,17 +173,12 @@
 func (c *connection) begin(p []byte) {
 	c.begun = true
 	c.streams = c.streams || bytes.HasPrefix(p, []byte(streamsPreface))
-	if c.closing {
-		c.closing = false
+	if c.ending >= endingTold {
+		c.ending = endingAfter
 		_ = c.Conn.SetReadDeadline(c.deadline(time.Now().Add(headAfterClose)))
 	}
 }
 
-// headAfterClose bounds the rest of a head whose first bytes crossed the closing
-// of its connection, where no other bound is in force. Heads come in within a few
-// round trips.
-const headAfterClose = 2 * time.Second
-
 // longAgo is a deadline that has passed.
 var longAgo = time.Unix(1, 0)
 
@@ -154,8 +188,9 @@
 func (c *connection) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing {
-		return nil // longAgo is in force
+	c.asked = t
+	if c.ending >= endingTold {
+		return nil // that of the ending is in force
 	}
 	return c.Conn.SetReadDeadline(c.deadline(t))
 }
@@ -181,21 +216,33 @@
 
 // Close implements net.Conn. A server that stops closes the connections that it
 // takes for idle, and takes them so until the head of the next request has been
-// read to its end. Such a request would be handled, and its answer lost. So
-// between two requests the connection is not closed here: its reader is told to
-// stop, and finds either nothing, or a request that it lets in. The server then
-// ends the connection, as it does after an answer, which changed takes in.
+// read to its end, or longer: it looks at a connection's state first and closes the
+// connection afterwards. The answer of such a request would be lost. So nothing is
+// closed here. Between two requests the reader is told to stop, and finds either
+// nothing, or a request that it lets in. A connection with a request ends after its
+// answer. The server then says that it has closed the connection, which changed
+// takes in.
 func (c *connection) Close() error {
 	c.mu.Lock()
-	if c.phase == phaseHandled || c.streams {
+	if c.streams && c.phase != phaseHead {
 		c.mu.Unlock()
-		return c.end()
+		return c.end() // the server of HTTP/2 closes its connections itself, when it is done with them
 	}
 	defer c.mu.Unlock()
-	if c.begun {
-		return nil
+	switch {
+	case c.ending != endingNot:
+	case c.phase == phaseHandled || c.begun:
+		c.ending = endingAfter
+	default:
+		return c.stopReading()
 	}
-	c.closing = true
+	return nil
+}
+
+// stopReading tells the reader of a connection between two requests to stop. The
+// lock is held.
+func (c *connection) stopReading() error {
+	c.ending = endingTold
 	return c.Conn.SetReadDeadline(longAgo)
 }
 
@@ -214,17 +261,25 @@
 
 // changed takes in the connection's new state.
 func (c *connection) changed(s http.ConnState) {
+	if s == http.StateClosed {
+		_ = c.end() // no-one reads from it any more
+		return
+	}
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.begun = false
-	switch s {
-	case http.StateActive:
+	switch {
+	case s == http.StateActive:
 		c.phase = phaseHandled
-	case http.StateIdle:
+		if c.ending >= endingTold { // the head had come in with the request before
+			c.ending = endingAfter
+			_ = c.Conn.SetReadDeadline(c.asked)
+		}
+	case s == http.StateIdle:
 		c.phase = phaseIdle
-	}
-	c.mu.Unlock()
-	if s == http.StateClosed {
-		_ = c.end() // no-one reads from it any more
+		if c.ending == endingAfter && !c.streams {
+			_ = c.stopReading()
+		}
 	}
 }
 
