caller, node: a stop drops no request that has come in, and kept connections end by an answer

What callers saw: around a node's SIGTERM and the closing of its listener a request could end without an answer: on a kept connection, whose idle time was taken for its end at once; on one that had been opened ahead; and with a head that the server had read to its end, which net/http drops without an answer once Shutdown has begun (conn.serve returns after readRequest).

Evidence: TestRequestsCrossStop plays 19 rows of requests around both moments on the runtime's clock.

Now a leaving Listener lets idle connections be, and the Handler makes each answer the last one of its connection (for HTTP/2 that is a GOAWAY). Drain closes the listener, stops the readers that wait for a request, and returns once each request that has begun to come in has reached its handler; only then is the server shut down. Connections are counted by the Listener, so that Quiesce still waits for all, and Cut closes what is left.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -79,9 +79,10 @@
 }
 
 // writeHead writes the head of the final answer. It is the last answer of the
-// connection if nobody can be sure where the next request begins.
+// connection if nobody can be sure where the next request begins, or the connection is
+// to end.
 func (x *exchange) writeHead(status int) {
-	if x.broken.Load() || x.closes || twoLengths(x.r) {
+	if x.broken.Load() || x.closes || leaving(x.r) || twoLengths(x.r) {
 		x.w.Header().Set("Connection", "close")
 	}
 	x.w.WriteHeader(status)
--- a/caller/closing_test.go
+++ b/caller/closing_test.go
@@ -7,26 +7,53 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"go.opentelemetry.io/otel/trace/noop"
 
 	"sassafrasfront.example/caller"
+	"sassafrasfront.example/entry"
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/verdict"
 )
 
+// dialled is a listener of pipes that can be closed.
+type dialled struct {
+	pipes
+	done chan struct{}
+}
+
+func (d dialled) Accept() (net.Conn, error) {
+	select {
+	case c := <-d.pipes:
+		return c, nil
+	case <-d.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (d dialled) Close() error {
+	close(d.done)
+	return nil
+}
+
 // served is a server of callers on the runtime's clock, with one connection.
 type served struct {
 	t        *testing.T
 	listener *caller.Listener
 	server   *http.Server
-	source   pipes
+	source   dialled
 	conn     net.Conn     // the caller's end
 	cancels  atomic.Int32 // requests whose contexts ended under their handlers
 }
@@ -34,26 +61,28 @@
 // serve starts a server whose requests take a second each. Hook, if not nil, is called after the
 // listener has taken in a new state of the connection.
 func serve(t *testing.T, hook func(c net.Conn, s http.ConnState)) *served {
-	s := &served{t: t, source: make(pipes, 1)}
+	s := &served{
+		t: t,
+		source: dialled{
+			pipes: make(pipes, 1),
+			done:  make(chan struct{}),
+		},
+	}
 	s.listener = &caller.Listener{Listener: s.source}
 	s.server = &http.Server{
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if r.URL.Path == "/abort" {
-				panic(http.ErrAbortHandler)
-			}
-			body, err := io.ReadAll(r.Body)
-			select {
-			case <-time.After(time.Second):
-			case <-r.Context().Done():
-				s.cancels.Add(1)
-			}
-			if err != nil {
-				body = []byte(err.Error())
-			}
-			_, _ = io.WriteString(w, r.URL.Path+" "+string(body))
-		}),
-		ReadHeaderTimeout: 10 * time.Second,
+		Handler: &caller.Handler{
+			Lookup: func(string) (*entry.Service, bool) {
+				return &entry.Service{
+					Name:   "service",
+					Config: operator.Service{Hosts: []string{"service.example"}}.WithDefaults(),
+				}, true
+			},
+			Dispatcher: s,
+			Tracer:     noop.NewTracerProvider().Tracer(""),
+		},
+		ReadHeaderTimeout: time.Minute,
 		IdleTimeout:       2 * time.Minute,
+		Protocols:         new(http.Protocols),
 		ConnContext:       caller.ConnContext,
 		ConnState: func(c net.Conn, state http.ConnState) {
 			caller.ConnState(c, state)
@@ -62,17 +91,48 @@
 			}
 		},
 	}
+	s.server.Protocols.SetHTTP1(true)
+	s.server.Protocols.SetUnencryptedHTTP2(true)
 	var theirs net.Conn
 	s.conn, theirs = net.Pipe()
-	s.source <- theirs
+	s.source.pipes <- theirs
 	go s.server.Serve(s.listener)
 	t.Cleanup(func() {
 		_ = s.conn.Close()
-		close(s.source)
+		s.listener.Cut()
+		_ = s.listener.Close()
 	})
 	return s
 }
 
+// Do implements caller.Dispatcher. A request takes a second from the end of its body.
+func (s *served) Do(ctx context.Context, r *entry.Request) (*entry.Result, *verdict.Error) {
+	body := r.Body
+	if r.Stream != nil {
+		var err error
+		if body, err = io.ReadAll(r.Stream); err != nil {
+			return nil, verdict.New(verdict.BodyLost, err)
+		}
+	}
+	select {
+	case <-time.After(time.Second):
+	case <-ctx.Done():
+		s.cancels.Add(1)
+		return nil, verdict.New(verdict.CallerGone, context.Cause(ctx))
+	}
+	answer := fmt.Sprintf("%s %s", r.Target, body)
+	response := &peer.Response{
+		Status:  http.StatusOK,
+		Length:  int64(len(answer)),
+		Body:    strings.NewReader(answer),
+		Trailer: func() []peer.Field { return nil },
+	}
+	if r.Target == "/abort" {
+		response.Body = iotest.ErrReader(verdict.New(verdict.AnswerCut, nil))
+	}
+	return &entry.Result{Response: response}, nil
+}
+
 // send writes to the server, without waiting for it.
 func (s *served) send(text string) {
 	go func() { _, _ = io.WriteString(s.conn, strings.ReplaceAll(text, "\n", "\r\n")) }()
--- /dev/null
+++ b/caller/draining_test.go
@@ -0,0 +1,153 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package caller_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// The moments of a stop in the tests below, from their beginnings.
+const (
+	leaves = 10 * time.Second
+	drains = 11 * time.Second
+)
+
+// stop stops the server as a node does.
+func (s *served) stop() {
+	time.Sleep(leaves)
+	s.listener.Leave()
+	time.Sleep(drains - leaves)
+	qt.Check(s.t, s.listener.Drain(s.t.Context()), qt.IsNil)
+	qt.Check(s.t, s.server.Shutdown(s.t.Context()), qt.IsNil)
+	s.quiet()
+}
+
+// part is what a caller writes at a moment.
+type part struct {
+	at   time.Duration
+	text string
+}
+
+// TestRequestsCrossStop has requests come in around the moments of a stop. Those whose heads were
+// read while the server shut down got no answer, and neither did those that came in on a
+// kept connection just when it was closed.
+func TestRequestsCrossStop(t *testing.T) {
+	const moment = time.Millisecond
+	first := part{5 * time.Second, firstRequest}
+	tests := map[string]struct {
+		sent []part
+		want []string
+	}{
+		"running as it leaves":            {sent: []part{{leaves - moment, firstRequest}}, want: []string{"/one "}},
+		"running as it drains":            {sent: []part{{drains - moment, firstRequest}}, want: []string{"/one "}},
+		"fresh, in between":               {sent: []part{{leaves + moment, firstRequest}}, want: []string{"/one "}},
+		"fresh, crossing the drain":       {sent: []part{{drains + moment, firstRequest}}, want: []string{"/one "}},
+		"kept, crossing the leave":        {sent: []part{first, {leaves + moment, secondRequest}}, want: []string{"/one ", "/two "}},
+		"kept, in between":                {sent: []part{first, {leaves + 500*moment, secondRequest}}, want: []string{"/one ", "/two "}},
+		"kept, crossing the drain":        {sent: []part{first, {drains + moment, secondRequest}}, want: []string{"/one ", "/two "}},
+		"kept, nothing more comes":        {sent: []part{first}, want: []string{"/one "}},
+		"nothing comes":                   {},
+		"head in halves over the leave":   {sent: []part{{leaves - moment, firstRequest[:20]}, {leaves + moment, firstRequest[20:]}}, want: []string{"/one "}},
+		"head in halves over the drain":   {sent: []part{{drains - moment, firstRequest[:20]}, {drains + 900*moment, firstRequest[20:]}}, want: []string{"/one "}},
+		"kept, in halves over the drain":  {sent: []part{first, {drains - moment, secondRequest[:20]}, {drains + 900*moment, secondRequest[20:]}}, want: []string{"/one ", "/two "}},
+		"pipelined before it leaves":      {sent: []part{{leaves - 1500*moment, firstRequest + secondRequest}}, want: []string{"/one ", "/two "}},
+		"pipelined, the first runs on":    {sent: []part{{leaves - moment, firstRequest + secondRequest}}, want: []string{"/one "}},
+		"a body through all of it":        {sent: []part{{leaves - moment, chunkedPost + "2\nhi\n"}, {drains - moment, "2\nho\n"}, {drains + 5*time.Second, "2\nhu\n0\n\n"}}, want: []string{"/two hihohu"}},
+		"a body whose head crosses":       {sent: []part{{drains - moment, chunkedPost[:30]}, {drains + moment, chunkedPost[30:]}, {drains + 5*time.Second, "2\nhu\n0\n\n"}}, want: []string{"/two hu"}},
+		"a pipelined body crosses":        {sent: []part{{drains - 1001*moment, firstRequest + chunkedPost}, {drains + 5*time.Second, "2\nhu\n0\n\n"}}, want: []string{"/one "}},
+		"a body after a kept request":     {sent: []part{first, {drains + moment, chunkedPost}, {drains + 5*time.Second, "2\nhu\n0\n\n"}}, want: []string{"/one ", "/two hu"}},
+		"an aborted answer, then nothing": {sent: []part{first, {leaves + moment, strings.Replace(firstRequest, "/one", "/abort", 1)}}, want: []string{"/one "}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := serve(t, nil)
+				answers := s.answers()
+				var sending sync.WaitGroup
+				sending.Go(func() {
+					began := time.Now()
+					for _, p := range test.sent {
+						time.Sleep(p.at - time.Since(began))
+						s.send(p.text)
+					}
+				})
+				s.stop()
+				sending.Wait()
+				var got []string
+				for a := range answers {
+					got = append(got, a)
+				}
+				qt.Check(t, got, qt.DeepEquals, test.want)
+			})
+		})
+	}
+}
+
+// TestStreamsCrossStop does the same over HTTP/2, where a caller is told which requests have not
+// been taken up.
+func TestStreamsCrossStop(t *testing.T) {
+	const moment = time.Millisecond
+	tests := map[string][]time.Duration{
+		"running as it leaves":     {leaves - moment},
+		"running as it drains":     {drains - moment},
+		"in between":               {leaves + moment},
+		"kept, in between":         {5 * time.Second, leaves + moment},
+		"kept, crossing the drain": {5 * time.Second, drains - 2*moment, drains - moment},
+		"all at once":              {leaves - moment, leaves, leaves + moment, drains - moment},
+	}
+	for name, moments := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := serve(t, nil)
+				transport := &http.Transport{
+					Protocols: new(http.Protocols),
+					DialContext: func(context.Context, string, string) (net.Conn, error) {
+						ours, theirs := net.Pipe()
+						s.source.pipes <- theirs
+						return ours, nil
+					},
+				}
+				transport.Protocols.SetUnencryptedHTTP2(true)
+				defer transport.CloseIdleConnections()
+				got := make(chan string, len(moments))
+				for _, at := range moments {
+					go func() {
+						time.Sleep(at)
+						r, err := transport.RoundTrip(request(t, "http://service.example/one"))
+						if err != nil {
+							got <- err.Error()
+							return
+						}
+						defer r.Body.Close()
+						body, _ := io.ReadAll(r.Body)
+						got <- string(body)
+					}()
+				}
+				_ = s.conn.Close()
+				s.stop()
+				for range moments {
+					qt.Check(t, <-got, qt.Equals, "/one ")
+				}
+			})
+		})
+	}
+}
+
+// request returns a GET request of the URL.
+func request(t *testing.T, url string) *http.Request {
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
+	qt.Assert(t, err, qt.IsNil)
+	return r
+}
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -125,6 +125,9 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	began := time.Now()
+	if c := connectionOf(r); c != nil {
+		c.serve()
+	}
 	x := &exchange{
 		handler: h,
 		w:       w,
--- a/caller/listener.go
+++ b/caller/listener.go
@@ -5,13 +5,13 @@
 package caller
 
 import (
-	"bytes"
 	"context"
-	"errors"
+	"maps"
 	"net"
 	"net/http"
-	"os"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -25,231 +25,130 @@
 }
 
 // Listener gives out callers' connections that know more of their requests than
-// a server tells its handlers. ConnContext and ConnState are to be those of the
-// server that accepts from it. The exported fields are set before the first
-// Accept.
+// a server tells its handlers, and ends them in good order. ConnContext and ConnState
+// are to be those of the server that accepts from it. The exported fields are set
+// before the first Accept.
 type Listener struct {
 	net.Listener
 	// Bounds returns the bounds in force. Nil means none beside the server's own.
 	Bounds func() Bounds
 
-	open sync.WaitGroup // connections that are not closed
+	leaving atomic.Bool
+	closes  sync.Once
+
+	mu       sync.Mutex
+	open     map[*connection]struct{} // connections that are not closed
+	draining bool                     // whether those that are accepted still are to end
+	changes  chan struct{}            // closed at the next change of one, if anybody waits for it
 }
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	raw, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	l.open.Add(1)
-	return &connection{
-		Conn:   c,
-		bounds: l.Bounds,
-		ended:  sync.OnceFunc(l.open.Done),
-	}, nil
-}
-
-// Quiesce waits until all connections are closed, or ctx ends. A server that is
-// shut down does not wait for those that it took for idle while a request came in.
-func (l *Listener) Quiesce(ctx context.Context) error {
-	all := make(chan struct{})
-	go func() {
-		l.open.Wait()
-		close(all)
-	}()
-	select {
-	case <-all:
-		return nil
-	case <-ctx.Done():
-		return context.Cause(ctx)
+	c := &connection{
+		Conn:     raw,
+		listener: l,
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.open == nil {
+		l.open = make(map[*connection]struct{})
 	}
+	l.open[c] = struct{}{}
+	if l.draining {
+		c.stop()
+	}
+	return c, nil
 }
 
-// phase is where a connection stands between two requests.
-type phase uint8
-
-const (
-	phaseHead    phase = iota // the head of a request is due or coming in
-	phaseHandled              // a request is being handled
-	phaseIdle                 // nothing of the next request has come in
-)
-
-// ending is how far a connection is that is to end.
-type ending uint8
-
-const (
-	endingNot   ending = iota
-	endingAfter        // once the request that is being handled has its answer
-	endingTold         // its reader has been told to stop
-	endingLook         // its reader looks once more for a request that has come in
-)
-
-// connection is a caller's connection. It notes whether a head with a
-// Content-Length came in since the connection was last idle, keeps the server's
-// deadlines for reading within the bounds, and is not closed under a request that
-// has begun to come in.
-type connection struct {
-	net.Conn
-	bounds func() Bounds
-	ended  func()
-
-	mu      sync.Mutex
-	phase   phase
-	begun   bool      // whether part of the present head has been read
-	ending  ending    // whether the connection is to end unless a request has begun
-	asked   time.Time // the deadline that the server set last
-	streams bool      // whether it speaks HTTP/2, whose server ends it in good order
-	length  bool      // whether a Content-Length came in
-	tail    []byte    // the last bytes read, where the field's name may have begun
+// Close implements net.Listener. It may be called more than once: the server that
+// accepts from it closes it as well.
+func (l *Listener) Close() (err error) {
+	l.closes.Do(func() { err = l.Listener.Close() })
+	return err
 }
 
-const (
-	// lengthField is what a Content-Length looks like on the wire, in lower case. A
-	// body may hold the same bytes, which then costs its connection and nothing
-	// else.
-	lengthField = "\ncontent-length"
-	// streamsPreface is how a connection of HTTP/2 begins (RFC 9113, section 3.4).
-	streamsPreface = "PRI "
-	// headAfterClose bounds the rest of a head whose first bytes crossed the closing
-	// of its connection, where no other bound is in force. Heads come in within a few
-	// round trips.
-	headAfterClose = 2 * time.Second
-	// crossing is how long a reader that has been told to stop still looks for a
-	// request. A read after its deadline returns nothing, also where something has
-	// come in.
-	crossing = 100 * time.Millisecond
-)
-
-// Read implements net.Conn.
-func (c *connection) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n == 0 && c.mayLook(err) {
-		n, err = c.Conn.Read(p)
-	}
-	if n > 0 {
-		c.scan(p[:n])
-	}
-	return n, err
-}
+// Leave makes each answer of a Handler the last one of its connection. Connections
+// without a request stay open: a caller that sends one more gets its answer.
+func (l *Listener) Leave() { l.leaving.Store(true) }
 
-// mayLook returns whether a read that ended by err is done once more, because it
-// was told to stop.
-func (c *connection) mayLook(err error) bool {
-	if !errors.Is(err, os.ErrDeadlineExceeded) {
-		return false
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.ending != endingTold {
-		return false
+// Drain closes the listener, and the connections on which nothing of a request has
+// come in. It returns once a Handler has the request of each other one, or it speaks
+// HTTP/2; a head that is coming in gets a short time for that. A server must not be
+// shut down before: it drops the requests that have not come to their handlers. Drain
+// fails if ctx ends first.
+func (l *Listener) Drain(ctx context.Context) error {
+	l.Leave()
+	l.mu.Lock()
+	l.draining = true
+	l.mu.Unlock()
+	_ = l.Close() // what has been accepted is all that counts
+	for _, c := range l.connections() {
+		c.stop()
 	}
-	c.ending = endingLook
-	return c.Conn.SetReadDeadline(time.Now().Add(crossing)) == nil
+	heads, cancel := context.WithTimeout(ctx, headAfterClose)
+	defer cancel()
+	_ = l.await(heads, (*connection).awaitsHandler)
+	return context.Cause(ctx)
 }
 
-// scan takes in what was read. The server reads only when it has used up what it
-// read before, so what comes in on an idle connection begins a request.
-func (c *connection) scan(p []byte) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.phase == phaseIdle && !c.streams {
-		c.phase = phaseHead
-		c.length = false
-		c.tail = c.tail[:0]
-	}
-	if c.phase == phaseHead && !c.begun {
-		c.begin(p)
-	}
-	if c.length {
-		return
-	}
-	seen := append(c.tail, bytes.ToLower(p)...)
-	c.length = bytes.Contains(seen, []byte(lengthField))
-	c.tail = append(c.tail[:0], seen[max(0, len(seen)-len(lengthField)+1):]...)
+// Quiesce waits until all connections are closed, or ctx ends. A server that is
+// shut down does not wait for those that it took for idle while a request came in.
+func (l *Listener) Quiesce(ctx context.Context) error {
+	return l.await(ctx, func(*connection) bool { return true })
 }
 
-// begin takes in the first bytes of a request. The lock is held.
-func (c *connection) begin(p []byte) {
-	c.begun = true
-	c.streams = c.streams || bytes.HasPrefix(p, []byte(streamsPreface))
-	if c.ending >= endingTold {
-		c.ending = endingAfter
-		_ = c.Conn.SetReadDeadline(c.deadline(time.Now().Add(headAfterClose)))
+// Cut closes all connections, whatever is under way on them, and returns how many
+// they were.
+func (l *Listener) Cut() int {
+	list := l.connections()
+	for _, c := range list {
+		_ = c.end()
 	}
+	return len(list)
 }
 
-// longAgo is a deadline that has passed.
-var longAgo = time.Unix(1, 0)
-
-// SetReadDeadline implements net.Conn. The server sets a deadline before it
-// reads a head, another while it waits for the next request, and none while a
-// handler runs.
-func (c *connection) SetReadDeadline(t time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.asked = t
-	if c.ending >= endingTold {
-		return nil // that of the ending is in force
-	}
-	return c.Conn.SetReadDeadline(c.deadline(t))
+// connections returns the connections that are open.
+func (l *Listener) connections() []*connection {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Keys(l.open))
 }
 
-// deadline returns t, or what the bounds say if that is earlier. The lock is
-// held.
-func (c *connection) deadline(t time.Time) time.Time {
-	if t.IsZero() || c.bounds == nil {
-		return t
-	}
-	var most time.Duration
-	switch c.phase {
-	case phaseHead:
-		most = c.bounds().Head
-	case phaseIdle:
-		most = c.bounds().Idle
-	}
-	if limit := time.Now().Add(most); most > 0 && limit.Before(t) {
-		return limit
+// await waits until no connection is such, or ctx ends.
+func (l *Listener) await(ctx context.Context, such func(*connection) bool) error {
+	for {
+		l.mu.Lock()
+		if l.changes == nil {
+			l.changes = make(chan struct{})
+		}
+		changes := l.changes
+		l.mu.Unlock()
+		if !slices.ContainsFunc(l.connections(), such) {
+			return nil
+		}
+		select {
+		case <-changes:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
 	}
-	return t
 }
 
-// Close implements net.Conn. A server that stops closes the connections that it
-// takes for idle, and takes them so until the head of the next request has been
-// read to its end, or longer: it looks at a connection's state first and closes the
-// connection afterwards. The answer of such a request would be lost. So nothing is
-// closed here. Between two requests the reader is told to stop, and finds either
-// nothing, or a request that it lets in. A connection with a request ends after its
-// answer. The server then says that it has closed the connection, which changed
-// takes in.
-func (c *connection) Close() error {
-	c.mu.Lock()
-	if c.streams && c.phase != phaseHead {
-		c.mu.Unlock()
-		return c.end() // the server of HTTP/2 closes its connections itself, when it is done with them
+// changed takes in that a connection is in another state, or closed.
+func (l *Listener) changed(c *connection, closed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if closed {
+		delete(l.open, c)
 	}
-	defer c.mu.Unlock()
-	switch {
-	case c.ending != endingNot:
-	case c.phase == phaseHandled || c.begun:
-		c.ending = endingAfter
-	default:
-		return c.stopReading()
+	if l.changes != nil {
+		close(l.changes)
+		l.changes = nil
 	}
-	return nil
-}
-
-// stopReading tells the reader of a connection between two requests to stop. The
-// lock is held.
-func (c *connection) stopReading() error {
-	c.ending = endingTold
-	return c.Conn.SetReadDeadline(longAgo)
-}
-
-// end closes the connection in any case.
-func (c *connection) end() error {
-	defer c.ended()
-	return c.Conn.Close()
 }
 
 // ConnState takes in what a server says of a connection.
@@ -259,37 +158,6 @@
 	}
 }
 
-// changed takes in the connection's new state.
-func (c *connection) changed(s http.ConnState) {
-	if s == http.StateClosed {
-		_ = c.end() // no-one reads from it any more
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.begun = false
-	switch {
-	case s == http.StateActive:
-		c.phase = phaseHandled
-		if c.ending >= endingTold { // the head had come in with the request before
-			c.ending = endingAfter
-			_ = c.Conn.SetReadDeadline(c.asked)
-		}
-	case s == http.StateIdle:
-		c.phase = phaseIdle
-		if c.ending == endingAfter && !c.streams {
-			_ = c.stopReading()
-		}
-	}
-}
-
-// ambiguous returns whether a Content-Length came in with the present request.
-func (c *connection) ambiguous() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.length
-}
-
 // connectionKey is the key of a request's *connection in its context.
 type connectionKey struct{}
 
@@ -298,10 +166,23 @@
 	return context.WithValue(ctx, connectionKey{}, c)
 }
 
+// connectionOf returns the connection of a request, or nil if it does not come from a
+// Listener.
+func connectionOf(r *http.Request) *connection {
+	c, _ := r.Context().Value(connectionKey{}).(*connection)
+	return c
+}
+
+// leaving returns whether the answer of a request is the last one of its connection.
+func leaving(r *http.Request) bool {
+	c := connectionOf(r)
+	return c != nil && c.listener.leaving.Load()
+}
+
 // twoLengths returns whether a request came in with both a Content-Length and
 // the chunked coding. The server has ignored the length, as RFC 9112, section
 // 6.3, wants it; other servers on the way may have not.
 func twoLengths(r *http.Request) bool {
-	c, ok := r.Context().Value(connectionKey{}).(*connection)
-	return ok && len(r.TransferEncoding) > 0 && c.ambiguous()
+	c := connectionOf(r)
+	return c != nil && len(r.TransferEncoding) > 0 && c.ambiguous()
 }
--- a/node/state.go
+++ b/node/state.go
@@ -152,7 +152,7 @@
 	n.mu.Lock()
 	n.leaving = true
 	n.mu.Unlock()
-	callers.SetKeepAlivesEnabled(false)
+	conns.Leave()
 	ctx, cancel := context.WithTimeout(context.Background(), n.Settings.LeaveDelay+n.Settings.DrainTimeout)
 	defer cancel()
 	admitting := min(n.Settings.AdmitDelay, n.Settings.LeaveDelay)
@@ -166,7 +166,10 @@
 	n.mu.Lock()
 	n.draining = true
 	n.mu.Unlock()
-	err := callers.Shutdown(ctx)
+	err := conns.Drain(ctx)
+	if err == nil {
+		err = callers.Shutdown(ctx)
+	}
 	if err == nil {
 		err = conns.Quiesce(ctx)
 	}
