caller: the answer to a request whose body does not come in is not held back

What callers saw: a caller whose small body had not come in by the request's deadline got no answer (400, notRun) until it sent more, or left.

Cause: the deadline for reading was lifted after the body had failed, and net/http reads the rest of a body ahead of the answer.

Evidence: TestBodyLate, on the runtime's clock: on the code before, it ends in a deadlock of all goroutines. The row "a small body that doesn't end" of TestConnections did not show it, since it sends more after 300 ms. Found by the test of a stop with a body under way.

Now a body that could not be read leaves a deadline that has passed: the rest is not waited for, and the connection ends with the answer.

--- a/caller/closing_test.go
+++ b/caller/closing_test.go
@@ -233,3 +233,16 @@
 		})
 	}
 }
+
+// TestBodyLate has the body of a request not come in by its deadline, and nothing more come from the
+// caller. The answer was held back until something did.
+func TestBodyLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := serve(t, nil)
+		s.send("POST /two HTTP/1.1\nHost: service.example\nSassafras-Timeout-Ms: 50\nContent-Length: 10\n\nhalf")
+		all, err := io.ReadAll(s.conn)
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, string(all), qt.Contains, "400 Bad Request")
+		qt.Check(t, string(all), qt.Contains, "Sassafras-Verdict: notRun")
+	})
+}
--- a/caller/request.go
+++ b/caller/request.go
@@ -112,8 +112,14 @@
 func (x *exchange) readUntil(until time.Time, read func() ([]byte, error)) ([]byte, error) {
 	control := http.NewResponseController(x.w)
 	_ = control.SetReadDeadline(until)
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
-	return read()
+	data, err := read()
+	if err != nil {
+		// The server looks for the rest of the body ahead of the answer, and must not wait for it.
+		_ = control.SetReadDeadline(longAgo)
+		return nil, err
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	return data, nil
 }
 
 // name sets the fields by which the upstream knows the request, and removes the caller's
