node, settings, caller, verdict: a drain lasts until shortly before the end of the grace period

What callers saw: requests at which their upstreams worked were answered 502 (stopped, "client closed") 5.0 s after SIGTERM, at the end of leaveDelay and drainTimeout, though the platform lets the process live for 6 or 10 s.

Cause: the drain knew no grace period, and had a bound of its own.

The drain lasts until settings.ExitTime (500 ms) before its end, and leaveDelay takes half of that at most. drainTimeout stays for those who know none.

At the end, requests that have been sent on are answered 502 with cause stopped; those that have not (their body still comes in, or they wait for a rate limit) 503 and notRun, with the new cause notSent; and the node waits for these answers before it goes on. The calls of other nodes go on longer than its own requests: of two nodes that stopped at once, the one that had taken the requests told its callers peerLost or callerGone.

Evidence: TestLeaveWhileUpstreamWorks has requests of eight kinds at work as a node leaves, the one beside the upstream, or both. TestGracePeriodOver holds the verdicts at the end.

--- a/caller/closing_test.go
+++ b/caller/closing_test.go
@@ -54,8 +54,9 @@
 	listener *caller.Listener
 	server   *http.Server
 	source   dialled
-	conn     net.Conn     // the caller's end
-	cancels  atomic.Int32 // requests whose contexts ended under their handlers
+	conn     net.Conn                // the caller's end
+	cut      context.CancelCauseFunc // ends the contexts of all requests
+	cancels  atomic.Int32            // requests whose contexts ended under their handlers
 }
 
 // serve starts a server whose requests take a second each. Hook, if not nil, is called after the
@@ -93,6 +94,9 @@
 	}
 	s.server.Protocols.SetHTTP1(true)
 	s.server.Protocols.SetUnencryptedHTTP2(true)
+	requests, cut := context.WithCancelCause(t.Context())
+	s.cut = cut
+	s.server.BaseContext = func(net.Listener) context.Context { return requests }
 	var theirs net.Conn
 	s.conn, theirs = net.Pipe()
 	s.source.pipes <- theirs
@@ -246,3 +250,36 @@
 		qt.Check(t, string(all), qt.Contains, "Sassafras-Verdict: notRun")
 	})
 }
+
+// TestStopBeforeSent has a node stop for good while requests have not been sent on, or have been.
+// Only those that have not are told so.
+func TestStopBeforeSent(t *testing.T) {
+	tests := map[string]struct {
+		sent string
+		want []string
+	}{
+		"its body is coming in": {
+			sent: "POST /two HTTP/1.1\nHost: service.example\nContent-Length: 10\n\nhalf",
+			want: []string{"503 Service Unavailable", "Sassafras-Verdict: notRun", "Retry-After: 1", "Connection: close", `"cause":"notSent"`},
+		},
+		"its upstream works": {
+			sent: firstRequest,
+			want: []string{"502 Bad Gateway", "Sassafras-Verdict: mayHaveRun", `"cause":"stopped"`},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := serve(t, nil)
+				s.listener.Leave()
+				s.send(test.sent)
+				s.cut(verdict.New(verdict.NotSent, nil).WithRetryAfter(time.Millisecond))
+				all, err := io.ReadAll(s.conn)
+				qt.Check(t, err, qt.IsNil)
+				for _, want := range test.want {
+					qt.Check(t, string(all), qt.Contains, want)
+				}
+			})
+		})
+	}
+}
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"math"
 	"net/http"
 	"strings"
@@ -245,6 +246,9 @@
 	result, failure := x.handler.Dispatcher.Do(ctx, q)
 	x.outcome.Steps = q.Steps
 	x.outcome.Tries = entry.Sendings(q.Steps)
+	if failure != nil {
+		failure = x.stopped(failure)
+	}
 	keep.begin(result, failure)
 	if failure != nil {
 		x.fail(failure)
@@ -257,6 +261,16 @@
 	return cut
 }
 
+// stopped returns the failure of a request that has been sent on, which its caller is not
+// to blame for if the request's context ended because the node had to stop.
+func (x *exchange) stopped(failure *verdict.Error) *verdict.Error {
+	reason, ok := errors.AsType[*verdict.Error](context.Cause(x.r.Context()))
+	if !ok || failure.Cause != verdict.CallerGone {
+		return failure
+	}
+	return verdict.New(verdict.Stopped, reason.Err).WithGivenUp()
+}
+
 // classOf returns the first class that the request matches, or the first class.
 func classOf(s *operator.Service, r *http.Request) string {
 	for _, c := range s.Classes {
--- a/caller/request.go
+++ b/caller/request.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -99,7 +100,7 @@
 	case x.handler.Suspects != nil && x.handler.Suspects(q.Print):
 		body, err := x.readUntil(q.Deadline, func() ([]byte, error) { return x.streamed.peek(quarantine.MaxBody) })
 		if err != nil {
-			return verdict.New(verdict.BadRequest, eris.Wrap(err, "body"))
+			return x.unread(err)
 		}
 		q.Print = q.Print.WithBody(body)
 	}
@@ -108,11 +109,19 @@
 }
 
 // readUntil returns what read reads of the body, which fails if the caller has not sent
-// it by then.
+// it by then, or the request's context ends.
 func (x *exchange) readUntil(until time.Time, read func() ([]byte, error)) ([]byte, error) {
 	control := http.NewResponseController(x.w)
 	_ = control.SetReadDeadline(until)
+	ended := make(chan struct{})
+	stop := context.AfterFunc(x.r.Context(), func() {
+		_ = control.SetReadDeadline(longAgo)
+		close(ended)
+	})
 	data, err := read()
+	if !stop() {
+		<-ended
+	}
 	if err != nil {
 		// The server looks for the rest of the body ahead of the answer, and must not wait for it.
 		_ = control.SetReadDeadline(longAgo)
@@ -122,6 +131,15 @@
 	return data, nil
 }
 
+// unread returns the failure of a request whose body could not be read: the cause that
+// its context ended by, if that says it, or else the caller.
+func (x *exchange) unread(err error) *verdict.Error {
+	if e, ok := errors.AsType[*verdict.Error](context.Cause(x.r.Context())); ok {
+		return e
+	}
+	return verdict.New(verdict.BadRequest, eris.Wrap(err, "body"))
+}
+
 // name sets the fields by which the upstream knows the request, and removes the caller's
 // key.
 func (x *exchange) name(h http.Header, names upstream.Names, t *Target) {
@@ -211,7 +229,7 @@
 	data, err := x.readUntil(q.Deadline, func() ([]byte, error) { return io.ReadAll(r.Body) })
 	if err != nil {
 		x.broken.Store(true)
-		return verdict.New(verdict.BadRequest, eris.Wrap(err, "body"))
+		return x.unread(err)
 	}
 	q.Body = data
 	return nil
--- /dev/null
+++ b/node/leave.go
@@ -0,0 +1,132 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"sassafrasfront.example/caller"
+	"sassafrasfront.example/internal/sleep"
+	"sassafrasfront.example/verdict"
+)
+
+const (
+	// lastAnswers bounds the wait for the answers to requests that are cut: as long again
+	// is left of settings.ExitTime for the rest.
+	lastAnswers = 200 * time.Millisecond
+	// comeBackElsewhere is what callers are told to wait for whose requests are not sent
+	// any more. Other nodes take them.
+	comeBackElsewhere = 250 * time.Millisecond
+)
+
+// errDrainOver is why requests are cut.
+var errDrainOver = eris.New("this node had to stop")
+
+// leaving is the stop of a node's traffic.
+type leaving struct {
+	node    *Node
+	callers *http.Server
+	conns   *caller.Listener
+	// cut ends the contexts of callers' requests.
+	cut context.CancelCauseFunc
+}
+
+// leave stops the traffic without cutting a request: first callers are sent away,
+// then new work for the upstream is refused and others are told, and what is in
+// flight is let end. The upstream can be reached through this node alone, so its
+// room is given up as late as the end of what runs there allows.
+func (l *leaving) leave() {
+	n := l.node
+	began := time.Now()
+	n.Log.Info().Dur("withinMs", n.Settings.DrainWithin()).Msg("leaving")
+	n.mu.Lock()
+	n.leaving = true
+	n.mu.Unlock()
+	l.conns.Leave()
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(n.Settings.DrainWithin()))
+	defer cancel()
+	leave := n.Settings.LeaveWithin()
+	admitting := min(n.Settings.AdmitDelay, leave)
+	sleep.For(ctx, admitting)
+	idle := n.gate.Leave()
+	n.mu.Lock()
+	n.closing = true
+	n.mu.Unlock()
+	n.announce()
+	sleep.For(ctx, leave-admitting)
+	n.mu.Lock()
+	n.draining = true
+	n.mu.Unlock()
+	if err := l.drain(ctx, idle); err != nil {
+		n.Log.Warn().Err(err).Msg("requests in flight cut at the end of the drain")
+		l.end()
+	}
+	n.Log.Info().Dur("took", time.Since(began)).Msg("drained")
+}
+
+// drain waits until no request of a caller and no call of another node is under way, or
+// ctx ends. Idle is closed once nothing is at the upstream.
+func (l *leaving) drain(ctx context.Context, idle <-chan struct{}) error {
+	err := l.conns.Drain(ctx)
+	if err == nil {
+		err = l.callers.Shutdown(ctx)
+	}
+	if err == nil {
+		err = l.conns.Quiesce(ctx)
+	}
+	select {
+	case <-idle:
+	case <-ctx.Done():
+	}
+	if err == nil {
+		err = l.node.peers.Quiesce(ctx)
+	}
+	return err
+}
+
+// end has what is still under way answered by the node itself, with whether the request
+// may have run, and closes the connections of those that could not be told.
+func (l *leaving) end() {
+	l.node.dispatcher.Close() // ends what has been sent on
+	l.quiesce()
+	l.cut(verdict.New(verdict.NotSent, errDrainOver).WithRetryAfter(comeBackElsewhere)) // and what has not
+	l.quiesce()
+	l.conns.Cut()
+}
+
+// quiesce waits until the answers of requests that have been ended are written.
+func (l *leaving) quiesce() {
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers/2)
+	defer cancel()
+	_ = l.conns.Quiesce(ctx) // what is still open then is closed
+}
+
+// exit returns the context of what a node does after its drain. It ends with the grace
+// period, if that is known, less the time for the process to end.
+func (n *Node) exit(stopped time.Time) (context.Context, context.CancelFunc) {
+	if n.Settings.GracePeriod == 0 {
+		return context.WithCancel(context.Background())
+	}
+	return context.WithDeadline(context.Background(), stopped.Add(n.Settings.GracePeriod-lastAnswers/2))
+}
+
+// await waits until wait returns, or ctx ends.
+func await(ctx context.Context, wait func()) error {
+	done := make(chan struct{})
+	go func() {
+		wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
--- /dev/null
+++ b/node/leave_test.go
@@ -0,0 +1,301 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package node_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
+	"net/textproto"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/platform/standin"
+	"sassafrasfront.example/settings"
+)
+
+// held is a world whose upstream of the service b works on a request until it is let go on.
+type held struct {
+	*world
+	entry, other *managed // which take requests, and have the upstream beside them
+	upstream     *httptest.Server
+	started      chan string // the ids of the requests that it works on
+	release      chan struct{}
+	let          func()
+	sent         int
+}
+
+// newHeld starts the nodes with the given settings.
+func newHeld(t *testing.T, adjust func(s *settings.Settings)) *held {
+	h := &held{
+		world:   newWorld(t),
+		started: make(chan string, 100),
+		release: make(chan struct{}),
+	}
+	h.let = sync.OnceFunc(func() { close(h.release) })
+	u := &standin.Upstream{
+		Service: "b",
+		Slots:   40,
+	}
+	h.upstream = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/healthz" || r.URL.Path == "/i/warm" {
+			u.ServeHTTP(w, r)
+			return
+		}
+		h.work(w, r, u)
+	}))
+	t.Cleanup(func() {
+		h.let()
+		h.upstream.CloseClientConnections()
+		h.upstream.Close()
+	})
+	long := func(name, kind string) string {
+		return fmt.Sprintf(`{"name":"%[1]s","pathPrefix":"/%[1]s/","kind":"%[2]s","timeoutS":60,"targetLatencyS":30,"priority":1,"service":"b","maxAttempts":2}`, name, kind)
+	}
+	h.configure(1, "", long("i", "idempotent"), long("n", "non_idempotent"))
+	h.adjust = func(s *settings.Settings) {
+		adjust(s)
+		if s.Service == "b" {
+			s.UpstreamAddress = h.upstream.Listener.Addr().String()
+		}
+	}
+	h.entry = h.add("a")
+	h.other = h.addUpstream("z", u)
+	for _, m := range []*managed{h.entry, h.other} {
+		h.eventually("a node serves", func() bool { return m.ask("GET", "/i/warm", "warm", "").status == 200 })
+	}
+	return h
+}
+
+// work answers a request once it may, in the way that its path names.
+func (h *held) work(w http.ResponseWriter, r *http.Request, u *standin.Upstream) {
+	id := r.Header.Get(standin.RequestID)
+	w.Header().Set(standin.Instance, u.ID)
+	w.Header().Set(standin.RequestID, id)
+	w.Header().Set(standin.Signature, standin.Sign(u.ID, id))
+	kind := r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:]
+	control := http.NewResponseController(w)
+	switch kind {
+	case "begun":
+		_, _ = io.WriteString(w, "begun ")
+		_ = control.Flush()
+	case "hints":
+		w.Header().Set("Link", "</x>")
+		w.WriteHeader(http.StatusEarlyHints)
+		w.Header().Del("Link")
+	}
+	h.started <- id
+	select {
+	case <-h.release:
+	case <-r.Context().Done():
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	_, _ = io.WriteString(w, kind+" "+string(body))
+}
+
+// pending is a request that has been sent, and its answer.
+type pending struct {
+	name string
+	done chan struct{}
+	got  answer
+	err  error
+}
+
+// transport returns connections of its own, of HTTP/1.1 or 2.
+func (h *held) transport(streams bool) *http.Transport {
+	t := &http.Transport{Protocols: new(http.Protocols)}
+	t.Protocols.SetHTTP1(!streams)
+	t.Protocols.SetUnencryptedHTTP2(streams)
+	h.t.Cleanup(t.CloseIdleConnections)
+	return t
+}
+
+// send sends a request to a node. What is written to it later belongs to its body.
+func (h *held) send(m *managed, by *http.Transport, name, method, path string, body io.Reader) *pending {
+	h.sent++
+	r, err := http.NewRequest(method, "http://"+m.settings.CallerAddress+path, body)
+	qt.Assert(h.t, err, qt.IsNil)
+	r.Host = "h.example"
+	r.Header.Set(standin.RequestID, fmt.Sprint("request", h.sent))
+	r.Header.Set(standin.Timeout, "60000")
+	r = r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
+		Got1xxResponse: func(int, textproto.MIMEHeader) error { return nil },
+	}))
+	p := &pending{
+		name: name,
+		done: make(chan struct{}),
+	}
+	go func() {
+		defer close(p.done)
+		response, err := by.RoundTrip(r)
+		if err != nil {
+			p.err = err
+			return
+		}
+		defer response.Body.Close()
+		data, err := io.ReadAll(response.Body)
+		p.err = err
+		p.got = answer{
+			status:    response.StatusCode,
+			body:      string(data),
+			signature: response.Header.Get(standin.Signature),
+		}
+	}()
+	return p
+}
+
+// working waits until the upstream works on so many requests.
+func (h *held) working(count int) {
+	h.t.Helper()
+	begun := 0
+	h.eventually(fmt.Sprintf("the upstream works on %d requests", count), func() bool {
+		for {
+			select {
+			case <-h.started:
+				begun++
+			default:
+				return begun >= count
+			}
+		}
+	})
+}
+
+// closed waits until a node takes no more connections of callers.
+func (h *held) closed(m *managed) {
+	h.eventually("the node drains", func() bool {
+		c, err := net.Dial("tcp", m.settings.CallerAddress)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err != nil
+	})
+}
+
+// leaveSoon has a node stop within a moment unless requests are under way, where it is not known
+// how long it may live.
+func leaveSoon(s *settings.Settings) {
+	s.LeaveDelay = 100 * time.Millisecond
+	s.AdmitDelay = 50 * time.Millisecond
+	s.DrainTimeout = 100 * time.Millisecond
+	s.GracePeriod = time.Minute
+}
+
+// TestLeaveWhileUpstreamWorks has nodes stop with requests of every kind under way, at which the
+// upstream works for longer than drainTimeout, and within the grace period. They were
+// answered 502 at the end of drainTimeout.
+func TestLeaveWhileUpstreamWorks(t *testing.T) {
+	tests := map[string]func(h *held) []*managed{
+		"the node that took them":      func(h *held) []*managed { return []*managed{h.entry} },
+		"the node beside the upstream": func(h *held) []*managed { return []*managed{h.other} },
+		"both at once":                 func(h *held) []*managed { return []*managed{h.entry, h.other} },
+		"its upstream says that it leaves": func(h *held) []*managed {
+			h.other.upstream.Leave()
+			return []*managed{h.entry, h.other}
+		},
+	}
+	for name, leaving := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHeld(t, leaveSoon)
+			kept := h.transport(false)
+			first := h.send(h.entry, kept, "first", "GET", "/i/warm", nil)
+			<-first.done
+			var all []*pending
+			var bodies []*io.PipeWriter
+			stream := func() io.Reader {
+				r, w := io.Pipe()
+				bodies = append(bodies, w)
+				go func() { _, _ = io.WriteString(w, strings.Repeat("x", 100)) }()
+				return r
+			}
+			add := func(p *pending) { all = append(all, p) }
+			add(h.send(h.entry, kept, "kept", "GET", "/i/plain", nil))
+			add(h.send(h.entry, h.transport(false), "fresh", "GET", "/i/plain", nil))
+			add(h.send(h.entry, h.transport(false), "not idempotent", "POST", "/n/plain", strings.NewReader("body")))
+			add(h.send(h.entry, h.transport(false), "answer has begun", "GET", "/i/begun", nil))
+			add(h.send(h.entry, h.transport(false), "informational", "GET", "/n/hints", nil))
+			add(h.send(h.entry, h.transport(true), "HTTP/2", "GET", "/n/plain", nil))
+			add(h.send(h.entry, h.transport(false), "streamed body", "POST", "/n/body", stream()))
+			add(h.send(h.other, h.transport(false), "beside its upstream", "GET", "/i/plain", nil))
+			h.working(len(all))
+			var stopping sync.WaitGroup
+			nodes := leaving(h)
+			for _, m := range nodes {
+				stopping.Go(m.stop)
+			}
+			for _, m := range nodes {
+				h.closed(m)
+			}
+			time.Sleep(500 * time.Millisecond) // well beyond drainTimeout
+			for _, p := range all {
+				select {
+				case <-p.done:
+					t.Errorf("%s ended before its upstream: %+v %v", p.name, p.got, p.err)
+				default:
+				}
+			}
+			h.let()
+			for _, w := range bodies {
+				_, _ = io.WriteString(w, "y")
+				_ = w.Close()
+			}
+			for _, p := range all {
+				<-p.done
+				qt.Check(t, p.err, qt.IsNil, qt.Commentf(p.name))
+				qt.Check(t, p.got.status, qt.Equals, 200, qt.Commentf(p.name))
+				qt.Check(t, p.got.signature, qt.Not(qt.Equals), "", qt.Commentf(p.name))
+			}
+			stopping.Wait()
+		})
+	}
+}
+
+// TestGracePeriodOver has requests at work at the end of the grace period. Each is told by the
+// node itself that it may have run, and that the node's stop is the cause. Callers were named as
+// the cause of requests to a node that left at the same time.
+func TestGracePeriodOver(t *testing.T) {
+	tests := map[string]func(h *held) []*managed{
+		"the node that took them": func(h *held) []*managed { return []*managed{h.entry} },
+		"both at once":            func(h *held) []*managed { return []*managed{h.other, h.entry} },
+	}
+	for name, leaving := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHeld(t, func(s *settings.Settings) {
+				leaveSoon(s)
+				s.GracePeriod = 1500 * time.Millisecond
+			})
+			all := []*pending{
+				h.send(h.entry, h.transport(false), "idempotent", "GET", "/i/plain", nil),
+				h.send(h.entry, h.transport(false), "not idempotent", "POST", "/n/plain", strings.NewReader("body")),
+				h.send(h.entry, h.transport(true), "HTTP/2", "GET", "/n/plain", nil),
+			}
+			h.working(len(all))
+			var stopping sync.WaitGroup
+			for _, m := range leaving(h) {
+				stopping.Go(m.stop)
+			}
+			for _, p := range all {
+				<-p.done
+				qt.Check(t, p.err, qt.IsNil, qt.Commentf(p.name))
+				qt.Check(t, p.got.status, qt.Equals, 502, qt.Commentf(p.name))
+				qt.Check(t, p.got.body, qt.Contains, `"verdict":"mayHaveRun"`, qt.Commentf(p.name))
+				qt.Check(t, p.got.body, qt.Contains, `"cause":"stopped"`, qt.Commentf(p.name))
+			}
+			stopping.Wait()
+			h.let()
+			for _, m := range leaving(h) {
+				h.run(m)
+			}
+			h.eventually("it serves again at its address", func() bool { return h.entry.ask("GET", "/i/warm", "again", "").status == 200 })
+		})
+	}
+}
--- a/node/managed_test.go
+++ b/node/managed_test.go
@@ -5,6 +5,7 @@
 package node_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -38,6 +39,8 @@
 	// strict is the nodes' RevokeWithin, and share their RolloutShare.
 	strict time.Duration
 	share  float64
+	// adjust, if not nil, changes the settings of nodes that are added.
+	adjust func(s *settings.Settings)
 }
 
 // managed is a node with its upstream.
@@ -119,7 +122,7 @@
 func (w *world) addUpstream(zone string, u *standin.Upstream, seeds ...string) *managed {
 	id := "i-" + strconv.Itoa(len(w.nodes))
 	service := u.Service
-	u.ID, u.Slots, u.Work = id, 8, 5*time.Millisecond
+	u.ID, u.Slots, u.Work = id, cmp.Or(u.Slots, 8), 5*time.Millisecond
 	m := &managed{upstream: u}
 	addr, err := m.upstream.Start()
 	qt.Assert(w.t, err, qt.IsNil)
@@ -132,6 +135,9 @@
 		RetryRatio: 0.2, RetrySlack: 60, ReportBytes: 20000, ControlBytes: 100000, PlatformCalls: 100,
 		LeaveDelay: 50 * time.Millisecond, DrainTimeout: 2 * time.Second, MaxHeaderBytes: 1 << 16,
 	}
+	if w.adjust != nil {
+		w.adjust(&m.settings)
+	}
 	w.nodes = append(w.nodes, m)
 	w.run(m)
 	return m
--- a/node/node.go
+++ b/node/node.go
@@ -165,8 +165,9 @@
 	n.tracer = tracer
 	n.build()
 	n.Log.Info().Str("zone", n.Settings.Zone).Str("callerAddress", l.caller.Addr().String()).Str("peerAddress", l.peer.Addr().String()).Msg("node started")
-	n.serve(ctx, l)
-	flushing, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	exit, cancel := n.serve(ctx, l)
+	defer cancel()
+	flushing, cancel := context.WithTimeout(exit, flushTimeout)
 	defer cancel()
 	if err := flush(flushing); err != nil {
 		n.Log.Warn().Err(err).Msg("last traces not sent")
@@ -221,11 +222,14 @@
 	return n.configured.Swap(config != nil) != (config != nil)
 }
 
-// serve runs the parts until ctx ends, and then stops them in order.
-func (n *Node) serve(ctx context.Context, l *listeners) {
+// serve runs the parts until ctx ends, and then stops them in order. It returns the
+// context of what is left to do.
+func (n *Node) serve(ctx context.Context, l *listeners) (exit context.Context, cancel context.CancelFunc) {
 	inner, stop := context.WithCancel(context.Background())
 	defer stop()
 	complaints := n.serverLog()
+	requests, cut := context.WithCancelCause(context.Background())
+	defer cut(nil)
 	callers := &http.Server{
 		Handler:           n.callerHandler(),
 		ErrorLog:          complaints,
@@ -235,6 +239,7 @@
 		Protocols:         new(http.Protocols),
 		ConnState:         caller.ConnState,
 		ConnContext:       caller.ConnContext,
+		BaseContext:       func(net.Listener) context.Context { return requests },
 	}
 	callers.Protocols.SetHTTP1(true)
 	callers.Protocols.SetUnencryptedHTTP2(true)
@@ -275,15 +280,38 @@
 	all.Go(func() { _ = announce.Serve(l.announce) })
 	all.Go(func() { _ = operators.Serve(l.operator) })
 	<-ctx.Done()
-	n.leave(callers, callerConns)
+	exit, cancel = n.exit(time.Now())
+	(&leaving{
+		node:    n,
+		callers: callers,
+		conns:   callerConns,
+		cut:     cut,
+	}).leave()
 	if n.claims != nil {
-		n.claims.Wait()
+		n.leftOver(exit, "claims", n.claims.Wait)
 	}
 	stopControl()
-	controlling.Wait()
+	n.leftOver(exit, "control", controlling.Wait)
 	n.dispatcher.Close()
+	n.lastCalls(exit)
 	stop()
 	_ = announce.Close()
 	_ = operators.Close()
-	all.Wait()
+	n.leftOver(exit, "listeners", all.Wait)
+	return exit, cancel
+}
+
+// lastCalls lets the calls of other nodes go on as long as the process may live. Those
+// nodes may have to stop at the same time, and then answer for themselves.
+func (n *Node) lastCalls(exit context.Context) {
+	ctx, cancel := context.WithTimeout(exit, settings.ExitTime)
+	defer cancel()
+	_ = n.peers.Quiesce(ctx) // their nodes see the connection end
+}
+
+// leftOver waits for a part that ends, as long as the grace period allows.
+func (n *Node) leftOver(exit context.Context, part string, wait func()) {
+	if err := await(exit, wait); err != nil {
+		n.Log.Warn().Str("part", part).Err(err).Msg("not ended within the grace period")
+	}
 }
--- a/node/state.go
+++ b/node/state.go
@@ -9,10 +9,7 @@
 	"context"
 	"net/http"
 	"slices"
-	"time"
 
-	"sassafrasfront.example/caller"
-	"sassafrasfront.example/internal/sleep"
 	"sassafrasfront.example/member"
 	"sassafrasfront.example/operator"
 	"sassafrasfront.example/upstream"
@@ -142,50 +139,6 @@
 	return phaseServing
 }
 
-// leave stops the traffic without cutting a request: first callers are sent away,
-// then new work for the upstream is refused and others are told, and what is in
-// flight is let end. The upstream can be reached through this node alone, so its
-// room is given up as late as the end of what runs there allows.
-func (n *Node) leave(callers *http.Server, conns *caller.Listener) {
-	began := time.Now()
-	n.Log.Info().Msg("leaving")
-	n.mu.Lock()
-	n.leaving = true
-	n.mu.Unlock()
-	conns.Leave()
-	ctx, cancel := context.WithTimeout(context.Background(), n.Settings.LeaveDelay+n.Settings.DrainTimeout)
-	defer cancel()
-	admitting := min(n.Settings.AdmitDelay, n.Settings.LeaveDelay)
-	sleep.For(ctx, admitting)
-	idle := n.gate.Leave()
-	n.mu.Lock()
-	n.closing = true
-	n.mu.Unlock()
-	n.announce()
-	sleep.For(ctx, n.Settings.LeaveDelay-admitting)
-	n.mu.Lock()
-	n.draining = true
-	n.mu.Unlock()
-	err := conns.Drain(ctx)
-	if err == nil {
-		err = callers.Shutdown(ctx)
-	}
-	if err == nil {
-		err = conns.Quiesce(ctx)
-	}
-	select {
-	case <-idle:
-	case <-ctx.Done():
-	}
-	if err == nil {
-		err = n.peers.Quiesce(ctx)
-	}
-	if err != nil {
-		n.Log.Warn().Err(err).Msg("requests in flight cut at the end of drainTimeout")
-	}
-	n.Log.Info().Dur("took", time.Since(began)).Msg("drained")
-}
-
 // ready answers whether the node can serve callers.
 func (n *Node) ready(w http.ResponseWriter, _ *http.Request) {
 	n.mu.Lock()
--- a/settings/check.go
+++ b/settings/check.go
@@ -137,6 +137,7 @@
 	within(c, "platformCalls", s.PlatformCalls, 1, 1000)
 	within(c, "lease", s.Lease, 500*time.Millisecond, 10*time.Minute)
 	within(c, "patience", s.Patience, time.Second, 24*time.Hour)
+	c.add(s.GracePeriod == 0 || s.GracePeriod >= 2*ExitTime && s.GracePeriod <= time.Hour, "gracePeriod", "%v is not 0, nor within %v and 1h", s.GracePeriod, 2*ExitTime)
 	within(c, "drainTimeout", s.DrainTimeout, 0, time.Hour)
 	within(c, "leaveDelay", s.LeaveDelay, 0, time.Minute)
 	within(c, "admitDelay", s.AdmitDelay, 0, s.LeaveDelay)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -106,10 +106,15 @@
 	Lease time.Duration
 	// Patience is the silence after which a node is removed.
 	Patience time.Duration
-	// DrainTimeout bounds the wait for requests in flight at a planned stop.
+	// GracePeriod is how long the process may live after it has been told to stop. Zero
+	// means that it is not known.
+	GracePeriod time.Duration
+	// DrainTimeout bounds the wait for requests in flight at a planned stop, from
+	// LeaveDelay on, where GracePeriod is not known.
 	DrainTimeout time.Duration
 	// LeaveDelay is how long a node that leaves goes on taking callers'
-	// requests, so that those who send them can learn of it.
+	// requests, so that those who send them can learn of it. A short GracePeriod
+	// bounds it.
 	LeaveDelay time.Duration
 	// AdmitDelay is how long a node that leaves goes on admitting requests to its
 	// upstream, at most LeaveDelay.
@@ -169,7 +174,8 @@
 	fs.Float64Var(&s.PlatformCalls, "platformCalls", 20, "budget of calls to the platform, per second")
 	fs.DurationVar(&s.Lease, "lease", 15*time.Second, "duration of the representative's lease")
 	fs.DurationVar(&s.Patience, "patience", 3*time.Minute, "silence after which a node is removed")
-	fs.DurationVar(&s.DrainTimeout, "drainTimeout", 30*time.Second, "longest wait for requests in flight at a planned stop")
+	fs.DurationVar(&s.GracePeriod, "gracePeriod", 0, "how long the process may live after it has been told to stop; 0 if that is not known")
+	fs.DurationVar(&s.DrainTimeout, "drainTimeout", 30*time.Second, "longest wait for requests in flight at a planned stop, where gracePeriod is 0")
 	fs.DurationVar(&s.LeaveDelay, "leaveDelay", time.Second, "how long a leaving node goes on taking callers' requests")
 	fs.DurationVar(&s.AdmitDelay, "admitDelay", 0, "how long a leaving node goes on admitting requests to its upstream, at most leaveDelay")
 	fs.IntVar(&s.MaxHeaderBytes, "maxHeaderBytes", 64<<10, "largest head of a caller's request, in bytes")
@@ -185,3 +191,25 @@
 	}
 	return s.PeerAddress
 }
+
+// ExitTime is what a drain leaves of GracePeriod: for the answers to requests that are
+// cut, for the last log lines, and for the process to end.
+const ExitTime = 500 * time.Millisecond
+
+// DrainWithin returns how long after it has been told to stop a node waits for requests
+// in flight.
+func (s *Settings) DrainWithin() time.Duration {
+	if s.GracePeriod > 0 {
+		return s.GracePeriod - ExitTime
+	}
+	return s.LeaveDelay + s.DrainTimeout
+}
+
+// LeaveWithin returns how long after it has been told to stop a node takes callers'
+// requests: LeaveDelay, and at most half of what there is for those in flight.
+func (s *Settings) LeaveWithin() time.Duration {
+	if s.GracePeriod > 0 {
+		return min(s.LeaveDelay, s.DrainWithin()/2)
+	}
+	return s.LeaveDelay
+}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -50,6 +51,8 @@
 		"not YAML":          {yaml: "node: [\n", want: []string{"node.yaml:"}},
 		"not a mapping":     {yaml: "- a\n", want: []string{"not a list of settings"}},
 		"empty":             {yaml: "", want: []string{"node: "}},
+		"short grace":       {yaml: good + "gracePeriod: 900ms\n", want: []string{"node.yaml:5: gracePeriod: 900ms is not 0, nor within 1s"}},
+		"least grace":       {yaml: good + "leaveDelay: 2s\ngracePeriod: 1s\n"},
 		"bad seed":          {yaml: good + "seeds: 127.0.0.1:1, somewhere\n", want: []string{"node.yaml:5: seeds: \"somewhere\""}},
 		"peers in place of": {yaml: "node: a\nregion: r\nzone: z\npeers: 127.0.0.1:1, 127.0.0.1:2\n"},
 	}
@@ -99,6 +102,29 @@
 	}
 }
 
+// TestDrainWithin has nodes that know how long they may live after SIGTERM, and nodes that don't.
+func TestDrainWithin(t *testing.T) {
+	tests := map[string]struct {
+		grace, leave, drain time.Duration
+		wantLeave, want     time.Duration
+	}{
+		"no grace period":      {leave: time.Second, drain: 3 * time.Second, wantLeave: time.Second, want: 4 * time.Second},
+		"a grace period":       {grace: 10 * time.Second, leave: time.Second, drain: 3 * time.Second, wantLeave: time.Second, want: 10*time.Second - settings.ExitTime},
+		"a short grace period": {grace: 2 * time.Second, leave: 2 * time.Second, wantLeave: (2*time.Second - settings.ExitTime) / 2, want: 2*time.Second - settings.ExitTime},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := settings.Settings{
+				GracePeriod:  test.grace,
+				LeaveDelay:   test.leave,
+				DrainTimeout: test.drain,
+			}
+			qt.Check(t, s.LeaveWithin(), qt.Equals, test.wantLeave)
+			qt.Check(t, s.DrainWithin(), qt.Equals, test.want)
+		})
+	}
+}
+
 func TestEnvironment(t *testing.T) {
 	t.Setenv("SASSAFRAS_ZONE", "fromenv")
 	s, err := read(t, good)
--- a/verdict/cause.go
+++ b/verdict/cause.go
@@ -52,6 +52,8 @@
 	Misrouted Cause = "misrouted"
 	// Quarantined: upstreams have ended under requests like this one.
 	Quarantined Cause = "quarantined"
+	// NotSent: the node that had taken the request stopped before the request was sent on.
+	NotSent Cause = "notSent"
 	// Revoked: the request was taken back while it waited in a queue.
 	Revoked Cause = "revoked"
 	// UpstreamDialFailed: the node could not connect to its upstream, or
@@ -152,6 +154,7 @@
 	Draining:           {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true, By: ByGate},
 	Misrouted:          {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true, By: ByGate},
 	Quarantined:        {Verdict: NotRun, Status: http.StatusServiceUnavailable, By: ByEntry},
+	NotSent:            {Verdict: NotRun, Status: http.StatusServiceUnavailable, By: ByStop},
 	Revoked:            {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true, By: ByGate},
 	UpstreamDialFailed: {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true, By: ByUpstream},
 	UpstreamRefused:    {Verdict: NotRun, Status: http.StatusServiceUnavailable, Elsewhere: true, By: ByUpstream},
