sassafrasnode: tests of further signals during a stop, and of a stop just after the start

SIGTERM, SIGHUP and SIGINT in a stop change nothing: a request whose head comes in over all of them is answered, and the process ends by itself with exit code 0. No fault was found; the tests start the test's own program as the process.

--- /dev/null
+++ b/cmd/sassafrasnode/stop_test.go
@@ -0,0 +1,142 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// runsNode, if set in the environment, has the test's program be a node's process.
+const runsNode = "SASSAFRASNODE_TEST_RUNS_NODE"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(runsNode) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// process is a node's process with its log.
+type process struct {
+	t      *testing.T
+	cmd    *exec.Cmd
+	log    *bufio.Scanner
+	caller string // the address for callers
+}
+
+// startProcess starts a node whose settings have the given lines besides.
+func startProcess(t *testing.T, lines string) *process {
+	p := &process{t: t}
+	text := "node: a\nregion: r\nzone: z\nplatformURL: http://127.0.0.1:1\n" + lines
+	for _, name := range []string{"callerAddress", "peerAddress", "announceAddress", "operatorAddress"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		qt.Assert(t, err, qt.IsNil)
+		text += fmt.Sprintf("%s: %s\n", name, l.Addr())
+		if name == "callerAddress" {
+			p.caller = l.Addr().String()
+		}
+		_ = l.Close()
+	}
+	file := filepath.Join(t.TempDir(), "node.yaml")
+	qt.Assert(t, os.WriteFile(file, []byte(text), 0o600), qt.IsNil)
+	p.cmd = exec.Command(os.Args[0], "run", "-config", file)
+	p.cmd.Env = append(os.Environ(), runsNode+"=1")
+	p.cmd.Stderr = os.Stderr
+	out, err := p.cmd.StdoutPipe()
+	qt.Assert(t, err, qt.IsNil)
+	p.log = bufio.NewScanner(out)
+	qt.Assert(t, p.cmd.Start(), qt.IsNil)
+	t.Cleanup(func() { _ = p.cmd.Process.Kill() })
+	return p
+}
+
+// logged reads the log up to the line of an event, and returns it.
+func (p *process) logged(event string) string {
+	p.t.Helper()
+	for p.log.Scan() {
+		if strings.Contains(p.log.Text(), event) {
+			return p.log.Text()
+		}
+	}
+	p.t.Fatalf("never logged: %s", event)
+	return ""
+}
+
+// signal sends signals to the process.
+func (p *process) signal(list ...syscall.Signal) {
+	p.t.Helper()
+	for _, s := range list {
+		qt.Assert(p.t, p.cmd.Process.Signal(s), qt.IsNil)
+	}
+}
+
+// ended reads the rest of the log and checks that the process has ended as planned.
+func (p *process) ended() {
+	p.t.Helper()
+	p.logged("drained")
+	p.logged("node stopped")
+	qt.Check(p.t, p.cmd.Wait(), qt.IsNil)
+}
+
+// TestSignalsWhileStopping sends further signals while a process stops, with a request under way whose
+// head comes in over all of them. It must get its answer, and the process end as planned.
+func TestSignalsWhileStopping(t *testing.T) {
+	tests := map[string][]syscall.Signal{
+		"none":               {},
+		"SIGTERM":            {syscall.SIGTERM},
+		"SIGTERM, often":     {syscall.SIGTERM, syscall.SIGTERM, syscall.SIGTERM},
+		"SIGHUP":             {syscall.SIGHUP},
+		"SIGINT":             {syscall.SIGINT},
+		"all of them, mixed": {syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGTERM},
+	}
+	for name, signals := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := startProcess(t, "gracePeriod: 20s\nleaveDelay: 300ms\n")
+			p.logged("node started")
+			c, err := net.Dial("tcp", p.caller)
+			qt.Assert(t, err, qt.IsNil)
+			defer c.Close()
+			_, err = io.WriteString(c, "GET / HTTP/1.1\r\n")
+			qt.Assert(t, err, qt.IsNil)
+			p.signal(syscall.SIGTERM)
+			p.logged("leaving")
+			p.signal(signals...)
+			_, err = io.WriteString(c, "Host: service.example\r\n\r\n")
+			qt.Assert(t, err, qt.IsNil)
+			r, err := http.ReadResponse(bufio.NewReader(c), nil)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, r.StatusCode, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("no service is known"))
+			qt.Check(t, r.Close, qt.IsTrue)
+			for _, x := range signals {
+				_ = p.cmd.Process.Signal(x) // it may have ended
+			}
+			p.ended()
+		})
+	}
+}
+
+// TestStopWhileStarting stops processes that have just started.
+func TestStopWhileStarting(t *testing.T) {
+	for range 5 {
+		p := startProcess(t, "gracePeriod: 20s\nleaveDelay: 10ms\n")
+		p.logged("node started")
+		p.signal(syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM)
+		p.ended()
+	}
+}
