node: a leaving node takes its upstream's calls as long as that runs requests

What callers saw: a request ends with its upstream's 500, as a call that the upstream made for it was refused by its own node, which had closed its listener for callers 2.5 s after SIGTERM.

Cause: the node waited for the end of what runs at its upstream only after it had closed the listener, and the upstream reaches the others through that node alone.

Now the listener stays open until nothing runs there, at the latest until 1 s before the end of the drain, or half of what is left of it, so that callers' own requests can end.

--- a/node/leave.go
+++ b/node/leave.go
@@ -60,6 +60,7 @@
 	n.mu.Unlock()
 	n.announce()
 	sleep.For(ctx, leave-admitting)
+	awaitRuns(ctx, idle)
 	n.mu.Lock()
 	n.draining = true
 	n.mu.Unlock()
@@ -70,6 +71,25 @@
 	n.Log.Info().Dur("took", time.Since(began)).Msg("drained")
 }
 
+// callersLast is what is left of the drain for callers' requests once the listener is closed.
+const callersLast = time.Second
+
+// awaitRuns waits until idle is closed, or half of the time until the end of ctx, or all but
+// callersLast of it if that is more, is over. What runs at the upstream makes its calls through
+// this node's listener.
+func awaitRuns(ctx context.Context, idle <-chan struct{}) {
+	end, ok := ctx.Deadline()
+	if !ok {
+		return
+	}
+	waiting, cancel := context.WithDeadline(ctx, end.Add(-min(callersLast, time.Until(end)/2)))
+	defer cancel()
+	select {
+	case <-idle:
+	case <-waiting.Done():
+	}
+}
+
 // drain waits until no request of a caller and no call of another node is under way, or
 // ctx ends. Idle is closed once nothing is at the upstream.
 func (l *leaving) drain(ctx context.Context, idle <-chan struct{}) error {
