node, caller: a drain says what was under way, what ended by itself and what was cut

The event "drained" has the requests of callers and the calls for the upstream that were under way at SIGTERM and at the closing of the listener, how many ended by themselves, and how many were cut, with the ids of the 20 oldest requests; sassafras_drain_total counts the same, and sassafras_requests_under_way shows the requests as they become fewer. The ids of calls are not kept here: "call not answered" has them.

TestLeaveWhileUpstreamWorks and TestGracePeriodOver check the lines.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -101,6 +101,8 @@
 	Tracer trace.Tracer
 	// Ended, if not nil, is called at the end of each request.
 	Ended func(Outcome)
+
+	underWay underWay
 }
 
 // exchange is the handling of one request.
@@ -140,6 +142,8 @@
 			Path:   r.URL.Path,
 		},
 	}
+	h.underWay.add(x)
+	defer h.underWay.remove(x)
 	ctx := tracing.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := h.Tracer.Start(ctx, "entry", trace.WithSpanKind(trace.SpanKindServer))
 	cut := x.serve(ctx)
--- a/node/handlers.go
+++ b/node/handlers.go
@@ -19,7 +19,7 @@
 )
 
 // callerHandler returns what serves callers.
-func (n *Node) callerHandler() http.Handler {
+func (n *Node) callerHandler() *caller.Handler {
 	h := &caller.Handler{
 		Lookup: func(host string) (*entry.Service, bool) {
 			s := n.control.Snapshot()
--- a/node/leave.go
+++ b/node/leave.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -20,6 +21,8 @@
 	// lastAnswers bounds the wait for the answers to requests that are cut: as long again
 	// is left of settings.ExitTime for the rest.
 	lastAnswers = 200 * time.Millisecond
+	// cutIDs bounds the ids of requests in one log line.
+	cutIDs = 20
 	// comeBackElsewhere is what callers are told to wait for whose requests are not sent
 	// any more. Other nodes take them.
 	comeBackElsewhere = 250 * time.Millisecond
@@ -33,6 +36,7 @@
 	node    *Node
 	callers *http.Server
 	conns   *caller.Listener
+	handler *caller.Handler
 	// cut ends the contexts of callers' requests.
 	cut context.CancelCauseFunc
 }
@@ -44,7 +48,8 @@
 func (l *leaving) leave() {
 	n := l.node
 	began := time.Now()
-	n.Log.Info().Dur("withinMs", n.Settings.DrainWithin()).Msg("leaving")
+	told := l.standing()
+	n.Log.Info().Int("requests", told.requests).Int("calls", told.calls).Dur("withinMs", n.Settings.DrainWithin()).Msg("leaving")
 	n.mu.Lock()
 	n.leaving = true
 	n.mu.Unlock()
@@ -64,11 +69,40 @@
 	n.mu.Lock()
 	n.draining = true
 	n.mu.Unlock()
-	if err := l.drain(ctx, idle); err != nil {
+	closing := l.standing()
+	err := l.drain(ctx, idle)
+	over := l.standing()
+	ids := l.handler.Open(cutIDs)
+	if err != nil {
 		n.Log.Warn().Err(err).Msg("requests in flight cut at the end of the drain")
 		l.end()
 	}
-	n.Log.Info().Dur("took", time.Since(began)).Msg("drained")
+	ended := int(over.begun-told.begun) + told.requests - over.requests
+	n.metrics.drained(ended, over)
+	e := n.Log.Info().Int("requests", told.requests).Int("calls", told.calls).
+		Int("requestsAtClosing", closing.requests).Int("callsAtClosing", closing.calls).
+		Int("ended", ended).Int("cut", over.requests).Int("callsCut", over.calls)
+	if len(ids) > 0 {
+		e = e.Str("cutIds", strings.Join(ids, ","))
+	}
+	e.Dur("took", time.Since(began)).Msg("drained")
+}
+
+// standing is what is under way at a moment.
+type standing struct {
+	// requests are those of callers that are under way, and begun all so far.
+	requests int
+	begun    uint64
+	// calls are those of nodes that are at the upstream or wait for it.
+	calls int
+}
+
+// standing returns what is under way now.
+func (l *leaving) standing() standing {
+	load := l.node.gate.Load()
+	s := standing{calls: load.Running + load.Waiting}
+	s.requests, s.begun = l.handler.Count()
+	return s
 }
 
 // callersLast is what is left of the drain for callers' requests once the listener is closed.
--- a/node/leave_test.go
+++ b/node/leave_test.go
@@ -5,6 +5,7 @@
 package node_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -19,6 +20,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
 
 	"sassafrasfront.example/platform/standin"
 	"sassafrasfront.example/settings"
@@ -33,6 +35,31 @@
 	release      chan struct{}
 	let          func()
 	sent         int
+
+	mu    sync.Mutex
+	lines []map[string]any // of the log
+}
+
+// Write takes a line of the nodes' log.
+func (h *held) Write(line []byte) (int, error) {
+	fields := make(map[string]any)
+	err := json.Unmarshal(line, &fields)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lines = append(h.lines, fields)
+	return len(line), err
+}
+
+// logged returns the last line of an event at a node.
+func (h *held) logged(m *managed, event string) map[string]any {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, fields := range slices.Backward(h.lines) {
+		if fields["message"] == event && fields["node"] == m.settings.Node {
+			return fields
+		}
+	}
+	return nil
 }
 
 // newHeld starts the nodes with the given settings.
@@ -42,6 +69,7 @@
 		started: make(chan string, 100),
 		release: make(chan struct{}),
 	}
+	h.log = zerolog.New(h)
 	h.let = sync.OnceFunc(func() { close(h.release) })
 	u := &standin.Upstream{
 		Service: "b",
@@ -265,6 +293,16 @@
 				qt.Check(t, p.got.signature, qt.Not(qt.Equals), "", qt.Commentf(p.name))
 			}
 			stopping.Wait()
+			for _, m := range nodes {
+				line := h.logged(m, "drained")
+				taken := 0.0
+				if m == h.other {
+					taken = 1 // the call that the upstream made meanwhile
+				}
+				qt.Check(t, line["cut"], qt.Equals, 0.0)
+				qt.Check(t, line["ended"], qt.Equals, line["requests"].(float64)+taken)
+				qt.Check(t, line["callsCut"], qt.Equals, 0.0)
+			}
 		})
 	}
 }
@@ -301,6 +339,14 @@
 				qt.Check(t, p.got.body, qt.Contains, `"cause":"stopped"`, qt.Commentf(p.name))
 			}
 			stopping.Wait()
+			line := h.logged(h.entry, "drained")
+			qt.Check(t, line["requests"], qt.Equals, 3.0)
+			qt.Check(t, line["requestsAtClosing"], qt.Equals, 3.0)
+			qt.Check(t, line["ended"], qt.Equals, 0.0)
+			qt.Check(t, line["cut"], qt.Equals, 3.0)
+			ids := strings.Split(line["cutIds"].(string), ",")
+			slices.Sort(ids)
+			qt.Check(t, ids, qt.DeepEquals, []string{"request1", "request2", "request3"})
 			h.let()
 			for _, m := range leaving(h) {
 				h.run(m)
--- a/node/managed_test.go
+++ b/node/managed_test.go
@@ -41,6 +41,8 @@
 	share  float64
 	// adjust, if not nil, changes the settings of nodes that are added.
 	adjust func(s *settings.Settings)
+	// log takes the events of nodes.
+	log zerolog.Logger
 }
 
 // managed is a node with its upstream.
@@ -51,7 +53,7 @@
 }
 
 func newWorld(t *testing.T) *world {
-	w := &world{t: t, store: new(standin.Store)}
+	w := &world{t: t, store: new(standin.Store), log: zerolog.Nop()}
 	server := httptest.NewServer(w.store)
 	w.url = server.URL
 	t.Cleanup(func() {
@@ -148,7 +150,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node.Node{
 		Settings: m.settings,
-		Log:      zerolog.Nop(),
+		Log:      w.log.With().Str("node", m.settings.Node).Logger(),
 		Platform: &node.Platform{
 			Names: platform.Names(),
 			API:   func(c *objectapi.Caller) objectapi.Polled { return &platform.Store{Caller: c} },
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -166,6 +166,21 @@
 	}
 }
 
+// requestsUnderWay adds how many requests of callers are under way.
+func (m *metricSet) requestsUnderWay(h *caller.Handler) {
+	m.gauge(`sassafras_requests_under_way`, func() float64 {
+		open, _ := h.Count()
+		return float64(open)
+	})
+}
+
+// drained counts what has ended by itself in a drain, and what was cut.
+func (m *metricSet) drained(ended int, cut standing) {
+	m.set.GetOrCreateCounter(`sassafras_drain_total{part="requests",end="itself"}`).Add(ended)
+	m.set.GetOrCreateCounter(`sassafras_drain_total{part="requests",end="cut"}`).Add(cut.requests)
+	m.set.GetOrCreateCounter(`sassafras_drain_total{part="calls",end="cut"}`).Add(cut.calls)
+}
+
 // bodyIn takes in that the body of a call has arrived at the gate.
 func (m *metricSet) bodyIn(service, class string, bytes int64, took time.Duration) {
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`sassafras_gate_body_seconds{service=%q,class=%q}`, service, class)).Update(took.Seconds())
--- a/node/node.go
+++ b/node/node.go
@@ -230,8 +230,10 @@
 	complaints := n.serverLog()
 	requests, cut := context.WithCancelCause(context.Background())
 	defer cut(nil)
+	handler := n.callerHandler()
+	n.metrics.requestsUnderWay(handler)
 	callers := &http.Server{
-		Handler:           n.callerHandler(),
+		Handler:           handler,
 		ErrorLog:          complaints,
 		ReadHeaderTimeout: headTimeout,
 		IdleTimeout:       idleTimeout,
@@ -285,6 +287,7 @@
 		node:    n,
 		callers: callers,
 		conns:   callerConns,
+		handler: handler,
 		cut:     cut,
 	}).leave()
 	if n.claims != nil {
