--- a/node/leave.go
+++ b/node/leave.go
@@ -73,8 +73,10 @@
 	err := l.drain(ctx, idle)
 	over := l.standing()
 	ids := l.handler.Open(cutIDs)
-	if err != nil {
+	if err != nil && over.requests+over.calls > 0 {
 		n.Log.Warn().Err(err).Msg("requests in flight cut at the end of the drain")
+	}
+	if err != nil {
 		l.end()
 	}
 	ended := int(over.begun-told.begun) + told.requests - over.requests
