--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 SKIPPED = $${SKIP:+-skip "$$SKIP"}
 
 # All checks: format, vet, linter, tests, the race detector, a short fuzz run, a
-# short soak of three seeds without the promises that have a bound on time.
+# short soak of some seeds without the promises that have a bound on time.
 test: lint
 	go test -timeout 300s $(SKIPPED) work
 	go test -race -timeout 300s $(SKIPPED) ./admit ./blocklist ./caller ./canary ./cold ./contact ./control ./entry ./fair ./gate ./node ./peer ./platform ./objectapi ./quarantine ./ratelimit ./retry ./rollout ./spool ./upstream
@@ -41,3 +41,4 @@
 	bin/sassafrassoak run -seed 15 -duration 4s -safety -keys
 	bin/sassafrassoak run -seed 2 -duration 4s -safety -restore
 	bin/sassafrassoak run -seed 9 -duration 4s -safety -limits
+	bin/sassafrassoak run -seed 7 -duration 4s -safety -stops
--- a/cmd/sassafrassoak/check.go
+++ b/cmd/sassafrassoak/check.go
@@ -38,7 +38,9 @@
 		}
 	}
 	if w.stops {
-		broken = append(broken, w.checkAtWork(list, w.endedRuns())...)
+		ran := w.endedRuns()
+		broken = append(broken, w.checkStops(list, ran)...)
+		broken = append(broken, w.checkAtWork(list, ran)...)
 	}
 	if planned(faults) {
 		broken = append(broken, checkUncut(list, runs)...)
--- a/cmd/sassafrassoak/stops.go
+++ b/cmd/sassafrassoak/stops.go
@@ -272,6 +272,19 @@
 	return broken
 }
 
+// checkStops wants some request to have run while its entry, or the node of its upstream, was
+// stopping: else the run shows nothing.
+func (w *world) checkStops(list []outcome, ran map[string][]endedRun) []string {
+	for _, o := range list {
+		for _, r := range ran[o.id] {
+			if w.near(o, r.node) != "" {
+				return nil
+			}
+		}
+	}
+	return []string{"no request ran while a node of it was stopping"}
+}
+
 // checkUnanswered finds requests that a node has left without an answer though it had the time to
 // read them, unless it was killed or paused meanwhile.
 func (w *world) checkUnanswered(list []outcome) []string {
--- a/cmd/sassafrassoak/stops_test.go
+++ b/cmd/sassafrassoak/stops_test.go
@@ -124,6 +124,30 @@
 	qt.Check(t, endings[1].At.IsZero(), qt.IsTrue)
 }
 
+// TestStopCheckFails has no request run while its entry or the node of its upstream is stopping.
+func TestStopCheckFails(t *testing.T) {
+	now := time.Now()
+	o := outcome{id: "1", node: "entry", sent: now, ended: now.Add(time.Second)}
+	tests := map[string]struct {
+		deed   deed
+		broken int
+	}{
+		"entry":   {deed: deed{kind: told, node: "entry", from: now.Add(-time.Second)}},
+		"gate":    {deed: deed{kind: told, node: "gate", from: now.Add(time.Millisecond)}},
+		"another": {deed: deed{kind: told, node: "other", from: now}, broken: 1},
+		"before":  {deed: deed{kind: told, node: "gate", from: now.Add(-time.Hour), to: now.Add(-time.Minute)}, broken: 1},
+		"after":   {deed: deed{kind: told, node: "gate", from: now.Add(time.Hour)}, broken: 1},
+		"killed":  {deed: deed{kind: killed, node: "gate", from: now.Add(time.Millisecond)}, broken: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := &world{deeds: []*deed{&test.deed}}
+			ran := map[string][]endedRun{"1": {{node: "gate"}}}
+			qt.Check(t, w.checkStops([]outcome{o}, ran), qt.HasLen, test.broken)
+		})
+	}
+}
+
 // TestUnansweredCheckFails has a connection be closed with a request on it.
 func TestUnansweredCheckFails(t *testing.T) {
 	start := time.Now()
