sassafrassoak: with -stops, bodies also come without a length, and slowly

A connection may be closed on a request that is not whole; the check that none is closed on a whole one counts from the last byte of its body.

--- a/cmd/sassafrassoak/stops.go
+++ b/cmd/sassafrassoak/stops.go
@@ -35,8 +35,8 @@
 	// kind, whether answers come or not, and burstFactor how many times as often they are sent in a burst.
 	loadPause   = 150 * time.Millisecond
 	burstFactor = 5
-	// closeSlack is how long after a request's start its connection may be closed unanswered: the
-	// request may have crossed the closing of an idle connection.
+	// closeSlack is how long after the last byte of a request its connection may be closed
+	// unanswered: the request may have crossed the closing of an idle connection.
 	closeSlack = 200 * time.Millisecond
 	// clientGrace is how long after its deadline a caller still waits for an answer.
 	clientGrace = 300 * time.Millisecond
@@ -194,6 +194,10 @@
 	}
 	if random.IntN(5) == 0 {
 		o.size = 60<<10 + random.IntN(300<<10)
+		o.chunked = o.size%2 == 1
+		if o.size%5 == 0 {
+			o.slow = time.Duration(o.size%500) * time.Millisecond
+		}
 	}
 	switch random.IntN(20) {
 	case 0:
@@ -290,7 +294,7 @@
 func (w *world) checkUnanswered(list []outcome) []string {
 	var broken []string
 	for _, o := range list {
-		if o.status != 0 || o.left || !o.connection || o.ended.Sub(o.sent) <= closeSlack {
+		if o.status != 0 || o.left || o.whole.IsZero() || o.ended.Sub(o.whole) <= closeSlack {
 			continue
 		}
 		excused := slices.ContainsFunc(w.deeds, func(d *deed) bool {
