--- a/cmd/sassafrassoak/stops_test.go
+++ b/cmd/sassafrassoak/stops_test.go
@@ -106,7 +106,8 @@
 	n := &node{name: "n", caller: addr}
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	defer client.CloseIdleConnections()
-	whole := ask(client, n, outcome{id: "whole", route: "a", size: 100 << 10, deadline: time.Minute})
+	whole := ask(client, n, outcome{id: "whole", route: "a", size: 100 << 10, deadline: time.Minute, chunked: true, slow: time.Millisecond})
+	qt.Check(t, whole.whole.Before(whole.sent) || whole.whole.After(whole.ended), qt.IsFalse)
 	qt.Check(t, whole.status, qt.Equals, http.StatusOK)
 	qt.Check(t, whole.wrong, qt.Equals, "")
 	gone := outcome{id: "gone", route: "a"}
@@ -124,12 +125,38 @@
 	qt.Check(t, endings[1].At.IsZero(), qt.IsTrue)
 }
 
+// TestStopCheckFails has no request run while its entry or the node of its upstream is stopping.
+func TestStopCheckFails(t *testing.T) {
+	now := time.Now()
+	o := outcome{id: "1", node: "entry", sent: now, ended: now.Add(time.Second)}
+	tests := map[string]struct {
+		deed   deed
+		broken int
+	}{
+		"entry":   {deed: deed{kind: told, node: "entry", from: now.Add(-time.Second)}},
+		"gate":    {deed: deed{kind: told, node: "gate", from: now.Add(time.Millisecond)}},
+		"another": {deed: deed{kind: told, node: "other", from: now}, broken: 1},
+		"before":  {deed: deed{kind: told, node: "gate", from: now.Add(-time.Hour), to: now.Add(-time.Minute)}, broken: 1},
+		"after":   {deed: deed{kind: told, node: "gate", from: now.Add(time.Hour)}, broken: 1},
+		"killed":  {deed: deed{kind: killed, node: "gate", from: now.Add(time.Millisecond)}, broken: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := &world{deeds: []*deed{&test.deed}}
+			ran := map[string][]endedRun{"1": {{node: "gate"}}}
+			qt.Check(t, w.checkStops([]outcome{o}, ran), qt.HasLen, test.broken)
+		})
+	}
+}
+
 // TestUnansweredCheckFails has a connection be closed with a request on it.
 func TestUnansweredCheckFails(t *testing.T) {
 	start := time.Now()
-	closed := outcome{node: "n", sent: start, ended: start.Add(time.Second), connection: true}
+	closed := outcome{node: "n", sent: start, whole: start, ended: start.Add(time.Second), connection: true}
 	crossed := closed
 	crossed.ended = start.Add(closeSlack / 2)
+	coming := closed
+	coming.whole = time.Time{}
 	left := closed
 	left.left = true
 	tests := map[string]struct {
@@ -139,6 +166,7 @@
 	}{
 		"closed":        {outcome: closed, broken: 1},
 		"crossed":       {outcome: crossed},
+		"coming in":     {outcome: coming},
 		"left":          {outcome: left},
 		"paused":        {outcome: closed, deed: deed{kind: paused, node: "n", from: start.Add(-time.Second), to: start.Add(time.Millisecond)}},
 		"paused before": {outcome: closed, deed: deed{kind: paused, node: "n", from: start.Add(-time.Second), to: start.Add(-time.Millisecond)}, broken: 1},
