caller, node: a stopping node takes no request that may outlast it

Cause: the node took all requests until its listener closed, though it knew by then how long it would live.

Now, once leaveDelay is over, it takes those whose deadlines come before the end of the drain, which is what the calls of its upstream have, and tells others at once to come back elsewhere (503, notSent, notRun). TestRequestOverTheEnd; before, all are taken.

--- /dev/null
+++ b/caller/ends_test.go
@@ -0,0 +1,47 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package caller_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/caller"
+)
+
+// TestRequestOverTheEnd guards against requests that a stopping node takes and cuts while their
+// upstreams work: it knows that they may last longer than itself.
+func TestRequestOverTheEnd(t *testing.T) {
+	tests := map[string]struct {
+		ends  time.Duration // from now, or 0 if the node does not stop
+		taken bool
+	}{
+		"no end is known":         {taken: true},
+		"the route's time ends":   {ends: time.Minute, taken: true},
+		"the node's time does":    {ends: 500 * time.Millisecond},
+		"the node's time is over": {ends: -time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h, d := keyed(t, caller.Keys{})
+			h.Ends = func() time.Time {
+				if test.ends == 0 {
+					return time.Time{}
+				}
+				return time.Now().Add(test.ends)
+			}
+			w := ask(t, h, "/public/x", "X-Timeout: 60000")
+			qt.Check(t, len(d.requests) == 1, qt.Equals, test.taken)
+			qt.Check(t, w.Code, qt.Equals, 503) // by the dispatcher that refuses all, if it is taken
+			if !test.taken {
+				qt.Check(t, w.Header().Get("Retry-After"), qt.Equals, "0.250")
+				qt.Check(t, w.Body.String(), qt.Contains, `"notSent"`)
+				qt.Check(t, w.Body.String(), qt.Contains, `"notRun"`)
+			}
+		})
+	}
+}
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
@@ -92,6 +93,9 @@
 	// Admit, if not nil, lets a request in as far as its organisation's rate limit allows,
 	// or returns why it must not run.
 	Admit func(ctx context.Context, r ratelimit.Request) (*ratelimit.Pass, *verdict.Error)
+	// Ends, if not nil, returns when the requests that are under way are cut, or the zero
+	// time if that is not to come. One that may take longer is refused.
+	Ends func() time.Time
 	// Claims keeps resent requests from running twice, for the services that ask
 	// for it. Nil refuses their requests that have an IdempotencyKey.
 	Claims *claim.Ledger
@@ -207,6 +211,9 @@
 		return false
 	}
 	q, failure := x.request(ctx, target)
+	if failure == nil {
+		failure = x.inTime(q)
+	}
 	if failure != nil {
 		x.fail(failure)
 		return false
@@ -236,6 +243,22 @@
 	return failure
 }
 
+// ComeBackElsewhere is what callers are told to wait for whose requests a stopping node does
+// not take, or does not send on any more. Other nodes take them.
+const ComeBackElsewhere = 250 * time.Millisecond
+
+// inTime returns why a request is not taken that may still be under way when all are cut.
+func (x *exchange) inTime(q *entry.Request) *verdict.Error {
+	if x.handler.Ends == nil {
+		return nil
+	}
+	ends := x.handler.Ends()
+	if ends.IsZero() || !q.Deadline.After(ends) {
+		return nil
+	}
+	return verdict.New(verdict.NotSent, eris.New("this node stops before the request's time is over")).WithRetryAfter(ComeBackElsewhere)
+}
+
 // resolver returns what finds the target of a request.
 func (x *exchange) resolver() Resolver {
 	if x.handler.Resolver != nil {
--- a/node/handlers.go
+++ b/node/handlers.go
@@ -31,6 +31,7 @@
 		Tracer:     n.tracer,
 		Suspects:   n.suspects.Suspects,
 		Ended:      n.requestEnded,
+		Ends:       n.ends,
 	}
 	if n.Platform != nil {
 		h.Names = n.Platform.Names
--- a/node/leave.go
+++ b/node/leave.go
@@ -23,9 +23,6 @@
 	lastAnswers = 200 * time.Millisecond
 	// cutIDs bounds the ids of requests in one log line.
 	cutIDs = 20
-	// comeBackElsewhere is what callers are told to wait for whose requests are not sent
-	// any more. Other nodes take them.
-	comeBackElsewhere = 250 * time.Millisecond
 )
 
 // errDrainOver is why requests are cut.
@@ -65,6 +62,9 @@
 	n.mu.Unlock()
 	n.announce()
 	sleep.For(ctx, leave-admitting)
+	n.mu.Lock()
+	n.endsAt = began.Add(n.Settings.DrainWithin())
+	n.mu.Unlock()
 	awaitRuns(ctx, idle)
 	n.mu.Lock()
 	n.draining = true
@@ -107,6 +107,14 @@
 	return s
 }
 
+// ends returns when the requests that are under way are cut, or the zero time while all
+// requests are taken.
+func (n *Node) ends() time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.endsAt
+}
+
 // callersLast is what is left of the drain for callers' requests once the listener is closed.
 const callersLast = time.Second
 
@@ -151,7 +159,7 @@
 func (l *leaving) end() {
 	l.node.dispatcher.Close() // ends what has been sent on
 	l.quiesce()
-	l.cut(verdict.New(verdict.NotSent, errDrainOver).WithRetryAfter(comeBackElsewhere)) // and what has not
+	l.cut(verdict.New(verdict.NotSent, errDrainOver).WithRetryAfter(caller.ComeBackElsewhere)) // and what has not
 	l.quiesce()
 	l.conns.Cut()
 }
--- a/node/node.go
+++ b/node/node.go
@@ -103,10 +103,11 @@
 	announcing, configuring sync.Mutex
 
 	mu        sync.Mutex
-	down      bool // whether the prober says that the upstream is down
-	leaving   bool // whether callers are sent away
-	closing   bool // whether the gate refuses as well
-	draining  bool // whether no requests are taken any more
+	down      bool      // whether the prober says that the upstream is down
+	leaving   bool      // whether callers are sent away
+	closing   bool      // whether the gate refuses as well
+	draining  bool      // whether no requests are taken any more
+	endsAt    time.Time // when what is under way is cut, once requests are taken only that end before
 	stopProbe context.CancelFunc
 }
 
