caller: connections that callers have opened are taken before the listener closes

What callers saw: a request on a new connection was reset as the node closed its listener, where the server had not come to accepting the connection.

Cause: closing a listening socket resets the connections that wait there.

Accept is told to return, and looks for a connection for 1 ms at a time until there is none, or 0.1 s are over.

--- a/caller/draining_test.go
+++ b/caller/draining_test.go
@@ -16,6 +16,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/caller"
 )
 
 // The moments of a stop in the tests below, from their beginnings.
@@ -145,6 +147,52 @@
 	}
 }
 
+// toldListener says when it is first told to close, or to look for a time only.
+type toldListener struct {
+	*net.TCPListener
+	told func()
+}
+
+func (l *toldListener) SetDeadline(t time.Time) error {
+	defer l.told()
+	return l.TCPListener.SetDeadline(t)
+}
+
+func (l *toldListener) Close() error {
+	defer l.told()
+	return l.TCPListener.Close()
+}
+
+// TestConnectionOpenedBeforeDrain has a caller open a connection and send a request, which the server comes
+// to after the node has begun to close its listener. The connection was reset.
+func TestConnectionOpenedBeforeDrain(t *testing.T) {
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	s := serve(t, nil)
+	told := make(chan struct{})
+	listener := &caller.Listener{
+		Listener: &toldListener{
+			TCPListener: tcp.(*net.TCPListener),
+			told:        sync.OnceFunc(func() { close(told) }),
+		},
+	}
+	c, err := net.Dial("tcp", tcp.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer c.Close()
+	_, err = io.WriteString(c, strings.ReplaceAll(firstRequest, "\n", "\r\n"))
+	qt.Assert(t, err, qt.IsNil)
+	drained := make(chan error)
+	go func() { drained <- listener.Drain(t.Context()) }()
+	<-told
+	go s.server.Serve(listener)
+	all, err := io.ReadAll(c)
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, string(all), qt.Contains, "/one ")
+	qt.Check(t, <-drained, qt.IsNil)
+	_, err = net.Dial("tcp", tcp.Addr().String())
+	qt.Check(t, err, qt.Not(qt.IsNil))
+}
+
 // request returns a GET request of the URL.
 func request(t *testing.T, url string) *http.Request {
 	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
--- a/caller/listener.go
+++ b/caller/listener.go
@@ -6,9 +6,11 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -39,12 +41,24 @@
 	mu       sync.Mutex
 	open     map[*connection]struct{} // connections that are not closed
 	draining bool                     // whether those that are accepted still are to end
-	changes  chan struct{}            // closed at the next change of one, if anybody waits for it
+	drained  time.Time                // since when
+	closed   bool                     // whether the listener is closed
+	// looked is whether nothing has been accepted since the last look for connections,
+	// lookedOnce whether there has been one.
+	looked, lookedOnce bool
+	changes            chan struct{} // closed at the next change of one, if anybody waits for it
 }
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	raw, err := l.Listener.Accept()
+	for errors.Is(err, os.ErrDeadlineExceeded) {
+		if !l.mayLook() {
+			_ = l.Close()
+			return nil, net.ErrClosed
+		}
+		raw, err = l.Listener.Accept()
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -58,16 +72,42 @@
 		l.open = make(map[*connection]struct{})
 	}
 	l.open[c] = struct{}{}
+	l.looked = false
 	if l.draining {
 		c.stop()
 	}
 	return c, nil
 }
 
+// acceptLook is how long a listener that is to close still looks for a connection.
+const acceptLook = time.Millisecond
+
+// mayLook returns whether a listener that has been told to close looks once more for
+// connections that callers have opened: to close it resets those that wait.
+func (l *Listener) mayLook() bool {
+	l.mu.Lock()
+	looks := l.draining && !l.looked && (!l.lookedOnce || time.Since(l.drained) < crossing)
+	l.looked, l.lookedOnce = true, true
+	l.mu.Unlock()
+	d, ok := l.Listener.(deadliner)
+	return ok && looks && d.SetDeadline(time.Now().Add(acceptLook)) == nil
+}
+
+// deadliner is a listener whose Accept can be told to return.
+type deadliner interface {
+	SetDeadline(t time.Time) error
+}
+
 // Close implements net.Listener. It may be called more than once: the server that
 // accepts from it closes it as well.
 func (l *Listener) Close() (err error) {
-	l.closes.Do(func() { err = l.Listener.Close() })
+	l.closes.Do(func() {
+		err = l.Listener.Close()
+		l.mu.Lock()
+		l.closed = true
+		l.mu.Unlock()
+		l.changed(nil, false)
+	})
 	return err
 }
 
@@ -82,23 +122,39 @@
 // fails if ctx ends first.
 func (l *Listener) Drain(ctx context.Context) error {
 	l.Leave()
-	l.mu.Lock()
-	l.draining = true
-	l.mu.Unlock()
-	_ = l.Close() // what has been accepted is all that counts
+	l.closeLooking(ctx)
 	for _, c := range l.connections() {
 		c.stop()
 	}
 	heads, cancel := context.WithTimeout(ctx, headAfterClose)
 	defer cancel()
-	_ = l.await(heads, (*connection).awaitsHandler)
+	_ = l.await(heads, l.without((*connection).awaitsHandler))
 	return context.Cause(ctx)
 }
 
+// closeLooking closes the listener once its Accept has taken the connections that
+// callers have opened, or does not come to it in time.
+func (l *Listener) closeLooking(ctx context.Context) {
+	l.mu.Lock()
+	l.draining = true
+	l.drained = time.Now()
+	l.mu.Unlock()
+	if d, ok := l.Listener.(deadliner); ok && d.SetDeadline(longAgo) == nil {
+		looking, cancel := context.WithTimeout(ctx, headAfterClose)
+		defer cancel()
+		_ = l.await(looking, func() bool {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			return l.closed
+		})
+	}
+	_ = l.Close()
+}
+
 // Quiesce waits until all connections are closed, or ctx ends. A server that is
 // shut down does not wait for those that it took for idle while a request came in.
 func (l *Listener) Quiesce(ctx context.Context) error {
-	return l.await(ctx, func(*connection) bool { return true })
+	return l.await(ctx, l.without(func(*connection) bool { return true }))
 }
 
 // Cut closes all connections, whatever is under way on them, and returns how many
@@ -118,8 +174,13 @@
 	return slices.Collect(maps.Keys(l.open))
 }
 
-// await waits until no connection is such, or ctx ends.
-func (l *Listener) await(ctx context.Context, such func(*connection) bool) error {
+// without returns what says whether no connection is such.
+func (l *Listener) without(such func(*connection) bool) func() bool {
+	return func() bool { return !slices.ContainsFunc(l.connections(), such) }
+}
+
+// await waits until a condition holds that changed tells of, or ctx ends.
+func (l *Listener) await(ctx context.Context, holds func() bool) error {
 	for {
 		l.mu.Lock()
 		if l.changes == nil {
@@ -127,7 +188,7 @@
 		}
 		changes := l.changes
 		l.mu.Unlock()
-		if !slices.ContainsFunc(l.connections(), such) {
+		if holds() {
 			return nil
 		}
 		select {
@@ -138,7 +199,8 @@
 	}
 }
 
-// changed takes in that a connection is in another state, or closed.
+// changed takes in that a connection is in another state, or closed, or that the listener
+// is.
 func (l *Listener) changed(c *connection, closed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
