--- /dev/null
+++ b/node/latecomer_test.go
@@ -0,0 +1,83 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package node_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/platform/standin"
+	"sassafrasfront.example/settings"
+)
+
+// TestLatecomersAtLeavingNode guards against requests that come late to a node that leaves, are passed
+// on, and are cut at the end of its grace period while their upstreams work on them.
+func TestLatecomersAtLeavingNode(t *testing.T) {
+	const grace = 6 * time.Second
+	w := newWorld(t)
+	w.adjust = func(s *settings.Settings) { s.GracePeriod = grace }
+	w.configure(1, "",
+		strings.ReplaceAll(route("i", "idempotent", "b"), `"timeoutS":1`, `"timeoutS":60`),
+		strings.ReplaceAll(route("n", "non_idempotent", "a"), `"timeoutS":1`, `"timeoutS":60`))
+	lasts := func(r standin.Run) time.Duration {
+		if strings.HasPrefix(r.ID, "long") {
+			return time.Hour
+		}
+		return time.Millisecond
+	}
+	first := w.addUpstream("z", &standin.Upstream{Service: "a", Lasts: lasts})
+	second := w.addUpstream("z", &standin.Upstream{Service: "b", Lasts: lasts})
+	w.eventually("both serve", func() bool {
+		return second.ask("PUT", "/n/x", "warm", "").status == 200 && first.ask("GET", "/i/x", "warm", "").status == 200
+	})
+	send := func(m *managed, path, id string) (int, error) {
+		transport := new(http.Transport)
+		defer transport.CloseIdleConnections()
+		r, _ := http.NewRequest(http.MethodPut, "http://"+m.settings.CallerAddress+path, nil)
+		r.Host = "h.example"
+		r.Header.Set(standin.RequestID, id)
+		r.Header.Set(standin.Timeout, "30000")
+		response, err := transport.RoundTrip(r)
+		if err != nil {
+			return 0, err
+		}
+		defer response.Body.Close()
+		_, err = io.Copy(io.Discard, response.Body)
+		return response.StatusCode, err
+	}
+	ran := func(m *managed, id string) bool {
+		for _, r := range m.upstream.Runs() {
+			if r.ID == id {
+				return true
+			}
+		}
+		return false
+	}
+	// The upstream beside the node that leaves works until the end.
+	busy := make(chan struct{})
+	go func() {
+		defer close(busy)
+		_, _ = send(second, "/n/x", "long-before")
+	}()
+	w.eventually("an upstream works", func() bool { return ran(first, "long-before") })
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		first.stop()
+	}()
+	w.eventually("the node leaves", func() bool { return !first.ready() })
+	time.Sleep(grace * 6 / 10)
+	status, err := send(first, "/i/x", "long-late")
+	t.Logf("the late request got %d, %v", status, err)
+	qt.Check(t, ran(second, "long-late"), qt.IsFalse, qt.Commentf("it ran, and got %d, %v", status, err))
+	<-stopped
+	second.stop()
+	<-busy
+}
