entry: failing tests: sendings that wait for proof behind a refusal, a dial or a closed dispatcher

TestAnswerWhileSecondSendingIsOpened: an answer that is there after 0.6 s is passed on after 1 s, as the flight waits for the dialling for the second sending. TestNothingSentAfterClose: a call that is not admitted when the Dispatcher is closed is sent to another gate.

--- /dev/null
+++ b/entry/stalled_test.go
@@ -0,0 +1,113 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package entry_test
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/internal/playnet"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/verdict"
+)
+
+// TestSecondSendingRefused guards against callers that wait for the proof that an instance is
+// lost, because the one gate that their requests were sent to meanwhile had no room.
+func TestSecondSendingRefused(t *testing.T) {
+	for name, trouble := range map[string]func(h *playnet.Host){
+		"instance without power": func(h *playnet.Host) { h.PowerOff() },
+		"silent for 2 s":         func(h *playnet.Host) { h.Silence(2 * time.Second) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newDistant(4, quick(), again(), 0)
+				defer w.stop()
+				calls := 0
+				w.play = func(node string, in *peer.Inbound) {
+					calls++
+					switch calls {
+					case 1:
+						trouble(w.Host(node))
+						<-in.Context().Done()
+					case 2:
+						in.Fail(verdict.New(verdict.Refused, nil), nil)
+					default:
+						_ = in.Reply(&peer.Answer{Status: 200, Body: []byte(node)})
+					}
+				}
+				time.Sleep(time.Second)
+				began := time.Now()
+				r := w.requestTo("/", true)
+				r.Deadline = began.Add(20 * time.Second)
+				_, err := w.send(r)
+				qt.Check(t, err, qt.IsNil)
+				took := time.Since(began)
+				qt.Check(t, took <= linkSilence+linkLook+50*time.Millisecond, qt.IsTrue, qt.Commentf("answered after %v", took))
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
+
+// TestAnswerWhileSecondSendingIsOpened guards against answers that are held back while the
+// connection for a second sending is being opened.
+func TestAnswerWhileSecondSendingIsOpened(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newDistant(2, quick(), again(), 0)
+		defer w.stop()
+		at := make(map[string]string)
+		w.play = func(node string, in *peer.Inbound) {
+			if at[in.Call.Target] == "" {
+				at[in.Call.Target] = node
+			}
+			time.Sleep(300 * time.Millisecond)
+			_ = in.Reply(&peer.Answer{Status: 200, Body: []byte(node)})
+		}
+		time.Sleep(time.Second)
+		var all sync.WaitGroup
+		began := time.Now()
+		for _, target := range []string{"/a", "/b"} {
+			all.Go(func() {
+				_, err := w.sendTo(target, true)
+				qt.Check(t, err, qt.IsNil)
+				took := time.Since(began)
+				if target == "/a" {
+					qt.Check(t, took <= linkSilence+100*time.Millisecond, qt.IsTrue, qt.Commentf("answered after %v", took))
+				}
+			})
+		}
+		time.Sleep(50 * time.Millisecond)
+		qt.Assert(t, at["/a"] != at["/b"], qt.IsTrue)
+		w.Host(at["/b"]).PowerOff()
+		w.Host(at["/a"]).SilenceUp(linkSilence)
+		all.Wait()
+	})
+}
+
+// TestNothingSentAfterClose guards against requests that are sent on once more by a node whose
+// drain is over, and whose runs are cut soon after.
+func TestNothingSentAfterClose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newDistant(2, quick(), again(), 0)
+		defer w.stop()
+		w.play = func(node string, in *peer.Inbound) { <-in.Context().Done() }
+		time.Sleep(time.Second)
+		var all sync.WaitGroup
+		all.Go(func() {
+			r := w.request(true, 300<<10) // waits to be admitted
+			r.Deadline = time.Now().Add(3 * time.Second)
+			_, _ = w.send(r)
+		})
+		time.Sleep(500 * time.Millisecond)
+		w.dispatcher.Close()
+		time.Sleep(200 * time.Millisecond)
+		qt.Check(t, len(w.callsOf("/")), qt.Equals, 1)
+		all.Wait()
+	})
+}
