peer: failing tests: sound nodes that wait for one that reads nothing, and a withdrawn call told as badRequest

On, on the runtime's clock: TestBodiesPastStalledNode: a call over a sound connection waits 3.9 s, as the goroutine that reads that connection writes credit for a body to another node, which reads nothing for 4 s. TestReportsPastStalledNode: Server.Tell waits 3.0 s for such a node; gate.Observe calls it before the answer that told the load is passed on. TestRevokePastBlockedWriter: Exchange.Revoke waits 2.0 s to be written, in the goroutine that waits for the request's answer, deadline and caller. TestWithdrawnIsNoBadRequest: a call withdrawn between the two steps of hush is told as badRequest. TestCancelledWhileBegun: calls whose context ends as they are begun may be written after their Cancel, and then run for nobody.

--- /dev/null
+++ b/peer/stalled_test.go
@@ -0,0 +1,201 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package peer_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/internal/playnet"
+	"sassafrasfront.example/peer"
+)
+
+// crowd is a server and two nodes that send calls to it, on a played network. The kernel holds
+// little of what is written.
+type crowd struct {
+	server      *peer.Server
+	sound       *peer.Client
+	stalled     *peer.Client
+	stalledHost *playnet.Host
+	stop        func()
+}
+
+func newCrowd(limits peer.Limits, call func(in *peer.Inbound)) *crowd {
+	network := &playnet.Network{Delay: time.Millisecond, Window: 64 << 10, Buffer: 64 << 10}
+	host := network.Host("gate")
+	c := &crowd{
+		server: &peer.Server{Limits: limits, Call: call},
+	}
+	listener := host.Listen()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = c.server.Run(ctx, listener)
+	}()
+	client := func(name string) (*peer.Client, *playnet.Host) {
+		from := network.Host(name)
+		return &peer.Client{
+			Addr:   "gate",
+			Hello:  peer.Hello{Node: name},
+			Limits: peer.Limits{Silence: farSilence},
+			Dial:   func(ctx context.Context, addr string) (net.Conn, error) { return from.Dial(ctx, addr) },
+		}, from
+	}
+	c.sound, _ = client("sound")
+	c.stalled, c.stalledHost = client("stalled")
+	c.stop = func() {
+		c.sound.Close()
+		c.stalled.Close()
+		cancel()
+		<-done
+	}
+	return c
+}
+
+// large answers with more than the kernels and the window hold.
+func large(in *peer.Inbound) {
+	_ = in.Begin(&peer.Answer{Status: 200, Length: -1})
+	_ = in.CopyBody(bytes.NewReader(make([]byte, 1<<20)))
+	_ = in.Finish(nil)
+}
+
+// TestReportsPastStalledNode guards against what waits for a load report to be sent, such as
+// the answer that told the load, being held by another node that reads nothing.
+func TestReportsPastStalledNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCrowd(peer.Limits{}, large)
+		defer c.stop()
+		x, failed := c.stalled.Start(context.Background(), newCall(), nil)
+		qt.Assert(t, failed == nil, qt.IsTrue)
+		defer x.Close()
+		c.stalledHost.Suspend(4 * time.Second)
+		time.Sleep(time.Second)
+		began := time.Now()
+		c.server.Tell(&peer.Report{Running: 1})
+		qt.Check(t, time.Since(began) < 10*time.Millisecond, qt.IsTrue, qt.Commentf("took %v", time.Since(began)))
+		time.Sleep(time.Minute)
+	})
+}
+
+// TestBodiesPastStalledNode guards against a sound connection that is not read, and so is
+// silent, while credit for a body is written to another node that reads nothing.
+func TestBodiesPastStalledNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limits := peer.Limits{UnderWay: 16 << 10}
+		c := newCrowd(limits, func(in *peer.Inbound) {
+			if in.Call.Target == "/large" {
+				large(in)
+				return
+			}
+			echo(in)
+		})
+		defer c.stop()
+		start := func(client *peer.Client, target string, size int) *peer.Exchange {
+			m := newCall()
+			m.Target = target
+			m.Remaining = 20 * time.Second
+			m.Streams = size > 0
+			m.Length = int64(size)
+			x, failed := client.Start(context.Background(), m, bytes.NewReader(make([]byte, size)))
+			qt.Assert(t, failed == nil, qt.IsTrue)
+			return x
+		}
+		for range 4 {
+			defer start(c.stalled, "/large", 0).Close()
+		}
+		first := start(c.sound, "/", 150<<10)
+		defer first.Close()
+		time.Sleep(time.Millisecond)
+		defer start(c.stalled, "/", 150<<10).Close()
+		time.Sleep(2 * time.Millisecond)
+		c.stalledHost.Suspend(4 * time.Second)
+		time.Sleep(100 * time.Millisecond)
+		began := time.Now()
+		x := start(c.sound, "/", 0)
+		defer x.Close()
+		_, failed := x.Wait()
+		qt.Check(t, failed == nil, qt.IsTrue, qt.Commentf("%v", failed))
+		qt.Check(t, time.Since(began) < 100*time.Millisecond, qt.IsTrue, qt.Commentf("small call took %v", time.Since(began)))
+		time.Sleep(time.Minute)
+	})
+}
+
+// TestRevokePastBlockedWriter guards against a request that is neither answered nor ended at its
+// deadline, because its taking back waits to be written to a peer that reads nothing.
+func TestRevokePastBlockedWriter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := &playnet.Network{Delay: time.Millisecond, Window: 64 << 10, Buffer: 64 << 10}
+		host := network.Host("gate")
+		server := &peer.Server{Call: func(in *peer.Inbound) {
+			if in.Call.Streams {
+				echo(in)
+				return
+			}
+			time.Sleep(200 * time.Millisecond)
+			_ = in.Reply(&peer.Answer{Status: 200})
+		}}
+		listener := host.Listen()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go func() { _ = server.Run(ctx, listener) }()
+		from := network.Host("entry")
+		c := &peer.Client{
+			Addr: "gate",
+			Dial: func(ctx context.Context, addr string) (net.Conn, error) { return from.Dial(ctx, addr) },
+		}
+		defer c.Close()
+		m := newCall()
+		m.Streams = true
+		m.Length = -1
+		upload, failed := c.Start(context.Background(), m, bytes.NewReader(make([]byte, 1<<20)))
+		qt.Assert(t, failed == nil, qt.IsTrue)
+		defer upload.Close()
+		x, failed := c.Start(context.Background(), newCall(), nil)
+		qt.Assert(t, failed == nil, qt.IsTrue)
+		defer x.Close()
+		time.Sleep(3 * time.Millisecond)
+		from.SilenceUp(2 * time.Second)
+		time.Sleep(50 * time.Millisecond)
+		began := time.Now()
+		x.Revoke()
+		qt.Check(t, time.Since(began) < 10*time.Millisecond, qt.IsTrue, qt.Commentf("took %v", time.Since(began)))
+		time.Sleep(time.Minute)
+	})
+}
+
+// TestCancelledWhileBegun guards against calls that run to their end for nobody, because they are
+// written after the word that their caller has left.
+func TestCancelledWhileBegun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		running := 0
+		begun := 0
+		f := newFarPeer(func(in *peer.Inbound) {
+			begun++
+			running++
+			<-in.Context().Done()
+			running--
+		})
+		defer f.stop()
+		qt.Assert(t, f.client.Warm(context.Background()), qt.IsNil)
+		for range 1000 {
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			x, failed := f.client.Start(ctx, newCall(), nil)
+			if failed == nil {
+				x.Close()
+			}
+		}
+		time.Sleep(time.Second)
+		qt.Check(t, running, qt.Equals, 0, qt.Commentf("of %d calls that came", begun))
+		time.Sleep(time.Minute)
+	})
+}
--- /dev/null
+++ b/peer/withdrawn_test.go
@@ -0,0 +1,38 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package peer
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestWithdrawnIsNoBadRequest guards against a call that is taken back from a silent peer and told
+// as its caller's fault, because its body was about to be sent at that moment.
+func TestWithdrawnIsNoBadRequest(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	l := &link{
+		conn:      newConn(near, Limits{}.withDefaults(), nil),
+		exchanges: make(map[uint64]*Exchange),
+	}
+	defer l.shut(errClosed)
+	x, err := l.add(context.Background())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, x.credit.add(10, 10), qt.IsNil)
+	// The state between the two steps of hush.
+	qt.Assert(t, x.stage.CompareAndSwap(stagePending, stageWithdrawn), qt.IsTrue)
+	x.sendBody(strings.NewReader("body"))
+	select {
+	case <-x.Ready():
+		_, failure := x.Result()
+		t.Fatalf("ended as %v", failure)
+	default:
+	}
+}
