--- /dev/null
+++ b/entry/deadagain_test.go
@@ -0,0 +1,59 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package entry_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/peer"
+)
+
+// TestSilentNodeIsRemembered guards against requests that wait one after the other for the silence
+// of a node that has lost its power, because it owes nothing once the request before has been
+// answered elsewhere.
+func TestSilentNodeIsRemembered(t *testing.T) {
+	for _, gates := range []int{2, 6} {
+		t.Run(fmt.Sprint(gates, " gates"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newDistant(gates, quick(), again(), 0)
+				defer w.stop()
+				off := ""
+				w.play = func(node string, in *peer.Inbound) {
+					if off == "" && in.Call.Target == "/first" {
+						off = node
+						w.Host(node).PowerOff()
+						return
+					}
+					_ = in.Reply(&peer.Answer{Status: 200, Body: []byte(node)})
+				}
+				time.Sleep(time.Second)
+				for i := range 30 { // earns budget
+					_, err := w.sendTo(fmt.Sprint("/before/", i), true)
+					qt.Assert(t, err, qt.IsNil)
+				}
+				_, err := w.sendTo("/first", true)
+				qt.Check(t, err, qt.IsNil)
+				late := 0
+				for i := range 200 {
+					began := time.Now()
+					_, err := w.sendTo(fmt.Sprint("/", i), true)
+					qt.Check(t, err, qt.IsNil)
+					if took := time.Since(began); took > 100*time.Millisecond {
+						t.Logf("request %d took %v", i, took)
+						late++
+					}
+					time.Sleep(5 * time.Millisecond)
+				}
+				qt.Check(t, late, qt.Equals, 0)
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
