--- a/peer/link.go
+++ b/peer/link.go
@@ -42,6 +42,7 @@
 
 	begun  chan struct{} // has a value when the first of them has begun, or l is retired
 	looked atomic.Uint64 // how often watch has looked at the connection
+	mute   atomic.Int64  // when the peer was last heard before it was found silent, or 0
 }
 
 // alive returns whether there is a connection that has not ended.
@@ -55,6 +56,9 @@
 // quiet returns whether the peer has owed something for longer than most, and has not been
 // heard meanwhile.
 func (l *link) quiet(most time.Duration) bool {
+	if l.mute.Load() != 0 && l.mute.Load() == l.heard.Load() {
+		return true
+	}
 	open, _, busy := l.activity()
 	return open > 0 && min(l.silence(), busy) >= most
 }
@@ -424,6 +428,7 @@
 				l.shut(q)
 				return
 			}
+			l.mute.Store(l.heard.Load())
 			l.hush(q)
 		}
 		if open > 0 && silence >= l.limits.Silence/2 && pinging.CompareAndSwap(false, true) {
