entry: a request at silent nodes goes on to others after a refusal; counts of tests are atomic

TestSecondSendingRefused passes with it, the other tests of entry as before, but TestCallAtClosing/idle failed once in one run of the package, which is being looked at.

--- a/entry/do.go
+++ b/entry/do.go
@@ -90,6 +90,7 @@
 				return f.land(a), nil
 			}
 			if failure != nil && len(f.open) > 0 {
+				f.besides(failure, plan)
 				failure = nil // the other sending goes on
 			}
 		}
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -5,6 +5,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"sassafrasfront.example/quarantine"
@@ -55,8 +56,23 @@
 		!plan.Again(lost, f.request.Idempotent, len(f.tried), time.Until(f.request.Deadline)) {
 		return
 	}
-	if f.launch() == nil {
-		f.did(EventRetry)
+	if failure := f.launch(); failure != nil {
+		f.besides(failure, plan)
+		return
+	}
+	f.did(EventRetry)
+}
+
+// besides sends a request once more that is open at silent nodes only, after a second sending
+// that has reached no upstream.
+func (f *flight) besides(failure *verdict.Error, plan retry.Plan) {
+	heard := func(a *attempt) bool { return !a.silent }
+	for failure != nil && failure.Verdict() == verdict.NotRun && !slices.ContainsFunc(f.open, heard) {
+		if f.request.Stream != nil || !f.request.Idempotent || !f.mayGoOn(failure) || !f.attemptsLeft() ||
+			!plan.Again(failure, true, len(f.tried), time.Until(f.request.Deadline)) {
+			return
+		}
+		failure = f.launch()
 	}
 }
 
--- a/entry/stalled_test.go
+++ b/entry/stalled_test.go
@@ -6,6 +6,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,10 +29,9 @@
 			synctest.Test(t, func(t *testing.T) {
 				w := newDistant(4, quick(), again(), 0)
 				defer w.stop()
-				calls := 0
+				var calls atomic.Int32
 				w.play = func(node string, in *peer.Inbound) {
-					calls++
-					switch calls {
+					switch calls.Add(1) {
 					case 1:
 						trouble(w.Host(node))
 						<-in.Context().Done()
@@ -63,9 +63,11 @@
 		defer w.stop()
 		at := make(map[string]string)
 		w.play = func(node string, in *peer.Inbound) {
+			w.mu.Lock()
 			if at[in.Call.Target] == "" {
 				at[in.Call.Target] = node
 			}
+			w.mu.Unlock()
 			time.Sleep(300 * time.Millisecond)
 			_ = in.Reply(&peer.Answer{Status: 200, Body: []byte(node)})
 		}
--- a/peer/stalled_test.go
+++ b/peer/stalled_test.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -176,13 +177,12 @@
 // written after the word that their caller has left.
 func TestCancelledWhileBegun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		running := 0
-		begun := 0
+		var running, begun atomic.Int32
 		f := newFarPeer(func(in *peer.Inbound) {
-			begun++
-			running++
+			begun.Add(1)
+			running.Add(1)
 			<-in.Context().Done()
-			running--
+			running.Add(-1)
 		})
 		defer f.stop()
 		qt.Assert(t, f.client.Warm(context.Background()), qt.IsNil)
@@ -195,7 +195,7 @@
 			}
 		}
 		time.Sleep(time.Second)
-		qt.Check(t, running, qt.Equals, 0, qt.Commentf("of %d calls that came", begun))
+		qt.Check(t, int(running.Load()), qt.Equals, 0, qt.Commentf("of %d calls that came", begun.Load()))
 		time.Sleep(time.Minute)
 	})
 }
