peer: credit, reports and revokes wait for nobody; a withdrawn call is no bad request

TestBodiesPastStalledNode, TestReportsPastStalledNode, TestRevokePastBlockedWriter and TestWithdrawnIsNoBadRequest pass with it, and the other tests of peer. Not bounded here: how many reports wait for one stalled node.

--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -125,7 +125,7 @@
 // Revoke asks the peer to take the call back if it still waits there. If it
 // does, the result becomes a failure with the cause Revoked.
 func (x *Exchange) Revoke() {
-	_ = x.link.send(KindRevoke, &Revoke{ID: x.id})
+	go func() { _ = x.link.send(KindRevoke, &Revoke{ID: x.id}) }()
 }
 
 // Close ends the exchange. If it is still open at the peer, it is cancelled
@@ -231,6 +231,9 @@
 	Trailer() []Field
 }
 
+// errWithdrawn ends the sending of a body whose call has been taken back.
+var errWithdrawn = eris.New("the call has been withdrawn")
+
 // sendBody streams the body of the call once the peer grants credit for it.
 func (x *Exchange) sendBody(body io.Reader) {
 	if x.credit.wait(x.ctx) != nil {
@@ -239,7 +242,7 @@
 	var unsent error
 	err := x.credit.copyBody(x.ctx, body, func(data []byte) error {
 		if !x.ahead && !x.write() {
-			return context.Canceled
+			return errWithdrawn
 		}
 		unsent = x.link.send(KindBody, &Body{
 			ID:   x.id,
@@ -248,6 +251,8 @@
 		return unsent
 	})
 	switch {
+	case errors.Is(err, errWithdrawn):
+		return
 	case unsent != nil:
 		x.link.remove(x.id)
 		x.lose(unsent) // the caller's body is not to blame
--- a/peer/inbound.go
+++ b/peer/inbound.go
@@ -160,10 +160,11 @@
 
 // allow lets the sender send n more bytes of the body.
 func (in *Inbound) allow(n int) {
-	_ = in.session.send(KindCredit, &Credit{
+	credit := &Credit{
 		ID:    in.Call.ID,
 		Bytes: n,
-	})
+	}
+	go func() { _ = in.session.send(KindCredit, credit) }() // others wait for what is dealt meanwhile
 }
 
 // end writes the last frame of the call, if it has not ended yet.
--- a/peer/tell.go
+++ b/peer/tell.go
@@ -19,7 +19,7 @@
 	}
 	s.mu.Unlock()
 	for _, n := range list {
-		_ = n.send(KindReport, r)
+		go func() { _ = n.send(KindReport, r) }()
 	}
 }
 
