--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -78,6 +78,7 @@
 
 	mu      sync.Mutex
 	clients map[string]*client // by node
+	closed  bool
 }
 
 // Event is something that a Dispatcher did beyond the first sending.
@@ -258,6 +259,9 @@
 			Noticed:  func(n *peer.Notice) { d.notices.set(m.ID, n) },
 		},
 	}
+	if d.closed {
+		c.Close() // what is sent from now on would be cut
+	}
 	if d.clients == nil {
 		d.clients = make(map[string]*client)
 	}
@@ -300,6 +304,7 @@
 		c.Close()
 	}
 	d.clients = nil
+	d.closed = true
 }
 
 func (d *Dispatcher) event(service string, e Event) {
