--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -219,10 +219,11 @@
 
 // grant gives the peer credit for the answer's body.
 func (x *Exchange) grant(n int) {
-	_ = x.link.send(KindCredit, &Credit{
+	credit := &Credit{
 		ID:    x.id,
 		Bytes: n,
-	})
+	}
+	go func() { _ = x.link.send(KindCredit, credit) }() // what is here is read meanwhile
 }
 
 // Trailered is a body with trailer fields, which are complete at its end.
--- a/peer/stalled_test.go
+++ b/peer/stalled_test.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -199,3 +200,53 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestAnswerPastBlockedWriter guards against an answer that has arrived and is not passed on,
+// because the credit for more of it waits to be written to a peer that reads nothing.
+func TestAnswerPastBlockedWriter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 400 << 10
+		network := &playnet.Network{Delay: time.Millisecond, Window: 64 << 10, Buffer: 64 << 10}
+		host := network.Host("gate")
+		server := &peer.Server{Call: func(in *peer.Inbound) {
+			if in.Call.Streams {
+				echo(in)
+				return
+			}
+			_ = in.Begin(&peer.Answer{Status: 200, Length: size})
+			_ = in.CopyBody(bytes.NewReader(make([]byte, size)))
+			_ = in.Finish(nil)
+		}}
+		listener := host.Listen()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go func() { _ = server.Run(ctx, listener) }()
+		from := network.Host("entry")
+		c := &peer.Client{
+			Addr: "gate",
+			Dial: func(ctx context.Context, addr string) (net.Conn, error) { return from.Dial(ctx, addr) },
+		}
+		defer c.Close()
+		x, failed := c.Start(context.Background(), newCall(), nil)
+		qt.Assert(t, failed == nil, qt.IsTrue)
+		defer x.Close()
+		time.Sleep(50 * time.Millisecond) // what there is credit for is here
+		m := newCall()
+		m.Streams = true
+		m.Length = -1
+		upload, failed := c.Start(context.Background(), m, bytes.NewReader(make([]byte, 1<<20)))
+		qt.Assert(t, failed == nil, qt.IsTrue)
+		defer upload.Close()
+		time.Sleep(3 * time.Millisecond)
+		from.SilenceUp(2 * time.Second)
+		time.Sleep(50 * time.Millisecond)
+		began := time.Now()
+		r, failed := x.Wait()
+		qt.Assert(t, failed == nil, qt.IsTrue)
+		n, err := io.CopyN(io.Discard, r.Body, 200<<10)
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, n, qt.Equals, int64(200<<10))
+		qt.Check(t, time.Since(began) < 10*time.Millisecond, qt.IsTrue, qt.Commentf("took %v", time.Since(began)))
+		time.Sleep(time.Minute)
+	})
+}
