--- a/peer/link.go
+++ b/peer/link.go
@@ -112,6 +112,10 @@
 	if err == nil {
 		err = l.turn(writing)
 	}
+	if err == nil && l.find(x.id) == nil { // its Cancel may be ahead of it
+		<-l.writing
+		err = eris.New("ended before it was written")
+	}
 	if err != nil {
 		<-l.starting
 		buffers.Put(b)
