entry: a property test over drawn schedules of troubles between nodes

The part "held": nobody is held beyond the deadline or the entry's stop, nor by an instance without power beyond Limits.Silence, the kernel's timeout and one look after the last byte heard.

--- a/entry/bodylink_test.go
+++ b/entry/bodylink_test.go
@@ -25,7 +25,7 @@
 func (w *distant) takeBody(node string, in *peer.Inbound, queue time.Duration) {
 	if in.Call.Ahead {
 		if _, err := in.Receive(in.Context()); err != nil {
-			in.Fail(verdict.As(err, verdict.BodyLost), nil)
+			in.Fail(verdict.New(verdict.Revoked, err), nil)
 			return
 		}
 	}
@@ -35,7 +35,7 @@
 		return
 	}
 	if err := in.Admit(); err != nil {
-		in.Fail(verdict.As(err, verdict.BodyLost), nil)
+		in.Fail(verdict.New(verdict.Revoked, err), nil)
 		return
 	}
 	w.mu.Lock()
--- /dev/null
+++ b/entry/schedule_test.go
@@ -0,0 +1,520 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"sassafrasfront.example/entry"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/verdict"
+)
+
+var (
+	schedules = flag.Int("schedules", 200, "number of schedules that TestSchedules plays")
+	firstSeed = flag.Uint64("scheduleSeed", 1, "seed of the first of them")
+)
+
+// schedule is a drawn course of requests and troubles, and what came of it.
+type schedule struct {
+	*distant
+	random   *rand.Rand
+	began    time.Time
+	requests []*drawn
+	troubles []string
+
+	mu       sync.Mutex
+	refuses  map[string]bool      // gates that are stopping
+	cutAt    map[string]time.Time // when a gate closed its connections
+	offAt    map[string]time.Time // when a gate lost its power
+	stops    []time.Time          // when the entry stopped
+	wakes    []time.Time          // the ends of the entry's suspensions
+	breaches []string             // of what holds for answers and runs
+	held     []string             // requests that were held beyond a bound
+}
+
+// drawn is a request and what came of it.
+type drawn struct {
+	*entry.Request
+	index    int
+	start    time.Duration
+	size     int
+	slow     time.Duration // how long the body takes to come from the caller, or 0
+	allowed  time.Duration // until the deadline
+	queue    time.Duration // how long gates have it wait
+	work     time.Duration // how long upstreams work on it
+	answer   int           // bytes of the answer
+	sent     time.Time
+	runs     []string  // the nodes at which it has begun to run
+	began    time.Time // when its answer began
+	ended    time.Time // when it was answered or given up
+	answered bool      // whether an answer has begun
+	by       string    // the node that answered
+	failure  *verdict.Error
+}
+
+// draw draws a schedule for a seed.
+func draw(seed uint64) *schedule {
+	r := rand.New(rand.NewPCG(seed, 0))
+	network := quick()
+	if r.IntN(2) == 0 {
+		network.Rate = linkRate
+	}
+	if r.IntN(3) == 0 {
+		network.Buffer = 64 << 10
+	}
+	config := hedged()
+	config.Retry.Share = 0.5
+	s := &schedule{
+		random:  r,
+		distant: newDistant(1+r.IntN(4), network, config, 0),
+		began:   time.Now(),
+		refuses: make(map[string]bool),
+		cutAt:   make(map[string]time.Time),
+		offAt:   make(map[string]time.Time),
+	}
+	s.play = s.gate
+	for i := range 15 + r.IntN(25) {
+		s.requests = append(s.requests, s.drawRequest(i))
+	}
+	for range r.IntN(6) {
+		s.drawTrouble()
+	}
+	return s
+}
+
+// between draws a time.
+func (s *schedule) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(s.random.Int64N(int64(most-least)))
+}
+
+func (s *schedule) drawRequest(i int) *drawn {
+	d := &drawn{
+		index:   i,
+		start:   s.between(time.Second, 7*time.Second),
+		allowed: s.between(time.Second, 12*time.Second),
+		work:    s.between(50*time.Millisecond, 3*time.Second),
+	}
+	switch s.random.IntN(6) {
+	case 0:
+		d.size = s.random.IntN(entry.InlineBody)
+	case 1:
+		d.size = s.random.IntN(peer.MaxAhead)
+	case 2:
+		d.size = s.random.IntN(360 << 10)
+	}
+	if d.size > entry.InlineBody && s.random.IntN(3) == 0 {
+		d.slow = s.between(0, 2*time.Second)
+	}
+	if s.random.IntN(3) == 0 {
+		d.queue = s.between(0, time.Second)
+	}
+	if s.random.IntN(3) == 0 {
+		d.answer = s.random.IntN(360 << 10)
+	}
+	d.Request = s.request(s.random.IntN(2) == 0, d.size)
+	d.Target = fmt.Sprint("/", i)
+	return d
+}
+
+// drawTrouble draws something that happens in the schedule's course.
+func (s *schedule) drawTrouble() {
+	at := s.between(time.Second, 8*time.Second)
+	i := s.random.IntN(len(s.gates))
+	host, name := s.gates[i], fmt.Sprint("gate", i)
+	if s.random.IntN(4) == 0 {
+		host, name = s.entry, "entry"
+	}
+	gate := fmt.Sprint("gate", i)
+	silence := s.between(100*time.Millisecond, 5*time.Second)
+	suspension := s.between(100*time.Millisecond, 2*time.Second)
+	times := 1 + s.random.IntN(4)
+	var what string
+	var do func()
+	switch s.random.IntN(10) {
+	case 0, 1, 2:
+		what, do = fmt.Sprintf("%s is silent for %v", name, silence), func() { host.Silence(silence) }
+	case 3:
+		what, do = fmt.Sprintf("%s sends nothing for %v", name, silence), func() { host.SilenceUp(silence) }
+	case 4:
+		what, do = fmt.Sprintf("%s loses packets, %d times each", name, times), func() { host.Lose(times) }
+	case 5:
+		what, do = fmt.Sprintf("%s is suspended for %v", name, suspension), func() {
+			host.Suspend(suspension)
+			if name == "entry" {
+				s.note(func() { s.wakes = append(s.wakes, time.Now().Add(suspension)) })
+			}
+		}
+	case 6:
+		what, do = name+" resets its connections", host.Reset
+	case 7:
+		what, do = gate+" loses its power", func() {
+			s.Host(gate).PowerOff()
+			s.note(func() { first(s.offAt, gate) })
+		}
+	case 8:
+		what, do = gate+" stops", func() {
+			s.note(func() { s.refuses[gate] = true })
+			time.Sleep(2500 * time.Millisecond)
+			s.note(func() { first(s.cutAt, gate) })
+			s.cutGate[i]()
+		}
+	case 9:
+		what, do = "the entry stops", func() {
+			s.note(func() { s.stops = append(s.stops, time.Now()) })
+			s.dispatcher.Close()
+		}
+	}
+	s.troubles = append(s.troubles, fmt.Sprint(at, " ", what))
+	time.AfterFunc(at, do)
+}
+
+// first keeps when something first happens to a node.
+func first(times map[string]time.Time, node string) {
+	if times[node].IsZero() {
+		times[node] = time.Now()
+	}
+}
+
+// note calls f with the lock held.
+func (s *schedule) note(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+// gate plays a gate and its upstream, which works on to its end whatever becomes of the call.
+func (s *schedule) gate(node string, in *peer.Inbound) {
+	index, _ := strconv.Atoi(strings.TrimPrefix(in.Call.Target, "/"))
+	d := s.requests[index]
+	var waiting sync.Mutex
+	revoked := make(chan struct{})
+	started := false
+	in.OnRevoke(func() bool {
+		waiting.Lock()
+		defer waiting.Unlock()
+		if !started {
+			select {
+			case <-revoked:
+			default:
+				close(revoked)
+			}
+		}
+		return !started
+	})
+	s.mu.Lock()
+	refuses := s.refuses[node]
+	s.mu.Unlock()
+	if refuses {
+		in.Fail(verdict.New(verdict.Draining, nil), nil)
+		return
+	}
+	if in.Call.Ahead {
+		if _, err := in.Receive(in.Context()); err != nil {
+			in.Fail(verdict.New(verdict.Revoked, err), nil)
+			return
+		}
+	}
+	select {
+	case <-time.After(d.queue):
+	case <-revoked:
+	case <-in.Context().Done():
+	}
+	waiting.Lock()
+	select {
+	case <-revoked:
+		waiting.Unlock()
+		in.Fail(verdict.New(verdict.Revoked, nil), nil)
+		return
+	case <-in.Context().Done():
+		waiting.Unlock()
+		in.Fail(verdict.New(verdict.Revoked, context.Cause(in.Context())), nil)
+		return
+	default:
+	}
+	started = true
+	waiting.Unlock()
+	if err := in.Admit(); err != nil {
+		in.Fail(verdict.New(verdict.Revoked, err), nil)
+		return
+	}
+	s.note(func() {
+		if s.offAt[node].IsZero() {
+			d.runs = append(d.runs, node)
+		}
+	})
+	if n, err := io.Copy(io.Discard, in.Body()); err != nil {
+		in.Fail(verdict.As(err, verdict.BodyLost), nil)
+		return
+	} else if int(n) != d.size {
+		s.fail(d, "%d bytes of the body have come to %s", n, node)
+	}
+	time.Sleep(d.work)
+	if d.answer == 0 {
+		_ = in.Reply(&peer.Answer{Status: 200, Body: []byte(node)})
+		return
+	}
+	_ = in.Begin(&peer.Answer{Status: 200, Length: int64(d.answer)})
+	if in.CopyBody(bytes.NewReader(make([]byte, d.answer))) == nil {
+		_ = in.Finish(nil)
+	}
+}
+
+// slowBody comes in pieces, a time apart.
+type slowBody struct {
+	left, piece int
+	pause       time.Duration
+}
+
+// Read implements io.Reader.
+func (b *slowBody) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(b.pause)
+	n := min(b.left, b.piece, len(p))
+	b.left -= n
+	return n, nil
+}
+
+// send sends a drawn request and keeps what came of it.
+func (s *schedule) send(d *drawn) {
+	time.Sleep(d.start)
+	s.mu.Lock()
+	stopped := len(s.stops) > 0
+	s.mu.Unlock()
+	if stopped {
+		return
+	}
+	if d.slow > 0 {
+		const pieces = 20
+		d.Stream = entry.Once(&slowBody{left: d.size, piece: d.size/pieces + 1, pause: d.slow / pieces})
+		d.Body = nil
+	}
+	d.sent = time.Now()
+	d.Deadline = d.sent.Add(d.allowed)
+	result, failed := s.dispatcher.Do(context.Background(), d.Request)
+	if failed != nil {
+		d.ended = time.Now()
+		d.failure = failed
+		return
+	}
+	defer result.Close()
+	d.answered = true
+	d.began = time.Now()
+	d.by = result.Node
+	data, err := io.ReadAll(result.Body)
+	d.ended = time.Now()
+	switch {
+	case err != nil && !errors.As(err, &d.failure):
+		s.fail(d, "its answer ends with %v", err)
+	case err == nil && d.answer == 0 && string(data) != result.Node:
+		s.fail(d, "%s answers with the answer of %s", result.Node, data)
+	case err == nil && d.answer > 0 && len(data) != d.answer:
+		s.fail(d, "%d bytes of %d are taken for a whole answer", len(data), d.answer)
+	}
+}
+
+// fail keeps a breach of what holds for answers and runs.
+func (s *schedule) fail(d *drawn, format string, args ...any) {
+	s.note(func() { s.breaches = append(s.breaches, d.Target+" "+fmt.Sprintf(format, args...)) })
+}
+
+// hold keeps that a request was held beyond a bound.
+func (s *schedule) hold(d *drawn, format string, args ...any) {
+	s.note(func() { s.held = append(s.held, d.Target+" "+fmt.Sprintf(format, args...)) })
+}
+
+// check looks for breaches once all is over.
+func (s *schedule) check(d *drawn) {
+	if d.sent.IsZero() {
+		return
+	}
+	if len(d.runs) > 1 && !d.Idempotent {
+		s.fail(d, "is not idempotent and has run at %v", d.runs)
+	}
+	if d.failure == nil {
+		if len(d.runs) == 0 {
+			s.fail(d, "is answered and has not run")
+		}
+		return
+	}
+	switch d.failure.Cause {
+	case verdict.TimedOut, verdict.DeadlinePassed:
+		if d.ended.Before(d.Deadline) {
+			s.fail(d, "ends as %v %v before its deadline", d.failure, d.Deadline.Sub(d.ended))
+		}
+	case verdict.Stopped:
+		if len(s.stops) == 0 {
+			s.fail(d, "ends as %v, and nothing has stopped", d.failure)
+		}
+	case verdict.PeerLost, verdict.AnswerCut:
+		if !s.proven(d) {
+			s.fail(d, "ends without proof as %v", d.failure)
+		}
+	default:
+		if d.failure.Verdict() != verdict.NotRun {
+			s.fail(d, "ends as %v", d.failure)
+		}
+	}
+	if d.failure.Verdict() == verdict.NotRun && len(d.runs) > 0 {
+		s.fail(d, "is told as not run, %v, and has run at %v", d.failure, d.runs)
+	}
+}
+
+// proven returns whether a node that had the request was known to be lost when it ended.
+func (s *schedule) proven(d *drawn) bool {
+	if slices.ContainsFunc(s.stops, d.ended.Equal) {
+		return true
+	}
+	for _, step := range d.Steps {
+		if step.Event != entry.EventSent {
+			continue
+		}
+		if at, ok := s.cutAt[step.Node]; ok && !at.After(d.ended) {
+			return true
+		}
+		for _, b := range s.entry.Breaks() {
+			if b.Peer == step.Node && !b.At.After(d.ended) && !b.At.Before(d.sent.Add(step.After)) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// checkHeld looks for a request that was held too long once all is over.
+func (s *schedule) checkHeld(d *drawn) {
+	if d.sent.IsZero() {
+		return
+	}
+	until := d.ended
+	if d.answered {
+		until = d.began
+	}
+	if over := until.Sub(d.Deadline); over > 0 {
+		s.hold(d, "is held for %v after its deadline: %v", over, d.failure)
+	}
+	if d.failure != nil && d.failure.Cause == verdict.Stopped && !slices.ContainsFunc(s.stops, d.ended.Equal) {
+		s.hold(d, "is held after the stop")
+	}
+	if d.answered && d.failure == nil {
+		return // by another instance, or before the end of power
+	}
+	for i, step := range d.Steps {
+		if s.offAt[step.Node].IsZero() || !d.begun(i) {
+			continue
+		}
+		bound := d.sent.Add(step.After)
+		for _, at := range append(s.wakes, s.offAt[step.Node], s.entry.Heard(s.Host(step.Node))) {
+			if at.After(bound) {
+				bound = at
+			}
+		}
+		bound = bound.Add(linkLoss)
+		ended := d.ended
+		if d.answered && d.by != step.Node {
+			ended = d.began
+		}
+		for _, later := range d.Steps[i+1:] {
+			if later.Event == entry.EventFailed && later.Node == step.Node {
+				ended = d.sent.Add(later.After)
+				break
+			}
+		}
+		if over := ended.Sub(bound); over > 0 {
+			s.hold(d, "is held by %s, which has no power, for %v beyond the bound", step.Node, over)
+		}
+	}
+}
+
+// begun returns whether a step is a sending for which there was a connection.
+func (d *drawn) begun(i int) bool {
+	if d.Steps[i].Event != entry.EventSent {
+		return false
+	}
+	last := i+1 == len(d.Steps)
+	again := !last && d.Steps[i+1].Event == entry.EventRetry
+	if i > 0 && d.Steps[i-1].Event == entry.EventSilent {
+		return again // it is noted once a second sending has begun
+	}
+	return !again && !(last && d.failure != nil && d.failure.Verdict() == verdict.NotRun)
+}
+
+// String describes the schedule.
+func (s *schedule) String() string {
+	b := new(strings.Builder)
+	fmt.Fprintf(b, "%d gates, rate %v, buffer %d\n", len(s.gates), s.Rate, s.Buffer)
+	for _, trouble := range s.troubles {
+		fmt.Fprintln(b, trouble)
+	}
+	for _, d := range s.requests {
+		if d.sent.IsZero() {
+			continue
+		}
+		fmt.Fprintf(b, "%s at %v for %v until %v, idempotent %v, %d bytes in %v, queue %v, work %v, answer %d: ended %v, answered %v, %v, runs %v\n",
+			d.Target, d.sent.Sub(s.began), d.allowed, d.Deadline.Sub(s.began), d.Idempotent, d.size, d.slow, d.queue, d.work, d.answer, d.ended.Sub(s.began), d.answered, d.failure, d.runs)
+		for _, step := range d.Steps {
+			fmt.Fprintf(b, "    %v %s %s %s %v\n", d.sent.Sub(s.began)+step.After, step.Event, step.Node, step.Cause, step.Reason)
+		}
+	}
+	return b.String()
+}
+
+// TestSchedules plays drawn schedules of requests, bodies and answers, of silent links, losses,
+// suspensions, resets, ends of power and stops. The part "answers" guards against requests that
+// end without their upstream's answer before their deadline though nothing proves their node
+// lost, and against those that run twice, or run though they are told as not run. The part
+// "held" guards against callers that are held beyond their deadline or the entry's stop, or by
+// an instance without power.
+func TestSchedules(t *testing.T) {
+	var breaches, held []string
+	for i := range *schedules {
+		seed := *firstSeed + uint64(i)
+		synctest.Test(t, func(t *testing.T) {
+			s := draw(seed)
+			defer s.stop()
+			var all sync.WaitGroup
+			for _, d := range s.requests {
+				all.Go(func() { s.send(d) })
+			}
+			all.Wait()
+			time.Sleep(30 * time.Second) // what has been told as not run does not run later
+			for _, d := range s.requests {
+				s.check(d)
+				s.checkHeld(d)
+			}
+			for _, b := range s.breaches {
+				breaches = append(breaches, fmt.Sprintf("seed %d: %s", seed, b))
+			}
+			for _, h := range s.held {
+				held = append(held, fmt.Sprintf("seed %d: %s", seed, h))
+			}
+			if *schedules == 1 {
+				t.Log(s)
+			}
+		})
+	}
+	for name, list := range map[string][]string{"answers": breaches, "held": held} {
+		t.Run(name, func(t *testing.T) {
+			for _, what := range list {
+				t.Error(what)
+			}
+		})
+	}
+}
--- a/entry/silentlink_test.go
+++ b/entry/silentlink_test.go
@@ -47,6 +47,8 @@
 	gates      []*playnet.Host
 	dials      dials
 	stop       func()
+	// cutGate has a gate close its listener and its connections.
+	cutGate []func()
 
 	// play, if not nil, plays the gates and their upstreams in place of run. It is set before
 	// the first request.
@@ -102,7 +104,9 @@
 			},
 		}
 		listener := host.Listen()
-		servers.Go(func() { _ = server.Run(ctx, listener) })
+		running, cut := context.WithCancel(ctx)
+		w.cutGate = append(w.cutGate, cut)
+		servers.Go(func() { _ = server.Run(running, listener) })
 		w.addStop(func() { _ = server.Quiesce(context.Background()) })
 	}
 	w.dispatcher = &entry.Dispatcher{
--- a/internal/playnet/network.go
+++ b/internal/playnet/network.go
@@ -48,6 +48,7 @@
 	suspended time.Time // the process does nothing until then
 	ends      []*end
 	breaks    []Break
+	heard     map[*Host]time.Time
 }
 
 // Break is the end of a connection that a host's kernel has found broken, or broken off.
@@ -80,6 +81,7 @@
 	h := &Host{
 		network: n,
 		name:    name,
+		heard:   make(map[*Host]time.Time),
 	}
 	h.up = &link{host: h}
 	h.down = &link{host: h}
@@ -87,6 +89,14 @@
 	return h
 }
 
+// Heard returns when the last packet from another host, be it an acknowledgement, has come,
+// or the zero time.
+func (h *Host) Heard(from *Host) time.Time {
+	h.network.mu.Lock()
+	defer h.network.mu.Unlock()
+	return h.heard[from]
+}
+
 // Listen returns a listener at the host's name. There is one at a time.
 func (h *Host) Listen() net.Listener {
 	h.network.mu.Lock()
@@ -136,7 +146,10 @@
 func (n *Network) carry(from, to *Host, size int, land func()) {
 	from.up.push(size, func() {
 		to.down.push(size, func() {
-			to.down.landing = append(to.down.landing, land)
+			to.down.landing = append(to.down.landing, func() {
+				to.heard[from] = time.Now()
+				land()
+			})
 			n.after(n.Delay, func() {
 				next := to.down.landing[0]
 				to.down.landing = to.down.landing[1:]
