--- a/entry/deadnode_test.go
+++ b/entry/deadnode_test.go
@@ -122,6 +122,7 @@
 				r := w.requestTo("/", test.idempotent)
 				got, err := w.send(r)
 				ended := time.Now()
+				synctest.Wait()
 				calls := w.callsOf("/")
 				if test.answered {
 					qt.Check(t, err, qt.IsNil)
--- a/entry/schedule_test.go
+++ b/entry/schedule_test.go
@@ -495,6 +495,7 @@
 			}
 			all.Wait()
 			time.Sleep(30 * time.Second) // what has been told as not run does not run later
+			synctest.Wait()
 			for _, d := range s.requests {
 				s.check(d)
 				s.checkHeld(d)
--- a/peer/oldlink_test.go
+++ b/peer/oldlink_test.go
@@ -178,6 +178,7 @@
 				_, failed = x.Wait()
 				qt.Assert(t, failed != nil, qt.IsTrue)
 				qt.Check(t, failed.Cause, qt.Equals, verdict.PeerLost)
+				synctest.Wait()
 				took := time.Since(off)
 				qt.Check(t, !off.IsZero() && took <= farSilence*5/4+farTimeout, qt.IsTrue, qt.Commentf("%v after the end of power", took))
 				x.Close()
