entry: failing test: a call is begun after its entry has closed its connections

Callers see: at the end of a node's drain, a request of which nothing had run is sent to another upstream, begins to run there, and is broken off and answered 502 as the process ends, in place of a 503 that says that it has not run.

Cause: Dispatcher.Close closes the clients there are and forgets them; the sendings that end with them as notWritten are sent once more, for which new clients are made.

--- a/entry/deadnode_test.go
+++ b/entry/deadnode_test.go
@@ -217,3 +217,39 @@
 		})
 	}
 }
+
+// TestNothingBegunAfterStop guards against calls that are begun after their entry has closed its
+// connections, and are cut by the end of its process without an answer.
+func TestNothingBegunAfterStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := quick()
+		network.Rate = linkRate
+		w := newDistant(2, network, again(), 0)
+		defer w.stop()
+		var began, stopped time.Time
+		w.play = func(node string, in *peer.Inbound) {
+			if in.Call.Try == 1 {
+				time.AfterFunc(50*time.Millisecond, func() { // the body is partly there
+					stopped = time.Now()
+					w.dispatcher.Close()
+				})
+			}
+			w.takeBody(node, in, 0)
+		}
+		time.Sleep(time.Second)
+		opened, _ := w.dials.counts()
+		began = time.Now()
+		got, err := w.send(w.request(false, 240<<10))
+		ended := time.Now()
+		synctest.Wait()
+		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%s", got))
+		if err != nil {
+			qt.Check(t, verdict.As(err, verdict.PeerLost).Verdict(), qt.Equals, verdict.NotRun, qt.Commentf("%v", err))
+		}
+		qt.Check(t, ended.Sub(began), qt.Equals, stopped.Sub(began))
+		qt.Check(t, w.callsOf("/"), qt.HasLen, 1)
+		again, _ := w.dials.counts()
+		qt.Check(t, again, qt.Equals, opened)
+		time.Sleep(20 * time.Second)
+	})
+}
