entry, peer: a request is not held while another node is dialled for it

What callers saw: a request whose node is silent is to be sent to a second one as well, which has to be dialled: until the end of that, up to 400 ms, nobody looks at the first sending's answer, at the deadline, or at the stop of the entry. Answers of 702 ms were passed on after 1 s, and deadlines of 200 and 700 ms seen after 400 ms and 1 s.

Cause: a sending was begun by the goroutine that waits for the request's answer.

Now it is begun by a goroutine of its own and awaited with the rest. Its wait ends with the request's time, and with the client's closing, which also ends the dialling; what has been given up while it was dialled has provably not run (deadlinePassed, notWritten) and says nothing of the node. After a second sending that has reached no upstream the request goes on to others, if its open ones are silent.

--- a/entry/do.go
+++ b/entry/do.go
@@ -7,8 +7,10 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
+	"sassafrasfront.example/peer"
 	"sassafrasfront.example/retry"
 	"sassafrasfront.example/verdict"
 )
@@ -59,6 +61,7 @@
 	expected time.Duration  // the least wait that a gate which refused it expects, or 0
 	refused  []string       // the nodes whose gates have refused the request
 	open     []*attempt     // the one sent first comes first
+	pending  *launch        // the sending that is being begun, or nil
 	reached  int            // failed sendings that may have reached an upstream
 	mayRun   *verdict.Error // the first failure after which the request may have run
 	revoked  bool
@@ -77,19 +80,20 @@
 		Least:        least,
 	}
 	for {
-		failure := f.launch()
+		f.launch("")
+		var failure *verdict.Error
 		for failure == nil {
 			var a *attempt
 			a, failure = f.await(plan)
 			switch {
 			case a == nil:
 			case f.another(a, plan):
-				failure = f.launch()
+				f.launch("")
 			case f.others(a):
 			default:
 				return f.land(a), nil
 			}
-			if failure != nil && len(f.open) > 0 {
+			if failure != nil && f.others(nil) {
 				f.besides(failure, plan)
 				failure = nil // the other sending goes on
 			}
@@ -116,7 +120,7 @@
 // if the upstream stands out by its failures. Where all fail alike, their faults lie
 // elsewhere, and more requests would make them worse.
 func (f *flight) another(a *attempt, plan retry.Plan) bool {
-	if !f.failed(a) || len(f.open) > 0 || !f.service.pool.StandsOut(a.member.ID) {
+	if !f.failed(a) || f.others(nil) || !f.service.pool.StandsOut(a.member.ID) {
 		return false
 	}
 	f.reached++
@@ -128,14 +132,16 @@
 	return true
 }
 
-// others returns whether an answer is set aside because another upstream has been
-// asked already.
+// others returns whether another sending goes on. An error answer, if there is one, is then
+// set aside.
 func (f *flight) others(a *attempt) bool {
-	if len(f.open) == 0 || !f.failed(a) {
+	if len(f.open) == 0 && f.pending == nil || a != nil && !f.failed(a) {
 		return false
 	}
-	f.reached++
-	f.setAside(a)
+	if a != nil {
+		f.reached++
+		f.setAside(a)
+	}
 	return true
 }
 
@@ -149,7 +155,15 @@
 // that are known to have reached none don't count.
 func (f *flight) attemptsLeft() bool {
 	most := f.request.Attempts
-	return most == 0 || f.reached+len(f.open) < most
+	return most == 0 || f.reached+len(f.open)+f.beginning() < most
+}
+
+// beginning returns the number of sendings that are being begun.
+func (f *flight) beginning() int {
+	if f.pending != nil {
+		return 1
+	}
+	return 0
 }
 
 // verdict returns the failure to report: the last one, unless an earlier one
@@ -169,10 +183,36 @@
 	return !ok || s.takeBack()
 }
 
-// launch sends the request once more.
-func (f *flight) launch() *verdict.Error {
-	a, failure := f.dispatcher.start(f.ctx, f.service, f.request, f.tried, f.refused)
-	if a != nil {
+// launch is a sending that is being begun: its node may have to be dialled, or may read
+// nothing, while another sending is answered or the request's time is over.
+type launch struct {
+	event Event // told once the request has been sent, if not empty
+	done  chan struct{}
+
+	// attempt, which may be nil, and failure are set before done is closed.
+	attempt *attempt
+	failure *verdict.Error
+}
+
+// launch has the request sent once more. What becomes of that is awaited.
+func (f *flight) launch(event Event) {
+	l := &launch{
+		event: event,
+		done:  make(chan struct{}),
+	}
+	f.pending = l
+	tried, refused := slices.Clone(f.tried), slices.Clone(f.refused)
+	go func() {
+		defer close(l.done)
+		l.attempt, l.failure = f.dispatcher.start(f.ctx, f.service, f.request, tried, refused)
+	}()
+}
+
+// launched takes in the sending that has been begun.
+func (f *flight) launched() *verdict.Error {
+	l := f.pending
+	f.pending = nil
+	if a := l.attempt; a != nil {
 		f.tried = append(f.tried, a.member.ID)
 		candidate, age := a.use.Candidate()
 		f.note(Step{
@@ -183,47 +223,56 @@
 			Trial:     a.member.Trial,
 		})
 	}
-	if failure != nil {
-		return failure
+	if l.failure != nil {
+		return l.failure
+	}
+	f.open = append(f.open, l.attempt)
+	if l.event != "" {
+		f.did(l.event)
 	}
-	f.open = append(f.open, a)
 	return nil
 }
 
 // await waits for the next thing to happen. It returns an attempt that has its
 // answer, or a failure, or neither if there is more to wait for.
 func (f *flight) await(plan retry.Plan) (*attempt, *verdict.Error) {
-	first := f.open[0]
-	var second, secondSilent <-chan struct{}
-	if len(f.open) > 1 {
-		second, secondSilent = f.open[1].exchange.Ready(), f.open[1].silence()
+	var ready, silent [2]<-chan struct{}
+	var informs <-chan *peer.Inform
+	for i, a := range f.open {
+		ready[i], silent[i] = a.exchange.Ready(), a.silence()
+	}
+	if len(f.open) > 0 {
+		informs = f.open[0].exchange.Informs()
+	}
+	var begun <-chan struct{}
+	if f.pending != nil {
+		begun = f.pending.done
 	}
 	slow, stop := f.slow()
 	defer stop()
 	select {
-	case <-first.exchange.Ready():
+	case <-ready[0]:
 		return f.settle(0)
-	case <-second:
+	case <-ready[1]:
 		return f.settle(1)
-	case m := <-first.exchange.Informs():
+	case <-begun:
+		return nil, f.launched()
+	case m := <-informs:
 		if f.request.Inform != nil {
 			f.request.Inform(m)
 		}
-		return nil, nil
 	case <-slow:
 		f.hurry()
-		return nil, nil
-	case <-first.silence():
+	case <-silent[0]:
 		f.hush(0, plan)
-		return nil, nil
-	case <-secondSilent:
+	case <-silent[1]:
 		f.hush(1, plan)
-		return nil, nil
 	case <-f.deadline.C:
 		return nil, f.abandon(verdict.New(verdict.TimedOut, nil))
 	case <-f.ctx.Done():
 		return nil, f.abandon(verdict.New(verdict.CallerGone, context.Cause(f.ctx)))
 	}
+	return nil, nil
 }
 
 // settle takes in the result of an open attempt.
@@ -254,8 +303,15 @@
 	return nil, failure
 }
 
-// abandon ends all open attempts with e, without waiting for their peers.
+// abandon ends all open attempts with e, without waiting for their peers. A request that has
+// not been sent at all has not run.
 func (f *flight) abandon(e *verdict.Error) *verdict.Error {
+	if f.pending != nil {
+		<-f.pending.done // which ends with the request's time, and with its caller
+		if failure := f.launched(); failure != nil && len(f.open) == 0 {
+			return failure
+		}
+	}
 	for _, a := range f.open {
 		a.exchange.Abandon(e)
 		a.end(e)
@@ -274,6 +330,15 @@
 		a.end(verdict.New(cause, nil))
 	}
 	f.open = nil
+	if l := f.pending; l != nil {
+		f.pending = nil
+		go func() {
+			<-l.done
+			if l.attempt != nil && l.failure == nil {
+				l.attempt.end(verdict.New(verdict.CallerGone, nil))
+			}
+		}()
+	}
 }
 
 // land makes the result of an answered attempt.
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -17,7 +17,7 @@
 // something can be done about it, and a function that releases it.
 func (f *flight) slow() (<-chan time.Time, func()) {
 	hedge := f.service.Config.Hedge
-	if hedge.Share == 0 && hedge.Part == 0 || len(f.open) != 1 || f.revoked || f.service.pool.Len() < 2 {
+	if hedge.Share == 0 && hedge.Part == 0 || len(f.open) != 1 || f.pending != nil || f.revoked || f.service.pool.Len() < 2 {
 		return nil, func() {}
 	}
 	after, ok := f.service.latency.Quantile(hedge.Quantile)
@@ -52,28 +52,22 @@
 		Node:  a.member.ID,
 	})
 	lost := verdict.New(verdict.PeerLost, nil)
-	if len(f.open) > 1 || f.request.Stream != nil || !f.mayGoOn(lost) || !f.attemptsLeft() ||
+	if len(f.open) > 1 || f.pending != nil || f.request.Stream != nil || !f.mayGoOn(lost) || !f.attemptsLeft() ||
 		!plan.Again(lost, f.request.Idempotent, len(f.tried), time.Until(f.request.Deadline)) {
 		return
 	}
-	if failure := f.launch(); failure != nil {
-		f.besides(failure, plan)
-		return
-	}
-	f.did(EventRetry)
+	f.launch(EventRetry)
 }
 
 // besides sends a request once more that is open at silent nodes only, after a second sending
 // that has reached no upstream.
 func (f *flight) besides(failure *verdict.Error, plan retry.Plan) {
 	heard := func(a *attempt) bool { return !a.silent }
-	for failure != nil && failure.Verdict() == verdict.NotRun && !slices.ContainsFunc(f.open, heard) {
-		if f.request.Stream != nil || !f.request.Idempotent || !f.mayGoOn(failure) || !f.attemptsLeft() ||
-			!plan.Again(failure, true, len(f.tried), time.Until(f.request.Deadline)) {
-			return
-		}
-		failure = f.launch()
+	if failure.Verdict() != verdict.NotRun || f.pending != nil || slices.ContainsFunc(f.open, heard) || f.request.Stream != nil ||
+		!f.request.Idempotent || !f.mayGoOn(failure) || !f.attemptsLeft() || !plan.Again(failure, true, len(f.tried), time.Until(f.request.Deadline)) {
+		return
 	}
+	f.launch(EventRetry)
 }
 
 // hurry acts on a slow request. An idempotent one is sent a second time, within
@@ -89,7 +83,5 @@
 	if f.dispatcher.Quarantine.Judge(f.request.Print).Standing >= quarantine.Isolated || !f.attemptsLeft() || len(f.tried) >= f.service.Config.Retry.MaxTries || !f.service.takeHedge(f.request.Organisation) {
 		return
 	}
-	if f.launch() == nil {
-		f.did(EventHedge)
-	}
+	f.launch(EventHedge)
 }
--- a/peer/client.go
+++ b/peer/client.go
@@ -44,6 +44,7 @@
 	current *link
 	former  map[*link]struct{} // the open connections that were current before
 	dialing chan struct{}      // closed when the dialling in progress has ended
+	abort   context.CancelFunc // ends the dialling in progress
 	failure error              // of the last dialling
 	stopped bool
 }
@@ -62,7 +63,9 @@
 			return l, nil
 		case c.dialing == nil:
 			c.dialing = make(chan struct{})
-			go c.open(c.dialing)
+			var dialing context.Context
+			dialing, c.abort = context.WithCancel(context.Background())
+			go c.open(dialing, c.dialing)
 		}
 		wait := c.dialing
 		c.mu.Unlock()
@@ -82,12 +85,16 @@
 
 // open dials and greets, and closes done at its end. It does not stop when the
 // call that began it is cancelled, as others may wait for it too.
-func (c *Client) open(done chan struct{}) {
-	l, err := c.dial()
+func (c *Client) open(ctx context.Context, done chan struct{}) {
+	l, err := c.dial(ctx)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.stopped && l != nil {
-		l.shut(errClosed)
+	c.abort()
+	if c.stopped {
+		if l != nil {
+			l.shut(errClosed)
+		}
+		return // nobody waits any more
 	}
 	if l != nil || !c.current.alive() {
 		c.replace(l)
@@ -97,6 +104,9 @@
 	close(done)
 }
 
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
 // replace makes l, or nothing, the connection for new calls. The lock is held.
 func (c *Client) replace(l *link) {
 	old := c.current
@@ -117,9 +127,9 @@
 	}()
 }
 
-func (c *Client) dial() (*link, error) {
+func (c *Client) dial(ctx context.Context) (*link, error) {
 	limits := c.Limits.withDefaults()
-	ctx, cancel := context.WithTimeout(context.Background(), limits.Handshake)
+	ctx, cancel := context.WithTimeout(ctx, limits.Handshake)
 	defer cancel()
 	dial := c.Dial
 	if dial == nil {
@@ -132,7 +142,11 @@
 		return nil, err
 	}
 	n := newConn(raw, limits, c.Counters)
+	stop := context.AfterFunc(ctx, func() { _ = raw.SetDeadline(longAgo) })
 	other, err := n.greet(c.Hello, true)
+	if !stop() && err == nil {
+		err = context.Cause(ctx)
+	}
 	if err != nil {
 		n.shut(err)
 		return nil, err
@@ -161,7 +175,7 @@
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.stopped = true
+	c.stop()
 	if c.current != nil {
 		c.current.shut(errClosed)
 	}
@@ -174,10 +188,21 @@
 func (c *Client) Retire() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.stopped = true
+	c.stop()
 	c.replace(nil)
 }
 
+// stop has the client open no connection any more, and nobody wait for one. The lock is held.
+func (c *Client) stop() {
+	c.stopped = true
+	if c.dialing != nil {
+		c.failure = errClosed
+		c.abort()
+		close(c.dialing)
+		c.dialing = nil
+	}
+}
+
 // live returns a connection that the peer is not known to have closed. A call
 // that is written to one that it has closed may have run, for all that is known.
 func (c *Client) live(ctx context.Context) (*link, error) {
@@ -192,13 +217,21 @@
 // Start sends a call. The ID of the call is set here. If the call streams, its
 // body is read from body once the peer has admitted it. The exchange ends with
 // ctx at the latest; the caller must call Close on it in any case. An error
-// means that the call has not run.
+// means that the call has not run. Start waits no longer than the call's time lasts.
 func (c *Client) Start(ctx context.Context, call *Call, body io.Reader) (*Exchange, *verdict.Error) {
+	dialing, cancel := context.WithTimeout(ctx, call.Remaining)
+	defer cancel()
 	var x *Exchange
 	err := errNotTaken
 	for try := 0; try < 2 && errors.Is(err, errNotTaken); try++ { // a connection may close for idleness meanwhile
-		l, dialErr := c.live(ctx)
-		if dialErr != nil {
+		l, dialErr := c.live(dialing)
+		switch {
+		case dialErr == nil:
+		case ctx.Err() != nil:
+			return nil, verdict.New(verdict.NotWritten, dialErr) // which says nothing of the peer
+		case dialing.Err() != nil:
+			return nil, verdict.New(verdict.DeadlinePassed, dialErr)
+		default:
 			return nil, verdict.New(verdict.DialFailed, dialErr)
 		}
 		x, err = l.begin(ctx, call)
