peer, gate: load reports wait for no node, and no answer for them

What callers saw: an answer waited, for 3.0 s in the test, until the change of speed that it told of had been sent to all nodes, one of which read nothing.

Now the gate tells from a goroutine, and each connection has at most one that waits for its turn and sends the newest report.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -206,7 +206,7 @@
 	}
 	g.mu.Unlock()
 	if changed {
-		g.Tell(g.Report())
+		go func() { g.Tell(g.Report()) }() // answers wait for Observe
 	}
 }
 
--- a/peer/session.go
+++ b/peer/session.go
@@ -21,7 +21,8 @@
 	*conn
 	server  *Server
 	from    Hello
-	greeted atomic.Bool // whether from is set
+	greeted atomic.Bool            // whether from is set
+	report  atomic.Pointer[Report] // that waits to be sent, or nil
 
 	mu     sync.Mutex
 	open   map[uint64]*Inbound
--- a/peer/tell.go
+++ b/peer/tell.go
@@ -7,8 +7,7 @@
 import "context"
 
 // Tell sends a load report to every node that has a connection for calls to this
-// one. It does not wait for slow receivers longer than a frame may take, and
-// leaves out those whose connection has failed.
+// one. It waits for no receiver, and leaves out those whose connection has failed.
 func (s *Server) Tell(r *Report) {
 	s.mu.Lock()
 	list := make([]*session, 0, len(s.sessions))
@@ -19,10 +18,33 @@
 	}
 	s.mu.Unlock()
 	for _, n := range list {
-		go func() { _ = n.send(KindReport, r) }()
+		n.tell(r)
 	}
 }
 
+// tell sends a load report without waiting for the peer. Of those that wait for their turn
+// the newest is sent.
+func (n *session) tell(r *Report) {
+	if n.report.Swap(r) != nil {
+		return // the goroutine that was to send the former one sends this one
+	}
+	go func() {
+		if n.turn(context.Background()) != nil {
+			return
+		}
+		b, err := n.encode(frame{
+			kind:    KindReport,
+			message: n.report.Swap(nil),
+		})
+		if err == nil {
+			_ = n.put(b, 1) // a failure ends the connection
+		} else {
+			<-n.writing
+		}
+		buffers.Put(b)
+	}()
+}
+
 // Responsive returns whether there is an open connection on which the peer
 // answers, as far as is known. A peer that owes an answer or a pong for over two
 // thirds of the bound on silence is not.
