entry, node: requests that wait at a gate at the end of a drain are told that they have not run

What callers saw: a request that waited for a slot at the end of a node's drain was answered 502 (stopped, mayHaveRun), so that a caller may not send it again unless it is idempotent.

Cause: the node closed its connections to other nodes, which says nothing of where their calls were.

Dispatcher.Stop has each request under way ask its gates to take it back (peer.Exchange.Revoke), and has nothing sent any more. What waits ends as revoked, 503 and notRun with Retry-After; what would be sent again as notSent. What may run goes on until Close, 100 ms later.

Evidence: TestWaitingAtEndOfGracePeriod; without the call of Stop its waiting requests get 502.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -62,6 +62,9 @@
 	if !time.Now().Before(r.Deadline) {
 		return nil, verdict.New(verdict.DeadlinePassed, nil)
 	}
+	if failure := d.stopped(); failure != nil {
+		return nil, failure
+	}
 	use, ok := d.pick(s, r, tried, refused)
 	if !ok && len(refused) > 0 {
 		return nil, verdict.New(verdict.Refused, nil).WithGivenUp() // all are full
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -74,7 +74,8 @@
 
 	services atomic.Pointer[map[string]*service]
 
-	notices notices
+	notices  notices
+	stopping stopping
 
 	mu      sync.Mutex
 	clients map[string]*client // by node
--- a/entry/do.go
+++ b/entry/do.go
@@ -39,6 +39,7 @@
 		ctx:        ctx,
 		deadline:   time.NewTimer(time.Until(r.Deadline)),
 		began:      time.Now(),
+		stopping:   d.stopping.done(),
 	}
 	defer f.deadline.Stop()
 	result, failure := f.fly()
@@ -56,6 +57,7 @@
 	ctx        context.Context
 	deadline   *time.Timer
 	began      time.Time
+	stopping   <-chan struct{} // nil once the stop has been taken in
 
 	tried    []string
 	expected time.Duration  // the least wait that a gate which refused it expects, or 0
@@ -267,6 +269,8 @@
 		f.hush(0, plan)
 	case <-silent[1]:
 		f.hush(1, plan)
+	case <-f.stopping:
+		f.withdraw()
 	case <-f.deadline.C:
 		return nil, f.abandon(verdict.New(verdict.TimedOut, nil))
 	case <-f.ctx.Done():
--- a/node/leave.go
+++ b/node/leave.go
@@ -18,9 +18,9 @@
 )
 
 const (
-	// lastAnswers bounds the wait for the answers to requests that are cut: as long again
-	// is left of settings.ExitTime for the rest.
-	lastAnswers = 200 * time.Millisecond
+	// lastAnswers bounds each of the three waits for the answers to requests that are cut. A
+	// part of settings.ExitTime is left for the rest.
+	lastAnswers = 100 * time.Millisecond
 	// cutIDs bounds the ids of requests in one log line.
 	cutIDs = 20
 )
@@ -157,6 +157,8 @@
 // end has what is still under way answered by the node itself, with whether the request
 // may have run, and closes the connections of those that could not be told.
 func (l *leaving) end() {
+	l.node.dispatcher.Stop() // takes back what waits at gates
+	l.quiesce()
 	l.node.dispatcher.Close() // ends what has been sent on
 	l.quiesce()
 	l.cut(verdict.New(verdict.NotSent, errDrainOver).WithRetryAfter(caller.ComeBackElsewhere)) // and what has not
@@ -166,7 +168,7 @@
 
 // quiesce waits until the answers of requests that have been ended are written.
 func (l *leaving) quiesce() {
-	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers/2)
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
 	defer cancel()
 	_ = l.conns.Quiesce(ctx) // what is still open then is closed
 }
@@ -177,7 +179,7 @@
 	if n.Settings.GracePeriod == 0 {
 		return context.WithCancel(context.Background())
 	}
-	return context.WithDeadline(context.Background(), stopped.Add(n.Settings.GracePeriod-lastAnswers/2))
+	return context.WithDeadline(context.Background(), stopped.Add(n.Settings.GracePeriod-lastAnswers))
 }
 
 // await waits until wait returns, or ctx ends.
--- a/node/leave_test.go
+++ b/node/leave_test.go
@@ -62,8 +62,8 @@
 	return nil
 }
 
-// newHeld starts the nodes with the given settings.
-func newHeld(t *testing.T, adjust func(s *settings.Settings)) *held {
+// newHeld starts the nodes with the given settings, and the upstream with so many slots.
+func newHeld(t *testing.T, adjust func(s *settings.Settings), slots int) *held {
 	h := &held{
 		world:   newWorld(t),
 		started: make(chan string, 100),
@@ -73,7 +73,7 @@
 	h.let = sync.OnceFunc(func() { close(h.release) })
 	u := &standin.Upstream{
 		Service: "b",
-		Slots:   40,
+		Slots:   slots,
 	}
 	h.upstream = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/healthz" || r.URL.Path == "/i/warm" {
@@ -178,6 +178,8 @@
 			status:    response.StatusCode,
 			body:      string(data),
 			signature: response.Header.Get(standin.Signature),
+
+			retryAfter: response.Header.Get("Retry-After"),
 		}
 	}()
 	return p
@@ -234,7 +236,7 @@
 	}
 	for name, leaving := range tests {
 		t.Run(name, func(t *testing.T) {
-			h := newHeld(t, leaveSoon)
+			h := newHeld(t, leaveSoon, 40)
 			kept := h.transport(false)
 			first := h.send(h.entry, kept, "first", "GET", "/i/warm", nil)
 			<-first.done
@@ -320,7 +322,7 @@
 			h := newHeld(t, func(s *settings.Settings) {
 				leaveSoon(s)
 				s.GracePeriod = 1500 * time.Millisecond
-			})
+			}, 40)
 			all := []*pending{
 				h.send(h.entry, h.transport(false), "idempotent", "GET", "/i/plain", nil),
 				h.send(h.entry, h.transport(false), "not idempotent", "POST", "/n/plain", strings.NewReader("body")),
@@ -355,3 +357,42 @@
 		})
 	}
 }
+
+// TestWaitingAtEndOfGracePeriod has requests wait for a slot of the upstream at the end of the grace period.
+// They have not run, and were told that they may have.
+func TestWaitingAtEndOfGracePeriod(t *testing.T) {
+	h := newHeld(t, func(s *settings.Settings) {
+		leaveSoon(s)
+		s.GracePeriod = 1500 * time.Millisecond
+	}, 1)
+	runs := h.send(h.entry, h.transport(false), "at work", "POST", "/n/plain", nil)
+	h.working(1)
+	waits := []*pending{
+		h.send(h.entry, h.transport(false), "waits", "POST", "/n/plain", nil),
+		h.send(h.entry, h.transport(false), "waits, idempotent", "GET", "/i/plain", nil),
+	}
+	h.eventually("they wait", func() bool { return strings.Contains(h.other.metrics(), "sassafras_upstream_waiting 2") })
+	h.entry.stop()
+	<-runs.done
+	qt.Check(t, runs.err, qt.IsNil)
+	qt.Check(t, runs.got.status, qt.Equals, 502)
+	qt.Check(t, runs.got.body, qt.Contains, `"cause":"stopped"`)
+	for _, p := range waits {
+		<-p.done
+		qt.Check(t, p.err, qt.IsNil)
+		qt.Check(t, p.got.status, qt.Equals, 503, qt.Commentf(p.name))
+		qt.Check(t, p.got.body, qt.Contains, `"verdict":"notRun"`)
+		qt.Check(t, p.got.retryAfter, qt.Not(qt.Equals), "")
+	}
+}
+
+// metrics returns the node's metrics.
+func (m *managed) metrics() string {
+	r, err := http.Get("http://" + m.settings.OperatorAddress + "/metrics")
+	if err != nil {
+		return ""
+	}
+	defer r.Body.Close()
+	data, _ := io.ReadAll(r.Body)
+	return string(data)
+}
