--- a/node/latestart_test.go
+++ b/node/latestart_test.go
@@ -6,8 +6,6 @@
 
 import (
 	"fmt"
-	"net/http"
-	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -26,17 +24,10 @@
 			first, second := w.add("a"), w.add("b")
 			w.eventually("it serves", func() bool { return second.ask("PUT", "/a/x", "warm", "").status == 200 })
 			qt.Assert(t, first.upstream.Announce(first.settings.AnnounceAddress), qt.IsTrue)
-			say := func(call, body string) {
-				t.Helper()
-				r, err := http.Post("http://"+first.settings.AnnounceAddress+"/sassafrasfront/Instances."+call, "application/json", strings.NewReader(body))
-				qt.Assert(t, err, qt.IsNil)
-				r.Body.Close()
-				qt.Assert(t, r.StatusCode, qt.Equals, 200)
-			}
 			if leaves {
-				say("Leave/"+first.upstream.ID, "")
+				qt.Assert(t, first.upstream.Depart(first.settings.AnnounceAddress), qt.IsTrue)
 			}
-			say("Heartbeat/i-former", fmt.Sprintf(`{"service":"a","address":%q,"zone":"z","version":"v1","slots":8,"state":"ready","coldRemainingS":0,"sequence":900}`, first.settings.UpstreamAddress))
+			qt.Assert(t, first.upstream.AnnounceAs(first.settings.AnnounceAddress, "i-former", 900), qt.IsTrue)
 			if !leaves {
 				n := 0
 				w.eventually("it serves again", func() bool {
