caller, entry: connections that wait are taken before the listener closes; a sending that could not be begun is noted

What callers saw: a connection that had been opened, and not accepted yet, was reset when a stopping node closed its listener, with the request on it.

Cause: an Accept whose deadline has passed returns nothing, also where connections wait; the listener looked for a millisecond, which a process whose processor is scarce misses.

--- a/caller/listener.go
+++ b/caller/listener.go
@@ -14,7 +14,10 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Bounds limit how long a caller may take. A zero field leaves the server's own
@@ -43,10 +46,7 @@
 	draining bool                     // whether those that are accepted still are to end
 	drained  time.Time                // since when
 	closed   bool                     // whether the listener is closed
-	// looked is whether nothing has been accepted since the last look for connections,
-	// lookedOnce whether there has been one.
-	looked, lookedOnce bool
-	changes            chan struct{} // closed at the next change of one, if anybody waits for it
+	changes  chan struct{}            // closed at the next change of one, if anybody waits for it
 }
 
 // Accept implements net.Listener.
@@ -72,29 +72,45 @@
 		l.open = make(map[*connection]struct{})
 	}
 	l.open[c] = struct{}{}
-	l.looked = false
 	if l.draining {
 		c.stop()
+		if d, ok := l.Listener.(deadliner); ok {
+			_ = d.SetDeadline(longAgo) // the next one is accepted if it waits already
+		}
 	}
 	return c, nil
 }
 
-// acceptLook is how long a listener that is to close still looks for a connection.
-const acceptLook = time.Millisecond
+// acceptWithin bounds an Accept for which a connection waits.
+const acceptWithin = time.Second
 
-// mayLook returns whether a listener that has been told to close looks once more for
-// connections that callers have opened: to close it resets those that wait.
+// mayLook returns whether a listener that has been told to close accepts once more, as callers
+// have opened connections that wait: to close it resets those.
 func (l *Listener) mayLook() bool {
 	l.mu.Lock()
-	looks := l.draining && !l.looked && (!l.lookedOnce || time.Since(l.drained) < crossing)
-	l.looked, l.lookedOnce = true, true
+	looks := l.draining && time.Since(l.drained) < headAfterClose
 	l.mu.Unlock()
 	d, ok := l.Listener.(deadliner)
-	return ok && looks && d.SetDeadline(time.Now().Add(acceptLook)) == nil
+	return ok && looks && waits(d) && d.SetDeadline(time.Now().Add(acceptWithin)) == nil
+}
+
+// waits returns whether a connection waits to be accepted. An Accept whose deadline has passed
+// does not tell.
+func waits(l deadliner) bool {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var ready int
+	err = raw.Control(func(fd uintptr) {
+		ready, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	})
+	return err == nil && ready > 0
 }
 
 // deadliner is a listener whose Accept can be told to return.
 type deadliner interface {
+	syscall.Conn
 	SetDeadline(t time.Time) error
 }
 
--- a/entry/do.go
+++ b/entry/do.go
@@ -226,6 +226,9 @@
 		})
 	}
 	if l.failure != nil {
+		if l.attempt != nil {
+			f.failedAt(l.attempt, l.failure)
+		}
 		return l.failure
 	}
 	f.open = append(f.open, l.attempt)
@@ -288,12 +291,7 @@
 		return a, nil
 	}
 	a.end(failure)
-	f.note(Step{
-		Event:  EventFailed,
-		Node:   a.member.ID,
-		Cause:  failure.Cause,
-		Reason: failure.Err,
-	})
+	f.failedAt(a, failure)
 	f.expect(failure)
 	if failure.Cause == verdict.Refused || failure.Cause == verdict.Draining {
 		f.refused = append(f.refused, a.member.ID)
@@ -307,6 +305,16 @@
 	return nil, failure
 }
 
+// failedAt notes that a sending has failed.
+func (f *flight) failedAt(a *attempt, failure *verdict.Error) {
+	f.note(Step{
+		Event:  EventFailed,
+		Node:   a.member.ID,
+		Cause:  failure.Cause,
+		Reason: failure.Err,
+	})
+}
+
 // abandon ends all open attempts with e, without waiting for their peers. A request that has
 // not been sent at all has not run.
 func (f *flight) abandon(e *verdict.Error) *verdict.Error {
