--- a/entry/do.go
+++ b/entry/do.go
@@ -96,7 +96,7 @@
 				return f.land(a), nil
 			}
 			if failure != nil && f.others(nil) {
-				f.besides(failure, plan)
+				f.sendElsewhere(failure, plan)
 				failure = nil // the other sending goes on
 			}
 		}
@@ -269,9 +269,9 @@
 	case <-slow:
 		f.hurry()
 	case <-silent[0]:
-		f.hush(0, plan)
+		f.peerSilent(0, plan)
 	case <-silent[1]:
-		f.hush(1, plan)
+		f.peerSilent(1, plan)
 	case <-f.stopping:
 		f.withdraw()
 	case <-f.deadline.C:
--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -41,10 +41,10 @@
 	return s.hedges.Take()
 }
 
-// hush acts on the silence of the node that has an open attempt. It may be slow, as its
+// peerSilent acts on the silence of the node that has an open attempt. It may be slow, as its
 // upstream may be at work on the request, so the attempt goes on; an idempotent request is
 // sent a second time, within the budget.
-func (f *flight) hush(i int, plan retry.Plan) {
+func (f *flight) peerSilent(i int, plan retry.Plan) {
 	a := f.open[i]
 	a.silent = true
 	f.note(Step{
@@ -59,9 +59,9 @@
 	f.launch(EventRetry)
 }
 
-// besides sends a request once more that is open at silent nodes only, after a second sending
+// sendElsewhere sends a request once more that is open at silent nodes only, after a second sending
 // that has reached no upstream.
-func (f *flight) besides(failure *verdict.Error, plan retry.Plan) {
+func (f *flight) sendElsewhere(failure *verdict.Error, plan retry.Plan) {
 	heard := func(a *attempt) bool { return !a.silent }
 	if failure.Verdict() != verdict.NotRun || f.pending != nil || slices.ContainsFunc(f.open, heard) || f.request.Stream != nil ||
 		!f.request.Idempotent || !f.mayGoOn(failure) || !f.attemptsLeft() || !plan.Again(failure, true, len(f.tried), time.Until(f.request.Deadline)) {
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -50,7 +50,7 @@
 	ahead   bool // whether the body may be sent before the call is admitted
 	noticed bool // whether the call told what was known of the peer's upstream
 	silent  chan struct{}
-	hushed  bool          // whether silent is closed or being closed; the link's lock guards it
+	told    bool          // whether silent is closed or being closed; the link's lock guards it
 	stage   atomic.Uint32 // how far the sending has come
 
 	once     sync.Once
@@ -199,9 +199,9 @@
 	return x.stage.CompareAndSwap(stagePending, stageWritten) || x.stage.Load() == stageWritten
 }
 
-// hush notes that nothing has been heard from the peer for long. A call that can't have
+// peerSilent notes that nothing has been heard from the peer for long. A call that can't have
 // been started there is taken back, and one that may have been goes on.
-func (x *Exchange) hush(q *Quiet) {
+func (x *Exchange) peerSilent(q *SilenceError) {
 	if x.stage.CompareAndSwap(stagePending, stageWithdrawn) {
 		x.fail(verdict.New(verdict.NotWritten, q))
 		x.Close()
--- a/peer/link.go
+++ b/peer/link.go
@@ -42,9 +42,9 @@
 	// retired is whether no more calls are begun, and the connection ends with what is open.
 	retired bool
 
-	begun  chan struct{} // has a value when the first of them has begun, or l is retired
-	looked atomic.Uint64 // how often watch has looked at the connection
-	mute   atomic.Int64  // when the peer was last heard before it was found silent, or 0
+	begun    chan struct{} // has a value when the first of them has begun, or l is retired
+	looked   atomic.Uint64 // how often watch has looked at the connection
+	silentAt atomic.Int64  // when the peer was last heard before it was found silent, or 0
 }
 
 // alive returns whether there is a connection that has not ended.
@@ -53,12 +53,12 @@
 }
 
 // usable returns whether new calls may be sent on the connection.
-func (l *link) usable() bool { return l.alive() && !l.quiet(l.limits.Silence) }
+func (l *link) usable() bool { return l.alive() && !l.isSilent(l.limits.Silence) }
 
-// quiet returns whether the peer has owed something for longer than most, and has not been
+// isSilent returns whether the peer has owed something for longer than most, and has not been
 // heard meanwhile.
-func (l *link) quiet(most time.Duration) bool {
-	if l.mute.Load() != 0 && l.mute.Load() == l.heard.Load() {
+func (l *link) isSilent(most time.Duration) bool {
+	if l.silentAt.Load() != 0 && l.silentAt.Load() == l.heard.Load() {
 		return true
 	}
 	open, _, busy := l.activity()
@@ -426,7 +426,7 @@
 		waited = false
 		silence := min(l.silence(), busy)
 		if open > 0 && silence >= l.limits.Silence {
-			q := &Quiet{
+			q := &SilenceError{
 				Silence: silence,
 				Late:    late,
 				Pings:   pings,
@@ -437,8 +437,8 @@
 				l.shut(q)
 				return
 			}
-			l.mute.Store(l.heard.Load())
-			l.hush(q)
+			l.silentAt.Store(l.heard.Load())
+			l.tellSilent(q)
 		}
 		if open > 0 && silence >= l.limits.Silence/2 && pinging.CompareAndSwap(false, true) {
 			// A writer may wait for room in the kernel. Silence is judged meanwhile.
@@ -453,19 +453,19 @@
 	}
 }
 
-// hush tells the open calls that the peer is silent.
-func (l *link) hush(q *Quiet) {
+// tellSilent tells the open calls that the peer is silent.
+func (l *link) tellSilent(q *SilenceError) {
 	l.mu.Lock()
 	var list []*Exchange
 	for _, x := range l.exchanges {
-		if !x.hushed {
-			x.hushed = true
+		if !x.told {
+			x.told = true
 			list = append(list, x)
 		}
 	}
 	l.mu.Unlock()
 	for _, x := range list {
-		go x.hush(q) // a call that is taken back is cancelled, which may wait for room in the kernel
+		go x.peerSilent(q) // a call that is taken back is cancelled, which may wait for room in the kernel
 	}
 }
 
--- a/peer/quiet.go
+++ b/peer/silence.go
@@ -9,9 +9,9 @@
 	"time"
 )
 
-// Quiet says how a connection stood on which nothing was heard for long. It tells a peer
+// SilenceError says how a connection stood on which nothing was heard for long. It tells a peer
 // that is gone from one that is slow, and both from a process that was late itself.
-type Quiet struct {
+type SilenceError struct {
 	// Silence is the time since the last bytes arrived.
 	Silence time.Duration
 	// Late is how much later than it was due this process looked at the connection.
@@ -25,7 +25,7 @@
 }
 
 // Error implements error.
-func (q *Quiet) Error() string {
+func (e *SilenceError) Error() string {
 	return fmt.Sprintf("nothing heard for %v, with %d open, %d pings and %d bytes written since, looked at %v late",
-		q.Silence.Round(time.Millisecond), q.Open, q.Pings, q.Written, q.Late.Round(time.Millisecond))
+		e.Silence.Round(time.Millisecond), e.Open, e.Pings, e.Written, e.Late.Round(time.Millisecond))
 }
--- a/peer/tell.go
+++ b/peer/tell.go
@@ -52,7 +52,7 @@
 	c.mu.Lock()
 	l := c.current
 	c.mu.Unlock()
-	return l.alive() && !l.quiet(l.limits.Silence*2/3)
+	return l.alive() && !l.isSilent(l.limits.Silence*2/3)
 }
 
 // Warm opens the connection if it is not open, so that the first call need not
--- a/peer/withdrawn_test.go
+++ b/peer/withdrawn_test.go
@@ -26,7 +26,7 @@
 	x, err := l.add(context.Background())
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, x.credit.add(10, 10), qt.IsNil)
-	// The state between the two steps of hush.
+	// The state between the two steps of peerSilent.
 	qt.Assert(t, x.stage.CompareAndSwap(stagePending, stageWithdrawn), qt.IsTrue)
 	x.sendBody(strings.NewReader("body"))
 	select {
