--- a/cmd/sassafrassoak/check.go
+++ b/cmd/sassafrassoak/check.go
@@ -22,7 +22,8 @@
 			runs[r.ID] = append(runs[r.ID], r)
 		}
 	}
-	broken := checkOutcomes(list, runs)
+	broken := w.checkProxies()
+	broken = append(broken, checkOutcomes(list, runs)...)
 	if w.keys != nil {
 		broken = append(broken, w.checkKeys(list, runs)...)
 	}
@@ -48,6 +49,17 @@
 	return broken
 }
 
+// checkProxies wants the soak itself to have worked: a run of many nodes may use up its descriptors.
+func (w *world) checkProxies() []string {
+	var broken []string
+	for _, n := range w.nodes {
+		if err := n.link.failed.Load(); err != nil {
+			broken = append(broken, fmt.Sprintf("the soak's own fault: the proxy of %s ended: %v", n.name, *err))
+		}
+	}
+	return broken
+}
+
 // planned returns whether all faults are planned work.
 func planned(faults []fault) bool {
 	for _, f := range faults {
--- a/cmd/sassafrassoak/main.go
+++ b/cmd/sassafrassoak/main.go
@@ -10,7 +10,7 @@
 //	sassafrassoak hunt -seeds 50 -restore -node bin/sassafrasnode
 //	sassafrassoak hunt -seeds 50 -limits -node bin/sassafrasnode
 //	sassafrassoak hunt -seeds 50 -stops -node bin/sassafrasnode
-//	sassafrassoak run -seed 3 -stops -nodes 200 -node bin/sassafrasnode
+//	sassafrassoak run -seed 3 -stops -nodes 90 -node bin/sassafrasnode
 //
 // The store and the upstreams are stand-ins in this process; the nodes are
 // processes of their own, reached by their peers through proxies here. It ends
--- a/cmd/sassafrassoak/proxy.go
+++ b/cmd/sassafrassoak/proxy.go
@@ -5,9 +5,11 @@
 package main
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -40,6 +42,8 @@
 	rate        float64
 	there, back lane
 
+	failed atomic.Pointer[error] // why it takes no more connections
+
 	mu      sync.Mutex
 	mode    mode
 	losses  int // how many pieces are to wait for a repetition
@@ -133,6 +137,9 @@
 	for {
 		c, err := p.listener.Accept()
 		if err != nil {
+			if !errors.Is(err, net.ErrClosed) {
+				p.failed.Store(&err)
+			}
 			return
 		}
 		go p.serve(c)
--- a/cmd/sassafrassoak/stops_test.go
+++ b/cmd/sassafrassoak/stops_test.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"testing"
@@ -182,6 +183,18 @@
 	}
 }
 
+// TestProxyCheckFails has a proxy end while its run goes on.
+func TestProxyCheckFails(t *testing.T) {
+	p, err := newProxy("127.0.0.1:1", 0)
+	qt.Assert(t, err, qt.IsNil)
+	w := &world{nodes: []*node{{name: "n", link: p}}}
+	p.close()
+	qt.Check(t, w.checkProxies(), qt.HasLen, 0)
+	failure := errors.New("too many open files")
+	p.failed.Store(&failure)
+	qt.Check(t, w.checkProxies(), qt.HasLen, 1)
+}
+
 // TestEndCheckFails has a process be killed at the end of its grace time.
 func TestEndCheckFails(t *testing.T) {
 	w := &world{deeds: []*deed{{kind: killed, node: "n"}}}
