peer: what is left of a closed call's body does not come ahead of its Cancel

What callers would see: a call that its sender has closed runs all the same, when the rest of its body comes ahead of the Cancel, which another goroutine sends.

Now Close takes a call that can't have been started back before anything else, and no more of its body is sent.

--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -132,6 +132,8 @@
 // there and what arrives late is dropped.
 func (x *Exchange) Close() {
 	if x.link.remove(x.id) != nil {
+		// What is left of its body must not come before the Cancel, which another goroutine sends.
+		x.stage.CompareAndSwap(stagePending, stageWithdrawn)
 		x.cancel()
 		x.body.end(verdict.New(verdict.AnswerCut, eris.New("closed by the receiver")), nil)
 	}
@@ -242,7 +244,7 @@
 	}
 	var unsent error
 	err := x.credit.copyBody(x.ctx, body, func(data []byte) error {
-		if !x.ahead && !x.write() {
+		if x.stage.Load() == stageWithdrawn || !x.ahead && !x.write() {
 			return errWithdrawn
 		}
 		unsent = x.link.send(KindBody, &Body{
