--- a/entry/stalled_test.go
+++ b/entry/stalled_test.go
@@ -85,9 +85,12 @@
 			})
 		}
 		time.Sleep(50 * time.Millisecond)
-		qt.Assert(t, at["/a"] != at["/b"], qt.IsTrue)
-		w.Host(at["/b"]).PowerOff()
-		w.Host(at["/a"]).SilenceUp(linkSilence)
+		w.mu.Lock()
+		first, second := at["/a"], at["/b"]
+		w.mu.Unlock()
+		qt.Assert(t, first != second, qt.IsTrue)
+		w.Host(second).PowerOff()
+		w.Host(first).SilenceUp(linkSilence)
 		all.Wait()
 	})
 }
