--- a/internal/tcp/dialer.go
+++ b/internal/tcp/dialer.go
@@ -18,15 +18,18 @@
 func Dialer(within, silence time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout: within,
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var failure error
-			err := raw.Control(func(fd uintptr) {
-				failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds()))
-			})
-			if err != nil {
-				return err
-			}
-			return failure
-		},
+		Control: func(_, _ string, raw syscall.RawConn) error { return setSilence(raw, silence) },
 	}
 }
+
+// setSilence sets TCP_USER_TIMEOUT.
+func setSilence(raw syscall.RawConn, silence time.Duration) error {
+	var failure error
+	err := raw.Control(func(fd uintptr) {
+		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failure
+}
--- a/internal/tcp/silence.go
+++ b/internal/tcp/silence.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"golang.org/x/sys/unix"
 )
 
 // SetSilence changes for how long what was written to a connection may be without an
@@ -23,20 +22,10 @@
 		return nil
 	}
 	raw, err := s.SyscallConn()
-	if err != nil {
-		return eris.Wrap(err, "set the bound on silence")
-	}
-	var failure error
-	err = raw.Control(func(fd uintptr) {
-		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Milliseconds()))
-	})
 	if err == nil {
-		err = failure
-	}
-	if err != nil {
-		return eris.Wrap(err, "set the bound on silence")
+		err = setSilence(raw, silence)
 	}
-	return nil
+	return eris.Wrap(err, "set the bound on silence")
 }
 
 // Probe has the kernel ask the peer's for a connection on which nothing is said, each time that
