entry: one condition for a sending beside others

After the silence of a node, and after a second sending that reached no upstream, the same was asked in two copies. No behaviour changes: a request that is not idempotent was refused by the plan for the first before, without a taking from the budget.

--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -51,20 +51,25 @@
 		Event: EventSilent,
 		Node:  a.member.ID,
 	})
-	lost := verdict.New(verdict.PeerLost, nil)
-	if len(f.open) > 1 || f.pending != nil || f.request.Stream != nil || !f.mayGoOn(lost) || !f.attemptsLeft() ||
-		!plan.Again(lost, f.request.Idempotent, len(f.tried), time.Until(f.request.Deadline)) {
-		return
+	if len(f.open) == 1 {
+		f.sendBesides(verdict.New(verdict.PeerLost, nil), plan)
 	}
-	f.launch(EventRetry)
 }
 
 // sendElsewhere sends a request once more that is open at silent nodes only, after a second sending
 // that has reached no upstream.
 func (f *flight) sendElsewhere(failure *verdict.Error, plan retry.Plan) {
 	heard := func(a *attempt) bool { return !a.silent }
-	if failure.Verdict() != verdict.NotRun || f.pending != nil || slices.ContainsFunc(f.open, heard) || f.request.Stream != nil ||
-		!f.request.Idempotent || !f.mayGoOn(failure) || !f.attemptsLeft() || !plan.Again(failure, true, len(f.tried), time.Until(f.request.Deadline)) {
+	if failure.Verdict() == verdict.NotRun && !slices.ContainsFunc(f.open, heard) {
+		f.sendBesides(failure, plan)
+	}
+}
+
+// sendBesides sends an idempotent request once more after a failure, while what is open goes on,
+// if nothing is being sent, its body can be sent again, and the plan has it so.
+func (f *flight) sendBesides(failure *verdict.Error, plan retry.Plan) {
+	if f.pending != nil || !f.request.Idempotent || f.request.Stream != nil || !f.mayGoOn(failure) || !f.attemptsLeft() ||
+		!plan.Again(failure, true, len(f.tried), time.Until(f.request.Deadline)) {
 		return
 	}
 	f.launch(EventRetry)
