upstream, gate, entry, node: a request that timed out tells how far it had come

Callers saw 504 for one request of some 70,000 in TestEvacuation under load. The logs could not tell a process that stood still from a request that was written and never read, a lost SYN, or an answer that nobody passed on.

Now the reason of a request that is given up on says since when a connection was there, how many bytes were written and how many of them the upstream's kernel has not acknowledged, and how many requests the connection carried before; the entry's says for how long the sending was open and when its node was heard. 'call not answered' has waitedMs and tookMs, and both lines stalledMs: package stall measures for how long the process did not run, by a tick of 50 ms.

--- a/entry/do.go
+++ b/entry/do.go
@@ -275,7 +275,7 @@
 	case <-f.stopping:
 		f.withdraw()
 	case <-f.deadline.C:
-		return nil, f.abandon(verdict.New(verdict.TimedOut, nil))
+		return nil, f.abandon(verdict.New(verdict.TimedOut, f.unanswered()))
 	case <-f.ctx.Done():
 		return nil, f.abandon(verdict.New(verdict.CallerGone, context.Cause(f.ctx)))
 	}
--- a/entry/step.go
+++ b/entry/step.go
@@ -5,6 +5,7 @@
 package entry
 
 import (
+	"fmt"
 	"time"
 
 	"sassafrasfront.example/route"
@@ -63,6 +64,17 @@
 	}
 }
 
+// unanswered returns what is known of the sending that was begun first, when the request's time is
+// over.
+func (f *flight) unanswered() error {
+	if len(f.open) == 0 {
+		return nil
+	}
+	a := f.open[0]
+	return fmt.Errorf("%d sendings open, the first for %v, its node heard %v ago",
+		len(f.open), time.Since(a.began).Round(time.Millisecond), a.exchange.Heard().Round(time.Millisecond))
+}
+
 // did keeps a step that the Dispatcher's owner is told of as well.
 func (f *flight) did(e Event) {
 	f.dispatcher.event(f.service.Name, e)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -52,8 +52,8 @@
 	// Reports says when a load report goes to which node. Nil means never.
 	Reports *watch.Pacer[string]
 	// Refused, if not nil, is called with each call that ends without an answer,
-	// with the load at that moment.
-	Refused func(c *peer.Call, from string, failure *verdict.Error, load admit.Report)
+	// with the load at that moment, how long it waited for a slot and how long all took.
+	Refused func(c *peer.Call, from string, failure *verdict.Error, load admit.Report, waited, took time.Duration)
 	// Panicked, if not nil, is called when the handling of a call panics, with the stack.
 	Panicked func(c *peer.Call, value any, stack []byte)
 	// Quarantine, if not nil, knows the requests that end upstreams.
@@ -296,7 +296,7 @@
 		in.Notice = g.notice()
 		in.Fail(failure, g.reportFor(in.From.Node))
 		if g.Refused != nil {
-			g.Refused(in.Call, in.From.Node, failure, g.admit.Report())
+			g.Refused(in.Call, in.From.Node, failure, g.admit.Report(), c.waited, time.Since(began))
 		}
 	}
 	tracing.End(span, c.status, failure)
--- /dev/null
+++ b/internal/stall/monitor.go
@@ -0,0 +1,91 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package stall
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// period is the time between two ticks of a Monitor.
+	period = 50 * time.Millisecond
+	// least is the delay of a tick from which it is kept.
+	least = 10 * time.Millisecond
+	// kept is the number of delays that are kept.
+	kept = 64
+)
+
+// Monitor measures the delays of its own ticks. The zero value is ready to use. Its methods may
+// be called from any goroutine.
+type Monitor struct {
+	mu     sync.Mutex
+	last   time.Time // of the ticks, zero before the first
+	delays []delay   // the oldest first
+}
+
+// delay is that of one tick.
+type delay struct {
+	ended time.Time
+	took  time.Duration
+}
+
+// Run measures until ctx ends.
+func (m *Monitor) Run(ctx context.Context) {
+	next := time.NewTimer(0)
+	defer next.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-next.C:
+		}
+		m.tick(time.Now())
+		next.Reset(period)
+	}
+}
+
+// tick takes in a tick.
+func (m *Monitor) tick(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if took := m.overdue(now); took >= least {
+		if len(m.delays) == kept {
+			m.delays = slices.Delete(m.delays, 0, 1)
+		}
+		m.delays = append(m.delays, delay{
+			ended: now,
+			took:  took,
+		})
+	}
+	m.last = now
+}
+
+// overdue returns for how long a tick has been due. The lock is held.
+func (m *Monitor) overdue(now time.Time) time.Duration {
+	if m.last.IsZero() {
+		return 0
+	}
+	return max(0, now.Sub(m.last)-period)
+}
+
+// Longest returns the longest delay of a tick that ended after the given moment, or of one that is
+// due now. Delays under 10 ms count as none.
+func (m *Monitor) Longest(since time.Time) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var longest time.Duration
+	if open := m.overdue(time.Now()); open >= least {
+		longest = open
+	}
+	for _, d := range m.delays {
+		if d.ended.After(since) {
+			longest = max(longest, d.took)
+		}
+	}
+	return longest
+}
--- /dev/null
+++ b/internal/stall/monitor_test.go
@@ -0,0 +1,66 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package stall
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestLongest(t *testing.T) {
+	tests := map[string]struct {
+		gaps  []time.Duration // between ticks
+		since time.Duration   // before the last of them
+		open  time.Duration   // after the last of them
+		want  time.Duration
+	}{
+		"no tick yet":      {open: time.Second},
+		"in time":          {gaps: []time.Duration{0, period, period}, since: time.Second, open: period},
+		"late once":        {gaps: []time.Duration{0, period, period + 300*time.Millisecond, period}, since: time.Second, want: 300 * time.Millisecond},
+		"the longest":      {gaps: []time.Duration{0, period + 300*time.Millisecond, period + 100*time.Millisecond}, since: time.Second, want: 300 * time.Millisecond},
+		"before":           {gaps: []time.Duration{0, period + 300*time.Millisecond, period}, since: period},
+		"overdue":          {gaps: []time.Duration{0}, since: time.Second, open: period + 700*time.Millisecond, want: 700 * time.Millisecond},
+		"too short":        {gaps: []time.Duration{0, period + least - 1}, since: time.Second},
+		"more than kept":   {gaps: append([]time.Duration{0, time.Second}, repeat(period+least, kept)...), since: time.Minute, want: least},
+		"fewer than those": {gaps: append([]time.Duration{0, time.Second}, repeat(period+least, kept-1)...), since: time.Minute, want: time.Second - period},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var m Monitor
+				for _, gap := range test.gaps {
+					time.Sleep(gap)
+					m.tick(time.Now())
+				}
+				since := time.Now().Add(-test.since)
+				time.Sleep(test.open)
+				qt.Check(t, m.Longest(since), qt.Equals, test.want)
+			})
+		})
+	}
+}
+
+func repeat(d time.Duration, n int) (list []time.Duration) {
+	for range n {
+		list = append(list, d)
+	}
+	return list
+}
+
+func TestRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var m Monitor
+		go m.Run(t.Context())
+		time.Sleep(10 * period)
+		synctest.Wait()
+		qt.Check(t, m.Longest(time.Time{}), qt.Equals, time.Duration(0))
+		m.mu.Lock()
+		qt.Check(t, time.Since(m.last), qt.Equals, time.Duration(0))
+		m.mu.Unlock()
+	})
+}
--- a/internal/tcp/silence.go
+++ b/internal/tcp/silence.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 )
 
 // SetSilence changes for how long what was written to a connection may be without an
@@ -28,6 +29,26 @@
 	return eris.Wrap(err, "set the bound on silence")
 }
 
+// errNoSocket is that a connection is none of the kernel's.
+var errNoSocket = eris.New("no socket")
+
+// Unacknowledged returns how many bytes that were written to a connection the peer's kernel has not
+// acknowledged (SIOCOUTQ, see tcp(7)).
+func Unacknowledged(c net.Conn) (n int, err error) {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, errNoSocket
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return 0, eris.Wrap(err, "unacknowledged bytes")
+	}
+	if controlErr := raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }); controlErr != nil {
+		err = controlErr
+	}
+	return n, eris.Wrap(err, "unacknowledged bytes")
+}
+
 // Probe has the kernel ask the peer's for a connection on which nothing is said, each time that
 // the given time has passed, and end it after count questions in a row without an answer. The
 // kernel of a process that is gone answers by a reset, and that of one that works, however long
--- a/internal/tcp/silence_test.go
+++ b/internal/tcp/silence_test.go
@@ -39,3 +39,37 @@
 	defer other.Close()
 	qt.Check(t, tcp.SetSilence(pipe, 0), qt.IsNil, qt.Commentf("no socket"))
 }
+
+// TestUnacknowledged writes to a peer that reads nothing: its kernel acknowledges what it has room
+// for, and no more.
+func TestUnacknowledged(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	c, err := net.Dial("tcp", l.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer c.Close()
+	peer, err := l.Accept()
+	qt.Assert(t, err, qt.IsNil)
+	defer peer.Close()
+	_, err = c.Write([]byte("little"))
+	qt.Assert(t, err, qt.IsNil)
+	for n := -1; n != 0; {
+		n, err = tcp.Unacknowledged(c)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	data := make([]byte, 1<<20)
+	for n := 0; n == 0; {
+		qt.Assert(t, c.SetWriteDeadline(time.Now().Add(50*time.Millisecond)), qt.IsNil)
+		_, _ = c.Write(data) // fails once there is no more room
+		n, err = tcp.Unacknowledged(c)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	c.Close()
+	_, err = tcp.Unacknowledged(c)
+	qt.Check(t, err, qt.IsNotNil)
+	pipe, other := net.Pipe()
+	defer pipe.Close()
+	defer other.Close()
+	_, err = tcp.Unacknowledged(pipe)
+	qt.Check(t, err, qt.IsNotNil, qt.Commentf("no socket"))
+}
--- a/node/events.go
+++ b/node/events.go
@@ -58,6 +58,9 @@
 		Int("status", o.Status).Str("verdict", v).Str("cause", cause).Int("tries", o.Tries).Dur("tookMs", o.Took).Uint64("version", n.version()).Stringer("print", o.Print)
 	if o.Failure != nil {
 		e = e.Str("by", string(verdict.Lookup(o.Failure.Cause).By)).Str("phase", string(n.phase()))
+		if stalled := n.stalls.Longest(time.Now().Add(-o.Took)); stalled > 0 {
+			e = e.Dur("stalledMs", stalled)
+		}
 	}
 	if o.Failure != nil && o.Failure.RetryAfter > 0 {
 		e = e.Dur("retryAfterMs", o.Failure.RetryAfter)
@@ -95,7 +98,7 @@
 }
 
 // callRefused logs a call that the gate gave no answer to.
-func (n *Node) callRefused(c *peer.Call, from string, failure *verdict.Error, load admit.Report) {
+func (n *Node) callRefused(c *peer.Call, from string, failure *verdict.Error, load admit.Report, waited, took time.Duration) {
 	if !n.lines.Allow("call", callLines, 1) {
 		return
 	}
@@ -106,7 +109,10 @@
 			id = f.Value
 		}
 	}
-	e := n.Log.Info()
+	e := n.Log.Info().Dur("waitedMs", waited).Dur("tookMs", took)
+	if stalled := n.stalls.Longest(time.Now().Add(-took)); stalled > 0 {
+		e = e.Dur("stalledMs", stalled)
+	}
 	if load.Limited {
 		e = e.Float64("limit", load.Limit).Float64("limitUsed", load.Used).Dur("freeMs", load.Free)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -26,6 +26,7 @@
 	"sassafrasfront.example/entry"
 	"sassafrasfront.example/gate"
 	"sassafrasfront.example/internal/keyvalue"
+	"sassafrasfront.example/internal/stall"
 	"sassafrasfront.example/internal/tracing"
 	"sassafrasfront.example/objectapi"
 	"sassafrasfront.example/operator"
@@ -88,6 +89,7 @@
 	contacts   *contact.Book                     // which is kept there
 	restored   chan struct{}                     // has a value when what was written there may be lost
 	reloaded   atomic.Pointer[settings.Settings] // nil until the settings change
+	stalls     stall.Monitor
 	lines      keyvalue.Limit
 	successes  atomic.Uint64
 	configured atomic.Bool // whether the gate knows its service
@@ -274,6 +276,7 @@
 	if n.blocked != nil {
 		controlling.Go(func() { n.blocked.Run(controlCtx) })
 	}
+	all.Go(func() { n.stalls.Run(inner) })
 	all.Go(func() { _ = n.peers.Run(inner, l.peer) })
 	callerConns := &caller.Listener{
 		Listener: l.caller,
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -87,6 +87,9 @@
 // long as Limits.Silence says. The exchange goes on.
 func (x *Exchange) Silent() <-chan struct{} { return x.silent }
 
+// Heard returns the time since the latest bytes came from the peer.
+func (x *Exchange) Heard() time.Duration { return x.link.silence() }
+
 // Informs yields informational answers that come ahead of the final one.
 func (x *Exchange) Informs() <-chan *Inform { return x.informs }
 
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -35,6 +35,9 @@
 	idleSince time.Time
 	mostIdle  time.Duration // as the upstream told last, 0 if it did not
 	patient   bool          // whether the bound on silence is lifted
+	unacked   int           // bytes, as the connection ended before its answer
+	requests  int           // how many have been sent on it
+	taken     time.Time     // when the latest of them began
 }
 
 // errUnusable is an answer that is in order and can't be passed on.
@@ -96,6 +99,8 @@
 func (c *conn) begin() {
 	c.sent.Store(0)
 	c.begun.Store(false)
+	c.requests++
+	c.taken = time.Now()
 }
 
 // write writes the whole request.
@@ -147,7 +152,9 @@
 	case certain && c.sent.Load() == 0, !c.begun.Load():
 		return verdict.New(verdict.UpstreamDialFailed, err)
 	case ctx.Err() != nil:
-		return verdict.As(err, verdict.CallerGone)
+		e := *verdict.As(err, verdict.CallerGone)
+		e.Err = c.unanswered(e.Err)
+		return &e
 	case writeErr != nil && isBodyError(writeErr):
 		return verdict.As(writeErr, verdict.BodyLost)
 	case c.ended || isNetworkError(err):
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -123,6 +123,7 @@
 	response, err := t.readAnswer(c, r, inform)
 	if err != nil {
 		stop()
+		c.countUnacknowledged()
 		t.discard(c)
 		if errors.Is(err, syscall.ETIMEDOUT) {
 			t.CloseIdle() // whatever silenced one connection may have silenced those as well
