peer: a server has given its port back when Run returns

Seen: TestEvacuation, 40 copies at once, load about 90: a node stopped and started again at its address did not start ('peerAddress: listen tcp ...: bind: address already in use'), 1 of about 500 runs; its callers and its zone had nobody there. Who embeds peer.Server and starts it again at its address meets the same.

Cause: Run closed its listener by a function of its own goroutine (context.AfterFunc) and returned as soon as Accept failed. Close lets Accept fail before it closes the descriptor; a goroutine that is not run between the two leaves the port taken when Run returns. Ruled out: an outgoing connection on that port (their source is 127.0.0.1, tried), a port handed out twice (given is a set), a process that had not ended (its log has 'node stopped' 0.5 ms before the start).

Run now waits for Close. Twins: the other listeners of a node are closed by the goroutine that goes on (http.Server.Close, caller.Listener.Close).

--- a/peer/server.go
+++ b/peer/server.go
@@ -39,10 +39,17 @@
 }
 
 // Run serves connections of the listener until ctx ends, and then closes them
-// all. It returns nil after ctx has ended.
+// all. It returns nil after ctx has ended. The listener is closed when Run returns.
 func (s *Server) Run(ctx context.Context, listener net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
-	defer stop()
+	// Accept may fail before Close has given the port back.
+	var closing sync.WaitGroup
+	defer closing.Wait()
+	ctx, end := context.WithCancel(ctx)
+	defer end()
+	closing.Go(func() {
+		<-ctx.Done()
+		_ = listener.Close()
+	})
 	defer s.shutAll()
 	s.mu.Lock()
 	s.bodies = newQuota(s.Limits.UnderWay, s.Limits.Rate)
