control, rejoin: nodes that are gone are searched for, so that one which starts knowing nobody is found

Callers of a node that started again while the platform was away were refused, or served by what was in force at its end, for as long as that lasted: nobody told it anything.

Cause: such a node knows no address (no first peers, the platform away), and those that had heard that it had left asked there no more: it is no neighbour of anybody, and its record says Left. Where the farewell had not reached all, one of them still compared with its address and found it: that is why only some runs failed.

Twin, the same for a node that was killed: others suspect it for a minute and leave it out.

Now nodes search for those that are gone, at the address of their last start: eight are drawn for each by a hash of their own, and whoever suspects one, after 0.25 to 0.75 s and then at growing pauses up to 30 s, until its record is live or dropped (an hour).

--- a/control/candidates.go
+++ b/control/candidates.go
@@ -63,7 +63,9 @@
 func (c *Control) suspect(ids []string) {
 	for _, id := range ids {
 		if id != c.self.ID {
-			c.suspects[id] = time.Now().Add(suspicion)
+			now := time.Now()
+			c.suspects[id] = now.Add(suspicion)
+			c.searches.Silent(id, now)
 		}
 	}
 }
--- a/control/control.go
+++ b/control/control.go
@@ -28,6 +28,7 @@
 	"sassafrasfront.example/peer"
 	"sassafrasfront.example/quarantine"
 	"sassafrasfront.example/reconcile"
+	"sassafrasfront.example/rejoin"
 	"sassafrasfront.example/representative"
 	"sassafrasfront.example/rollout"
 	"sassafrasfront.example/routes"
@@ -155,6 +156,8 @@
 	fetching   bool // whether a table is being fetched
 	comparing  bool
 	suspects   map[string]time.Time // until when, by node
+	searches   rejoin.Searches
+	searching  int // addresses that are being asked at
 	random     *rand.Rand
 }
 
@@ -174,6 +177,10 @@
 			Zone:   c.Self.Zone,
 			Random: c.random,
 		}
+		c.searches = rejoin.Searches{
+			Self:   c.Self.ID,
+			Random: c.random,
+		}
 		c.members = reconcile.Exchange[member.Record]{
 			Topic: "members",
 			Accept: func(r member.Record) bool {
@@ -263,6 +270,7 @@
 		case <-push.C:
 			c.publishInPace()
 			c.push(ctx)
+			c.search(ctx)
 		case <-compare.C:
 			c.compare(ctx)
 		case <-turnover.C:
@@ -334,6 +342,9 @@
 // memberChanged takes in a change of a member's record.
 func (c *Control) memberChanged(old, r member.Record) {
 	c.index(old, r)
+	if r.ID != c.self.ID {
+		c.searchChanged(old, r)
+	}
 	if r.Live() && !wasLive(old) && r.ID != c.self.ID {
 		c.neighbours.Consider(r, c.known())
 	}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -19,6 +19,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"sassafrasfront.example/contact"
+	"sassafrasfront.example/gossip"
 	"sassafrasfront.example/internal/objectstore"
 	"sassafrasfront.example/member"
 	"sassafrasfront.example/objectapi"
@@ -43,6 +44,7 @@
 	*Control
 	client *objectapi.Client
 	stop   func()
+	kill   func() // ends it without a word to others
 }
 
 func newCluster(t *testing.T) *cluster {
@@ -131,6 +133,18 @@
 			all.Wait()
 		})
 	}
+	n.kill = func() {
+		stopServing()
+		all.Wait()
+		// Neither its farewell nor its pushes reach anybody.
+		n.do(func() {
+			n.Timing.Push, n.Timing.Compare = time.Hour, time.Hour
+			n.neighbours.Clear()
+			n.members.Set = gossip.Set[member.Record]{}
+			n.live = 1
+		})
+		n.stop()
+	}
 	c.nodes = append(c.nodes, n)
 	return n
 }
--- /dev/null
+++ b/control/rejoin_test.go
@@ -0,0 +1,96 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package control
+
+import (
+	"fmt"
+	"net"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/member"
+)
+
+// TestStartsKnowingNobody guards against a node that is never told anything: it starts again at its
+// address while the platform is away, without first peers, when all others take it for gone or
+// silent.
+func TestStartsKnowingNobody(t *testing.T) {
+	tests := map[string]struct {
+		nodes int
+		stop  func(c *cluster, n *testNode) // returns once the others have drawn their conclusions
+	}{
+		"it left and all have heard": {nodes: 4, stop: left},
+		"the only other has heard":   {nodes: 2, stop: left},
+		"all have heard of many":     {nodes: 24, stop: left},
+		"it was killed":              {nodes: 12, stop: killed},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t)
+			c.directory = emptyBook
+			start := func(id, zone, addr string, contacts ...string) *testNode {
+				l, err := net.Listen("tcp", addr)
+				qt.Assert(t, err, qt.IsNil)
+				return c.addAtWith(l, id, zone, func(k *Control) {
+					k.API = nil
+					k.Contacts = contacts
+				})
+			}
+			first := start("n0", "z0", "127.0.0.1:0")
+			for i := 1; i < test.nodes; i++ {
+				start(fmt.Sprint("n", i), fmt.Sprint("z", i%2), "127.0.0.1:0", first.Self.Addr)
+			}
+			for _, n := range c.nodes {
+				c.knows(n, test.nodes)
+			}
+			test.stop(c, first)
+			again := start("n0", "z0", first.Self.Addr)
+			c.nodes = c.nodes[1:]
+			for _, n := range c.nodes {
+				c.knows(n, test.nodes)
+			}
+			qt.Check(t, again.Alone(), qt.IsFalse)
+		})
+	}
+}
+
+// left stops a node and waits until all others have heard that it has left, and none compares with
+// it any more.
+func left(c *cluster, n *testNode) {
+	n.stop()
+	c.eventually("all have heard", func() bool {
+		return c.others(n, func(o *testNode) bool {
+			r, ok := o.members.Set.Get(n.Self.ID)
+			return (!ok || r.State == member.Left) && !o.neighbours.HasAddress(n.Self.Addr)
+		})
+	})
+}
+
+// killed ends a node without a word and waits until all others suspect it or have removed it.
+func killed(c *cluster, n *testNode) {
+	n.kill()
+	c.eventually("all suspect it", func() bool {
+		return c.others(n, func(o *testNode) bool {
+			_, suspected := o.suspects[n.Self.ID]
+			r, _ := o.members.Set.Get(n.Self.ID)
+			return (suspected || !r.Live()) && !o.neighbours.HasAddress(n.Self.Addr)
+		})
+	})
+}
+
+// others returns whether f, called by the goroutine that owns its state, is true of all nodes but n.
+func (c *cluster) others(n *testNode, f func(o *testNode) bool) bool {
+	for _, o := range c.nodes {
+		good := o == n
+		if !good {
+			o.do(func() { good = f(o) })
+		}
+		if !good {
+			return false
+		}
+	}
+	return true
+}
