entry, contact, node: requests wait for an upstream to be heard of while a node learns of the others

Cause: the node had just started and its first peer was of its own zone. It knew two nodes, both evacuated; the book of contacts is looked into again after up to 10 s by a node that is not alone.

Before, that there is no upstream was taken from what had not been heard yet. Now a request to a service without a known upstream waits while its node learns (2 s, or three looks into the book if it is alone): for all of its time but its objective, half of it at least. The book is looked into each 250 ms meanwhile. What can't be served is refused at once after that. A node is ready once it knows another or has had that time.

--- a/contact/discovery.go
+++ b/contact/discovery.go
@@ -50,6 +50,8 @@
 	// nobody write themselves in.
 	firstPeersTime  = 400 * time.Millisecond
 	firstPeersCheck = 20 * time.Millisecond
+	// seekEvery is the least time between the end of a look and one that Seek asks for.
+	seekEvery = 250 * time.Millisecond
 )
 
 // Directory is a book of contacts. A Book is one.
@@ -88,8 +90,29 @@
 	FirstPeers bool
 
 	listed atomic.Int32 // how many stood in the book at the latest look, or notLooked
+	looks  atomic.Int32 // so far
+	once   sync.Once
+	sought chan struct{} // has a value when a look is asked for
 }
 
+// init makes the state once.
+func (d *Discovery) init() {
+	d.once.Do(func() { d.sought = make(chan struct{}, 1) })
+}
+
+// Seek has the book looked into soon, whatever this node knows. It does not wait.
+func (d *Discovery) Seek() {
+	d.init()
+	select {
+	case d.sought <- struct{}{}:
+	default:
+	}
+}
+
+// Looks returns how often the book has been looked into and those who stood there asked, whether
+// anybody stood there or not.
+func (d *Discovery) Looks() int { return int(d.looks.Load()) }
+
 // notLooked is the number of listed nodes before the first look.
 const notLooked = -1
 
@@ -99,6 +122,7 @@
 // otherwise never hear of each other. The first node of each zone in each group stands
 // in the book and looks into it.
 func (d *Discovery) Run(ctx context.Context) {
+	d.init()
 	d.listed.Store(notLooked)
 	var late sync.WaitGroup
 	defer late.Wait()
@@ -142,6 +166,7 @@
 		sleep.For(ctx, tryAgain/2+rand.N(tryAgain))
 		d.joinSome(ctx, d.Node.Unknown(slices.Clone(addrs)))
 	}
+	d.looks.Add(1)
 }
 
 // joinSome learns from a few of some addresses that answer. Several are tried at
@@ -213,13 +238,29 @@
 }
 
 // rest waits until the next look: for about the given time at the first node of a zone, and
-// for long at another.
+// for long at another, unless Seek is called.
 func (d *Discovery) rest(ctx context.Context, often time.Duration) {
 	often = often/2 + rand.N(often)
 	seldom := lookSeldom/2 + rand.N(lookSeldom)
 	began := time.Now()
-	sleep.For(ctx, often)
-	for ctx.Err() == nil && !d.Node.FirstOfZone() && time.Since(began) < seldom {
-		sleep.For(ctx, rankCheck)
+	sought := d.await(ctx, often)
+	for !sought && ctx.Err() == nil && !d.Node.FirstOfZone() && time.Since(began) < seldom {
+		sought = d.await(ctx, rankCheck)
+	}
+	if sought {
+		sleep.For(ctx, seekEvery-time.Since(began))
+	}
+}
+
+// await waits for the given time, or until Seek is called, which it returns.
+func (d *Discovery) await(ctx context.Context, most time.Duration) (sought bool) {
+	t := time.NewTimer(most)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	case <-d.sought:
+		sought = true
 	}
+	return sought
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -104,7 +104,7 @@
 // noUpstream returns the failure of a request to a service without a known upstream.
 func (d *Dispatcher) noUpstream() *verdict.Error {
 	e := verdict.New(verdict.NoUpstream, nil)
-	if time.Since(d.Started) < learning {
+	if time.Since(d.Started) < learning || d.learns() {
 		e = e.WithRetryAfter(comeBackLearnt)
 	}
 	return e
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -72,7 +72,15 @@
 	// Event, if not nil, is called with each event of the kinds below.
 	Event func(service string, e Event)
 
+	// Learnt, if not nil, is closed once this node has had the time to learn of the others. Before
+	// that, requests to a service without a known upstream wait for one.
+	Learnt <-chan struct{}
+	// Seek, if not nil, is called when a request waits so, to have the others looked for now. It
+	// must not block.
+	Seek func()
+
 	services atomic.Pointer[map[string]*service]
+	updates  updates
 
 	notices  notices
 	stopping stopping
@@ -122,6 +130,7 @@
 		next[name] = d.build(old[name], s)
 	}
 	d.services.Store(&next)
+	d.updates.tell()
 	d.closeUnused(next)
 }
 
--- a/entry/do.go
+++ b/entry/do.go
@@ -22,7 +22,10 @@
 // the result. The failure bears the verdict on all sendings together: it is
 // NotRun only if none of them can have run.
 func (d *Dispatcher) Do(ctx context.Context, r *Request) (*Result, *verdict.Error) {
-	s := d.load()[r.Service]
+	s := d.known(ctx, r)
+	if failure := d.stopped(); s == nil && failure != nil {
+		return nil, final(failure)
+	}
 	if s == nil {
 		// Whoever resolved the request knows the service already, so it exists.
 		return nil, final(d.noUpstream())
--- /dev/null
+++ b/entry/learning.go
@@ -0,0 +1,97 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package entry
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+)
+
+// updates tells of each change of the services. The zero value is ready to use.
+type updates struct {
+	mu   sync.Mutex
+	next chan struct{}
+}
+
+// wait returns a channel that is closed at the next change.
+func (u *updates) wait() <-chan struct{} {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.next == nil {
+		u.next = make(chan struct{})
+	}
+	return u.next
+}
+
+// tell ends the waiting.
+func (u *updates) tell() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.next != nil {
+		close(u.next)
+		u.next = nil
+	}
+}
+
+// learns returns whether this node may not have heard of the others yet.
+func (d *Dispatcher) learns() bool {
+	if d.Learnt == nil {
+		return false
+	}
+	select {
+	case <-d.Learnt:
+		return false
+	default:
+		return true
+	}
+}
+
+// known returns the service of a request, or nil. While this node learns of others, it waits until
+// one is known to which the request may be sent, as long as the request has time for that: that
+// there is none is not known before.
+func (d *Dispatcher) known(ctx context.Context, r *Request) *service {
+	var enough <-chan time.Time
+	for {
+		changed := d.updates.wait() // before the look, so that no change is missed
+		s := d.load()[r.Service]
+		if s.mayTake(r) || !d.learns() || ctx.Err() != nil {
+			return s
+		}
+		if enough == nil {
+			t := time.NewTimer(r.spare())
+			defer t.Stop()
+			enough = t.C
+		}
+		if d.Seek != nil {
+			d.Seek()
+		}
+		select {
+		case <-changed:
+		case <-d.Learnt:
+		case <-d.stopping.done():
+			return s
+		case <-enough:
+			return s
+		case <-ctx.Done():
+		}
+	}
+}
+
+// mayTake returns whether a member is known to which the request may be sent.
+func (s *service) mayTake(r *Request) bool {
+	return s != nil && slices.ContainsFunc(s.Members, func(m Member) bool { return s.within(m.ID, r.Regions) })
+}
+
+// spare returns for how long the request may wait: for all of its time but its objective, within
+// which it is expected to be answered, and for half of it at least.
+func (r *Request) spare() time.Duration {
+	left := time.Until(r.Deadline)
+	if r.Objective == 0 {
+		return left / 2
+	}
+	return max(left-r.Objective, left/2)
+}
--- a/node/build.go
+++ b/node/build.go
@@ -38,6 +38,7 @@
 		Node: s.Node,
 		Zone: s.Zone,
 	}
+	n.learnt = make(chan struct{})
 	n.dispatcher = n.newDispatcher(hello)
 	n.control = n.newControl(exchange)
 	switch {
@@ -108,6 +109,7 @@
 		Rate:       linkRate(s.LinkMbps),
 		Quarantine: &n.suspects,
 		Event:      n.metrics.dispatcherEvent,
+		Learnt:     n.learnt,
 	}
 }
 
@@ -168,6 +170,7 @@
 		Node:       n.control,
 		FirstPeers: len(n.control.Contacts) > 0,
 	}
+	n.dispatcher.Seek = n.discovery.Seek
 	n.contacts.Nodes = n.limits.Nodes
 	n.contacts.Counted = n.limits.Told
 	n.blocked = n.blocklistOn(n.api)
--- /dev/null
+++ b/node/learning_test.go
@@ -0,0 +1,83 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package node_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/platform/standin"
+)
+
+// TestStartInEvacuatedZone guards against callers that are refused (noUpstream) by a node of an
+// evacuated zone which has just started and has not met the nodes of the other zone: from the moment
+// at which it is ready, it serves its callers by those.
+func TestStartInEvacuatedZone(t *testing.T) {
+	tests := map[string]struct {
+		faults standin.Faults // while the nodes of the zone start again
+		alone  bool           // whether only one of them does
+		before bool           // whether the others are there before
+	}{
+		"all nodes at once":                     {},
+		"beside others":                         {before: true},
+		"again":                                 {before: true, alone: true},
+		"again, the platform is slow":           {before: true, faults: standin.Faults{Delay: 200 * time.Millisecond}},
+		"again, the platform is away":           {before: true, faults: standin.Faults{Status: 503}},
+		"again, the platform hangs":             {before: true, faults: standin.Faults{Hang: true}},
+		"one of them, the platform is away":     {before: true, alone: true, faults: standin.Faults{Status: 503}},
+		"one of them, the platform loses calls": {before: true, alone: true, faults: standin.Faults{LoseWrites: true}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			z := &zoned{world: newWorld(t)}
+			z.configure(1, "")
+			z.evacuate("z", true)
+			for range 2 {
+				z.near = append(z.near, z.addIn("y", "b"))
+				z.far = append(z.far, z.addIn("z", "b"))
+			}
+			starting := z.far
+			if test.before {
+				z.known(1)
+				z.serving()
+				if test.alone {
+					starting = z.far[:1]
+				}
+				for _, n := range starting {
+					n.stop()
+				}
+				z.store.SetFaults(test.faults)
+				for _, n := range starting {
+					z.run(n)
+				}
+			}
+			for _, n := range starting {
+				z.eventually("it is ready", n.ready)
+				got := z.ask(n)
+				qt.Check(t, got.status, qt.Equals, 200, qt.Commentf("%s: %s", n.settings.Node, got.body))
+			}
+			qt.Check(t, z.runs(z.far), qt.Equals, 0)
+		})
+	}
+}
+
+// TestAloneInEvacuatedZone has a node that nobody can be met by: it becomes ready, refuses what it
+// can't serve, and serves its callers itself once the zone is taken back.
+func TestAloneInEvacuatedZone(t *testing.T) {
+	z := &zoned{world: newWorld(t)}
+	z.configure(1, "")
+	z.evacuate("z", true)
+	z.far = []*managed{z.addIn("z", "b")}
+	z.eventually("it is ready", z.far[0].ready)
+	got := z.ask(z.far[0])
+	qt.Check(t, got.status, qt.Equals, 503, qt.Commentf("%s", got.body))
+	qt.Check(t, got.retryAfter, qt.Not(qt.Equals), "")
+	qt.Check(t, z.runs(z.far), qt.Equals, 0)
+	z.evacuate("z", false)
+	z.serving()
+}
--- a/node/node.go
+++ b/node/node.go
@@ -89,6 +89,7 @@
 	contacts   *contact.Book                     // which is kept there
 	restored   chan struct{}                     // has a value when what was written there may be lost
 	reloaded   atomic.Pointer[settings.Settings] // nil until the settings change
+	learnt     chan struct{}                     // closed once the node has had the time to learn of the others
 	stalls     stall.Monitor
 	lines      keyvalue.Limit
 	successes  atomic.Uint64
@@ -277,6 +278,7 @@
 		controlling.Go(func() { n.blocked.Run(controlCtx) })
 	}
 	all.Go(func() { n.stalls.Run(inner) })
+	all.Go(func() { n.awaitLearnt(inner) })
 	all.Go(func() { _ = n.peers.Run(inner, l.peer) })
 	callerConns := &caller.Listener{
 		Listener: l.caller,
--- a/node/state.go
+++ b/node/state.go
@@ -149,6 +149,8 @@
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
 	case !n.control.Snapshot().Ready:
 		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+	case !n.acquainted():
+		http.Error(w, "no other node known yet", http.StatusServiceUnavailable)
 	case !n.judgesKeys():
 		http.Error(w, "the configuration may be out of date, and keys revoked", http.StatusServiceUnavailable)
 	default:
