--- a/control/control.go
+++ b/control/control.go
@@ -131,6 +131,8 @@
 	snapshot   atomic.Pointer[Snapshot]
 	represents atomic.Pointer[representative.Representative]
 	proofs     atomic.Pointer[freshness.Proofs]
+	// compareSoon is whether the next comparison does not wait for its turn.
+	compareSoon atomic.Bool
 
 	// The goroutine of Run owns what follows.
 	self       member.Record
@@ -271,6 +273,9 @@
 			c.publishInPace()
 			c.push(ctx)
 			c.search(ctx)
+			if c.compareSoon.Swap(false) {
+				c.compare(ctx)
+			}
 		case <-compare.C:
 			c.compare(ctx)
 		case <-turnover.C:
@@ -333,6 +338,10 @@
 	})
 }
 
+// CompareSoon has the state compared with a neighbour's at the next push, and not only when that is
+// due.
+func (c *Control) CompareSoon() { c.compareSoon.Store(true) }
+
 // setSelf replaces the node's own record.
 func (c *Control) setSelf(r member.Record) {
 	c.self = r
--- a/control/introduce.go
+++ b/control/introduce.go
@@ -43,6 +43,9 @@
 
 // introduce answers an introduction.
 func (c *Control) introduce(q introduction) introduced {
+	if c.live <= 1 {
+		c.CompareSoon() // the asker may know more than its own record
+	}
 	c.members.PutAll([]member.Record{q.Self})
 	reply := introduced{Members: c.live}
 	var near, far []member.Record
--- a/node/build.go
+++ b/node/build.go
@@ -170,7 +170,7 @@
 		Node:       n.control,
 		FirstPeers: len(n.control.Contacts) > 0,
 	}
-	n.dispatcher.Seek = n.discovery.Seek
+	n.dispatcher.Seek = n.seek
 	n.contacts.Nodes = n.limits.Nodes
 	n.contacts.Counted = n.limits.Told
 	n.blocked = n.blocklistOn(n.api)
--- a/node/learning.go
+++ b/node/learning.go
@@ -32,6 +32,13 @@
 	}
 }
 
+// seek has the node learn of others now: what its neighbours know, and who stands in the book of
+// contacts.
+func (n *Node) seek() {
+	n.control.CompareSoon()
+	n.discovery.Seek()
+}
+
 // acquainted returns whether the node knows another, or has had the time to learn of one.
 func (n *Node) acquainted() bool {
 	select {
