peer: a peer that reads nothing for long is not taken for lost while its kernel answers

Cause: TCP_USER_TIMEOUT counts data for which the receiver has no room as unacknowledged, though its kernel answers each question for room; and the bound on a write took its end for a proof.

Now, on a connection with open calls on which nothing is heard for half of Silence, the kernel is asked how it stands (TCP_INFO). If the peer's has said that it has no room, TCP_USER_TIMEOUT is lifted there, and the connection ends once a repetition or a question for room has been without an answer for Loss, at two looks in a row. A frame goes on being written while the peer's kernel answers.

TestPeerReadsNothing, 5 s without a read: before, both rows failed (peerLost: EOF; peerLost: i/o timeout; notWritten for the frame); now all calls are answered. TestLossWatch plays looks.

--- a/internal/tcp/silence.go
+++ b/internal/tcp/silence.go
@@ -49,6 +49,52 @@
 	return n, eris.Wrap(err, "unacknowledged bytes")
 }
 
+// Acknowledgement says what the peer's kernel has answered to what was written to a connection.
+type Acknowledgement struct {
+	// Outstanding is whether anything has not been acknowledged.
+	Outstanding bool
+	// Full is whether the peer's kernel has said that it has no room for more, as its process reads
+	// nothing.
+	Full bool
+	// Repeated is whether the latest repetition of what is outstanding, or the latest question for
+	// room, has not been answered.
+	Repeated bool
+	// Age is the time since the latest acknowledgement of anything.
+	Age time.Duration
+}
+
+// errNoState is that the kernel tells nothing of a connection.
+var errNoState = eris.New("no state of the connection")
+
+// Acknowledged returns the Acknowledgement of a connection that is open (TCP_INFO, see tcp(7)). An
+// error means that the kernel does not tell.
+func Acknowledged(c net.Conn) (a Acknowledgement, err error) {
+	n, err := Unacknowledged(c)
+	if err != nil {
+		return a, err
+	}
+	raw, err := c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return a, eris.Wrap(err, "acknowledgements")
+	}
+	var info *unix.TCPInfo
+	if controlErr := raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) }); controlErr != nil {
+		err = controlErr
+	}
+	switch {
+	case err != nil:
+		return a, eris.Wrap(err, "acknowledgements")
+	case info.Snd_mss == 0 || info.Rto == 0:
+		return a, errNoState
+	}
+	return Acknowledgement{
+		Outstanding: n > 0,
+		Full:        info.Snd_wnd < info.Snd_mss,
+		Repeated:    info.Retransmits > 0 || info.Probes > 0,
+		Age:         time.Duration(info.Last_ack_recv) * time.Millisecond,
+	}, nil
+}
+
 // Probe has the kernel ask the peer's for a connection on which nothing is said, each time that
 // the given time has passed, and end it after count questions in a row without an answer. The
 // kernel of a process that is gone answers by a reset, and that of one that works, however long
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -8,8 +8,10 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -207,10 +209,17 @@
 // put hands a number of frames to the kernel, which is this goroutine's turn.
 func (c *conn) put(b *bytes.Buffer, frames int) error {
 	defer func() { <-c.writing }()
-	_ = c.SetWriteDeadline(time.Now().Add(c.limits.Write))
-	if _, err := c.Write(b.Bytes()); err != nil {
-		c.shut(eris.Wrap(err, "write"))
-		return err
+	for left := b.Bytes(); ; {
+		_ = c.SetWriteDeadline(time.Now().Add(c.limits.Write))
+		n, err := c.Write(left)
+		if err == nil {
+			break
+		}
+		left = left[n:]
+		if !errors.Is(err, os.ErrDeadlineExceeded) || c.isClosed() || !c.acknowledged() {
+			c.shut(eris.Wrap(err, "write"))
+			return err
+		}
 	}
 	c.written.Add(uint64(b.Len()))
 	c.counters.FramesOut.Add(uint64(frames))
--- a/peer/limits.go
+++ b/peer/limits.go
@@ -28,7 +28,8 @@
 	Rate float64
 	// Handshake bounds dialling and the exchange of Hellos. The default is 1 s.
 	Handshake time.Duration
-	// Write bounds the writing of one frame. The default is 5 s.
+	// Write bounds the writing of one frame where the peer's kernel does not acknowledge what was
+	// written. The default is 5 s.
 	Write time.Duration
 	// Silence is the time after which a connection with open calls, on which
 	// nothing arrives, gets no more of them. A ping is sent after half of it. What is
@@ -37,7 +38,8 @@
 	// asked again. The default is 3 s.
 	Silence time.Duration
 	// Loss is the time after which a connection ends on which what was written has
-	// not been acknowledged by the peer's kernel (TCP_USER_TIMEOUT, see RFC 5482). The
+	// not been acknowledged by the peer's kernel (TCP_USER_TIMEOUT, see RFC 5482). One that
+	// answers that it has no room, as its process reads nothing, acknowledges. The
 	// default is 10 s.
 	Loss time.Duration
 	// Idle is the time after which a client connection without open calls is
--- /dev/null
+++ b/peer/loss.go
@@ -0,0 +1,74 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package peer
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"sassafrasfront.example/internal/tcp"
+)
+
+// errUnacknowledged ends a connection whose peer's kernel does not answer.
+var errUnacknowledged = eris.New("connection timed out: nothing acknowledged")
+
+// lossLooks is the number of looks in a row at which a repetition has not been answered, before
+// that counts: one may be under way.
+const lossLooks = 2
+
+// lossWatch finds whether a peer's kernel has answered nothing for long, where TCP_USER_TIMEOUT
+// can't tell: it takes a peer that has no room, as its process reads nothing, for one that is gone.
+// One goroutine calls its methods.
+type lossWatch struct {
+	patient bool      // whether TCP_USER_TIMEOUT has been lifted
+	since   time.Time // when something has first been seen to be outstanding, zero if nothing is
+	looks   int       // at which a repetition was not answered, in a row
+}
+
+// reset forgets what has been seen: this process was late, or nothing was open meanwhile.
+func (w *lossWatch) reset() {
+	w.since = time.Time{}
+	w.looks = 0
+}
+
+// look takes in how a connection stands, and returns whether it is lost: nothing has been
+// acknowledged for as long as most says.
+func (w *lossWatch) look(a tcp.Acknowledgement, now time.Time, most time.Duration) bool {
+	switch {
+	case !a.Outstanding:
+		w.reset()
+		return false
+	case w.since.IsZero():
+		w.since = now
+	}
+	if !a.Repeated || min(a.Age, now.Sub(w.since)) < most {
+		w.looks = 0
+		return false
+	}
+	w.looks++
+	return w.looks >= lossLooks
+}
+
+// lost looks whether the peer's kernel is gone. The kernel of this instance finds that, until the
+// peer's has said that it has no room.
+func (l *link) lost(w *lossWatch) bool {
+	a, err := tcp.Acknowledged(l.Conn)
+	if err != nil {
+		return false
+	}
+	if !w.patient {
+		w.patient = a.Full && a.Age < l.limits.Loss && tcp.SetSilence(l.Conn, 0) == nil
+		return false
+	}
+	return w.look(a, time.Now(), l.limits.Loss)
+}
+
+// acknowledged returns whether the peer's kernel answers, though there is no room for what is
+// written.
+func (c *conn) acknowledged() bool {
+	a, err := tcp.Acknowledged(c.Conn)
+	return err == nil && (!a.Repeated || a.Age < c.limits.Loss)
+}
--- a/peer/watch.go
+++ b/peer/watch.go
@@ -35,12 +35,14 @@
 	var pinging atomic.Bool
 	pings := 0 // since the last bytes arrived
 	waited := false
+	var loss lossWatch
 	for number := uint64(1); ; {
 		var late time.Duration
 		select {
 		case <-l.closed:
 			return
 		case <-l.begun:
+			loss.reset()
 		case <-next.C:
 			late = time.Since(due)
 		}
@@ -57,10 +59,15 @@
 		}
 		if late > l.limits.Silence/4 && !waited {
 			waited = true // this process was late: what has arrived meanwhile is read first
+			loss.reset()
 			continue
 		}
 		waited = false
 		silence := min(l.silence(), busy)
+		if open > 0 && silence >= l.limits.Silence/2 && l.lost(&loss) {
+			l.shut(errUnacknowledged)
+			return
+		}
 		if open > 0 && silence >= l.limits.Silence {
 			q := &SilenceError{
 				Silence: silence,
