node: tests try out no port again that a node is to listen on

Cause: freeAddr asked the kernel for a port, closed it, and refused one that it had given before only after having listened on it; the node of the first address begins to listen in a goroutine of its own, and fails if that is at this moment. In TestManaged the second node's addresses are chosen while the first one starts. Ruled out: connections that go out (their source is 127.0.0.1, tried), other processes (the host is drawn for each).

Ports are chosen by the test now, and one that has been given is never listened on again. Not shown failing first: it takes a coincidence of some microseconds; a test with 2,500 addresses did not meet it.

--- a/node/managed_test.go
+++ b/node/managed_test.go
@@ -92,20 +92,30 @@
 // connections of tests that run beside this one may take a port that is free now.
 var host = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(255), 1+rand.IntN(254))
 
-// given are the addresses that freeAddr has returned. The kernel may choose one
-// again as long as its node does not listen.
+const (
+	// firstPort is the first of the ports that freeAddr chooses from, and ports their number.
+	firstPort = 10000
+	ports     = 50000
+)
+
+// given are the ports that freeAddr has returned. It tries none of them again: its node may not
+// listen yet, and would find its port taken.
 var given sync.Map
 
-// freeAddr returns an address that is free now and that nobody else got.
+// freeAddr returns an address that is free now and that nobody else gets.
 func freeAddr(t *testing.T) string {
 	for {
-		l, err := net.Listen("tcp", host+":0")
-		qt.Assert(t, err, qt.IsNil)
-		addr := l.Addr().String()
-		_ = l.Close()
-		if _, again := given.LoadOrStore(addr, true); !again {
-			return addr
+		port := firstPort + rand.IntN(ports)
+		if _, again := given.LoadOrStore(port, true); again {
+			continue
+		}
+		addr := net.JoinHostPort(host, strconv.Itoa(port))
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue // another process has it
 		}
+		qt.Assert(t, l.Close(), qt.IsNil)
+		return addr
 	}
 }
 
