node: a stop leaves time for what the process has lately stood still

Cause: the end of the drain is counted from when the signal is noticed, and what is left for the end, 0.5 s, is the same on a process that gets no processor for 0.15 s at a time.

The drain ends earlier by twice the longest stall of the last 5 s, and leaves an eighth of the grace period at most: within its last sixth, in which the users count no request as lost. 'leaving' says stalledMs and withinMs.

--- a/node/leave.go
+++ b/node/leave.go
@@ -14,6 +14,7 @@
 
 	"sassafrasfront.example/caller"
 	"sassafrasfront.example/internal/sleep"
+	"sassafrasfront.example/settings"
 	"sassafrasfront.example/verdict"
 )
 
@@ -21,6 +22,10 @@
 	// lastAnswers bounds each of the three waits for the answers to requests that are cut. A
 	// part of settings.ExitTime is left for the rest.
 	lastAnswers = 100 * time.Millisecond
+	// stallMemory is how far back the stalls of this process count for its stop.
+	stallMemory = 5 * time.Second
+	// stallShare is the part of the grace period that a stop may leave to a process that stalls.
+	stallShare = 1.0 / 8
 	// cutIDs bounds the ids of requests in one log line.
 	cutIDs = 20
 )
@@ -46,12 +51,14 @@
 	n := l.node
 	began := time.Now()
 	told := l.standing()
-	n.Log.Info().Int("requests", told.requests).Int("calls", told.calls).Dur("withinMs", n.Settings.DrainWithin()).Msg("leaving")
+	stalled := n.stalls.Longest(began.Add(-stallMemory))
+	within := drainWithin(&n.Settings, stalled)
+	n.Log.Info().Int("requests", told.requests).Int("calls", told.calls).Dur("withinMs", within).Dur("stalledMs", stalled).Msg("leaving")
 	n.mu.Lock()
 	n.leaving = true
 	n.mu.Unlock()
 	l.conns.Leave()
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(n.Settings.DrainWithin()))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(within))
 	defer cancel()
 	leave := n.Settings.LeaveWithin()
 	admitting := min(n.Settings.AdmitDelay, leave)
@@ -63,7 +70,7 @@
 	n.announce()
 	sleep.For(ctx, leave-admitting)
 	n.mu.Lock()
-	n.endsAt = began.Add(n.Settings.DrainWithin())
+	n.endsAt = began.Add(within)
 	n.mu.Unlock()
 	awaitRuns(ctx, idle)
 	n.mu.Lock()
@@ -90,6 +97,18 @@
 	e.Dur("took", time.Since(began)).Msg("drained")
 }
 
+// drainWithin returns how long a node waits for requests in flight whose process has lately stood
+// still for as long as stalled says. The signal to stop may have come so much earlier than it was
+// noticed, and the end of the process may be as late.
+func drainWithin(s *settings.Settings, stalled time.Duration) time.Duration {
+	within := s.DrainWithin()
+	if s.GracePeriod == 0 {
+		return within
+	}
+	most := time.Duration(stallShare*float64(s.GracePeriod)) - settings.ExitTime
+	return within - min(2*stalled, max(0, most))
+}
+
 // standing is what is under way at a moment.
 type standing struct {
 	// requests are those of callers that are under way, and begun all so far.
