entry: a request is sent among the members that its service has now

Callers got 503 misrouted though sound upstreams were there: a request keeps the service as it was when it came, while its pool is the present one. A second sending after a change of the members, as in a release, picked members that the old service did not have, once for each try.

TestMembersChangeMeanwhile has the members replaced while the first sending is under way, which is then refused: all four rows failed before (misrouted), and get their answer now. Ruled out by reading: a gate that does not know its service yet, as none of the near nodes starts again in that test.

Each sending takes the service as it is now; where the pool is ahead of it, the pick is made again once the replacement is done.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -65,7 +65,7 @@
 	if failure := d.stopped(); failure != nil {
 		return nil, failure
 	}
-	use, ok := d.pick(s, r, tried, refused)
+	s, use, m, ok := d.choose(s, r, tried, refused)
 	if !ok && len(refused) > 0 {
 		return nil, verdict.New(verdict.Refused, nil).WithGivenUp() // all are full
 	}
@@ -73,13 +73,9 @@
 		return nil, d.noUpstream()
 	}
 	a := &attempt{
-		use:   use,
-		began: time.Now(),
-	}
-	a.member, ok = s.member(use.Key())
-	if !ok {
-		a.end(verdict.New(verdict.Misrouted, nil))
-		return a, verdict.New(verdict.Misrouted, nil)
+		use:    use,
+		member: m,
+		began:  time.Now(),
 	}
 	c := r.call(len(tried) + 1)
 	c.Notice = d.notices.of(a.member.ID)
@@ -110,6 +106,36 @@
 	return e
 }
 
+// choose picks an upstream, as start says, among the members that the service has now, and returns
+// them too. The pool is the same for a service and those that come after it, so that a pick may be
+// of a member that has come meanwhile.
+func (d *Dispatcher) choose(s *service, r *Request, tried, refused []string) (*service, *route.Use[string], Member, bool) {
+	for {
+		if now := d.load()[s.Name]; now != nil {
+			s = now
+		}
+		use, ok := d.pick(s, r, tried, refused)
+		if !ok {
+			return s, nil, Member{}, false
+		}
+		m, ok := s.member(use.Key())
+		if ok {
+			return s, use, m, true
+		}
+		use.Done(route.Unknown)
+		d.awaitSet()
+		if d.load()[s.Name] == s {
+			return s, nil, Member{}, false
+		}
+	}
+}
+
+// awaitSet waits until the services are not being replaced: their pools are before they are.
+func (d *Dispatcher) awaitSet() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+}
+
 // pick picks an upstream, as start says.
 func (d *Dispatcher) pick(s *service, r *Request, tried, refused []string) (*route.Use[string], bool) {
 	for _, kind := range s.kinds(len(tried) > 0) {
--- /dev/null
+++ b/entry/changed_test.go
@@ -0,0 +1,68 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/entry"
+	"sassafrasfront.example/operator"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/verdict"
+)
+
+// TestMembersChangeMeanwhile guards against a request that ends as misrouted, as the members of its
+// service have changed since it came: it is sent once more to those that are there now.
+func TestMembersChangeMeanwhile(t *testing.T) {
+	config := operator.Service{Retry: operator.Retry{MaxTries: 3, Share: 0.1, Burst: 5}}.WithDefaults()
+	tests := map[string]struct {
+		before, after int // the members, by their numbers, from 0 up to before, and from there up to after
+	}{
+		"the only one is replaced":    {before: 1, after: 2},
+		"all are replaced":            {before: 3, after: 6},
+		"one is replaced by many":     {before: 1, after: 8},
+		"many are replaced by others": {before: 8, after: 9},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var d *entry.Dispatcher
+				var change sync.Once
+				service := func(from, to int) map[string]*entry.Service {
+					s := &entry.Service{Name: "service", Config: config}
+					for i := from; i < to; i++ {
+						id := fmt.Sprint("gate", i)
+						s.Members = append(s.Members, entry.Member{ID: id, Addr: id, Slots: 10})
+					}
+					return map[string]*entry.Service{"service": s}
+				}
+				refuseAndChange := func(in *peer.Inbound) {
+					change.Do(func() { d.Set(service(test.before, test.after)) })
+					time.Sleep(time.Second)
+					in.Fail(verdict.New(verdict.Draining, nil), nil)
+				}
+				var g *gates
+				var stop func()
+				d, g, stop = playedDispatcher(config, test.after, refuseAndChange, answer)
+				defer stop()
+				defer time.Sleep(2 * time.Minute) // connections to former members end
+				d.Set(service(0, test.before))
+				r := &entry.Request{Service: "service", Method: "X", Target: "/", Deadline: time.Now().Add(10 * time.Second)}
+				result, failed := d.Do(context.Background(), r)
+				qt.Assert(t, failed == nil, qt.IsTrue, qt.Commentf("%v", failed))
+				result.Close()
+				calls, _, _ := g.count()
+				qt.Check(t, calls, qt.Equals, 2)
+			})
+		})
+	}
+}
