--- a/follow/era_test.go
+++ b/follow/era_test.go
@@ -5,6 +5,7 @@
 package follow
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -69,7 +70,6 @@
 // TestEraReachesAll has the store be away for a moment and come back from a copy while it turns
 // some nodes away: all nodes know in time, by the reads that there are anyway.
 func TestEraReachesAll(t *testing.T) {
-	const begins = 10 * time.Second
 	tests := map[string]struct {
 		nodes int
 		away  time.Duration
@@ -88,23 +88,9 @@
 			var worst time.Duration
 			var calls int
 			for seed := range test.seeds {
-				s := newSystem(test.nodes, seed)
-				s.era = 1
-				s.run(begins)
-				s.down = true
-				s.run(s.now + test.away)
-				s.down = false
-				s.era++
-				for _, i := range s.random.Perm(test.nodes)[:test.nodes*test.share/100] {
-					s.nodes[i].refused = true
-				}
-				back := s.now
-				for unaware(s) && s.now < back+3*within {
-					s.run(s.now + 10*time.Millisecond)
-				}
-				worst = max(worst, s.now-back)
-				s.run(back + 3*within)
-				calls += s.calls
+				took, made := comeBack(test.nodes, seed, test.away, test.share)
+				worst = max(worst, took)
+				calls += made
 			}
 			t.Logf("worst %v, %d calls a seed", worst, calls/int(test.seeds))
 			qt.Check(t, worst <= within, qt.IsTrue, qt.Commentf("%v", worst))
@@ -113,6 +99,40 @@
 	}
 }
 
+// TestEraOfUnluckyReaders guards against nodes that know late that the store has come back from a copy,
+// as two rounds of readers in a row were all turned away.
+func TestEraOfUnluckyReaders(t *testing.T) {
+	for _, seed := range []uint64{482, 502} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			took, _ := comeBack(200, seed, time.Second, 33)
+			qt.Check(t, took <= within, qt.IsTrue, qt.Commentf("%v", took))
+		})
+	}
+}
+
+// comeBack plays a store that is away for a time and comes back from a copy, while it turns a share of
+// the nodes away, in percent. It returns how long it took until all knew, and the calls that were made.
+func comeBack(nodes int, seed uint64, away time.Duration, share int) (took time.Duration, calls int) {
+	const begins = 10 * time.Second
+	s := newSystem(nodes, seed)
+	s.era = 1
+	s.run(begins)
+	s.down = true
+	s.run(s.now + away)
+	s.down = false
+	s.era++
+	for _, i := range s.random.Perm(nodes)[:nodes*share/100] {
+		s.nodes[i].refused = true
+	}
+	back := s.now
+	for unaware(s) && s.now < back+3*within {
+		s.run(s.now + 10*time.Millisecond)
+	}
+	took = s.now - back
+	s.run(back + 3*within)
+	return took, s.calls
+}
+
 // unaware returns whether some node does not know the store's era.
 func unaware(s *system) bool {
 	return slices.ContainsFunc(s.nodes, func(n *node) bool { return n.Era() < s.era })
