--- a/entry/changed_test.go
+++ b/entry/changed_test.go
@@ -25,12 +25,15 @@
 func TestMembersChangeMeanwhile(t *testing.T) {
 	config := operator.Service{Retry: operator.Retry{MaxTries: 3, Share: 0.1, Burst: 5}}.WithDefaults()
 	tests := map[string]struct {
-		before, after int // the members, by their numbers, from 0 up to before, and from there up to after
+		before, after int           // the members, by their numbers, from 0 up to before, and from there up to after
+		first         verdict.Cause // of the first sending
+		idempotent    bool
 	}{
-		"the only one is replaced":    {before: 1, after: 2},
-		"all are replaced":            {before: 3, after: 6},
-		"one is replaced by many":     {before: 1, after: 8},
-		"many are replaced by others": {before: 8, after: 9},
+		"the only one is replaced":    {before: 1, after: 2, first: verdict.Draining},
+		"all are replaced":            {before: 3, after: 6, first: verdict.Draining},
+		"one is replaced by many":     {before: 1, after: 8, first: verdict.Draining},
+		"many are replaced by others": {before: 8, after: 9, first: verdict.Draining},
+		"the first sending is lost":   {before: 3, after: 6, first: verdict.PeerLost, idempotent: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -48,7 +51,7 @@
 				refuseAndChange := func(in *peer.Inbound) {
 					change.Do(func() { d.Set(service(test.before, test.after)) })
 					time.Sleep(time.Second)
-					in.Fail(verdict.New(verdict.Draining, nil), nil)
+					in.Fail(verdict.New(test.first, nil), nil)
 				}
 				var g *gates
 				var stop func()
@@ -56,7 +59,7 @@
 				defer stop()
 				defer time.Sleep(2 * time.Minute) // connections to former members end
 				d.Set(service(0, test.before))
-				r := &entry.Request{Service: "service", Method: "X", Target: "/", Deadline: time.Now().Add(10 * time.Second)}
+				r := &entry.Request{Service: "service", Method: "X", Target: "/", Idempotent: test.idempotent, Deadline: time.Now().Add(10 * time.Second)}
 				result, failed := d.Do(context.Background(), r)
 				qt.Assert(t, failed == nil, qt.IsTrue, qt.Commentf("%v", failed))
 				result.Close()
