--- a/caller/listener_test.go
+++ b/caller/listener_test.go
@@ -60,7 +60,7 @@
 		case n > 0:
 			quiet = 0
 		case !errors.Is(err, os.ErrDeadlineExceeded):
-			return all, true
+			return all, errors.Is(err, io.EOF)
 		}
 	}
 	return all, false
