control, node, internal/tcp: one copy of an introduction, of a stall in a log line, of the way to a socket

Written twice by the change: control.searchAt had learnBy's question and the taking in of its answer (introduceTo now serves both); two log lines added stalledMs alike (withStall); Unacknowledged and Acknowledged each went to the descriptor (onSocket). Behaviour is the same.

Left: the bound of 2 s after a start stands in entry (learning, for Retry-After) and in node (learningTime), as the former's test goes by the age of the process.

--- a/control/introduce.go
+++ b/control/introduce.go
@@ -68,22 +68,30 @@
 	return reply
 }
 
-// learnBy learns from a first peer, or, where there are many nodes, from one in the own zone that
-// it names.
-func (c *Control) learnBy(ctx context.Context, p *peer.Client) error {
+// introduceTo introduces this node to another and takes in the members that it names.
+func (c *Control) introduceTo(ctx context.Context, p *peer.Client) (introduced, error) {
 	var q introduction
 	c.do(func() { q.Self = c.self })
 	reply, err := peer.Ask[introduction, introduced](ctx, p, topicIntroduce, q)
+	if err == nil {
+		c.do(func() { c.members.PutAll(reply.Records) })
+	}
+	return reply, err
+}
+
+// learnBy learns from a first peer, or, where there are many nodes, from one in the own zone that
+// it names.
+func (c *Control) learnBy(ctx context.Context, p *peer.Client) error {
+	reply, err := c.introduceTo(ctx, p)
 	if err != nil {
 		return err
 	}
-	c.do(func() { c.members.PutAll(reply.Records) })
 	if reply.Members < introduceFrom {
 		return c.compareWith(ctx, p)
 	}
 	tried := 0
 	for _, r := range reply.Records {
-		if r.Zone != q.Self.Zone || tried == introduceTries {
+		if r.Zone != c.Self.Zone || tried == introduceTries {
 			break
 		}
 		tried++
--- a/control/rejoin.go
+++ b/control/rejoin.go
@@ -81,24 +81,19 @@
 // searchAt introduces this node at the address of one that is gone, and returns whether it answers
 // there.
 func (c *Control) searchAt(ctx context.Context, r member.Record) bool {
-	var q introduction
 	var p *peer.Client
 	var end func()
-	if !c.do(func() {
-		q.Self = c.self
-		p, end = c.visit(r.Addr)
-	}) {
+	if !c.do(func() { p, end = c.visit(r.Addr) }) {
 		return false
 	}
 	defer end()
 	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
 	defer cancel()
-	reply, err := peer.Ask[introduction, introduced](ctx, p, topicIntroduce, q)
+	reply, err := c.introduceTo(ctx, p)
 	if err != nil {
 		c.Log.Debug().Err(err).Str("peer", r.ID).Msg("node that is gone not found")
 		return false
 	}
 	c.Log.Info().Str("peer", r.ID).Str("address", r.Addr).Int("members", reply.Members).Msg("node found again")
-	c.do(func() { c.members.PutAll(reply.Records) })
 	return true
 }
--- a/internal/tcp/silence.go
+++ b/internal/tcp/silence.go
@@ -35,18 +35,28 @@
 // Unacknowledged returns how many bytes that were written to a connection the peer's kernel has not
 // acknowledged (SIOCOUTQ, see tcp(7)).
 func Unacknowledged(c net.Conn) (n int, err error) {
+	err = onSocket(c, func(fd int) (err error) {
+		n, err = unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+		return err
+	})
+	return n, eris.Wrap(err, "unacknowledged bytes")
+}
+
+// onSocket calls f with the descriptor of a connection.
+func onSocket(c net.Conn, f func(fd int) error) error {
 	s, ok := c.(syscall.Conn)
 	if !ok {
-		return 0, errNoSocket
+		return errNoSocket
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return 0, eris.Wrap(err, "unacknowledged bytes")
+		return err
 	}
-	if controlErr := raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }); controlErr != nil {
-		err = controlErr
+	var failure error
+	if err := raw.Control(func(fd uintptr) { failure = f(int(fd)) }); err != nil {
+		return err
 	}
-	return n, eris.Wrap(err, "unacknowledged bytes")
+	return failure
 }
 
 // Acknowledgement says what the peer's kernel has answered to what was written to a connection.
@@ -73,14 +83,11 @@
 	if err != nil {
 		return a, err
 	}
-	raw, err := c.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return a, eris.Wrap(err, "acknowledgements")
-	}
 	var info *unix.TCPInfo
-	if controlErr := raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) }); controlErr != nil {
-		err = controlErr
-	}
+	err = onSocket(c, func(fd int) (err error) {
+		info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		return err
+	})
 	switch {
 	case err != nil:
 		return a, eris.Wrap(err, "acknowledgements")
--- a/node/events.go
+++ b/node/events.go
@@ -58,9 +58,7 @@
 		Int("status", o.Status).Str("verdict", v).Str("cause", cause).Int("tries", o.Tries).Dur("tookMs", o.Took).Uint64("version", n.version()).Stringer("print", o.Print)
 	if o.Failure != nil {
 		e = e.Str("by", string(verdict.Lookup(o.Failure.Cause).By)).Str("phase", string(n.phase()))
-		if stalled := n.stalls.Longest(time.Now().Add(-o.Took)); stalled > 0 {
-			e = e.Dur("stalledMs", stalled)
-		}
+		e = n.withStall(e, o.Took)
 	}
 	if o.Failure != nil && o.Failure.RetryAfter > 0 {
 		e = e.Dur("retryAfterMs", o.Failure.RetryAfter)
@@ -74,6 +72,15 @@
 	e.Msg("request ended")
 }
 
+// withStall adds the longest stall of this process within the latest span of time to a line, if there
+// was one.
+func (n *Node) withStall(e *zerolog.Event, span time.Duration) *zerolog.Event {
+	if stalled := n.stalls.Longest(time.Now().Add(-span)); stalled > 0 {
+		return e.Dur("stalledMs", stalled)
+	}
+	return e
+}
+
 // logStep logs one decision on a request.
 func (n *Node) logStep(id string, s entry.Step) {
 	e := n.Log.Info().Str("requestId", id).Dur("afterMs", s.After)
@@ -109,10 +116,7 @@
 			id = f.Value
 		}
 	}
-	e := n.Log.Info().Dur("waitedMs", waited).Dur("tookMs", took)
-	if stalled := n.stalls.Longest(time.Now().Add(-took)); stalled > 0 {
-		e = e.Dur("stalledMs", stalled)
-	}
+	e := n.withStall(n.Log.Info().Dur("waitedMs", waited).Dur("tookMs", took), took)
 	if load.Limited {
 		e = e.Float64("limit", load.Limit).Float64("limitUsed", load.Used).Dur("freeMs", load.Free)
 	}
