control, objectapi: tell how a table of routes was fetched, and what came of it

Change: "configuration announced" (version, peer) at the first notice of a version, "configuration fetched" (source, peer, bytes, tookMs, outcome, reason) for each attempt, the time since the notice in "configuration in force", bytes and tookMs in "configuration not read"; sassafras_table_fetches_total and sassafras_table_fetch_bytes_total by source and outcome, sassafras_table_delay_seconds. Control gets the field Dial, as peer.Client has. No decision is changed.

--- a/control/control.go
+++ b/control/control.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -118,6 +119,14 @@
 	Limits peer.Limits
 	// Counters, if not nil, counts the traffic of these connections.
 	Counters *peer.Counters
+	// Dial opens these connections. Nil means TCP.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// TableFetched, if not nil, is called with each attempt to fetch a table that has ended. It
+	// must not block.
+	TableFetched func(TableFetch)
+	// TableInForce, if not nil, is called with the time from the first notice of a version of the
+	// table until that version was in force. It must not block.
+	TableInForce func(delay time.Duration)
 	// Log receives the log events.
 	Log zerolog.Logger
 	// Published is called with each new snapshot, on the goroutine that owns
@@ -150,6 +159,7 @@
 	clients        map[string]*peer.Client
 	reads          *configsync.State // of the table; nil unless ServiceConfig is set
 	nextChanged    chan struct{}
+	heard          notices         // of versions of the table that are not in force
 	freshness      *tableFreshness // of the table; nil unless Clock is set
 	lastRoleAt     time.Time       // when lastRole was determined
 	lastRole       configsync.Role
--- a/control/neighbours.go
+++ b/control/neighbours.go
@@ -44,6 +44,7 @@
 		},
 		Limits:   limits,
 		Counters: c.Counters,
+		Dial:     c.Dial,
 	}
 }
 
--- a/control/reads.go
+++ b/control/reads.go
@@ -136,6 +136,7 @@
 // receiveStatus handles a read status from another node.
 func (c *Control) receiveStatus(from string, status statusAndProof) {
 	era := c.reads.Era()
+	c.hearTable(status.Version, from)
 	if c.reads.Receive(status.ReadStatus, time.Now()) {
 		c.fetchTable(from)
 	}
@@ -189,10 +190,15 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), readStatusTimeout)
 		defer cancel()
+		began, before := time.Now(), p.ReceivedBytes()
 		reply, err := peer.SendRequest[struct{}, reconcile.Records[acceptance.Config]](ctx, p, topicTable, struct{}{})
-		if err != nil {
-			c.Log.Debug().Err(err).Str("peer", from).Msg("failed to fetch the table")
-		}
+		c.recordFetch(TableFetch{
+			Source: SourcePeer,
+			From:   from,
+			Bytes:  p.ReceivedBytes() - before,
+			Took:   time.Since(began),
+			Err:    err,
+		})
 		c.do(func() {
 			c.fetching = false
 			c.configs.PutAll(reply.Records)
--- a/control/table.go
+++ b/control/table.go
@@ -70,7 +70,7 @@
 	for _, s := range t.Services {
 		c.dirty[s.Name] = true
 	}
-	c.Log.Info().Uint64("version", t.Version).Int("routes", len(t.Routes)).Int("services", len(t.Services)).Msg("configuration in force")
+	c.logInForce(t)
 }
 
 // rebuildFromTable updates a service of the next snapshot from the table.
--- a/node/configsync.go
+++ b/node/configsync.go
@@ -180,13 +180,13 @@
 // of the wait, was valid until it was sent: its age is the time that the read took beyond the
 // wait.
 func (n *Node) readConfig(ctx context.Context, r *configReader, wait time.Duration) {
-	began := time.Now()
+	began, before := time.Now(), n.platformClient.ReceivedBytes()
 	err := r.Read(ctx, wait)
 	if ctx.Err() != nil {
 		return
 	}
 	if err != nil {
-		n.Log.Warn().Err(err).Msg("configuration not read")
+		n.Log.Warn().Err(err).Dur("tookMs", time.Since(began)).Uint64("bytes", n.platformClient.ReceivedBytes()-before).Msg("configuration not read")
 	}
 	n.control.RecordRead(err == nil, max(0, time.Since(began)-wait))
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"sassafrasfront.example/caller"
+	"sassafrasfront.example/control"
 	"sassafrasfront.example/entry"
 	"sassafrasfront.example/peer"
 	"sassafrasfront.example/quarantine"
@@ -134,6 +135,17 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`sassafras_platform_calls_by_kind_total{call=%q,kind=%q}`, call, kind)).Inc()
 }
 
+// tableFetched counts an attempt to fetch a table of routes.
+func (m *metricSet) tableFetched(f control.TableFetch) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`sassafras_table_fetches_total{source=%q,outcome=%q}`, string(f.Source), f.Outcome())).Inc()
+	m.set.GetOrCreateCounter(fmt.Sprintf(`sassafras_table_fetch_bytes_total{source=%q,outcome=%q}`, string(f.Source), f.Outcome())).Add(int(f.Bytes))
+}
+
+// tableInForce records the time from the first notice of a table until it was in force.
+func (m *metricSet) tableInForce(delay time.Duration) {
+	m.set.GetOrCreateHistogram(`sassafras_table_delay_seconds`).Update(delay.Seconds())
+}
+
 // requestEnded counts a caller's request.
 func (m *metricSet) requestEnded(o caller.Outcome, p phase) {
 	v, cause := verdict.Ran, verdict.Cause("")
--- a/objectapi/jsonclient.go
+++ b/objectapi/jsonclient.go
@@ -59,8 +59,9 @@
 	// OnRejected, if not nil, is called with the reason when a response is rejected.
 	OnRejected func(reason error)
 
-	calls atomic.Uint64
-	eras  eras
+	calls    atomic.Uint64
+	received atomic.Uint64
+	eras     eras
 }
 
 // RecordCall records a call that is about to be made.
@@ -73,6 +74,23 @@
 // Calls returns the number of calls made so far. A watch counts as one.
 func (c *JSONClient) Calls() uint64 { return c.calls.Load() }
 
+// ReceivedBytes returns the number of bytes of response bodies received so far, those of
+// incomplete responses included.
+func (c *JSONClient) ReceivedBytes() uint64 { return c.received.Load() }
+
+// countingBody counts the bytes of a response body.
+type countingBody struct {
+	io.ReadCloser
+	received *atomic.Uint64
+}
+
+// Read implements io.Reader.
+func (b *countingBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.received.Add(uint64(n))
+	return n, err
+}
+
 // Do makes one call within the timeout, decodes the response, and returns its era. The
 // body is encoded as JSON unless it is nil; the response is decoded unless response is nil.
 // All errors are of type *Error.
@@ -146,6 +164,10 @@
 		}
 		return nil, readError(err)
 	}
+	r.Body = &countingBody{
+		ReadCloser: r.Body,
+		received:   &c.received,
+	}
 	if err := c.checkEra(r); err != nil {
 		_ = r.Body.Close()
 		return nil, readError(err)
--- a/peer/client.go
+++ b/peer/client.go
@@ -206,6 +206,17 @@
 	}
 }
 
+// ReceivedBytes returns the number of bytes received on the connection for new calls, those of
+// incomplete frames included, or 0 if there is none.
+func (c *Client) ReceivedBytes() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current == nil {
+		return 0
+	}
+	return c.current.received.Load()
+}
+
 // connectLive returns a connection that the peer is not known to have closed. A call written
 // to a connection that the peer has closed would have to count as one that may have run.
 func (c *Client) connectLive(ctx context.Context) (*link, error) {
