--- a/internal/simnet/network.go
+++ b/internal/simnet/network.go
@@ -45,6 +45,7 @@
 	uplink, downlink *link
 	listener         *listener
 
+	bandwidth      float64 // of each direction of the link, in bytes per second; 0 means no bound
 	poweredOff     bool
 	suspendedUntil time.Time // the process neither reads nor writes until then
 	endpoints      []*endpoint
@@ -82,6 +83,7 @@
 	h := &Host{
 		network:      n,
 		name:         name,
+		bandwidth:    n.LinkBandwidth,
 		lastReceived: make(map[*Host]time.Time),
 	}
 	h.uplink = &link{host: h}
@@ -208,8 +210,8 @@
 	l.busy = true
 	n := l.host.network
 	var transmissionTime time.Duration
-	if n.LinkBandwidth > 0 {
-		transmissionTime = time.Duration(float64(l.queue[0].size) / n.LinkBandwidth * float64(time.Second))
+	if l.host.bandwidth > 0 {
+		transmissionTime = time.Duration(float64(l.queue[0].size) / l.host.bandwidth * float64(time.Second))
 	}
 	n.schedule(max(transmissionTime, time.Until(l.pausedUntil)), l.transmitted)
 }
@@ -229,6 +231,14 @@
 	l.next()
 }
 
+// SetBandwidth sets the bandwidth of each direction of the host's link, in bytes per second. Zero
+// means no bound.
+func (h *Host) SetBandwidth(bandwidth float64) {
+	h.network.mu.Lock()
+	defer h.network.mu.Unlock()
+	h.bandwidth = bandwidth
+}
+
 // PauseUplink stops packets from leaving the host for a time. They are sent afterwards.
 func (h *Host) PauseUplink(d time.Duration) {
 	h.network.mu.Lock()
