objectapi: a call ends for lack of progress, not at a fixed time

Cause: a call, and a watch beyond its wait, had 1 s in all, whatever the size of the response. What had come by then was thrown away. Change: the timeout bounds the time until the response begins, and the time in which less than 1 KiB of it arrives. The size, and so the whole time, is the operator's. WithProgress reports what has come, for callers that others wait for. Ruled out: a longer timeout; it moves the size at which the fault begins, and a call that hangs would be noticed later. Measured: TestCallEndsForLackOfProgress: a response that takes ten times the timeout failed before and passes; those that begin late, stop, or come byte by byte fail as before. Why it works: each wait is for the next part, so a response that comes is never given up.

--- a/objectapi/jsonclient.go
+++ b/objectapi/jsonclient.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -39,7 +40,8 @@
 	URL string
 	// HTTPClient makes the calls. Nil means http.DefaultClient.
 	HTTPClient *http.Client
-	// Timeout bounds each call except watches. Zero means 3 s.
+	// Timeout bounds the time until the response to a call begins, except for watches, and the time for which a
+	// response may make no progress. Zero means 3 s.
 	Timeout time.Duration
 	// Limiter bounds the rate of this process's calls, which wait for it. Nil means
 	// no bound.
@@ -78,29 +80,13 @@
 // incomplete responses included.
 func (c *JSONClient) ReceivedBytes() uint64 { return c.received.Load() }
 
-// countingBody counts the bytes of a response body.
-type countingBody struct {
-	io.ReadCloser
-	received *atomic.Uint64
-}
-
-// Read implements io.Reader.
-func (b *countingBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	b.received.Add(uint64(n))
-	return n, err
-}
-
-// Do makes one call within the timeout, decodes the response, and returns its era. The
+// Do makes one call, which ends once it makes no progress for the timeout, decodes the response, and returns its era. The
 // body is encoded as JSON unless it is nil; the response is decoded unless response is nil.
 // All errors are of type *Error.
 func (c *JSONClient) Do(ctx context.Context, method, path string, body, response any) (era uint64, err error) {
-	timeout := c.Timeout
-	if timeout == 0 {
-		timeout = defaultTimeout
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+	timeout := cmp.Or(c.Timeout, defaultTimeout)
+	ctx, stop := WithStallTimeout(ctx, timeout, timeout)
+	defer stop()
 	r, err := c.Call(ctx, method, path, body)
 	if err != nil {
 		return 0, err
@@ -164,10 +150,7 @@
 		}
 		return nil, readError(err)
 	}
-	r.Body = &countingBody{
-		ReadCloser: r.Body,
-		received:   &c.received,
-	}
+	r.Body = newProgressBody(ctx, r.Body, &c.received)
 	if err := c.checkEra(r); err != nil {
 		_ = r.Body.Close()
 		return nil, readError(err)
--- /dev/null
+++ b/objectapi/progress_test.go
@@ -0,0 +1,88 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package objectapi_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"sassafrasfront.example/internal/simnet"
+	"sassafrasfront.example/objectapi"
+)
+
+// TestCallEndsForLackOfProgress guards against calls that end at a fixed time whatever their response's size, as a
+// node behind a slow link then never gets a large object.
+func TestCallEndsForLackOfProgress(t *testing.T) {
+	const timeout = time.Second
+	for name, row := range map[string]struct {
+		parts int           // of 8 KiB, of the response
+		begin time.Duration // until the first of them
+		pause time.Duration // between them
+		size  int           // of each part
+		ok    bool
+	}{
+		"a short response":                    {1, 0, 0, 8 << 10, true},
+		"a response of ten times the timeout": {100, 0, timeout / 10, 8 << 10, true},
+		"a response that begins late":         {1, 2 * timeout, 0, 8 << 10, false},
+		"a response that stops":               {3, 0, 2 * timeout, 8 << 10, false},
+		"a response that comes byte by byte":  {100, 0, timeout / 10, 1, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				network := &simnet.Network{Latency: time.Millisecond, WindowBytes: 64 << 10}
+				listener := network.Host("platform").Listen()
+				server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					pause(r, row.begin)
+					fmt.Fprint(w, `{"text":"`)
+					for range row.parts {
+						fmt.Fprint(w, strings.Repeat("x", row.size))
+						_ = http.NewResponseController(w).Flush()
+						pause(r, row.pause)
+					}
+					fmt.Fprint(w, `"}`)
+				})}
+				go func() { _ = server.Serve(listener) }()
+				defer server.Close()
+				transport := &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+					return network.Host("node").Dial(ctx, "platform")
+				}}
+				defer transport.CloseIdleConnections()
+				c := &objectapi.JSONClient{
+					URL:        "http://platform",
+					HTTPClient: &http.Client{Transport: transport},
+					Timeout:    timeout,
+				}
+				var reported int
+				ctx := objectapi.WithProgress(t.Context(), func(received int) { reported = received })
+				var response struct{ Text string }
+				_, err := c.Do(ctx, http.MethodGet, "/", nil, &response)
+				if row.ok {
+					qt.Assert(t, err, qt.IsNil)
+					qt.Check(t, response.Text, qt.HasLen, row.parts*row.size)
+					qt.Check(t, reported >= row.parts*row.size/2, qt.IsTrue)
+					qt.Check(t, c.ReceivedBytes() >= uint64(len(response.Text)), qt.IsTrue)
+					return
+				}
+				qt.Assert(t, err, qt.ErrorMatches, "(?s).*no progress for 1s.*")
+			})
+		})
+	}
+}
+
+// pause waits, or until the request has ended.
+func pause(r *http.Request, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-r.Context().Done():
+	}
+}
