reconcile, control, peer: messages with large records fit into frames

Seen: 24 configurations of 200 KB never reached another node (TestLargeConfigurationsReachAll), whose connection was closed and which was suspected. Cause: records were sent by their number, 200 or 500 at once, and operators choose their size; a message over MaxFrameBytes was not written, the same again a moment later. A reply of that size closed the connection with all that was on it. Change: a message has at most 256 KiB of records, or one record; a reply that is too large is answered by an error; a frame may have 2 MiB, twice the largest object of the platform. Records may be private to their owner, who transfers them in another way.

--- a/acceptance/config.go
+++ b/acceptance/config.go
@@ -34,6 +34,12 @@
 // Key implements gossip.Record.
 func (c Config) Key() string { return c.Name }
 
+// EncodedBytes returns the approximate size of the encoded configuration.
+func (c Config) EncodedBytes() int { return len(c.Name) + len(c.Spec) + overheadBytes }
+
+// overheadBytes is the size of an encoded configuration without its name and specification.
+const overheadBytes = 80
+
 // GossipVersion implements gossip.Record.
 func (c Config) GossipVersion() gossip.Version {
 	return gossip.Version{
--- a/control/exchange.go
+++ b/control/exchange.go
@@ -172,11 +172,18 @@
 // batches empties an outbox into messages, as long as afford returns true.
 func batches[R gossip.Record](e *reconcile.Exchange[R], afford func(n int) bool) []message {
 	var list []message
-	for keys := range slices.Chunk(slices.Collect(maps.Keys(e.Outbox)), pushBatch) {
+	for waiting := slices.Collect(maps.Keys(e.Outbox)); len(waiting) > 0; {
 		batch := reconcile.Records[R]{}
-		for _, key := range keys {
+		size := 0
+		for _, key := range waiting[:min(len(waiting), pushBatch)] {
+			size += reconcile.EncodedBytes(e.Outbox[key])
+			if len(batch.Records) > 0 && size > reconcile.BatchBytes {
+				break
+			}
 			batch.Records = append(batch.Records, e.Outbox[key])
 		}
+		keys := waiting[:len(batch.Records)]
+		waiting = waiting[len(batch.Records):]
 		payload, err := msgpack.Marshal(batch)
 		if err != nil || !afford(len(payload)) {
 			return list
--- a/peer/client.go
+++ b/peer/client.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -169,6 +170,9 @@
 	return l, nil
 }
 
+// ErrRefused is the root of the errors of control requests that the peer has refused.
+var ErrRefused = errors.New("refused by the peer")
+
 // errClosed is the reason for the end of the connections of a closed Client.
 var errClosed = errors.New("client closed")
 
@@ -206,6 +210,17 @@
 	}
 }
 
+// PeerNode returns the name of the node at the other end of the connection for new calls, or an empty string if there is
+// none.
+func (c *Client) PeerNode() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current == nil {
+		return ""
+	}
+	return c.current.peer.Node
+}
+
 // ReceivedBytes returns the number of bytes received on the connection for new calls, those of
 // incomplete frames included, or 0 if there is none.
 func (c *Client) ReceivedBytes() uint64 {
@@ -285,7 +300,7 @@
 	case r := <-reply:
 		c.Counters.recordRequest(topic, len(payload), len(r.Payload))
 		if r.Detail != "" {
-			return nil, eris.Errorf("peer: %s", r.Detail)
+			return nil, fmt.Errorf("%w: %s", ErrRefused, r.Detail)
 		}
 		return r.Payload, nil
 	case <-l.closed:
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -157,6 +157,9 @@
 	return err != nil || closed || reset
 }
 
+// errFrameTooLarge is the root of the errors of frames over MaxFrameBytes, which are not written.
+var errFrameTooLarge = errors.New("frame is over the limit")
+
 // frame is a message to be written.
 type frame struct {
 	kind    Kind
@@ -188,7 +191,7 @@
 		}
 	}
 	if b.Len() > c.limits.MaxFrameBytes {
-		return b, eris.Errorf("frame of %d bytes is over the limit", b.Len())
+		return b, fmt.Errorf("%w: %d bytes", errFrameTooLarge, b.Len())
 	}
 	return b, nil
 }
--- a/peer/limits.go
+++ b/peer/limits.go
@@ -9,7 +9,8 @@
 // Limits bounds the resources of this process that a peer can use. It is an immutable
 // value; the zero value of a field stands for its default.
 type Limits struct {
-	// MaxFrameBytes is the largest frame in bytes. The default is 1 MiB.
+	// MaxFrameBytes is the largest frame in bytes. The default is 2 MiB, twice the size of the largest
+	// object that the platform accepts.
 	MaxFrameBytes int
 	// MaxFields is the largest number of header or trailer fields of one
 	// message. The default is the constant MaxFields.
@@ -61,7 +62,7 @@
 
 // withDefaults returns l with its zero fields replaced.
 func (l Limits) withDefaults() Limits {
-	l.MaxFrameBytes = orDefault(l.MaxFrameBytes, 1<<20)
+	l.MaxFrameBytes = orDefault(l.MaxFrameBytes, 2<<20)
 	l.MaxFields = orDefault(l.MaxFields, MaxFields)
 	l.MaxOpenCalls = orDefault(l.MaxOpenCalls, 4096)
 	l.WindowBytes = orDefault(l.WindowBytes, 256<<10)
--- a/peer/session.go
+++ b/peer/session.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"sync"
@@ -95,7 +96,14 @@
 	if err != nil {
 		r.Detail = err.Error()
 	}
-	return n.send(KindReply, r)
+	err = n.send(KindReply, r)
+	if errors.Is(err, errFrameTooLarge) {
+		return n.send(KindReply, &Reply{
+			ID:     m.ID,
+			Detail: err.Error(),
+		})
+	}
+	return err
 }
 
 func (n *session) handleCall(ctx context.Context, m *Call) error {
--- a/reconcile/digest.go
+++ b/reconcile/digest.go
@@ -42,7 +42,8 @@
 // replyToDigests handles a digestQuery.
 func (e *Exchange[R]) replyToDigests(q digestQuery) digestReply[R] {
 	list, unknown := e.Set.DiffDigests(q.Groups, q.Digests)
-	n := min(len(list), bulkRecords)
+	list = e.public(list)
+	n := batchLen(list)
 	return digestReply[R]{
 		Records: list[:n],
 		Unknown: unknown,
@@ -71,10 +72,8 @@
 			wanted = e.Set.WithDigests(groups, reply.Unknown) // those not replaced by newer ones meanwhile
 		})
 		more = reply.More && after > before
-		if len(wanted) > 0 {
-			if err := send(ctx, p, e.Topic, wanted); err != nil {
-				return err
-			}
+		if err := e.send(ctx, p, wanted); err != nil {
+			return err
 		}
 	}
 	return nil
--- a/reconcile/exchange.go
+++ b/reconcile/exchange.go
@@ -39,6 +39,9 @@
 	Topic string
 	// Accept returns whether a record may be stored.
 	Accept func(R) bool
+	// Private, if not nil, returns whether a record is not sent to other nodes: its owner transfers it in another
+	// way. Such records count in comparisons.
+	Private func(R) bool
 	// Changed is called with each new record and the record that it replaces, if any.
 	Changed func(old, r R)
 	// Do runs a function on the goroutine that owns the state, and waits for it. It
@@ -149,7 +152,7 @@
 		if err != nil || q.From < 0 {
 			return nil, true, eris.Errorf("invalid leaf: %v", err)
 		}
-		list, next := e.Set.Scan(q.From, bulkRecords)
+		list, next := e.scan(q.From)
 		return bulkReply[R]{Records: list, Next: next}, true, nil
 	case e.Topic + RecordsSuffix:
 		m, err := peer.Unpack[Records[R]](payload)
@@ -177,6 +180,7 @@
 			}
 		}
 	}
+	reply.Newer = e.batch(reply.Newer)
 	return reply
 }
 
@@ -232,10 +236,7 @@
 		e.PutAll(reply.Newer)
 		wanted = e.Get(reply.Wanted)
 	})
-	if len(wanted) == 0 {
-		return nil
-	}
-	return send(ctx, p, e.Topic, wanted)
+	return e.send(ctx, p, wanted)
 }
 
 // differingLeaves returns leaves in which the set and a peer's differ.
@@ -275,18 +276,22 @@
 		e.Do(func() { e.PutAll(reply.Records) })
 		from = reply.Next
 	}
-	if len(own) == 0 {
-		return nil
-	}
-	return send(ctx, p, e.Topic, own)
+	return e.send(ctx, p, own)
 }
 
-// send sends records to a peer.
-func send[R gossip.Record](ctx context.Context, p *peer.Client, topic string, list []R) error {
-	payload, err := msgpack.Marshal(Records[R]{Records: list})
-	if err != nil {
-		return eris.Wrap(err, "encode records")
+// send sends records to a peer, in batches.
+func (e *Exchange[R]) send(ctx context.Context, p *peer.Client, list []R) error {
+	list = e.public(list)
+	for len(list) > 0 {
+		n := batchLen(list)
+		payload, err := msgpack.Marshal(Records[R]{Records: list[:n]})
+		if err != nil {
+			return eris.Wrap(err, "encode records")
+		}
+		if _, err := p.Request(ctx, e.Topic+RecordsSuffix, payload, true); err != nil {
+			return err
+		}
+		list = list[n:]
 	}
-	_, err = p.Request(ctx, topic+RecordsSuffix, payload, true)
-	return err
+	return nil
 }
