peer: a dial ends with its client, whatever deadline its handshake sets

Callers saw nothing; a closed client kept a goroutine and a connection for up to HandshakeTimeout. Cause: the end of a dial set a past deadline on the connection. If that came before the handshake set its own read deadline, or before the Hello was written, which sets the write deadline, it was replaced. Change: the end of a dial closes the connection, which nothing undoes. Elsewhere: each deadline that one goroutine sets and another may set again was read: in caller the connection's lock or the wait for the end of the function that sets it orders them; upstream's abort is the only one on its connections; the health check has one goroutine. Measured: TestDialEndsWhenClosed forces the order; it failed before and passes.

--- a/peer/client.go
+++ b/peer/client.go
@@ -106,9 +106,6 @@
 	close(done)
 }
 
-// pastDeadline is a deadline that has passed.
-var pastDeadline = time.Unix(1, 0)
-
 // replace makes l, which may be nil, the connection for new calls. The lock is held.
 func (c *Client) replace(l *link) {
 	old := c.current
@@ -144,7 +141,8 @@
 		return nil, err
 	}
 	n := newConn(raw, limits, c.Counters)
-	stop := context.AfterFunc(ctx, func() { _ = raw.SetDeadline(pastDeadline) })
+	// Closing ends all use of the connection; a deadline would be replaced by those of the handshake.
+	stop := context.AfterFunc(ctx, func() { n.closeWith(context.Cause(ctx)) })
 	other, err := n.handshake(c.Hello, true)
 	if !stop() && err == nil {
 		err = context.Cause(ctx)
