--- a/acceptance/table.go
+++ b/acceptance/table.go
@@ -21,11 +21,16 @@
 	if err != nil {
 		panic("acceptance: table can't be encoded: " + err.Error())
 	}
+	return NewTable(t.Version, spec)
+}
+
+// NewTable returns the Config of the table of routes with the given version and encoding.
+func NewTable(version uint64, encoded []byte) Config {
 	return Config{
 		Name:     TableName,
-		Sequence: t.Version,
+		Sequence: version,
 		At:       time.Time{},
-		Spec:     spec,
+		Spec:     encoded,
 	}
 }
 
--- a/cmd/sassafrasctl/busiest.go
+++ b/cmd/sassafrasctl/busiest.go
@@ -10,11 +10,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
-	"sync"
 	"text/tabwriter"
 	"time"
 
@@ -22,8 +20,6 @@
 )
 
 const (
-	// maxConcurrentReads is the number of nodes whose metrics are read concurrently.
-	maxConcurrentReads = 32
 	// defaultShownNodes is the default number of nodes that are shown.
 	defaultShownNodes = 5
 	// maxShownCauses is the maximum number of causes that are shown for a node.
@@ -140,25 +136,17 @@
 
 // usages reads the metrics of all nodes twice and returns their usage in between.
 func (t *tool) usages(ctx context.Context, causes []string) (list []usage, failures []readFailure, err error) {
-	data, err := t.callNode(ctx, http.MethodGet, "/v1/nodes")
+	nodes, addrs, err := t.nodes(ctx)
 	if err != nil {
 		return nil, nil, err
 	}
-	var nodes []operator.NodeAddress
-	if err := json.Unmarshal(data, &nodes); err != nil {
-		return nil, nil, fmt.Errorf("%s: %w", t.node, err)
-	}
-	_, port, err := net.SplitHostPort(t.node)
-	if err != nil {
-		return nil, nil, exitError{exitUsage, fmt.Errorf("-node: %w", err)}
-	}
-	before := readAll(ctx, nodes, port)
+	before := readAll(ctx, addrs, read)
 	select {
 	case <-ctx.Done():
 		return nil, nil, ctx.Err()
 	case <-time.After(t.interval):
 	}
-	after := readAll(ctx, nodes, port)
+	after := readAll(ctx, addrs, read)
 	for i, n := range nodes {
 		if err := errors.Join(before[i].err, after[i].err); err != nil {
 			failures = append(failures, readFailure{
@@ -179,33 +167,9 @@
 	err    error
 }
 
-// readAll reads the metrics of all nodes from the given port, which their operator addresses share.
-func readAll(ctx context.Context, nodes []operator.NodeAddress, port string) []sample {
-	list := make([]sample, len(nodes))
-	indexes := make(chan int)
-	var all sync.WaitGroup
-	for range maxConcurrentReads {
-		all.Go(func() {
-			for i := range indexes {
-				list[i] = read(ctx, nodes[i], port)
-			}
-		})
-	}
-	for i := range nodes {
-		indexes <- i
-	}
-	close(indexes)
-	all.Wait()
-	return list
-}
-
-// read reads the metrics of one node.
-func read(ctx context.Context, n operator.NodeAddress, port string) sample {
-	host, _, err := net.SplitHostPort(n.Address)
-	if err != nil {
-		return sample{err: err}
-	}
-	data, err := callNode(ctx, net.JoinHostPort(host, port), http.MethodGet, "/metrics")
+// read reads the metrics of the node at an operator address.
+func read(ctx context.Context, addr string) sample {
+	data, err := callNode(ctx, addr, http.MethodGet, "/metrics")
 	if err != nil {
 		return sample{err: err}
 	}
--- a/cmd/sassafrasctl/busiest_test.go
+++ b/cmd/sassafrasctl/busiest_test.go
@@ -52,6 +52,10 @@
 				_, _ = fmt.Fprintf(w, "[%s]", strings.Join(list, ","))
 				return
 			}
+			if r.URL.Path == "/v1/table" {
+				_, _ = fmt.Fprintf(w, `{"version":%d,"since":"2026-01-02T03:04:05Z","announced":23,"announcedAt":"2026-01-02T03:05:05Z","missing":%d,"chunks":7}`, 23-i, i)
+				return
+			}
 			n := reads.Add(1)
 			_, _ = fmt.Fprintf(w, "# a comment\nprocess_cpu_seconds_total %g\nprocess_resident_memory_bytes 15e6\nprocess_open_fds %d\n", 0.01*float64(n), 100+i)
 			_, _ = fmt.Fprintf(w, "sassafras_peer_bytes_total{part=\"control\",direction=\"out\"} %d\n", n*sends)
--- a/cmd/sassafrasctl/main.go
+++ b/cmd/sassafrasctl/main.go
@@ -89,6 +89,7 @@
 	"suspects":      true,
 	"release":       true,
 	"zones":         true,
+	"versions":      true,
 	"rollouts":      true,
 	"limits":        true,
 	"organisations": true,
@@ -141,6 +142,7 @@
 			newCommand("failures", "failures SERVICE FROM TO FILE...", "count a service's failed requests in the logs of nodes", t.failures),
 			newCommand("suspects", "suspects -node ADDRESS", "show the requests suspected of crashing upstreams", t.suspects),
 			newCommand("release", "release -node ADDRESS PRINT", "clear a suspected request, so that all nodes run it again", t.release),
+			newCommand("versions", "versions -node ADDRESS", "show the version of the table of routes on each node", t.versions),
 			newCommand("zones", "zones -node ADDRESS", "show the evacuated availability zones", t.zones),
 			newCommand("rollouts", "rollouts -node ADDRESS", "show the progress of roll-outs", t.rollouts),
 			newCommand("busiest", "busiest -node ADDRESS [-by MEASURE] [-over TIME] [-show N]", "show the nodes with the highest resource usage, and its causes", t.busiest),
@@ -148,7 +150,7 @@
 			newCommand("organisations", "organisations -node ADDRESS", "show the organisations' rate limits and their usage", t.organisations),
 		},
 		Exec: func(context.Context, []string) error {
-			return exitError{exitUsage, errors.New("usage: sassafrasctl [flags] <validate|apply|diff|get|status|watch|delete|explain|failures|suspects|release|zones|rollouts|limits|organisations|busiest>")}
+			return exitError{exitUsage, errors.New("usage: sassafrasctl [flags] <validate|apply|diff|get|status|watch|delete|explain|failures|suspects|release|versions|zones|rollouts|limits|organisations|busiest>")}
 		},
 	}
 }
--- a/cmd/sassafrasctl/node.go
+++ b/cmd/sassafrasctl/node.go
@@ -10,15 +10,21 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"text/tabwriter"
 	"time"
+
+	"sassafrasfront.example/operator"
 )
 
 const (
 	// nodeTimeout bounds the time of a call to a node.
 	nodeTimeout = 5 * time.Second
+	// maxConcurrentReads is the number of nodes that are called concurrently.
+	maxConcurrentReads = 32
 	// maxNodeResponseBytes bounds the part of a node's response that is read.
 	maxNodeResponseBytes = 4 << 20
 )
@@ -76,3 +82,48 @@
 	}
 	return data, nil
 }
+
+// nodes returns the nodes that the node given by -node knows, and their operator addresses, which have the same port.
+// An address is empty if the node's own is not valid.
+func (t *tool) nodes(ctx context.Context) (nodes []operator.NodeAddress, addrs []string, err error) {
+	data, err := t.callNode(ctx, http.MethodGet, "/v1/nodes")
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := json.Unmarshal(data, &nodes); err != nil {
+		return nil, nil, fmt.Errorf("%s: %w", t.node, err)
+	}
+	_, port, err := net.SplitHostPort(t.node)
+	if err != nil {
+		return nil, nil, exitError{exitUsage, fmt.Errorf("-node: %w", err)}
+	}
+	for _, n := range nodes {
+		host, _, err := net.SplitHostPort(n.Address)
+		if err != nil {
+			addrs = append(addrs, "")
+			continue
+		}
+		addrs = append(addrs, net.JoinHostPort(host, port))
+	}
+	return nodes, addrs, nil
+}
+
+// readAll calls f with each of the addresses, some of them concurrently, and returns the results in their order.
+func readAll[T any](ctx context.Context, addrs []string, f func(ctx context.Context, addr string) T) []T {
+	list := make([]T, len(addrs))
+	indexes := make(chan int)
+	var all sync.WaitGroup
+	for range maxConcurrentReads {
+		all.Go(func() {
+			for i := range indexes {
+				list[i] = f(ctx, addrs[i])
+			}
+		})
+	}
+	for i := range addrs {
+		indexes <- i
+	}
+	close(indexes)
+	all.Wait()
+	return list
+}
--- a/configsync/state.go
+++ b/configsync/state.go
@@ -126,6 +126,10 @@
 	drawnFor         time.Time // the start of the wait for which draw was drawn
 	draw             float64   // uniform in (0, 1]
 
+	reading     uint64    // number of the latest report of a read in progress
+	readingHold time.Time // until when the node does not read because another node's read makes progress
+	fetchHold   time.Time // until when it does not because a fetch from other nodes makes progress
+
 	era        era                       // of the platform
 	zones      objectapi.ResourceVersion // of the evacuated zones active here
 	foundZones objectapi.ResourceVersion // of the evacuated zones found by the latest successful read
@@ -180,6 +184,9 @@
 // hasLatest returns whether what the latest read found is active here.
 func (s *State) hasLatest() bool { return s.foundVersion <= s.version && !s.zones.Less(s.foundZones) }
 
+// HasZones returns whether the evacuated zones of the given resource version, or later ones, are active here.
+func (s *State) HasZones(at objectapi.ResourceVersion) bool { return !s.zones.Less(at) }
+
 // Receive merges the status of another node, and returns whether that node has a later configuration, which
 // then has to be fetched from it.
 func (s *State) Receive(n ReadStatus, now time.Time) (behind bool) {
@@ -291,7 +298,7 @@
 	if last := since.Add(s.fraction(maxReadFraction)); s.failing && last.After(due) {
 		due = last // nodes whose last read did not fail read first
 	}
-	return Read, due
+	return Read, s.afterHolds(due)
 }
 
 // pauseFraction returns the least wait between two of the node's own reads.
--- a/control/control.go
+++ b/control/control.go
@@ -33,6 +33,7 @@
 	"sassafrasfront.example/representative"
 	"sassafrasfront.example/rollout"
 	"sassafrasfront.example/routes"
+	"sassafrasfront.example/tablefetch"
 	"sassafrasfront.example/watch"
 )
 
@@ -92,6 +93,8 @@
 	// ApplyTable. It returns the configuration of one of the table's services, given the
 	// number of live nodes.
 	ServiceConfig func(t *routes.Table, service string, nodes int) operator.Service
+	// TableBandwidth bounds the bytes per second that this node sends of tables. Zero means no bound.
+	TableBandwidth float64
 	// MaxPropagationDelay is the time within which a new table must be active on all
 	// nodes. Zero means 2 s.
 	MaxPropagationDelay time.Duration
@@ -143,33 +146,41 @@
 	compareSoon atomic.Bool
 
 	// The following fields are owned by the goroutine of Run.
-	self           member.Record
-	members        reconcile.Exchange[member.Record]
-	configs        reconcile.Exchange[acceptance.Config]
-	reports        reconcile.Exchange[quarantine.Report]
-	byService      map[string]map[string]member.Record
-	table          *routes.Table                 // the active table, or nil
-	rollouts       map[string]rollout.LocalState // by service
-	evacuated      evacuation.Set
-	zoneState      evacuation.State
-	live           int // live nodes, this node included
-	zonePeers      int // those of the node's own zone, without this node
-	dirty          map[string]bool
-	neighbours     neighbour.Set
-	clients        map[string]*peer.Client
-	reads          *configsync.State // of the table; nil unless ServiceConfig is set
-	nextChanged    chan struct{}
-	heard          notices         // of versions of the table that are not in force
-	freshness      *tableFreshness // of the table; nil unless Clock is set
-	lastRoleAt     time.Time       // when lastRole was determined
-	lastRole       configsync.Role
-	publishLimiter publishLimiter
-	fetching       bool // whether a fetch of a table is in progress
-	comparing      bool
-	suspects       map[string]time.Time // the end of the suspicion, by node
-	searches       rejoin.Searches
-	activeSearches int // searches in progress
-	random         *rand.Rand
+	self            member.Record
+	members         reconcile.Exchange[member.Record]
+	configs         reconcile.Exchange[acceptance.Config]
+	reports         reconcile.Exchange[quarantine.Report]
+	byService       map[string]map[string]member.Record
+	table           *routes.Table                 // the active table, or nil
+	rollouts        map[string]rollout.LocalState // by service
+	evacuated       evacuation.Set
+	zoneState       evacuation.State
+	live            int // live nodes, this node included
+	zonePeers       int // those of the node's own zone, without this node
+	dirty           map[string]bool
+	neighbours      neighbour.Set
+	clients         map[string]*peer.Client
+	reads           *configsync.State // of the table; nil unless ServiceConfig is set
+	nextChanged     chan struct{}
+	inForceSince    time.Time       // when the active table came into force
+	heard           notices         // of versions of the table that are not in force
+	freshness       *tableFreshness // of the table; nil unless Clock is set
+	lastRoleAt      time.Time       // when lastRole was determined
+	lastRole        configsync.Role
+	publishLimiter  publishLimiter
+	fetch           tablefetch.State // of the table
+	fetchTimer      *time.Timer      // calls continueFetch, or nil
+	lastSearch      time.Time        // when neighbours were last asked for a table
+	kept            []keptTable      // the latest tables, the active one first
+	decoding        bool             // whether a table that was fetched is being decoded
+	decoded         decodedTable     // of the record that is being stored, if it was decoded before
+	fetchingRecords bool             // whether a request for the evacuated zones and roll-outs is in progress
+	linkFreeAt      time.Time        // when chunks may be sent again
+	comparing       bool
+	suspects        map[string]time.Time // the end of the suspicion, by node
+	searches        rejoin.Searches
+	activeSearches  int // searches in progress
+	random          *rand.Rand
 }
 
 // init initialises the state on the first call.
@@ -204,6 +215,7 @@
 			Topic:   "configs",
 			Accept:  func(acceptance.Config) bool { return true },
 			Changed: c.configChanged,
+			Private: func(r acceptance.Config) bool { return r.Name == acceptance.TableName },
 			Do:      c.do,
 		}
 		if c.Quarantine == nil {
@@ -215,6 +227,7 @@
 			Sequences: map[string]uint64{},
 		})
 		c.nextChanged = make(chan struct{}, 1)
+		c.fetch.Random = c.random
 		if c.ServiceConfig != nil {
 			c.reads = configsync.New(cmp.Or(c.MaxPropagationDelay, defaultPropagationDelay), time.Now(), c.random)
 		}
--- a/control/exchange.go
+++ b/control/exchange.go
@@ -248,8 +248,24 @@
 			return err
 		}
 	}
-	if own.Configs != theirs.Configs {
-		return c.configs.Reconcile(ctx, p)
+	if own.Configs == theirs.Configs {
+		return nil
 	}
+	if err := c.configs.Reconcile(ctx, p); err != nil {
+		return err
+	}
+	return c.compareTable(ctx, p)
+}
+
+// compareTable requests a peer's read status, and begins to fetch its table if that is later.
+func (c *Control) compareTable(ctx context.Context, p *peer.Client) error {
+	if c.reads == nil {
+		return nil
+	}
+	status, err := peer.SendRequest[struct{}, statusAndProof](ctx, p, topicAskReadStatus, struct{}{})
+	if err != nil {
+		return err
+	}
+	c.do(func() { c.receiveStatus(p.PeerNode(), status) })
 	return nil
 }
--- a/control/freshness.go
+++ b/control/freshness.go
@@ -19,6 +19,9 @@
 type statusAndProof struct {
 	configsync.ReadStatus
 	Proof freshness.Message `msgpack:"proof"`
+	// Table is the latest version of the table of which the sender has a part. It is empty if the sender's software
+	// has no indexes of tables.
+	Table tableOffer `msgpack:"table,omitempty"`
 }
 
 // The ages of a node's proof at which it requests a younger one, as fractions of
@@ -113,13 +116,12 @@
 
 // withProof returns a read status together with this node's proof.
 func (c *Control) withProof(status configsync.ReadStatus) statusAndProof {
-	if c.freshness == nil {
-		return statusAndProof{ReadStatus: status}
-	}
-	return statusAndProof{
-		ReadStatus: status,
-		Proof:      c.freshness.Message(c.Clock()),
+	s := statusAndProof{ReadStatus: status}
+	s.Table, _ = c.latestOffer()
+	if c.freshness != nil {
+		s.Proof = c.freshness.Message(c.Clock())
 	}
+	return s
 }
 
 // receiveProof records another node's proof. If the offset of that node's clock is not known, it
--- a/control/notices.go
+++ b/control/notices.go
@@ -8,6 +8,7 @@
 	"maps"
 	"time"
 
+	"sassafrasfront.example/operator"
 	"sassafrasfront.example/routes"
 )
 
@@ -74,6 +75,28 @@
 	c.Log.Info().Uint64("version", version).Str("peer", from).Msg("configuration announced")
 }
 
+// TableStatus returns the state of the node's table, for operators.
+func (c *Control) TableStatus() (s operator.TableStatus) {
+	c.init()
+	c.do(func() {
+		if c.table != nil {
+			s.Version = c.table.Version
+			s.Since = c.inForceSince.UTC()
+		}
+		for version, at := range c.heard {
+			if version > s.Announced {
+				s.Announced = version
+				s.AnnouncedAt = at.UTC()
+			}
+		}
+		if a := c.fetch.Assembly(); a != nil {
+			s.Missing = a.Missing()
+			s.Chunks = len(a.Index())
+		}
+	})
+	return s
+}
+
 // logInForce logs that a table is in force, with the time since the first notice of it.
 func (c *Control) logInForce(t *routes.Table) {
 	e := c.Log.Info().Uint64("version", t.Version).Int("routes", len(t.Routes)).Int("services", len(t.Services))
@@ -84,6 +107,7 @@
 			c.TableInForce(delay)
 		}
 	}
+	c.inForceSince = time.Now()
 	maps.DeleteFunc(c.heard, func(v uint64, _ time.Time) bool { return v <= t.Version })
 	e.Msg("configuration in force")
 }
--- a/control/reads.go
+++ b/control/reads.go
@@ -24,7 +24,10 @@
 	topicReadStatus = "news"
 	// topicAskReadStatus requests the status of the latest read known to the receiver.
 	topicAskReadStatus = "askNews"
-	// topicTable requests the table of routes, the evacuated zones and the active roll-outs.
+	// topicReading tells that a read of the platform makes progress, unsolicited.
+	topicReading = "reading"
+	// topicTable requests the whole table of routes, the evacuated zones and the active roll-outs. Nodes whose
+	// software has no indexes of tables send it.
 	topicTable = "table"
 )
 
@@ -32,8 +35,7 @@
 	// queriedNeighbours is the number of neighbours that a node queries if it has received no read
 	// status.
 	queriedNeighbours = 2
-	// readStatusTimeout bounds the sending of a read status and the requests that follow from it.
-	// The rest of MaxPropagationDelay is left for a read of the node's own.
+	// readStatusTimeout bounds the sending of a read status, and the requests for one.
 	readStatusTimeout = 500 * time.Millisecond
 	// roleInterval is how long the node's role is cached: determining it visits every member.
 	roleInterval = 300 * time.Millisecond
@@ -53,6 +55,51 @@
 	return action, after, watchFor
 }
 
+// ReportRead tells the other nodes that a read of the platform that this node has begun makes progress, so that they
+// wait for its result.
+func (c *Control) ReportRead(began time.Time) {
+	c.init()
+	c.do(func() {
+		if p, ok := c.reads.ReadProgress(began, time.Now()); ok {
+			c.sendProgress(p)
+		}
+	})
+}
+
+// ReportInterval returns the time between two calls of ReportRead.
+func (c *Control) ReportInterval() (d time.Duration) {
+	c.init()
+	c.do(func() { d = c.reads.ReportInterval() })
+	return d
+}
+
+// receiveProgress handles another node's report of a read in progress.
+func (c *Control) receiveProgress(p configsync.Progress) {
+	if c.reads.ReceiveProgress(p, time.Now()) {
+		c.sendProgress(p)
+		c.wake()
+	}
+}
+
+// sendProgress sends a report of a read in progress to a few neighbours. A node whose software does not know the topic
+// ignores it.
+func (c *Control) sendProgress(p configsync.Progress) {
+	payload, err := msgpack.Marshal(p)
+	if err != nil {
+		c.Log.Error().Err(err).Msg("failed to encode the progress of a read")
+		return
+	}
+	for _, t := range c.targets(neighbour.MaxNeighbours, c.neighbours.ForReadStatus) {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), readStatusTimeout)
+			defer cancel()
+			if _, err := t.Request(ctx, topicReading, payload, true); err != nil {
+				c.Log.Debug().Err(err).Str("peer", t.ID).Msg("failed to send the progress of a read")
+			}
+		}()
+	}
+}
+
 // IsLeader returns whether this node reads the platform for all nodes, as far as it knows.
 func (c *Control) IsLeader() (leader bool) {
 	c.init()
@@ -137,9 +184,7 @@
 func (c *Control) receiveStatus(from string, status statusAndProof) {
 	era := c.reads.Era()
 	c.hearTable(status.Version, from)
-	if c.reads.Receive(status.ReadStatus, time.Now()) {
-		c.fetchTable(from)
-	}
+	c.fetchFrom(from, status, c.reads.Receive(status.ReadStatus, time.Now()))
 	if later := c.reads.Era(); later > era && c.EraAdvanced != nil {
 		go c.EraAdvanced(later)
 	}
@@ -148,6 +193,24 @@
 	c.wake()
 }
 
+// fetchFrom fetches what another node has later versions of. The read status that announced it is forwarded once
+// it is active here.
+func (c *Control) fetchFrom(from string, status statusAndProof, behind bool) {
+	offer := status.Table
+	if offer.Version == 0 && behind {
+		offer = tableOffer{
+			Version:  status.Version,
+			Complete: true,
+		}
+	}
+	if err := c.receiveOffer(from, offer); err != nil {
+		c.Log.Warn().Err(err).Str("peer", from).Msg("invalid offer of a table")
+	}
+	if behind && !c.reads.HasZones(status.Zones) {
+		c.fetchRecords(from)
+	}
+}
+
 // wake makes the node call NextAction again.
 func (c *Control) wake() {
 	select {
@@ -178,43 +241,22 @@
 	}
 }
 
-// fetchTable fetches the table of routes of a node that has a later one. The read status that
-// announced it is forwarded once the table is active here.
-func (c *Control) fetchTable(from string) {
-	r, ok := c.members.Set.Get(from)
-	if !ok || c.fetching {
-		return
-	}
-	p := c.client(r.Addr)
-	c.fetching = true
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), readStatusTimeout)
-		defer cancel()
-		began, before := time.Now(), p.ReceivedBytes()
-		reply, err := peer.SendRequest[struct{}, reconcile.Records[acceptance.Config]](ctx, p, topicTable, struct{}{})
-		c.recordFetch(TableFetch{
-			Source: SourcePeer,
-			From:   from,
-			Bytes:  p.ReceivedBytes() - before,
-			Took:   time.Since(began),
-			Err:    err,
-		})
-		c.do(func() {
-			c.fetching = false
-			c.configs.PutAll(reply.Records)
-			c.publish()
-			c.forwardStatus()
-		})
-	}()
-}
-
 // handleReads handles the requests about reads of the platform. The second result is
 // false for other topics.
 func (c *Control) handleReads(from peer.Hello, topic string, payload []byte) (reply any, ok bool, err error) {
 	if c.reads == nil {
 		return nil, false, nil
 	}
+	if reply, ok, err := c.handleTable(from, topic, payload); ok {
+		return reply, ok, err
+	}
 	switch topic {
+	case topicReading:
+		p, err := peer.Unpack[configsync.Progress](payload)
+		if err == nil {
+			c.receiveProgress(p)
+		}
+		return nil, true, err
 	case topicReadStatus:
 		status, err := peer.Unpack[statusAndProof](payload)
 		if err != nil {
--- a/control/table.go
+++ b/control/table.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"sassafrasfront.example/acceptance"
+	"sassafrasfront.example/chunk"
 	"sassafrasfront.example/routes"
 )
 
@@ -41,11 +42,17 @@
 // ApplyTable applies a table of routes, unless a later one is active.
 func (c *Control) ApplyTable(t *routes.Table) {
 	c.init()
+	if t.Version <= c.snapshotVersion() {
+		return
+	}
 	record := acceptance.FromTable(t)
-	c.do(func() {
-		c.configs.Put(record)
-		c.publish()
-	})
+	var before []*chunk.Object
+	c.do(func() { before = c.keptObjects() })
+	decoded := decodedTable{
+		Table:  t,
+		object: chunk.New(record.Spec, before...),
+	}
+	c.do(func() { c.putTable(decoded, record.Spec) })
 }
 
 // tableChanged handles a new table of routes. A table never reverts, because the exchange accepts
@@ -53,24 +60,29 @@
 // so that a table of thousands of routes is sent to each node only once.
 func (c *Control) tableChanged(r acceptance.Config) {
 	delete(c.configs.Outbox, acceptance.TableName)
-	t, err := r.Table()
-	if err != nil {
-		c.Log.Error().Err(err).Uint64("version", r.Sequence).Msg("invalid table of routes")
-		return
+	t := c.decoded
+	if t.Table == nil {
+		var err error
+		if t.Table, err = r.Table(); err != nil {
+			c.Log.Error().Err(err).Uint64("version", r.Sequence).Msg("invalid table of routes")
+			return
+		}
+		t.object = chunk.New(r.Spec, c.keptObjects()...)
 	}
 	if c.table != nil {
 		for _, s := range c.table.Services {
 			c.dirty[s.Name] = true
 		}
 	}
-	c.table = t
+	c.table = t.Table
+	c.keepTable(t.Version, t.object)
 	if c.reads != nil {
 		c.reads.SetVersion(t.Version)
 	}
 	for _, s := range t.Services {
 		c.dirty[s.Name] = true
 	}
-	c.logInForce(t)
+	c.logInForce(t.Table)
 }
 
 // rebuildFromTable updates a service of the next snapshot from the table.
--- /dev/null
+++ b/control/tablefetch.go
@@ -0,0 +1,585 @@
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package control
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"sassafrasfront.example/acceptance"
+	"sassafrasfront.example/chunk"
+	"sassafrasfront.example/member"
+	"sassafrasfront.example/neighbour"
+	"sassafrasfront.example/peer"
+	"sassafrasfront.example/reconcile"
+	"sassafrasfront.example/routes"
+	"sassafrasfront.example/tablefetch"
+)
+
+// The topics by which nodes fetch tables of routes from each other.
+const (
+	// topicTableOffer offers a version of the table, unsolicited.
+	topicTableOffer = "tableOffer"
+	// topicTableIndex requests the index of a version of the table, and the records that belong to it.
+	topicTableIndex = "tableIndex"
+	// topicTableChunks requests chunks of a version of the table.
+	topicTableChunks = "tableChunks"
+)
+
+const (
+	// tableRequestTimeout bounds a request for an index, or for as many chunks as chunkReplyBytes.
+	tableRequestTimeout = time.Second
+	// wholeTableTimeout bounds a request for a whole table.
+	wholeTableTimeout = 5 * time.Second
+	// chunkReplyBytes is the size of the chunks in one reply, unless a single one is larger.
+	chunkReplyBytes = 16 << 10
+	// keptTables is the number of tables, the active one included, whose chunks are kept: other nodes may
+	// still be fetching the ones before it.
+	keptTables = 3
+	// searchAfter is the time without progress after which a node that fetches a table asks neighbours that
+	// have not offered it.
+	searchAfter = 200 * time.Millisecond
+	// searchedNeighbours is the number of neighbours that it asks.
+	searchedNeighbours = 2
+)
+
+// tableOffer offers a version of the table of routes.
+type tableOffer struct {
+	Version  uint64 `msgpack:"version"`
+	Root     string `msgpack:"root,omitempty"`
+	Complete bool   `msgpack:"complete,omitempty"`
+}
+
+// offer returns o in the form that tablefetch uses.
+func (o tableOffer) offer() (tablefetch.Offer, error) {
+	root, err := chunk.ParseDigest(o.Root)
+	return tablefetch.Offer{
+		Version:  o.Version,
+		Root:     root,
+		Complete: o.Complete,
+	}, err
+}
+
+// indexQuery requests the index of the latest version of the table of which the receiver has a part.
+type indexQuery struct {
+	// Version is the sender's version.
+	Version uint64 `msgpack:"version"`
+	// Base is the digest of an index that the sender has, if any.
+	Base string `msgpack:"base,omitempty"`
+}
+
+// indexReply is the reply to an indexQuery.
+type indexReply struct {
+	Offer tableOffer `msgpack:"offer"`
+	// Patch makes the index from that of the sender's base, or from an empty one if Based is false. It is
+	// empty if the receiver has no later version than the sender.
+	Based bool        `msgpack:"based,omitempty"`
+	Patch chunk.Patch `msgpack:"patch,omitempty"`
+	// Records are the evacuated zones and the roll-outs.
+	Records []acceptance.Config `msgpack:"records,omitempty"`
+}
+
+// chunksQuery requests chunks of the table whose index has the given digest.
+type chunksQuery struct {
+	Root string `msgpack:"root"`
+	Want []int  `msgpack:"want"`
+}
+
+// chunksReply is the reply to a chunksQuery, with some of the wanted chunks.
+type chunksReply struct {
+	Parts []tablefetch.Part `msgpack:"parts,omitempty"`
+	// Offer is the latest version of which the receiver has a part.
+	Offer tableOffer `msgpack:"offer"`
+	// RetryAfter is the time after which the link has room for the next chunks, if that is why there are none.
+	RetryAfter time.Duration `msgpack:"retryAfter,omitempty"`
+}
+
+// errUnknownTable is the error of requests for chunks of a table that a node does not have.
+var errUnknownTable = eris.New("no part of this table")
+
+// keptTable is a version of the table in chunks.
+type keptTable struct {
+	version uint64
+	*chunk.Object
+}
+
+// keepTable makes the chunks of a table that is in force available to other nodes.
+func (c *Control) keepTable(version uint64, o *chunk.Object) {
+	c.kept = append([]keptTable{{
+		version: version,
+		Object:  o,
+	}}, c.kept[:min(len(c.kept), keptTables-1)]...)
+	c.fetch.SetActive(version, c.keptObjects()...)
+}
+
+// keptObjects returns the chunks of the kept tables.
+func (c *Control) keptObjects() (list []*chunk.Object) {
+	for _, k := range c.kept {
+		list = append(list, k.Object)
+	}
+	return list
+}
+
+// latestOffer returns the offer of the latest version of which this node has the index, and that index.
+func (c *Control) latestOffer() (tableOffer, chunk.Index) {
+	if a := c.fetch.Assembly(); a != nil {
+		version, _ := c.fetch.Fetching()
+		return tableOffer{
+			Version: version,
+			Root:    a.Root().Raw(),
+		}, a.Index()
+	}
+	if len(c.kept) == 0 {
+		return tableOffer{}, nil
+	}
+	active := c.kept[0]
+	return tableOffer{
+		Version:  active.version,
+		Root:     active.Root().Raw(),
+		Complete: true,
+	}, active.Index()
+}
+
+// receiveOffer handles an offer of another node.
+func (c *Control) receiveOffer(from string, t tableOffer) error {
+	offer, err := t.offer()
+	if err != nil {
+		return err
+	}
+	if c.fetch.AddOffer(from, offer, time.Now()) {
+		c.hearTable(offer.Version, from)
+		c.continueFetch()
+	}
+	return nil
+}
+
+// sendOffer offers the latest version of which this node has a part to a few neighbours. A node whose software does
+// not know the topic ignores it.
+func (c *Control) sendOffer() {
+	offer, _ := c.latestOffer()
+	payload, err := msgpack.Marshal(offer)
+	if err != nil {
+		c.Log.Error().Err(err).Msg("failed to encode an offer of a table")
+		return
+	}
+	for _, t := range c.targets(neighbour.MaxNeighbours, c.neighbours.ForReadStatus) {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), tableRequestTimeout)
+			defer cancel()
+			if _, err := t.Request(ctx, topicTableOffer, payload, true); err != nil {
+				c.Log.Debug().Err(err).Str("peer", t.ID).Msg("failed to offer a table")
+			}
+		}()
+	}
+}
+
+// continueFetch sends the next requests for a table, and schedules the ones after them.
+func (c *Control) continueFetch() {
+	now := time.Now()
+	requests, again := c.fetch.Next(now)
+	for _, r := range requests {
+		c.sendFetch(r)
+	}
+	if c.fetchTimer != nil {
+		c.fetchTimer.Stop()
+	}
+	if again.IsZero() {
+		return
+	}
+	if now.Sub(c.fetch.Progress()) >= searchAfter {
+		c.searchTable()
+	}
+	c.fetchTimer = time.AfterFunc(again.Sub(now), func() { c.do(c.continueFetch) })
+}
+
+// searchTable asks a few neighbours for the version that is being fetched.
+func (c *Control) searchTable() {
+	if time.Since(c.lastSearch) < searchAfter {
+		return
+	}
+	c.lastSearch = time.Now()
+	for _, t := range c.targets(searchedNeighbours, func() []member.Record { return c.neighbours.Sample(searchedNeighbours) }) {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), tableRequestTimeout)
+			defer cancel()
+			status, err := peer.SendRequest[struct{}, statusAndProof](ctx, t.Client, topicAskReadStatus, struct{}{})
+			if err != nil {
+				c.Log.Debug().Err(err).Str("peer", t.ID).Msg("failed to request the read status")
+				return
+			}
+			c.do(func() { c.receiveStatus(t.ID, status) })
+		}()
+	}
+}
+
+// sendFetch sends a request for a part of a table.
+func (c *Control) sendFetch(r tablefetch.Request) {
+	record, ok := c.members.Set.Get(r.Source)
+	if !ok {
+		c.fetch.Remove(r.Source)
+		return
+	}
+	p := c.client(record.Addr)
+	began, before := time.Now(), p.ReceivedBytes()
+	end := func(err error) {
+		c.recordFetch(TableFetch{
+			Source:  SourcePeer,
+			From:    r.Source,
+			Version: r.Version,
+			Bytes:   p.ReceivedBytes() - before,
+			Took:    time.Since(began),
+			Err:     err,
+		})
+	}
+	switch r.Kind {
+	case tablefetch.Whole:
+		go c.fetchWhole(r, p, end)
+	case tablefetch.Index:
+		q := indexQuery{Version: c.snapshotVersion()}
+		if len(c.kept) > 0 {
+			q.Base = c.kept[0].Root().Raw()
+		}
+		go c.fetchIndex(r, p, q, end)
+	default:
+		go c.fetchChunks(r, p, end)
+	}
+}
+
+// fetchIndex requests an index, and then continues the fetch.
+func (c *Control) fetchIndex(r tablefetch.Request, p *peer.Client, q indexQuery, end func(error)) {
+	ctx, cancel := context.WithTimeout(context.Background(), tableRequestTimeout)
+	defer cancel()
+	reply, err := peer.SendRequest[indexQuery, indexReply](ctx, p, topicTableIndex, q)
+	c.do(func() {
+		if err == nil {
+			err = c.applyIndex(r.Source, q, reply)
+		}
+		if err != nil {
+			end(err)
+			c.fetch.Failed(r.Source, time.Now())
+		}
+		c.continueFetch()
+	})
+}
+
+// applyIndex handles the reply to an indexQuery.
+func (c *Control) applyIndex(from string, q indexQuery, reply indexReply) error {
+	c.configs.PutAll(reply.Records)
+	c.publish()
+	c.forwardStatus()
+	offer, err := reply.Offer.offer()
+	if err != nil {
+		return err
+	}
+	var base chunk.Index
+	if reply.Based {
+		if base, err = c.indexOf(q.Base); err != nil {
+			return err
+		}
+	}
+	index, err := base.Patched(reply.Patch)
+	if err != nil {
+		return err
+	}
+	if offer.Version > c.snapshotVersion() && index.Root() != offer.Root {
+		return eris.New("index has another digest")
+	}
+	before := c.fetch.Assembly()
+	c.fetch.IndexReceived(from, offer, index, time.Now())
+	if a := c.fetch.Assembly(); a != before && a != nil {
+		c.sendOffer()
+		c.completeFetch() // all chunks may be known
+	}
+	return nil
+}
+
+// indexOf returns the index of a kept table by its digest.
+func (c *Control) indexOf(root string) (chunk.Index, error) {
+	for _, k := range c.kept {
+		if k.Root().Raw() == root {
+			return k.Index(), nil
+		}
+	}
+	return nil, errUnknownTable
+}
+
+// fetchChunks requests chunks, and then continues the fetch.
+func (c *Control) fetchChunks(r tablefetch.Request, p *peer.Client, end func(error)) {
+	ctx, cancel := context.WithTimeout(context.Background(), tableRequestTimeout)
+	defer cancel()
+	q := chunksQuery{
+		Root: r.Root.Raw(),
+		Want: r.Want,
+	}
+	reply, err := peer.SendRequest[chunksQuery, chunksReply](ctx, p, topicTableChunks, q)
+	c.do(func() {
+		if err == nil {
+			_, err = c.fetch.ChunksReceived(r.Source, r.Root, reply.Parts, reply.RetryAfter, time.Now())
+		} else {
+			c.fetch.Failed(r.Source, time.Now())
+		}
+		if err == nil {
+			err = c.receiveOffer(r.Source, reply.Offer)
+		}
+		if err != nil {
+			end(err)
+		}
+		c.reads.TransferProgress(c.fetchBegan(), c.fetch.Progress())
+		c.completeFetch()
+		c.continueFetch()
+	})
+}
+
+// fetchBegan returns when the fetch in progress began.
+func (c *Control) fetchBegan() time.Time {
+	_, began := c.fetch.Fetching()
+	return began
+}
+
+// completeFetch applies the table that is being fetched if nothing is missing.
+func (c *Control) completeFetch() {
+	a := c.fetch.Assembly()
+	if a == nil || a.Missing() > 0 || c.decoding {
+		return
+	}
+	version, began := c.fetch.Fetching()
+	c.decoding = true
+	go func() {
+		o, spec, err := a.Object()
+		var t *routes.Table
+		if err == nil {
+			t, err = routes.Decode(spec)
+		}
+		if err == nil && t.Version != version {
+			err = eris.Errorf("table of version %d was offered as version %d", t.Version, version)
+		}
+		c.do(func() {
+			c.decoding = false
+			c.recordFetch(TableFetch{
+				Source:  SourcePeer,
+				Version: version,
+				Bytes:   c.fetch.ReceivedBytes(),
+				Took:    time.Since(began),
+				Err:     err,
+			})
+			if err != nil {
+				c.fetch.Drop(version)
+			} else {
+				c.putTable(decodedTable{
+					Table:  t,
+					object: o,
+				}, spec)
+			}
+			c.continueFetch()
+		})
+	}()
+}
+
+// decodedTable is a table together with its chunks.
+type decodedTable struct {
+	*routes.Table
+	object *chunk.Object
+}
+
+// putTable stores and publishes a table, unless a later one is active.
+func (c *Control) putTable(t decodedTable, spec []byte) {
+	c.decoded = t
+	c.configs.Put(acceptance.NewTable(t.Version, spec))
+	c.decoded = decodedTable{}
+	c.publish()
+	c.forwardStatus()
+}
+
+// fetchWhole requests a whole table of a node whose software has no indexes.
+func (c *Control) fetchWhole(r tablefetch.Request, p *peer.Client, end func(error)) {
+	ctx, cancel := context.WithTimeout(context.Background(), wholeTableTimeout)
+	defer cancel()
+	reply, err := peer.SendRequest[struct{}, reconcile.Records[acceptance.Config]](ctx, p, topicTable, struct{}{})
+	c.do(func() {
+		end(err)
+		if err != nil {
+			c.fetch.Failed(r.Source, time.Now())
+		} else {
+			c.fetch.Remove(r.Source)
+		}
+		c.configs.PutAll(reply.Records)
+		c.publish()
+		c.forwardStatus()
+		c.continueFetch()
+	})
+}
+
+// fetchRecords requests the evacuated zones and the roll-outs of another node.
+func (c *Control) fetchRecords(from string) {
+	record, ok := c.members.Set.Get(from)
+	if !ok || c.fetchingRecords {
+		return
+	}
+	c.fetchingRecords = true
+	p := c.client(record.Addr)
+	q := indexQuery{Version: c.snapshotVersion()}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), tableRequestTimeout)
+		defer cancel()
+		reply, err := peer.SendRequest[indexQuery, indexReply](ctx, p, topicTableIndex, q)
+		if errors.Is(err, peer.ErrRefused) {
+			var all reconcile.Records[acceptance.Config]
+			all, err = peer.SendRequest[struct{}, reconcile.Records[acceptance.Config]](ctx, p, topicTable, struct{}{})
+			reply.Records = all.Records
+		}
+		if err != nil {
+			c.Log.Debug().Err(err).Str("peer", from).Msg("failed to fetch the evacuated zones")
+		}
+		c.do(func() {
+			c.fetchingRecords = false
+			c.configs.PutAll(reply.Records)
+			c.publish()
+			c.forwardStatus()
+		})
+	}()
+}
+
+const (
+	// firstOfferWait is how long a node that starts waits for an offer of a table, and pollInterval the interval at
+	// which it checks.
+	firstOfferWait = 150 * time.Millisecond
+	pollInterval   = 10 * time.Millisecond
+	// fetchPatience is the time without progress after which a node that starts no longer waits for other nodes.
+	fetchPatience = 500 * time.Millisecond
+)
+
+// AwaitTable waits until a table is in force, and returns whether it is. It returns early if no other node offers a
+// table soon, or if a fetch of one makes no progress.
+func (c *Control) AwaitTable(ctx context.Context) bool {
+	c.init()
+	began := time.Now()
+	poll := time.NewTicker(pollInterval)
+	defer poll.Stop()
+	for {
+		var fetching uint64
+		var progress time.Time
+		if !c.do(func() {
+			fetching, _ = c.fetch.Fetching()
+			progress = c.fetch.Progress()
+		}) {
+			return false
+		}
+		switch {
+		case c.snapshotVersion() > 0:
+			return true
+		case fetching == 0 && time.Since(began) >= firstOfferWait:
+			return false
+		case fetching > 0 && time.Since(progress) >= fetchPatience:
+			return false
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-poll.C:
+		}
+	}
+}
+
+// handleTable handles the requests about parts of tables. The second result is false for other topics.
+func (c *Control) handleTable(from peer.Hello, topic string, payload []byte) (reply any, ok bool, err error) {
+	switch topic {
+	case topicTableOffer:
+		o, err := peer.Unpack[tableOffer](payload)
+		if err == nil {
+			err = c.receiveOffer(from.Node, o)
+		}
+		return nil, true, err
+	case topicTableIndex:
+		q, err := peer.Unpack[indexQuery](payload)
+		if err != nil {
+			return nil, true, err
+		}
+		return c.replyIndex(q), true, nil
+	case topicTableChunks:
+		q, err := peer.Unpack[chunksQuery](payload)
+		if err != nil {
+			return nil, true, err
+		}
+		reply, err := c.replyChunks(q)
+		return reply, true, err
+	}
+	return nil, false, nil
+}
+
+// replyIndex handles an indexQuery.
+func (c *Control) replyIndex(q indexQuery) indexReply {
+	offer, index := c.latestOffer()
+	reply := indexReply{
+		Offer:   offer,
+		Records: c.configs.Get(append(c.rolloutNames(), c.zoneRecordNames()...)),
+	}
+	if offer.Version <= q.Version {
+		return reply
+	}
+	base, err := c.indexOf(q.Base)
+	reply.Based = err == nil
+	reply.Patch = index.Diff(base)
+	return reply
+}
+
+// replyChunks handles a chunksQuery.
+func (c *Control) replyChunks(q chunksQuery) (chunksReply, error) {
+	offer, _ := c.latestOffer()
+	reply := chunksReply{Offer: offer}
+	chunkAt, count := c.chunksOf(q.Root)
+	if chunkAt == nil {
+		return reply, errUnknownTable
+	}
+	if wait := c.linkBusy(); wait > 0 {
+		reply.RetryAfter = wait
+		return reply, nil
+	}
+	size := 0
+	for _, i := range q.Want {
+		if i < 0 || i >= count {
+			return reply, eris.Errorf("chunk %d of %d", i, count)
+		}
+		data := chunkAt(i)
+		if data == nil || size > 0 && size+len(data) > chunkReplyBytes {
+			continue
+		}
+		size += len(data)
+		reply.Parts = append(reply.Parts, tablefetch.Part{
+			Position: i,
+			Data:     data,
+		})
+	}
+	c.takeLink(size)
+	return reply, nil
+}
+
+// chunksOf returns a function that returns the chunks of a table by the digest of its index, and their number. The
+// function is nil if there is no such table, and returns nil for a chunk that is missing.
+func (c *Control) chunksOf(root string) (chunkAt func(int) []byte, count int) {
+	if a := c.fetch.Assembly(); a != nil && a.Root().Raw() == root {
+		return a.Chunk, len(a.Index())
+	}
+	for _, k := range c.kept {
+		if k.Root().Raw() == root {
+			return k.Chunk, len(k.Index())
+		}
+	}
+	return nil, 0
+}
+
+// linkBusy returns the time until chunks may be sent again. What is sent of tables must leave most of the link to
+// requests, so chunks for several nodes are sent one after the other.
+func (c *Control) linkBusy() time.Duration { return time.Until(c.linkFreeAt) }
+
+// takeLink records that chunks of the given size are sent.
+func (c *Control) takeLink(size int) {
+	if c.TableBandwidth > 0 {
+		c.linkFreeAt = time.Now().Add(time.Duration(float64(size) / c.TableBandwidth * float64(time.Second)))
+	}
+}
--- a/node/build.go
+++ b/node/build.go
@@ -131,13 +131,14 @@
 			SilenceTimeout: s.Patience,
 			Sweep:          s.Patience / 3,
 		},
-		Quarantine:   &n.suspects,
-		Budget:       budget,
-		Counters:     &n.metrics.control,
-		TableFetched: n.metrics.tableFetched,
-		TableInForce: n.metrics.tableInForce,
-		Log:          n.Log,
-		Published:    n.published,
+		Quarantine:     &n.suspects,
+		Budget:         budget,
+		Counters:       &n.metrics.control,
+		TableBandwidth: tableShare * linkBandwidth(s.LinkMbps),
+		TableFetched:   n.metrics.tableFetched,
+		TableInForce:   n.metrics.tableInForce,
+		Log:            n.Log,
+		Published:      n.published,
 	}
 }
 
--- a/node/configsync.go
+++ b/node/configsync.go
@@ -28,6 +28,10 @@
 	// reads only while it receives nothing from other nodes. It reads the orders at a tenth of
 	// the cost: no other node depends on its orders, which may therefore be seconds old.
 	isLeader func() bool
+	// awaitTable, if not nil, returns whether other nodes have provided a table, or provide one now.
+	awaitTable func(ctx context.Context) bool
+	// queryNeighbours requests the proofs of other nodes of how fresh their tables are.
+	queryNeighbours func(ctx context.Context)
 	// proofOverdue returns whether the platform has responded to no node for too long.
 	proofOverdue func() bool
 }
@@ -41,10 +45,12 @@
 			Kind:     n.Platform.TableKind,
 			OnObject: n.applyTable,
 		},
-		clock:        n.control.Clock,
-		confirmRead:  n.control.ConfirmRead,
-		proofOverdue: n.control.ProofOverdue,
-		isLeader:     n.control.IsLeader,
+		clock:           n.control.Clock,
+		confirmRead:     n.control.ConfirmRead,
+		proofOverdue:    n.control.ProofOverdue,
+		isLeader:        n.control.IsLeader,
+		awaitTable:      n.control.AwaitTable,
+		queryNeighbours: n.control.QueryNeighbours,
 	}
 	if n.Settings.EvacuateWithin > 0 {
 		r.zones = &objectapi.Lister{
@@ -60,7 +66,9 @@
 }
 
 // ReadInitial makes the first read, which may return a state that is seconds old. It reads the
-// zones and the orders first, so that a node that has a table has these too.
+// zones and the orders first, so that a node that has a table has these too. The table is not read
+// if other nodes provide it: where many nodes start, each would read a large table from the platform
+// over its own link, beside the copies from other nodes.
 func (r *configReader) ReadInitial(ctx context.Context) error {
 	if r.orders != nil {
 		if err := r.orders.ReadInitial(ctx); err != nil {
@@ -72,6 +80,12 @@
 			return err
 		}
 	}
+	if r.awaitTable != nil && r.awaitTable(ctx) {
+		if r.clock != nil {
+			r.queryNeighbours(ctx)
+		}
+		return nil
+	}
 	if err := r.table.ReadInitial(ctx); err != nil || r.clock == nil {
 		return err
 	}
@@ -181,7 +195,11 @@
 // wait.
 func (n *Node) readConfig(ctx context.Context, r *configReader, wait time.Duration) {
 	began, before := time.Now(), n.platformClient.ReceivedBytes()
-	err := r.Read(ctx, wait)
+	reporter := readReporter{
+		report:   n.control.ReportRead,
+		interval: n.control.ReportInterval(),
+	}
+	err := r.Read(objectapi.WithProgress(ctx, reporter.progress), wait)
 	if ctx.Err() != nil {
 		return
 	}
@@ -190,3 +208,31 @@
 	}
 	n.control.RecordRead(err == nil, max(0, time.Since(began)-wait))
 }
+
+// largeReadBytes is the size from which a response of the platform is reported to other nodes while it is being
+// received.
+const largeReadBytes = 32 << 10
+
+// readReporter reports the progress of a read with a large response.
+type readReporter struct {
+	report   func(began time.Time)
+	interval time.Duration
+
+	began    time.Time // when the present response began
+	received int       // bytes of the present response
+	reported time.Time // when progress was last reported
+}
+
+// progress records the number of bytes of a response that have been received.
+func (r *readReporter) progress(received int) {
+	now := time.Now()
+	if r.began.IsZero() || received < r.received {
+		r.began = now
+	}
+	r.received = received
+	if received < largeReadBytes || now.Sub(r.reported) < r.interval {
+		return
+	}
+	r.reported = now
+	r.report(r.began)
+}
--- a/node/handlers.go
+++ b/node/handlers.go
@@ -81,6 +81,7 @@
 	mux.HandleFunc("GET /readyz", n.serveReady)
 	mux.HandleFunc("GET /v1/view", n.serveView)
 	mux.HandleFunc("GET /v1/nodes", n.listNodes)
+	mux.HandleFunc("GET /v1/table", n.serveTableStatus)
 	mux.HandleFunc("GET /v1/zones", n.listZones)
 	mux.HandleFunc("GET /v1/rollouts", n.listRollouts)
 	mux.HandleFunc("GET /v1/organisations", n.listOrganisations)
--- a/node/largetable_test.go
+++ b/node/largetable_test.go
@@ -11,6 +11,9 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -20,6 +23,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"sassafrasfront.example/contact"
 	"sassafrasfront.example/control"
@@ -52,7 +56,9 @@
 	store    *platformtest.Store
 	hosts    []string // of the nodes that new nodes ask first
 	nodes    []*tableNode
-	large    atomic.Int64 // responses of the platform that carry a table
+	large    atomic.Int64    // responses of the platform that carry a table
+	refused  sync.Map        // names of the nodes whose calls the platform refuses
+	old      map[string]bool // names of the nodes whose software has no indexes of tables
 	stopAll  context.CancelFunc
 	ctx      context.Context
 	all      sync.WaitGroup
@@ -104,6 +110,10 @@
 // serve serves the platform and counts the responses that carry a table.
 func (s *tableSystem) serve(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(4 * time.Millisecond)
+	if _, ok := s.refused.Load(r.RemoteAddr); ok {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	counted := &countedResponse{ResponseWriter: w}
 	s.store.ServeHTTP(counted, r)
 	if counted.bytes >= largeResponseBytes {
@@ -208,8 +218,10 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	serving, stopServing := context.WithCancel(s.ctx)
 	server := &peer.Server{
-		Hello:         peer.Hello{Node: n.name},
-		HandleControl: n.control.Handle,
+		Hello: peer.Hello{Node: n.name},
+		HandleControl: func(ctx context.Context, from peer.Hello, r *peer.Request) ([]byte, error) {
+			return s.handle(ctx, n, from, r)
+		},
 	}
 	listener := n.host.Listen()
 	discovery := &contact.Discovery{
@@ -237,6 +249,35 @@
 	}
 }
 
+// handle handles a control request. What nodes of older software send and receive has no offers of tables.
+func (s *tableSystem) handle(ctx context.Context, n *tableNode, from peer.Hello, r *peer.Request) ([]byte, error) {
+	if s.old[n.name] && slices.Contains([]string{"tableOffer", "tableIndex", "tableChunks", "reading"}, r.Topic) {
+		return nil, fmt.Errorf("unknown topic %q", r.Topic)
+	}
+	if s.old[from.Node] && r.Topic == "news" {
+		r.Payload = withoutOffer(r.Payload)
+	}
+	reply, err := n.control.Handle(ctx, from, r)
+	if s.old[n.name] && r.Topic == "askNews" && err == nil {
+		reply = withoutOffer(reply)
+	}
+	return reply, err
+}
+
+// withoutOffer returns an encoded read status without the offer of a table.
+func withoutOffer(payload []byte) []byte {
+	fields := make(map[string]msgpack.RawMessage)
+	if err := msgpack.Unmarshal(payload, &fields); err != nil {
+		panic(err)
+	}
+	delete(fields, "table")
+	encoded, err := msgpack.Marshal(fields)
+	if err != nil {
+		panic(err)
+	}
+	return encoded
+}
+
 // staticContacts is a contact registry that ignores registrations.
 type staticContacts []string
 
@@ -347,3 +388,121 @@
 		})
 	}
 }
+
+// TestTableFromOlderSoftware has a third of the nodes run software without indexes of tables, as during an upgrade. All
+// must get each version in time.
+func TestTableFromOlderSoftware(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTableSystem(t, linkBytes)
+		defer s.end()
+		s.old = make(map[string]bool)
+		for i := range 30 {
+			s.old[fmt.Sprint("n", i)] = i%3 == 0
+		}
+		s.write(3, 20)
+		s.add(30)
+		time.Sleep(20 * time.Second)
+		for version, count := range map[uint64]int{21: 400} {
+			s.write(version, count)
+			time.Sleep(5 * time.Second)
+			s.check(version, changeBound)
+		}
+	})
+}
+
+// TestTableInDrawnSystems draws sizes of tables, series of versions, starts, planned stops, losses of power, cuts, links of
+// different bandwidth, and a platform that refuses a third of the nodes or is slow. No node may go back, or have a
+// mixture of versions; in the end all have the latest version, in time if nothing was disturbed just before.
+func TestTableInDrawnSystems(t *testing.T) {
+	for seed := range uint64(drawnSystems()) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playDrawnSystem(t, rand.New(rand.NewPCG(seed, 21))) })
+		})
+	}
+}
+
+// drawnSystems returns the number of systems to draw.
+func drawnSystems() int {
+	n, err := strconv.Atoi(os.Getenv("DRAWN_SYSTEMS"))
+	if err != nil {
+		return 8
+	}
+	return n
+}
+
+const (
+	// stableTime is the time after a fault from which a change has to be in force in time.
+	stableTime = 3 * time.Second
+	// platformRouteBytes is the size of a route as the platform sends it.
+	platformRouteBytes = 230
+)
+
+// playDrawnSystem plays one system.
+func playDrawnSystem(t *testing.T, r *rand.Rand) {
+	slowest := linkBytes / float64(1+r.IntN(2))
+	s := newTableSystem(t, slowest)
+	defer s.end()
+	s.write(1, 20)
+	s.add(4 + r.IntN(30))
+	for _, n := range s.nodes {
+		if r.IntN(6) == 0 {
+			n.host.SetBandwidth(20 * linkBytes)
+		}
+	}
+	time.Sleep(15 * time.Second)
+	version, count := uint64(1), 20
+	for range 2 + r.IntN(8) {
+		switch r.IntN(8) {
+		case 0:
+			s.addNode()
+		case 1:
+			s.disturb(r, func(n *tableNode) { n.stop() })
+		case 2:
+			s.disturb(r, func(n *tableNode) {
+				n.host.PowerOff()
+				n.mu.Lock()
+				n.stopped = true
+				n.mu.Unlock()
+			})
+		case 3:
+			s.disturb(r, func(n *tableNode) { n.host.PauseLink(time.Duration(300+r.IntN(1700)) * time.Millisecond) })
+		case 4:
+			for _, n := range s.nodes {
+				if r.IntN(3) == 0 {
+					s.refused.Store(n.name, true)
+				}
+			}
+		case 5:
+			s.store.SetFaults(platformtest.Faults{Delay: time.Duration(r.IntN(400)) * time.Millisecond})
+		default:
+			version += 1 + uint64(r.IntN(3))
+			count = max(20, count+r.IntN(3000)-700)
+			s.write(version, count)
+		}
+		time.Sleep(time.Duration(20+r.IntN(1500)) * time.Millisecond)
+	}
+	s.refused.Clear()
+	s.store.SetFaults(platformtest.Faults{})
+	time.Sleep(stableTime + changeBound)
+	version++
+	count += r.IntN(1500)
+	s.write(version, count)
+	time.Sleep(20 * time.Second)
+	reading := time.Duration(float64(count*platformRouteBytes) / slowest * float64(time.Second))
+	s.check(version, reading+changeBound/2)
+}
+
+// disturb calls f with one node, unless few are left.
+func (s *tableSystem) disturb(r *rand.Rand, f func(n *tableNode)) {
+	var running []*tableNode
+	for _, n := range s.nodes {
+		n.mu.Lock()
+		if !n.stopped {
+			running = append(running, n)
+		}
+		n.mu.Unlock()
+	}
+	if len(running) > 3 {
+		f(running[r.IntN(len(running))])
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -54,6 +54,8 @@
 	// flight to a node at once: a fraction of the silence timeout of a peer, and
 	// many times the delay between zones, so that the link is kept busy.
 	maxBodyQueueTime = 40 * time.Millisecond
+	// tableShare is the share of a link's bandwidth that chunks of tables for other nodes may take.
+	tableShare = 0.5
 	// flushTimeout bounds the export of the last traces.
 	flushTimeout = 2 * time.Second
 )
--- a/node/state.go
+++ b/node/state.go
@@ -184,6 +184,11 @@
 	writeJSON(w, list)
 }
 
+// serveTableStatus responds with the state of the node's table of routes.
+func (n *Node) serveTableStatus(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, n.control.TableStatus())
+}
+
 // serveView responds with the node's view of the system.
 func (n *Node) serveView(w http.ResponseWriter, _ *http.Request) {
 	s := n.control.Snapshot()
