--- /dev/null
+++ b/node/largetable_norace_test.go
@@ -0,0 +1,14 @@
+//go:build !race
+
+// Copyright ©2026 The sassafrasfront Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package node
+
+// The sizes of the systems that tests of large tables play.
+const (
+	largeSystemNodes    = 60
+	defaultDrawnSystems = 8
+	olderSoftwareNodes  = 30
+)
