sassafrassoak: tables of many routes, which each change makes larger

Cause: the soak's tables had some ten routes, so no seed could show a change that is late for its size.

--- a/Makefile
+++ b/Makefile
@@ -42,3 +42,4 @@
 	bin/sassafrassoak run -seed 2 -duration 4s -safety -restore
 	bin/sassafrassoak run -seed 9 -duration 4s -safety -limits
 	bin/sassafrassoak run -seed 7 -duration 4s -safety -stops
+	bin/sassafrassoak run -seed 701 -duration 4s -safety -routes 700
--- a/cmd/sassafrassoak/cluster.go
+++ b/cmd/sassafrassoak/cluster.go
@@ -42,14 +42,16 @@
 	nodes       []*node
 	usedHosts   int // number of addresses whose ports are used up
 	lastPort    int // last port given to a node
-	// configMu is held while the configuration is written. It guards version, routes and currentKeys.
+	// configMu is held while the configuration is written. It guards version, routes, unused and currentKeys.
 	configMu    sync.Mutex
 	version     int
 	routes      []string
+	unused      int      // routes in the table that no request is for
 	keys        *keyring // nil if no route requires a key
 	currentKeys []string // keys in the latest configuration
 	done        chan struct{}
 	stops       bool
+	perChange   int          // unused routes that each change adds
 	bursts      atomic.Int32 // number of bursts in progress
 	actionsMu   sync.Mutex   // guards actions
 	actions     []*action
@@ -85,6 +87,7 @@
 	c := &cluster{
 		nodeProgram: o.nodeProgram,
 		stops:       o.stops,
+		perChange:   o.routes,
 		dir:         dir,
 		store:       &platformtest.Store{Era: 1},
 		done:        make(chan struct{}),
@@ -286,6 +289,7 @@
 	c.configMu.Lock()
 	defer c.configMu.Unlock()
 	change()
+	c.unused += c.perChange
 	c.version++
 	c.writeConfiguration()
 }
@@ -305,6 +309,9 @@
 		}
 		list = append(list, json.RawMessage(fmt.Sprintf(`{"name":%q,"pathPrefix":"/%s/","kind":%q,"timeoutS":%g,"targetLatencyS":%g,"priority":1,"service":%q,"maxAttempts":2,"public":%v}`, name, name, kind, timeout.Seconds(), target, service, name != keyedRoute)))
 	}
+	for i := range c.unused {
+		list = append(list, json.RawMessage(fmt.Sprintf(`{"name":"unused-%d","pathPrefix":"/unused/%x/","kind":"idempotent","timeoutS":1,"priority":1,"service":"b","maxAttempts":2,"public":true}`, i, i*i)))
+	}
 	manifest := map[string]any{
 		"version":      fmt.Sprintf("r%d", c.version),
 		"services":     []map[string]any{{"name": "a", "healthPath": "/healthz"}, {"name": "b", "healthPath": "/healthz"}},
--- a/cmd/sassafrassoak/main.go
+++ b/cmd/sassafrassoak/main.go
@@ -11,6 +11,7 @@
 //	sassafrassoak hunt -seeds 50 -limits -node bin/sassafrasnode
 //	sassafrassoak hunt -seeds 50 -stops -node bin/sassafrasnode
 //	sassafrassoak run -seed 3 -stops -nodes 90 -node bin/sassafrasnode
+//	sassafrassoak hunt -seeds 10 -routes 700 -node bin/sassafrasnode
 //
 // The store and the upstreams are fakes in this process. The nodes are separate
 // processes, which reach each other through proxies in this process. Only processes
@@ -45,6 +46,7 @@
 	restore     bool
 	limits      bool
 	stops       bool
+	routes      int
 	nodes       int
 }
 
@@ -75,6 +77,7 @@
 	fs.BoolVar(&o.restore, "restore", false, "also restore the store from an older copy, twice in a row")
 	fs.BoolVar(&o.limits, "limits", false, "also have upstreams advertise limits, and one state in its responses that it is leaving")
 	fs.BoolVar(&o.stops, "stops", false, "also stop nodes in series, under bursts of large bodies over slow links that stall and lose packets")
+	fs.IntVar(&o.routes, "routes", 0, "number of routes that are in the table without being used, and of those that each change adds")
 	fs.IntVar(&o.nodes, "nodes", 2*nodesPerService, "number of nodes; the rate of each node's callers is scaled to keep the total load the same")
 	if err := fs.Parse(args[1:]); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
