control: one function for messages to a few neighbours, one for asking them

Cause: offers of tables and reports of reads were sent by copies of one loop, and the search for a table asked neighbours by a copy of QueryNeighbours. Change: notify and queryNeighbours; the search also records the proofs of freshness in the replies.

--- a/control/reads.go
+++ b/control/reads.go
@@ -77,7 +77,7 @@
 	c.init()
 	c.do(func() {
 		if p, ok := c.reads.ReadProgress(began, time.Now()); ok {
-			c.sendProgress(p)
+			c.notify(topicReading, p)
 		}
 	})
 }
@@ -92,25 +92,24 @@
 // receiveProgress handles another node's report of a read in progress.
 func (c *Control) receiveProgress(p configsync.Progress) {
 	if c.reads.ReceiveProgress(p, time.Now()) {
-		c.sendProgress(p)
+		c.notify(topicReading, p)
 		c.wake()
 	}
 }
 
-// sendProgress sends a report of a read in progress to a few neighbours. A node whose software does not know the topic
-// ignores it.
-func (c *Control) sendProgress(p configsync.Progress) {
-	payload, err := msgpack.Marshal(p)
+// notify sends a message to a few neighbours. A node whose software does not know the topic ignores it.
+func (c *Control) notify(topic string, message any) {
+	payload, err := msgpack.Marshal(message)
 	if err != nil {
-		c.Log.Error().Err(err).Msg("failed to encode the progress of a read")
+		c.Log.Error().Err(err).Str("topic", topic).Msg("failed to encode a message")
 		return
 	}
 	for _, t := range c.targets(neighbour.MaxNeighbours, c.neighbours.ForReadStatus) {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), readStatusTimeout)
 			defer cancel()
-			if _, err := t.Request(ctx, topicReading, payload, true); err != nil {
-				c.Log.Debug().Err(err).Str("peer", t.ID).Msg("failed to send the progress of a read")
+			if _, err := t.Request(ctx, topic, payload, true); err != nil {
+				c.Log.Debug().Err(err).Str("peer", t.ID).Str("topic", topic).Msg("failed to send a message")
 			}
 		}()
 	}
@@ -143,24 +142,27 @@
 
 // QueryNeighbours requests the status of the latest read from a few neighbours.
 func (c *Control) QueryNeighbours(ctx context.Context) {
-	c.do(func() {
-		for _, t := range c.targets(queriedNeighbours, func() []member.Record { return c.neighbours.Sample(queriedNeighbours) }) {
-			go func() {
-				ctx, cancel := context.WithTimeout(ctx, readStatusTimeout)
-				defer cancel()
-				sent := c.clockReading()
-				status, err := peer.SendRequest[struct{}, statusAndProof](ctx, t.Client, topicAskReadStatus, struct{}{})
-				if err != nil {
-					c.Log.Debug().Err(err).Str("peer", t.ID).Msg("failed to request the read status")
-					return
-				}
-				c.do(func() {
-					c.applyProofReply(sent, status.Proof)
-					c.receiveStatus(t.ID, status)
-				})
-			}()
-		}
-	})
+	c.do(func() { c.queryNeighbours(ctx) })
+}
+
+// queryNeighbours requests the status of the latest read, and the table that is offered with it, from a few neighbours.
+func (c *Control) queryNeighbours(ctx context.Context) {
+	for _, t := range c.targets(queriedNeighbours, func() []member.Record { return c.neighbours.Sample(queriedNeighbours) }) {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, readStatusTimeout)
+			defer cancel()
+			sent := c.clockReading()
+			status, err := peer.SendRequest[struct{}, statusAndProof](ctx, t.Client, topicAskReadStatus, struct{}{})
+			if err != nil {
+				c.Log.Debug().Err(err).Str("peer", t.ID).Msg("failed to request the read status")
+				return
+			}
+			c.do(func() {
+				c.applyProofReply(sent, status.Proof)
+				c.receiveStatus(t.ID, status)
+			})
+		}()
+	}
 }
 
 // role returns the node's role among the nodes. The leader is the first of the live nodes that
--- a/control/tablefetch.go
+++ b/control/tablefetch.go
@@ -10,12 +10,9 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"sassafrasfront.example/acceptance"
 	"sassafrasfront.example/chunk"
-	"sassafrasfront.example/member"
-	"sassafrasfront.example/neighbour"
 	"sassafrasfront.example/peer"
 	"sassafrasfront.example/reconcile"
 	"sassafrasfront.example/routes"
@@ -30,8 +27,6 @@
 	// searchAfter is the time without progress after which a node that fetches a table asks neighbours that
 	// have not offered it.
 	searchAfter = 200 * time.Millisecond
-	// searchedNeighbours is the number of neighbours that it asks.
-	searchedNeighbours = 2
 )
 
 // receiveOffer handles an offer of another node.
@@ -47,24 +42,10 @@
 	return nil
 }
 
-// sendOffer offers the latest version of which this node has a part to a few neighbours. A node whose software does
-// not know the topic ignores it.
+// sendOffer offers the latest version of which this node has a part to a few neighbours.
 func (c *Control) sendOffer() {
 	offer, _ := c.latestOffer()
-	payload, err := msgpack.Marshal(offer)
-	if err != nil {
-		c.Log.Error().Err(err).Msg("failed to encode an offer of a table")
-		return
-	}
-	for _, t := range c.targets(neighbour.MaxNeighbours, c.neighbours.ForReadStatus) {
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), tableRequestTimeout)
-			defer cancel()
-			if _, err := t.Request(ctx, topicTableOffer, payload, true); err != nil {
-				c.Log.Debug().Err(err).Str("peer", t.ID).Msg("failed to offer a table")
-			}
-		}()
-	}
+	c.notify(topicTableOffer, offer)
 }
 
 // continueFetch sends the next requests for a table, and schedules the ones after them.
@@ -80,32 +61,13 @@
 	if again.IsZero() {
 		return
 	}
-	if now.Sub(c.fetch.Progress()) >= searchAfter {
-		c.searchTable()
+	if now.Sub(c.fetch.Progress()) >= searchAfter && now.Sub(c.lastSearch) >= searchAfter {
+		c.lastSearch = now
+		c.queryNeighbours(context.Background())
 	}
 	c.fetchTimer = time.AfterFunc(again.Sub(now), func() { c.do(c.continueFetch) })
 }
 
-// searchTable asks a few neighbours for the version that is being fetched.
-func (c *Control) searchTable() {
-	if time.Since(c.lastSearch) < searchAfter {
-		return
-	}
-	c.lastSearch = time.Now()
-	for _, t := range c.targets(searchedNeighbours, func() []member.Record { return c.neighbours.Sample(searchedNeighbours) }) {
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), tableRequestTimeout)
-			defer cancel()
-			status, err := peer.SendRequest[struct{}, statusAndProof](ctx, t.Client, topicAskReadStatus, struct{}{})
-			if err != nil {
-				c.Log.Debug().Err(err).Str("peer", t.ID).Msg("failed to request the read status")
-				return
-			}
-			c.do(func() { c.receiveStatus(t.ID, status) })
-		}()
-	}
-}
-
 // sendFetch sends a request for a part of a table.
 func (c *Control) sendFetch(r tablefetch.Request) {
 	record, ok := c.members.Set.Get(r.Source)
