--- a/node/largetable_test.go
+++ b/node/largetable_test.go
@@ -358,6 +358,7 @@
 // TestLargeTableInForce guards against a table that is never in force because what a transfer
 // has carried is thrown away at the end of a fixed time: the incident CONFIG.
 func TestLargeTableInForce(t *testing.T) {
+	t.Parallel()
 	for name, row := range map[string]struct {
 		nodes, routes int
 		bandwidth     float64
@@ -368,6 +369,7 @@
 		"as many routes as a read of the platform carries in time": {largeSystem(), 4220, linkBytes, changeBound, 8},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				s := newTableSystem(t, row.bandwidth)
 				defer s.end()
@@ -392,6 +394,7 @@
 // TestTableFromOlderSoftware has a third of the nodes run software without indexes of tables, as during an upgrade. All
 // must get each version in time.
 func TestTableFromOlderSoftware(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		s := newTableSystem(t, linkBytes)
 		defer s.end()
@@ -412,8 +415,10 @@
 // different bandwidth, and a platform that refuses a third of the nodes or is slow. No node may go back, or have a
 // mixture of versions; in the end all have the latest version, in time if nothing was disturbed just before.
 func TestTableInDrawnSystems(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(drawnSystems()) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { playDrawnSystem(t, rand.New(rand.NewPCG(seed, 21))) })
 		})
 	}
