control: count the bytes of a failed fetch also where its connection was replaced

Seen: by reading the diff: a fetch that fails as its connection ends, and whose client has opened another one meanwhile, would be logged with some 1.8e19 bytes and lower its counter. Cause: the client counts the bytes of the present connection, and the difference of two counts was taken without a look at which is larger. Change: a count that has become smaller is one of a new connection.

--- a/control/tablefetch.go
+++ b/control/tablefetch.go
@@ -82,7 +82,7 @@
 			Source:  SourcePeer,
 			From:    r.Source,
 			Version: r.Version,
-			Bytes:   p.ReceivedBytes() - before,
+			Bytes:   receivedSince(before, p.ReceivedBytes()),
 			Took:    time.Since(began),
 			Err:     err,
 		})
@@ -101,6 +101,15 @@
 	}
 }
 
+// receivedSince returns the number of bytes received between two counts of a client, which begin anew with each
+// connection.
+func receivedSince(before, now uint64) uint64 {
+	if now < before {
+		return now
+	}
+	return now - before
+}
+
 // fetchIndex requests an index, and then continues the fetch.
 func (c *Control) fetchIndex(r tablefetch.Request, p *peer.Client, q indexQuery, end func(error)) {
 	ctx, cancel := context.WithTimeout(context.Background(), tableRequestTimeout)
