--- a/internal/simnet/doc.go
+++ b/internal/simnet/doc.go
@@ -9,6 +9,6 @@
 // has been unacknowledged for a set time (TCP_USER_TIMEOUT, see RFC 5482), because the link is
 // silent or because the receiver's buffer stays full.
 //
-// Tests can pause links, drop packets, suspend processes, power off instances and reset
+// Tests can pause links, drop packets, suspend processes, power off instances, and reset or silence
 // connections.
 package simnet
--- a/internal/simnet/endpoint.go
+++ b/internal/simnet/endpoint.go
@@ -24,6 +24,7 @@
 	endReceived   bool   // whether the end of the stream has been received
 	failure       error
 	closed        bool
+	silenced      bool // whether all packets of the connection are lost
 	readDeadline  time.Time
 	writeDeadline time.Time
 }
@@ -128,6 +129,9 @@
 // deliver delivers a packet of the stream in order: packets behind a lost one wait for its
 // retransmission.
 func (e *endpoint) deliver(receive func()) {
+	if e.silenced {
+		return
+	}
 	if wait := e.out.retransmitDelay; wait > 0 {
 		e.out.retransmitDelay = 0
 		e.out.retransmitting = true
@@ -159,7 +163,11 @@
 	e.received = append(e.received, data...)
 	e.wake.Broadcast()
 	n := e.host.network
-	n.transmit(e.host, e.remote.host, 0, func() { e.remote.acknowledged(len(data)) })
+	n.transmit(e.host, e.remote.host, 0, func() {
+		if !e.silenced {
+			e.remote.acknowledged(len(data))
+		}
+	})
 }
 
 // acknowledged records that n bytes have reached the other kernel.
@@ -179,7 +187,11 @@
 // reset resets the connection at the other endpoint.
 func (e *endpoint) reset() {
 	other := e.remote
-	e.host.network.transmit(e.host, other.host, 0, func() { other.fail(syscall.ECONNRESET) })
+	e.host.network.transmit(e.host, other.host, 0, func() {
+		if !e.silenced {
+			other.fail(syscall.ECONNRESET)
+		}
+	})
 }
 
 // fail ends the connection at this endpoint. The first failure is kept.
--- a/internal/simnet/network.go
+++ b/internal/simnet/network.go
@@ -301,6 +301,17 @@
 	h.endpoints = nil
 }
 
+// SilenceConnections loses all packets of the host's open connections from now on, those in flight included. Neither
+// process is told. New connections work.
+func (h *Host) SilenceConnections() {
+	h.network.mu.Lock()
+	defer h.network.mu.Unlock()
+	for _, e := range h.endpoints {
+		e.silenced = true
+		e.remote.silenced = true
+	}
+}
+
 // wake makes pending operations of the host's process check their conditions again.
 func (h *Host) wake() {
 	for _, e := range h.endpoints {
--- a/internal/simnet/network_test.go
+++ b/internal/simnet/network_test.go
@@ -115,6 +115,9 @@
 		"reset":                              {fault: func(p *pair) { p.b.ResetConnections() }, want: syscall.ECONNRESET, after: latency},
 		"reset over a paused link":           {fault: func(p *pair) { p.b.PauseLink(time.Second); p.b.ResetConnections() }, want: syscall.ECONNRESET, after: time.Second + latency},
 		"closed with bytes in flight":        {fault: func(p *pair) { _ = p.far.Close() }, want: io.EOF, after: latency},
+		"silenced":                           {fault: func(p *pair) { p.b.SilenceConnections() }, want: syscall.ETIMEDOUT, after: timeout},
+		"silenced before a reset":            {fault: func(p *pair) { p.a.SilenceConnections(); p.b.ResetConnections() }, want: syscall.ETIMEDOUT, after: timeout},
+		"silenced with nothing to send":      {fault: func(p *pair) { p.b.SilenceConnections() }, silent: true},
 		"power off with nothing to send":     {fault: func(p *pair) { p.b.PowerOff() }, silent: true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -143,6 +146,30 @@
 	}
 }
 
+// TestSilenceConnections checks that bytes in flight are lost, and that a connection opened afterwards works.
+func TestSilenceConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &simnet.Network{
+			Latency:     latency,
+			WindowBytes: 1 << 20,
+		}
+		before := connect(t, n)
+		_, err := before.near.Write([]byte("lost"))
+		qt.Assert(t, err, qt.IsNil)
+		before.a.SilenceConnections()
+		after := connect(t, n)
+		_, err = after.near.Write([]byte("arrives"))
+		qt.Assert(t, err, qt.IsNil)
+		got := make([]byte, len("arrives"))
+		_, err = io.ReadFull(after.far, got)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, string(got), qt.Equals, "arrives")
+		_ = before.far.SetReadDeadline(time.Now().Add(time.Minute))
+		_, err = before.far.Read(got)
+		qt.Check(t, isTimeout(err), qt.IsTrue, qt.Commentf("%v", err))
+	})
+}
+
 // TestFullBuffer writes to a host that does not read: the buffers are filled, and the rest is
 // written once it reads, or never.
 func TestFullBuffer(t *testing.T) {
