control, objectapi: tell of silent control connections, and on which connection a call failed

A line 'control connection silent' with the peer, the silence, what is pending and the pings sent, once for each silence, and sassafras_control_silent_total. The error of a failed call to the platform tells whether its connection was new, or for how long it had been idle.

--- a/control/control.go
+++ b/control/control.go
@@ -130,6 +130,8 @@
 	// TableInForce, if not nil, is called with the time from the first notice of a version of the
 	// table until that version was in force. It must not block.
 	TableInForce func(delay time.Duration)
+	// ConnectionSilent, if not nil, is called when a control connection is found silent. It must not block.
+	ConnectionSilent func()
 	// Log receives the log events.
 	Log zerolog.Logger
 	// Published is called with each new snapshot, on the goroutine that owns
--- a/control/neighbours.go
+++ b/control/neighbours.go
@@ -45,6 +45,12 @@
 		Limits:   limits,
 		Counters: c.Counters,
 		Dial:     c.Dial,
+		OnSilence: func(e *peer.SilenceError) {
+			c.Log.Warn().Str("to", addr).Dur("silenceMs", e.Silence).Int("pending", e.Pending).Int("pings", e.Pings).Uint64("bytesWritten", e.BytesWritten).Dur("checkDelayMs", e.CheckDelay).Msg("control connection silent")
+			if c.ConnectionSilent != nil {
+				c.ConnectionSilent()
+			}
+		},
 	}
 }
 
--- a/node/build.go
+++ b/node/build.go
@@ -137,8 +137,10 @@
 		TableBandwidth: tableShare * linkBandwidth(s.LinkMbps),
 		TableFetched:   n.metrics.tableFetched,
 		TableInForce:   n.metrics.tableInForce,
-		Log:            n.Log,
-		Published:      n.published,
+
+		ConnectionSilent: n.metrics.controlSilent,
+		Log:              n.Log,
+		Published:        n.published,
 	}
 }
 
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -130,6 +130,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`sassafras_control_bytes_total{topic=%q,direction="in"}`, topic)).Add(received)
 }
 
+// controlSilent counts a control connection that was found silent.
+func (m *metricSet) controlSilent() {
+	m.set.GetOrCreateCounter(`sassafras_control_silent_total`).Inc()
+}
+
 // platformCalled counts a call to the platform.
 func (m *metricSet) platformCalled(call, kind string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`sassafras_platform_calls_by_kind_total{call=%q,kind=%q}`, call, kind)).Inc()
--- a/objectapi/jsonclient.go
+++ b/objectapi/jsonclient.go
@@ -131,6 +131,8 @@
 	if data != nil {
 		reader = bytes.NewReader(data)
 	}
+	var used connUse
+	ctx = used.trace(ctx)
 	q, err := http.NewRequestWithContext(ctx, method, c.URL+path, reader)
 	if err != nil {
 		return nil, notSent(err)
@@ -148,7 +150,7 @@
 		if dialFailed(err) {
 			return nil, notSent(err)
 		}
-		return nil, readError(err)
+		return nil, readError(used.annotate(err))
 	}
 	r.Body = newProgressBody(ctx, r.Body, &c.received)
 	if err := c.checkEra(r); err != nil {
--- a/objectapi/progress_test.go
+++ b/objectapi/progress_test.go
@@ -86,3 +86,41 @@
 	case <-r.Context().Done():
 	}
 }
+
+// TestErrorNamesConnection checks that the error of a call tells whether its connection had been used before: one that has been
+// open for long may have fallen silent.
+func TestErrorNamesConnection(t *testing.T) {
+	const timeout = time.Second
+	synctest.Test(t, func(t *testing.T) {
+		network := &simnet.Network{
+			Latency:     time.Millisecond,
+			WindowBytes: 64 << 10,
+		}
+		listener := network.Host("platform").Listen()
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/late" {
+				pause(r, time.Minute)
+			}
+			fmt.Fprint(w, `{}`)
+		})}
+		go func() { _ = server.Serve(listener) }()
+		defer server.Close()
+		transport := &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return network.Host("node").Dial(ctx, "platform")
+		}}
+		defer transport.CloseIdleConnections()
+		c := &objectapi.JSONClient{
+			URL:        "http://platform",
+			HTTPClient: &http.Client{Transport: transport},
+			Timeout:    timeout,
+		}
+		_, err := c.Do(t.Context(), http.MethodPost, "/late", nil, nil)
+		qt.Check(t, err, qt.ErrorMatches, "(?s).*new connection.*")
+		_, err = c.Do(t.Context(), http.MethodPost, "/", nil, nil)
+		qt.Assert(t, err, qt.IsNil)
+		time.Sleep(3 * time.Second)
+		network.Host("node").SilenceConnections()
+		_, err = c.Do(t.Context(), http.MethodPost, "/", nil, nil)
+		qt.Check(t, err, qt.ErrorMatches, "(?s).*connection used before, idle for 3s.*")
+	})
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -39,6 +39,9 @@
 	// with a Notice is answered without one: the earlier notice no longer applies. It must
 	// not block.
 	OnNotice func(*Notice)
+	// OnSilence, if not nil, is called when something is pending at the peer and nothing has been received for
+	// the silence timeout, once until something is received again. It must not block.
+	OnSilence func(*SilenceError)
 	// Dial opens the connection. Nil means TCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 
@@ -156,6 +159,7 @@
 		peer:      *other,
 		onReport:  c.OnReport,
 		onNotice:  c.OnNotice,
+		onSilence: c.OnSilence,
 		control:   c.Hello.Control,
 		exchanges: make(map[uint64]*Exchange),
 		requests:  make(map[uint64]chan *Reply),
--- a/peer/link.go
+++ b/peer/link.go
@@ -25,6 +25,8 @@
 	onReport func(Report)
 	// onNotice is as in Client.
 	onNotice func(*Notice)
+	// onSilence is as in Client.
+	onSilence func(*SilenceError)
 	// control is whether the connection carries control requests only.
 	control bool
 
--- a/peer/monitor.go
+++ b/peer/monitor.go
@@ -76,11 +76,11 @@
 				BytesWritten: l.writtenSince.Load(),
 				Pending:      open,
 			}
+			l.reportSilence(silenceErr)
 			if l.control {
 				l.closeWith(silenceErr)
 				return
 			}
-			l.silentAt.Store(l.lastReceived.Load())
 			l.notifySilence(silenceErr)
 		}
 		if open > 0 && silence >= l.limits.SilenceTimeout/2 && pinging.CompareAndSwap(false, true) {
@@ -96,6 +96,14 @@
 	}
 }
 
+// reportSilence records that the peer is silent, and reports it once until something is received again.
+func (l *link) reportSilence(e *SilenceError) {
+	last := l.lastReceived.Load()
+	if l.silentAt.Swap(last) != last && l.onSilence != nil {
+		l.onSilence(e)
+	}
+}
+
 // notifySilence notifies the open calls that the peer is silent.
 func (l *link) notifySilence(e *SilenceError) {
 	l.mu.Lock()
