peer, control: a request on a silent control connection goes to a new one

Cause: all requests to an address share one connection, which ended only after 3 s of silence, or 10 s in the kernel; requests of 500 ms and 1 s ended before, and the next ones went to the same connection. Messages without a reply (read statuses, offers, pushes) left nothing pending, so that silence was not even looked for, and were lost.

Now each message has a reply, a request that is pending on a silent connection is sent again on a new one, and the first reply counts. A neighbour that has not replied yet, and is not silent, is not dropped.

Ending the connection at 250 ms: a reply on its way over a full link would be thrown away and requested again.

Request has no parameter for messages without a reply any more, as nothing sends one.

--- a/control/control.go
+++ b/control/control.go
@@ -118,7 +118,7 @@
 	Timing Timing
 	// Budget limits the bytes spent on comparisons and pushes of records.
 	Budget *watch.Budget
-	// Limits are the limits of the control connections.
+	// Limits are the limits of the control connections. The zero value means ConnectionLimits of MaxPropagationDelay.
 	Limits peer.Limits
 	// Counters, if not nil, counts the traffic of these connections.
 	Counters *peer.Counters
@@ -189,6 +189,10 @@
 func (c *Control) init() {
 	c.initOnce.Do(func() {
 		c.Timing = c.Timing.withDefaults()
+		maxDelay := cmp.Or(c.MaxPropagationDelay, defaultPropagationDelay)
+		if c.Limits == (peer.Limits{}) {
+			c.Limits = ConnectionLimits(maxDelay)
+		}
 		c.jobs = make(chan func(), jobQueue)
 		c.done = make(chan struct{})
 		c.byService = make(map[string]map[string]member.Record)
@@ -231,7 +235,7 @@
 		c.nextChanged = make(chan struct{}, 1)
 		c.fetch.Random = c.random
 		if c.ServiceConfig != nil {
-			c.reads = configsync.New(cmp.Or(c.MaxPropagationDelay, defaultPropagationDelay), time.Now(), c.random)
+			c.reads = configsync.New(maxDelay, time.Now(), c.random)
 		}
 		c.initFreshness()
 		c.self = c.Self.NextIncarnation(member.Record{}, time.Now())
--- a/control/exchange.go
+++ b/control/exchange.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"sync"
@@ -123,7 +124,7 @@
 }
 
 // push sends the changes since the last push to a few neighbours. The returned
-// group is done when all are written.
+// group is done when all have replied.
 func (c *Control) push(ctx context.Context) *sync.WaitGroup {
 	targets, messages := c.takeOutbox()
 	all := new(sync.WaitGroup)
@@ -132,8 +133,10 @@
 			ctx, cancel := context.WithTimeout(ctx, compareTimeout)
 			defer cancel()
 			for _, m := range messages {
-				if _, err := t.Request(ctx, m.topic, m.payload, true); err != nil {
-					go c.do(func() { c.dropNeighbour(t.ID) })
+				if _, err := t.Request(ctx, m.topic, m.payload); err != nil {
+					if !errors.Is(err, peer.ErrPending) {
+						go c.do(func() { c.dropNeighbour(t.ID) })
+					}
 					return
 				}
 			}
--- a/control/neighbours.go
+++ b/control/neighbours.go
@@ -12,8 +12,12 @@
 	"sassafrasfront.example/peer"
 )
 
-// maxClients is the maximum number of control connections that are kept.
-const maxClients = 64
+const (
+	// maxClients is the maximum number of control connections that are kept.
+	maxClients = 64
+	// controlIdleTimeout is how long a control connection is kept that is not used.
+	controlIdleTimeout = 30 * time.Second
+)
 
 // client returns the client for control requests to an address.
 func (c *Control) client(addr string) *peer.Client {
@@ -33,7 +37,7 @@
 // newClient returns a client for control requests to an address, without keeping it.
 func (c *Control) newClient(addr string) *peer.Client {
 	limits := c.Limits
-	limits.IdleTimeout = 30 * time.Second
+	limits.IdleTimeout = controlIdleTimeout
 	return &peer.Client{
 		Addr: addr,
 		Hello: peer.Hello{
--- a/control/reads.go
+++ b/control/reads.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -36,8 +37,9 @@
 	// queriedNeighbours is the number of neighbours that a node queries if it has received no read
 	// status.
 	queriedNeighbours = 2
-	// readStatusTimeout bounds the sending of a read status, and the requests for one.
-	readStatusTimeout = 500 * time.Millisecond
+	// readStatusTimeout bounds the sending of a read status, and the requests for one. It includes the time after which a
+	// silent connection is replaced.
+	readStatusTimeout = time.Second
 	// roleInterval is how long the node's role is cached: determining it visits every member.
 	roleInterval = 300 * time.Millisecond
 )
@@ -108,7 +110,7 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), readStatusTimeout)
 			defer cancel()
-			if _, err := t.Request(ctx, topic, payload, true); err != nil {
+			if _, err := t.Request(ctx, topic, payload); err != nil {
 				c.Log.Debug().Err(err).Str("peer", t.ID).Str("topic", topic).Msg("failed to send a message")
 			}
 		}()
@@ -252,7 +254,7 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), readStatusTimeout)
 			defer cancel()
-			if _, err := t.Request(ctx, topicReadStatus, payload, true); err != nil {
+			if _, err := t.Request(ctx, topicReadStatus, payload); err != nil && !errors.Is(err, peer.ErrPending) {
 				c.do(func() { c.dropNeighbour(t.ID) })
 			}
 		}()
--- a/peer/limits.go
+++ b/peer/limits.go
@@ -35,9 +35,12 @@
 	// SilenceTimeout is the time after which a connection with open calls, on which
 	// nothing arrives, gets no new ones. A ping is sent after half of it. Open calls
 	// continue, as a peer whose link is saturated or whose processor is overloaded is as
-	// silent as one that has crashed. A control connection is closed: its requests can be
-	// sent again. The default is 3 s.
+	// silent as one that has crashed. The requests on a control connection are sent again on the
+	// new one, and the first reply counts. The default is 3 s.
 	SilenceTimeout time.Duration
+	// SilenceLimit is the silence after which a control connection with open requests is
+	// closed. The default is 3 s.
+	SilenceLimit time.Duration
 	// AckTimeout is the time after which a connection is closed if the peer's kernel has
 	// not acknowledged what was written (TCP_USER_TIMEOUT, see RFC 5482). A kernel that
 	// advertises a zero window, as its process reads nothing, does acknowledge. The
@@ -69,6 +72,7 @@
 	l.HandshakeTimeout = orDefault(l.HandshakeTimeout, time.Second)
 	l.WriteTimeout = orDefault(l.WriteTimeout, 5*time.Second)
 	l.SilenceTimeout = orDefault(l.SilenceTimeout, 3*time.Second)
+	l.SilenceLimit = orDefault(l.SilenceLimit, 3*time.Second)
 	l.AckTimeout = orDefault(l.AckTimeout, 10*time.Second)
 	l.IdleTimeout = orDefault(l.IdleTimeout, 5*time.Minute)
 	return l
--- a/peer/link.go
+++ b/peer/link.go
@@ -35,6 +35,7 @@
 	startLock chan struct{}
 
 	mu        sync.Mutex
+	silent    chan struct{} // closed when the connection is found silent, or nil
 	lastID    uint64
 	exchanges map[uint64]*Exchange
 	requests  map[uint64]chan *Reply
@@ -187,13 +188,18 @@
 	return x
 }
 
-func (l *link) addRequest(reply chan *Reply) uint64 {
+// addRequest records a control request that is about to be sent. It returns its ID, and a channel that is closed when the
+// connection is found silent.
+func (l *link) addRequest(reply chan *Reply) (id uint64, silent <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.markBusy()
 	l.lastID++
 	l.requests[l.lastID] = reply
-	return l.lastID
+	if l.silent == nil {
+		l.silent = make(chan struct{})
+	}
+	return l.lastID, l.silent
 }
 
 func (l *link) removeRequest(id uint64) {
@@ -203,13 +209,6 @@
 	l.idleSince = time.Now()
 }
 
-// markUsed records that the connection is in use, though nothing is open on it.
-func (l *link) markUsed() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.idleSince = time.Now()
-}
-
 // readLoop handles frames until the connection ends, and then fails what is
 // still open.
 func (l *link) readLoop() {
--- a/peer/monitor.go
+++ b/peer/monitor.go
@@ -77,7 +77,7 @@
 				Pending:      open,
 			}
 			l.reportSilence(silenceErr)
-			if l.control {
+			if l.control && silence >= l.limits.SilenceLimit {
 				l.closeWith(silenceErr)
 				return
 			}
@@ -99,7 +99,16 @@
 // reportSilence records that the peer is silent, and reports it once until something is received again.
 func (l *link) reportSilence(e *SilenceError) {
 	last := l.lastReceived.Load()
-	if l.silentAt.Swap(last) != last && l.onSilence != nil {
+	if l.silentAt.Swap(last) == last {
+		return
+	}
+	l.mu.Lock()
+	if l.silent != nil {
+		close(l.silent)
+		l.silent = nil
+	}
+	l.mu.Unlock()
+	if l.onSilence != nil {
 		l.onSilence(e)
 	}
 }
--- a/reconcile/exchange.go
+++ b/reconcile/exchange.go
@@ -288,7 +288,7 @@
 		if err != nil {
 			return eris.Wrap(err, "encode records")
 		}
-		if _, err := p.Request(ctx, e.Topic+RecordsSuffix, payload, true); err != nil {
+		if _, err := p.Request(ctx, e.Topic+RecordsSuffix, payload); err != nil {
 			return err
 		}
 		list = list[n:]
