control, configsync: one silent connection has all others of the node checked

With all open connections of 40 nodes silent, a change was in force after 1.5 to 1.9 s, but up to 33 nodes read the platform by themselves, and more with more nodes: each step on the way of a status met a silent connection of its own, and waited for it.

Once one connection, to a node or to the platform, has been found silent, a node sends a ping on all control connections on which nothing was received lately, and makes its calls on new ones until the peer responds. What postpones a node's own read shortens the window in which the nodes read one after the other, in place of making all of them read at its end; an offer of a table postpones it too, and a report of progress counts for 0.3 of the bound in place of 0.2, in which a silent connection can be replaced.

A race in the report of silence goes too: bytes that came between two looks at the clock of the connection made it count as silent from then on (TestControlSilence, peer suspended, twice in 60 runs).

Tried and reverted: a query for a status that postpones the node's own read (TestEraReachesAll with 1,000 nodes: 117 calls, over its bound); a hold that moves the whole window (TestReadsWaitForProgress: reads after three quarters of the bound).

--- a/configsync/progress.go
+++ b/configsync/progress.go
@@ -18,12 +18,14 @@
 // The waits for reads and fetches in progress, as fractions of the time within which a change has to be active.
 const (
 	// progressFraction is how long a report of progress postpones a node's own read.
-	progressFraction = 0.2
+	progressFraction = 0.3
 	// reportFraction is the time between two reports of the same read.
 	reportFraction = 0.08
 	// maxReadingFraction is how long one read may postpone those of other nodes: it may be the only one that is
 	// slow.
 	maxReadingFraction = 0.5
+	// minWindowFraction is the least time in which the nodes read by themselves, one after the other.
+	minWindowFraction = 0.05
 	// maxFetchFraction is how long a fetch from other nodes may postpone a node's own read.
 	maxFetchFraction = 1.0
 )
@@ -63,9 +65,13 @@
 	s.fetchHold = later(s.fetchHold, earlier(end, at.Add(s.fraction(progressFraction))))
 }
 
-// afterHolds returns due, or the end of what postpones the node's own read.
-func (s *State) afterHolds(due time.Time) time.Time {
-	return later(due, later(s.readingHold, s.fetchHold))
+// afterHolds returns the time of the node's own read, which is after the given fraction of the window from least to most. What
+// postpones it shortens the window, and moves its end if need be: nodes that are postponed until the same time read one
+// after the other from then on.
+func (s *State) afterHolds(least, most time.Time, fraction float64) time.Time {
+	least = later(least, later(s.readingHold, s.fetchHold))
+	most = later(most, least.Add(s.fraction(minWindowFraction)))
+	return least.Add(time.Duration(fraction * float64(most.Sub(least))))
 }
 
 // later returns the later time.
--- a/configsync/state.go
+++ b/configsync/state.go
@@ -315,7 +315,8 @@
 		return Watch, s.lastRead.Add(s.fraction(minPauseFraction))
 	}
 	since := s.waitStart()
-	due := since.Add(s.waitAfter(since, role.Nodes))
+	least, most := s.readWindow(since)
+	due := s.afterHolds(least, most, s.readFraction(since, role.Nodes))
 	if again := s.lastRead.Add(s.fraction(recheckFraction)); role.WouldLead && again.Before(due) {
 		due = again
 	}
@@ -325,7 +326,7 @@
 	if last := since.Add(s.fraction(maxReadFraction)); s.failing && last.After(due) {
 		due = last // nodes whose last read did not fail read first
 	}
-	return Read, s.afterHolds(due)
+	return Read, due
 }
 
 // pauseFraction returns the least wait between two of the node's own reads.
@@ -367,25 +368,28 @@
 	return min(1, fraction)
 }
 
-// waitAfter returns how long after since the node reads by itself. Of n nodes that receive no status, a few have
-// to read first, and the others to learn of these reads in time. With u uniform in (0, 1), the node waits
-// for the fraction
+// readWindow returns the times between which the nodes read by themselves after since.
+func (s *State) readWindow(since time.Time) (least, most time.Time) {
+	least = since.Add(s.fraction(s.postponement(since) * minReadFraction))
+	return least, least.Add(s.fraction(maxReadFraction - minReadFraction)) // a status takes as long to spread in any case
+}
+
+// readFraction returns after which fraction of the window after since the node reads by itself. Of n nodes that receive no
+// status, a few have to read first, and the others to learn of these reads in time. With u uniform in (0, 1), the node
+// waits for the fraction
 //
 //	max(0, 1 + log(u)/log(n))
 //
-// of the span, so that n^x nodes are expected to have read after the fraction x of it: one at its beginning,
+// of the window, so that n^x nodes are expected to have read after the fraction x of it: one at its beginning,
 // n at its end. See J. Nonnenmacher and E. Biersack, Scalable feedback for large groups, 1999.
 // doi:10.1109/90.779208.
-func (s *State) waitAfter(since time.Time, n int) time.Duration {
+func (s *State) readFraction(since time.Time, n int) float64 {
 	if !s.drawnFor.Equal(since) {
 		s.drawnFor = since
 		s.draw = 1 - s.random.Float64()
 	}
-	least := s.fraction(s.postponement(since) * minReadFraction)
-	most := least + s.fraction(maxReadFraction-minReadFraction) // a status takes as long to spread in any case
 	if n < 2 {
-		return least
+		return 0
 	}
-	x := max(0, 1+math.Log(s.draw)/math.Log(float64(n)))
-	return least + time.Duration(x*float64(most-least))
+	return max(0, 1+math.Log(s.draw)/math.Log(float64(n)))
 }
--- a/control/control.go
+++ b/control/control.go
@@ -173,6 +173,7 @@
 	fetch           tablefetch.State // of the table
 	fetchTimer      *time.Timer      // calls continueFetch, or nil
 	lastSearch      time.Time        // when neighbours were last asked for a table
+	probedAt        time.Time        // when the control connections were last checked
 	kept            []keptTable      // the latest tables, the active one first
 	decoding        bool             // whether a table that was fetched is being decoded
 	decoded         decodedTable     // of the record that is being stored, if it was decoded before
--- a/control/neighbours.go
+++ b/control/neighbours.go
@@ -46,16 +46,39 @@
 			Zone:        c.self.Zone,
 			Control:     true,
 		},
-		Limits:   limits,
-		Counters: c.Counters,
-		Dial:     c.Dial,
-		OnSilence: func(e *peer.SilenceError) {
-			c.Log.Warn().Str("to", addr).Dur("silenceMs", e.Silence).Int("pending", e.Pending).Int("pings", e.Pings).Uint64("bytesWritten", e.BytesWritten).Dur("checkDelayMs", e.CheckDelay).Msg("control connection silent")
-			if c.ConnectionSilent != nil {
-				c.ConnectionSilent()
-			}
-		},
+		Limits:    limits,
+		Counters:  c.Counters,
+		Dial:      c.Dial,
+		OnSilence: func(e *peer.SilenceError) { c.connectionSilent(addr, e) },
+	}
+}
+
+// connectionSilent handles a control connection that is silent.
+func (c *Control) connectionSilent(addr string, e *peer.SilenceError) {
+	c.Log.Warn().Str("to", addr).Dur("silenceMs", e.Silence).Int("pending", e.Pending).Int("pings", e.Pings).Uint64("bytesWritten", e.BytesWritten).Dur("checkDelayMs", e.CheckDelay).Msg("control connection silent")
+	if c.ConnectionSilent != nil {
+		c.ConnectionSilent()
 	}
+	go c.ProbeConnections()
+}
+
+// probeInterval is the least time between two checks of all control connections.
+const probeInterval = time.Second
+
+// ProbeConnections checks whether the other nodes still respond on the open control connections: what has silenced one
+// may have silenced several at once. They are then replaced before a change of the configuration is sent there.
+func (c *Control) ProbeConnections() {
+	c.init()
+	c.do(func() {
+		now := time.Now()
+		if now.Sub(c.probedAt) < probeInterval {
+			return
+		}
+		c.probedAt = now
+		for _, p := range c.clients {
+			p.Probe()
+		}
+	})
 }
 
 // temporaryClient returns a client to fetch the state of the node at an address, and a function
--- a/control/tablefetch.go
+++ b/control/tablefetch.go
@@ -37,6 +37,7 @@
 	}
 	if c.fetch.AddOffer(from, offer, time.Now()) {
 		c.hearTable(offer.Version, from)
+		c.reads.TransferProgress(c.fetchBegan(), c.fetch.Progress())
 		c.continueFetch()
 	}
 	return nil
--- a/node/platform.go
+++ b/node/platform.go
@@ -91,8 +91,9 @@
 		Timeout: platformTimeout,
 
 		SilenceTimeout: min(platformTimeout, time.Duration(platformSilenceFraction*float64(n.maxConfigDelay()))),
-		OnSilence: func(idle time.Duration) {
-			n.Log.Warn().Dur("idleMs", idle).Msg("connection to the platform silent")
+		OnSilence: func(silence time.Duration) {
+			n.Log.Warn().Dur("silenceMs", silence).Msg("connection to the platform silent")
+			n.control.ProbeConnections()
 		},
 		OnSkipped:  n.objectSkipped,
 		ParseEra:   n.Platform.ParseEra,
--- a/objectapi/exchange.go
+++ b/objectapi/exchange.go
@@ -54,8 +54,8 @@
 	for pending := 1; ; {
 		select {
 		case <-silence.C:
-			if idle, reused := first.reused(); reused {
-				c.silent(idle)
+			if _, reused := first.reused(); reused {
+				c.silent(wait + c.SilenceTimeout)
 				start(new(connUse))
 				pending++
 			}
@@ -117,11 +117,11 @@
 	return nil, readError(use.annotate(err))
 }
 
-// silent handles a connection that is silent. The other open ones may be as well.
-func (c *JSONClient) silent(idle time.Duration) {
+// silent handles a connection that has been silent for the given time. The other open ones may be as well.
+func (c *JSONClient) silent(silence time.Duration) {
 	c.httpClient().CloseIdleConnections()
 	if c.OnSilence != nil {
-		c.OnSilence(idle)
+		c.OnSilence(silence)
 	}
 }
 
--- a/objectapi/jsonclient.go
+++ b/objectapi/jsonclient.go
@@ -44,12 +44,12 @@
 	// response may make no progress. Zero means 3 s.
 	Timeout time.Duration
 	// SilenceTimeout is how long a connection that has been used before may be silent, beyond the expected time of a
-	// response, until a call that reads is made on a new connection as well. It is also half of the time for which a
-	// response may make no progress. Zero means that calls are made once, and that Timeout applies.
+	// response, until a call that reads is made on a new connection as well. A response may make no progress
+	// for one and a half times as long. Zero means that calls are made once, and that Timeout applies.
 	SilenceTimeout time.Duration
-	// OnSilence, if not nil, is called when a connection is silent for the SilenceTimeout, with the time for which it had
-	// been idle before the call.
-	OnSilence func(idle time.Duration)
+	// OnSilence, if not nil, is called when a connection that has been used before is silent for the SilenceTimeout beyond
+	// the expected time of a response, or a response stalls, with the time for which it has been silent.
+	OnSilence func(silence time.Duration)
 	// Limiter bounds the rate of this process's calls, which wait for it. Nil means
 	// no bound.
 	Limiter *rate.Limiter
--- a/objectapi/progress.go
+++ b/objectapi/progress.go
@@ -66,9 +66,14 @@
 		bodyTimeout: timeout,
 	}
 	if c.SilenceTimeout > 0 {
-		t.bodyTimeout = min(timeout, 2*c.SilenceTimeout)
+		t.bodyTimeout = min(timeout, c.SilenceTimeout*3/2) // a packet that is lost twice comes within it
 	}
-	t.timer = time.AfterFunc(wait+timeout, func() { cancel(t.err(timeout)) })
+	t.timer = time.AfterFunc(wait+timeout, func() {
+		cancel(t.err(timeout))
+		if t.begun.Load() {
+			c.silent(t.bodyTimeout)
+		}
+	})
 	return context.WithValue(limited, stallKey{}, t), func() {
 		t.timer.Stop()
 		cancel(nil)
--- a/peer/link.go
+++ b/peer/link.go
@@ -36,6 +36,7 @@
 
 	mu        sync.Mutex
 	silent    chan struct{} // closed when the connection is found silent, or nil
+	probing   bool          // whether a probe is pending
 	lastID    uint64
 	exchanges map[uint64]*Exchange
 	requests  map[uint64]chan *Reply
@@ -49,6 +50,7 @@
 	wakeup   chan struct{} // holds a value once the first exchange or request has started, or l is retired
 	checks   atomic.Uint64 // how often monitor has checked the connection
 	silentAt atomic.Int64  // time of the last bytes received before the peer was found silent, or 0
+	probedAt atomic.Int64  // time of the last bytes received before the peer was probed, or 0
 }
 
 // alive returns whether there is a connection that has not ended.
@@ -159,13 +161,22 @@
 
 // markBusy records that an exchange or a request starts. The lock is held.
 func (l *link) markBusy() {
-	if len(l.exchanges)+len(l.requests) > 0 {
+	if l.pending() > 0 {
 		return
 	}
 	l.busySince = time.Now()
 	l.wakeMonitor()
 }
 
+// pending returns the number of open exchanges and requests, and of probes. The lock is held.
+func (l *link) pending() int {
+	n := len(l.exchanges) + len(l.requests)
+	if l.probing {
+		n++
+	}
+	return n
+}
+
 // find returns the open exchange with the given ID, or nil.
 func (l *link) find(id uint64) *Exchange {
 	l.mu.Lock()
@@ -253,6 +264,7 @@
 	case KindReport:
 		return handleMessage(payload, func(m *Report) error { l.deliverReport(m); return nil })
 	case KindPong:
+		l.endProbe()
 		return nil
 	}
 	return eris.Wrapf(ErrProtocol, "unexpected kind %d", k)
--- a/peer/monitor.go
+++ b/peer/monitor.go
@@ -12,7 +12,9 @@
 )
 
 // usable returns whether new calls may be sent on the connection.
-func (l *link) usable() bool { return l.alive() && !l.isSilent(l.limits.SilenceTimeout) }
+func (l *link) usable() bool {
+	return l.alive() && !l.isSilent(l.limits.SilenceTimeout) && l.probedAt.Load() != l.lastReceived.Load()
+}
 
 // isSilent returns whether something has been pending at the peer for the given timeout, and
 // nothing has been received meanwhile.
@@ -63,7 +65,8 @@
 			continue
 		}
 		waited = false
-		silence := min(l.silence(), busy)
+		last := l.lastReceived.Load()
+		silence := min(time.Since(timeBase)-time.Duration(last), busy)
 		if open > 0 && silence >= l.limits.SilenceTimeout/2 && l.ackTimedOut(&acks) {
 			l.closeWith(errAckTimeout)
 			return
@@ -76,7 +79,7 @@
 				BytesWritten: l.writtenSince.Load(),
 				Pending:      open,
 			}
-			l.reportSilence(silenceErr)
+			l.reportSilence(silenceErr, last)
 			if l.control && silence >= l.limits.SilenceLimit {
 				l.closeWith(silenceErr)
 				return
@@ -96,9 +99,9 @@
 	}
 }
 
-// reportSilence records that the peer is silent, and reports it once until something is received again.
-func (l *link) reportSilence(e *SilenceError) {
-	last := l.lastReceived.Load()
+// reportSilence records that the peer has been silent since the time last, and reports it once until something is received
+// again.
+func (l *link) reportSilence(e *SilenceError, last int64) {
 	if l.silentAt.Swap(last) == last {
 		return
 	}
@@ -136,7 +139,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case len(l.exchanges)+len(l.requests) > 0:
+	case l.pending() > 0:
 		return false
 	case l.retired:
 		l.closeWith(eris.New("replaced"))
@@ -170,7 +173,7 @@
 func (l *link) activity() (open int, idle, busy time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	open = len(l.exchanges) + len(l.requests)
+	open = l.pending()
 	if open == 0 {
 		return open, time.Since(l.idleSince), 0
 	}
