tablefetch, control: a node on a slow link receives each chunk of a table about once

Cause, the class of the earlier incident on a single node: after 150 ms what one node was asked for was requested from another, whether or not its bytes were arriving, from three nodes at once; a request ended after 1 s in all and what it had carried was lost; meanwhile the node read 1.3 MB from the platform over the same link, and sent chunks to others over the other direction, behind which its own requests waited.

- A response is overdue once nothing arrives from any node that was asked, or after three times the time expected at the rate of this fetch.
Nodes are asked one at a time until the rate is known, and on a slow link; three overdue ones do not end the fetch; what a node is asked for first counts as requested also if it has only a part.
- A fetch that makes progress postpones a node's own read for as long as eight times the bound, and a read whose response turns out to be large is abandoned while one does.
- A node on a slow link sends chunks with a quarter of it.

TestFetchOverSlowLink, TestFailedSourcesComeLast, TestReadIsAbandoned.

--- a/configsync/progress.go
+++ b/configsync/progress.go
@@ -26,8 +26,9 @@
 	maxReadingFraction = 0.5
 	// minWindowFraction is the least time in which the nodes read by themselves, one after the other.
 	minWindowFraction = 0.05
-	// maxFetchFraction is how long a fetch from other nodes may postpone a node's own read.
-	maxFetchFraction = 1.0
+	// maxFetchFraction is how long a fetch from other nodes that makes progress may postpone a node's own read, which moves ten
+	// times as many bytes over the same link.
+	maxFetchFraction = 8.0
 )
 
 // ReportInterval returns the time between two reports of the same read.
@@ -65,6 +66,9 @@
 	s.fetchHold = later(s.fetchHold, earlier(end, at.Add(s.fraction(progressFraction))))
 }
 
+// FetchInProgress returns whether a fetch from other nodes has made progress lately.
+func (s *State) FetchInProgress(now time.Time) bool { return now.Before(s.fetchHold) }
+
 // afterHolds returns the time of the node's own read, which is after the given fraction of the window from least to most. What
 // postpones it shortens the window, and moves its end if need be: nodes that are postponed until the same time read one
 // after the other from then on.
--- a/configsync/state.go
+++ b/configsync/state.go
@@ -252,6 +252,9 @@
 	s.queriedFor = time.Time{} // the reads of others may have succeeded since
 }
 
+// ReadAbandoned records that the node has ended its own read, as it fetches the table from other nodes.
+func (s *State) ReadAbandoned(now time.Time) { s.lastRead = now }
+
 // recordFailure records a failed read.
 func (s *State) recordFailure(failure uint64, at time.Time) {
 	s.failure = failure
--- a/control/control.go
+++ b/control/control.go
@@ -170,15 +170,16 @@
 	lastRoleAt      time.Time       // when lastRole was determined
 	lastRole        configsync.Role
 	publishLimiter  publishLimiter
-	fetch           tablefetch.State // of the table
-	fetchTimer      *time.Timer      // calls continueFetch, or nil
-	lastSearch      time.Time        // when neighbours were last asked for a table
-	probedAt        time.Time        // when the control connections were last checked
-	kept            []keptTable      // the latest tables, the active one first
-	decoding        bool             // whether a table that was fetched is being decoded
-	decoded         decodedTable     // of the record that is being stored, if it was decoded before
-	fetchingRecords bool             // whether a request for the evacuated zones and roll-outs is in progress
-	linkFreeAt      time.Time        // when chunks may be sent again
+	fetch           tablefetch.State  // of the table
+	fetchTimer      *time.Timer       // calls continueFetch, or nil
+	fetchReceived   map[string]uint64 // bytes received by the clients of nodes that have been asked, at the last look
+	lastSearch      time.Time         // when neighbours were last asked for a table
+	probedAt        time.Time         // when the control connections were last checked
+	kept            []keptTable       // the latest tables, the active one first
+	decoding        bool              // whether a table that was fetched is being decoded
+	decoded         decodedTable      // of the record that is being stored, if it was decoded before
+	fetchingRecords bool              // whether a request for the evacuated zones and roll-outs is in progress
+	linkFreeAt      time.Time         // when chunks may be sent again
 	comparing       bool
 	suspects        map[string]time.Time // the end of the suspicion, by node
 	searches        rejoin.Searches
@@ -235,6 +236,7 @@
 		})
 		c.nextChanged = make(chan struct{}, 1)
 		c.fetch.Random = c.random
+		c.fetchReceived = make(map[string]uint64)
 		if c.ServiceConfig != nil {
 			c.reads = configsync.New(maxDelay, time.Now(), c.random)
 		}
--- a/control/reads.go
+++ b/control/reads.go
@@ -142,6 +142,20 @@
 	})
 }
 
+// IsFetching returns whether the node has the index of a later table from another node, and its fetch makes progress: what
+// remains to be fetched is a tenth of what the platform would send.
+func (c *Control) IsFetching() (fetching bool) {
+	c.init()
+	c.do(func() { fetching = c.fetch.Assembly() != nil && c.reads.FetchInProgress(time.Now()) })
+	return fetching
+}
+
+// RecordAbandonedRead records that the node has ended its own read of the platform because IsFetching was true.
+func (c *Control) RecordAbandonedRead() {
+	c.init()
+	c.do(func() { c.reads.ReadAbandoned(time.Now()) })
+}
+
 // QueryNeighbours requests the status of the latest read from a few neighbours.
 func (c *Control) QueryNeighbours(ctx context.Context) {
 	c.do(func() { c.queryNeighbours(ctx) })
--- a/control/tablefetch.go
+++ b/control/tablefetch.go
@@ -20,10 +20,8 @@
 )
 
 const (
-	// tableRequestTimeout bounds a request for an index, or for as many chunks as chunkReplyBytes.
+	// tableRequestTimeout is the time without received bytes after which a request for a table, or a part of it, ends.
 	tableRequestTimeout = time.Second
-	// wholeTableTimeout bounds a request for a whole table.
-	wholeTableTimeout = 5 * time.Second
 	// searchAfter is the time without progress after which a node that fetches a table asks neighbours that
 	// have not offered it.
 	searchAfter = 200 * time.Millisecond
@@ -37,7 +35,6 @@
 	}
 	if c.fetch.AddOffer(from, offer, time.Now()) {
 		c.hearTable(offer.Version, from)
-		c.reads.TransferProgress(c.fetchBegan(), c.fetch.Progress())
 		c.continueFetch()
 	}
 	return nil
@@ -52,6 +49,7 @@
 // continueFetch sends the next requests for a table, and schedules the ones after them.
 func (c *Control) continueFetch() {
 	now := time.Now()
+	c.recordHeard(now)
 	requests, again := c.fetch.Next(now)
 	for _, r := range requests {
 		c.sendFetch(r)
@@ -69,6 +67,26 @@
 	c.fetchTimer = time.AfterFunc(again.Sub(now), func() { c.do(c.continueFetch) })
 }
 
+// recordHeard records from which of the nodes that have been asked for parts of a table bytes have been received.
+func (c *Control) recordHeard(now time.Time) {
+	received := make(map[string]uint64)
+	for _, id := range c.fetch.Asked() {
+		record, ok := c.members.Set.Get(id)
+		if !ok {
+			continue
+		}
+		n := c.client(record.Addr).ReceivedBytes()
+		if before, ok := c.fetchReceived[id]; ok && n != before {
+			c.fetch.Heard(id, now)
+		}
+		received[id] = n
+	}
+	c.fetchReceived = received
+	if version, began := c.fetch.Fetching(); version > 0 {
+		c.reads.TransferProgress(began, c.fetch.Progress())
+	}
+}
+
 // sendFetch sends a request for a part of a table.
 func (c *Control) sendFetch(r tablefetch.Request) {
 	record, ok := c.members.Set.Get(r.Source)
@@ -78,12 +96,13 @@
 	}
 	p := c.client(record.Addr)
 	began, before := time.Now(), p.ReceivedBytes()
+	c.fetchReceived[r.Source] = before
 	end := func(err error) {
 		c.recordFetch(TableFetch{
 			Source:  SourcePeer,
 			From:    r.Source,
 			Version: r.Version,
-			Bytes:   receivedSince(before, p.ReceivedBytes()),
+			Bytes:   p.ReceivedBytes() - before,
 			Took:    time.Since(began),
 			Err:     err,
 		})
@@ -102,18 +121,9 @@
 	}
 }
 
-// receivedSince returns the number of bytes received between two counts of a client, which begin anew with each
-// connection.
-func receivedSince(before, now uint64) uint64 {
-	if now < before {
-		return now
-	}
-	return now - before
-}
-
 // fetchIndex requests an index, and then continues the fetch.
 func (c *Control) fetchIndex(r tablefetch.Request, p *peer.Client, q indexQuery, end func(error)) {
-	ctx, cancel := context.WithTimeout(context.Background(), tableRequestTimeout)
+	ctx, cancel := p.WithProgressTimeout(context.Background(), tableRequestTimeout)
 	defer cancel()
 	reply, err := peer.SendRequest[indexQuery, indexReply](ctx, p, topicTableIndex, q)
 	c.do(func() {
@@ -171,13 +181,13 @@
 
 // fetchChunks requests chunks, and then continues the fetch.
 func (c *Control) fetchChunks(r tablefetch.Request, p *peer.Client, end func(error)) {
-	ctx, cancel := context.WithTimeout(context.Background(), tableRequestTimeout)
+	ctx, cancel := p.WithProgressTimeout(context.Background(), tableRequestTimeout)
 	defer cancel()
 	q := chunksQuery{
 		Root: r.Root.Raw(),
 		Want: r.Want,
 	}
-	reply, err := peer.SendRequest[chunksQuery, chunksReply](ctx, p, topicTableChunks, q)
+	reply, err := peer.SendRequestOnce[chunksQuery, chunksReply](ctx, p, topicTableChunks, q)
 	c.do(func() {
 		if err == nil {
 			_, err = c.fetch.ChunksReceived(r.Source, r.Root, reply.Parts, reply.RetryAfter, time.Now())
@@ -190,18 +200,11 @@
 		if err != nil {
 			end(err)
 		}
-		c.reads.TransferProgress(c.fetchBegan(), c.fetch.Progress())
 		c.completeFetch()
 		c.continueFetch()
 	})
 }
 
-// fetchBegan returns when the fetch in progress began.
-func (c *Control) fetchBegan() time.Time {
-	_, began := c.fetch.Fetching()
-	return began
-}
-
 // completeFetch applies the table that is being fetched if nothing is missing.
 func (c *Control) completeFetch() {
 	a := c.fetch.Assembly()
@@ -258,7 +261,7 @@
 
 // fetchWhole requests a whole table of a node whose software has no indexes.
 func (c *Control) fetchWhole(r tablefetch.Request, p *peer.Client, end func(error)) {
-	ctx, cancel := context.WithTimeout(context.Background(), wholeTableTimeout)
+	ctx, cancel := p.WithProgressTimeout(context.Background(), tableRequestTimeout)
 	defer cancel()
 	reply, err := peer.SendRequest[struct{}, reconcile.Records[acceptance.Config]](ctx, p, topicTable, struct{}{})
 	c.do(func() {
@@ -285,7 +288,7 @@
 	p := c.client(record.Addr)
 	q := indexQuery{Version: c.snapshotVersion()}
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), tableRequestTimeout)
+		ctx, cancel := p.WithProgressTimeout(context.Background(), tableRequestTimeout)
 		defer cancel()
 		reply, err := peer.SendRequest[indexQuery, indexReply](ctx, p, topicTableIndex, q)
 		if errors.Is(err, peer.ErrRefused) {
--- a/control/tableserve.go
+++ b/control/tableserve.go
@@ -159,9 +159,17 @@
 // requests, so chunks for several nodes are sent one after the other.
 func (c *Control) linkBusy() time.Duration { return time.Until(c.linkFreeAt) }
 
-// takeLink records that chunks of the given size are sent.
+// slowLinkShare is the fraction of a slow link that is used to send chunks.
+const slowLinkShare = 0.25
+
+// takeLink records that chunks of the given size are sent. Over a slow link few are sent, so that the node's own requests for
+// chunks do not wait behind them: other nodes have other sources.
 func (c *Control) takeLink(size int) {
-	if c.TableBandwidth > 0 {
-		c.linkFreeAt = time.Now().Add(time.Duration(float64(size) / c.TableBandwidth * float64(time.Second)))
+	bandwidth := c.TableBandwidth
+	if rate := slowLinkShare * c.fetch.SlowRate(); rate > 0 && (bandwidth == 0 || rate < bandwidth) {
+		bandwidth = rate
+	}
+	if bandwidth > 0 {
+		c.linkFreeAt = time.Now().Add(time.Duration(float64(size) / bandwidth * float64(time.Second)))
 	}
 }
--- a/node/configsync.go
+++ b/node/configsync.go
@@ -218,14 +218,23 @@
 // wait.
 func (n *Node) readConfig(ctx context.Context, r *configReader, wait time.Duration) {
 	began, before := time.Now(), n.platformClient.ReceivedBytes()
+	reading, cancel := context.WithCancel(ctx)
+	defer cancel()
 	reporter := readReporter{
-		report:   n.control.ReportRead,
-		interval: n.control.ReportInterval(),
+		report:     n.control.ReportRead,
+		interval:   n.control.ReportInterval(),
+		isFetching: n.control.IsFetching,
+		abandon:    cancel,
 	}
-	err := r.Read(objectapi.WithProgress(ctx, reporter.progress), wait)
+	err := r.Read(objectapi.WithProgress(reading, reporter.progress), wait)
 	if ctx.Err() != nil {
 		return
 	}
+	if err != nil && reading.Err() != nil {
+		n.Log.Info().Dur("tookMs", time.Since(began)).Uint64("bytes", n.platformClient.ReceivedBytes()-before).Msg("read abandoned: other nodes send the configuration")
+		n.control.RecordAbandonedRead()
+		return
+	}
 	if err != nil {
 		n.Log.Warn().Err(err).Dur("tookMs", time.Since(began)).Uint64("bytes", n.platformClient.ReceivedBytes()-before).Msg("configuration not read")
 	}
@@ -236,14 +245,22 @@
 // received.
 const largeReadBytes = 32 << 10
 
-// readReporter reports the progress of a read with a large response.
+// fetchCheckInterval is the least time between two checks, during a read with a large response, of whether the node fetches
+// the table from other nodes.
+const fetchCheckInterval = 25 * time.Millisecond
+
+// readReporter reports the progress of a read with a large response, and abandons it if the node fetches the table
+// from other nodes: both would take the same link.
 type readReporter struct {
-	report   func(began time.Time)
-	interval time.Duration
+	report     func(began time.Time)
+	interval   time.Duration
+	isFetching func() bool
+	abandon    func()
 
 	began    time.Time // when the present response began
 	received int       // bytes of the present response
 	reported time.Time // when progress was last reported
+	checked  time.Time // when the node was last found not to fetch the table
 }
 
 // progress records the number of bytes of a response that have been received.
@@ -253,7 +270,17 @@
 		r.began = now
 	}
 	r.received = received
-	if received < largeReadBytes || now.Sub(r.reported) < r.interval {
+	if received < largeReadBytes {
+		return
+	}
+	if now.Sub(r.checked) >= fetchCheckInterval {
+		if r.isFetching() {
+			r.abandon()
+			return
+		}
+		r.checked = now
+	}
+	if now.Sub(r.reported) < r.interval {
 		return
 	}
 	r.reported = now
--- a/node/configsync_test.go
+++ b/node/configsync_test.go
@@ -107,3 +107,35 @@
 		})
 	}
 }
+
+// TestReadIsAbandoned guards against a node that reads a large table over its link while other nodes send it a tenth of
+// that: a read is abandoned once its response is large and the table is being fetched, and reported otherwise.
+func TestReadIsAbandoned(t *testing.T) {
+	for name, row := range map[string]struct {
+		received  []int
+		fetching  bool
+		abandoned bool
+		reports   int
+	}{
+		"a large response":                         {[]int{largeReadBytes}, false, false, 1},
+		"a small response, while fetching":         {[]int{largeReadBytes - 1}, true, false, 0},
+		"a large response, while fetching":         {[]int{1, largeReadBytes}, true, true, 0},
+		"the next response is small, and fetching": {[]int{largeReadBytes - 1, 1}, true, false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var abandoned bool
+			var reports int
+			r := readReporter{
+				report:     func(time.Time) { reports++ },
+				interval:   time.Second,
+				isFetching: func() bool { return row.fetching },
+				abandon:    func() { abandoned = true },
+			}
+			for _, n := range row.received {
+				r.progress(n)
+			}
+			qt.Check(t, abandoned, qt.Equals, row.abandoned)
+			qt.Check(t, reports, qt.Equals, row.reports)
+		})
+	}
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -52,6 +53,8 @@
 	dialErr    error              // of the last dial
 	stopped    bool
 	silentRow  int // control connections in a row that were found silent
+
+	received atomic.Uint64 // bytes received on all connections, those of incomplete frames included
 }
 
 // maxSilentRow bounds how often the silence timeout of control connections is doubled.
@@ -169,6 +172,7 @@
 		return nil, err
 	}
 	n := newConn(raw, limits, c.Counters)
+	n.received = &c.received
 	// Closing ends all use of the connection; a deadline would be replaced by those of the handshake.
 	stop := context.AfterFunc(ctx, func() { n.closeWith(context.Cause(ctx)) })
 	other, err := n.handshake(c.Hello, true)
@@ -245,16 +249,8 @@
 	return c.current.peer.Node
 }
 
-// ReceivedBytes returns the number of bytes received on the connection for new calls, those of
-// incomplete frames included, or 0 if there is none.
-func (c *Client) ReceivedBytes() uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.current == nil {
-		return 0
-	}
-	return c.current.received.Load()
-}
+// ReceivedBytes returns the number of bytes received on all connections so far, those of incomplete frames included.
+func (c *Client) ReceivedBytes() uint64 { return c.received.Load() }
 
 // connectLive returns a connection that the peer is not known to have closed. A call written
 // to a connection that the peer has closed would have to count as one that may have run.
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -43,9 +43,9 @@
 	limits       Limits
 	counters     *Counters
 	reader       *bufio.Reader
-	lastReceived atomic.Int64  // time of the last bytes received, in ns since timeBase
-	writtenSince atomic.Uint64 // bytes written since then
-	received     atomic.Uint64 // bytes received, those of incomplete frames included
+	lastReceived atomic.Int64   // time of the last bytes received, in ns since timeBase
+	writtenSince atomic.Uint64  // bytes written since then
+	received     *atomic.Uint64 // counts the bytes received, those of incomplete frames included; or nil
 
 	writeLock chan struct{} // holds a value while frames are written
 
@@ -91,7 +91,9 @@
 func (r *activityReader) Read(p []byte) (int, error) {
 	n, err := r.conn.Conn.Read(p)
 	if n > 0 {
-		r.conn.received.Add(uint64(n))
+		if r.conn.received != nil {
+			r.conn.received.Add(uint64(n))
+		}
 		r.conn.markReceived()
 	}
 	return n, err
--- a/peer/request.go
+++ b/peer/request.go
@@ -25,6 +25,17 @@
 
 // SendRequest sends a control request to a peer and decodes its reply.
 func SendRequest[Q, A any](ctx context.Context, p *Client, topic string, q Q) (A, error) {
+	return sendRequest[Q, A](ctx, p, topic, q, maxRequestLinks)
+}
+
+// SendRequestOnce is like SendRequest, but sends the request on one connection only. It is for requests with large replies that are
+// sent to another peer if no reply comes.
+func SendRequestOnce[Q, A any](ctx context.Context, p *Client, topic string, q Q) (A, error) {
+	return sendRequest[Q, A](ctx, p, topic, q, 1)
+}
+
+// sendRequest sends a control request on the given number of connections at most, and decodes the reply.
+func sendRequest[Q, A any](ctx context.Context, p *Client, topic string, q Q, links int) (A, error) {
 	var none A
 	if p == nil {
 		return none, ErrNoClient
@@ -33,7 +44,7 @@
 	if err != nil {
 		return none, eris.Wrap(err, "encode "+topic)
 	}
-	reply, err := p.Request(ctx, topic, payload)
+	reply, err := p.request(ctx, topic, payload, links)
 	if err != nil {
 		return none, err
 	}
--- a/tablefetch/state.go
+++ b/tablefetch/state.go
@@ -12,13 +12,21 @@
 )
 
 const (
-	// maxRequests is the number of nodes from which chunks are requested at once.
+	// maxRequests is the number of nodes from which chunks are requested at once, without those whose responses are overdue.
 	maxRequests = 3
+	// maxParallelTime is the expected time of a response above which chunks are requested from one node at a time.
+	maxParallelTime = 250 * time.Millisecond
+	// maxOpenRequests is the number of nodes from which chunks are requested at once, with those.
+	maxOpenRequests = 6
 	// claimedChunks is the number of chunks in a request to a node that has all of them.
 	claimedChunks = 8
-	// hedgeTimeout is the time after which what one node was asked for is requested from another as well.
+	// hedgeTimeout is the time without received bytes after which what one node was asked for is requested from another as
+	// well.
 	hedgeTimeout = 150 * time.Millisecond
-	// stallTimeout is the time without a new chunk after which a later version replaces the one that is being
+	// slowFactor is how many times as long as at the highest rate of this fetch a node may take to send chunks until they
+	// are requested from another as well.
+	slowFactor = 3
+	// stallTimeout is the time without received bytes after which a later version replaces the one that is being
 	// fetched.
 	stallTimeout = 300 * time.Millisecond
 	// retryPause is the wait after a failure of a node, doubled for each further one, and after a response
@@ -26,6 +34,8 @@
 	retryPause = 30 * time.Millisecond
 	// maxFailures is the number of failures in a row after which a node is no longer asked.
 	maxFailures = 3
+	// requestBytes is the size of the chunks that one request asks for, at most about.
+	requestBytes = 16 << 10
 	// maxSources is the number of nodes whose offers are kept.
 	maxSources = 16
 )
@@ -75,7 +85,9 @@
 	failures  int       // in a row
 	asked     bool      // whether a request is in progress
 	askedAt   time.Time
-	claimed   []int // chunks of that request that are not requested from other nodes
+	heardAt   time.Time // when bytes were last received from it
+	hasSent   bool      // whether its last response had chunks
+	claimed   []int     // the first chunks of that request, which are not requested from other nodes
 }
 
 // State is what one node knows of the versions that others offer, and has received of the one that it fetches. The
@@ -92,7 +104,9 @@
 	partial  *chunk.Assembly // the last one that was abandoned, or nil
 	progress time.Time       // when the fetch of the version began, or last made progress
 	began    time.Time
-	received uint64 // bytes of chunks that were missing, since then
+	received uint64    // bytes of chunks that were missing, since then
+	heardAt  time.Time // when bytes were last received from a node that has been asked
+	bestRate float64   // highest rate at which a node has sent chunks lately, in bytes per second
 }
 
 // SetActive records that a version is in force, with its chunks and those of earlier ones that may be reused. A
@@ -156,6 +170,7 @@
 	s.progress = now
 	s.began = now
 	s.received = 0
+	s.bestRate = 0
 }
 
 // latest returns the latest version that is offered, or 0.
@@ -173,7 +188,30 @@
 func (s *State) ReceivedBytes() uint64 { return s.received }
 
 // Progress returns when the fetch in progress began or last received something.
-func (s *State) Progress() time.Time { return s.progress }
+func (s *State) Progress() time.Time {
+	if s.heardAt.After(s.progress) {
+		return s.heardAt
+	}
+	return s.progress
+}
+
+// Heard records that bytes have been received from a node that has been asked, maybe of an incomplete response.
+func (s *State) Heard(id string, now time.Time) {
+	if o := s.sources[id]; o != nil && o.asked {
+		o.heardAt = now
+		s.heardAt = now
+	}
+}
+
+// Asked returns the nodes from which a response is pending.
+func (s *State) Asked() (ids []string) {
+	for id, o := range s.sources {
+		if o.asked {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
 
 // Assembly returns what has been received of the version that is being fetched, or nil if its index is not
 // known yet.
@@ -183,7 +221,7 @@
 // before. The time is zero if there is nothing to fetch.
 func (s *State) Next(now time.Time) (requests []Request, again time.Time) {
 	latest := s.latest()
-	if s.version > latest || s.version != 0 && s.version < latest && now.Sub(s.progress) >= stallTimeout {
+	if s.version > latest || s.version != 0 && s.version < latest && now.Sub(s.Progress()) >= stallTimeout {
 		s.abandon()
 	}
 	if s.version == 0 {
@@ -205,7 +243,7 @@
 // nextRequest returns one request to send now, if there is one.
 func (s *State) nextRequest(now time.Time) (Request, bool) {
 	open, overdue := s.openRequests(now)
-	if open >= maxRequests || s.assembly == nil && open > overdue {
+	if open-overdue >= s.parallelRequests() || open >= maxOpenRequests || s.assembly == nil && open > overdue {
 		return Request{}, false
 	}
 	id, o := s.choose(now)
@@ -234,6 +272,29 @@
 	return r, true
 }
 
+// parallelRequests returns the number of nodes from which chunks are requested at once. It is 1 until the rate is known, and on a
+// slow link, over which responses that come at once are all late.
+func (s *State) parallelRequests() int {
+	if s.bestRate == 0 || s.SlowRate() > 0 {
+		return 1
+	}
+	return maxRequests
+}
+
+// SlowRate returns the rate at which chunks have been received, in bytes per second, if the node's link seems to be slow, and 0
+// otherwise.
+func (s *State) SlowRate() float64 {
+	if s.bestRate == 0 || s.expectedTime() <= maxParallelTime {
+		return 0
+	}
+	return s.bestRate
+}
+
+// expectedTime returns the expected time of a response with chunks. The rate must be known.
+func (s *State) expectedTime() time.Duration {
+	return time.Duration(requestBytes / s.bestRate * float64(time.Second))
+}
+
 // openRequests returns the number of requests in progress, and that of those from which a response is overdue.
 func (s *State) openRequests(now time.Time) (open, overdue int) {
 	for _, o := range s.sources {
@@ -241,19 +302,45 @@
 			continue
 		}
 		open++
-		if now.Sub(o.askedAt) >= hedgeTimeout {
+		if s.overdue(o, now) {
 			overdue++
 		}
 	}
 	return open, overdue
 }
 
-// choose returns a node to send a request to, or nil. Nodes that have all of the version come first, and nodes
-// whose software has no indexes last: they are chosen while no other has offered the version.
+// overdue returns whether a node that has been asked takes too long. While bytes of other nodes arrive, the node's own link may
+// be what is slow, and a second copy of the same chunks would make it slower.
+func (s *State) overdue(o *source, now time.Time) bool {
+	heard := later(o.askedAt, later(o.heardAt, s.heardAt))
+	if s.bestRate == 0 {
+		return now.Sub(heard) >= hedgeTimeout
+	}
+	expected := s.expectedTime()
+	return now.Sub(heard) >= max(hedgeTimeout, expected/2) || now.Sub(o.askedAt) >= max(hedgeTimeout, slowFactor*expected)
+}
+
+// later returns the later time.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// choose returns a node to send a request to, or nil. Nodes whose last request has failed come after all others. Where one node
+// is asked at a time, that is one which has sent chunks before: the link of another may be slow as well. Nodes that have
+// all of the version come first, and nodes whose software has no indexes last: they are chosen while no other has offered the version.
 func (s *State) choose(now time.Time) (id string, chosen *source) {
 	best, ties := 0, 0
 	for other, o := range s.sources {
 		rank := o.rank(s.version)
+		if o.failures == 0 && rank > 0 {
+			rank += highestRank
+		}
+		if s.parallelRequests() == 1 && o.hasSent && rank > 0 {
+			rank += 2 * highestRank
+		}
 		if rank == 0 || o.asked || now.Before(o.notBefore) || o.Root.IsZero() && !s.onlyWhole() {
 			continue
 		}
@@ -271,6 +358,9 @@
 	return id, chosen
 }
 
+// highestRank is the highest result of rank.
+const highestRank = 4
+
 // rank returns how likely a node has the chunks of a version; 0 means not at all.
 func (o *source) rank(version uint64) int {
 	switch {
@@ -279,7 +369,7 @@
 	case o.Root.IsZero():
 		return 1
 	case o.Version == version && o.Complete:
-		return 4
+		return highestRank
 	case o.Version == version:
 		return 3
 	}
@@ -296,13 +386,13 @@
 	return true
 }
 
-// want returns the chunks to request from a node: a few that are requested from no other, beginning at a random
-// one, if it has all, and otherwise all that are missing. Once all missing ones are requested, those of overdue
-// requests are requested again.
+// want returns the chunks to request from a node, beginning at a random one: a few that are requested from no other if it has
+// all, and otherwise all that are missing and requested from no other, as it sends the first of them that it has. Once all missing
+// ones are requested, those of overdue requests are requested again.
 func (s *State) want(o *source, now time.Time) []int {
 	claimed := make(map[int]bool)
 	for _, other := range s.sources {
-		if other.asked && now.Sub(other.askedAt) < hedgeTimeout {
+		if other.asked && !s.overdue(other, now) {
 			for _, i := range other.claimed {
 				claimed[i] = true
 			}
@@ -324,9 +414,7 @@
 			break
 		}
 	}
-	if limit == claimedChunks {
-		o.claimed = list
-	}
+	o.claimed = list[:min(len(list), claimedChunks)]
 	return list
 }
 
@@ -336,7 +424,10 @@
 	for _, o := range s.sources {
 		at := o.notBefore
 		if o.asked {
-			at = o.askedAt.Add(hedgeTimeout)
+			at = later(o.askedAt, o.heardAt).Add(hedgeTimeout)
+		}
+		if o.asked && !at.After(now) {
+			at = now.Add(hedgeTimeout / 2)
 		}
 		if at.After(now) && at.Before(again) {
 			again = at
@@ -372,6 +463,7 @@
 // number of bytes that were missing, and an error if a chunk is another one than the index says.
 func (s *State) ChunksReceived(id string, root chunk.Digest, parts []Part, retryAfter time.Duration, now time.Time) (added int, err error) {
 	if s.assembly != nil && s.assembly.Root() == root {
+		s.recordRate(id, parts, now)
 		for _, p := range parts {
 			isNew, err := s.assembly.Put(p.Position, p.Data)
 			if err != nil {
@@ -387,11 +479,29 @@
 	}
 	s.ended(id, now)
 	if o := s.sources[id]; o != nil && len(parts) == 0 {
+		o.hasSent = false
 		o.notBefore = now.Add(max(retryAfter, retryPause))
 	}
 	return added, nil
 }
 
+// recordRate records how fast a node has sent chunks.
+func (s *State) recordRate(id string, parts []Part, now time.Time) {
+	o := s.sources[id]
+	size := 0
+	for _, p := range parts {
+		size += len(p.Data)
+	}
+	if o == nil || size == 0 || !now.After(o.askedAt) {
+		return
+	}
+	o.hasSent = true
+	s.bestRate = max(rateDecay*s.bestRate, float64(size)/now.Sub(o.askedAt).Seconds())
+}
+
+// rateDecay is what remains of an earlier rate with each response: a link may have become slower.
+const rateDecay = 0.7
+
 // ended records that a node has responded.
 func (s *State) ended(id string, now time.Time) {
 	o := s.sources[id]
@@ -415,6 +525,7 @@
 	o.asked = false
 	o.claimed = nil
 	o.failures++
+	o.hasSent = false
 	o.notBefore = now.Add(retryPause << o.failures)
 	if o.failures >= maxFailures || o.Version <= s.active {
 		delete(s.sources, id)
--- a/tablefetch/state_test.go
+++ b/tablefetch/state_test.go
@@ -241,3 +241,90 @@
 		_, _ = s.ChunksReceived(q.Source, q.Root, parts(objects[q.Version], q.Want), 0, now)
 	}
 }
+
+// TestFetchOverSlowLink guards against chunks that are received several times over a slow link, one after the other and from several
+// nodes at once, and so never all: the incident CONFIG. Four nodes respond over one link; a response takes as long as its bytes.
+func TestFetchOverSlowLink(t *testing.T) {
+	for name, row := range map[string]struct {
+		rate   float64 // of the link, in bytes per second
+		silent string  // node that does not respond
+		most   float64 // received bytes, as a multiple of the table
+		within float64 // time, as a multiple of that for which the link carries the table once
+	}{
+		"slow link":                  {20e3, "", 1.01, 1.1},
+		"slow link, one node silent": {20e3, "a", 1.2, 1.5},
+		"fast link":                  {10e6, "", 1.01, 3},
+		"fast link, one node silent": {10e6, "a", 1.2, 30},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := chunk.New(content(2, 300<<10))
+			total := 0
+			for i := range o.Index() {
+				total += len(o.Chunk(i))
+			}
+			s := newState(4)
+			for _, id := range []string{"a", "b", "c", "d"} {
+				qt.Assert(t, s.AddOffer(id, offerOf(2, o), start), qt.IsTrue)
+			}
+			requests, _ := s.Next(start)
+			s.IndexReceived(requests[0].Source, offerOf(2, o), o.Index(), start)
+			const step = time.Millisecond
+			var pending []Request // the link carries their responses in order
+			var carried float64   // bytes of the first of them
+			received := 0
+			now := start
+			for s.Assembly().Missing() > 0 {
+				requests, _ := s.Next(now)
+				for _, r := range requests {
+					if r.Source != row.silent {
+						pending = append(pending, r)
+					}
+				}
+				now = now.Add(step)
+				if len(pending) == 0 {
+					continue
+				}
+				r := pending[0]
+				s.Heard(r.Source, now)
+				carried += row.rate * step.Seconds()
+				response := parts(o, r.Want)
+				size := 0
+				for _, p := range response {
+					size += len(p.Data)
+				}
+				if carried < float64(size) {
+					continue
+				}
+				carried = 0
+				received += size
+				pending = pending[1:]
+				_, err := s.ChunksReceived(r.Source, r.Root, response, 0, now)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, now.Sub(start) < time.Minute, qt.IsTrue)
+			}
+			qt.Check(t, float64(received) <= row.most*float64(total), qt.IsTrue, qt.Commentf("%d bytes received of a table of %d", received, total))
+			once := float64(total) / row.rate
+			qt.Check(t, now.Sub(start).Seconds() <= row.within*once, qt.IsTrue, qt.Commentf("after %v, the link carries the table in %.3f s", now.Sub(start), once))
+		})
+	}
+}
+
+// TestFailedSourcesComeLast checks that a node whose request has failed is asked again only if there is no other.
+func TestFailedSourcesComeLast(t *testing.T) {
+	o := chunk.New(content(2, 300<<10))
+	s := newState(1)
+	s.AddOffer("a", offerOf(2, o), start)
+	requests, _ := s.Next(start)
+	qt.Assert(t, requests, qt.HasLen, 1)
+	s.Failed("a", start)
+	partial := offerOf(2, o)
+	partial.Complete = false
+	s.AddOffer("b", partial, start)
+	now := start.Add(time.Second)
+	requests, _ = s.Next(now)
+	qt.Assert(t, requests, qt.HasLen, 1)
+	qt.Check(t, requests[0].Source, qt.Equals, "b")
+	s.Failed("b", now)
+	requests, _ = s.Next(now.Add(time.Second))
+	qt.Check(t, requests, qt.HasLen, 1)
+}
