configsync: a node asks for the status of a read that was reported and did not reach it

The status of a read reaches one node in fifty not at all; such a node asks others, once for each status, and had asked before the read had ended. Reports of the read then postponed its own for 0.75 s.

The node now asks again 0.15 of the bound after the last report of a read in progress.

--- a/configsync/state.go
+++ b/configsync/state.go
@@ -44,6 +44,8 @@
 	// queryFraction is the age of the latest read at which a node requests a later status from two others: a
 	// status that each node forwards to four others does not reach one node in fifty.
 	queryFraction = 0.47
+	// reportedQueryFraction is the time after the last report of a read in progress at which a node does so too.
+	reportedQueryFraction = 0.15
 	// minReadFraction and maxReadFraction are the ages between which nodes read by themselves.
 	minReadFraction = 0.55
 	maxReadFraction = 0.75
@@ -125,7 +127,7 @@
 	lastRead         time.Time // when the node's own last read ended
 	failing          bool      // whether the node's own last read failed
 	isolatedReads    int       // own reads since anything was received from others
-	queriedFor       time.Time // the start of the wait for which others were queried
+	queriedAt        time.Time // the due time of the latest query
 	drawnFor         time.Time // the start of the wait for which draw was drawn
 	draw             float64   // uniform in (0, 1]
 
@@ -249,7 +251,7 @@
 		return
 	}
 	s.recordFailure(s.failure+1, now)
-	s.queriedFor = time.Time{} // the reads of others may have succeeded since
+	s.queriedAt = time.Time{} // the reads of others may have succeeded since
 }
 
 // ReadAbandoned records that the node has ended its own read, as it fetches the table from other nodes.
@@ -297,18 +299,24 @@
 	if !now.Before(due) {
 		return action, now
 	}
-	since := s.waitStart()
-	queryAt := since.Add(s.fraction(queryFraction))
+	queryAt := s.nextQuery()
 	switch {
-	case role.IsLeader || role.Nodes < 2 || s.queriedFor.Equal(since) || !queryAt.Before(due):
+	case role.IsLeader || role.Nodes < 2 || s.queriedAt.Equal(queryAt) || !queryAt.Before(due):
 		return Wait, due
 	case now.Before(queryAt):
 		return Wait, queryAt
 	}
-	s.queriedFor = since
+	s.queriedAt = queryAt
 	return Query, now
 }
 
+// nextQuery returns the time at which the node requests a status from others unless it receives one. If another node's read has
+// made progress, that is some time after its last report: the status of that read may be one of those that do not reach the node.
+func (s *State) nextQuery() time.Time {
+	at := s.waitStart().Add(s.fraction(queryFraction))
+	return later(at, s.readingHold.Add(-s.fraction(progressFraction-reportedQueryFraction)))
+}
+
 // ownRead returns the node's own next read, and its time.
 func (s *State) ownRead(role Role) (Action, time.Time) {
 	if role.IsLeader && !s.platformDown() {
