peer: a request whose time has ended on a silent connection has the next one take another

The same cause elsewhere: exchanges about rate limits (250 ms) and reports of roll-outs (300 ms) end before the silence timeout of their connections (600 ms and 3 s). The time for which something is pending begins anew with each of them, so a connection that had fallen silent was never found silent, and each exchange with that node was lost until the kernel gave up.

A request that ends for lack of time, and since whose beginning nothing was received, leaves a ping pending: until something is received, calls take a new connection. TestRequestsShorterThanSilence: 5 of 5 requests lost before, the first one after.

--- a/peer/controlsilence_test.go
+++ b/peer/controlsilence_test.go
@@ -174,3 +174,24 @@
 		})
 	}
 }
+
+// TestRequestsShorterThanSilence guards against requests whose time is shorter than the silence timeout, each of which is sent on
+// the same silent connection: only the first one may be lost.
+func TestRequestsShorterThanSilence(t *testing.T) {
+	const silence = 3 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		p := newControlPair(t, peer.Limits{SilenceTimeout: silence})
+		_, err := p.client.Request(t.Context(), "echo", []byte("x"))
+		qt.Assert(t, err, qt.IsNil)
+		time.Sleep(time.Second)
+		p.network.Host("a").SilenceConnections()
+		for i := range 5 {
+			ctx, cancel := context.WithTimeout(t.Context(), 250*time.Millisecond)
+			_, err := p.client.Request(ctx, "echo", []byte("y"))
+			qt.Check(t, err == nil, qt.Equals, i > 0, qt.Commentf("request %d: %v", i, err))
+			cancel()
+			time.Sleep(100 * time.Millisecond)
+		}
+		qt.Check(t, p.opened, qt.Equals, 2)
+	})
+}
--- a/peer/request.go
+++ b/peer/request.go
@@ -173,9 +173,14 @@
 // end ends the request. A reply that comes later is ignored.
 func (p *pendingRequest) end() { p.link.removeRequest(p.ID) }
 
-// unfinished returns the error of a request that has got no reply by the end of ctx.
+// unfinished returns the error of a request that has got no reply by the end of ctx. The next request does not wait for the same
+// connection if nothing has been received on it meanwhile.
 func (p *pendingRequest) unfinished(ctx context.Context) error {
-	if p.link.usable() {
+	usable := p.link.usable()
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) && p.link.silence() >= time.Since(p.began) {
+		p.link.probe()
+	}
+	if usable {
 		return fmt.Errorf("%w: %w", ErrPending, context.Cause(ctx))
 	}
 	return context.Cause(ctx)
