--- a/cmd/sassafrassoak/faults.go
+++ b/cmd/sassafrassoak/faults.go
@@ -52,6 +52,9 @@
 	faultStopSeries: true,  // drawn only with -stops
 	faultBurst:      true,  // drawn only with -stops
 	faultPacketLoss: false, // drawn only with -stops
+
+	faultConnsSilent:      false, // drawn only with -silences
+	faultStoreConnsSilent: false, // drawn only with -silences
 }
 
 // faultRestore restores the store from a backup, twice in a row.
@@ -174,6 +177,10 @@
 		a := c.beginAction(actionReset, n)
 		setMode(modeReset)
 		c.endAction(a)
+	case faultConnsSilent:
+		n.link.silenceOpen()
+	case faultStoreConnsSilent:
+		c.storeProxy.silenceOpen()
 	case faultPacketLoss:
 		n.link.losePacket()
 	case faultBurst:
--- a/cmd/sassafrassoak/proxy.go
+++ b/cmd/sassafrassoak/proxy.go
@@ -50,6 +50,7 @@
 	pendingLosses int // number of pieces still to be delayed by a retransmission
 	changed       chan struct{}
 	conns         map[net.Conn]bool
+	silenced      chan struct{} // closed when the open connections become silent
 }
 
 // newProxy starts a proxy on a free port, with a rate in bytes per second, or 0 for no limit.
@@ -64,6 +65,7 @@
 		rate:     rate,
 		changed:  make(chan struct{}),
 		conns:    make(map[net.Conn]bool),
+		silenced: make(chan struct{}),
 	}
 	go p.accept()
 	return p, nil
@@ -85,6 +87,14 @@
 	}
 }
 
+// silenceOpen loses all that is sent on the open connections from now on, their ends included. New connections work.
+func (p *proxy) silenceOpen() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.silenced)
+	p.silenced = make(chan struct{})
+}
+
 // losePacket delays the next piece of data that is forwarded, as the loss of a packet would.
 func (p *proxy) losePacket() {
 	p.mu.Lock()
@@ -156,6 +166,7 @@
 	}
 	p.mu.Lock()
 	refuse := p.mode == modeReset
+	silenced := p.silenced
 	p.conns[client], p.conns[server] = true, true
 	p.mu.Unlock()
 	if refuse {
@@ -169,18 +180,26 @@
 		}
 	}
 	var directions sync.WaitGroup
-	directions.Go(func() { p.copy(server, client, false) })
-	directions.Go(func() { p.copy(client, server, true) })
+	directions.Go(func() { p.copy(server, client, false, silenced) })
+	directions.Go(func() { p.copy(client, server, true, silenced) })
 	directions.Wait()
+	_ = client.Close()
+	_ = server.Close()
 	p.mu.Lock()
 	delete(p.conns, client)
 	delete(p.conns, server)
 	p.mu.Unlock()
 }
 
-// copy forwards data in one direction as the mode permits.
-func (p *proxy) copy(to, from net.Conn, backward bool) {
-	defer to.Close()
+// copy forwards data in one direction as the mode permits, until silenced is closed.
+func (p *proxy) copy(to, from net.Conn, backward bool, silenced <-chan struct{}) {
+	defer func() {
+		select {
+		case <-silenced: // the other end is not told
+		default:
+			_ = to.Close()
+		}
+	}()
 	buffer := make([]byte, windowBytes)
 	queue := &p.forward
 	if backward {
@@ -196,6 +215,12 @@
 				time.Sleep(retransmitDelay)
 			}
 			p.awaitPermission(backward)
+			select {
+			case <-silenced:
+				_, _ = io.Copy(io.Discard, from)
+				return
+			default:
+			}
 			if _, err := to.Write(buffer[:n]); err != nil {
 				_, _ = io.Copy(io.Discard, from)
 				return
--- a/cmd/sassafrassoak/run.go
+++ b/cmd/sassafrassoak/run.go
@@ -112,6 +112,9 @@
 	if o.stops {
 		faults = append(faults, drawStops(seed, o.duration, o.nodes)...)
 	}
+	if o.silences {
+		faults = append(faults, drawSilences(seed, o.duration, o.nodes)...)
+	}
 	results := new(recorder)
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
