peer: the check for progress of a request ends with the request

Read through: a check that ran just as its request ended set its timer again, and went on for ever. It is a goroutine that ends with the context now. TestProgressTimeout: a reply of ten times the timeout arrives, and a peer that loses power meanwhile ends the request after one.

--- a/peer/controlsilence_test.go
+++ b/peer/controlsilence_test.go
@@ -29,6 +29,9 @@
 	silent  atomic.Int64  // silences found by the client
 }
 
+// largeReplyBytes is the size of the reply to a request with the topic large.
+const largeReplyBytes = 200_000
+
 // newControlPair returns a pair whose server replies to each request with its payload. It must be called in a bubble.
 func newControlPair(t *testing.T, limits peer.Limits) *controlPair {
 	p := &controlPair{network: &simnet.Network{
@@ -40,6 +43,9 @@
 	s := &peer.Server{HandleControl: func(_ context.Context, _ peer.Hello, r *peer.Request) ([]byte, error) {
 		p.handled.Add(1)
 		time.Sleep(p.delay)
+		if r.Topic == "large" {
+			return make([]byte, largeReplyBytes), nil
+		}
 		return r.Payload, nil
 	}}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -195,3 +201,35 @@
 		qt.Check(t, p.opened, qt.Equals, 2)
 	})
 }
+
+// TestProgressTimeout guards against a bound on the whole time of a reply whose size others choose: a request over a slow link ends
+// for lack of progress alone.
+func TestProgressTimeout(t *testing.T) {
+	const timeout = time.Second
+	for name, row := range map[string]struct {
+		fault func(p *controlPair)
+		ok    bool
+		took  time.Duration
+	}{
+		"a reply that takes ten times as long": {func(*controlPair) {}, true, 10 * timeout},
+		"a peer that loses power meanwhile":    {func(p *controlPair) { p.network.Host("b").PowerOff() }, false, 3 * timeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newControlPair(t, peer.Limits{})
+				_, err := p.client.Request(t.Context(), "echo", []byte("x"))
+				qt.Assert(t, err, qt.IsNil)
+				p.network.Host("b").SetBandwidth(largeReplyBytes / 10)
+				time.AfterFunc(2*timeout, func() { row.fault(p) })
+				ctx, cancel := p.client.WithProgressTimeout(t.Context(), timeout)
+				defer cancel()
+				began := time.Now()
+				reply, err := p.client.Request(ctx, "large", nil)
+				qt.Check(t, err == nil, qt.Equals, row.ok, qt.Commentf("%v", err))
+				took := time.Since(began)
+				qt.Check(t, took >= row.took && took <= row.took+timeout, qt.IsTrue, qt.Commentf("%v", took))
+				qt.Check(t, len(reply) == largeReplyBytes, qt.Equals, row.ok)
+			})
+		})
+	}
+}
--- a/peer/progress.go
+++ b/peer/progress.go
@@ -19,20 +19,23 @@
 func (c *Client) WithProgressTimeout(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	received, at := c.ReceivedBytes(), time.Now()
-	var check *time.Timer
-	check = time.AfterFunc(timeout/progressChecks, func() {
-		now := time.Now()
-		if n := c.ReceivedBytes(); n != received {
-			received, at = n, now
+	go func() {
+		check := time.NewTicker(timeout / progressChecks)
+		defer check.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case now := <-check.C:
+				if n := c.ReceivedBytes(); n != received {
+					received, at = n, now
+				}
+				if now.Sub(at) >= timeout {
+					cancel(eris.Errorf("nothing received for %v", timeout))
+					return
+				}
+			}
 		}
-		if now.Sub(at) >= timeout {
-			cancel(eris.Errorf("nothing received for %v", timeout))
-			return
-		}
-		check.Reset(timeout / progressChecks)
-	})
-	return ctx, func() {
-		check.Stop()
-		cancel(nil)
-	}
+	}()
+	return ctx, func() { cancel(nil) }
 }
