--- a/node/silentconnections_test.go
+++ b/node/silentconnections_test.go
@@ -1,5 +1,3 @@
-//go:build !race
-
 // Copyright ©2026 The sassafrasfront Authors. All rights reserved.
 // Use of this source code is governed by a BSD-style
 // license that can be found in the LICENSE file.
@@ -16,8 +14,6 @@
 )
 
 const (
-	// disturbedSystem is the number of nodes of a system some of whose nodes are disturbed.
-	disturbedSystem = 40
 	// disturbedEach has one node in so many disturbed.
 	disturbedEach = 5
 	// nextVersionAfter is the time between a change and the next one.
@@ -56,7 +52,7 @@
 		"of some nodes": disturbedEach,
 		"of all nodes":  1,
 	} {
-		for _, routes := range []int{21, 1420, 4220} {
+		for _, routes := range silentConnectionsRoutes {
 			for when, at := range map[string]time.Duration{
 				"before the change":     -300 * time.Millisecond,
 				"long before":           -900 * time.Millisecond,
@@ -90,31 +86,51 @@
 func TestChangeOverFullLinks(t *testing.T) {
 	t.Parallel()
 	for _, bandwidth := range []float64{30e3, 60e3, 120e3} {
-		for _, routes := range []int{1420, 4220} {
-			for when, at := range map[string]time.Duration{
-				"before the change":     -300 * time.Millisecond,
-				"while it is forwarded": 200 * time.Millisecond,
-			} {
-				t.Run(fmt.Sprintf("%v KB/s left, %d routes, %s", bandwidth/1e3, routes, when), func(t *testing.T) {
-					t.Parallel()
-					synctest.Test(t, func(t *testing.T) {
-						s := playChanges(t, routes, at, func(s *tableSystem) {
-							for i, n := range s.nodes {
-								if i%disturbedEach == 0 {
-									n.host.SetBandwidth(bandwidth)
-								}
-							}
-						})
-						defer s.end()
-						reading := time.Duration(float64(routes*platformRouteBytes) / linkBytes * float64(time.Second))
-						once := time.Duration(float64(routes) * tableRouteBytes / bandwidth * float64(time.Second))
-						s.check(21, reading+changeBound/2+once)
-						s.check(23, max(changeBound, changeBound/2+once))
-						t.Logf("responses of the platform with a table: %d", s.large.Load())
-						qt.Check(t, s.large.Load() <= maxDisturbedReads, qt.IsTrue, qt.Commentf("%d responses of the platform with a table", s.large.Load()))
-					})
-				})
+		for _, routes := range fullLinksRoutes {
+			if bandwidth != slowestLink || routes != largestTable {
+				checkFullLinks(t, bandwidth, routes)
 			}
 		}
 	}
 }
+
+// TestLargestChangeOverFullLinks is TestChangeOverFullLinks for the largest table over the slowest links.
+func TestLargestChangeOverFullLinks(t *testing.T) {
+	t.Parallel()
+	checkFullLinks(t, slowestLink, largestTable)
+}
+
+const (
+	// slowestLink is the least bandwidth, in bytes per second, that other traffic leaves of a link.
+	slowestLink = 30e3
+	// largestTable is the largest number of routes of a change over such links.
+	largestTable = 4220
+)
+
+// checkFullLinks checks that a change is in force in time if other traffic leaves some nodes a bandwidth in bytes per second.
+func checkFullLinks(t *testing.T, bandwidth float64, routes int) {
+	for when, at := range map[string]time.Duration{
+		"before the change":     -300 * time.Millisecond,
+		"while it is forwarded": 200 * time.Millisecond,
+	} {
+		t.Run(fmt.Sprintf("%v KB/s left, %d routes, %s", bandwidth/1e3, routes, when), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				s := playChanges(t, routes, at, func(s *tableSystem) {
+					for i, n := range s.nodes {
+						if i%disturbedEach == 0 {
+							n.host.SetBandwidth(bandwidth)
+						}
+					}
+				})
+				defer s.end()
+				reading := time.Duration(float64(routes*platformRouteBytes) / linkBytes * float64(time.Second))
+				once := time.Duration(float64(routes) * tableRouteBytes / bandwidth * float64(time.Second))
+				s.check(21, reading+changeBound/2+once)
+				s.check(23, max(changeBound, changeBound/2+once))
+				t.Logf("responses of the platform with a table: %d", s.large.Load())
+				qt.Check(t, s.large.Load() <= maxDisturbedReads, qt.IsTrue, qt.Commentf("%d responses of the platform with a table", s.large.Load()))
+			})
+		})
+	}
+}
