--- a/Makefile
+++ b/Makefile
@@ -14,8 +14,8 @@
 # All checks: format, vet, linter, tests, the race detector, a short fuzz run, a
 # short soak of some seeds without the promises that have a bound on time.
 test: lint
-	go test -timeout 300s $(SKIPPED) work
-	go test -race -timeout 300s $(SKIPPED) ./admit ./blocklist ./caller ./canary ./coldstart ./contact ./control ./entry ./fair ./gate ./node ./peer ./platform ./objectapi ./quarantine ./ratelimit ./retry ./rollout ./spool ./upstream
+	go test -timeout 600s $(SKIPPED) work
+	go test -race -timeout 600s $(SKIPPED) ./admit ./blocklist ./caller ./canary ./coldstart ./contact ./control ./entry ./fair ./gate ./node ./peer ./platform ./objectapi ./quarantine ./ratelimit ./retry ./rollout ./spool ./upstream
 	$(MAKE) fuzz
 	$(MAKE) soak
 
