--- a/review/rig/system.go
+++ b/review/rig/system.go
@@ -151,12 +151,24 @@
 			}
 		}
 		if idle == 0 {
+			s.awaitInTouch()
 			return nil
 		}
 	}
 	return errors.New("a backend got no request")
 }
 
+// touchMargin is how much longer than necessary the cases wait until all machines are in touch.
+const touchMargin = 500 * time.Millisecond
+
+// awaitInTouch waits until all machines are in touch.
+func (s *system) awaitInTouch() {
+	for _, m := range s.machines {
+		time.Sleep(time.Until(m.started.Add(stableWindow + touchMargin)))
+	}
+	s.log.add("all machines are in touch")
+}
+
 // stop ends everything that the system has started.
 func (s *system) stop() {
 	for _, m := range s.machines {
