--- a/review/rig/freeze.go
+++ b/review/rig/freeze.go
@@ -13,12 +13,13 @@
 
 // The times of the case "freeze", counted from the start of traffic.
 const (
+	freezeMachines = 10
 	freezeAt       = 4 * time.Second // a node freezes
 	freezeTime     = 4 * time.Second
 	freezeEndAt    = 12 * time.Second
-	freezeInterval = 8 * time.Millisecond // between two requests
-	freezeTimeout  = time.Second          // of the route
-	freezeDeadline = 3 * time.Second      // of the clients
+	freezeInterval = 4800 * time.Microsecond // between two requests
+	freezeTimeout  = 1200 * time.Millisecond // of the route
+	freezeDeadline = 2500 * time.Millisecond // of the clients
 	freezeWork     = 650 * time.Millisecond
 	freezeParts    = 8
 	// freezeGrace is how long after the route's timeout a request must have its final answer, and
@@ -29,7 +30,7 @@
 
 // frozenAnswers has a node freeze while the backend beside it sends answers through it.
 func frozenAnswers(o *options) (broken bool, err error) {
-	s, err := newSystem(6, freezeWork, o.root, o.dir, o.log)
+	s, err := newSystem(freezeMachines, freezeWork, o.root, o.dir, o.log)
 	if err != nil {
 		return false, err
 	}
@@ -38,8 +39,8 @@
 		m.backend.parts = freezeParts
 	}
 	if err := s.start(
-		route{Name: "r-zji9n73", PathPrefix: "/lohu930/", Kind: "idempotent", TimeoutS: freezeTimeout.Seconds(), TargetLatencyS: 1, Priority: 2, Service: service, MaxAttempts: 2},
-		route{Name: "r-hh2b9wu", PathPrefix: "/pufi791/", Kind: "non_idempotent", TimeoutS: freezeTimeout.Seconds(), TargetLatencyS: 1, Priority: 1, Service: service, MaxAttempts: 2},
+		route{Name: "r-zji9n73", PathPrefix: "/lohu930/", Kind: "idempotent", TimeoutS: freezeTimeout.Seconds(), TargetLatencyS: 0.6, Priority: 2, Service: service, MaxAttempts: 2},
+		route{Name: "r-hh2b9wu", PathPrefix: "/pufi791/", Kind: "non_idempotent", TimeoutS: freezeTimeout.Seconds(), TargetLatencyS: 0.8, Priority: 1, Service: service, MaxAttempts: 2},
 	); err != nil {
 		return false, err
 	}
