--- a/review/rig/backend.go
+++ b/review/rig/backend.go
@@ -37,8 +37,8 @@
 	heartbeatInterval = 1500 * time.Millisecond
 	// ackTimeout is how long a backend waits for the acknowledgement of a call.
 	ackTimeout = time.Second
-	// backendSlots is the number of requests that a backend runs at once.
-	backendSlots = 18
+	// defaultSlots is the number of requests that a backend runs at once, unless the case says otherwise.
+	defaultSlots = 18
 )
 
 // run is a request that has reached a backend and has not been rejected.
@@ -55,6 +55,7 @@
 	addr              string // where it serves
 	control           string // control address of its node
 	work              time.Duration
+	slots             int // requests that it runs at once
 	parts             int // parts in which it sends an answer without a length, or 0
 	log               *record
 
@@ -84,7 +85,7 @@
 // ServeHTTP implements http.Handler.
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
-	h.Set(fieldLoad, fmt.Sprintf("%d,0,%d,100", b.running.Load(), backendSlots))
+	h.Set(fieldLoad, fmt.Sprintf("%d,0,%d,100", b.running.Load(), b.slots))
 	id := r.Header.Get(fieldID)
 	expected := r.Header.Get(fieldExpected)
 	switch {
@@ -104,7 +105,7 @@
 		return
 	}
 	h.Set(fieldID, id)
-	if b.running.Add(1) > backendSlots {
+	if int(b.running.Add(1)) > b.slots {
 		b.running.Add(-1)
 		h.Set(fieldNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -210,7 +211,7 @@
 		"address":        b.addr,
 		"zone":           b.zone,
 		"version":        "v1",
-		"slots":          backendSlots,
+		"slots":          b.slots,
 		"state":          state,
 		"coldRemainingS": 0,
 		"sequence":       sequence,
--- a/review/rig/late.go
+++ b/review/rig/late.go
@@ -23,6 +23,7 @@
 	lateInterval  = 4 * time.Millisecond // between two requests
 	lateDeadline  = time.Second
 	lateWork      = 120 * time.Millisecond
+	lateSlots     = 11 // of each backend
 )
 
 // lateHeartbeat has a backend leave, its node start again, and a heartbeat that the backend had sent
@@ -33,6 +34,9 @@
 		return false, err
 	}
 	defer s.stop()
+	for _, m := range s.machines {
+		m.backend.slots = lateSlots
+	}
 	if err := s.start(
 		route{Name: "r-zji9n73", PathPrefix: "/lohu930/", Kind: "idempotent", TimeoutS: 0.8, TargetLatencyS: 0.3, Priority: 2, Service: service, MaxAttempts: 2},
 		route{Name: "r-hh2b9wu", PathPrefix: "/pufi791/", Kind: "non_idempotent", TimeoutS: 1, TargetLatencyS: 0.3, Priority: 1, Service: service, MaxAttempts: 2},
--- a/review/rig/system.go
+++ b/review/rig/system.go
@@ -75,6 +75,7 @@
 			addr:    m.addr(portApp),
 			control: m.addr(portControl),
 			work:    work,
+			slots:   defaultSlots,
 			log:     log,
 		}
 		s.machines = append(s.machines, m)
