--- a/review/rig-2/drain.go
+++ b/review/rig-2/drain.go
@@ -120,7 +120,7 @@
 // drainOfReborn has a backend start while its machine's time of day is ahead, crash, start again under its id after the
 // time of day has jumped back, and drain.
 func drainOfReborn(dir string, trouble bool, r *record) ([]string, error) {
-	const step = 2400 * time.Millisecond
+	const step = 2 * time.Second
 	s, err := newSystem(dir, options{nodes: 10, born: true}, r)
 	if err != nil {
 		return nil, err
