departure: acknowledge a departure only once the platform has it

The platform is silent, an upstream leaves, its node acknowledges, all processes are killed and started again: 175 requests reach the upstream up to 15 s after the acknowledgement, and its exit cuts 3 that must not be repeated.

Cause: an acknowledgement was given after 0.3 s without the platform where two other nodes had confirmed the departure. It rested on processes alone, all of which may end at any moment; there is no disk, and the platform had nothing yet.

Ruled out: late heartbeats and health checks; the case is broken without either.

Why it works: the platform outlives all processes and loses nothing that it has acknowledged. Without it the node answers 503 after 0.7 s; the upstream is drained all the same, and its repetition is acknowledged once the write has succeeded.

TestDrainOutlivesNode, TestRecordIsSafe, TestUnsavedRecordIsWrittenLater and TestUnsavedRecordIsGivenUp expected the acknowledgement that is the fault. They now expect that none is given while the platform is away; all other checks are as before.

--- a/departure/recorder.go
+++ b/departure/recorder.go
@@ -21,9 +21,6 @@
 	// recordTimeout is how long a Record may take until it is safe. The upstream waits a second for
 	// the acknowledgement.
 	recordTimeout = 700 * time.Millisecond
-	// platformTimeout is how long the platform may take where other nodes have confirmed a Record. A store
-	// that is slowed down sixtyfold responds within it.
-	platformTimeout = 300 * time.Millisecond
 	// peerTimeout is how long other nodes may take to answer a recovery until the platform is asked.
 	peerTimeout = 300 * time.Millisecond
 	// maxRetryPause bounds the time between two attempts to write to the platform.
@@ -89,17 +86,22 @@
 
 // progress is where a Record is known to be kept.
 type progress struct {
-	record Record
-	asked  bool        // whether other nodes have been asked
-	peers  Replication // valid if asked
-	saved  bool        // whether it is on the platform
-	alone  bool        // whether there is neither another node nor a platform
+	record       Record
+	asking       bool        // whether other nodes are being asked
+	asked        bool        // whether other nodes have been asked
+	peers        Replication // valid if asked
+	saved        bool        // whether it is on the platform
+	acknowledged bool        // whether Record has returned nil for it
 }
 
-// safe returns whether the next process will know the Record, as far as that is possible. Where there
-// are other nodes it asks them first, and so the platform alone does not suffice.
-func (p *progress) safe() bool {
-	return p.asked && p.peers.Enough() && (p.peers.Others > 0 || p.saved || p.alone)
+// confirmed returns whether enough other nodes have confirmed the Record.
+func (p *progress) confirmed() bool { return p.asked && p.peers.Enough() }
+
+// safe returns whether the Record outlives all processes, as far as that is possible. The platform must
+// have it, as all processes may end at any moment. Other nodes must have it as well: a process that
+// starts while the platform is away asks them. The lock is held.
+func (d *Recorder) safe(p *progress) bool {
+	return p.confirmed() && (p.saved || d.Registry == nil)
 }
 
 // init initialises the state on the first call. The lock is held.
@@ -113,19 +115,18 @@
 	d.recovered = make(chan struct{})
 }
 
-// ErrNotSafe is returned when not enough other nodes have confirmed a Record in time, or the platform
-// has not where there is no other node.
+// ErrNotSafe is returned when the platform or too many other nodes have not confirmed a Record in time.
 var ErrNotSafe = eris.New("the departure has not been confirmed in time")
 
 // Record records that a start of the upstream gets no more requests. It returns nil once that outlives
-// this process, also if there is no other node and no platform that could keep it. The start is
+// all processes, also if there is no other node and no platform that could keep it. The start is
 // recorded even if ctx ends meanwhile. A start without an ID can't be recorded.
 func (d *Recorder) Record(ctx context.Context, startID string, startMillis int64) error {
 	if startID == "" {
 		return nil
 	}
 	began := time.Now()
-	p, begun := d.begin(NewRecord(d.Node, startID, startMillis))
+	p := d.begin(NewRecord(d.Node, startID, startMillis))
 	err := d.await(ctx, p, began)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -133,29 +134,34 @@
 	switch {
 	case err != nil:
 		event, e = "departure not acknowledged", d.Log.Warn().Err(err)
-	case !begun:
+	case p.acknowledged:
 		return nil
+	default:
+		p.acknowledged = true
 	}
 	e.Str("start", startID).Int64("bornMs", startMillis).Int("nodes", p.peers.Confirmed).Bool("platform", p.saved).Dur("tookMs", time.Since(began)).Msg(event)
 	return err
 }
 
-// begin begins to record a start, unless that is in progress or done.
-func (d *Recorder) begin(r Record) (p *progress, begun bool) {
+// begin begins to record a start, or asks other nodes again if too few have confirmed it.
+func (d *Recorder) begin(r Record) *progress {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.init()
 	d.expire(time.Now())
-	if p = d.records[r.Key()]; p != nil && (!p.asked || p.safe()) {
-		return p, false
+	p := d.records[r.Key()]
+	if p == nil {
+		p = &progress{record: r}
+		d.records[r.Key()] = p
+		if d.Registry != nil {
+			d.requestSave()
+		}
 	}
-	p = &progress{record: r}
-	d.records[r.Key()] = p
-	if d.Registry != nil {
-		d.requestSave()
+	if !p.asking && !p.confirmed() {
+		p.asking = true
+		go d.replicate(p)
 	}
-	go d.replicate(p)
-	return p, true
+	return p
 }
 
 // expire drops the Records that are about to expire: their starts may be recorded again, and they are no
@@ -184,17 +190,14 @@
 	select {
 	case <-d.recovered:
 	case <-ctx.Done():
-		d.update(func() {
-			p.asked = true
-			p.peers = Replication{Needed: 1}
-		})
+		d.update(func() { p.asking = false })
 		return
 	}
 	result := d.Peers.Replicate(ctx, p.record)
 	d.update(func() {
+		p.asking = false
 		p.asked = true
 		p.peers = result
-		p.alone = result.Others == 0 && d.Registry == nil
 	})
 }
 
@@ -209,29 +212,20 @@
 
 // await waits until a Record is safe.
 func (d *Recorder) await(ctx context.Context, p *progress, began time.Time) error {
-	platformWait := time.NewTimer(time.Until(began.Add(platformTimeout)))
-	defer platformWait.Stop()
 	timeout := time.NewTimer(time.Until(began.Add(recordTimeout)))
 	defer timeout.Stop()
-	ended, platformLate := false, false
 	for {
 		d.mu.Lock()
 		changed := d.changed
-		safe := p.safe()
-		complete := p.saved || d.Registry == nil || platformLate
+		safe := d.safe(p)
 		d.mu.Unlock()
-		switch {
-		case safe && (complete || ended):
+		if safe {
 			return nil
-		case ended:
-			return ErrNotSafe
 		}
 		select {
 		case <-changed:
-		case <-platformWait.C:
-			platformLate = true
 		case <-timeout.C:
-			ended = true
+			return ErrNotSafe
 		case <-ctx.Done():
 			return eris.Wrap(context.Cause(ctx), "departure")
 		}
@@ -318,9 +312,6 @@
 	began := time.Now()
 	s := d.recover(ctx)
 	known := d.Peers.Departures()
-	contains := func(list []Record, r Record) bool {
-		return slices.ContainsFunc(list, func(o Record) bool { return o.Key() == r.Key() })
-	}
 	list := s.stored
 	for _, r := range known {
 		if !contains(list, r) {
@@ -342,6 +333,11 @@
 	return list
 }
 
+// contains returns whether a list has a Record of the same start.
+func contains(list []Record, r Record) bool {
+	return slices.ContainsFunc(list, func(o Record) bool { return o.Key() == r.Key() })
+}
+
 // adopt keeps the Records of former processes, of which the first ones are on the platform.
 func (d *Recorder) adopt(list []Record, stored int) {
 	d.mu.Lock()
--- a/departure/recorder_test.go
+++ b/departure/recorder_test.go
@@ -113,8 +113,8 @@
 	}
 }
 
-// TestRecordIsSafe checks when a departure may be acknowledged: once it outlives the process, within
-// the second that the upstream waits, and not later because the platform or other nodes are away.
+// TestRecordIsSafe guards against a departure that is acknowledged while only processes know of it: it may
+// be once the platform has it and other nodes have confirmed it, within the second that the upstream waits.
 func TestRecordIsSafe(t *testing.T) {
 	const never = time.Hour
 	const ms = time.Millisecond
@@ -127,8 +127,9 @@
 	}{
 		"both confirm":                        {peers: fakePeers{delay: 2 * ms, confirmed: 2, others: 9}, platform: 5 * ms, after: 5 * ms},
 		"the platform is slow":                {peers: fakePeers{delay: 2 * ms, confirmed: 2, others: 9}, platform: 250 * ms, after: 250 * ms},
-		"the platform does not respond":       {peers: fakePeers{delay: 2 * ms, confirmed: 2, others: 9}, platform: never, after: 300 * ms},
-		"the platform fails":                  {peers: fakePeers{delay: 2 * ms, confirmed: 2, others: 9}, platform: 5 * ms, platformErr: errAway, after: 300 * ms},
+		"the platform is very slow":           {peers: fakePeers{delay: 2 * ms, confirmed: 2, others: 9}, platform: 600 * ms, after: 600 * ms},
+		"the platform does not respond":       {peers: fakePeers{delay: 2 * ms, confirmed: 2, others: 9}, platform: never, fails: true, after: 700 * ms},
+		"the platform fails":                  {peers: fakePeers{delay: 2 * ms, confirmed: 2, others: 9}, platform: 5 * ms, platformErr: errAway, fails: true, after: 700 * ms},
 		"no platform":                         {peers: fakePeers{delay: 2 * ms, confirmed: 2, others: 9}, after: 2 * ms},
 		"one other node":                      {peers: fakePeers{delay: 2 * ms, confirmed: 1, others: 1}, platform: 5 * ms, after: 5 * ms},
 		"other nodes are slow":                {peers: fakePeers{delay: 400 * ms, confirmed: 2, others: 9}, platform: 5 * ms, after: 400 * ms},
@@ -173,23 +174,22 @@
 				asked, calls := peers.asked, api.CallCount()
 				qt.Check(t, d.Record(ctx, "i-1", 0), qt.IsNil)
 				qt.Check(t, peers.asked, qt.Equals, asked, qt.Commentf("a repeated call costs nothing"))
-				if test.platformErr == nil { // otherwise the first one is still being written
-					qt.Check(t, api.CallCount(), qt.Equals, calls)
-				}
+				qt.Check(t, api.CallCount(), qt.Equals, calls)
 			})
 		})
 	}
 }
 
 // TestUnsavedRecordIsWrittenLater checks that a departure which other nodes have confirmed is written
-// to the platform once that responds again.
+// to the platform once that responds again, and acknowledged then.
 func TestUnsavedRecordIsWrittenLater(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		api := new(objectapitest.Memory)
 		api.SetErr(errAway)
+		peers := &fakePeers{confirmed: 2, others: 9}
 		d := &departure.Recorder{
 			Node:     "n",
-			Peers:    &fakePeers{confirmed: 2, others: 9},
+			Peers:    peers,
 			Registry: newRegistry(api, "n"),
 			Log:      zerolog.Nop(),
 		}
@@ -198,10 +198,13 @@
 		go d.Run(ctx)
 		recoverAtOnce(ctx, d)
 		synctest.Wait()
-		qt.Assert(t, d.Record(ctx, "i-1", 0), qt.IsNil)
+		qt.Assert(t, d.Record(ctx, "i-1", 0), qt.ErrorIs, departure.ErrNotSafe)
 		time.Sleep(10 * time.Second)
 		api.SetErr(nil)
 		time.Sleep(10 * time.Second)
+		asked := peers.asked
+		qt.Check(t, d.Record(ctx, "i-1", 0), qt.IsNil)
+		qt.Check(t, peers.asked, qt.Equals, asked, qt.Commentf("they have confirmed it before"))
 		list, err := newRegistry(api, "n").Load(ctx)
 		qt.Assert(t, err, qt.IsNil)
 		qt.Check(t, startIDs(list), qt.DeepEquals, []string{"i-1"})
@@ -303,7 +306,7 @@
 		go d.Run(ctx)
 		recoverAtOnce(ctx, d)
 		synctest.Wait()
-		qt.Assert(t, d.Record(ctx, "i-1", 0), qt.IsNil)
+		qt.Assert(t, d.Record(ctx, "i-1", 0), qt.ErrorIs, departure.ErrNotSafe)
 		time.Sleep(departure.Retention * 3 / 4)
 		calls := api.CallCount()
 		qt.Check(t, calls > 1, qt.IsTrue)
--- a/departure/registry.go
+++ b/departure/registry.go
@@ -92,14 +92,26 @@
 func (g *Registry) Save(ctx context.Context, list []Record) error {
 	err := g.write(ctx, list)
 	if objectapi.IsConflict(err) || objectapi.IsNotFound(err) {
-		// The known object is outdated. The one that is there decides.
-		if _, err = g.Load(ctx); err == nil {
+		// The known object is outdated. The one that is there decides, and has the Records already if the
+		// response to an earlier write was lost.
+		var stored []Record
+		if stored, err = g.Load(ctx); err == nil && !containsAll(stored, list) {
 			err = g.write(ctx, list)
 		}
 	}
 	return eris.Wrap(err, "write departures")
 }
 
+// containsAll returns whether each Record of list is in stored.
+func containsAll(stored, list []Record) bool {
+	for _, r := range list {
+		if !contains(stored, r) {
+			return false
+		}
+	}
+	return true
+}
+
 // write replaces the known object by one with the given Records and its own, or creates it.
 func (g *Registry) write(ctx context.Context, list []Record) error {
 	merged := make(map[string]Record)
--- a/node/departures_test.go
+++ b/node/departures_test.go
@@ -6,15 +6,51 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"sassafrasfront.example/platform/platformtest"
 )
 
+// depart has the upstream of the node drain or leave, and returns whether that was acknowledged.
+func (n *testNode) depart(drains bool) bool {
+	if drains {
+		return n.upstream.PrepareHeartbeat("draining")(n.settings.AnnounceAddress)
+	}
+	return n.upstream.SendLeave(n.settings.AnnounceAddress)
+}
+
+// awaitMembers waits until all nodes know each other.
+func (s *testSystem) awaitMembers() {
+	s.eventually("all know each other", func() bool {
+		for _, m := range s.nodes {
+			if m.members() != len(s.nodes) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// checkNotServed sends requests that only an upstream which has departed could run, after a late heartbeat of
+// its start, and checks that it gets none.
+func (n *testNode) checkNotServed(w *testSystem, caller *testNode) {
+	before := len(n.upstream.Runs())
+	w.eventually("a late heartbeat is answered", func() bool {
+		return n.upstream.SendHeartbeatAs(n.settings.AnnounceAddress, n.upstream.ID, 1)
+	})
+	for i := range 100 {
+		qt.Check(w.t, caller.request("PUT", "/a/x", fmt.Sprint("late", i), "").status, qt.Equals, 503)
+	}
+	qt.Check(w.t, len(n.upstream.Runs()), qt.Equals, before)
+}
+
 // TestDrainOutlivesNode guards against requests to an upstream whose drain or leave was acknowledged by
-// a former process of its node: the present one must not announce it, whatever it says or responds.
+// a former process of its node: the present one must not announce it, whatever it says or responds. While
+// the platform is away, neither is acknowledged, but other nodes know of it.
 func TestDrainOutlivesNode(t *testing.T) {
 	tests := map[string]struct {
 		drains    bool // the upstream drains instead of leaving
@@ -37,23 +73,12 @@
 			nodes = append(nodes, w.add("b", nodes[1].settings.PeerAddress), w.add("b", nodes[1].settings.PeerAddress))
 			leaving, caller := nodes[0], nodes[1]
 			w.eventually("it serves", func() bool { return caller.request("PUT", "/a/x", "warm", "").status == 200 })
-			w.eventually("all know each other", func() bool {
-				for _, m := range nodes {
-					if m.members() != len(nodes) {
-						return false
-					}
-				}
-				return true
-			})
+			w.awaitMembers()
 			if test.storeAway {
 				w.store.SetFaults(platformtest.Faults{Hang: true})
 			}
 			qt.Assert(t, leaving.upstream.SendHeartbeat(leaving.settings.AnnounceAddress), qt.IsTrue)
-			if test.drains {
-				qt.Assert(t, leaving.upstream.PrepareHeartbeat("draining")(leaving.settings.AnnounceAddress), qt.IsTrue)
-			} else {
-				qt.Assert(t, leaving.upstream.SendLeave(leaving.settings.AnnounceAddress), qt.IsTrue)
-			}
+			qt.Assert(t, leaving.depart(test.drains), qt.Equals, !test.storeAway)
 			restarted := nodes[:1]
 			if test.allNodes {
 				restarted = nodes
@@ -64,7 +89,6 @@
 			for _, m := range restarted {
 				w.run(m)
 			}
-			before := len(leaving.upstream.Runs())
 			w.eventually("all are ready", func() bool {
 				for _, m := range nodes {
 					if !m.ready() {
@@ -73,13 +97,7 @@
 				}
 				return caller.request("GET", "/b/x", "other", "").status == 200
 			})
-			w.eventually("a late heartbeat is answered", func() bool {
-				return leaving.upstream.SendHeartbeatAs(leaving.settings.AnnounceAddress, leaving.upstream.ID, 1)
-			})
-			for n := range 100 {
-				qt.Check(t, caller.request("PUT", "/a/x", fmt.Sprint("late", n), "").status, qt.Equals, 503)
-			}
-			qt.Check(t, len(leaving.upstream.Runs()), qt.Equals, before)
+			leaving.checkNotServed(w, caller)
 
 			leaving.upstream.ID = "i-next"
 			qt.Assert(t, leaving.upstream.SendHeartbeat(leaving.settings.AnnounceAddress), qt.IsTrue)
@@ -91,3 +109,49 @@
 		})
 	}
 }
+
+// TestDepartureInOutageOutlivesAllNodes guards against a departure that is acknowledged while only processes
+// know of it: all of them may end before the platform is back.
+func TestDepartureInOutageOutlivesAllNodes(t *testing.T) {
+	faults := map[string]platformtest.Faults{
+		"the platform is silent":          {Hang: true},
+		"the platform refuses all calls":  {Status: http.StatusServiceUnavailable},
+		"the platform is slow":            {Delay: 900 * time.Millisecond},
+		"responses to writes are lost":    {LoseWriteResponses: true},
+		"the platform works all the time": {},
+	}
+	for name, fault := range faults {
+		for kind, drains := range map[string]bool{"it leaves": false, "it drains": true} {
+			t.Run(kind+", "+name, func(t *testing.T) {
+				t.Parallel()
+				w := newTestSystem(t)
+				w.configure(1, "")
+				leaving, caller := w.add("a"), w.add("b")
+				w.add("b", caller.settings.PeerAddress)
+				w.add("b", caller.settings.PeerAddress)
+				w.eventually("it serves", func() bool { return caller.request("PUT", "/a/x", "warm", "").status == 200 })
+				w.awaitMembers()
+				w.store.SetFaults(fault)
+				back := time.AfterFunc(2*time.Second, func() { w.store.SetFaults(platformtest.Faults{}) })
+				w.eventually("its departure is acknowledged", func() bool { return leaving.depart(drains) })
+				for _, m := range w.nodes {
+					m.stop()
+				}
+				back.Stop()
+				w.store.SetFaults(platformtest.Faults{})
+				for _, m := range w.nodes {
+					w.run(m)
+				}
+				w.eventually("all are ready", func() bool {
+					for _, m := range w.nodes {
+						if !m.ready() {
+							return false
+						}
+					}
+					return caller.request("GET", "/b/x", "other", "").status == 200
+				})
+				leaving.checkNotServed(w, caller)
+			})
+		}
+	}
+}
