departure: a process that starts asks the platform before it believes other nodes

All nodes but one that was cut off are killed after an acknowledged leave that the platform has; a late heartbeat makes the upstream ready again, and 252 to 265 requests reach it.

Cause: other nodes were asked first, and a node vouched for the asking one as soon as it knew a record of its former process. Nodes that had just started had that record from the node that was cut off, and never the departure; the platform was not asked.

Why it works: a departure is acknowledged only once the platform has it, so its answer decides. Other nodes suffice while it is away, if they have recovered their own departures. TestAttestation has rows for nodes that have not; its rows for those that know a former process now say that they have recovered, which the code takes for granted no longer.

Cost: one call to the platform for each start of a process but the first of all, and 0.3 s until the announcement of the upstream in an outage in which it is silent.

--- a/control/departures.go
+++ b/control/departures.go
@@ -233,14 +233,15 @@
 		}
 		return formerReply{
 			Records:  c.departureIndex.Of(q.Node),
-			Attested: c.knewFormer(q) || !c.recoveredAt.IsZero() && time.Since(c.recoveredAt) >= attestAge,
+			Attested: !c.recoveredAt.IsZero() && (c.knewFormer(q) || time.Since(c.recoveredAt) >= attestAge),
 		}, true, nil
 	}
 	return c.departures.Handle(topic, payload)
 }
 
 // knewFormer returns whether this node has known a former process of the sender of a query that had
-// announced its upstream. That process had given what it recovered itself to other nodes.
+// announced its upstream. That process had given what it recovered itself to other nodes. A node that has
+// just started may have received the member's record alone, from one that was cut off.
 func (c *Control) knewFormer(q formerQuery) bool {
 	r, _ := c.members.Set.Get(q.Node)
 	return r.Service != "" && r.Incarnation < q.Incarnation || c.restarted[q.Node]
--- a/control/departures_test.go
+++ b/control/departures_test.go
@@ -30,6 +30,9 @@
 		}
 		return true
 	})
+	for _, n := range c.nodes {
+		n.Recovered()
+	}
 	leaving := c.nodes[0]
 	ctx := context.Background()
 	record := departure.NewRecord(leaving.Self.ID, "i-1", 0)
@@ -61,7 +64,8 @@
 	})
 }
 
-// TestAttestation checks which nodes must know the departures of another node.
+// TestAttestation checks which nodes must know the departures of another node. It guards against nodes that
+// have just started and claim to, as they have received the record of its former process from others.
 func TestAttestation(t *testing.T) {
 	tests := map[string]struct {
 		knows     uint64 // incarnation of the node that is known first, 0 for none
@@ -73,11 +77,13 @@
 	}{
 		"has just started":                       {},
 		"has just recovered":                     {recovered: true},
-		"knows the present process only":         {knows: 5, announced: true},
-		"knows the former process":               {knows: 4, announced: true, attested: true},
-		"has known the former process":           {knows: 4, announced: true, replaced: 5, attested: true},
-		"knows one that had not recovered":       {knows: 4},
-		"has known one that had not recovered":   {knows: 4, replaced: 5},
+		"knows the present process only":         {knows: 5, announced: true, recovered: true},
+		"knows the former process":               {knows: 4, announced: true, recovered: true, attested: true},
+		"has known the former process":           {knows: 4, announced: true, replaced: 5, recovered: true, attested: true},
+		"knows it, and has not recovered":        {knows: 4, announced: true},
+		"has known it, and has not recovered":    {knows: 4, announced: true, replaced: 5},
+		"knows one that had not recovered":       {knows: 4, recovered: true},
+		"has known one that had not recovered":   {knows: 4, replaced: 5, recovered: true},
 		"has run long enough to have known one":  {recovered: true, age: attestAge, attested: true},
 		"has not run long enough to have known":  {recovered: true, age: attestAge / 2},
 		"has run long enough, and not recovered": {age: attestAge},
--- a/departure/recorder.go
+++ b/departure/recorder.go
@@ -21,8 +21,9 @@
 	// recordTimeout is how long a Record may take until it is safe. The upstream waits a second for
 	// the acknowledgement.
 	recordTimeout = 700 * time.Millisecond
-	// peerTimeout is how long other nodes may take to answer a recovery until the platform is asked.
-	peerTimeout = 300 * time.Millisecond
+	// platformTimeout is how long the platform may take to answer a recovery until the answers of other
+	// nodes suffice. A store that is slowed down sixtyfold responds within it.
+	platformTimeout = 300 * time.Millisecond
 	// maxRetryPause bounds the time between two attempts to write to the platform.
 	maxRetryPause = 2 * time.Second
 	// askInterval is the time between two attempts to recover the Records from other nodes.
@@ -306,8 +307,8 @@
 }
 
 // Recover returns the Records of the node's former processes. It waits until they must be known, or
-// ctx ends: so many other nodes have answered that one of them must know them, or the platform has. It
-// is called once.
+// ctx ends: the platform has answered or, if it is away, so many other nodes that one of them must know
+// them. It is called once.
 func (d *Recorder) Recover(ctx context.Context) []Record {
 	began := time.Now()
 	s := d.recover(ctx)
@@ -319,7 +320,7 @@
 		}
 	}
 	d.adopt(list, len(s.stored))
-	// The next process asks other nodes first.
+	// The next process asks other nodes if the platform is away.
 	replicating, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
 	for _, r := range s.stored {
@@ -364,12 +365,17 @@
 	answered, attested bool // as of Peers.Recover
 	isolated           bool // whether no other node is likely to answer
 	loaded             bool // whether the platform has answered, if it is asked
+	platformAway       bool // whether the platform has failed to answer, or is late
 	stored             []Record
 }
 
-// complete returns whether all Records must be known.
+// complete returns whether all Records must be known. The platform has all that were acknowledged; other
+// nodes may have others as well.
 func (s *recovery) complete(asksPlatform bool) bool {
-	return s.attested || (s.answered || s.isolated) && (s.loaded || !asksPlatform)
+	if s.attested && s.platformAway {
+		return true
+	}
+	return (s.loaded || !asksPlatform) && (s.answered || s.isolated)
 }
 
 // recover does what Recover does.
@@ -378,16 +384,13 @@
 	defer cancel()
 	asksPlatform := d.Registry != nil && !d.FirstStart
 	loaded := make(chan []Record, 1)
-	loading := false
-	load := func() {
-		if asksPlatform && !loading {
-			loading = true
-			go d.load(ctx, loaded)
-		}
+	failed := make(chan struct{}, 1)
+	if asksPlatform {
+		go d.load(ctx, loaded, failed)
 	}
 	reconciled, discoveryDone := d.Peers.Reconciled(), d.DiscoveryDone
-	peersLate := time.NewTimer(peerTimeout)
-	defer peersLate.Stop()
+	platformLate := time.NewTimer(platformTimeout)
+	defer platformLate.Stop()
 	ask := time.NewTimer(askInterval)
 	ask.Stop()
 	defer ask.Stop()
@@ -397,12 +400,13 @@
 			return s
 		case s.stored = <-loaded:
 			s.loaded = true
-		case <-peersLate.C:
-			load()
+		case <-failed:
+			s.platformAway = true
+		case <-platformLate.C:
+			s.platformAway = true
 		case <-discoveryDone:
 			discoveryDone = nil
 			s.isolated = !s.answered
-			load()
 		case <-reconciled:
 			reconciled = nil
 			ask.Reset(0)
@@ -410,7 +414,6 @@
 			answered, attested := d.Peers.Recover(ctx)
 			s.answered, s.attested = s.answered || answered, attested
 			if !attested {
-				load()
 				ask.Reset(askInterval)
 			}
 		}
@@ -418,14 +421,18 @@
 	return s
 }
 
-// load reads the Records from the platform, and retries until that has succeeded or ctx ends.
-func (d *Recorder) load(ctx context.Context, loaded chan<- []Record) {
+// load reads the Records from the platform, and retries until that has succeeded or ctx ends. It sends
+// to failed after the first attempt that fails.
+func (d *Recorder) load(ctx context.Context, loaded chan<- []Record, failed chan<- struct{}) {
 	for attempt := 0; ctx.Err() == nil; attempt++ {
 		list, err := d.Registry.Load(ctx)
 		if err == nil {
 			loaded <- list
 			return
 		}
+		if attempt == 0 {
+			failed <- struct{}{}
+		}
 		d.Log.Warn().Err(err).Int("try", attempt+1).Msg("departures not read from the platform")
 		sleep.For(ctx, min(maxRetryPause, objectapi.Backoff(attempt, err)))
 	}
--- a/departure/recorder_test.go
+++ b/departure/recorder_test.go
@@ -218,24 +218,28 @@
 	})
 }
 
-// TestRecover checks what a process waits for before it announces its upstream, and how long.
+// TestRecover checks what a process waits for before it announces its upstream, and how long. It guards
+// against a departure that the platform has and that is lost because nodes claim to know all that was
+// confirmed.
 func TestRecover(t *testing.T) {
 	const never = time.Hour
 	const ms = time.Millisecond
 	tests := map[string]struct {
-		peers      fakePeers
-		reconciled time.Duration // when the node has received the state of another
-		platform   time.Duration // delay of the platform, 0 for none
-		discovery  time.Duration // when the node has had the time to discover others
-		firstStart bool
-		after      time.Duration
-		want       []string
+		peers       fakePeers
+		reconciled  time.Duration // when the node has received the state of another
+		platform    time.Duration // delay of the platform, 0 for none
+		platformErr error
+		discovery   time.Duration // when the node has had the time to discover others
+		firstStart  bool
+		after       time.Duration
+		want        []string
 	}{
-		"other nodes must know":                        {peers: fakePeers{delay: 2 * ms, others: 9, attestsAt: 1}, reconciled: 50 * ms, platform: 5 * ms, after: 52 * ms, want: []string{"peers"}},
-		"other nodes must know, the platform is away":  {peers: fakePeers{delay: 2 * ms, others: 9, attestsAt: 1}, reconciled: 50 * ms, platform: never, after: 52 * ms, want: []string{"peers"}},
-		"all nodes have started":                       {peers: fakePeers{delay: 2 * ms, others: 9}, reconciled: 50 * ms, platform: 5 * ms, after: 59 * ms, want: []string{"peers", "platform"}},
+		"other nodes claim to know":                    {peers: fakePeers{delay: 2 * ms, others: 9, attestsAt: 1}, reconciled: 50 * ms, platform: 5 * ms, after: 54 * ms, want: []string{"peers", "platform"}},
+		"other nodes must know, the platform is away":  {peers: fakePeers{delay: 2 * ms, others: 9, attestsAt: 1}, reconciled: 50 * ms, platform: never, after: 300 * ms, want: []string{"peers"}},
+		"other nodes must know, the platform fails":    {peers: fakePeers{delay: 2 * ms, others: 9, attestsAt: 1}, reconciled: 50 * ms, platform: 5 * ms, platformErr: errAway, after: 52 * ms, want: []string{"peers"}},
+		"all nodes have started":                       {peers: fakePeers{delay: 2 * ms, others: 9}, reconciled: 50 * ms, platform: 5 * ms, after: 54 * ms, want: []string{"peers", "platform"}},
 		"all nodes have started, found late":           {peers: fakePeers{delay: 2 * ms, others: 9}, reconciled: 400 * ms, platform: 5 * ms, after: 404 * ms, want: []string{"peers", "platform"}},
-		"all nodes have started, the platform is slow": {peers: fakePeers{delay: 2 * ms, others: 9}, reconciled: 50 * ms, platform: 900 * ms, after: 954 * ms, want: []string{"peers", "platform"}},
+		"all nodes have started, the platform is slow": {peers: fakePeers{delay: 2 * ms, others: 9}, reconciled: 50 * ms, platform: 900 * ms, after: 902 * ms, want: []string{"peers", "platform"}},
 		"all nodes have started for the first time":    {peers: fakePeers{delay: 2 * ms, others: 9}, firstStart: true, reconciled: 50 * ms, platform: 5 * ms, after: 52 * ms, want: []string{"peers"}},
 		"a new node, the platform is away":             {peers: fakePeers{delay: 2 * ms, others: 9, attestsAt: 5 * time.Second}, reconciled: 50 * ms, platform: never, after: 5102 * ms, want: []string{"peers"}},
 		"no other node":                                {peers: fakePeers{}, reconciled: never, platform: 5 * ms, discovery: 2 * time.Second, after: 2 * time.Second, want: []string{"peers", "platform"}},
@@ -250,6 +254,7 @@
 				api := new(objectapitest.Memory)
 				qt.Assert(t, newRegistry(api, "n").Save(ctx, []departure.Record{departure.NewRecord("n", "platform", 0)}), qt.IsNil)
 				api.Delay = test.platform
+				api.SetErr(test.platformErr)
 				peers := test.peers
 				peers.started = time.Now()
 				peers.reconciled = make(chan struct{})
