upstream: the start that runs tells which departure takes effect

An upstream starts while its clock is ahead, crashes, starts again under its id after the clock was set back, and drains. The node acknowledges each heartbeat and goes on sending: 312 requests from 2.5 s after the acknowledgement on, 2 of them lost at the exit that must not be repeated.

Cause: starts were ordered by start time alone, so the announcements of the second one were ignored, and its drain changed nothing; what was ignored was acknowledged like what took effect.

Ruled out: to believe each drain with the current id (a late drain of an earlier start would end the one that runs), and a shorter wait until the earlier time is believed.

Why it works: where announcements do not tell, the liveness check at the address does, as it names the start that runs, also while that drains. A departure is acknowledged only if no start with its id goes on to get requests: 409 otherwise, 503 if nothing tells. An announcement of the current start costs no check.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -188,8 +188,12 @@
 				g.ObserveLoad(l)
 			}
 		},
-		NoticeReceived: func(n upstream.Notice) { g.HandleNotice(a.StartID, n) },
-		Permit:         g.permit,
+		NoticeReceived: func(n upstream.Notice) {
+			if g.isCurrent(b) { // another start may have the same ID
+				g.HandleNotice(a.StartID, n)
+			}
+		},
+		Permit: g.permit,
 	}
 	return b
 }
--- a/gate/notice_test.go
+++ b/gate/notice_test.go
@@ -237,6 +237,24 @@
 	}
 }
 
+// TestLeavingOfEarlierStart guards against a response of an earlier start, which says that it leaves, that ends
+// the start that runs under the same ID.
+func TestLeavingOfEarlierStart(t *testing.T) {
+	n := newNoticeFixture(t, 2, 30*time.Millisecond)
+	n.announce("i-1", 5)
+	n.setFields(leavingField, "1")
+	sent := make(chan *verdict.Error)
+	go func() { sent <- n.send(nil) }()
+	for n.requests.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	n.announce("i-1", 9)
+	qt.Check(t, <-sent == nil, qt.IsTrue)
+	qt.Check(t, n.gate.NoticeState().Leaving, qt.IsFalse)
+	n.setFields()
+	qt.Check(t, n.send(nil) == nil, qt.IsTrue)
+}
+
 // TestHealthNotices has probes with and without an advertised limit in their responses: if they have
 // never had one, its absence does not end the limit that another response has advertised.
 func TestHealthNotices(t *testing.T) {
--- a/node/build.go
+++ b/node/build.go
@@ -76,6 +76,9 @@
 		AwaitRecovery:   !n.standalone(),
 		RecordDeparture: n.departures.Record,
 	}
+	if n.Platform != nil {
+		n.announcements.FindRunning = n.findRunning
+	}
 }
 
 // newGate returns the gate. Its load reports to other nodes stay within the given budget.
--- a/node/departures.go
+++ b/node/departures.go
@@ -42,7 +42,7 @@
 
 // departureReceived handles a departure that another node knows of.
 func (n *Node) departureReceived(r departure.Record) {
-	n.announcements.Leave(r.StartID, r.StartMillis)
+	n.announcements.Departed(context.Background(), r.StartID, r.StartMillis)
 }
 
 // upstreamLeaving handles a start of the upstream that has said in its responses that it leaves.
--- a/node/departures_test.go
+++ b/node/departures_test.go
@@ -155,3 +155,57 @@
 		}
 	}
 }
+
+// TestDepartureOfStartWithEarlierTime guards against an upstream that gets requests after the node has
+// acknowledged that it drains or leaves, because a start with its ID and a later start time was current: the
+// clock of its instance was set back between the two starts.
+func TestDepartureOfStartWithEarlierTime(t *testing.T) {
+	const startMillis = 1_700_000_000_000
+	for name, test := range map[string]struct {
+		drains  bool
+		silent  bool // the second start sends no heartbeat before
+		restart bool // the node is restarted after the acknowledgement
+	}{
+		"it drains":                            {drains: true},
+		"it leaves":                            {},
+		"it drains, as its first announcement": {drains: true, silent: true},
+		"it leaves, as its first announcement": {silent: true},
+		"it drains, and its node is restarted": {drains: true, restart: true},
+		"it leaves, and its node is restarted": {restart: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newTestSystem(t)
+			w.configure(1, "")
+			m := w.addUpstream("z", &platformtest.Upstream{
+				Service:     "a",
+				StartMillis: startMillis + 2000,
+			})
+			caller := w.add("b")
+			w.eventually("it serves", func() bool { return caller.request("PUT", "/a/x", "warm", "").status == 200 })
+			w.awaitMembers()
+			qt.Assert(t, m.upstream.SendHeartbeat(m.settings.AnnounceAddress), qt.IsTrue)
+			m.upstream.Close()
+			first := m.upstream
+			m.upstream = &platformtest.Upstream{
+				Service:     "a",
+				ID:          first.ID,
+				Slots:       first.Slots,
+				StartMillis: startMillis + 1000,
+				Address:     m.settings.UpstreamAddress,
+			}
+			_, err := m.upstream.Start()
+			qt.Assert(t, err, qt.IsNil)
+			if !test.silent {
+				qt.Assert(t, m.upstream.SendHeartbeat(m.settings.AnnounceAddress), qt.IsTrue)
+			}
+			w.eventually("its departure is acknowledged", func() bool { return m.depart(test.drains) })
+			if test.restart {
+				m.stop()
+				w.run(m)
+				w.eventually("its node is ready", m.ready)
+			}
+			m.checkNotServed(w, caller)
+		})
+	}
+}
--- a/node/healthcheck.go
+++ b/node/healthcheck.go
@@ -43,7 +43,7 @@
 	tick := time.NewTicker(healthCheckInterval)
 	defer tick.Stop()
 	for n.announcements.Current() == nil {
-		h, err := n.checkHealth(ctx, s.Service, s.UpstreamAddress)
+		h, err := n.checkHealth(ctx, s.Service, s.UpstreamAddress, healthCheckTimeout)
 		if h.Notice.Leaving && h.StartID != "" {
 			n.announcements.Leave(h.StartID, h.StartMillis)
 		} else if err == nil && h.StartID != "" && h.Load.Slots > 0 {
@@ -72,7 +72,7 @@
 var errBeyondLimit = eris.New("a health check would exceed the upstream's limit")
 
 // checkHealth sends one health check to an upstream.
-func (n *Node) checkHealth(ctx context.Context, service, address string) (upstream.HealthStatus, error) {
+func (n *Node) checkHealth(ctx context.Context, service, address string, timeout time.Duration) (upstream.HealthStatus, error) {
 	path, ok := n.healthPath(service)
 	if !ok {
 		return upstream.HealthStatus{}, errNoHealthPath
@@ -81,7 +81,26 @@
 		return upstream.HealthStatus{}, errBeyondLimit
 	}
 	n.healthChecks.Add(1)
-	return upstream.Health(ctx, address, path, n.Platform.FieldNames, healthCheckTimeout)
+	return upstream.Health(ctx, address, path, n.Platform.FieldNames, timeout)
+}
+
+// findRunningTimeout bounds the health check that finds out which start of the upstream runs. The upstream
+// waits a second for the response to its announcement, of which the record of a departure takes the rest.
+const findRunningTimeout = 250 * time.Millisecond
+
+// findRunning finds out which start of the upstream runs at the address of an announcement. An upstream
+// that is unhealthy or leaves tells as well.
+func (n *Node) findRunning(ctx context.Context, a *upstream.Announcement) upstream.Running {
+	h, err := n.checkHealth(ctx, a.Service, a.Address, findRunningTimeout)
+	r := upstream.Running{
+		Known:       h.StartID != "",
+		StartID:     h.StartID,
+		StartMillis: h.StartMillis,
+	}
+	if n.lineLimit.Allow("findRunning", invalidLinesPerSecond, 1) {
+		n.Log.Info().Str("start", a.StartID).Int64("bornMs", a.StartMillis).Uint64("sequence", a.Sequence).Bool("draining", a.Draining).Bool("found", r.Known).Str("running", r.StartID).Int64("runningBornMs", r.StartMillis).AnErr("health", err).Msg("running start checked")
+	}
+	return r
 }
 
 // awaitTick waits for a tick. It returns false if ctx ends first.
@@ -116,7 +135,7 @@
 	tick := time.NewTicker(healthCheckInterval)
 	defer tick.Stop()
 	for awaitTick(ctx, tick) {
-		h, err := n.checkHealth(ctx, a.Service, a.Address)
+		h, err := n.checkHealth(ctx, a.Service, a.Address, healthCheckTimeout)
 		if err != nil {
 			continue
 		}
@@ -127,7 +146,7 @@
 			continue
 		}
 		if restarted := a.WithStart(h.StartID, h.StartMillis); !restarted.SameStart(a) {
-			n.announcements.Set(restarted)
+			n.announcements.SetRunning(restarted)
 			return
 		}
 		n.upstreamRecovered(ctx, a)
--- a/upstream/announcement.go
+++ b/upstream/announcement.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"sassafrasfront.example/operator"
 )
 
@@ -106,12 +108,16 @@
 	// RecordDeparture, if not nil, records that a start gets no more requests. It returns nil once
 	// that outlives this process.
 	RecordDeparture func(ctx context.Context, startID string, startMillis int64) error
+	// FindRunning, if not nil, finds out which start of the upstream runs at the address of an
+	// announcement. It is called where the announcements alone do not tell, as clocks may be set back
+	// and announcements may be delayed.
+	FindRunning func(ctx context.Context, a *Announcement) Running
 
 	mu           sync.Mutex
 	recovered    bool
 	current      *Announcement
 	lastReceived time.Time // when the last announcement of the current start arrived
-	pastStarts   startSet
+	pastStarts   pastStarts
 	// superseded holds, by StartID, the last announcements of the starts that were superseded by
 	// another and had neither drained nor left.
 	superseded map[string]*Announcement
@@ -142,7 +148,8 @@
 // held returns whether announcements do not take effect yet. The lock is held.
 func (h *Announcements) held() bool { return h.AwaitRecovery && !h.recovered }
 
-// Recover lets announcements take effect.
+// Recover lets announcements take effect. The announcement that has arrived before is dropped if another
+// start with its ID has departed: which of them runs is found out at the next announcement.
 func (h *Announcements) Recover() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -150,9 +157,16 @@
 		return
 	}
 	h.recovered = true
-	if h.current != nil {
-		h.OnChange(h.current)
+	c := h.current
+	if c == nil {
+		return
 	}
+	if h.FindRunning != nil && h.pastStarts.hasOtherDeparted(c.StartID, c.StartMillis) {
+		h.current = nil
+		h.ignored(c, reasonUnknown)
+		return
+	}
+	h.OnChange(c)
 }
 
 // setCurrent replaces the current announcement. The lock is held.
@@ -200,26 +214,103 @@
 		return
 	}
 	if err := h.Announce(r.Context(), a); err != nil {
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		http.Error(w, err.Error(), StatusOf(err))
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// Announce replaces the announcement as Set does. If a says that its start drains, it returns nil only
-// once that outlives this process. The drain is in force in any case.
+// The errors of announcements that are not acknowledged.
+var (
+	// ErrNotRunning is returned for a departure of a start that is not the one that runs: the start that
+	// runs goes on to get requests.
+	ErrNotRunning = eris.New("another start of the upstream is running")
+	// ErrUnknownStart is returned if it is not known whether the start is the one that runs.
+	ErrUnknownStart = eris.New("it is not known which start of the upstream is running")
+)
+
+// StatusOf returns the HTTP status of the response to an announcement that is not acknowledged for the
+// reason err.
+func StatusOf(err error) int {
+	if eris.Is(err, ErrNotRunning) {
+		return http.StatusConflict
+	}
+	return http.StatusServiceUnavailable
+}
+
+// Announce replaces the announcement as Set does, and asks FindRunning where the announcements alone do
+// not tell whether it is outdated. If a says that its start drains, Announce returns nil only once its
+// start gets no more requests, and once that outlives this process.
 func (h *Announcements) Announce(ctx context.Context, a *Announcement) error {
-	h.Set(a)
-	if !a.Draining {
-		return nil
+	check := h.check(ctx, a)
+	if err := h.apply(a, check); err != nil || !a.Draining {
+		return err
 	}
-	return h.Depart(ctx, a.StartID, a.StartMillis)
+	return h.record(ctx, a.StartID, a.StartMillis)
 }
 
-// Depart records that a start leaves, as Leave does, and returns nil only once that outlives this
-// process.
+// Depart records that a start leaves, as Leave does, and returns nil only once it gets no more requests
+// and that outlives this process. Like Announce, it asks FindRunning where that is necessary.
 func (h *Announcements) Depart(ctx context.Context, start string, startMillis int64) error {
-	return h.record(ctx, start, h.Leave(start, startMillis))
+	a := h.departureOfOther(start, startMillis)
+	if a == nil {
+		startMillis = h.Leave(start, startMillis)
+	} else {
+		check := h.findRunning(ctx, a)
+		if startMillis == 0 {
+			// The start did not give its start time, so it is assumed to be the one that runs.
+			a = a.ofRunning(check.running)
+			check = check.withVerdict(startRuns)
+		}
+		if err := h.apply(a, check); err != nil {
+			return err
+		}
+		startMillis = a.StartMillis
+	}
+	return h.record(ctx, start, startMillis)
+}
+
+// departureOfOther returns the announcement that a start drains if it may be another one than the
+// current start with its ID, and otherwise nil.
+func (h *Announcements) departureOfOther(start string, startMillis int64) *Announcement {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c := h.current
+	switch {
+	case c == nil || c.Draining || c.StartID != start || c.StartMillis == 0 || c.StartMillis == startMillis:
+		return nil
+	case h.pastStarts.hasDeparted(start, startMillis):
+		return nil
+	case startMillis == 0 && h.FindRunning == nil:
+		return nil
+	case startMillis == 0:
+		startMillis = c.StartMillis
+	}
+	a := c.WithStart(start, startMillis)
+	a.Draining = true
+	return a
+}
+
+// Departed records that another process of this node, or another node, knows that a start has departed. If
+// another start with its ID is current, FindRunning tells whether that one is outdated.
+func (h *Announcements) Departed(ctx context.Context, start string, startMillis int64) {
+	a := h.departureOfOther(start, startMillis)
+	if a == nil || startMillis == 0 {
+		h.Leave(start, startMillis)
+		return
+	}
+	check := h.findRunning(ctx, a)
+	h.Leave(start, startMillis)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c := h.current
+	if c == nil || c.Draining || c.StartID != start || c.SameStart(a) {
+		return
+	}
+	if check.verdict == startRuns || check.verdict != startNotRunning && startMillis > c.StartMillis {
+		h.supersede(a)
+		h.setCurrent(a)
+	}
 }
 
 // record calls RecordDeparture.
@@ -236,45 +327,87 @@
 // for good, in whatever order its announcements arrive. OnChange is not called if the announcement
 // is the same as before.
 func (h *Announcements) Set(a *Announcement) {
+	if a == nil {
+		h.withdraw()
+		return
+	}
+	_ = h.apply(a, runningCheck{}) // OnIgnored is told, and nobody waits
+}
+
+// SetRunning replaces the announcement by that of a start that was found to run, unless it has departed.
+func (h *Announcements) SetRunning(a *Announcement) {
+	_ = h.apply(a, runningCheck{}.withVerdict(startRuns)) // OnIgnored is told, and nobody waits
+}
+
+// withdraw withdraws the announcement.
+func (h *Announcements) withdraw() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if a != nil {
-		reason := h.outdated(a)
-		if a.Draining {
-			h.leave(a.StartID, a.StartMillis)
-		}
-		if reason != "" {
-			if h.OnIgnored != nil {
-				h.OnIgnored(a, reason)
-			}
-			return
-		}
+	h.lastReceived = time.Now()
+	h.setCurrent(nil)
+}
+
+// apply replaces the announcement unless it is outdated. It returns an error if its start drains and may
+// go on to get requests, or if nothing tells whether its start runs.
+func (h *Announcements) apply(a *Announcement, check runningCheck) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	reason := h.outdatedBy(a, check)
+	if reason == reasonUnknown {
+		h.ignored(a, reason)
+		return ErrUnknownStart
 	}
-	old := h.current
-	if old != nil && a != nil && !old.SameStart(a) && (old.Sequence != 0 || old.StartMillis != 0) {
-		h.forgetExpired()
-		h.pastStarts.add(old.StartID, old.StartMillis)
-		if h.superseded == nil {
-			h.superseded = make(map[string]*Announcement)
-		}
-		if !old.Draining {
-			h.superseded[old.StartID] = old
+	if a.Draining {
+		h.leave(a.StartID, a.StartMillis)
+	}
+	if reason != "" {
+		h.ignored(a, reason)
+		if c := h.current; a.Draining && c != nil && !c.Draining && c.StartID == a.StartID {
+			return ErrNotRunning
 		}
+		return nil
 	}
-	if a != nil && a.StartMillis == 0 && old != nil && old.SameStart(a) {
+	old := h.current
+	if old != nil && a.StartMillis == 0 && old.SameStart(a) {
 		b := *a
 		b.StartMillis = old.StartMillis
 		a = &b
 	}
+	h.supersede(a)
 	h.lastReceived = time.Now()
-	if old == nil || a == nil || !old.same(a) {
+	if old == nil || !old.same(a) {
 		h.setCurrent(a)
 	} else {
 		h.current = a
 	}
-	if a != nil && a.ColdRemaining > 0 && h.ColdReported != nil && !h.held() {
+	if a.ColdRemaining > 0 && h.ColdReported != nil && !h.held() {
 		h.ColdReported(a.ColdRemaining)
 	}
+	return nil
+}
+
+// ignored calls OnIgnored.
+func (h *Announcements) ignored(a *Announcement, reason string) {
+	if h.OnIgnored != nil {
+		h.OnIgnored(a, reason)
+	}
+}
+
+// supersede records that the current start, if it is another one, is superseded by that of a. The lock
+// is held.
+func (h *Announcements) supersede(a *Announcement) {
+	old := h.current
+	if old == nil || old.SameStart(a) || old.Sequence == 0 && old.StartMillis == 0 {
+		return
+	}
+	h.forgetExpired()
+	h.pastStarts.add(old.StartID, old.StartMillis, false)
+	if h.superseded == nil {
+		h.superseded = make(map[string]*Announcement)
+	}
+	if !old.Draining {
+		h.superseded[old.StartID] = old
+	}
 }
 
 // WithStart returns a copy of a for another start, whose announcements are not ordered yet.
@@ -287,13 +420,13 @@
 	return &b
 }
 
-// SetIfAbsent sets the announcement unless there is a current one.
+// SetIfAbsent sets the announcement of a start that was found to run, unless there is a current one.
 func (h *Announcements) SetIfAbsent(a *Announcement) {
 	h.mu.Lock()
 	present := h.current != nil
 	h.mu.Unlock()
 	if !present {
-		h.Set(a)
+		h.SetRunning(a)
 	}
 }
 
@@ -308,20 +441,30 @@
 	if a == nil || c == nil || !c.SameStart(other) || a.Address != c.Address || !a.SameStart(a.WithStart(start, startMillis)) {
 		return false
 	}
-	delete(h.superseded, start)
-	h.pastStarts.remove(a.StartID, a.StartMillis)
-	h.pastStarts.add(c.StartID, c.StartMillis)
+	h.revive(a)
+	h.pastStarts.add(c.StartID, c.StartMillis, false)
 	h.lastReceived = time.Now()
 	h.setCurrent(a)
 	return true
 }
 
+// revive forgets that a start was superseded. The lock is held.
+func (h *Announcements) revive(a *Announcement) {
+	h.pastStarts.remove(a.StartID, a.StartMillis)
+	if s := h.superseded[a.StartID]; s != nil && s.SameStart(a) {
+		delete(h.superseded, a.StartID)
+	}
+}
+
 // The reasons why an announcement is ignored.
 const (
 	reasonPastStart = "its start drains, has left or was superseded"
 	reasonOlder     = "a later announcement of its start has arrived"
 	reasonSameID    = "a later start with its ID drains"
 	reasonEarlier   = "a later start is running"
+	// These two rest on FindRunning.
+	reasonNotRunning = "another start is running"
+	reasonUnknown    = "which start is running is not known"
 )
 
 // outdated returns why the announcement is outdated and has to be ignored, or "".
@@ -374,16 +517,18 @@
 // leave does what Leave does. The lock is held.
 func (h *Announcements) leave(start string, startMillis int64) int64 {
 	c := h.current
-	present := c != nil && c.StartID == start
+	present := c != nil && c.SameStart(&Announcement{StartID: start, StartMillis: startMillis})
 	if present && startMillis == 0 {
 		startMillis = c.StartMillis
 	}
 	if start != "" { // otherwise it can't be told from the next start
 		h.forgetExpired()
-		h.pastStarts.add(start, startMillis)
-		delete(h.superseded, start)
+		h.pastStarts.add(start, startMillis, true)
+		if s := h.superseded[start]; s != nil && (startMillis == 0 || s.SameStart(&Announcement{StartID: start, StartMillis: startMillis})) {
+			delete(h.superseded, start)
+		}
 	}
-	if !present || c.Draining || startMillis < c.StartMillis {
+	if !present || c.Draining {
 		return startMillis
 	}
 	a := *c
@@ -391,53 +536,3 @@
 	h.setCurrent(&a)
 	return startMillis
 }
-
-// pastStartRetention is how long it is remembered that a start has left or was superseded. Delayed
-// announcements arrive within seconds.
-const pastStartRetention = time.Hour
-
-// forgetExpired forgets the past starts, other than the current one, that have left or were superseded
-// more than pastStartRetention ago. The lock is held.
-func (h *Announcements) forgetExpired() {
-	now := time.Now()
-	for key, since := range h.pastStarts {
-		if now.Sub(since) > pastStartRetention && (h.current == nil || h.current.StartID != key.id) {
-			delete(h.pastStarts, key)
-			delete(h.superseded, key.id)
-		}
-	}
-}
-
-// startSet is the set of starts that have left or were superseded, with the times at which they did.
-// The zero value is an empty set.
-type startSet map[startKey]time.Time
-
-// startKey identifies a start.
-type startKey struct {
-	id          string
-	startMillis int64
-}
-
-// add marks a start as past. It is also marked without its start time, for announcements that
-// have none.
-func (p *startSet) add(id string, startMillis int64) {
-	if *p == nil {
-		*p = make(startSet)
-	}
-	now := time.Now()
-	(*p)[startKey{id: id, startMillis: startMillis}] = now
-	(*p)[startKey{id: id}] = now
-}
-
-// remove removes a start from the set.
-func (p startSet) remove(id string, startMillis int64) {
-	delete(p, startKey{id: id, startMillis: startMillis})
-	delete(p, startKey{id: id})
-}
-
-// has returns whether a start is past. A start without a start time is past if any start with
-// its StartID is.
-func (p startSet) has(id string, startMillis int64) bool {
-	_, ok := p[startKey{id: id, startMillis: startMillis}]
-	return ok
-}
