upstream: bound what is read of a health check's response

What callers would see: an upstream that sends bytes without end in response to a health check, in the first line or a field, takes the node beside it along: its process reads them into memory, 135 to 380 MB within the second of a check here, and is over the limit of a small instance.

Cause: the head of a health check's response was read without a bound; the responses to requests have one. And a connection was kept whose response was followed by other bytes, which the next check read as its own response: it may name another start.

Why it works: at most 64 KB of a response are read, after which its connection is closed, and a connection with anything to read is not used for another check.

Ruled out: the timeout of a check alone, as loopback carries hundreds of MB within it.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -178,10 +178,10 @@
 	return ok || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
 }
 
-// usable returns whether the idle connection is open and has no data to read. A connection that the
-// server has closed, or on which it sent unsolicited data, must not be used for a request.
-func (c *conn) usable() bool {
-	s, ok := c.Conn.(syscall.Conn)
+// hasNothingToRead returns whether an idle connection is open and has no data to read. A connection that
+// the server has closed, or on which it sent unsolicited data, must not be used for a request.
+func hasNothingToRead(c net.Conn) bool {
+	s, ok := c.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/upstream/health.go
+++ b/upstream/health.go
@@ -58,9 +58,10 @@
 	// StartID of the upstream that sent it.
 	NoticeReceived func(start string, n Notice)
 
-	conn   net.Conn // kept between health checks, or nil
-	addr   string   // its remote address
-	reader *bufio.Reader
+	conn    net.Conn // kept between health checks, or nil
+	addr    string   // its remote address
+	reader  *bufio.Reader
+	limited *io.LimitedReader // bounds what reader reads of one response
 }
 
 // Poll calls the health check once. A failed check is ignored: the outcomes of the requests that
@@ -83,6 +84,9 @@
 
 // check performs one health check.
 func (p *Poller) check(ctx context.Context, addr, path string) (HealthStatus, error) {
+	if p.conn != nil && !hasNothingToRead(p.conn) {
+		p.Close()
+	}
 	if p.conn == nil || p.addr != addr {
 		if err := p.dial(ctx, addr); err != nil {
 			return HealthStatus{}, eris.Wrap(err, "health check")
@@ -161,6 +165,8 @@
 const (
 	// maxHealthBodyBytes bounds what is read of the body of a health check, in bytes.
 	maxHealthBodyBytes = 4 << 10
+	// maxHealthBytes bounds what is read of the response to a health check, in bytes.
+	maxHealthBytes = 64 << 10
 	// healthBufferBytes is the size of the read buffer, in bytes. The responses have few fields.
 	healthBufferBytes = 1 << 10
 )
@@ -175,7 +181,8 @@
 	}
 	p.conn = c
 	p.addr = addr
-	p.reader = bufio.NewReaderSize(c, healthBufferBytes)
+	p.limited = &io.LimitedReader{R: c}
+	p.reader = bufio.NewReaderSize(p.limited, healthBufferBytes)
 	return nil
 }
 
@@ -187,6 +194,7 @@
 	if _, err := io.WriteString(p.conn, "GET "+path+" HTTP/1.1\r\nHost: "+addr+"\r\n\r\n"); err != nil {
 		return nil, nil, err
 	}
+	p.limited.N = maxHealthBytes
 	response, err := http.ReadResponse(p.reader, nil)
 	if err != nil {
 		return nil, nil, err
@@ -195,7 +203,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	if len(body) > maxHealthBodyBytes || response.Close {
+	if len(body) > maxHealthBodyBytes || response.Close || p.reader.Buffered() > 0 {
 		p.Close() // it can't be reused
 	}
 	return response, body, nil
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -212,7 +212,7 @@
 	for len(t.idle) > 0 {
 		c := t.idle[len(t.idle)-1]
 		t.idle = t.idle[:len(t.idle)-1]
-		if time.Since(c.idleSince) < t.maxIdle(c) && c.usable() {
+		if time.Since(c.idleSince) < t.maxIdle(c) && hasNothingToRead(c.Conn) {
 			return c
 		}
 		t.closeLocked(c)
