upstream: close an idle connection on which the upstream goes on to send

What callers would see: nothing at first. An upstream that sends bytes without end behind a whole response fills the buffers of the connection, 2 to 4 MB here, which counts as the node's memory, for as long as no request uses that connection.

Cause: whether an idle connection may be used again was found out when a request took it. One that nobody takes stayed open, also beyond its idle timeout.

Evidence: TestBytesWithoutEnd, failed before in the rows with bytes after the response (after a while, slowly, to HEAD), still open after 10 s. Its other rows, of bytes before the head, in each part of it, in chunks and trailers, held before.

Why it works: while connections are idle, they are checked each 250 ms without reading from them, and closed if there is anything to read or they are idle for too long.

Ruled out: a goroutine that reads from each idle connection, as it costs each request two more wake-ups.

--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -17,6 +18,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"sassafrasfront.example/upstream"
+	"sassafrasfront.example/verdict"
 )
 
 const (
@@ -75,6 +77,103 @@
 	qt.Check(t, errors.As(o.err, &timeout) && timeout.Timeout(), qt.IsFalse, qt.Commentf("the connection is still open after %d bytes: %v", o.written, o.err))
 }
 
+// TestBytesWithoutEnd guards against a connection that stays open while the upstream sends bytes without
+// end that are no response, and against such bytes that end up in a response.
+func TestBytesWithoutEnd(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nTest-Signature: s\r\nContent-Length: 4\r\n\r\nmine"
+	const chunked = "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nTest-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+	many := strings.Repeat("x", 4<<10)
+	tests := map[string]struct {
+		method           string
+		prefix, repeated string
+		pause            time.Duration
+		want             verdict.Cause // of the failure to read the head, or ""
+		cut              bool          // whether the body is truncated
+		body             string
+	}{
+		"before the head":                    {repeated: many, want: verdict.ResponseInvalid},
+		"empty lines before the head":        {repeated: strings.Repeat("\r\n", 1<<10), want: verdict.ResponseMalformed},
+		"in the status line":                 {prefix: "HTTP/1.1 200 ", repeated: many, want: verdict.ResponseInvalid},
+		"in a field":                         {prefix: "HTTP/1.1 200 OK\r\nX: ", repeated: many, want: verdict.ResponseInvalid},
+		"fields":                             {prefix: "HTTP/1.1 200 OK\r\n", repeated: strings.Repeat("X: x\r\n", 1<<9), want: verdict.ResponseMalformed},
+		"interim responses":                  {repeated: strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 1<<7), want: verdict.ResponseInvalid},
+		"in the size of a chunk":             {prefix: chunked, repeated: strings.Repeat("0", 4<<10), cut: true},
+		"in the extension of a chunk":        {prefix: chunked + "4;x=", repeated: many, cut: true},
+		"trailers":                           {prefix: chunked + "4\r\nmine\r\n0\r\n", repeated: strings.Repeat("X: x\r\n", 1<<9), cut: true, body: "mine"},
+		"after the response":                 {prefix: whole, repeated: many, body: "mine"},
+		"after the response, after a while":  {prefix: whole, repeated: many, pause: 20 * time.Millisecond, body: "mine"},
+		"after the response, slowly":         {prefix: whole, repeated: "x", pause: 100 * time.Millisecond, body: "mine"},
+		"after the last chunk":               {prefix: chunked + "4\r\nmine\r\n0\r\n\r\n", repeated: many, body: "mine"},
+		"after the response to HEAD":         {method: http.MethodHead, prefix: strings.TrimSuffix(whole, "mine"), repeated: many},
+		"after a response without a body":    {prefix: "HTTP/1.1 204 No Content\r\nTest-Id: 1\r\nTest-Signature: s\r\n\r\n", repeated: many},
+		"after a failure":                    {prefix: "HTTP/1.1 500 No\r\nTest-Id: 1\r\nContent-Length: 4\r\n\r\nmine", repeated: many, body: "mine"},
+		"responses to other requests":        {repeated: strings.ReplaceAll(whole, "Id: 1", "Id: 0"), want: verdict.ResponseMalformed},
+		"after the rejection of the request": {prefix: "HTTP/1.1 503 No\r\nTest-Id: 1\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", repeated: many, want: verdict.UpstreamRefused},
+	}
+	for name, test := range tests {
+		for _, method := range []string{http.MethodGet, http.MethodPost} {
+			if test.method != "" {
+				method = test.method
+			}
+			t.Run(name+", "+method, func(t *testing.T) {
+				t.Parallel()
+				addr, outcomes := serveEndless(t, test.prefix, test.repeated, test.pause)
+				transport := &upstream.Transport{
+					Addr:         addr,
+					MaxIdleConns: 1,
+					Names:        testNames,
+				}
+				ctx, cancel := context.WithTimeoutCause(t.Context(), time.Second, verdict.New(verdict.CallerGone, nil))
+				defer cancel()
+				response, failed := transport.Send(request(ctx, method, "", "Test-Id", "1"), nil)
+				if test.want != "" {
+					qt.Assert(t, failed != nil, qt.IsTrue)
+					qt.Check(t, failed.Cause, qt.Equals, test.want)
+				} else {
+					qt.Assert(t, failed == nil, qt.IsTrue, qt.Commentf("%v", failed))
+					body, err := io.ReadAll(response.Body)
+					qt.Check(t, string(body), qt.Equals, test.body)
+					qt.Check(t, err != nil, qt.Equals, test.cut, qt.Commentf("%v", err))
+					qt.Check(t, response.Body.Close(), qt.IsNil)
+				}
+				checkClosed(t, outcomes)
+				qt.Check(t, transport.OpenConns(), qt.Equals, 0)
+			})
+		}
+	}
+}
+
+// TestBodyWithoutEnd guards against a connection that stays open while a body without end is sent to a
+// caller that has left, and against such a body that looks complete.
+func TestBodyWithoutEnd(t *testing.T) {
+	many := strings.Repeat("x", 4<<10)
+	tests := map[string]struct {
+		fields, repeated string
+	}{
+		"until the connection is closed": {repeated: many},
+		"in chunks":                      {fields: "Transfer-Encoding: chunked\r\n", repeated: "1000\r\n" + many + "\r\n"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			addr, outcomes := serveEndless(t, "HTTP/1.1 200 OK\r\nTest-Id: 1\r\nTest-Signature: s\r\n"+test.fields+"\r\n", test.repeated, time.Millisecond)
+			transport := &upstream.Transport{
+				Addr:         addr,
+				MaxIdleConns: 1,
+				Names:        testNames,
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+			defer cancel()
+			response, failed := transport.Send(request(ctx, http.MethodGet, "", "Test-Id", "1"), nil)
+			qt.Assert(t, failed == nil, qt.IsTrue, qt.Commentf("%v", failed))
+			_, err := io.Copy(io.Discard, response.Body)
+			qt.Check(t, verdict.As(err, "").Cause, qt.Equals, verdict.ResponseTruncated, qt.Commentf("%v", err))
+			checkClosed(t, outcomes)
+			qt.Check(t, transport.OpenConns(), qt.Equals, 0)
+		})
+	}
+}
+
 // TestHealthBytesWithoutEnd guards against a process that runs out of memory, and against health checks that
 // read what is left of an earlier response, as an upstream sends bytes without end that are no response.
 func TestHealthBytesWithoutEnd(t *testing.T) {
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -41,6 +41,8 @@
 	// keepAliveFraction is the fraction of the upstream's keep-alive timeout for which an idle
 	// connection may be reused.
 	keepAliveFraction = 0.9
+	// idleCheckInterval is the time between two checks of the idle connections.
+	idleCheckInterval = 250 * time.Millisecond
 	// ackTimeout bounds the time for which sent data may stay unacknowledged by the upstream's
 	// kernel. The upstream runs on the same instance, where a fraction of a millisecond is
 	// usual, and callers wait at least 250 ms. The bound does not apply to requests above
@@ -87,6 +89,7 @@
 	available chan struct{} // closed when a connection is closed or becomes idle
 	idle      []*conn       // the most recently used last
 	busy      map[*conn]struct{}
+	idleCheck *time.Timer // calls closeUnusable, or nil while no connection is idle
 }
 
 // Send writes the request and returns the head of the response. The request's context cancels it:
@@ -212,7 +215,7 @@
 	for len(t.idle) > 0 {
 		c := t.idle[len(t.idle)-1]
 		t.idle = t.idle[:len(t.idle)-1]
-		if time.Since(c.idleSince) < t.maxIdle(c) && hasNothingToRead(c.Conn) {
+		if t.isUsable(c) {
 			return c
 		}
 		t.closeLocked(c)
@@ -220,6 +223,33 @@
 	return nil
 }
 
+// isUsable returns whether an idle connection may carry another request.
+func (t *Transport) isUsable(c *conn) bool {
+	return time.Since(c.idleSince) < t.maxIdle(c) && hasNothingToRead(c.Conn)
+}
+
+// closeUnusable closes the idle connections that may not carry another request, and is called again while
+// there are others. An upstream may go on to send bytes on a connection that nobody reads.
+func (t *Transport) closeUnusable() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	usable := t.idle[:0]
+	for _, c := range t.idle {
+		if t.isUsable(c) {
+			usable = append(usable, c)
+		} else {
+			t.closeLocked(c)
+		}
+	}
+	clear(t.idle[len(usable):])
+	t.idle = usable
+	if len(usable) == 0 {
+		t.idleCheck = nil
+		return
+	}
+	t.idleCheck.Reset(idleCheckInterval)
+}
+
 // maxIdle returns how long a connection may stay idle.
 func (t *Transport) maxIdle(c *conn) time.Duration {
 	idle := cmp.Or(t.IdleTimeout, defaultIdleTimeout)
@@ -283,6 +313,9 @@
 	c.idleSince = time.Now()
 	delete(t.busy, c)
 	t.idle = append(t.idle, c)
+	if t.idleCheck == nil {
+		t.idleCheck = time.AfterFunc(idleCheckInterval, t.closeUnusable)
+	}
 	t.signalWaiters()
 }
 
