upstream: bound the responses to other requests that are skipped

What callers would see: a request whose connection carries the response to another one first, with a body without end, ends at its deadline; until then its node reads and drops some 400 MB a second.

Cause: a response with the id of another request is skipped whole, whatever its size.

Evidence: the row "the response to another request" of TestBytesWithoutEnd: 412 to 486 MB read within a second before; now the connection is closed after 8 MiB, and the request ends as malformed.

Why it works: late responses are of the size of responses; TestResponseFields has one of 2 MB, which is skipped as before.

--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -108,6 +108,7 @@
 		"after a response without a body":    {prefix: "HTTP/1.1 204 No Content\r\nTest-Id: 1\r\nTest-Signature: s\r\n\r\n", repeated: many},
 		"after a failure":                    {prefix: "HTTP/1.1 500 No\r\nTest-Id: 1\r\nContent-Length: 4\r\n\r\nmine", repeated: many, body: "mine"},
 		"responses to other requests":        {repeated: strings.ReplaceAll(whole, "Id: 1", "Id: 0"), want: verdict.ResponseMalformed},
+		"the response to another request":    {prefix: strings.ReplaceAll(chunked, "Id: 1", "Id: 0"), repeated: "1000\r\n" + many + "\r\n", want: verdict.ResponseMalformed},
 		"after the rejection of the request": {prefix: "HTTP/1.1 503 No\r\nTest-Id: 1\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", repeated: many, want: verdict.UpstreamRefused},
 	}
 	for name, test := range tests {
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -16,9 +16,13 @@
 	"sassafrasfront.example/verdict"
 )
 
-// maxSkippedResponses bounds the number of responses to other requests that are skipped before the one
-// to the request that was sent.
-const maxSkippedResponses = 4
+const (
+	// maxSkippedResponses bounds the number of responses to other requests that are skipped before the
+	// one to the request that was sent.
+	maxSkippedResponses = 4
+	// maxSkippedBytes bounds the body of each of them, in bytes.
+	maxSkippedBytes = 8 << 20
+)
 
 // errUnmatchedResponses closes a connection whose responses can't be assigned to requests.
 var errUnmatchedResponses = eris.New("responses can't be matched to requests")
@@ -47,7 +51,8 @@
 		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			return nil, errUnmatchedResponses // its body ends with the connection
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
+		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBytes))
+		if err != nil || n == maxSkippedBytes || response.Close {
 			return nil, errUnmatchedResponses
 		}
 	}
