objectapi: bound a response of the platform

What callers would see: a platform, or something at its address, whose response has no end takes the nodes along that read it.

Cause: a call read up to 256 MB into memory, more than a small instance has, and a watch that is polled read without a bound; both end only once there is no progress.

Now both end after 64 MiB.

Ruled out: a bound on the whole time of a call, which would keep nodes behind a slow link from large objects (TestCallEndsForLackOfProgress).

--- a/objectapi/jsonclient.go
+++ b/objectapi/jsonclient.go
@@ -27,8 +27,9 @@
 
 const (
 	defaultTimeout = 3 * time.Second
-	// maxListBytes bounds the response to a list.
-	maxListBytes = 256 << 20
+	// maxResponseBytes bounds a response, except for that to a watch which goes on. The platform's largest
+	// are pages of lists, of a few MB.
+	maxResponseBytes = 64 << 20
 	// maxRetryAfterSeconds bounds the delay that the platform may ask for.
 	maxRetryAfterSeconds = 3600
 )
@@ -100,7 +101,7 @@
 	}
 	defer r.Body.Close()
 	era = c.ResponseEra(r)
-	data, err := io.ReadAll(io.LimitReader(r.Body, maxListBytes))
+	data, err := io.ReadAll(r.Body)
 	if err != nil {
 		return era, readError(err)
 	}
--- a/objectapi/progress.go
+++ b/objectapi/progress.go
@@ -31,6 +31,9 @@
 	return context.WithValue(ctx, progressKey{}, f)
 }
 
+// ErrTooLarge is the root of the errors of calls whose response is larger than the platform's are.
+var ErrTooLarge = eris.New("response too large")
+
 // ErrStalled is the root of the errors of calls whose response had begun and then made no progress.
 var ErrStalled = errors.New("response stalled")
 
@@ -57,8 +60,8 @@
 }
 
 // WithStallTimeout returns a context for one call of the client, whose response is expected to begin after the time wait.
-// The call ends once no response has begun for the time timeout beyond that, or a response has made no progress for a time. The
-// size of a response, and so its whole time, is not bounded: others choose it. The caller calls stop when the call has ended.
+// The call ends once no response has begun for the time timeout beyond that, or a response has made no progress for a time, or
+// is larger than maxResponseBytes. Its whole time is not bounded. The caller calls stop when the call has ended.
 func (c *JSONClient) WithStallTimeout(ctx context.Context, wait, timeout time.Duration) (limited context.Context, stop func()) {
 	limited, cancel := context.WithCancelCause(ctx)
 	t := &stallTimer{
@@ -116,6 +119,9 @@
 
 // Read implements io.Reader.
 func (b *progressBody) Read(p []byte) (int, error) {
+	if b.stall != nil && b.received >= maxResponseBytes {
+		return 0, eris.Wrapf(ErrTooLarge, "after %d bytes", b.received)
+	}
 	n, err := b.ReadCloser.Read(p)
 	b.total.Add(uint64(n))
 	b.received += n
--- a/objectapi/progress_test.go
+++ b/objectapi/progress_test.go
@@ -6,9 +6,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -79,6 +81,49 @@
 	}
 }
 
+// TestResponseWithoutEnd guards against a process that runs out of memory, as the response to a call has no
+// end.
+func TestResponseWithoutEnd(t *testing.T) {
+	const bound = 80 << 20 // bytes, with what is read at once
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		many := []byte(strings.Repeat(" ", 64<<10))
+		for sent := 0; r.Context().Err() == nil && sent < 4*bound; sent += len(many) {
+			if _, err := w.Write(many); err != nil {
+				return
+			}
+		}
+	}))
+	defer server.Close()
+	calls := map[string]func(c *objectapi.JSONClient) error{
+		"a call": func(c *objectapi.JSONClient) error {
+			var response struct{}
+			_, err := c.Do(t.Context(), http.MethodGet, "/", nil, &response)
+			return err
+		},
+		"a watch that is polled": func(c *objectapi.JSONClient) error {
+			ctx, stop := c.WithStallTimeout(t.Context(), time.Second, time.Second)
+			defer stop()
+			r, err := c.Call(ctx, http.MethodGet, "/", nil)
+			if err != nil {
+				return err
+			}
+			defer r.Body.Close()
+			var response struct{}
+			return json.NewDecoder(r.Body).Decode(&response)
+		},
+	}
+	for name, call := range calls {
+		t.Run(name, func(t *testing.T) {
+			c := &objectapi.JSONClient{
+				URL:     server.URL,
+				Timeout: time.Second,
+			}
+			qt.Check(t, call(c), qt.ErrorIs, objectapi.ErrTooLarge)
+			qt.Check(t, c.ReceivedBytes() < bound, qt.IsTrue, qt.Commentf("%d bytes", c.ReceivedBytes()))
+		})
+	}
+}
+
 // pause waits, or until the request has ended.
 func pause(r *http.Request, d time.Duration) {
 	select {
