node: a changed service is the origin of requests after SIGHUP

After the settings of a machine name another service and SIGHUP, requests that begin there run as requests of the former service until the process is restarted.

Cause: the service was copied into the handler of requests at the start, and a reload left it to the next start.

Ruled out: to take the service from the upstream's announcement, which may be late and of the upstream before.

Why it works: the service is read when a request begins, and stays that of the request.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -79,9 +79,9 @@
 	Resolver Resolver
 	// FieldNames are the names of the header fields that callers use.
 	FieldNames upstream.FieldNames
-	// Service is the service that runs beside this node. Its name is sent to upstreams as
-	// the origin of requests, if a header field is configured for it.
-	Service string
+	// Service, if not nil, returns the service that runs beside this node. Its name when a request begins
+	// is sent to upstreams as the origin of the request, if a header field is configured for it.
+	Service func() string
 	// LocalCallers is whether all callers are on this node's instance. Requests then get no
 	// fields that describe their origin, as Service does so.
 	LocalCallers bool
@@ -117,6 +117,8 @@
 	r       *http.Request
 	began   time.Time
 	outcome Outcome
+	// origin is the service beside this node when the request began.
+	origin string
 	// bodyReadFailed is whether reading the body failed, after which the start of the next
 	// request can't be determined.
 	bodyReadFailed atomic.Bool
@@ -147,6 +149,9 @@
 			Path:   r.URL.Path,
 		},
 	}
+	if h.Service != nil {
+		x.origin = h.Service()
+	}
 	h.inFlight.add(x)
 	defer h.inFlight.remove(x)
 	ctx := tracing.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
--- a/caller/request.go
+++ b/caller/request.go
@@ -93,7 +93,7 @@
 // request with this header is suspected of crashing upstreams: the first bytes of the body are
 // then waited for.
 func (x *exchange) setFingerprint(q *entry.Request) *verdict.Error {
-	q.Fingerprint = quarantine.NewFingerprint(x.handler.Service, q.Method, q.Host, q.Target)
+	q.Fingerprint = quarantine.NewFingerprint(x.origin, q.Method, q.Host, q.Target)
 	switch {
 	case q.Spooled == nil && q.Stream == nil:
 		q.Fingerprint = q.Fingerprint.WithBody(q.Body)
@@ -148,7 +148,7 @@
 		h.Set(names.RequestID, x.outcome.ID)
 	}
 	if names.CallerService != "" {
-		h.Set(names.CallerService, x.handler.Service)
+		h.Set(names.CallerService, x.origin)
 	}
 	if names.ExpectedInstance != "" {
 		h.Del(names.ExpectedInstance)
--- a/node/handlers.go
+++ b/node/handlers.go
@@ -35,7 +35,7 @@
 	}
 	if n.Platform != nil {
 		h.FieldNames = n.Platform.FieldNames
-		h.Service = n.Settings.Service
+		h.Service = func() string { return n.activeSettings().Service }
 		h.LocalCallers = true
 		h.Admit = n.rateLimiter.Admit
 		h.Resolver = &caller.RouteResolver{
--- a/node/healthcheck.go
+++ b/node/healthcheck.go
@@ -36,13 +36,13 @@
 // upstream is known. A node that is started beside a running upstream does not have to
 // wait for its next announcement.
 func (n *Node) discoverUpstream(ctx context.Context) {
-	s := &n.Settings
-	if s.Service == "" || s.UpstreamAddress == "" {
+	if s := n.activeSettings(); s.Service == "" || s.UpstreamAddress == "" {
 		return
 	}
 	tick := time.NewTicker(healthCheckInterval)
 	defer tick.Stop()
 	for n.announcements.Current() == nil {
+		s := n.activeSettings()
 		h, err := n.checkHealth(ctx, s.Service, s.UpstreamAddress, healthCheckTimeout)
 		if h.Notice.Leaving && h.StartID != "" {
 			n.announcements.Leave(h.StartID, h.StartMillis)
--- a/node/managed_test.go
+++ b/node/managed_test.go
@@ -49,6 +49,7 @@
 type testNode struct {
 	settings settings.Settings
 	upstream *platformtest.Upstream
+	process  *node.Node
 	stop     func()
 }
 
@@ -138,6 +139,7 @@
 			RolloutKind: platform.RolloutKind, DecodeRollout: platform.DecodeRollout, RolloutStatus: platform.RolloutStatus,
 		},
 	}
+	m.process = n
 	var done sync.WaitGroup
 	done.Go(func() {
 		if err := n.Run(ctx); err != nil {
--- a/node/reload.go
+++ b/node/reload.go
@@ -31,6 +31,7 @@
 	next := old
 	next.RetryRatio = s.RetryRatio
 	next.RetrySlack = s.RetrySlack
+	next.Service = s.Service
 	n.reloadedSettings.Store(&next)
 	n.Log.Info().Str("inForce", strings.Join(applied, ",")).Str("atNextStart", strings.Join(deferred, ",")).Msg("settings reloaded")
 }
@@ -40,6 +41,7 @@
 var reloadable = map[string]bool{
 	"RetryRatio": true,
 	"RetrySlack": true,
+	"Service":    true,
 }
 
 // activeSettings returns the active settings.
--- a/node/rollouts.go
+++ b/node/rollouts.go
@@ -169,7 +169,7 @@
 			if a := n.announcements.Current(); a == nil || a.Version != version {
 				break
 			}
-			if state, ok := n.control.Snapshot().Rollouts[n.Settings.Service]; ok && state.Order.Version == version {
+			if state, ok := n.control.Snapshot().Rollouts[n.activeSettings().Service]; ok && state.Order.Version == version {
 				break // the order has been received meanwhile
 			}
 			if err := n.rolloutOrders.Read(ctx); err != nil {
