upstream: record the drain of the current start under its start time

What callers would see: an upstream whose heartbeat says that it drains and leaves out its start time, which the node knows from others or from a health check, can't start again under its id for an hour once its node is restarted: nothing is sent to it.

Cause: found by reading this change again. The drain was recorded as the announcement had it, without a start time, which counts for all starts with the id.

Evidence: TestDrainWithoutStartTimeIsOfCurrentStart failed before this commit (recorded with the start time 0), and passes now.

Why it works: Leave returns the start time of the start that it has drained.

--- a/upstream/announcement.go
+++ b/upstream/announcement.go
@@ -246,7 +246,7 @@
 	if err := h.apply(a, check); err != nil || !a.Draining {
 		return err
 	}
-	return h.record(ctx, a.StartID, a.StartMillis)
+	return h.record(ctx, a.StartID, h.Leave(a.StartID, a.StartMillis)) // the drain may be without its start time
 }
 
 // Depart records that a start leaves, as Leave does, and returns nil only once it gets no more requests
--- a/upstream/start_test.go
+++ b/upstream/start_test.go
@@ -309,6 +309,23 @@
 	}
 }
 
+// TestDrainWithoutStartTimeIsOfCurrentStart guards against a departure that is recorded for all starts with an ID,
+// the next ones included, because the announcement of the drain leaves out the start time.
+func TestDrainWithoutStartTimeIsOfCurrentStart(t *testing.T) {
+	s := &startScenario{ctx: t.Context()}
+	s.restart()
+	qt.Assert(t, s.ready("a", 2000), qt.IsNil)
+	qt.Assert(t, s.drains("a", 0), qt.IsNil)
+	qt.Assert(t, s.recorded, qt.HasLen, 1)
+	qt.Check(t, s.recorded[0], qt.Equals, startRecord{id: "a", startMillis: 2000})
+	s.restart()
+	s.runs("a", 3000)
+	qt.Assert(t, s.ready("a", 3000), qt.IsNil)
+	id, millis := s.serves()
+	qt.Check(t, id, qt.Equals, "a")
+	qt.Check(t, millis, qt.Equals, int64(3000))
+}
+
 // TestUnappliedDepartureIsNotAcknowledged guards against the acknowledgement of a departure that has no
 // effect, where nothing but the order of the announcements tells which start runs.
 func TestUnappliedDepartureIsNotAcknowledged(t *testing.T) {
