upstream: reject responses whose head or trailer is not one of HTTP/1.1

What callers saw: a success with another body than the upstream's Content-Length says ("Content-Length : 5"), one whose body was the chunks' framing ("Transfer-Encoding : chunked", and a chunked response in HTTP/1.0), one with a line that is no field ("X Y: z"), and no response at all to a status of 000, 099 or +20.

Cause: http.ReadResponse accepts names with blanks, keeps them apart from the fields they resemble and so frames the body by something else; drops the codings of HTTP/1.0 and the length beside the chunked coding; and takes any three characters that Atoi reads as a status. A status below 100 counted as an interim response, and writing it to the caller panicked, which closed the caller's connection.

Ruled out: a control byte in a name or a value, and a tab before the colon, which net/http rejects. Other places that read responses: health checks use the same reader now. The client of the object API decodes JSON documents, of which a part is never valid, and compares the status; it has no fields that it passes on.

Why it works: headReader sees the bytes of each head, interim ones and skipped ones included, before net/http interprets them, and checks the status line, each name and that one field alone frames the body. Trailers are read by net/http alone, which keeps a name with a blank as it was sent; the names are checked at the end of the body, and fields that frame a body are removed.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -25,7 +25,8 @@
 // conn is a connection to the upstream. It carries one request at a time.
 type conn struct {
 	net.Conn
-	reader          *bufio.Reader
+	heads           headReader    // reads from the connection
+	reader          *bufio.Reader // reads from heads
 	writer          *bufio.Writer
 	readLimit       int64 // bytes that may still be read
 	bytesSent       atomic.Int64
@@ -116,7 +117,7 @@
 func (c *conn) readHead(r *http.Request, onInfo func(int, http.Header)) (*http.Response, error) {
 	for infoBytes := int64(0); infoBytes < maxInfoBytes; infoBytes += maxHeadBytes - c.readLimit {
 		c.readLimit = maxHeadBytes
-		response, err := http.ReadResponse(c.reader, r)
+		response, err := c.heads.readResponse(c.reader, r)
 		if err != nil {
 			return nil, err
 		}
@@ -156,6 +157,8 @@
 		return &e
 	case writeErr != nil && isBodyError(writeErr):
 		return verdict.As(writeErr, verdict.BodyLost)
+	case errors.Is(err, errInvalidHead):
+		return verdict.New(verdict.ResponseMalformed, err)
 	case c.readFailed || isNetworkError(err):
 		return verdict.New(verdict.UpstreamLost, err)
 	}
--- a/upstream/health.go
+++ b/upstream/health.go
@@ -58,10 +58,11 @@
 	// StartID of the upstream that sent it.
 	NoticeReceived func(start string, n Notice)
 
-	conn    net.Conn // kept between health checks, or nil
-	addr    string   // its remote address
-	reader  *bufio.Reader
-	limited *io.LimitedReader // bounds what reader reads of one response
+	conn    net.Conn          // kept between health checks, or nil
+	addr    string            // its remote address
+	limited *io.LimitedReader // bounds what is read of one response
+	heads   headReader        // reads from limited
+	reader  *bufio.Reader     // reads from heads
 }
 
 // Poll calls the health check once. A failed check is ignored: the outcomes of the requests that
@@ -182,7 +183,8 @@
 	p.conn = c
 	p.addr = addr
 	p.limited = &io.LimitedReader{R: c}
-	p.reader = bufio.NewReaderSize(p.limited, healthBufferBytes)
+	p.heads.Reader = p.limited
+	p.reader = bufio.NewReaderSize(&p.heads, healthBufferBytes)
 	return nil
 }
 
@@ -195,7 +197,7 @@
 		return nil, nil, err
 	}
 	p.limited.N = maxHealthBytes
-	response, err := http.ReadResponse(p.reader, nil)
+	response, err := p.heads.readResponse(p.reader, nil)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -143,6 +143,7 @@
 	}
 	response.Body = &body{
 		ReadCloser: response.Body,
+		response:   response,
 		transport:  t,
 		conn:       c,
 		stop:       stop,
@@ -274,7 +275,8 @@
 		return nil, notSent(fmt.Errorf("%w: %w", ErrUnreachable, err))
 	}
 	c := &conn{Conn: raw}
-	c.reader = bufio.NewReader(c)
+	c.heads.Reader = c
+	c.reader = bufio.NewReader(&c.heads)
 	c.writer = bufio.NewWriter(countingWriter{c})
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -396,6 +398,7 @@
 // read, or closed if the body is closed before.
 type body struct {
 	io.ReadCloser
+	response  *http.Response
 	transport *Transport
 	conn      *conn
 	stop      func() bool
@@ -410,13 +413,19 @@
 	if err == nil {
 		return n, nil
 	}
-	b.finish(err == io.EOF)
 	if err == io.EOF {
+		err = b.checkEnd()
+	}
+	b.finish(err == nil)
+	if err == nil {
 		return n, io.EOF
 	}
 	return n, verdict.New(verdict.ResponseTruncated, err)
 }
 
+// checkEnd returns why a response that has been read to its end is not complete, or nil.
+func (b *body) checkEnd() error { return cleanTrailer(b.response.Trailer) }
+
 // Close implements io.Closer.
 func (b *body) Close() error {
 	b.finish(false)
