upstream: a response without a length that is reset while the request is written is truncated

What callers saw: an upstream answers a long upload at once with a 200 without a length, sends a part of the body and resets the connection while the upload is being written. The caller got that part as a complete response.

Cause: Linux reports a reset to one call only. Where that is the write of the request, the read of the response that follows returns the same as after an orderly end, which ends a response without a length.

Ruled out: chunks and lengths, whose end is explicit (TestHeadThatBreaksOff). TestEarlyEndWhileUploading shows that an orderly end while the upload goes on is still a whole response.

Why it works: at the end of such a response the connection's state tells a reset (TCP_CLOSE) from an orderly end (TCP_CLOSE_WAIT), whichever call got the error; a failed write tells it as well. Where the kernel does not provide the state, and the request is not written completely, the response counts as truncated.

--- a/internal/tcp/socket.go
+++ b/internal/tcp/socket.go
@@ -123,3 +123,23 @@
 	})
 	return eris.Wrap(err, "enable keep-alive probes")
 }
+
+// tcpClose is the state of a connection that neither side can use any more (TCP_CLOSE in tcp(7)).
+const tcpClose = 7
+
+// WasReset returns whether the peer has reset a connection, also if another call has received the error:
+// the kernel reports it once. An error means that the kernel does not tell.
+func WasReset(c net.Conn) (reset bool, err error) {
+	err = onSocket(c, func(fd int) error {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil {
+			return err
+		}
+		if info.State == 0 {
+			return errNoTCPInfo
+		}
+		reset = info.State == tcpClose
+		return nil
+	})
+	return reset, eris.Wrap(err, "state of the connection")
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -31,6 +31,8 @@
 	readLimit       int64 // bytes that may still be read
 	bytesSent       atomic.Int64
 	writeStarted    atomic.Bool // whether writing the request has started
+	writeFailed     atomic.Bool // whether writing to the connection has failed
+	writeDone       atomic.Bool // whether the whole request has been written
 	readFailed      bool        // whether a read has failed
 	responseSkipped bool        // whether a response to another request was read
 	idleSince       time.Time
@@ -74,6 +76,9 @@
 	w.writeStarted.Store(true)
 	n, err := w.Conn.Write(p)
 	w.bytesSent.Add(int64(n))
+	if err != nil {
+		w.writeFailed.Store(true)
+	}
 	return n, err
 }
 
@@ -100,6 +105,7 @@
 func (c *conn) begin() {
 	c.bytesSent.Store(0)
 	c.writeStarted.Store(false)
+	c.writeDone.Store(false)
 	c.requests++
 	c.startedAt = time.Now()
 }
@@ -109,7 +115,26 @@
 	if err := r.Write(c.writer); err != nil {
 		return err
 	}
-	return c.writer.Flush()
+	err := c.writer.Flush()
+	c.writeDone.Store(err == nil)
+	return err
+}
+
+// errReset ends a response without a length whose connection was reset.
+var errReset = eris.New("connection reset before the end of the response")
+
+// checkOrderlyEnd returns an error if the connection, which has ended, may have been reset. The
+// kernel reports a reset to one call only: if that is a write, the read that follows returns
+// the same as after an orderly end.
+func (c *conn) checkOrderlyEnd() error {
+	if c.writeFailed.Load() {
+		return errReset
+	}
+	reset, err := tcp.WasReset(c.Conn)
+	if reset || err != nil && !c.writeDone.Load() {
+		return errReset
+	}
+	return nil
 }
 
 // readHead reads the head of the final response. Informational responses show that the upstream is
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -424,7 +424,12 @@
 }
 
 // checkEnd returns why a response that has been read to its end is not complete, or nil.
-func (b *body) checkEnd() error { return cleanTrailer(b.response.Trailer) }
+func (b *body) checkEnd() error {
+	if r := b.response; r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
+		return b.conn.checkOrderlyEnd()
+	}
+	return cleanTrailer(b.response.Trailer)
+}
 
 // Close implements io.Closer.
 func (b *body) Close() error {
