caller: reset the connection of a truncated response in HTTP/1.0

What callers saw: a response without a length that the upstream breaks off reached a caller that speaks HTTP/1.0 as a whole one.

Cause: such a response ends with its connection in HTTP/1.0, and the connection was closed in an orderly way, which is how a whole response ends.

HTTP/1.1 callers see the missing last chunk, and HTTP/2 callers a reset of the stream.

Why it works: a reset is an error to the caller's read.

--- a/caller/connection.go
+++ b/caller/connection.go
@@ -50,6 +50,7 @@
 	isHTTP2          bool       // whether it uses HTTP/2, whose server closes it gracefully
 	hasContentLength bool       // whether a Content-Length was received
 	scanTail         []byte     // the last bytes read, which may be the start of contentLengthField
+	resetsAtEnd      bool       // whether the connection is to be reset when it is closed
 }
 
 const (
@@ -227,7 +228,12 @@
 func (c *connection) linger() {
 	c.mu.Lock()
 	answered := c.phase == phaseHandler && !c.isHTTP2
+	reset := c.resetsAtEnd
 	c.mu.Unlock()
+	if reset {
+		c.reset()
+		return
+	}
 	half, ok := c.Conn.(interface{ CloseWrite() error })
 	if !answered || !ok || half.CloseWrite() != nil {
 		_ = c.closeNow() // nothing reads from it any more
@@ -240,6 +246,22 @@
 	}()
 }
 
+// resetAtEnd has the connection reset when its server closes it: its end would look like that of a
+// whole response.
+func (c *connection) resetAtEnd() {
+	c.mu.Lock()
+	c.resetsAtEnd = true
+	c.mu.Unlock()
+}
+
+// reset closes the connection with a reset, if it is a TCP connection.
+func (c *connection) reset() {
+	if t, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = t.SetLinger(0) // fails only if the connection is closed
+	}
+	_ = c.closeNow()
+}
+
 // closeNow closes the connection immediately.
 func (c *connection) closeNow() error {
 	defer c.listener.notify(c, true)
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -171,6 +171,9 @@
 		h.OnRequestEnd(x.outcome)
 	}
 	if abort {
+		if c := connectionOf(r); c != nil && !r.ProtoAtLeast(1, 1) {
+			c.resetAtEnd() // a response without a length ends with its connection
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
