cmd/sassafrasnode: tests of clients that do not behave, and of legal requests in calm

Each crowd of TestCrowd does the same on many connections to one node of two real processes, and stays connected: heads, bodies and chunks that lack their end, short fields, requests sent ahead, unread responses, streams, expectations, at the listeners for callers, readiness, announcements and peers.

The tests run by themselves, one after the other (make crowds), as their bounds are on memory.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint demo race race-entry race-schedules fuzz-and-soak fuzz soak
+.PHONY: build test lint demo crowds race race-entry race-schedules fuzz-and-soak fuzz soak
 
 build:
 	go build -o bin/ ./cmd/sassafrasnode ./cmd/sassafrasctl ./cmd/sassafrasbench ./cmd/sassafrassoak
@@ -14,9 +14,16 @@
 # All checks: format, vet, linter, tests, and then the race detector, a short fuzz run and a short soak of
 # some seeds without the promises that have a bound on time, all at once.
 test: lint
-	go test -timeout 600s $(SKIPPED) work
+	go test -timeout 600s -skip "$${SKIP:+$$SKIP|}$(CROWDS)" work
+	$(MAKE) crowds
 	$(MAKE) -j 4 --output-sync=target race race-entry race-schedules fuzz-and-soak
 
+# The tests of real processes and clients that do not behave, whose bounds are on memory: by themselves.
+CROWDS = ^TestCrowd$$|^TestLegalRequest$$
+
+crowds:
+	go test -count=1 -timeout 600s $(SKIPPED) -run '$(CROWDS)' ./cmd/sassafrasnode
+
 RACE = ./admit ./blocklist ./caller ./canary ./coldstart ./contact ./control ./departure ./fair ./gate ./node ./peer ./platform ./objectapi ./quarantine ./ratelimit ./retry ./rollout ./spool ./upstream
 
 race:
--- a/cmd/sassafrasnode/stop_test.go
+++ b/cmd/sassafrasnode/stop_test.go
@@ -27,6 +27,7 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv(runNodeEnv) != "" {
+		limitDescriptors()
 		main()
 		return
 	}
