upstream: what has been sent is known once the connection is closed

What callers saw: a request of which nothing had been written was now and then told to have perhaps run (502 in place of a 503 that may be retried).

Cause: the read of the response may fail before the goroutine that writes has reported its error; a write that had begun then counted as one that may have sent something.

Why it works: the connection is closed by then, so the write in progress ends, and its mutex tells when: the number of bytes sent does not change after that.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -30,7 +31,7 @@
 	writer          *bufio.Writer
 	readLimit       int64 // bytes that may still be read
 	bytesSent       atomic.Int64
-	writeStarted    atomic.Bool // whether writing the request has started
+	writing         sync.Mutex  // held while bytes of the request are written
 	writeFailed     atomic.Bool // whether writing to the connection has failed
 	writeDone       atomic.Bool // whether the whole request has been written
 	readFailed      bool        // whether a read has failed
@@ -73,7 +74,8 @@
 	if w.bytesSent.Load()+int64(len(p)) > promptAckBytes {
 		w.disableAckTimeout()
 	}
-	w.writeStarted.Store(true)
+	w.writing.Lock()
+	defer w.writing.Unlock()
 	n, err := w.Conn.Write(p)
 	w.bytesSent.Add(int64(n))
 	if err != nil {
@@ -104,7 +106,6 @@
 // begin prepares the connection for the next request.
 func (c *conn) begin() {
 	c.bytesSent.Store(0)
-	c.writeStarted.Store(false)
 	c.writeDone.Store(false)
 	c.requests++
 	c.startedAt = time.Now()
@@ -160,21 +161,22 @@
 }
 
 // failure returns the verdict on a request whose response's head could not be read. The connection
-// is already closed. The write may still be blocked on the caller's body; how much of the request
-// it has sent is then unknown, except for whether it has started.
+// is already closed, so that a write that is in progress ends and a later one fails: once c.writing
+// is free, bytesSent is final. The goroutine that writes may still be blocked on the caller's body.
 func (c *conn) failure(ctx context.Context, err error, written chan error) *verdict.Error {
 	var writeErr error
-	certain := true
 	select {
 	case writeErr = <-written:
 	default:
-		certain = false
 	}
+	c.writing.Lock()
+	unsent := c.bytesSent.Load() == 0
+	c.writing.Unlock()
 	if ctx.Err() != nil {
 		err = context.Cause(ctx)
 	}
 	switch {
-	case certain && c.bytesSent.Load() == 0, !c.writeStarted.Load():
+	case unsent:
 		return verdict.New(verdict.UpstreamDialFailed, err)
 	case ctx.Err() != nil:
 		e := *verdict.As(err, verdict.CallerGone)
