node: bound what callers make a node hold

What callers saw: 500 connections that each send a part of a head made a node of 96 MB use 179 MB, with short fields 676 MB; 650 requests of 3,000 short fields without the last byte of their bodies 204 MB, with a route and without one; 60 HTTP/2 connections 272 MB; 1,500 connections that say nothing took all 700 descriptors. Requests sent ahead kept the processor from all others.

Cause: a head was read up to maxHeaderBytes of the settings, sixteen times the limit of the configuration, before it was looked at; nothing bounded what all connections hold together, nor their number, and a connection that costs the processor came as often as any other.

Evidence: 9 crowds of TestCrowd failed before and pass now: 25 to 80 MB of 96.

Why it works: callers' connections have a connlimit.Budget of three tenths of memoryMB and half of the descriptors, which heads, bodies that are kept, responses that are forwarded in parts and HTTP/2 streams count towards. A head is refused while it is received once it exceeds the configuration's limit by more than 4 KB (431), or if there is no room for it (503, notRun, with Retry-After); so is a request for which there is no room once its head is known (new cause "overloaded"). A client that reads nothing of its response for 10 s is disconnected. Settings callerMemoryMB and descriptors, each with a default.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -20,6 +20,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"sassafrasfront.example/claim"
+	"sassafrasfront.example/connlimit"
 	"sassafrasfront.example/entry"
 	"sassafrasfront.example/internal/tracing"
 	"sassafrasfront.example/operator"
@@ -130,6 +131,8 @@
 	closesConnection bool
 	// permit is the permit of the organisation's rate limit, or nil.
 	permit *ratelimit.Permit
+	// held is what the request makes the process hold, or nil if that is not bounded.
+	held *connlimit.Request
 }
 
 // ServeHTTP implements http.Handler.
@@ -154,6 +157,7 @@
 	}
 	h.inFlight.add(x)
 	defer h.inFlight.remove(x)
+	defer func() { x.held.End() }()
 	ctx := tracing.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := h.Tracer.Start(ctx, "entry", trace.WithSpanKind(trace.SpanKindServer))
 	abort := x.serve(ctx)
@@ -202,6 +206,13 @@
 
 // serve handles the request. It returns whether the response must be truncated.
 func (x *exchange) serve(ctx context.Context) (truncated bool) {
+	held, err := connlimit.Begin(x.r)
+	if err != nil {
+		x.closesConnection = true
+		x.writeFailure(overloaded(err))
+		return false
+	}
+	x.held = held
 	target, failure := x.resolver().Resolve(x.r)
 	if failure == nil {
 		failure = checkSupported(x.r, target.MaxHeaderBytes)
@@ -233,6 +244,15 @@
 	return x.dispatch(ctx, q, nil)
 }
 
+// overloadedRetryAfter is the time after which a caller may retry a request for which there was no
+// room. The connections that take the room are closed within that time.
+const overloadedRetryAfter = 500 * time.Millisecond
+
+// overloaded returns the failure of a request for which there is no room.
+func overloaded(err error) *verdict.Error {
+	return verdict.New(verdict.Overloaded, err).WithRetryAfter(overloadedRetryAfter)
+}
+
 // admit admits the request under its organisation's rate limit. Retries on its behalf count as
 // the same request.
 func (x *exchange) admit(ctx context.Context, t *Target) (failure *verdict.Error) {
--- a/caller/listener.go
+++ b/caller/listener.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"sassafrasfront.example/connlimit"
 )
 
 // Timeouts limit how long a caller may take. A zero field leaves the server's own
@@ -233,6 +235,7 @@
 // ConnState records a change of a connection's state. It is for http.Server.ConnState.
 func ConnState(c net.Conn, s http.ConnState) {
 	if o, ok := c.(*connection); ok {
+		connlimit.ConnState(o.Conn, s)
 		o.stateChanged(s)
 	}
 }
@@ -243,6 +246,9 @@
 // ConnContext adds the connection to the context of its requests. It is for
 // http.Server.ConnContext.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	if o, ok := c.(*connection); ok {
+		ctx = connlimit.ConnContext(ctx, o.Conn)
+	}
 	return context.WithValue(ctx, connectionKey{}, c)
 }
 
--- a/caller/request.go
+++ b/caller/request.go
@@ -17,6 +17,7 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	"sassafrasfront.example/bearer"
+	"sassafrasfront.example/connlimit"
 	"sassafrasfront.example/entry"
 	"sassafrasfront.example/internal/httpfield"
 	"sassafrasfront.example/internal/tracing"
@@ -205,6 +206,18 @@
 	return x.streamed
 }
 
+// streamBytes is what a body takes that is forwarded without being kept: chunks on their way to
+// another node.
+const streamBytes = 64 << 10
+
+// bodyCost returns how many bytes a body of the given length, or -1, makes the process hold.
+func bodyCost(length int64) int64 {
+	if length < 0 || length > peer.MaxEarlyBodyBytes {
+		return streamBytes
+	}
+	return length + min(length, streamBytes)
+}
+
 // readBody reads a small body; spools a larger one while it is forwarded, so that it can be
 // sent again; and forwards a very large one without spooling it. A caller that expects
 // 100-continue is asked for its body only once an upstream has admitted the request.
@@ -215,6 +228,8 @@
 		return verdict.New(verdict.TooLarge, eris.Errorf("a body of %d bytes exceeds the limit of %d", r.ContentLength, limit))
 	case r.ContentLength == 0:
 		return nil
+	case !x.held.Grow(bodyCost(r.ContentLength)):
+		return overloaded(connlimit.ErrNoRoom)
 	case r.ContentLength < 0 || r.ContentLength > peer.MaxEarlyBodyBytes || r.Header.Get("Expect") != "":
 		q.Stream = entry.ReadOnce(x.streamBody(limit))
 		return nil
--- a/caller/response.go
+++ b/caller/response.go
@@ -131,6 +131,9 @@
 	// not while the rest of the body is read.
 	x.closesConnection = h.Get("Content-Length") == "" && x.streamed != nil && !x.streamed.ended() || x.remainderTooLong()
 	x.writeHeader(result.Status)
+	if result.Length < 0 || result.Length > copyBufferBytes {
+		x.held.GrowAnyway(responseBytes)
+	}
 	if err := x.copyBody(result); err != nil {
 		x.outcome.Failure = verdict.As(err, verdict.CallerGone)
 		_ = http.NewResponseController(x.w).Flush() // what has been written
@@ -142,6 +145,10 @@
 	return false
 }
 
+// responseBytes is what a response takes that is forwarded in parts: what the node beside the upstream
+// sends ahead, and the buffer.
+const responseBytes = 256<<10 + copyBufferBytes
+
 // copyBufferBytes is the size of the buffer through which a response body is forwarded.
 const copyBufferBytes = 32 << 10
 
--- a/node/node.go
+++ b/node/node.go
@@ -21,6 +21,7 @@
 	"sassafrasfront.example/caller"
 	"sassafrasfront.example/canary"
 	"sassafrasfront.example/claim"
+	"sassafrasfront.example/connlimit"
 	"sassafrasfront.example/contact"
 	"sassafrasfront.example/control"
 	"sassafrasfront.example/departure"
@@ -251,6 +252,7 @@
 		ConnState:         caller.ConnState,
 		ConnContext:       caller.ConnContext,
 		BaseContext:       func(net.Listener) context.Context { return requests },
+		HTTP2:             connlimit.HTTP2Config(),
 	}
 	callers.Protocols.SetHTTP1(true)
 	callers.Protocols.SetUnencryptedHTTP2(true)
@@ -289,7 +291,7 @@
 	tasks.Go(func() { n.recoverDepartures(background) })
 	tasks.Go(func() { _ = n.peers.Run(background, l.peer) })
 	callerConns := &caller.Listener{
-		Listener: l.caller,
+		Listener: n.limitCallers(l.caller),
 		Timeouts: n.callerTimeouts,
 	}
 	tasks.Go(func() { _ = callers.Serve(callerConns) })
--- a/settings/check.go
+++ b/settings/check.go
@@ -129,6 +129,9 @@
 	within(c, "retryWindow", s.RetryWindow, time.Second, time.Hour)
 	within(c, "linkMbps", s.LinkMbps, 0, 1e6)
 	within(c, "memoryMB", s.MemoryMB, 0, 1<<20)
+	within(c, "callerMemoryMB", s.CallerMemoryMB, 0, 1<<20)
+	c.add(s.MemoryMB == 0 || s.CallerMemoryMB <= s.MemoryMB, "callerMemoryMB", "%d is more than memoryMB, %d", s.CallerMemoryMB, s.MemoryMB)
+	within(c, "descriptors", s.Descriptors, 0, 1<<20)
 	levels := map[string]bool{"debug": true, "info": true, "warn": true, "error": true}
 	c.add(levels[s.LogLevel], "logLevel", "%q is not debug, info, warn or error", s.LogLevel)
 	within(c, "traceSample", s.TraceSample, 0, 1)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -92,6 +92,12 @@
 	LinkMbps float64
 	// MemoryMB is the memory that the process may use, in MiB. Zero means no bound.
 	MemoryMB int
+	// CallerMemoryMB is what the connections and requests of callers may make the process hold, in MiB.
+	// Zero means three tenths of MemoryMB, or 256 if that is zero as well.
+	CallerMemoryMB int
+	// Descriptors is the number of file descriptors that the process may have open. Callers'
+	// connections take at most half of them. Zero means the limit of the process.
+	Descriptors int
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
 	// TraceURL is the URL of the OTLP collector. Empty means no traces.
@@ -167,6 +173,8 @@
 	fs.DurationVar(&s.RetryWindow, "retryWindow", 10*time.Second, "time over which retries are bounded")
 	fs.Float64Var(&s.LinkMbps, "linkMbps", 0, "bandwidth of the instance's network link in Mbit/s; 0 if it is unknown")
 	fs.IntVar(&s.MemoryMB, "memoryMB", 0, "memory that the process may use, in MiB; 0 for no bound")
+	fs.IntVar(&s.CallerMemoryMB, "callerMemoryMB", 0, "memory that callers' connections may take, in MiB; 0 for three tenths of memoryMB, or 256")
+	fs.IntVar(&s.Descriptors, "descriptors", 0, "file descriptors that the process may have open; 0 for the limit of the process")
 	fs.StringVar(&s.LogLevel, "logLevel", "info", "debug, info, warn or error")
 	fs.StringVar(&s.TraceURL, "traceURL", "", "OTLP collector, such as http://10.0.0.1:4318/v1/traces; empty for none")
 	fs.Float64Var(&s.TraceSample, "traceSample", 0.01, "fraction of the traces started at this node that are sampled")
--- a/verdict/cause.go
+++ b/verdict/cause.go
@@ -24,6 +24,8 @@
 	HeaderTooLarge Cause = "headTooLarge"
 	// NotReady: the node has no accepted configuration yet.
 	NotReady Cause = "notReady"
+	// Overloaded: the node has no room for the request, as other callers take all of it.
+	Overloaded Cause = "overloaded"
 	// Unauthorized: the request lacks a key of an organisation where one is required.
 	Unauthorized Cause = "unauthorized"
 	// KeysStale: the node has not received an update of the valid keys for too long.
@@ -141,6 +143,7 @@
 	TooLarge:           {Verdict: NotRun, Status: http.StatusRequestEntityTooLarge, EndedBy: ByCaller},
 	HeaderTooLarge:     {Verdict: NotRun, Status: http.StatusRequestHeaderFieldsTooLarge, EndedBy: ByCaller},
 	NotReady:           {Verdict: NotRun, Status: http.StatusServiceUnavailable, EndedBy: ByEntry},
+	Overloaded:         {Verdict: NotRun, Status: http.StatusServiceUnavailable, EndedBy: ByEntry},
 	Unauthorized:       {Verdict: NotRun, Status: http.StatusUnauthorized, EndedBy: ByCaller},
 	KeysStale:          {Verdict: NotRun, Status: http.StatusServiceUnavailable, EndedBy: ByEntry},
 	RateLimited:        {Verdict: NotRun, Status: http.StatusTooManyRequests, EndedBy: ByCaller},
