node: bound what clients of the readiness and the announcement address make a node hold

What operators saw: 400 connections to the address of /readyz that each send half of a head of 900 KB made a node of 96 MB use 471 MB, and 555 MB with short fields; at the announcement address 441 MB. Beside 1,500 connections that say nothing the node was not ready for a minute.

Cause: both servers read heads of 1 MB, net/http's default, and had no time-out for a body, an idle connection or a response that is not read, and no bound on their connections.

Why it works: each of the two has a connlimit.Budget of 64 connections and 4 MB, heads of at most 8 KB, and time-outs for a whole request, for idle connections and for unread responses. A body sent to an operator's address is not read: the connection is closed after the response.

--- a/node/clientlimits.go
+++ b/node/clientlimits.go
@@ -27,6 +27,15 @@
 	// callerDescriptorFraction is the fraction of the process's file descriptors that callers'
 	// connections may take. The rest is for other nodes, the platform, the upstream and operators.
 	callerDescriptorFraction = 0.5
+	// maxLocalConns and maxLocalMemoryMB bound the connections of operators and of the upstream's
+	// announcements, and what each of the two holds, in MiB: they need one or two.
+	maxLocalConns    = 64
+	maxLocalMemoryMB = 4
+	// maxLocalHeadBytes and maxLocalFields bound the heads of their requests.
+	maxLocalHeadBytes = 8 << 10
+	maxLocalFields    = 64
+	// localReadTimeout bounds the time for a whole request of theirs.
+	localReadTimeout = 10 * time.Second
 	// headSlackBytes is by how much a head may exceed the limit before it is refused while it is
 	// being received. A handler refuses it with the exact size otherwise.
 	headSlackBytes = 4 << 10
@@ -93,6 +102,30 @@
 	}
 }
 
+// limitLocal returns a listener that bounds what clients of another of the node's servers make the
+// process hold, and has the server use it.
+func (n *Node) limitLocal(name string, l net.Listener, s *http.Server) *connlimit.Listener {
+	limits := connlimit.Limits{
+		MaxHeadBytes:  maxLocalHeadBytes,
+		MaxFreeFields: maxLocalFields,
+		WriteTimeout:  unreadTimeout,
+	}
+	s.ReadHeaderTimeout = headerTimeout
+	s.ReadTimeout = localReadTimeout
+	s.IdleTimeout = idleTimeout
+	s.MaxHeaderBytes = maxLocalHeadBytes
+	s.ConnState = connlimit.ConnState
+	s.ConnContext = connlimit.ConnContext
+	s.Handler = connlimit.Handler(s.Handler)
+	return &connlimit.Listener{
+		Listener: l,
+		Budget:   n.newBudget(name, maxLocalMemoryMB*bytesPerMB, maxLocalConns),
+		Lane:     newLane(),
+		Limits:   func() connlimit.Limits { return limits },
+		Refusal:  refusal,
+	}
+}
+
 func newLane() *connlimit.Lane {
 	return &connlimit.Lane{
 		Slots:   laneSlots,
--- a/node/handlers.go
+++ b/node/handlers.go
@@ -69,6 +69,9 @@
 	return mux
 }
 
+// readyPath is the path at which a node responds whether it can serve callers.
+const readyPath = "/readyz"
+
 // operatorHandler returns the handler of operators' requests.
 func (n *Node) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -78,7 +81,7 @@
 		metrics.WriteFDMetrics(w)
 	})
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
-	mux.HandleFunc("GET /readyz", n.serveReady)
+	mux.HandleFunc("GET "+readyPath, n.serveReady)
 	mux.HandleFunc("GET /v1/view", n.serveView)
 	mux.HandleFunc("GET /v1/nodes", n.listNodes)
 	mux.HandleFunc("GET /v1/table", n.serveTableStatus)
@@ -93,7 +96,12 @@
 		mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
 		mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
 	}
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			w.Header().Set("Connection", "close") // the server would read the body first
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
 // serverLog returns a logger for the HTTP servers that writes to the node's log, with a bound
--- a/node/node.go
+++ b/node/node.go
@@ -257,15 +257,15 @@
 	callers.Protocols.SetHTTP1(true)
 	callers.Protocols.SetUnencryptedHTTP2(true)
 	announce := &http.Server{
-		Handler:           n.announceHandler(),
-		ErrorLog:          errorLog,
-		ReadHeaderTimeout: headerTimeout,
+		Handler:  n.announceHandler(),
+		ErrorLog: errorLog,
 	}
+	announceConns := n.limitLocal("announcements", l.announce, announce)
 	operators := &http.Server{
-		Handler:           n.operatorHandler(),
-		ErrorLog:          errorLog,
-		ReadHeaderTimeout: headerTimeout,
+		Handler:  n.operatorHandler(),
+		ErrorLog: errorLog,
 	}
+	operatorConns := n.limitLocal("operators", l.operator, operators)
 	controlCtx, stopControl := context.WithCancel(background)
 	var tasks, controlTasks sync.WaitGroup
 	controlTasks.Go(func() { n.control.Run(controlCtx) })
@@ -295,8 +295,8 @@
 		Timeouts: n.callerTimeouts,
 	}
 	tasks.Go(func() { _ = callers.Serve(callerConns) })
-	tasks.Go(func() { _ = announce.Serve(l.announce) })
-	tasks.Go(func() { _ = operators.Serve(l.operator) })
+	tasks.Go(func() { _ = announce.Serve(announceConns) })
+	tasks.Go(func() { _ = operators.Serve(operatorConns) })
 	<-ctx.Done()
 	exit, cancel = n.exitContext(time.Now())
 	(&shutdown{
