peer: the first frame of a connection is small

What operators saw: 200 connections to the peer address that each send half of a frame of 2 MB made a node of 96 MB use 229 MB within the time for the handshake.

Cause: room for a whole frame is made when its length has been read, also before the other side has shown that it speaks the protocol.

Evidence: TestCrowd/half_frames failed before and passes now.

Why it works: the first frame is a Hello of less than 200 bytes; more than 4 KB close the connection.

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -57,7 +57,12 @@
 // timeBase is the origin of conn.lastReceived.
 var timeBase = time.Now()
 
-const readBufferBytes = 16 << 10
+const (
+	readBufferBytes = 16 << 10
+	// maxHelloBytes is the size of the largest first frame. Room for a larger one is made only for a
+	// process that speaks the protocol.
+	maxHelloBytes = 4 << 10
+)
 
 func newConn(c net.Conn, l Limits, counters *Counters) *conn {
 	if counters == nil {
@@ -121,8 +126,11 @@
 }
 
 // read returns the next frame.
-func (c *conn) read() (Kind, []byte, error) {
-	k, payload, err := readFrame(c.reader, c.limits.MaxFrameBytes)
+func (c *conn) read() (Kind, []byte, error) { return c.readWithin(c.limits.MaxFrameBytes) }
+
+// readWithin returns the next frame, which may have the given number of bytes.
+func (c *conn) readWithin(maxBytes int) (Kind, []byte, error) {
+	k, payload, err := readFrame(c.reader, maxBytes)
 	if err != nil {
 		return 0, nil, err
 	}
@@ -262,7 +270,7 @@
 			return nil, err
 		}
 	}
-	k, payload, err := c.read()
+	k, payload, err := c.readWithin(maxHelloBytes)
 	if err != nil {
 		return nil, err
 	}
