peer, caller: a head within the limit may have any number of fields

What callers saw: a single request of more than 256 fields in calm got 413, and one of short fields 431 although its head was smaller than maxHeaderBytes.

Cause: the protocol between nodes carried 256 fields at most, and the size of a head was reckoned with a blank after each colon and a carriage return at each line's end, whether they had been sent or not.

Evidence: 6 requests of TestLegalRequest failed before (300 to 3,900 fields) and pass now.

Why it works: messages may have 256 Ki fields, more than the largest head that can be set has room for. The head is counted as it is received; where that is not known (HTTP/2, requests sent ahead) the smallest size counts with which the same fields can be sent.

Nodes of an earlier version close a connection on which they receive more than 256 fields: until all nodes of a system run this version, a request with more may fail others beside it, as one with too many did before senders checked.

--- a/caller/header.go
+++ b/caller/header.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 
+	"sassafrasfront.example/connlimit"
 	"sassafrasfront.example/peer"
 	"sassafrasfront.example/upstream"
 )
@@ -96,12 +97,16 @@
 	to.Add("Via", "1.1 "+node)
 }
 
-// headerSize returns the size of a request's header on the wire, in bytes. The server has
+// headerSize returns the size of a request's header in bytes as it was sent, if that is known. It
+// otherwise returns the smallest size with which the same fields can be sent. The server has
 // removed Host from the fields.
 func headerSize(r *http.Request) int {
+	if n, ok := connlimit.HeadBytes(r); ok {
+		return n
+	}
 	const (
-		lineEnd = len("\r\n")
-		colon   = len(": ")
+		lineEnd = len("\n")
+		colon   = len(":")
 	)
 	n := len(r.Method) + len(" ") + len(r.RequestURI) + len(" ") + len(r.Proto) + 2*lineEnd
 	n += len("Host") + colon + len(r.Host) + lineEnd
--- a/connlimit/request.go
+++ b/connlimit/request.go
@@ -14,6 +14,18 @@
 // ErrNoRoom means that a request is refused because others take all the room.
 var ErrNoRoom = eris.New("no room for the request")
 
+// HeadBytes returns the size of a request's head as it was received, in bytes. It returns false if
+// that is not known.
+func HeadBytes(r *http.Request) (int, bool) {
+	c := connOf(r)
+	if c == nil || r.ProtoMajor != 1 {
+		return 0, false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.bytes, c.head.ended && !c.sendsAhead
+}
+
 // Request is a request that is being handled. Its methods may be called on nil, and from one goroutine
 // at a time.
 type Request struct {
--- a/peer/limits.go
+++ b/peer/limits.go
@@ -51,9 +51,10 @@
 	IdleTimeout time.Duration
 }
 
-// MaxFields is the default limit of header or trailer fields. Senders must respect it, as
-// the receiver closes the connection on a violation, and thereby ends all other calls on it.
-const MaxFields = 256
+// MaxFields is the default limit of header or trailer fields. It is more than fit into the largest head
+// that a node may be set to accept for its callers' requests in 4 bytes a field. Senders must respect it,
+// as the receiver closes the connection on a violation, and thereby ends all other calls on it.
+const MaxFields = 1 << 18
 
 // MaxEarlyBodyBytes is the largest body, in bytes, that may be sent before its call is
 // admitted, and so be buffered for a queued call.
