caller: a refusal does not wait for the end of the request's body

What callers saw: a request that was refused before its body was read, such as one without a route, got its response only once the body had arrived.

Cause: net/http reads up to 256 KB of an unread body before it writes a response, without a time-out.

Why it works: such a request is answered at once, and what remains of its body is read afterwards, for at most 1 s and 256 KB, as for bodies that are read while a request is in flight.

--- a/caller/body.go
+++ b/caller/body.go
@@ -25,6 +25,8 @@
 	// response. A caller sends 256 KiB in 210 ms over a link of 10 Mbit/s.
 	maxDrainTime  = time.Second
 	maxDrainBytes = 256 << 10
+	// drainBufferBytes is the size of the buffer for it, of which many may be in use at once.
+	drainBufferBytes = 4 << 10
 )
 
 // errAnswered is returned to readers of a body whose request has been answered.
@@ -124,7 +126,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.answered = true
-	buffer := make([]byte, copyBufferBytes)
+	buffer := make([]byte, drainBufferBytes)
 	for n := 0; n < maxDrainBytes && b.err == nil; {
 		m, _ := b.readLocked(buffer) // b.err has the error
 		n += m
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -123,6 +123,8 @@
 	// bodyReadFailed is whether reading the body failed, after which the start of the next
 	// request can't be determined.
 	bodyReadFailed atomic.Bool
+	// bodyRead is whether the body has been read, or reading it has failed.
+	bodyRead bool
 	// streamed is the body if it is read while the request is in flight, or nil.
 	streamed *streamedBody
 	// spooled is the body if it is spooled as well, or nil.
--- a/caller/request.go
+++ b/caller/request.go
@@ -241,6 +241,7 @@
 		q.Spooled = x.spooled
 		return nil
 	}
+	x.bodyRead = true
 	data, err := x.readUntil(q.Deadline, func() ([]byte, error) { return io.ReadAll(r.Body) })
 	if err != nil {
 		x.bodyReadFailed.Store(true)
--- a/caller/response.go
+++ b/caller/response.go
@@ -39,6 +39,7 @@
 
 // writeFailure sends the caller an error response for the failure e.
 func (x *exchange) writeFailure(e *verdict.Error) {
+	x.leaveBodyUnread()
 	status := e.Status()
 	x.outcome.Status = status
 	x.outcome.Failure = e
@@ -79,6 +80,15 @@
 	_, _ = x.w.Write(body)
 }
 
+// leaveBodyUnread has the response sent although the body of the request has not been read. The server
+// would otherwise wait for the body first, however long its end takes.
+func (x *exchange) leaveBodyUnread() {
+	unread := x.r.ContentLength != 0 && x.streamed == nil && !x.bodyRead
+	if unread && connectionOf(x.r) != nil && x.r.ProtoMajor == 1 && x.r.Header.Get("Expect") == "" {
+		x.streamBody(maxDrainBytes)
+	}
+}
+
 // writeHeader writes the header of the final response. The response is the last one of the
 // connection if the start of the next request can't be determined, or the connection is to
 // be closed.
