--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 crowds:
 	go test -count=1 -timeout 600s $(SKIPPED) -run '$(CROWDS)' ./cmd/sassafrasnode
 
-RACE = ./admit ./blocklist ./caller ./canary ./coldstart ./contact ./control ./departure ./fair ./gate ./node ./peer ./platform ./objectapi ./quarantine ./ratelimit ./retry ./rollout ./spool ./upstream
+RACE = ./admit ./blocklist ./caller ./canary ./coldstart ./connlimit ./contact ./control ./departure ./fair ./gate ./node ./peer ./platform ./objectapi ./quarantine ./ratelimit ./retry ./rollout ./spool ./upstream
 
 race:
 	go test -race -timeout 600s $(SKIPPED) $(RACE)
