gate: calls whose bodies are still being sent hold three quarters of the slots at most

What callers saw: beside clients that stop within a body, ordinary requests were refused until the deadlines of those uploads: each held a slot of the upstream.

Cause: a call whose body is sent while it runs was admitted like any other, although its caller decides when it ends.

Ruled out: cutting uploads that make no progress, since links and callers pause as well, and the upstream is at work.

Why it works: one more such call is refused as not run, and sent to another gate; bodies that are complete, or kept by the entry, do not count. A quarter of the slots is left for them.

--- a/gate/call.go
+++ b/gate/call.go
@@ -85,6 +85,11 @@
 	if slowFailure := c.gate.checkSlowed(ctx, c.in); slowFailure != nil {
 		return closedFailure(ctx, slowFailure)
 	}
+	endUpload, failure := c.gate.beginUpload(c.in, b)
+	if failure != nil {
+		return failure
+	}
+	defer endUpload()
 	if err := c.in.Admit(ctx); err != nil {
 		e := verdict.As(err, verdict.BodyLost)
 		return closedFailure(ctx, verdict.New(verdict.Revoked, e))
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -106,7 +106,8 @@
 
 	firstStartChecked bool // whether checkFirstStart has decided
 
-	unsent map[*unsent]struct{} // calls that have been admitted and not been written
+	unsent  map[*unsent]struct{}           // calls that have been admitted and not been written
+	uploads map[*peer.InboundCall]struct{} // calls with a slot whose bodies may still be being sent
 }
 
 // binding is the upstream to which requests are sent.
--- a/peer/inbound.go
+++ b/peer/inbound.go
@@ -107,6 +107,10 @@
 	return bytes.NewReader(in.Call.Body)
 }
 
+// BodyReceived returns whether the whole body of the call has been received. It may be called from
+// any goroutine.
+func (in *InboundCall) BodyReceived() bool { return !in.Call.Streams || in.body.received() }
+
 // Trailer returns the trailer fields of the body, after its end.
 func (in *InboundCall) Trailer() []Field { return in.body.Trailer() }
 
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -120,6 +120,13 @@
 	return s.trailer
 }
 
+// received returns whether the body has ended regularly, even if parts of it have not been read.
+func (s *bodyReader) received() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.err == io.EOF
+}
+
 // sendCredit is the flow control credit of the sending end of one body.
 type sendCredit struct {
 	mu     sync.Mutex
