connlimit: a request is sent ahead only if it comes before any of the response

What callers would see: under load, callers that send one request after the other on a connection wait for turns with those that send requests without reading, and are refused after 1 s.

The server still reads while a handler returns; a caller that has the whole response and sends its next request at once was taken for one that sends ahead, and so was its connection from then on.

Why it works: a byte that arrives before anything of the response was written, or a head that was received with the last request, was sent ahead. It counts for that request alone.

--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -67,7 +67,9 @@
 	used         bool      // whether a request has been handled
 	prefaceBytes int       // how much of http2Preface has been received, or -1 if something else was
 	readSinceEnd bool      // whether anything was read since the last request ended
-	sendsAhead   bool      // whether the client sends requests before it has the response to the last one
+	responding   bool      // whether anything was written since the current request began
+	ahead        bool      // whether the current request was sent before the response to the last one
+	nextAhead    bool      // whether the next one has been sent before the response to the current one
 	refusal      error     // why nothing more is read, or nil
 	requests     int       // HTTP/2 requests that are being handled
 	sinceRequest int       // bytes received on an HTTP/2 connection since its last request
@@ -128,7 +130,7 @@
 		n, err := c.Conn.Read(p)
 		if n > 0 {
 			c.mu.Lock()
-			c.sendsAhead = c.sendsAhead || c.phase == phaseHandler
+			c.nextAhead = c.phase == phaseHandler && !c.responding
 			c.readSinceEnd = true
 			c.mu.Unlock()
 		}
@@ -320,6 +322,7 @@
 	}
 	c.mu.Lock()
 	since := c.since
+	c.responding = true
 	c.mu.Unlock()
 	c.account.writeSince.Store(since.UnixNano())
 	n, err := c.Conn.Write(p)
@@ -343,5 +346,6 @@
 		c.since = time.Now()
 		c.used = true
 		c.readSinceEnd = false
+		c.responding = false
 	}
 }
--- a/connlimit/request.go
+++ b/connlimit/request.go
@@ -23,7 +23,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.head.bytes, c.head.ended && !c.sendsAhead
+	return c.head.bytes, c.head.ended && !c.ahead
 }
 
 // Request is a request that is being handled. Its methods may be called on nil, and from one goroutine
@@ -51,8 +51,9 @@
 		c.phase = phaseHandler
 		c.since = time.Now()
 	}
-	c.sendsAhead = c.sendsAhead || c.used && !c.readSinceEnd
-	if !c.growHead(headCost(bytes, fields), false) || (c.sendsAhead || costly) && !c.enterLane() {
+	c.ahead = c.nextAhead || c.used && !c.readSinceEnd
+	c.nextAhead = false
+	if !c.growHead(headCost(bytes, fields), false) || (c.ahead || costly) && !c.enterLane() {
 		return nil, ErrNoRoom
 	}
 	return q, nil
