--- a/caller/handler.go
+++ b/caller/handler.go
@@ -210,7 +210,6 @@
 func (x *exchange) serve(ctx context.Context) (truncated bool) {
 	held, err := connlimit.Begin(x.r)
 	if err != nil {
-		x.closesConnection = true
 		x.writeFailure(overloaded(err))
 		return false
 	}
