connlimit: a step of the time of day does not change who is closed first

What callers would see: for as long as the time of day was set back by, clients that had just come would be closed in place of those that have held most for longest, as the latter seem to have waited for no time.

Cause: found by reading the change again: the start of a wait was kept in Unix time, which is compared without the monotonic clock. No run showed it; the clock can't be set back in a test.

Why it works: it is kept as the time since a moment in this process, which Go measures with the monotonic clock.

--- a/connlimit/budget.go
+++ b/connlimit/budget.go
@@ -48,22 +48,29 @@
 	freed        chan struct{} // closed by the next release; nil if nothing waits for it
 }
 
-// account is what one connection holds. The fields below mu are guarded by the mutex of the budget.
+// account is what one connection holds.
 type account struct {
 	budget *Budget
 	// evict closes the connection.
 	evict func()
-	// readSince is from when on the process has waited for the client to send, in Unix nanoseconds, or 0
+	// readSince is from when on the process has waited for the client to send, as monotonic returns it, or 0
 	// if it does not wait. It is the start of the request, or of the time without one.
 	readSince atomic.Int64
-	// writeSince is the start of the response that the client does not read, or 0.
+	// writeSince is the start of the request whose response the client does not read, or 0.
 	writeSince atomic.Int64
 
-	held    int64
-	evicted bool // whether evict has been or is being called
+	// The mutex of the budget guards the following fields.
+	held    int64 // bytes
+	evicted bool  // whether evict has been or is being called
 	closed  bool
 }
 
+// timeBase is the origin of what monotonic returns. It is earlier than any connection.
+var timeBase = time.Now().Add(-time.Hour)
+
+// monotonic returns t in nanoseconds after timeBase. Steps of the time of day do not change it.
+func monotonic(t time.Time) int64 { return int64(t.Sub(timeBase)) }
+
 // open returns the account of a new connection, or nil if there is no room for it.
 func (b *Budget) open(evict func()) *account {
 	a := &account{
@@ -246,7 +253,7 @@
 		account *account
 		score   float64
 	}
-	now := time.Now().UnixNano()
+	now := monotonic(time.Now())
 	var list []candidate
 	for c := range b.accounts {
 		if waited := c.waited(now); waited > 0 && c != a && !c.evicted {
--- a/connlimit/budget_test.go
+++ b/connlimit/budget_test.go
@@ -37,7 +37,7 @@
 		c.account.growAnyway(n - ConnBytes)
 	}
 	if waited > 0 {
-		c.account.readSince.Store(time.Now().Add(-waited).UnixNano())
+		c.account.readSince.Store(monotonic(time.Now().Add(-waited)))
 	}
 	return c
 }
--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -140,7 +140,7 @@
 	if err != nil {
 		return 0, err
 	}
-	c.account.readSince.Store(since.UnixNano())
+	c.account.readSince.Store(monotonic(since))
 	n, err := c.Conn.Read(p)
 	c.account.readSince.Store(0)
 	if n > 0 {
@@ -249,7 +249,7 @@
 // awaitTurn waits for a slot of a lane, and returns nil if there is none. The connection may be closed
 // meanwhile, as the process is not at work at its request. The lock is held, but not while it waits.
 func (c *Conn) awaitTurn(l *Lane) *turn {
-	c.account.readSince.Store(c.since.UnixNano())
+	c.account.readSince.Store(monotonic(c.since))
 	c.mu.Unlock()
 	t := l.enter()
 	c.mu.Lock()
@@ -324,7 +324,7 @@
 	since := c.since
 	c.responding = true
 	c.mu.Unlock()
-	c.account.writeSince.Store(since.UnixNano())
+	c.account.writeSince.Store(monotonic(since))
 	n, err := c.Conn.Write(p)
 	c.account.writeSince.Store(0)
 	return n, err
