objectapi: a response that is not one of HTTP says nothing about the call

What callers would see: a platform in trouble answers a write with the status 000, 099 or +20, and the node takes the write for one that has not taken effect, or with a head whose names are none, and the node takes it for done. Claims and departures rest on that.

Net/http accepts such heads, and each status under 500 other than 2xx counted as notRun.

Ruled out: a body that is cut, which is no JSON.

Why it works: the status and the names are checked before the response is used.

--- a/objectapi/jsonclient.go
+++ b/objectapi/jsonclient.go
@@ -22,6 +22,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/time/rate"
 
+	"sassafrasfront.example/internal/httpfield"
 	"sassafrasfront.example/verdict"
 )
 
@@ -139,6 +140,10 @@
 		return nil, err
 	}
 	r.Body = newProgressBody(ctx, r.Body, &c.received)
+	if err := checkHead(r); err != nil {
+		_ = r.Body.Close()
+		return nil, readError(err)
+	}
 	if err := c.checkEra(r); err != nil {
 		_ = r.Body.Close()
 		return nil, readError(err)
@@ -150,6 +155,18 @@
 	return nil, statusError(r)
 }
 
+// checkHead returns an error if the head of a response is not one of HTTP, although net/http accepts it:
+// its status then says nothing about the call, and its body may not be the platform's.
+func checkHead(r *http.Response) error {
+	if !httpfield.IsStatus(r.StatusCode) {
+		return eris.Errorf("answer with the status %d", r.StatusCode)
+	}
+	if name, found := httpfield.InvalidName(r.Header); found {
+		return eris.Errorf("answer with the field name %.80q", name)
+	}
+	return nil
+}
+
 // encode returns body as JSON, or nil if there is none.
 func encode(body any) ([]byte, error) {
 	if body == nil {
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -13,6 +13,8 @@
 	"strings"
 
 	"github.com/rotisserie/eris"
+
+	"sassafrasfront.example/internal/httpfield"
 )
 
 // errInvalidHead marks a response whose head is not one of HTTP/1.1, although net/http accepts it.
@@ -97,7 +99,7 @@
 		return nil // the continuation of a value, which net/http joins with a blank
 	}
 	name, _, found := bytes.Cut(line, []byte{':'})
-	if !found || !isToken(string(name)) {
+	if !found || !httpfield.IsToken(string(name)) {
 		return fmt.Errorf("%w: %.80q is not a field", errInvalidHead, line)
 	}
 	h.hasLength = h.hasLength || strings.EqualFold(string(name), "Content-Length")
@@ -126,32 +128,12 @@
 	return nil
 }
 
-// isToken returns whether s is a token, as a field's name has to be (RFC 9110, section 5.6.2).
-func isToken(s string) bool {
-	for i := range len(s) {
-		c := s[i]
-		alphanumeric := '0' <= c && c <= '9' || 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z'
-		if !alphanumeric && strings.IndexByte("!#$%&'*+-.^_`|~", c) < 0 {
-			return false
-		}
-	}
-	return s != ""
-}
-
-// framingFields are the fields that a trailer must not contain (RFC 9110, section 6.5.1), as
-// receivers may merge it into the head.
-var framingFields = []string{"Content-Length", "Transfer-Encoding", "Trailer", "Host", "Connection"}
-
-// cleanTrailer removes framingFields from the trailer of a response that has been read. It returns
+// cleanTrailer removes the fields from the trailer of a response that must not be in one. It returns
 // an error if a name is not a token.
 func cleanTrailer(trailer http.Header) error {
-	for name := range trailer {
-		if !isToken(name) {
-			return fmt.Errorf("%w: trailer field %.80q", errInvalidHead, name)
-		}
-	}
-	for _, name := range framingFields {
-		trailer.Del(name)
+	if name, found := httpfield.InvalidName(trailer); found {
+		return fmt.Errorf("%w: trailer field %.80q", errInvalidHead, name)
 	}
+	httpfield.DeleteFraming(trailer)
 	return nil
 }
--- a/upstream/invalidresponse_test.go
+++ b/upstream/invalidresponse_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -134,3 +135,20 @@
 	qt.Check(t, string(body), qt.Equals, "mine")
 	qt.Check(t, r.Trailer, qt.DeepEquals, http.Header{"X-Sum": {"1"}})
 }
+
+// TestInvalidHealthResponse guards against a health check that is taken for one of a healthy upstream although
+// its response is not one of HTTP/1.1.
+func TestInvalidHealthResponse(t *testing.T) {
+	for name, response := range invalidResponses() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			addr := serveConns(t, func(_ int, c net.Conn) {
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					_, _ = io.WriteString(c, response)
+				}
+			})
+			h, err := upstream.Health(t.Context(), addr, "/", testNames, 10*time.Second)
+			qt.Check(t, err, qt.IsNotNil, qt.Commentf("%+v", h))
+		})
+	}
+}
