caller: the trailer of a request has no fields that frame a message, and no names that are none

What upstreams would see: trailer fields such as Content-Length, Transfer-Encoding, Host, or "Content-Length " with a blank, which an upstream that merges the trailer into the header takes for the request's own.

Evidence: TestTrailer with six more fields failed before, and passes now.

--- a/caller/body.go
+++ b/caller/body.go
@@ -7,6 +7,7 @@
 import (
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -100,6 +101,8 @@
 // Trailer implements peer.TrailerReader.
 func (b *streamedBody) Trailer() []peer.Field {
 	trailer := b.request.Trailer.Clone()
+	httpfield.DeleteFraming(trailer)
+	maps.DeleteFunc(trailer, func(name string, _ []string) bool { return !httpfield.IsToken(name) })
 	for _, name := range b.reservedFields {
 		trailer.Del(name)
 	}
--- a/caller/trailer_test.go
+++ b/caller/trailer_test.go
@@ -14,8 +14,8 @@
 	"sassafrasfront.example/upstream"
 )
 
-// TestTrailer has a trailer with fields that only the node may set, or that contain a key: an
-// upstream may merge it into the header.
+// TestTrailer has a trailer with fields that only the node may set, that contain a key, that say how the
+// request is framed, or whose names are none: an upstream may merge it into the header.
 func TestTrailer(t *testing.T) {
 	b := &streamedBody{
 		request: &http.Request{Trailer: http.Header{
@@ -23,6 +23,13 @@
 			"X-Organisation": {"other"},
 			"X-Request-Id":   {"other"},
 			"X-Sum":          {"1"},
+
+			"Content-Length":    {"9"},
+			"Transfer-Encoding": {"chunked"},
+			"Host":              {"other.example"},
+			"Connection":        {"X-Sum"},
+			"X Y":               {"z"},
+			"Content-Length ":   {"9"},
 		}},
 		reservedFields: reservedFields(upstream.FieldNames{RequestID: "X-Request-Id", Organisation: "X-Organisation"}),
 	}
