node: one Retry-After for a request for which there is no room

What callers saw: a request that was refused while its head was received was told to come back in 1 s, and one that was refused after it in 0.5 s. A caller that waits for a third of its time at most does not come back for the former.

Found by reading.

Why it works: both are written by the same function, with the same time.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -245,13 +245,13 @@
 	return x.dispatch(ctx, q, nil)
 }
 
-// overloadedRetryAfter is the time after which a caller may retry a request for which there was no
+// OverloadedRetryAfter is the time after which a caller may retry a request for which there was no
 // room. The connections that take the room are closed within that time.
-const overloadedRetryAfter = 500 * time.Millisecond
+const OverloadedRetryAfter = 500 * time.Millisecond
 
 // overloaded returns the failure of a request for which there is no room.
 func overloaded(err error) *verdict.Error {
-	return verdict.New(verdict.Overloaded, err).WithRetryAfter(overloadedRetryAfter)
+	return verdict.New(verdict.Overloaded, err).WithRetryAfter(OverloadedRetryAfter)
 }
 
 // admit admits the request under its organisation's rate limit. Retries on its behalf count as
--- a/caller/response.go
+++ b/caller/response.go
@@ -68,7 +68,7 @@
 		h.Set("WWW-Authenticate", bearer.Challenge(x.r.Header))
 	}
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
-		h.Set("Retry-After", formatRetryAfter(e.RetryAfter, names.FractionalRetryAfter))
+		h.Set("Retry-After", FormatRetryAfter(e.RetryAfter, names.FractionalRetryAfter))
 	}
 	body, err := json.Marshal(p)
 	if err != nil {
@@ -105,9 +105,9 @@
 	return x.streamed != nil && x.r.ProtoMajor == 1 && x.streamed.exceedsDrainLimit()
 }
 
-// formatRetryAfter returns d as the value of the field Retry-After, in whole seconds unless
+// FormatRetryAfter returns d as the value of the field Retry-After, in whole seconds unless
 // callers accept fractions.
-func formatRetryAfter(d time.Duration, fractional bool) string {
+func FormatRetryAfter(d time.Duration, fractional bool) string {
 	if fractional {
 		return strconv.FormatFloat(d.Seconds(), 'f', 3, 64)
 	}
--- a/node/clientlimits.go
+++ b/node/clientlimits.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"sassafrasfront.example/caller"
 	"sassafrasfront.example/connlimit"
 	"sassafrasfront.example/upstream"
 	"sassafrasfront.example/verdict"
@@ -52,9 +53,6 @@
 	// unreadTimeout is the time after which the connection of a client that reads nothing of a response
 	// is closed.
 	unreadTimeout = 10 * time.Second
-	// refusalRetrySeconds is the time after which a client may retry a request that was refused while its
-	// head was received, in seconds. The field has no fractions in HTTP.
-	refusalRetrySeconds = 1
 	// limitLinesPerSecond bounds the log lines on connections that are closed to make room.
 	limitLinesPerSecond = 2
 )
@@ -101,7 +99,7 @@
 		Lane:     newLane(),
 		ReadLane: newLane(),
 		Limits:   n.callerLimits,
-		Refusal:  refusal,
+		Refusal:  n.refusal,
 	}
 }
 
@@ -125,7 +123,7 @@
 		Budget:   n.newBudget(name, maxLocalMemoryMB*bytesPerMB, maxLocalConns),
 		Lane:     newLane(),
 		Limits:   func() connlimit.Limits { return limits },
-		Refusal:  refusal,
+		Refusal:  n.refusal,
 	}
 }
 
@@ -175,11 +173,11 @@
 	}
 }
 
-// refusal returns the response to a request that is refused while its head is received.
-func refusal(status int) string {
+// refusal returns the response to a request that is refused while its head is received. It has not run.
+func (n *Node) refusal(status int) string {
 	retryAfter := ""
 	if status == http.StatusServiceUnavailable {
-		retryAfter = fmt.Sprintf("Retry-After: %d\r\n", refusalRetrySeconds)
+		retryAfter = "Retry-After: " + caller.FormatRetryAfter(caller.OverloadedRetryAfter, n.fieldNames().FractionalRetryAfter) + "\r\n"
 	}
 	text := http.StatusText(status) + "\n"
 	return fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\nConnection: close\r\n%s%s: %s\r\n\r\n%s",
