node: tests of an upstream's raw responses share their system

TestBrokenResponseIsNotWhole and TestInvalidResponseIsNotPassedOn built the same system and client, some 30 lines each. The checks are unchanged; both pass.

--- a/node/brokenhead_test.go
+++ b/node/brokenhead_test.go
@@ -6,9 +6,7 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -34,45 +32,19 @@
 					whole := func(id string) string {
 						return "HTTP/1.1 200 OK\r\n" + platformtest.RequestID + ": " + id + "\r\n" + platformtest.Signature + ": s\r\n" + rest
 					}
-					w := newTestSystem(t)
-					w.configure(1, "")
-					entry := w.add("a")
-					w.addUpstream("z", &platformtest.Upstream{
-						Service: "b",
-						RawResponse: func(r platformtest.Run) string {
-							text := whole(r.ID)
-							return text[:min(int(cut.Load()), len(text))]
-						},
-					}, entry.settings.PeerAddress)
-					transport := &http.Transport{Protocols: new(http.Protocols)}
-					transport.Protocols.SetHTTP1(!http2)
-					transport.Protocols.SetUnencryptedHTTP2(http2)
-					defer transport.CloseIdleConnections()
-					n := 0
-					send := func() (status int, body string, whole bool) {
-						n++
-						r, err := http.NewRequest(method, "http://"+entry.settings.CallerAddress+"/b/x", strings.NewReader(""))
-						qt.Assert(t, err, qt.IsNil)
-						r.Host = "h.example"
-						r.Header.Set(platformtest.RequestID, fmt.Sprintf("%06d", n))
-						r.Header.Set(platformtest.Timeout, "900")
-						response, err := transport.RoundTrip(r)
-						if err != nil {
-							return 0, "", false
-						}
-						defer response.Body.Close()
-						data, err := io.ReadAll(response.Body)
-						return response.StatusCode, string(data), err == nil
-					}
+					w, send := newRawSystem(t, method, http2, func(r platformtest.Run) string {
+						text := whole(r.ID)
+						return text[:min(int(cut.Load()), len(text))]
+					})
 					cut.Store(1 << 10)
 					w.eventually("it serves", func() bool {
-						status, body, whole := send()
-						return status == http.StatusOK && body == "mine" && whole
+						status, body, err := send()
+						return status == http.StatusOK && body == "mine" && err == nil
 					})
 					for at := 0; at < len(whole("000000")); at += cutStep {
 						cut.Store(int64(at))
-						status, body, whole := send()
-						qt.Check(t, status/100 == 2 && whole, qt.IsFalse, qt.Commentf("cut after %d bytes: status %d, body %q", at, status, body))
+						status, body, err := send()
+						qt.Check(t, status/100 == 2 && err == nil, qt.IsFalse, qt.Commentf("cut after %d bytes: status %d, body %q", at, status, body))
 					}
 				})
 			}
--- a/node/invalidresponse_test.go
+++ b/node/invalidresponse_test.go
@@ -6,9 +6,7 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -40,36 +38,10 @@
 			valid := [2]string{"HTTP/1.1 200 OK", end}
 			var current atomic.Pointer[[2]string]
 			current.Store(&valid)
-			w := newTestSystem(t)
-			w.configure(1, "")
-			entry := w.add("a")
-			w.addUpstream("z", &platformtest.Upstream{
-				Service: "b",
-				RawResponse: func(r platformtest.Run) string {
-					response := current.Load()
-					return response[0] + "\r\n" + platformtest.RequestID + ": " + r.ID + "\r\n" + platformtest.Signature + ": s\r\n" + response[1]
-				},
-			}, entry.settings.PeerAddress)
-			transport := &http.Transport{Protocols: new(http.Protocols)}
-			transport.Protocols.SetHTTP1(!http2)
-			transport.Protocols.SetUnencryptedHTTP2(http2)
-			defer transport.CloseIdleConnections()
-			n := 0
-			send := func() (status int, body string, err error) {
-				n++
-				r, err := http.NewRequest(http.MethodPost, "http://"+entry.settings.CallerAddress+"/b/x", strings.NewReader(""))
-				qt.Assert(t, err, qt.IsNil)
-				r.Host = "h.example"
-				r.Header.Set(platformtest.RequestID, fmt.Sprintf("%06d", n))
-				r.Header.Set(platformtest.Timeout, "900")
-				response, err := transport.RoundTrip(r)
-				if err != nil {
-					return 0, "", err
-				}
-				defer response.Body.Close()
-				data, err := io.ReadAll(response.Body)
-				return response.StatusCode, string(data), err
-			}
+			w, send := newRawSystem(t, http.MethodPost, http2, func(r platformtest.Run) string {
+				response := current.Load()
+				return response[0] + "\r\n" + platformtest.RequestID + ": " + r.ID + "\r\n" + platformtest.Signature + ": s\r\n" + response[1]
+			})
 			w.eventually("it serves", func() bool {
 				status, body, err := send()
 				return status == http.StatusOK && body == "mine" && err == nil
